--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints a table and writes JSON with its seed."""
--- /dev/null
+++ b/persimmonhold/__init__.py
@@ -0,0 +1,1 @@
+"""A serving system for many models on fewer accelerators."""
--- /dev/null
+++ b/persimmonhold/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, limits, deadlines and refusals."""
--- /dev/null
+++ b/persimmonhold/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""The life of one request across its attempts."""
--- /dev/null
+++ b/persimmonhold/catalogue/__init__.py
@@ -0,0 +1,29 @@
+"""Catalogue entries, classes of service, limits and revisions."""
+
+from persimmonhold.catalogue._accelerator import Accelerator
+from persimmonhold.catalogue._adapter_entry import AdapterEntry
+from persimmonhold.catalogue._bounds import Bounds
+from persimmonhold.catalogue._call_rule import CallRule
+from persimmonhold.catalogue._catalogue import Catalogue
+from persimmonhold.catalogue._entry import CatalogueEntry
+from persimmonhold.catalogue._limits import Limits
+from persimmonhold.catalogue._model_entry import ModelEntry
+from persimmonhold.catalogue._service_class import ServiceClass
+from persimmonhold.catalogue._service_entry import ServiceEntry
+from persimmonhold.catalogue._stored_entry import StoredEntry
+from persimmonhold.catalogue._upstream_entry import UpstreamEntry
+
+__all__ = (
+    'Accelerator',
+    'AdapterEntry',
+    'Bounds',
+    'CallRule',
+    'Catalogue',
+    'CatalogueEntry',
+    'Limits',
+    'ModelEntry',
+    'ServiceClass',
+    'ServiceEntry',
+    'StoredEntry',
+    'UpstreamEntry',
+)
--- /dev/null
+++ b/persimmonhold/catalogue/_limits.py
@@ -0,0 +1,17 @@
+"""The limits agreed for an entry."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Limits(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Upper bounds on use; zero means that no bound was agreed."""
+
+    concurrent_requests: int = 0
+    requests_per_second: float = 0
+    owner_concurrent_requests: int = 0
+    caller_concurrent_requests: int = 0
+    min_copies: int = 1
+    max_copies: int = 0
--- /dev/null
+++ b/persimmonhold/cli/_dev_system.py
@@ -0,0 +1,171 @@
+"""Control, entry and stand-ins in one process on one loop."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self, final
+
+from persimmonhold.cli._sample_catalogue import (
+    MEMORY_BYTES,
+    sample_catalogue,
+)
+from persimmonhold.control.machine import PutEntry, RegisterVm
+from persimmonhold.control.shell import (
+    ControlNode,
+    LocalControlLink,
+    OperatorHandler,
+    PlacementRunner,
+)
+from persimmonhold.entry import EntryHandler
+from persimmonhold.messages import VmRecord
+from persimmonhold.observability import Metrics
+from persimmonhold.routing import Router
+from persimmonhold.settings import StandinSection
+from persimmonhold.standin import Standin
+from persimmonhold.web import Address, HttpBounds, HttpServer
+
+_ENGINES: Final = ('engine-1', 'engine-2')
+_SERVICES: Final = ('lodgements', 'status')
+_ANY_PORT: Final = '127.0.0.1:0'
+_TTL_S: Final = 10.0
+
+
+@final
+class DevSystem:
+    """Owns everything that the dev command runs."""
+
+    __slots__ = (
+        '_directory',
+        '_stack',
+        '_tasks',
+        'callers',
+        'link',
+        'node',
+        'operators',
+        'standins',
+    )
+
+    def __init__(
+        self,
+        directory: Path,
+        callers: Address,
+        operators: Address,
+    ) -> None:
+        """Create a system with its control state under `directory`."""
+        self.callers = callers
+        self.operators = operators
+        self.node = ControlNode(directory)
+        self.link = LocalControlLink(self.node)
+        self.standins: dict[str, Standin] = {}
+        self._directory = directory
+        self._stack = AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> Self:
+        """Start everything; raises `OSError` for an address in use."""
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await self._stack.aclose()
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        stack.enter_context(self.node)
+        self.node.recover().unwrap()
+        await self._start_standins(stack)
+        await self._apply_sample()
+        self.link.view = self.node.view()
+        router = Router(seed=0)
+        router.adopt_view(self.link.view)
+        entry = EntryHandler(self.link, router, Metrics(), _TTL_S)
+        callers = HttpServer(self.callers, entry, HttpBounds())
+        operators = HttpServer(
+            self.operators,
+            OperatorHandler(self.node),
+            HttpBounds(),
+        )
+        self.callers = (await stack.enter_async_context(callers)).address
+        self.operators = (await stack.enter_async_context(operators)).address
+        await self._register()
+        self._run_tasks(router)
+
+    def _run_tasks(self, router: Router) -> None:
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self.link.run()),
+            loop.create_task(self._follow_views(router)),
+            loop.create_task(PlacementRunner(self.node).run()),
+        ]
+
+    async def _follow_views(self, router: Router) -> None:
+        while True:
+            await self.link.changed.wait()
+            self.link.changed.clear()
+            router.adopt_view(self.link.view)
+
+    async def _start_standins(self, stack: AsyncExitStack) -> None:
+        for name in _ENGINES:
+            section = StandinSection(
+                name=name,
+                kind='engine',
+                address=_ANY_PORT,
+                memory_bytes=MEMORY_BYTES,
+            )
+            await self._start_standin(stack, section)
+        for service in _SERVICES:
+            section = StandinSection(
+                name=service,
+                kind='service',
+                address=_ANY_PORT,
+            )
+            await self._start_standin(stack, section)
+
+    async def _start_standin(
+        self,
+        stack: AsyncExitStack,
+        section: StandinSection,
+    ) -> None:
+        standin = Standin(section)
+        await stack.enter_async_context(standin)
+        self.standins[section.name] = standin
+
+    async def _apply_sample(self) -> None:
+        engines = {name: str(self.standins[name].address) for name in _ENGINES}
+        services = {
+            name: str(self.standins[name].address) for name in _SERVICES
+        }
+        for entry in sample_catalogue(engines, services):
+            catalogue = self.node.machine.state.catalogue
+            if catalogue.find(entry.name) == entry:
+                continue
+            command = PutEntry(
+                operator='dev',
+                command_id=f'{catalogue.revision}-{entry.name}',
+                at_ms=self.node.now_ms(),
+                expected_revision=catalogue.entry_revision(entry.name),
+                entry=entry,
+                reason='sample catalogue',
+            )
+            await self.node.propose(command)
+
+    async def _register(self) -> None:
+        vm = VmRecord(
+            name='dev',
+            failure_domain='local',
+            callers=str(self.callers),
+            operators=str(self.operators),
+        )
+        await self.node.propose(
+            RegisterVm(at_ms=self.node.now_ms(), vm=vm),
+        )
--- /dev/null
+++ b/persimmonhold/cli/_sample_catalogue.py
@@ -0,0 +1,76 @@
+"""The sample catalogue of the dev command."""
+
+from typing import Final
+
+from persimmonhold.catalogue import (
+    Accelerator,
+    AdapterEntry,
+    CallRule,
+    CatalogueEntry,
+    ModelEntry,
+    ServiceClass,
+    ServiceEntry,
+    UpstreamEntry,
+)
+
+_OWNER: Final = 'sample'
+_GIGABYTE: Final = 1_000_000_000
+MEMORY_BYTES: Final = 80 * _GIGABYTE
+_WEIGHT_BYTES: Final = 14 * _GIGABYTE
+_KV_FLOOR_BYTES: Final = 4 * _GIGABYTE
+_ADAPTER_BYTES: Final = _GIGABYTE // 5
+_ANY_CALL: Final = CallRule(method='*', path_prefix='', idempotent=True)
+_READS: Final = CallRule(method='GET', path_prefix='', idempotent=True)
+
+
+def sample_catalogue(
+    engines: dict[str, str],
+    services: dict[str, str],
+) -> tuple[CatalogueEntry, ...]:
+    """Return entries for upstreams whose addresses are given by name."""
+    return (
+        *(_engine(name, address) for name, address in engines.items()),
+        *(_replica(name, address) for name, address in services.items()),
+        _model('tutor', ServiceClass.interactive),
+        _model('reviewer', ServiceClass.batch),
+        AdapterEntry(
+            name='tutor-harness',
+            owner=_OWNER,
+            version='1',
+            base='tutor',
+            weight_bytes=_ADAPTER_BYTES,
+        ),
+        ServiceEntry(name='lodgements', owner=_OWNER, rules=(_READS,)),
+        ServiceEntry(name='status', owner=_OWNER, rules=(_ANY_CALL,)),
+    )
+
+
+def _model(name: str, service_class: ServiceClass) -> ModelEntry:
+    return ModelEntry(
+        name=name,
+        owner=_OWNER,
+        version='1',
+        weight_bytes=_WEIGHT_BYTES,
+        kv_floor_bytes=_KV_FLOOR_BYTES,
+        service_class=service_class,
+    )
+
+
+def _engine(name: str, address: str) -> UpstreamEntry:
+    return UpstreamEntry(
+        name=name,
+        owner=_OWNER,
+        address=address,
+        failure_domain='local',
+        accelerators=(Accelerator(name='a0', memory_bytes=MEMORY_BYTES),),
+    )
+
+
+def _replica(name: str, address: str) -> UpstreamEntry:
+    return UpstreamEntry(
+        name=f'{name}-1',
+        owner=_OWNER,
+        address=address,
+        failure_domain='local',
+        service=name,
+    )
--- /dev/null
+++ b/persimmonhold/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Elections, the replicated log, snapshots and replica membership."""
--- /dev/null
+++ b/persimmonhold/control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated control state and the process around it."""
--- /dev/null
+++ b/persimmonhold/control/machine/_claim_key.py
@@ -0,0 +1,23 @@
+"""The command that claims an idempotency key before dispatch."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class ClaimKey(msgspec.Struct, frozen=True, kw_only=True, tag='claim_key'):
+    """Claims a key of a caller at a service for one request.
+
+    `content_digest` tells a resend from another request under the same key.
+    `request_id` identifies the claimant, so that its own resend of this
+    command is granted again.
+    """
+
+    at_ms: int
+    caller: str
+    service: str
+    key: str
+    content_digest: str
+    request_id: str
+    vm: str
--- /dev/null
+++ b/persimmonhold/control/machine/_command.py
@@ -0,0 +1,23 @@
+"""The union of all commands of the control log."""
+
+from typing import TypeAlias
+
+from persimmonhold.control.machine._claim_key import ClaimKey
+from persimmonhold.control.machine._delete_entry import DeleteEntry
+from persimmonhold.control.machine._end_claim import EndClaim
+from persimmonhold.control.machine._put_entry import PutEntry
+from persimmonhold.control.machine._record_copy import RecordCopy
+from persimmonhold.control.machine._record_intent import RecordIntent
+from persimmonhold.control.machine._record_order_end import RecordOrderEnd
+from persimmonhold.control.machine._register_vm import RegisterVm
+
+Command: TypeAlias = (
+    PutEntry
+    | DeleteEntry
+    | RecordIntent
+    | RecordOrderEnd
+    | RecordCopy
+    | ClaimKey
+    | EndClaim
+    | RegisterVm
+)
--- /dev/null
+++ b/persimmonhold/control/machine/_operator_command.py
@@ -0,0 +1,15 @@
+"""A command of an operator that was answered."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.control.machine._command_result import CommandResult
+
+
+@final
+class OperatorCommand(msgspec.Struct, frozen=True, kw_only=True):
+    """The digest of the content and the first answer."""
+
+    content_digest: str
+    result: CommandResult
--- /dev/null
+++ b/persimmonhold/control/machine/_put_entry.py
@@ -0,0 +1,24 @@
+"""The command that creates or replaces a catalogue entry."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.catalogue import CatalogueEntry
+
+
+@final
+class PutEntry(msgspec.Struct, frozen=True, kw_only=True, tag='put_entry'):
+    """Compare-and-set on the revision of the entry; 0 creates."""
+
+    operator: str
+    command_id: str
+    at_ms: int
+    expected_revision: int
+    entry: CatalogueEntry
+    reason: str = ''
+
+    @property
+    def name(self) -> str:
+        """The name of the entry."""
+        return self.entry.name
--- /dev/null
+++ b/persimmonhold/control/machine/_register_vm.py
@@ -0,0 +1,16 @@
+"""The command that records a VM of the system."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.messages import VmRecord
+
+
+@final
+class RegisterVm(msgspec.Struct, frozen=True, kw_only=True, tag='register_vm'):
+    """Adds or replaces a VM; `gone` removes it."""
+
+    at_ms: int
+    vm: VmRecord
+    gone: bool = False
--- /dev/null
+++ b/persimmonhold/control/shell/_control_link.py
@@ -0,0 +1,40 @@
+"""How an entry reaches the control state."""
+
+import abc
+import asyncio
+
+from returns.result import Result
+
+from persimmonhold.control.machine import CommandResult
+from persimmonhold.control.machine._claim_key import ClaimKey
+from persimmonhold.control.machine._end_claim import EndClaim
+from persimmonhold.failures import Failure
+from persimmonhold.messages import ControlView, Demand
+
+
+class ControlLink(abc.ABC):
+    """The newest view this process has, and claims of idempotency keys.
+
+    Invariant: the index of `view` never falls. `changed` is set with each
+    newer view; who waits for it clears it first.
+    """
+
+    def __init__(self) -> None:
+        """Create a link without a view."""
+        self.view = ControlView()
+        self.changed = asyncio.Event()
+
+    @abc.abstractmethod
+    async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
+        """Commit a claim; a failure means that it may not be dispatched."""
+
+    @abc.abstractmethod
+    async def end_claim(
+        self,
+        end: EndClaim,
+    ) -> Result[CommandResult, Failure]:
+        """Commit the outcome of a claimed request."""
+
+    @abc.abstractmethod
+    def report_demand(self, demand: tuple[Demand, ...]) -> None:
+        """Tell control what callers asked of this entry."""
--- /dev/null
+++ b/persimmonhold/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry addresses a caller is given."""
--- /dev/null
+++ b/persimmonhold/entry/__init__.py
@@ -0,0 +1,5 @@
+"""The HTTP server that callers reach."""
+
+from persimmonhold.entry._entry_handler import EntryHandler
+
+__all__ = ('EntryHandler',)
--- /dev/null
+++ b/persimmonhold/entry/_request_context.py
@@ -0,0 +1,22 @@
+"""What an entry knows of one request."""
+
+import secrets
+from typing import Final, final
+
+from persimmonhold.web import CALLER, Exchange
+
+_ID_BYTES: Final = 12
+
+
+@final
+class RequestContext:
+    """The exchange, its own id and its caller."""
+
+    __slots__ = ('caller', 'exchange', 'request_id')
+
+    def __init__(self, exchange: Exchange) -> None:
+        """Create the context of a request with a new id."""
+        self.exchange = exchange
+        self.request_id = secrets.token_hex(_ID_BYTES)
+        peer_host = exchange.head.peer.rpartition(':')[0]
+        self.caller = exchange.head.header(CALLER) or peer_host
--- /dev/null
+++ b/persimmonhold/failures/__init__.py
@@ -0,0 +1,16 @@
+"""Errors and refusals, kept in one place."""
+
+from persimmonhold.failures._failure import Failure
+from persimmonhold.failures._kind import FailureKind
+from persimmonhold.failures._ran import Ran
+from persimmonhold.failures._refusal import REFUSAL_STATUS, Refusal
+from persimmonhold.failures._refusal_reason import RefusalReason
+
+__all__ = (
+    'REFUSAL_STATUS',
+    'Failure',
+    'FailureKind',
+    'Ran',
+    'Refusal',
+    'RefusalReason',
+)
--- /dev/null
+++ b/persimmonhold/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are live, from heartbeats and leases."""
--- /dev/null
+++ b/persimmonhold/messages/_control_view.py
@@ -0,0 +1,22 @@
+"""The part of the control state that every entry holds."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.catalogue import Catalogue
+from persimmonhold.messages._copy import Copy
+from persimmonhold.messages._vm_record import VmRecord
+
+
+@final
+class ControlView(msgspec.Struct, frozen=True, kw_only=True):
+    """Catalogue, copies and VMs at one index of the control log.
+
+    Invariant: a reader never replaces its view by one of a lower index.
+    """
+
+    index: int = 0
+    catalogue: Catalogue = Catalogue()
+    copies: tuple[Copy, ...] = ()
+    vms: tuple[VmRecord, ...] = ()
--- /dev/null
+++ b/persimmonhold/messages/_copy.py
@@ -0,0 +1,19 @@
+"""A copy of a model or adapter on an upstream."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.messages._copy_state import CopyState
+
+
+@final
+class Copy(msgspec.Struct, frozen=True, kw_only=True):
+    """Where one version of a model or adapter is, and in which state."""
+
+    target: str
+    version: str
+    upstream: str
+    accelerator: str
+    state: CopyState
+    fence: int
--- /dev/null
+++ b/persimmonhold/messages/_demand.py
@@ -0,0 +1,21 @@
+"""The demand for one model or adapter."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Demand(msgspec.Struct, frozen=True, kw_only=True):
+    """Offered load at one entry over the last reporting period.
+
+    `prompt_tokens_per_second` and `output_tokens_per_second` describe the
+    work; `waiting` is the number of requests queued or refused for want of
+    capacity.
+    """
+
+    target: str
+    requests_per_second: float
+    prompt_tokens_per_second: float
+    output_tokens_per_second: float
+    waiting: int = 0
--- /dev/null
+++ b/persimmonhold/observability/__init__.py
@@ -0,0 +1,18 @@
+"""Metrics, logs and explanations."""
+
+from persimmonhold.observability import _metric_table as metric
+from persimmonhold.observability._log import LogOutput, log_event
+from persimmonhold.observability._log_level import LogLevel
+from persimmonhold.observability._metric_kind import MetricKind
+from persimmonhold.observability._metric_spec import MetricSpec
+from persimmonhold.observability._metrics import Metrics
+
+__all__ = (
+    'LogLevel',
+    'LogOutput',
+    'MetricKind',
+    'MetricSpec',
+    'Metrics',
+    'log_event',
+    'metric',
+)
--- /dev/null
+++ b/persimmonhold/routing/_route_request.py
@@ -0,0 +1,22 @@
+"""What a request needs of an upstream."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.catalogue import ServiceClass
+
+
+@final
+class RouteRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request for a model, an adapter or a plain service.
+
+    `excluded` names upstreams that already failed this request.
+    """
+
+    target: str
+    service_class: ServiceClass
+    is_service: bool = False
+    prompt_tokens: int = 0
+    prefixes: tuple[str, ...] = ()
+    excluded: frozenset[str] = frozenset()
--- /dev/null
+++ b/persimmonhold/settings/__init__.py
@@ -0,0 +1,32 @@
+"""Settings files, checked."""
+
+from persimmonhold.settings._caller_settings import CallerSettings
+from persimmonhold.settings._ini_reader import parse_ini, read_ini
+from persimmonhold.settings._log_settings import LogSettings
+from persimmonhold.settings._operator_settings import OperatorSettings
+from persimmonhold.settings._peer_settings import PeerSettings
+from persimmonhold.settings._placement_settings import PlacementSettings
+from persimmonhold.settings._platform_settings import PlatformSettings
+from persimmonhold.settings._settings import Settings
+from persimmonhold.settings._standin_settings import (
+    StandinSection,
+    StandinSettings,
+)
+from persimmonhold.settings._tls_settings import TlsSettings
+from persimmonhold.settings._vm_settings import VmSettings
+
+__all__ = (
+    'CallerSettings',
+    'LogSettings',
+    'OperatorSettings',
+    'PeerSettings',
+    'PlacementSettings',
+    'PlatformSettings',
+    'Settings',
+    'StandinSection',
+    'StandinSettings',
+    'TlsSettings',
+    'VmSettings',
+    'parse_ini',
+    'read_ini',
+)
--- /dev/null
+++ b/persimmonhold/settings/_ini_reader.py
@@ -0,0 +1,121 @@
+"""Reads INI files into checked types.
+
+Every key has its type, bounds, default and description in the type of its
+section; a key or section that no type declares is an error, and all errors
+of a file are returned together.
+"""
+
+import configparser
+from pathlib import Path
+from typing import Any, TypeVar, get_type_hints
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+
+_SettingsT = TypeVar('_SettingsT', bound=msgspec.Struct)
+
+
+def read_ini(
+    path: Path,
+    settings_type: type[_SettingsT],
+) -> Result[_SettingsT, tuple[Failure, ...]]:
+    """Read and check a file."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Failed((_failure(str(path), str(error)),))
+    return parse_ini(text, str(path), settings_type)
+
+
+def parse_ini(
+    text: str,
+    source: str,
+    settings_type: type[_SettingsT],
+) -> Result[_SettingsT, tuple[Failure, ...]]:
+    """Check the text of a file; `source` names it in errors."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str  # type: ignore[assignment, method-assign]
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        return Failed((_failure(source, ' '.join(str(error).split())),))
+    return _convert(parser, source, settings_type)
+
+
+def _convert(
+    parser: configparser.ConfigParser,
+    source: str,
+    settings_type: type[_SettingsT],
+) -> Result[_SettingsT, tuple[Failure, ...]]:
+    declared = get_type_hints(settings_type, include_extras=True)
+    failures = [
+        _failure(source, f'[{section}]: unknown section')
+        for section in parser.sections()
+        if section not in declared
+    ]
+    sections: dict[str, dict[str, Any]] = {}
+    for name, section_type in declared.items():
+        raw = dict(parser[name]) if parser.has_section(name) else {}
+        checked = _check_section(raw, section_type)
+        failures.extend(
+            _failure(source, f'[{name}] {problem}')
+            for problem in checked.problems
+        )
+        sections[name] = checked.values
+    if failures:
+        return Failed(tuple(failures))
+    return Success(msgspec.convert(sections, settings_type))
+
+
+class _CheckedSection:
+    """The values of a section and what is wrong with it."""
+
+    __slots__ = ('problems', 'values')
+
+    def __init__(self) -> None:
+        self.problems: list[str] = []
+        self.values: dict[str, Any] = {}
+
+
+def _check_section(
+    raw: dict[str, str],
+    section_type: type[msgspec.Struct],
+) -> _CheckedSection:
+    checked = _CheckedSection()
+    fields = {
+        field.name: field for field in msgspec.structs.fields(section_type)
+    }
+    for key, text in raw.items():
+        field = fields.get(key)
+        if field is None:
+            checked.problems.append(f'{key}: unknown key')
+        else:
+            _check_key(checked, key, text, field.type)
+    for name, declared in fields.items():
+        if declared.required and name not in raw:
+            checked.problems.append(f'{name}: missing key')
+    return checked
+
+
+def _check_key(
+    checked: _CheckedSection,
+    key: str,
+    text: str,
+    key_type: Any,
+) -> None:
+    try:
+        checked.values[key] = msgspec.convert(text, key_type, strict=False)
+    except msgspec.ValidationError as error:
+        checked.problems.append(f'{key}: {error}, found {text!r}')
+
+
+def _failure(source: str, detail: str) -> Failure:
+    return Failure(
+        kind=FailureKind.bad_settings,
+        step='read settings',
+        peer=source,
+        detail=detail,
+    )
--- /dev/null
+++ b/persimmonhold/settings/_peer_settings.py
@@ -0,0 +1,47 @@
+"""The section `[peers]`."""
+
+from typing import Annotated, final
+
+import msgspec
+from msgspec import Meta
+
+from persimmonhold.settings._address_text import AddressText
+
+
+@final
+class PeerSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How the processes of the system reach one another."""
+
+    address: Annotated[
+        AddressText,
+        Meta(description='Address for the other VMs; ip:port.'),
+    ] = ''
+    control: Annotated[
+        str,
+        Meta(
+            pattern=r'^$|^[a-z0-9-]+@[^,@\s]+(,\s*[a-z0-9-]+@[^,@\s]+)*$',
+            description='Control VMs at the first start; name@ip:port, ...',
+        ),
+    ] = ''
+    heartbeat_ms: Annotated[
+        int,
+        Meta(ge=10, le=10_000, description='Time between heartbeats.'),
+    ] = 100
+    election_timeout_ms: Annotated[
+        int,
+        Meta(ge=50, le=60_000, description='Silence before an election.'),
+    ] = 500
+    plain_outside_loopback: Annotated[
+        bool,
+        Meta(description='Allow addresses beyond loopback without TLS.'),
+    ] = False
+
+    @property
+    def control_addresses(self) -> dict[str, str]:
+        """The first control VMs: address by name."""
+        addresses: dict[str, str] = {}
+        for part in self.control.split(','):
+            name, _, address = part.strip().partition('@')
+            if name:
+                addresses[name] = address
+        return addresses
--- /dev/null
+++ b/persimmonhold/settings/_standin_settings.py
@@ -0,0 +1,67 @@
+"""Settings of a stand-in upstream."""
+
+from typing import Annotated, Literal, final
+
+import msgspec
+from msgspec import Meta
+
+from persimmonhold.settings._address_text import AddressText
+from persimmonhold.settings._log_settings import LogSettings
+
+
+@final
+class StandinSection(msgspec.Struct, frozen=True, kw_only=True):
+    """The section `[standin]`."""
+
+    name: Annotated[
+        str,
+        Meta(min_length=1, description='Name of the upstream.'),
+    ]
+    kind: Annotated[
+        Literal['engine', 'service', 'vm_list'],
+        Meta(description='What it stands in for.'),
+    ]
+    address: Annotated[
+        AddressText,
+        Meta(description='Address to listen on; ip:port.'),
+    ]
+    accelerators: Annotated[
+        int,
+        Meta(ge=1, le=1024, description='Accelerators of an engine.'),
+    ] = 1
+    memory_bytes: Annotated[
+        int,
+        Meta(ge=1, description='Memory of each accelerator.'),
+    ] = 80_000_000_000
+    load_ms: Annotated[
+        float,
+        Meta(ge=0, le=600_000, description='Time to load a model.'),
+    ] = 300
+    adapter_load_ms: Annotated[
+        float,
+        Meta(ge=0, le=600_000, description='Time to load an adapter.'),
+    ] = 8
+    slots: Annotated[
+        int,
+        Meta(ge=1, le=4096, description='Requests in one batch.'),
+    ] = 16
+    prefill_tokens_per_second: Annotated[
+        float,
+        Meta(gt=0, description='Speed of prefill.'),
+    ] = 8000
+    decode_step_ms: Annotated[
+        float,
+        Meta(gt=0, le=10_000, description='Time between tokens.'),
+    ] = 20
+    call_ms: Annotated[
+        float,
+        Meta(ge=0, le=60_000, description='Time of a service call.'),
+    ] = 10
+
+
+@final
+class StandinSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """One section a field; the field names are the section names."""
+
+    standin: StandinSection
+    logs: LogSettings = LogSettings()
--- /dev/null
+++ b/persimmonhold/settings/_tls_settings.py
@@ -0,0 +1,29 @@
+"""The section `[tls]`."""
+
+from typing import Annotated, final
+
+import msgspec
+from msgspec import Meta
+
+
+@final
+class TlsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Mutual TLS between the processes of the system; PEM files."""
+
+    certificate: Annotated[
+        str,
+        Meta(description='Certificate chain of this VM.'),
+    ] = ''
+    key: Annotated[
+        str,
+        Meta(description='Private key of this VM.'),
+    ] = ''
+    authority: Annotated[
+        str,
+        Meta(description='Certificates of the authorities to trust.'),
+    ] = ''
+
+    @property
+    def is_configured(self) -> bool:
+        """Tell whether TLS is in use."""
+        return bool(self.certificate and self.key and self.authority)
--- /dev/null
+++ b/persimmonhold/settings/_vm_settings.py
@@ -0,0 +1,44 @@
+"""The section `[vm]`."""
+
+from typing import Annotated, final
+
+import msgspec
+from msgspec import Meta
+
+
+@final
+class VmSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Who this VM is and which roles it has."""
+
+    name: Annotated[
+        str,
+        Meta(
+            pattern='^[a-z0-9][a-z0-9-]{0,62}$',
+            description='Name of this VM, unique in the system.',
+        ),
+    ]
+    failure_domain: Annotated[
+        str,
+        Meta(min_length=1, description='Failure domain of this VM.'),
+    ]
+    roles: Annotated[
+        str,
+        Meta(
+            pattern='^(entry|control|entry,control)$',
+            description='Roles: entry, control, or entry,control.',
+        ),
+    ] = 'entry'
+    data_directory: Annotated[
+        str,
+        Meta(description='Folder of the control state; needs a disk.'),
+    ] = ''
+
+    @property
+    def has_entry(self) -> bool:
+        """Tell whether this VM answers callers."""
+        return 'entry' in self.roles
+
+    @property
+    def has_control(self) -> bool:
+        """Tell whether this VM holds control state."""
+        return 'control' in self.roles
--- /dev/null
+++ b/persimmonhold/standin/_batch_scheduler.py
@@ -0,0 +1,108 @@
+"""Continuous batching on a stand-in engine."""
+
+import asyncio
+import heapq
+from typing import Final, final
+
+from persimmonhold.messages import PREFIX_BLOCK_CHARACTERS
+from persimmonhold.settings import StandinSection
+from persimmonhold.standin._generation import Generation
+from persimmonhold.standin._prefix_cache import PrefixCache
+
+_MS_PER_S: Final = 1000
+_CHARACTERS_PER_TOKEN: Final = 4
+
+
+@final
+class BatchScheduler:
+    """Runs generations in `slots` places, the most urgent first.
+
+    Each step makes one token for every generation in the batch. A prompt
+    takes its place when the batch has one, and delays the step by the time
+    of its prefill, which the prefix cache shortens.
+    """
+
+    __slots__ = (
+        '_arrivals',
+        '_cache',
+        '_queue',
+        '_section',
+        '_wake',
+        'batch',
+        'frozen_until',
+        'requests_run',
+    )
+
+    def __init__(self, section: StandinSection, cache: PrefixCache) -> None:
+        """Create an idle scheduler."""
+        self.batch: list[Generation] = []
+        self.frozen_until = 0.0
+        self.requests_run = 0
+        self._section = section
+        self._cache = cache
+        self._queue: list[tuple[int, int, Generation]] = []
+        self._arrivals = 0
+        self._wake = asyncio.Event()
+
+    @property
+    def waiting(self) -> int:
+        """The number of generations that wait for a place."""
+        return len(self._queue)
+
+    def submit(self, generation: Generation) -> None:
+        """Queue a generation."""
+        self._arrivals += 1
+        ranked = (generation.priority, self._arrivals, generation)
+        heapq.heappush(self._queue, ranked)
+        self._wake.set()
+
+    def cancel(self, generation: Generation) -> None:
+        """Forget a generation and free its place."""
+        if generation in self.batch:
+            self.batch.remove(generation)
+        self._queue = [
+            ranked for ranked in self._queue if ranked[2] is not generation
+        ]
+        heapq.heapify(self._queue)
+
+    async def run(self) -> None:
+        """Make steps until cancelled."""
+        while True:
+            self._wake.clear()
+            if not self.batch and not self._queue:
+                await self._wake.wait()
+            await self._thaw()
+            prefill_s = self._admit()
+            await asyncio.sleep(prefill_s + self._step_s())
+            self._make_tokens()
+
+    async def _thaw(self) -> None:
+        remaining = self.frozen_until - asyncio.get_running_loop().time()
+        if remaining > 0:
+            await asyncio.sleep(remaining)
+
+    def _admit(self) -> float:
+        """Fill free places; return the prefill time in seconds."""
+        prefill_s = 0.0
+        while self._queue and len(self.batch) < self._section.slots:
+            generation = heapq.heappop(self._queue)[-1]
+            self.requests_run += 1
+            self.batch.append(generation)
+            prefill_s += self._prefill_s(generation)
+        return prefill_s
+
+    def _prefill_s(self, generation: Generation) -> float:
+        hits = self._cache.use(generation.target, generation.prompt)
+        cached = hits * PREFIX_BLOCK_CHARACTERS // _CHARACTERS_PER_TOKEN
+        tokens = max(1, generation.prompt_tokens - cached)
+        return tokens / self._section.prefill_tokens_per_second
+
+    def _step_s(self) -> float:
+        return self._section.decode_step_ms / _MS_PER_S
+
+    def _make_tokens(self) -> None:
+        for generation in tuple(self.batch):
+            if not generation.is_complete:
+                generation.make_token()
+            if generation.is_complete:
+                self.batch.remove(generation)
--- /dev/null
+++ b/persimmonhold/standin/_engine_handler.py
@@ -0,0 +1,211 @@
+"""The HTTP interface of a stand-in engine."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeAlias, final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from persimmonhold.messages import LoadReport, Order, OrderKind, OrderOutcome
+from persimmonhold.settings import StandinSection
+from persimmonhold.standin._batch_scheduler import BatchScheduler
+from persimmonhold.standin._engine_memory import EngineMemory
+from persimmonhold.standin._faults import Faults
+from persimmonhold.standin._generation import Generation
+from persimmonhold.standin._load_history import LoadHistory
+from persimmonhold.standin._prefix_cache import PrefixCache
+from persimmonhold.standin._stream_writer import StreamWriter
+from persimmonhold.web import (
+    PRIORITY,
+    RAN,
+    RESUME_OFFSET,
+    Exchange,
+    ExchangeHandler,
+    encode_headers,
+)
+
+_MS_PER_S: Final = 1000
+_OK: Final = 200
+_BAD_REQUEST: Final = 400
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
+_LOWEST_PRIORITY: Final = 3
+_Route: TypeAlias = Callable[[Exchange], Awaitable[None]]
+_NOT_RUN: Final = encode_headers({RAN: 'no'})
+
+
+@final
+class EngineHandler(ExchangeHandler):
+    """Serves orders, reports and generations."""
+
+    def __init__(self, section: StandinSection, boot_id: str) -> None:
+        """Create an engine that holds nothing."""
+        capacities = {
+            f'a{index}': section.memory_bytes
+            for index in range(section.accelerators)
+        }
+        self.memory = EngineMemory(boot_id, capacities)
+        self.faults = Faults()
+        self.cache = PrefixCache(seed=0)
+        self.scheduler = BatchScheduler(section, self.cache)
+        self._section = section
+        self._history = LoadHistory()
+        self._random = random.Random(0)
+        self._orders: set[asyncio.Task[None]] = set()
+        self._routes: dict[tuple[str, str], _Route] = {
+            ('POST', '/orders'): self._take_order,
+            ('GET', '/inventory'): self._show_inventory,
+            ('GET', '/load'): self._show_load,
+            ('GET', '/cache-events'): self._show_cache_events,
+            ('POST', '/v1/chat/completions'): self._generate,
+            ('POST', '/v1/completions'): self._generate,
+            ('GET', '/_standin/state'): self._show_state,
+            ('POST', '/_standin/fault'): self._set_faults,
+        }
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Dispatch by method and path."""
+        route = self._routes.get((exchange.head.method, exchange.head.path))
+        if route is None:
+            await exchange.respond_json(_NOT_FOUND, {}, _NOT_RUN)
+            return
+        if not exchange.head.path.startswith('/_standin'):
+            await self._delay()
+        await route(exchange)
+
+    async def _delay(self) -> None:
+        loop = asyncio.get_running_loop()
+        delay_s = self.faults.answer_delay_ms / _MS_PER_S
+        frozen_s = self.scheduler.frozen_until - loop.time()
+        if max(delay_s, frozen_s) > 0:
+            await asyncio.sleep(max(delay_s, frozen_s))
+
+    async def _take_order(self, exchange: Exchange) -> None:
+        body = await exchange.read_body()
+        if isinstance(body, Failed):
+            exchange.abort()
+            return
+        try:
+            order = msgspec.json.decode(body.unwrap(), type=Order)
+        except msgspec.DecodeError as error:
+            await exchange.respond_json(_BAD_REQUEST, {'error': str(error)})
+            return
+        if self._random.random() < self.faults.order_loss:
+            exchange.abort()
+            return
+        answer = self.memory.check(order)
+        if answer.outcome is OrderOutcome.accepted:
+            self._start(order)
+        taken = answer.outcome is OrderOutcome.accepted
+        await exchange.respond_json(_OK if taken else _CONFLICT, answer)
+
+    def _start(self, order: Order) -> None:
+        task = asyncio.get_running_loop().create_task(self._execute(order))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _execute(self, order: Order) -> None:
+        await asyncio.sleep(self.faults.order_delay_ms / _MS_PER_S)
+        if not self.memory.begin(order):
+            return
+        if order.kind is not OrderKind.unload:
+            load_ms = self._section.load_ms
+            if order.base:
+                load_ms = self._section.adapter_load_ms
+            await asyncio.sleep(load_ms / _MS_PER_S)
+        self.memory.complete(order)
+
+    async def _show_inventory(self, exchange: Exchange) -> None:
+        await exchange.respond_json(_OK, self.memory.inventory())
+
+    async def _show_load(self, exchange: Exchange) -> None:
+        report = LoadReport(
+            boot_id=self.memory.boot_id,
+            age_ms=0,
+            running=len(self.scheduler.batch),
+            waiting=self.scheduler.waiting,
+            slots=self._section.slots,
+            kv_used_fraction=len(self.scheduler.batch) / self._section.slots,
+            prefill_tokens_per_second=self._section.prefill_tokens_per_second,
+            decode_step_ms=self._section.decode_step_ms,
+            leaving=self.faults.leaving,
+        )
+        now = asyncio.get_running_loop().time()
+        published = self._history.record(now, report)
+        await exchange.respond_json(_OK, published)
+
+    async def _show_cache_events(self, exchange: Exchange) -> None:
+        after = exchange.head.query.get('after', '0')
+        page = self.cache.page(
+            self.memory.boot_id,
+            int(after) if after.isdecimal() else 0,
+        )
+        await exchange.respond_json(_OK, page)
+
+    async def _generate(self, exchange: Exchange) -> None:
+        generation = await self._read_generation(exchange)
+        if generation is None:
+            await exchange.respond_json(_BAD_REQUEST, {}, _NOT_RUN)
+            return
+        if not self.memory.serves(generation.target):
+            await exchange.respond_json(_NOT_FOUND, {}, _NOT_RUN)
+            return
+        self.scheduler.submit(generation)
+        try:
+            writer = StreamWriter(exchange, generation, self.faults)
+            await writer.write()
+        finally:
+            self.scheduler.cancel(generation)
+
+    async def _read_generation(self, exchange: Exchange) -> Generation | None:
+        body = await exchange.read_body()
+        if isinstance(body, Failed):
+            return None
+        try:
+            document = msgspec.json.decode(body.unwrap(), type=dict[str, Any])
+        except msgspec.DecodeError:
+            return None
+        priority = exchange.head.header(PRIORITY)
+        offset = exchange.head.header(RESUME_OFFSET)
+        return Generation(
+            document,
+            int(priority) if priority.isdecimal() else _LOWEST_PRIORITY,
+            int(offset) if offset.isdecimal() else 0,
+        )
+
+    async def _show_state(self, exchange: Exchange) -> None:
+        memory = self.memory
+        state = {
+            'capacity_bytes': memory.capacity_bytes,
+            'held_bytes': {
+                name: memory.held_bytes(name) for name in memory.capacity_bytes
+            },
+            'peak_bytes': memory.peak_bytes,
+            'overcommitted': memory.overcommitted,
+            'loads': memory.loads,
+            'unloads': memory.unloads,
+            'orders_refused': memory.orders_refused,
+            'requests_run': self.scheduler.requests_run,
+        }
+        await exchange.respond_json(_OK, state)
+
+    async def _set_faults(self, exchange: Exchange) -> None:
+        body = await exchange.read_body()
+        try:
+            faults = msgspec.json.decode(body.value_or(b''), type=Faults)
+        except msgspec.DecodeError as error:
+            await exchange.respond_json(_BAD_REQUEST, {'error': str(error)})
+            return
+        self._apply_faults(faults)
+        await exchange.respond_json(_OK, faults)
+
+    def _apply_faults(self, faults: Faults) -> None:
+        self.faults = faults
+        self.memory.checks_fencing = not faults.ignore_fencing
+        self.cache.loss = faults.cache_event_loss
+        self._history.lag_ms = faults.load_report_lag_ms
+        self._random.seed(faults.seed)
+        now = asyncio.get_running_loop().time()
+        self.scheduler.frozen_until = now + faults.freeze_ms / _MS_PER_S
--- /dev/null
+++ b/persimmonhold/standin/_engine_memory.py
@@ -0,0 +1,132 @@
+"""The memory of a stand-in engine's accelerators.
+
+An overcommit is recorded and never hidden or prevented.
+"""
+
+from typing import final
+
+from persimmonhold.messages import (
+    HeldItem,
+    Inventory,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    OrderOutcome,
+    Residency,
+)
+
+
+@final
+class EngineMemory:
+    """What each accelerator holds, and what orders did to it."""
+
+    __slots__ = (
+        'boot_id',
+        'capacity_bytes',
+        'checks_fencing',
+        'highest_fence',
+        'items',
+        'loads',
+        'orders_refused',
+        'overcommitted',
+        'peak_bytes',
+        'unloads',
+    )
+
+    def __init__(self, boot_id: str, capacity_bytes: dict[str, int]) -> None:
+        """Create empty accelerators with their capacities."""
+        self.boot_id = boot_id
+        self.capacity_bytes = capacity_bytes
+        self.checks_fencing = True
+        self.highest_fence = 0
+        self.items: dict[tuple[str, str, str], HeldItem] = {}
+        self.loads = 0
+        self.unloads = 0
+        self.orders_refused = 0
+        self.overcommitted = 0
+        self.peak_bytes = dict.fromkeys(capacity_bytes, 0)
+
+    def check(self, order: Order) -> OrderAnswer:
+        """Decide on an order; a resend is accepted and changes nothing."""
+        outcome = self._outcome(order)
+        if outcome is OrderOutcome.accepted:
+            self.highest_fence = max(self.highest_fence, order.fence)
+        else:
+            self.orders_refused += 1
+        return OrderAnswer(fence=order.fence, outcome=outcome)
+
+    def begin(self, order: Order) -> bool:
+        """Take memory for a load; tell whether there is work to do."""
+        key = (order.accelerator, order.target, order.version)
+        held = self.items.get(key)
+        if order.kind is OrderKind.unload:
+            return held is not None
+        if held is not None:
+            return False
+        self.items[key] = HeldItem(
+            accelerator=order.accelerator,
+            target=order.target,
+            version=order.version,
+            memory_bytes=order.memory_bytes,
+            residency=Residency.loading,
+            fence=order.fence,
+        )
+        self._record_peak(order.accelerator)
+        return True
+
+    def complete(self, order: Order) -> None:
+        """End a load or an unload."""
+        key = (order.accelerator, order.target, order.version)
+        if order.kind is OrderKind.unload:
+            self.unloads += 1
+            self.items.pop(key, None)
+            return
+        held = self.items.get(key)
+        if held is None:
+            return
+        self.loads += 1
+        self.items[key] = HeldItem(
+            accelerator=held.accelerator,
+            target=held.target,
+            version=held.version,
+            memory_bytes=held.memory_bytes,
+            residency=Residency.ready,
+            fence=order.fence,
+        )
+
+    def serves(self, target: str) -> bool:
+        """Tell whether a version of a model or adapter is ready."""
+        return any(
+            held.target == target and held.residency is Residency.ready
+            for held in self.items.values()
+        )
+
+    def held_bytes(self, accelerator: str) -> int:
+        """Return the memory in use on one accelerator."""
+        return sum(
+            held.memory_bytes
+            for held in self.items.values()
+            if held.accelerator == accelerator
+        )
+
+    def inventory(self) -> Inventory:
+        """Return what is held now."""
+        return Inventory(
+            boot_id=self.boot_id,
+            highest_fence=self.highest_fence,
+            held=tuple(self.items.values()),
+        )
+
+    def _outcome(self, order: Order) -> OrderOutcome:
+        if self.checks_fencing and order.fence < self.highest_fence:
+            return OrderOutcome.stale_fence
+        if order.accelerator not in self.capacity_bytes:
+            return OrderOutcome.unknown_target
+        return OrderOutcome.accepted
+
+    def _record_peak(self, accelerator: str) -> None:
+        held = self.held_bytes(accelerator)
+        peak = max(self.peak_bytes[accelerator], held)
+        self.peak_bytes[accelerator] = peak
+        if held > self.capacity_bytes[accelerator]:
+            self.overcommitted += 1
--- /dev/null
+++ b/persimmonhold/standin/_faults.py
@@ -0,0 +1,32 @@
+"""The faults that a stand-in can be told to show."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Faults(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """The document of `POST /_standin/fault`; an empty one clears all.
+
+    `order_loss` and `cache_event_loss` are probabilities. A request stream
+    breaks after `drop_after_tokens` tokens; `drop_before_answer` breaks the
+    connection after execution.
+    """
+
+    seed: int = 0
+    order_delay_ms: float = 0
+    order_loss: float = 0
+    ignore_fencing: bool = False
+    cache_event_loss: float = 0
+    freeze_ms: float = 0
+    drop_after_tokens: int = 0
+    drop_before_answer: bool = False
+    answer_delay_ms: float = 0
+    load_report_lag_ms: float = 0
+    leaving: bool = False
--- /dev/null
+++ b/persimmonhold/standin/_generation.py
@@ -0,0 +1,84 @@
+"""A generation under way on a stand-in engine."""
+
+import asyncio
+import hashlib
+from typing import Any, Final, final
+
+import msgspec
+
+_DEFAULT_TOKENS: Final = 16
+_MAX_TOKENS: Final = 100_000
+_CHARACTERS_PER_TOKEN: Final = 4
+_VOCABULARY: Final = 10_000
+
+
+@final
+class Generation:
+    """A request, the tokens it is due and those it has.
+
+    The tokens depend on the request alone, so a stream that is resumed on
+    another engine goes on with the same tokens.
+    """
+
+    __slots__ = (
+        '_key',
+        'document',
+        'limit',
+        'priority',
+        'prompt',
+        'queue',
+        'sent',
+        'target',
+    )
+
+    def __init__(
+        self,
+        document: dict[str, Any],
+        priority: int,
+        offset: int,
+    ) -> None:
+        """Create a generation that begins after `offset` tokens."""
+        self.document = document
+        self.priority = priority
+        self.target = str(document.get('model', ''))
+        self.prompt = prompt_of(document)
+        wanted = document.get('max_tokens', _DEFAULT_TOKENS)
+        self.limit = min(int(wanted), _MAX_TOKENS)
+        self.sent = offset
+        self.queue: asyncio.Queue[str] = asyncio.Queue()
+        self._key = hashlib.blake2b(
+            f'{self.target}\n{self.prompt}'.encode(),
+            digest_size=8,
+        ).hexdigest()
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every token was made."""
+        return self.sent >= self.limit
+
+    @property
+    def prompt_tokens(self) -> int:
+        """The length of the prompt in tokens."""
+        return len(self.prompt) // _CHARACTERS_PER_TOKEN + 1
+
+    def make_token(self) -> None:
+        """Make the next token."""
+        self.queue.put_nowait(self.token(self.sent))
+        self.sent += 1
+
+    def token(self, index: int) -> str:
+        """Return the token at a position."""
+        digest = hashlib.blake2b(
+            f'{self._key}:{index}'.encode(),
+            digest_size=4,
+        ).digest()
+        word = int.from_bytes(digest, 'big') % _VOCABULARY
+        return f' t{index}.{word}'
+
+
+def prompt_of(document: dict[str, Any]) -> str:
+    """Return the prompt text of a completion or chat request."""
+    messages = document.get('messages')
+    if isinstance(messages, list):
+        return msgspec.json.encode(messages).decode()
+    return str(document.get('prompt', ''))
--- /dev/null
+++ b/persimmonhold/standin/_load_history.py
@@ -0,0 +1,38 @@
+"""Load reports that lag behind."""
+
+from collections import deque
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.messages import LoadReport
+
+_MS_PER_S: Final = 1000
+_MAX_REPORTS: Final = 1024
+
+
+@final
+class LoadHistory:
+    """Gives out the newest report that is at least as old as the lag."""
+
+    __slots__ = ('_reports', 'lag_ms')
+
+    def __init__(self) -> None:
+        """Create an empty history."""
+        self.lag_ms = 0.0
+        self._reports: deque[tuple[float, LoadReport]] = deque(
+            maxlen=_MAX_REPORTS,
+        )
+
+    def record(self, now: float, report: LoadReport) -> LoadReport:
+        """Add the report of `now` and return the one to publish."""
+        self._reports.append((now, report))
+        published_at, published = self._reports[0]
+        for recorded_at, candidate in self._reports:
+            if (now - recorded_at) * _MS_PER_S >= self.lag_ms:
+                published_at, published = recorded_at, candidate
+        return msgspec.structs.replace(
+            published,
+            age_ms=(now - published_at) * _MS_PER_S,
+            leaving=report.leaving,
+        )
--- /dev/null
+++ b/persimmonhold/standin/_prefix_cache.py
@@ -0,0 +1,68 @@
+"""The prefix cache of a stand-in engine and the events about it."""
+
+import random
+from collections import OrderedDict, deque
+from typing import Final, final
+
+from persimmonhold.messages import CacheEvent, CacheEventPage, prefix_hashes
+
+_MAX_BLOCKS: Final = 4096
+_MAX_EVENTS: Final = 8192
+
+
+@final
+class PrefixCache:
+    """Blocks in the order of their last use, bounded in number."""
+
+    __slots__ = ('_blocks', '_events', '_random', 'last', 'loss')
+
+    def __init__(self, seed: int) -> None:
+        """Create an empty cache."""
+        self.last = 0
+        self.loss = 0.0
+        self._blocks: OrderedDict[str, str] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=_MAX_EVENTS)
+        self._random = random.Random(seed)
+
+    def use(self, target: str, prompt: str) -> int:
+        """Look a prompt up and store it; return the blocks that hit."""
+        hits = 0
+        missed = False
+        for digest in prefix_hashes(target, prompt):
+            if digest in self._blocks and not missed:
+                hits += 1
+                self._blocks.move_to_end(digest)
+            else:
+                missed = True
+                self._store(target, digest)
+        return hits
+
+    def page(self, boot_id: str, after: int) -> CacheEventPage:
+        """Return the events after a sequence number, without lost ones."""
+        return CacheEventPage(
+            boot_id=boot_id,
+            last=self.last,
+            events=tuple(
+                event for event in self._events if event.sequence > after
+            ),
+        )
+
+    def _store(self, target: str, digest: str) -> None:
+        self._blocks[digest] = target
+        self._publish(target, digest, stored=True)
+        if len(self._blocks) > _MAX_BLOCKS:
+            evicted, owner = self._blocks.popitem(last=False)
+            self._publish(owner, evicted, stored=False)
+
+    def _publish(self, target: str, digest: str, *, stored: bool) -> None:
+        self.last += 1
+        if self._random.random() < self.loss:
+            return
+        self._events.append(
+            CacheEvent(
+                sequence=self.last,
+                target=target,
+                prefix_hash=digest,
+                stored=stored,
+            ),
+        )
--- /dev/null
+++ b/persimmonhold/standin/_standin.py
@@ -0,0 +1,73 @@
+"""A running stand-in upstream."""
+
+import asyncio
+import secrets
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Final, Self, final
+
+from returns.pipeline import is_successful
+
+from persimmonhold.settings import StandinSection
+from persimmonhold.standin._engine_handler import EngineHandler
+from persimmonhold.standin._service_handler import ServiceHandler
+from persimmonhold.standin._vm_list_handler import VmListHandler
+from persimmonhold.web import (
+    Address,
+    ExchangeHandler,
+    HttpBounds,
+    HttpServer,
+    parse_address,
+)
+
+_BOOT_ID_BYTES: Final = 4
+
+
+@final
+class Standin:
+    """Owns the server and the tasks of one stand-in.
+
+    Entering the context raises `OSError` where the address cannot be had.
+    """
+
+    __slots__ = ('_section', '_stack', '_step_task', 'address', 'handler')
+
+    def __init__(self, section: StandinSection) -> None:
+        """Create a stand-in of the kind that the settings name."""
+        self.handler = _create_handler(section)
+        self.address = Address('127.0.0.1', 0)
+        self._section = section
+        self._stack = AsyncExitStack()
+        self._step_task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Listen and start to make steps."""
+        parsed = parse_address(self._section.address)
+        address = parsed.unwrap() if is_successful(parsed) else self.address
+        server = HttpServer(address, self.handler, HttpBounds())
+        await self._stack.enter_async_context(server)
+        self.address = server.address
+        if isinstance(self.handler, EngineHandler):
+            self._step_task = asyncio.get_running_loop().create_task(
+                self.handler.scheduler.run(),
+            )
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the server and stop."""
+        if self._step_task is not None:
+            self._step_task.cancel()
+        await self._stack.aclose()
+
+
+def _create_handler(section: StandinSection) -> ExchangeHandler:
+    if section.kind == 'engine':
+        return EngineHandler(section, secrets.token_hex(_BOOT_ID_BYTES))
+    if section.kind == 'service':
+        return ServiceHandler(section)
+    return VmListHandler()
--- /dev/null
+++ b/persimmonhold/standin/_stream_writer.py
@@ -0,0 +1,103 @@
+"""Writes the tokens of a generation to the caller."""
+
+import asyncio
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.standin._faults import Faults
+from persimmonhold.standin._generation import Generation
+from persimmonhold.web import Exchange, encode_headers
+
+_MS_PER_S: Final = 1000
+_OK: Final = 200
+_DONE: Final = b'data: [DONE]\n\n'
+_STREAM_HEADERS: Final = encode_headers({
+    'content-type': 'text/event-stream',
+    'transfer-encoding': 'chunked',
+})
+
+
+@final
+class StreamWriter:
+    """Answers as an event stream or as one document."""
+
+    __slots__ = ('_exchange', '_faults', '_generation', '_is_chat')
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        generation: Generation,
+        faults: Faults,
+    ) -> None:
+        """Create the writer of one answer."""
+        self._exchange = exchange
+        self._generation = generation
+        self._faults = faults
+        self._is_chat = exchange.head.path.startswith('/v1/chat')
+
+    async def write(self) -> None:
+        """Answer in the form that the request asks for."""
+        if self._generation.document.get('stream') is True:
+            await self._write_stream()
+        else:
+            await self._write_document()
+
+    async def _write_stream(self) -> None:
+        await self._exchange.start(_OK, _STREAM_HEADERS)
+        written = 0
+        while not self._is_drained():
+            token = await self._generation.queue.get()
+            await self._exchange.send(self._event(token))
+            written += 1
+            if written == self._faults.drop_after_tokens:
+                self._exchange.abort()
+                return
+        await self._exchange.send(_DONE)
+        await self._exchange.finish()
+
+    async def _write_document(self) -> None:
+        tokens: list[str] = []
+        while not self._is_drained():
+            tokens.append(await self._generation.queue.get())
+        await asyncio.sleep(self._faults.answer_delay_ms / _MS_PER_S)
+        if self._faults.drop_before_answer:
+            self._exchange.abort()
+            return
+        text = ''.join(tokens)
+        await self._exchange.respond_json(_OK, self._document(text, tokens))
+
+    def _is_drained(self) -> bool:
+        generation = self._generation
+        return generation.is_complete and generation.queue.empty()
+
+    def _event(self, token: str) -> bytes:
+        choice: dict[str, object] = {'index': 0, 'finish_reason': None}
+        if self._is_chat:
+            choice['delta'] = {'content': token}
+        else:
+            choice['text'] = token
+        document = {
+            'object': 'chat.completion.chunk',
+            'model': self._generation.target,
+            'choices': [choice],
+        }
+        return b'data: ' + msgspec.json.encode(document) + b'\n\n'
+
+    def _document(self, text: str, tokens: list[str]) -> dict[str, object]:
+        choice: dict[str, object] = {'index': 0, 'finish_reason': 'length'}
+        if self._is_chat:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        prompt_tokens = self._generation.prompt_tokens
+        return {
+            'object': 'chat.completion',
+            'model': self._generation.target,
+            'choices': [choice],
+            'usage': {
+                'prompt_tokens': prompt_tokens,
+                'completion_tokens': len(tokens),
+                'total_tokens': prompt_tokens + len(tokens),
+            },
+        }
--- /dev/null
+++ b/persimmonhold/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of the system."""
--- /dev/null
+++ b/persimmonhold/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP clients towards engines and plain services."""
--- /dev/null
+++ b/persimmonhold/web/__init__.py
@@ -0,0 +1,57 @@
+"""HTTP/1.1 on asyncio and h11: servers, connections and addresses."""
+
+from persimmonhold.web._address import Address, parse_address
+from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._client_connection import ClientConnection
+from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._exchange import Exchange
+from persimmonhold.web._exchange_handler import ExchangeHandler
+from persimmonhold.web._fetch import FetchedResponse, fetch
+from persimmonhold.web._headers import (
+    CALLER,
+    COMMAND_ID,
+    DEADLINE_MS,
+    IDEMPOTENCY_KEY,
+    IF_MATCH,
+    OPERATOR,
+    PRIORITY,
+    RAN,
+    REQUEST_ID,
+    RESUME_OFFSET,
+    SERVICE_CLASS,
+    Headers,
+    encode_headers,
+    find_header,
+)
+from persimmonhold.web._request_head import RequestHead
+from persimmonhold.web._response_head import ResponseHead
+from persimmonhold.web._server import HttpServer
+
+__all__ = (
+    'CALLER',
+    'COMMAND_ID',
+    'DEADLINE_MS',
+    'IDEMPOTENCY_KEY',
+    'IF_MATCH',
+    'OPERATOR',
+    'PRIORITY',
+    'RAN',
+    'REQUEST_ID',
+    'RESUME_OFFSET',
+    'SERVICE_CLASS',
+    'Address',
+    'ClientConnection',
+    'ClientRequest',
+    'Exchange',
+    'ExchangeHandler',
+    'FetchedResponse',
+    'Headers',
+    'HttpBounds',
+    'HttpServer',
+    'RequestHead',
+    'ResponseHead',
+    'encode_headers',
+    'fetch',
+    'find_header',
+    'parse_address',
+)
--- /dev/null
+++ b/persimmonhold/web/_client_request.py
@@ -0,0 +1,17 @@
+"""A request to send."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.web._headers import Headers
+
+
+@final
+class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Method, target, headers and body of a request to send."""
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b''
--- /dev/null
+++ b/persimmonhold/web/_fetch.py
@@ -0,0 +1,63 @@
+"""One-shot requests for control traffic and tools."""
+
+import asyncio
+from typing import final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.web._address import Address
+from persimmonhold.web._client_connection import ClientConnection
+from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._response_head import ResponseHead
+
+
+@final
+class FetchedResponse(msgspec.Struct, frozen=True):
+    """A whole response."""
+
+    head: ResponseHead
+    body: bytes
+
+
+async def fetch(
+    peer: Address,
+    request: ClientRequest,
+    timeout_s: float,
+) -> Result[FetchedResponse, Failure]:
+    """Send a request on a connection of its own and await the response."""
+    connected = await ClientConnection.connect(peer, timeout_s)
+    if isinstance(connected, Failed):
+        return connected
+    connection = connected.unwrap()
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _exchange(connection, request)
+    except TimeoutError:
+        return Failed(
+            Failure(
+                kind=FailureKind.timed_out,
+                step=f'{request.method} {request.target}',
+                peer=str(peer),
+            ),
+        )
+    finally:
+        connection.close()
+
+
+async def _exchange(
+    connection: ClientConnection,
+    request: ClientRequest,
+) -> Result[FetchedResponse, Failure]:
+    sent = await connection.send(request)
+    if isinstance(sent, Failed):
+        return sent
+    head = await connection.receive_head()
+    if isinstance(head, Failed):
+        return head
+    body = await connection.receive_body()
+    if isinstance(body, Failed):
+        return body
+    return Success(FetchedResponse(head.unwrap(), body.unwrap()))
--- /dev/null
+++ b/persimmonhold/web/_response_head.py
@@ -0,0 +1,19 @@
+"""The head of a response that was received."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.web._headers import Headers, find_header
+
+
+@final
+class ResponseHead(msgspec.Struct, frozen=True, kw_only=True):
+    """Status and headers of a response."""
+
+    status: int
+    headers: Headers
+
+    def header(self, name: str) -> str:
+        """Return a header by its lower-case name, or an empty string."""
+        return find_header(self.headers, name)
--- /dev/null
+++ b/persimmonhold/web/_server.py
@@ -0,0 +1,107 @@
+"""An HTTP/1.1 server on asyncio and h11."""
+
+import asyncio
+import ssl
+from types import TracebackType
+from typing import Self, final
+
+from persimmonhold.web._address import Address
+from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._exchange_handler import ExchangeHandler
+from persimmonhold.web._server_connection import ServerConnection
+
+
+@final
+class HttpServer:
+    """Owns the listening socket and the open connections.
+
+    Entering the context listens; it raises `OSError` where the address
+    cannot be had. Leaving it closes everything at once; `drain` first ends
+    the requests under way.
+    """
+
+    __slots__ = (
+        '_address',
+        '_connections',
+        '_handler',
+        '_idle',
+        '_server',
+        '_tls',
+        'address',
+        'bounds',
+    )
+
+    def __init__(
+        self,
+        address: Address,
+        handler: ExchangeHandler,
+        bounds: HttpBounds,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Create a server for `address`; port 0 takes a free one."""
+        self.address = address
+        self.bounds = bounds
+        self._address = address
+        self._handler = handler
+        self._tls = tls
+        self._connections: set[ServerConnection] = set()
+        self._idle = asyncio.Event()
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        """Start to listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connect,
+            self._address.host,
+            self._address.port,
+            ssl=self._tls,
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address(self._address.host, port)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the socket and every connection."""
+        self._stop_listening()
+        for connection in tuple(self._connections):
+            connection.abort()
+        await asyncio.sleep(0)
+
+    @property
+    def connection_count(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
+    async def drain(self) -> None:
+        """Stop listening, end requests under way, close connections."""
+        self._stop_listening()
+        for connection in tuple(self._connections):
+            connection.close_when_idle()
+        while self._connections:
+            self._idle.clear()
+            await self._idle.wait()
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    def _connect(self) -> ServerConnection:
+        connection = ServerConnection(
+            self._handler,
+            self.bounds,
+            self._forget,
+        )
+        self._connections.add(connection)
+        if len(self._connections) > self.bounds.max_connections:
+            connection.closing = True
+        return connection
+
+    def _forget(self, connection: ServerConnection) -> None:
+        self._connections.discard(connection)
+        self._idle.set()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of persimmonhold."""
