--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -18,9 +18,11 @@
     Command,
     CommandResult,
     ControlMachine,
+    ControlState,
 )
+from persimmonhold.control.shell._placement_host import PlacementHost
 from persimmonhold.failures import Failure
-from persimmonhold.messages import ControlView
+from persimmonhold.messages import ControlView, Demand
 from persimmonhold.storage import RecordFile
 
 _LOG_FILE: Final = 'control.log'
@@ -28,15 +30,16 @@
 
 
 @final
-class ControlNode:
+class ControlNode(PlacementHost):
     """Owns the data folder of one control VM."""
 
-    __slots__ = ('_decoder', '_log', '_stack', 'changed', 'machine')
+    __slots__ = ('_decoder', '_log', '_stack', 'changed', 'machine', 'reported')
 
     def __init__(self, directory: Path) -> None:
         """Create a replica whose state lives under `directory`."""
         self.machine = ControlMachine()
         self.changed = asyncio.Event()
+        self.reported: tuple[Demand, ...] = ()
         self._log = RecordFile(directory / _LOG_FILE)
         self._stack = ExitStack()
         self._decoder = msgspec.msgpack.Decoder(Command)
@@ -77,6 +80,24 @@
         """Return the view at the last applied command."""
         return self.machine.view()
 
+    @property
+    def leads(self) -> bool:
+        """Tell whether this replica leads; a single one always does."""
+        return True
+
+    @property
+    def state(self) -> ControlState:
+        """The applied state."""
+        return self.machine.state
+
+    def demand(self) -> tuple[Demand, ...]:
+        """Return the reported demand."""
+        return self.reported
+
+    def is_in_force(self, index: int) -> bool:
+        """Tell whether entries follow; in one process they always do."""
+        return index <= self.machine.state.index
+
     def now_ms(self) -> int:
         """Return the time that goes into commands."""
         return int(time.time() * _MS_PER_S)
--- a/persimmonhold/control/shell/_local_control_link.py
+++ b/persimmonhold/control/shell/_local_control_link.py
@@ -23,7 +23,6 @@
         """Create a link that starts with the recovered view."""
         super().__init__()
         self.view = node.view()
-        self.demand: tuple[Demand, ...] = ()
         self._node = node
 
     async def run(self) -> None:
@@ -47,4 +46,4 @@
 
     def report_demand(self, demand: tuple[Demand, ...]) -> None:
         """Keep the newest demand."""
-        self.demand = demand
+        self._node.reported = demand
--- a/persimmonhold/control/shell/_placement_runner.py
+++ b/persimmonhold/control/shell/_placement_runner.py
@@ -12,7 +12,7 @@
     RecordIntent,
     RecordOrderEnd,
 )
-from persimmonhold.control.shell._control_node import ControlNode
+from persimmonhold.control.shell._placement_host import PlacementHost
 from persimmonhold.messages import (
     Copy,
     CopyState,
@@ -34,7 +34,7 @@
 
     __slots__ = ('_node', '_sent')
 
-    def __init__(self, node: ControlNode) -> None:
+    def __init__(self, node: PlacementHost) -> None:
         """Create a runner for the leading replica."""
         self._node = node
         self._sent: set[int] = set()
@@ -43,12 +43,12 @@
         """Run rounds until cancelled."""
         while True:
             await self._plan()
-            for order in tuple(self._node.machine.state.orders.values()):
+            for order in tuple(self._node.state.orders.values()):
                 await self._follow(order)
             await asyncio.sleep(_ROUND_S)
 
     async def _plan(self) -> None:
-        state = self._node.machine.state
+        state = self._node.state
         planned = plan_missing(
             state.catalogue,
             tuple(state.copies.values()),
@@ -60,7 +60,7 @@
             )
 
     async def _follow(self, order: Order) -> None:
-        upstream = self._node.machine.state.catalogue.find(order.upstream)
+        upstream = self._node.state.catalogue.find(order.upstream)
         if not isinstance(upstream, UpstreamEntry):
             return
         if order.fence not in self._sent:
