Attempts: the life of a request as a pure state machine

Cause: retries, claims, resumption and the ran rules were not there; a broken upstream broke the caller. Change: RequestLife takes events and returns typed actions.

--- /dev/null
+++ b/persimmonhold/attempts/_answer.py
@@ -0,0 +1,81 @@
+"""The answer that an attempt gives to the caller."""
+
+from typing import Final, final
+
+from persimmonhold.attempts._answer_head import AnswerHead
+from persimmonhold.attempts._event_cutter import EventCutter
+from persimmonhold.attempts._request_plan import RequestPlan
+from persimmonhold.messages import CallOutcome
+
+_OK: Final = 200
+_RETRIABLE_STATUSES: Final = frozenset((502, 503, 504))
+_MAX_HELD_BYTES: Final = 262_144
+
+
+@final
+class Answer:
+    """Head and body as far as they are known.
+
+    `held` is the part of the body that is kept back until it is whole, so
+    that a break before its end can still be retried or refused in full.
+    """
+
+    __slots__ = ('_plan', 'events', 'head', 'held', 'started')
+
+    def __init__(self, plan: RequestPlan) -> None:
+        """Create the answer to a request that was not sent yet."""
+        self.started = False
+        self.head = AnswerHead(status=0)
+        self.held = bytearray()
+        self.events = EventCutter()
+        self._plan = plan
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Tell whether the answer can be resumed between its events."""
+        return self._plan.streams and self.head.is_event_stream
+
+    @property
+    def is_overlong(self) -> bool:
+        """Tell whether the held part exceeds its bound."""
+        return len(self.held) > _MAX_HELD_BYTES
+
+    @property
+    def outcome(self) -> CallOutcome:
+        """The record of a whole answer."""
+        return CallOutcome(
+            status=self.head.status,
+            media_type=self.head.media_type,
+            body=bytes(self.held),
+        )
+
+    @property
+    def status_outcome(self) -> CallOutcome:
+        """The record of an answer whose body is too long to be kept."""
+        return CallOutcome(status=self.head.status, media_type='', body=b'')
+
+    def is_failure(self, head: AnswerHead) -> bool:
+        """Tell whether a head says that the attempt failed."""
+        if self.started:
+            return head.status != _OK or not head.is_event_stream
+        return self._plan.idempotent and head.status in _RETRIABLE_STATUSES
+
+    def is_held(self, head: AnswerHead) -> bool:
+        """Tell whether the body is kept back until it is whole."""
+        if self._plan.streams and head.is_event_stream:
+            return False
+        if self._plan.claims or self._plan.is_generation:
+            return True
+        length = head.content_length
+        return length is not None and length <= _MAX_HELD_BYTES
+
+    def take_held(self) -> bytes:
+        """Return the held part and forget it."""
+        held = bytes(self.held)
+        self.held.clear()
+        return held
+
+    def restart(self) -> None:
+        """Forget what the caller was not given."""
+        self.held.clear()
+        self.events.discard_partial()
--- /dev/null
+++ b/persimmonhold/attempts/_answer_head.py
@@ -0,0 +1,24 @@
+"""What the life of a request needs of a response head."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
+    """The head of an upstream's answer.
+
+    `not_run` is the upstream's explicit word that it did not execute the
+    request. `content_length` is None where the length is not announced.
+    """
+
+    status: int
+    media_type: str = ''
+    not_run: bool = False
+    content_length: int | None = None
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Tell whether the body is a stream of server-sent events."""
+        return self.media_type.startswith('text/event-stream')
--- /dev/null
+++ b/persimmonhold/attempts/_attempt_action.py
@@ -0,0 +1,41 @@
+"""The union of all actions."""
+
+from typing import TypeAlias
+
+from persimmonhold.attempts._abandon_queued import AbandonQueued
+from persimmonhold.attempts._claim_key_action import ClaimIdempotencyKey
+from persimmonhold.attempts._close_attempt import CloseAttempt
+from persimmonhold.attempts._connect import Connect
+from persimmonhold.attempts._end_key_claim import EndKeyClaim
+from persimmonhold.attempts._enqueue import Enqueue
+from persimmonhold.attempts._finish_answer import FinishAnswer
+from persimmonhold.attempts._refuse import (
+    AbortCaller,
+    EndStreamWithError,
+    Refuse,
+)
+from persimmonhold.attempts._release_failed_claim import ReleaseFailedClaim
+from persimmonhold.attempts._replay_outcome import ReplayOutcome
+from persimmonhold.attempts._request_retry import RequestResume, RequestRetry
+from persimmonhold.attempts._send_body import SendBody
+from persimmonhold.attempts._start_answer import StartAnswer
+
+AttemptAction: TypeAlias = (
+    AbandonQueued
+    | AbortCaller
+    | ClaimIdempotencyKey
+    | CloseAttempt
+    | Connect
+    | EndKeyClaim
+    | EndStreamWithError
+    | Enqueue
+    | FinishAnswer
+    | Refuse
+    | ReleaseFailedClaim
+    | ReplayOutcome
+    | RequestResume
+    | RequestRetry
+    | SendBody
+    | StartAnswer
+)
+AttemptActions: TypeAlias = tuple[AttemptAction, ...]
--- /dev/null
+++ b/persimmonhold/attempts/_attempt_fault.py
@@ -0,0 +1,21 @@
+"""Why an attempt failed."""
+
+import enum
+from typing import final
+
+
+@final
+@enum.unique
+class AttemptFault(enum.StrEnum):
+    """The ways in which an attempt at an upstream fails.
+
+    After `connect_failed` and `not_run` it is certain that the attempt was
+    not executed; after the others it is not.
+    """
+
+    connect_failed = 'connect_failed'
+    not_run = 'not_run'
+    connection_lost = 'connection_lost'
+    stalled = 'stalled'
+    upstream_error = 'upstream_error'
+    stream_incomplete = 'stream_incomplete'
--- /dev/null
+++ b/persimmonhold/attempts/_close_attempt.py
@@ -0,0 +1,18 @@
+"""The action that ends an attempt."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.attempts._attempt_fault import AttemptFault
+
+
+@final
+class CloseAttempt(msgspec.Struct, frozen=True, kw_only=True):
+    """Close the connection of an attempt; this cancels it upstream.
+
+    `fault` is None where the upstream did nothing wrong.
+    """
+
+    attempt: int
+    fault: AttemptFault | None = None
--- /dev/null
+++ b/persimmonhold/attempts/_connect.py
@@ -0,0 +1,18 @@
+"""The action that starts an attempt."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Connect(msgspec.Struct, frozen=True, kw_only=True):
+    """Connect to an upstream and send the request.
+
+    `resume_offset` is the number of tokens that the caller has already.
+    """
+
+    attempt: int
+    upstream: str
+    address: str
+    resume_offset: int = 0
--- /dev/null
+++ b/persimmonhold/attempts/_enqueue.py
@@ -0,0 +1,10 @@
+"""The action that hands a request to admission."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Enqueue(msgspec.Struct, frozen=True):
+    """Ask for a first upstream."""
--- /dev/null
+++ b/persimmonhold/attempts/_finish_answer.py
@@ -0,0 +1,10 @@
+"""The action that ends a whole answer."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class FinishAnswer(msgspec.Struct, frozen=True):
+    """End the answer; the caller has all of it."""
--- /dev/null
+++ b/persimmonhold/attempts/_refusals.py
@@ -0,0 +1,66 @@
+"""The refusals that the life of a request gives of itself."""
+
+from typing import Final
+
+from persimmonhold.attempts._attempt_fault import AttemptFault
+from persimmonhold.control.machine import CommandStatus
+from persimmonhold.failures import Ran, Refusal, RefusalReason
+
+COME_BACK_S: Final = 1.0
+
+
+def claim_refusal(status: CommandStatus) -> Refusal:
+    """Return the refusal of a request whose claim was not granted."""
+    if status is CommandStatus.claim_conflict:
+        return Refusal(
+            reason=RefusalReason.idempotency_key_conflict,
+            ran=Ran.no,
+            detail='the key belongs to a request with other content',
+        )
+    if status is CommandStatus.claim_held:
+        return Refusal(
+            reason=RefusalReason.outcome_unknown,
+            ran=Ran.unknown,
+            detail='a request with this key is in progress',
+            retry_after_s=COME_BACK_S,
+        )
+    return Refusal(
+        reason=RefusalReason.outcome_unknown,
+        ran=Ran.unknown,
+        detail='it is in doubt whether a request with this key ran',
+    )
+
+
+def no_quorum_refusal(detail: str) -> Refusal:
+    """Return the refusal of a request whose claim was not committed."""
+    return Refusal(
+        reason=RefusalReason.no_quorum,
+        ran=Ran.no,
+        detail=detail,
+        retry_after_s=COME_BACK_S,
+    )
+
+
+def deadline_refusal() -> Refusal:
+    """Return the refusal of a request whose deadline has passed."""
+    return Refusal(
+        reason=RefusalReason.deadline_exceeded,
+        ran=Ran.no,
+        retry_after_s=COME_BACK_S,
+    )
+
+
+def failure_refusal(fault: AttemptFault, *, in_doubt: bool) -> Refusal:
+    """Return the refusal of a request that cannot be tried elsewhere."""
+    if in_doubt:
+        return Refusal(
+            reason=RefusalReason.outcome_unknown,
+            ran=Ran.unknown,
+            detail=fault.value,
+        )
+    return Refusal(
+        reason=RefusalReason.upstream_failed,
+        ran=Ran.no,
+        detail=fault.value,
+        retry_after_s=COME_BACK_S,
+    )
