web: bounded server connections, client that relays within the read

Cause: a slow head could last as long as an idle connection, a large body was refused by a reset that took the answer away, a large head that came in one read passed its bound, and each relayed read cost a task switch. Change: one timer for the whole head, lingering close, both framings at once refused, 100-continue not sent for a body that is too large, Connection: close told while closing. The client is a protocol whose pump hands each read to a sink.

--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -26,6 +26,7 @@
     Exchange,
     ExchangeHandler,
     Headers,
+    Rejection,
     encode_headers,
 )
 
@@ -72,10 +73,10 @@
         else:
             await self._refuse(context, RefusalReason.unknown_path)
 
-    def rejection(self, status: int) -> bytes:
+    def reject(self, status: int) -> Rejection:
         """Return the problem document of a request that is no HTTP."""
         refusal = Refusal(reason=RefusalReason.malformed_request, ran=Ran.no)
-        return problem_document(refusal, '')
+        return Rejection(status=status, body=problem_document(refusal, ''))
 
     async def _generate(self, context: RequestContext) -> None:
         body = await context.exchange.read_body()
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on asyncio and h11: servers, connections and addresses."""
 
 from persimmonhold.web._address import Address, parse_address
+from persimmonhold.web._body_sink import BodySink
 from persimmonhold.web._bounds import HttpBounds
 from persimmonhold.web._client_connection import ClientConnection
 from persimmonhold.web._client_request import ClientRequest
@@ -23,6 +24,7 @@
     encode_headers,
     find_header,
 )
+from persimmonhold.web._rejection import Rejection
 from persimmonhold.web._request_head import RequestHead
 from persimmonhold.web._response_head import ResponseHead
 from persimmonhold.web._server import HttpServer
@@ -40,6 +42,7 @@
     'RESUME_OFFSET',
     'SERVICE_CLASS',
     'Address',
+    'BodySink',
     'ClientConnection',
     'ClientRequest',
     'Exchange',
@@ -48,6 +51,7 @@
     'Headers',
     'HttpBounds',
     'HttpServer',
+    'Rejection',
     'RequestHead',
     'ResponseHead',
     'encode_headers',
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -1,55 +1,54 @@
 """A connection of an HTTP client.
 
-Invariant: `bytes_written` is zero only while not one byte of a request was
-handed to the operating system, so that zero proves that it was not run.
+Invariants: `bytes_written` is zero only while not one byte of a request was
+handed to the operating system, so that zero proves that it was not run. At
+most one read is kept that nobody asked for: reading is paused meanwhile.
 """
 
 import asyncio
 import ssl
-from typing import Final, Self, final
+from typing import Self, final
 
-import h11
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.web._address import Address
+from persimmonhold.web._body_sink import BodySink
+from persimmonhold.web._client_parser import ClientParser
 from persimmonhold.web._client_request import ClientRequest
 from persimmonhold.web._response_head import ResponseHead
 
-_READ_BYTES: Final = 65_536
-_MAX_HEAD_BYTES: Final = 65_536
-
 
 @final
-class ClientConnection:
+class ClientConnection(asyncio.Protocol):
     """Sends one request at a time and receives its response."""
 
     __slots__ = (
+        '_failure',
         '_parser',
-        '_reader',
-        '_writer',
+        '_sink',
+        '_transport',
+        '_waiter',
+        '_writable',
         'bytes_written',
+        'is_paused',
+        'last_read_at',
         'peer',
-        'response_ended',
     )
 
-    def __init__(
-        self,
-        peer: Address,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Create a connection on open streams."""
+    def __init__(self, peer: Address) -> None:
+        """Create a connection that is not open yet."""
         self.peer = peer
         self.bytes_written = 0
-        self.response_ended = False
-        self._reader = reader
-        self._writer = writer
-        self._parser = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=_MAX_HEAD_BYTES,
-        )
+        self.last_read_at = 0.0
+        self.is_paused = False
+        self._failure: Failure | None = None
+        self._parser = ClientParser()
+        self._sink: BodySink | None = None
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._writable = asyncio.Event()
 
     @classmethod
     async def connect(
@@ -59,9 +58,12 @@
         tls: ssl.SSLContext | None = None,
     ) -> Result[Self, Failure]:
         """Open a connection within `timeout_s`."""
+        connection = cls(peer)
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
-                streams = await asyncio.open_connection(
+                await loop.create_connection(
+                    lambda: connection,
                     peer.host,
                     peer.port,
                     ssl=tls,
@@ -75,136 +77,168 @@
                     detail=str(error) or 'connect timed out',
                 ),
             )
-        return Success(cls(peer, *streams))
+        return Success(connection)
 
     @property
     def is_reusable(self) -> bool:
         """Tell whether another request may be sent on this connection."""
-        if self._writer.is_closing() or self._reader.at_eof():
-            return False
-        return self._parser.our_state is h11.IDLE
+        is_open = self._failure is None and self._transport is not None
+        return is_open and self._parser.is_idle
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._writable.set()
+        self.last_read_at = asyncio.get_running_loop().time()
+
+    def data_received(self, data: bytes) -> None:
+        """Hand one read to who waits for it, or keep it and pause."""
+        self.last_read_at = asyncio.get_running_loop().time()
+        self._parser.receive(data)
+        sink = self._sink
+        if sink:
+            self._pass_on(sink)
+        elif self._waiter:
+            self._wake()
+        else:
+            self.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Take the end of the peer's stream."""
+        self._parser.receive(b'')
+        if self._sink is not None:
+            self._pass_on(self._sink)
+        self.fail('closed by the peer')
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake whoever waits."""
+        self._transport = None
+        self.fail(str(exc) if exc else 'closed')
+
+    def pause_writing(self) -> None:
+        """Hold the sender while the peer reads slowly."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let the sender go on."""
+        self._writable.set()
+
+    def pause_reading(self) -> None:
+        """Stop to read until `resume_reading`."""
+        if self._transport is not None and not self.is_paused:
+            self.is_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Go on reading."""
+        if self._transport is not None and self.is_paused:
+            self.is_paused = False
+            self.last_read_at = asyncio.get_running_loop().time()
+            self._transport.resume_reading()
 
     async def send(self, request: ClientRequest) -> Result[None, Failure]:
         """Write a whole request."""
-        self.response_ended = False
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=self._headers(request),
-        )
-        encoded = self._parser.send(head) or b''
-        if request.body:
-            encoded += self._parser.send(h11.Data(data=request.body)) or b''
-        encoded += self._parser.send(h11.EndOfMessage()) or b''
-        if self._writer.is_closing() or self._reader.at_eof():
-            return Failed(self._failure('send', 'closed before sending'))
+        encoded = self._parser.encode(request, str(self.peer))
+        if self._failure is not None or self._transport is None:
+            return Failed(self._describe('send', 'closed before sending'))
+        if not encoded:
+            return Failed(self._describe('send', self._parser.error))
         self.bytes_written += len(encoded)
-        try:
-            self._writer.write(encoded)
-            await self._writer.drain()
-        except OSError as error:
-            return Failed(self._failure('send', str(error)))
+        self._transport.write(encoded)
+        await self._writable.wait()
         return Success(None)
 
     async def receive_head(self) -> Result[ResponseHead, Failure]:
         """Wait for the head of the response."""
-        while True:
-            event = await self._next_event('receive head')
-            if isinstance(event, Failure):
-                return Failed(event)
-            if isinstance(event, h11.Response):
-                return Success(
-                    ResponseHead(
-                        status=event.status_code,
-                        headers=tuple(event.headers),
-                    ),
-                )
+        head = self._parser.take_head()
+        while head is None:
+            failure = await self._read('receive head')
+            if failure is not None:
+                return Failed(failure)
+            head = self._parser.take_head()
+        return Success(head)
 
     async def receive_chunk(self) -> Result[bytes, Failure]:
         """Return what one read brought of the body; empty at its end."""
-        while True:
-            parsed = self._parse_body()
-            if isinstance(parsed, Failed) or parsed.unwrap():
-                return parsed
-            if self.response_ended:
-                return parsed
+        body = self._parser.take_body()
+        while not body and not self._parser.ended:
             failure = await self._read('receive body')
             if failure is not None:
                 return Failed(failure)
+            body = self._parser.take_body()
+        return Success(body)
 
     async def receive_body(self) -> Result[bytes, Failure]:
         """Return the whole body."""
         received = bytearray()
-        while not self.response_ended:
+        while not self._parser.ended:
             chunk = await self.receive_chunk()
             if isinstance(chunk, Failed):
                 return chunk
             received += chunk.unwrap()
         return Success(bytes(received))
 
-    def close(self) -> None:
-        """Close the connection; a request under way is cancelled by it."""
-        self._writer.close()
+    async def pump(self, sink: BodySink) -> Result[None, Failure]:
+        """Pass the body on to `sink` until it ends.
 
-    def _headers(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
-        own = [(b'host', str(self.peer).encode('ascii'))]
-        if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
-            length = str(len(request.body)).encode('ascii')
-            own.append((b'content-length', length))
-        return [*own, *request.headers]
+        Each read is passed on within the read, without a task switch.
+        """
+        self._sink = sink
+        self.resume_reading()
+        self._pass_on(sink)
+        try:
+            while self._failure is None and not self._parser.ended:
+                await self._wait()
+        finally:
+            self._sink = None
+        if self._parser.ended:
+            return Success(None)
+        return Failed(self._failure or self._describe('pump', 'broken'))
+
+    def fail(self, detail: str) -> None:
+        """End all waiting with a failure; the first one counts."""
+        if self._failure is None:
+            self._failure = self._describe('receive', detail)
+        self._writable.set()
+        self._wake()
 
-    def _parse_body(self) -> Result[bytes, Failure]:
-        """Return the body bytes that were read and not yet taken."""
-        received = bytearray()
-        while not self.response_ended:
-            event = self._parse('receive body')
-            if isinstance(event, Failure):
-                return Failed(event)
-            if isinstance(event, h11.Data):
-                received += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                self._end_response()
-            else:
-                break
-        return Success(bytes(received))
+    def close(self) -> None:
+        """Close the connection; a request under way is cancelled by it."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _pass_on(self, sink: BodySink) -> None:
+        body = self._parser.take_body()
+        if body and not sink.take(body):
+            self.pause_reading()
+        if self._parser.error:
+            self.fail(self._parser.error)
+        elif self._parser.ended:
+            self._wake()
 
-    def _end_response(self) -> None:
-        self.response_ended = True
-        done = (h11.DONE, h11.DONE)
-        states = (self._parser.our_state, self._parser.their_state)
-        if states == done:
-            self._parser.start_next_cycle()
-
-    async def _next_event(self, step: str) -> h11.Event | Failure:
-        while True:
-            event = self._parse(step)
-            if isinstance(event, (Failure, h11.Event)):
-                return event
-            failure = await self._read(step)
-            if failure is not None:
-                return failure
+    async def _read(self, step: str) -> Failure | None:
+        if self._parser.error:
+            return self._describe(step, self._parser.error)
+        if self._failure is not None:
+            return self._describe(step, self._failure.detail)
+        self.resume_reading()
+        await self._wait()
+        return None
 
-    def _parse(
-        self,
-        step: str,
-    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED] | Failure:
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
         try:
-            event = self._parser.next_event()
-        except h11.RemoteProtocolError as error:
-            return self._failure(step, str(error))
-        if isinstance(event, h11.ConnectionClosed):
-            return self._failure(step, 'closed by the peer')
-        return event
+            await self._waiter
+        finally:
+            self._waiter = None
 
-    async def _read(self, step: str) -> Failure | None:
-        try:
-            received = await self._reader.read(_READ_BYTES)
-        except OSError as error:
-            return self._failure(step, str(error))
-        self._parser.receive_data(received)
-        return None
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
-    def _failure(self, step: str, detail: str) -> Failure:
+    def _describe(self, step: str, detail: str) -> Failure:
         return Failure(
             kind=FailureKind.connection_lost,
             step=step,
--- /dev/null
+++ b/persimmonhold/web/_client_parser.py
@@ -0,0 +1,111 @@
+"""The HTTP side of a client connection, by h11.
+
+Invariant: after an error nothing more is returned than what was whole
+before it, and `error` tells what it was.
+"""
+
+from typing import Final, TypeAlias, final
+
+import h11
+
+from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._response_head import ResponseHead
+
+_MAX_HEAD_BYTES: Final = 65_536
+_BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+_Event: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+@final
+class ClientParser:
+    """Encodes requests and parses the responses to them."""
+
+    __slots__ = ('_parser', 'ended', 'error')
+
+    def __init__(self) -> None:
+        """Create a parser that has no request under way."""
+        self.ended = False
+        self.error = ''
+        self._parser = h11.Connection(
+            h11.CLIENT,
+            max_incomplete_event_size=_MAX_HEAD_BYTES,
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether a request may be sent, with nothing left unread."""
+        if self._parser.our_state is not h11.IDLE:
+            return False
+        return self._parser.trailing_data == (b'', False)
+
+    def encode(self, request: ClientRequest, host: str) -> bytes:
+        """Return the bytes of a request; empty, with `error`, if it is bad."""
+        self.ended = False
+        try:
+            return self._encode(request, host)
+        except h11.LocalProtocolError as error:
+            self.error = str(error)
+            return b''
+
+    def receive(self, received: bytes) -> None:
+        """Take bytes from the peer; none at the end of its stream."""
+        self._parser.receive_data(received)
+
+    def take_head(self) -> ResponseHead | None:
+        """Return the head of the response if it is there."""
+        event = self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = self._next_event()
+        if not isinstance(event, h11.Response):
+            return None
+        return ResponseHead(
+            status=event.status_code,
+            headers=tuple(event.headers),
+        )
+
+    def take_body(self) -> bytes:
+        """Return the body bytes that are there."""
+        taken: list[bytes] = []
+        while not self.ended:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                taken.append(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._end_response()
+            else:
+                break
+        return b''.join(taken)
+
+    def _encode(self, request: ClientRequest, host: str) -> bytes:
+        own = [(b'host', host.encode('ascii'))]
+        if request.body or request.method not in _BODILESS_METHODS:
+            length = str(len(request.body)).encode('ascii')
+            own.append((b'content-length', length))
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=[*own, *request.headers],
+        )
+        encoded = self._parser.send(head) or b''
+        if request.body:
+            encoded += self._parser.send(h11.Data(data=request.body)) or b''
+        return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
+
+    def _next_event(self) -> _Event | None:
+        if self.error:
+            return None
+        try:
+            event = self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            self.error = str(error)
+            return None
+        if isinstance(event, h11.ConnectionClosed):
+            self.error = 'closed by the peer'
+        return event
+
+    def _end_response(self) -> None:
+        self.ended = True
+        done = (h11.DONE, h11.DONE)
+        states = (self._parser.our_state, self._parser.their_state)
+        if states == done:
+            self._parser.start_next_cycle()
--- a/persimmonhold/web/_exchange.py
+++ b/persimmonhold/web/_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final, final
 
 import h11
@@ -33,6 +34,7 @@
         'body_too_large',
         'ended',
         'head',
+        'on_writable',
         'started',
     )
 
@@ -46,37 +48,54 @@
         self.started = False
         self.ended = False
         self.body_too_large = False
+        self.on_writable: Callable[[], None] | None = None
         self._connection = connection
         self._body = bytearray()
         self._body_ended = asyncio.Event()
 
     async def read_body(self) -> Result[bytes, Failure]:
         """Wait for the whole body, within the bounds of the server."""
-        bounds = self._connection.bounds
-        try:
-            async with asyncio.timeout(bounds.body_timeout_s):
-                await self._body_ended.wait()
-        except TimeoutError:
-            return Failed(self._failure(FailureKind.timed_out))
+        if not self._body_ended.is_set():
+            timeout_s = self._connection.bounds.body_timeout_s
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._body_ended.wait()
+            except TimeoutError:
+                return Failed(self._failure(FailureKind.timed_out))
         if self.body_too_large:
             return Failed(self._failure(FailureKind.overloaded))
         return Success(bytes(self._body))
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of the response."""
-        self.started = True
-        await self._connection.send(
-            h11.Response(status_code=status, headers=list(headers)),
-        )
+        self.start_now(status, headers)
+        await self._connection.drain()
 
     async def send(self, chunk: bytes) -> None:
         """Send a part of the body; waits while the peer reads slowly."""
-        await self._connection.send(h11.Data(data=chunk))
+        self.write(chunk)
+        await self._connection.drain()
 
     async def finish(self) -> None:
         """End the response."""
+        self.finish_now()
+        await self._connection.drain()
+
+    def start_now(self, status: int, headers: Headers) -> None:
+        """Send the head of the response without waiting."""
+        self.started = True
+        self._connection.write(
+            h11.Response(status_code=status, headers=list(headers)),
+        )
+
+    def write(self, chunk: bytes) -> bool:
+        """Send a part of the body; False asks to wait for `on_writable`."""
+        return self._connection.write(h11.Data(data=chunk))
+
+    def finish_now(self) -> None:
+        """End the response without waiting."""
         self.ended = True
-        await self._connection.send(h11.EndOfMessage())
+        self._connection.write(h11.EndOfMessage())
 
     async def respond(
         self,
@@ -86,12 +105,13 @@
         headers: Headers = (),
     ) -> None:
         """Send a whole response."""
-        own = {'content-length': str(len(body))}
+        own: dict[str, str] = {}
         if status != _NO_CONTENT:
+            own['content-length'] = str(len(body))
             own['content-type'] = media_type
-        await self.start(status, (*encode_headers(own), *headers))
+        self.start_now(status, (*encode_headers(own), *headers))
         if body and self.head.method != 'HEAD':
-            await self.send(body)
+            self.write(body)
         await self.finish()
 
     async def respond_json(
@@ -112,9 +132,7 @@
         """Add a received part of the body."""
         limit = self._connection.bounds.max_body_bytes
         if len(self._body) + len(chunk) > limit:
-            self.body_too_large = True
-            self._body.clear()
-            self._body_ended.set()
+            self.refuse_body()
         if not self.body_too_large:
             self._body.extend(chunk)
 
@@ -122,5 +140,11 @@
         """Note that the whole body was received."""
         self._body_ended.set()
 
+    def refuse_body(self) -> None:
+        """Take no more of a body that exceeds the bound."""
+        self.body_too_large = True
+        self._body.clear()
+        self._body_ended.set()
+
     def _failure(self, kind: FailureKind) -> Failure:
         return Failure(kind=kind, step='read body', peer=self.head.peer)
--- a/persimmonhold/web/_exchange_handler.py
+++ b/persimmonhold/web/_exchange_handler.py
@@ -3,7 +3,7 @@
 import abc
 
 from persimmonhold.web._exchange import Exchange
-from persimmonhold.web._headers import Headers
+from persimmonhold.web._rejection import Rejection
 
 
 class ExchangeHandler(abc.ABC):
@@ -13,10 +13,6 @@
     async def serve(self, exchange: Exchange) -> None:
         """Answer the request; is cancelled when the peer vanishes."""
 
-    def rejection(self, status: int) -> bytes:
-        """Return the body sent for a request that cannot be parsed."""
-        return b'{}'
-
-    def rejection_headers(self) -> Headers:
-        """Return further headers for such a response."""
-        return ()
+    def reject(self, status: int) -> Rejection:
+        """Return the answer to a request that cannot be parsed or served."""
+        return Rejection(status=status)
--- a/persimmonhold/web/_server.py
+++ b/persimmonhold/web/_server.py
@@ -99,7 +99,7 @@
         )
         self._connections.add(connection)
         if len(self._connections) > self.bounds.max_connections:
-            connection.closing = True
+            connection.is_refused = True
         return connection
 
     def _forget(self, connection: ServerConnection) -> None:
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -2,7 +2,8 @@
 
 Invariants: one exchange is served at a time; a peer that leaves cancels the
 task that serves it; bytes that wait to be parsed are bounded by pausing the
-transport.
+transport; no timer outlives the connection. A peer that closes its sending
+half counts as gone: a process that dies looks the same.
 """
 
 import asyncio
@@ -12,13 +13,17 @@
 import h11
 
 from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._connection_timer import ConnectionTimer
 from persimmonhold.web._exchange import Exchange
 from persimmonhold.web._exchange_handler import ExchangeHandler
 from persimmonhold.web._request_head import RequestHead
 
 _BAD_REQUEST: Final = 400
+_TOO_LARGE: Final = 413
 _HEAD_TOO_LARGE: Final = 431
 _INTERNAL_ERROR: Final = 500
+_LINGER_S: Final = 1.0
+_CLOSE: Final = (b'connection', b'close')
 
 
 @final
@@ -34,6 +39,7 @@
         """Create a connection that reports its end to `closed`."""
         self.bounds = bounds
         self.closing = False
+        self.is_refused = False
         self._handler = handler
         self._closed = closed
         self._parser = h11.Connection(
@@ -44,28 +50,32 @@
         self._writable = asyncio.Event()
         self._exchange: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = ConnectionTimer()
+        self._is_idle = True
+        self._is_lingering = False
         self._peer = ''
 
-    @property
-    def is_busy(self) -> bool:
-        """Tell whether a request is being served."""
-        return self._exchange is not None
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for the first head."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._writable.set()
+        if self.is_refused:
+            transport.abort()
+            return
         peer = transport.get_extra_info('peername')
         self._peer = f'{peer[0]}:{peer[1]}' if peer else ''
-        self._wait_for_head(self.bounds.head_timeout_s)
+        self._timer.start(self.bounds.head_timeout_s, self._close)
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
+        if self._is_lingering:
+            return
+        if self._exchange is None and self._is_idle:
+            # One timer for the whole head: a slow sender cannot extend it.
+            self._is_idle = False
+            self._timer.start(self.bounds.head_timeout_s, self._reject)
         self._parser.receive_data(data)
-        if self._exchange is None:
-            self._wait_for_head(self.bounds.head_timeout_s)
         self._advance()
 
     def eof_received(self) -> bool:
@@ -74,7 +84,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the work for a peer that left."""
-        self._stop_timer()
+        self._timer.stop()
         self._transport = None
         self._writable.set()
         if self._task is not None:
@@ -82,22 +92,33 @@
         self._closed(self)
 
     def pause_writing(self) -> None:
-        """Hold senders while the peer reads slowly."""
+        """Hold senders while the peer reads slowly, for a bounded time."""
         self._writable.clear()
+        self._timer.start(self.bounds.send_timeout_s, self.abort)
 
     def resume_writing(self) -> None:
         """Let senders go on."""
         self._writable.set()
+        self._timer.stop()
+        exchange = self._exchange
+        if exchange is not None and exchange.on_writable is not None:
+            exchange.on_writable()
 
-    async def send(self, event: h11.Event) -> None:
-        """Write an event; aborts a peer that does not read in time."""
-        encoded = self._parser.send(event)
+    def write(self, event: h11.Event) -> bool:
+        """Write an event; tell whether the peer keeps up."""
         if self._transport is None:
-            raise asyncio.CancelledError
+            return False
+        if self.closing and isinstance(event, h11.Response):
+            event = _with_close(event)
+        encoded = self._parser.send(event)
         if encoded:
             self._transport.write(encoded)
+        return self._writable.is_set()
+
+    async def drain(self) -> None:
+        """Wait until the peer keeps up; one that does not is aborted."""
         if not self._writable.is_set():
-            await self._wait_until_writable()
+            await self._writable.wait()
 
     def abort(self) -> None:
         """Break the connection at once."""
@@ -107,28 +128,15 @@
     def close_when_idle(self) -> None:
         """Close now if idle, else after the response under way."""
         self.closing = True
-        if self._exchange is None and self._transport is not None:
-            self._transport.close()
-
-    async def _wait_until_writable(self) -> None:
-        try:
-            async with asyncio.timeout(self.bounds.send_timeout_s):
-                await self._writable.wait()
-        except TimeoutError:
-            self.abort()
-
-    def _wait_for_head(self, timeout_s: float) -> None:
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(timeout_s, self.abort)
+        if self._exchange is None and self._is_idle:
+            self._close()
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
 
     def _advance(self) -> None:
-        while self._transport is not None:
+        while self._transport is not None and not self._is_lingering:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -143,10 +151,9 @@
     ) -> bool:
         """Act on an event; tell whether there may be another."""
         if isinstance(event, h11.Request):
-            self._begin(event)
-            return True
+            return self._begin(event)
         if isinstance(event, h11.Data):
-            return self._receive_body(bytes(event.data))
+            return self._receive_body(event.data)
         if isinstance(event, h11.EndOfMessage):
             if self._exchange is not None:
                 self._exchange.receive_end()
@@ -163,22 +170,26 @@
             self._transport.pause_reading()
         return not self._exchange.body_too_large
 
-    def _begin(self, request: h11.Request) -> None:
-        self._stop_timer()
-        head = RequestHead(
-            method=request.method.decode('ascii'),
-            target=request.target.decode('ascii'),
-            headers=tuple(request.headers),
-            peer=self._peer,
-        )
-        self._exchange = Exchange(head, self)
-        if self._parser.they_are_waiting_for_100_continue:
-            self._write(
+    def _begin(self, request: h11.Request) -> bool:
+        self._timer.stop()
+        if _head_bytes(request) > self.bounds.max_head_bytes:
+            self._reject(_HEAD_TOO_LARGE)
+            return False
+        if _has_two_framings(request):
+            self._reject(_BAD_REQUEST)
+            return False
+        exchange = Exchange(_read_head(request, self._peer), self)
+        self._exchange = exchange
+        if _announced_bytes(request) > self.bounds.max_body_bytes:
+            exchange.refuse_body()
+        elif self._parser.they_are_waiting_for_100_continue:
+            self.write(
                 h11.InformationalResponse(status_code=100, headers=[]),
             )
         self._task = asyncio.get_running_loop().create_task(
-            self._serve(self._exchange),
+            self._serve(exchange),
         )
+        return not exchange.body_too_large
 
     async def _serve(self, exchange: Exchange) -> None:
         try:
@@ -191,6 +202,7 @@
     def _end(self, exchange: Exchange) -> None:
         self._task = None
         self._exchange = None
+        exchange.on_writable = None
         if self._transport is None:
             return
         if not exchange.started:
@@ -206,36 +218,90 @@
         done = (h11.DONE, h11.DONE)
         states = (self._parser.our_state, self._parser.their_state)
         if self.closing or states != done:
-            self._transport.close()
+            self._linger()
             return
         self._parser.start_next_cycle()
+        self._is_idle = True
         self._transport.resume_reading()
-        self._wait_for_head(self.bounds.idle_timeout_s)
-        self._advance()
+        self._timer.start(self.bounds.idle_timeout_s, self._close)
+        if self._parser.trailing_data[0]:
+            self._is_idle = False
+            self._timer.start(self.bounds.head_timeout_s, self._reject)
+            self._advance()
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int = _BAD_REQUEST) -> None:
         """Answer a request that cannot be served and close."""
         if self._transport is None:
             return
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            refusal = _BAD_REQUEST if status == _HEAD_TOO_LARGE else status
-            self._write_rejection(refusal)
-        if self._transport is not None:
-            self._transport.close()
+            refused = _TOO_LARGE if status == _HEAD_TOO_LARGE else status
+            self._write_rejection(refused)
+        elif self._exchange is not None:
+            # The body under way is malformed; its response has begun.
+            self.abort()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close after a short time in which unread bytes are dropped.
+
+        Closing on unread bytes would reset the connection and could take
+        the response away from the peer.
+        """
+        if self._transport is None:
+            return
+        if self._parser.their_state is h11.DONE or self._is_lingering:
+            self._close()
+            return
+        self._is_lingering = True
+        self._transport.resume_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._timer.start(_LINGER_S, self.abort)
 
     def _write_rejection(self, status: int) -> None:
-        body = self._handler.rejection(status)
+        self.closing = True
+        rejection = self._handler.reject(status)
         headers = [
             (b'content-type', b'application/problem+json'),
-            (b'content-length', str(len(body)).encode('ascii')),
-            (b'connection', b'close'),
-            *self._handler.rejection_headers(),
+            (b'content-length', str(len(rejection.body)).encode('ascii')),
+            *rejection.headers,
         ]
-        self._write(h11.Response(status_code=status, headers=headers))
-        self._write(h11.Data(data=body))
-        self._write(h11.EndOfMessage())
+        self.write(
+            h11.Response(status_code=rejection.status, headers=headers),
+        )
+        self.write(h11.Data(data=rejection.body))
+        self.write(h11.EndOfMessage())
 
-    def _write(self, event: h11.Event) -> None:
-        encoded = self._parser.send(event)
-        if encoded and self._transport is not None:
-            self._transport.write(encoded)
+
+def _read_head(request: h11.Request, peer: str) -> RequestHead:
+    return RequestHead(
+        method=request.method.decode('ascii'),
+        target=request.target.decode('ascii'),
+        headers=tuple(request.headers),
+        peer=peer,
+    )
+
+
+def _with_close(response: h11.Response) -> h11.Response:
+    return h11.Response(
+        status_code=response.status_code,
+        headers=[*response.headers, _CLOSE],
+    )
+
+
+def _head_bytes(request: h11.Request) -> int:
+    fields = sum(len(name) + len(text) for name, text in request.headers)
+    return len(request.target) + fields
+
+
+def _has_two_framings(request: h11.Request) -> bool:
+    """Tell whether another reader could see another end of the body."""
+    names = {name for name, _ in request.headers}
+    return {b'content-length', b'transfer-encoding'} <= names
+
+
+def _announced_bytes(request: h11.Request) -> int:
+    for name, text in request.headers:
+        if name == b'content-length':
+            return int(text)
+    return 0
