--- a/persimmonhold/cli/__init__.py
+++ b/persimmonhold/cli/__init__.py
@@ -1,6 +1,7 @@
 """The command line."""
 
 from persimmonhold.cli._dev_system import DevSystem
-from persimmonhold.cli._main import main
+from persimmonhold.cli._exit_code import ExitCode
+from persimmonhold.cli._main import main, run
 
-__all__ = ('DevSystem', 'main')
+__all__ = ('DevSystem', 'ExitCode', 'main', 'run')
--- /dev/null
+++ b/persimmonhold/cli/_command_output.py
@@ -0,0 +1,43 @@
+"""What a command prints and how it exits."""
+
+from types import MappingProxyType
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.cli._exit_code import ExitCode
+from persimmonhold.failures import Failure, FailureKind
+
+_EXIT_CODES: Final = MappingProxyType({
+    FailureKind.bad_settings: ExitCode.bad_settings,
+    FailureKind.bad_entry: ExitCode.bad_settings,
+    FailureKind.connect_failed: ExitCode.unreachable,
+    FailureKind.connection_lost: ExitCode.unreachable,
+    FailureKind.timed_out: ExitCode.unreachable,
+    FailureKind.address_in_use: ExitCode.unavailable_resource,
+    FailureKind.storage_unwritable: ExitCode.unavailable_resource,
+    FailureKind.storage_damaged: ExitCode.damaged_state,
+})
+
+
+@final
+class CommandOutput(msgspec.Struct, frozen=True, kw_only=True):
+    """Plain text for people, a document for programs, an exit code.
+
+    Text goes to the standard output on success, else to the error stream.
+    """
+
+    text: str = ''
+    document: object = None
+    exit_code: ExitCode = ExitCode.ok
+
+
+def failure_output(*failures: Failure) -> CommandOutput:
+    """Return one line an error."""
+    lines = [f'persimmonhold: {failure.describe()}' for failure in failures]
+    code = _EXIT_CODES.get(failures[0].kind, ExitCode.refused)
+    return CommandOutput(
+        text='\n'.join(lines),
+        document={'errors': failures},
+        exit_code=code,
+    )
--- a/persimmonhold/cli/_commands.py
+++ b/persimmonhold/cli/_commands.py
@@ -1,51 +1,157 @@
 """The commands, as fire shows them."""
 
-import asyncio
-import sys
-import tempfile
 from pathlib import Path
 from typing import Final, final
 
-from persimmonhold.cli._dev_system import DevSystem
-from persimmonhold.observability import LogLevel, LogOutput
-from persimmonhold.web import Address
+from returns.result import Failure as Failed
+
+from persimmonhold.cli._catalogue_commands import CatalogueCommands
+from persimmonhold.cli._command_output import (
+    CommandOutput,
+    failure_output,
+)
+from persimmonhold.cli._dev_command import run_dev
+from persimmonhold.cli._operator_session import OperatorSession
+from persimmonhold.cli._settings_text import settings_text
+from persimmonhold.cli._standin_command import run_standin
+from persimmonhold.cli._status_commands import (
+    drain_vm,
+    show_explanation,
+    show_status,
+)
+from persimmonhold.deployment import (
+    SHAPES,
+    DeploymentPlan,
+    DeploymentWriter,
+)
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.settings import Settings, read_ini
 
-_LOOPBACK: Final = '127.0.0.1'
 _CALLER_PORT: Final = 8080
+_DEPLOYMENT_PORT: Final = 20_000
+_MAX_VMS: Final = 200
 
 
 @final
 class Commands:
-    """A serving system for many models on fewer accelerators."""
+    """A serving system for many models on fewer accelerators.
+
+    Options of every command: --json prints a document in place of text;
+    --operators ip:port,... names the control VMs (127.0.0.1:8081);
+    --operator NAME is the name to act under.
+
+    Exit codes: 0 done, 1 refused, 2 usage, 3 bad settings or file,
+    4 control unreachable, 5 address in use or folder not writable,
+    6 not in force in time, 7 audit mismatch, 8 damaged state.
+    """
+
+    def __init__(self, session: OperatorSession) -> None:
+        """Create the commands for a session with control."""
+        self._session = session
+        self.catalogue = CatalogueCommands(session)
 
-    def dev(self, port: int = _CALLER_PORT, directory: str = '') -> None:
+    def dev(
+        self,
+        port: int = _CALLER_PORT,
+        directory: str = '',
+    ) -> CommandOutput:
         """Run control, entry and stand-ins in this one process.
 
         Args:
             port: Port for callers; operators get the next one.
             directory: Folder of the control state; a new one by default.
         """
-        folder = directory or tempfile.mkdtemp(prefix='persimmonhold-')
-        system = DevSystem(
-            Path(folder),
-            Address(_LOOPBACK, port),
-            Address(_LOOPBACK, port + 1 if port else 0),
+        return run_dev(port, directory)
+
+    def check(self, settings: str) -> CommandOutput:
+        """Check a settings file and print the effective settings.
+
+        Args:
+            settings: Path of the INI file.
+        """
+        checked = read_ini(Path(settings), Settings)
+        if isinstance(checked, Failed):
+            return failure_output(*checked.failure())
+        effective = checked.unwrap()
+        return CommandOutput(text=settings_text(effective), document=effective)
+
+    def standin(self, settings: str) -> CommandOutput:
+        """Run a stand-in engine or service until it is stopped.
+
+        Args:
+            settings: Path of the INI file.
+        """
+        return run_standin(settings)
+
+    def init(
+        self,
+        deployment: str,
+        directory: str,
+        vms: int = 9,
+        port: int = _DEPLOYMENT_PORT,
+    ) -> CommandOutput:
+        """Write the files of a loopback deployment.
+
+        Args:
+            deployment: hoogwerk or levy.
+            directory: Folder to write to.
+            vms: Number of VMs; five get control where there are as many.
+            port: First port; each VM has an address of its own.
+        """
+        shape = next((one for one in SHAPES if one.name == deployment), None)
+        if shape is None or not 1 <= vms <= _MAX_VMS:
+            return failure_output(_bad_deployment(deployment, vms))
+        plan = DeploymentPlan(shape, vms, port)
+        try:
+            document = DeploymentWriter(plan, Path(directory)).write()
+        except OSError as error:
+            return failure_output(_unwritable(directory, error))
+        return CommandOutput(
+            text=f'wrote {vms} VMs and {len(document.upstreams)} upstreams'
+            f' to {directory}',
+            document=document,
         )
-        with LogOutput(LogLevel.warning, ''):
-            asyncio.run(_run_dev(system))
-
-
-async def _run_dev(system: DevSystem) -> None:
-    async with system:
-        sys.stdout.write(
-            f'callers   http://{system.callers}\n'
-            f'operators http://{system.operators}\n\n'
-            f'curl -N http://{system.callers}/v1/chat/completions'
-            ' -d \'{"model": "tutor", "stream": true, "messages":'
-            ' [{"role": "user", "content": "Check my harness."}]}\'\n'
-            f'curl http://{system.callers}/services/lodgements/returns'
-            " -H 'Idempotency-Key: first' -d '{}'\n"
-            f'curl http://{system.operators}/catalogue/v1/status\n',
+
+    def status(self) -> CommandOutput:
+        """Show what is true now: revisions, copies, orders, memory."""
+        return self._session.run(show_status)
+
+    def explain(self, name: str) -> CommandOutput:
+        """Show why a model is where it is and what blocks it.
+
+        Args:
+            name: Name of a model or adapter.
+        """
+        return self._session.run(
+            lambda client: show_explanation(client, name),
         )
-        sys.stdout.flush()
-        await asyncio.Event().wait()
+
+    def drain(self, vm: str, undo: bool = False) -> CommandOutput:
+        """Take a VM out of the directory of entries.
+
+        Args:
+            vm: Name of the VM.
+            undo: Put it back.
+        """
+        return self._session.run(
+            lambda client: drain_vm(client, vm, undo=undo),
+        )
+
+
+def _bad_deployment(deployment: str, vms: int) -> Failure:
+    names = ' or '.join(shape.name for shape in SHAPES)
+    return Failure(
+        kind=FailureKind.bad_settings,
+        step='init',
+        detail=f'expected {names} and 1 to {_MAX_VMS} VMs,'
+        f' found {deployment!r} and {vms}',
+    )
+
+
+def _unwritable(directory: str, error: OSError) -> Failure:
+    return Failure(
+        kind=FailureKind.storage_unwritable,
+        step='init',
+        peer=directory,
+        detail=error.strerror or str(error),
+    )
--- /dev/null
+++ b/persimmonhold/cli/_dev_command.py
@@ -0,0 +1,71 @@
+"""The dev command."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final
+
+from persimmonhold.cli._command_output import (
+    CommandOutput,
+    failure_output,
+)
+from persimmonhold.cli._dev_system import DevSystem
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.observability import LogLevel, LogOutput
+from persimmonhold.web import Address
+
+_LOOPBACK: Final = '127.0.0.1'
+
+
+def run_dev(port: int, directory: str) -> CommandOutput:
+    """Run the whole system in this process until it is stopped."""
+    folder = directory or tempfile.mkdtemp(prefix='persimmonhold-')
+    system = DevSystem(
+        Path(folder),
+        Address(_LOOPBACK, port),
+        Address(_LOOPBACK, port + 1 if port else 0),
+    )
+    try:
+        with LogOutput(LogLevel.warning, ''):
+            asyncio.run(_serve(system))
+    except OSError as error:
+        return failure_output(_not_started(error))
+    return CommandOutput(text='stopped')
+
+
+async def _serve(system: DevSystem) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    async with system:
+        sys.stdout.write(_greeting(system))
+        sys.stdout.flush()
+        await stopped.wait()
+
+
+def _greeting(system: DevSystem) -> str:
+    chat = (
+        '{"model": "tutor", "stream": true, "messages":'
+        ' [{"role": "user", "content": "Check my harness."}]}'
+    )
+    return (
+        f'callers   http://{system.callers}\n'
+        f'operators http://{system.operators}\n\n'
+        f'curl -N http://{system.callers}/v1/chat/completions'
+        f" -d '{chat}'\n"
+        f'curl http://{system.callers}/services/lodgements/returns'
+        " -H 'Idempotency-Key: first' -d '{}'\n"
+        f'curl http://{system.callers}/services/status/returns/7\n'
+        f'curl http://{system.operators}/catalogue/v1/status\n'
+    )
+
+
+def _not_started(error: OSError) -> Failure:
+    return Failure(
+        kind=FailureKind.address_in_use,
+        step='start',
+        detail=error.strerror or str(error),
+    )
--- a/persimmonhold/cli/_main.py
+++ b/persimmonhold/cli/_main.py
@@ -1,10 +1,55 @@
 """Entry point of the command line."""
 
+import sys
+
 import fire
+import msgspec
 
+from persimmonhold.cli._command_output import CommandOutput
 from persimmonhold.cli._commands import Commands
+from persimmonhold.cli._exit_code import ExitCode
+from persimmonhold.cli._global_options import GlobalOptions, split_options
+from persimmonhold.cli._operator_session import OperatorSession
 
 
 def main() -> None:
     """Run the command named by the process arguments."""
-    fire.Fire(Commands, name='persimmonhold')
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """Run a command and return its exit code."""
+    options = split_options(arguments)
+    session = OperatorSession(options.operators, options.operator)
+    try:
+        output = fire.Fire(
+            Commands(session),
+            command=list(options.rest),
+            name='persimmonhold',
+            serialize=_print_nothing,
+        )
+    except fire.core.FireExit as stop:
+        return int(stop.code)
+    if not isinstance(output, CommandOutput):
+        return ExitCode.ok
+    _write(output, options)
+    return output.exit_code
+
+
+def _write(output: CommandOutput, options: GlobalOptions) -> None:
+    """Print text, or the document where JSON was asked for."""
+    rendered = output.text
+    if options.json:
+        document = output.document
+        if document is None:
+            document = {'exit_code': output.exit_code}
+        rendered = msgspec.json.encode(document).decode()
+    stream = sys.stderr if output.exit_code else sys.stdout
+    if rendered:
+        stream.write(f'{rendered}\n')
+        stream.flush()
+
+
+def _print_nothing(component: object) -> object:
+    """Keep fire from printing outputs; its help goes on as it is."""
+    return None if isinstance(component, CommandOutput) else component
--- /dev/null
+++ b/persimmonhold/cli/_operator_session.py
@@ -0,0 +1,52 @@
+"""The options that all commands towards control share."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import final
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.cli._command_output import (
+    CommandOutput,
+    failure_output,
+)
+from persimmonhold.failures import Failure
+from persimmonhold.operations import OperatorClient
+from persimmonhold.web import Address, parse_address
+
+
+@final
+class OperatorSession:
+    """Where control is and who asks."""
+
+    __slots__ = ('_operator', '_operators')
+
+    def __init__(self, operators: str, operator: str) -> None:
+        """Create a session from `ip:port` addresses, split by commas."""
+        self._operators = operators
+        self._operator = operator
+
+    def run(
+        self,
+        work: Callable[[OperatorClient], Awaitable[CommandOutput]],
+    ) -> CommandOutput:
+        """Run work with a client."""
+        addresses = self._addresses()
+        if isinstance(addresses, Failed):
+            return failure_output(addresses.failure())
+        client = OperatorClient(addresses.unwrap(), self._operator)
+        return asyncio.run(_await(work(client)))
+
+    def _addresses(self) -> Result[tuple[Address, ...], Failure]:
+        addresses: list[Address] = []
+        for text in self._operators.split(','):
+            parsed = parse_address(text.strip())
+            if isinstance(parsed, Failed):
+                return parsed
+            addresses.append(parsed.unwrap())
+        return Success(tuple(addresses))
+
+
+async def _await(work: Awaitable[CommandOutput]) -> CommandOutput:
+    return await work
--- /dev/null
+++ b/persimmonhold/cli/_status_commands.py
@@ -0,0 +1,97 @@
+"""The commands that show or change the state of VMs and copies."""
+
+import secrets
+from typing import Any, Final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from persimmonhold.cli._command_output import (
+    CommandOutput,
+    failure_output,
+)
+from persimmonhold.operations import OperatorClient, OperatorReply
+
+_ID_BYTES: Final = 8
+_GIGABYTE: Final = 1_000_000_000
+
+
+async def show_status(client: OperatorClient) -> CommandOutput:
+    """Show revisions, copies, orders and memory."""
+    reply = await client.read('/catalogue/v1/status')
+    if isinstance(reply, Failed):
+        return failure_output(reply.failure())
+    return _render(reply.unwrap(), 'status', _status_text)
+
+
+async def show_explanation(client: OperatorClient, name: str) -> CommandOutput:
+    """Show the last decisions about a model."""
+    reply = await client.read(f'/catalogue/v1/explain/{name}')
+    if isinstance(reply, Failed):
+        return failure_output(reply.failure())
+    return _render(reply.unwrap(), f'explain {name}', _document_text)
+
+
+async def drain_vm(
+    client: OperatorClient,
+    vm: str,
+    *,
+    undo: bool,
+) -> CommandOutput:
+    """Set or clear the draining mark of a VM."""
+    action = 'undrain' if undo else 'drain'
+    headers = {'persimmonhold-command-id': secrets.token_hex(_ID_BYTES)}
+    target = f'/catalogue/v1/{action}/{vm}'
+    reply = await client.change('POST', target, headers)
+    if isinstance(reply, Failed):
+        return failure_output(reply.failure())
+    return _render(reply.unwrap(), f'{action} {vm}', _document_text)
+
+
+def _render(
+    reply: OperatorReply,
+    step: str,
+    text: Any,
+) -> CommandOutput:
+    checked = reply.checked(step)
+    if isinstance(checked, Failed):
+        return failure_output(checked.failure())
+    document = checked.unwrap()
+    return CommandOutput(text=text(document), document=document)
+
+
+def _document_text(document: dict[str, Any]) -> str:
+    encoded = msgspec.json.encode(document)
+    return msgspec.json.format(encoded, indent=2).decode()
+
+
+def _status_text(document: dict[str, Any]) -> str:
+    lines = [f'revision {document["revision"]}']
+    for vm in document.get('vms', ()):
+        state = 'live' if vm.get('live', True) else 'silent'
+        if vm.get('draining'):
+            state = 'draining'
+        revision = vm.get('revision', '-')
+        lines.append(f'vm        {vm["name"]:16} {state:9} r{revision}')
+    for model in document.get('models', ()):
+        lines.append(
+            f'model     {model["name"]:28} wanted {model["wanted"]}'
+            f' serving {model["serving"]}',
+        )
+    for memory in document.get('memory', ()):
+        lines.append(_memory_text(memory))
+    orders = document.get('orders', ())
+    lines.append(f'{len(orders)} orders outstanding')
+    return '\n'.join(lines)
+
+
+def _memory_text(memory: dict[str, Any]) -> str:
+    held, reserved, capacity = (
+        memory[key] / _GIGABYTE
+        for key in ('held_bytes', 'reserved_bytes', 'capacity_bytes')
+    )
+    place = f'{memory["upstream"]}/{memory["accelerator"]}'
+    return (
+        f'memory    {place:28} held {held:.1f} reserved {reserved:.1f}'
+        f' of {capacity:.1f} GB'
+    )
--- /dev/null
+++ b/persimmonhold/deployment/_deployment_plan.py
@@ -0,0 +1,159 @@
+"""Lays a deployment out on loopback addresses.
+
+VM `i` has 127.0.1.i, upstream `j` has 127.0.2.j; the ports of a VM for
+callers, operators and peers follow one another.
+"""
+
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.catalogue import (
+    Accelerator,
+    AdapterEntry,
+    CallRule,
+    CatalogueEntry,
+    ModelEntry,
+    ServiceClass,
+    ServiceEntry,
+    UpstreamEntry,
+)
+from persimmonhold.deployment._deployment_shape import DeploymentShape
+
+STATUS_SERVICE: Final = 'status'
+_CONTROL_GROUPS: Final = (5, 3, 1)
+_ANY_CALL: Final = CallRule(method='*', path_prefix='', idempotent=True)
+_READS: Final = CallRule(method='GET', path_prefix='', idempotent=True)
+
+
+@final
+class PlannedVm(msgspec.Struct, frozen=True, kw_only=True):
+    """A VM of the system and its addresses."""
+
+    name: str
+    failure_domain: str
+    has_control: bool
+    callers: str
+    operators: str
+    peers: str
+
+
+@final
+class DeploymentPlan:
+    """Every process of a deployment and its catalogue."""
+
+    __slots__ = ('port', 'shape', 'vms')
+
+    def __init__(self, shape: DeploymentShape, vms: int, port: int) -> None:
+        """Lay out `vms` VMs from `port` on."""
+        self.shape = shape
+        self.port = port
+        self.vms = tuple(self._vm(number, vms) for number in range(vms))
+
+    def upstreams(self) -> tuple[UpstreamEntry, ...]:
+        """Return the engines and the replicas of the services."""
+        engines = [self._engine(number) for number in range(self.shape.engines)]
+        workers = [
+            self._worker(number) for number in range(self.shape.service_workers)
+        ]
+        return (*engines, *workers)
+
+    def catalogue(self) -> tuple[CatalogueEntry, ...]:
+        """Return all entries in an order in which they can be applied."""
+        shape = self.shape
+        return (
+            *self._services(),
+            *self.upstreams(),
+            *(self._model(number) for number in range(shape.models)),
+            *(self._adapter(number) for number in range(shape.adapters)),
+        )
+
+    def model_name(self, number: int) -> str:
+        """Return the name of a model."""
+        return f'{self.shape.model_stem}-{number + 1}'
+
+    def _vm(self, number: int, vms: int) -> PlannedVm:
+        host = f'127.0.1.{number + 1}'
+        return PlannedVm(
+            name=f'vm{number + 1}',
+            failure_domain=self._failure_domain(number),
+            has_control=number < _control_vms(vms),
+            callers=f'{host}:{self.port}',
+            operators=f'{host}:{self.port + 1}',
+            peers=f'{host}:{self.port + 2}',
+        )
+
+    def _failure_domain(self, number: int) -> str:
+        domains = self.shape.failure_domains
+        return domains[number % len(domains)]
+
+    def _engine(self, number: int) -> UpstreamEntry:
+        accelerator = Accelerator(
+            name='a0',
+            memory_bytes=self.shape.memory_bytes,
+        )
+        return UpstreamEntry(
+            name=f'engine-{number + 1}',
+            owner=self.shape.owner,
+            address=self._upstream_address(number),
+            failure_domain=self._failure_domain(number),
+            accelerators=(accelerator,),
+        )
+
+    def _worker(self, number: int) -> UpstreamEntry:
+        services = (self.shape.calls_service, STATUS_SERVICE)
+        service = services[number % len(services)]
+        return UpstreamEntry(
+            name=f'{service}-{number // len(services) + 1}',
+            owner=self.shape.owner,
+            address=self._upstream_address(self.shape.engines + number),
+            failure_domain=self._failure_domain(number),
+            service=service,
+        )
+
+    def _upstream_address(self, number: int) -> str:
+        return f'127.0.2.{number + 1}:{self.port}'
+
+    def _services(self) -> tuple[ServiceEntry, ...]:
+        owner = self.shape.owner
+        return (
+            ServiceEntry(
+                name=self.shape.calls_service,
+                owner=owner,
+                rules=(_READS,),
+            ),
+            ServiceEntry(
+                name=STATUS_SERVICE,
+                owner=owner,
+                rules=(_ANY_CALL,),
+                service_class=ServiceClass.check,
+            ),
+        )
+
+    def _model(self, number: int) -> ModelEntry:
+        classes = self.shape.classes
+        return ModelEntry(
+            name=self.model_name(number),
+            owner=self.shape.owner,
+            version='1',
+            weight_bytes=self.shape.weight_bytes(number),
+            kv_floor_bytes=self.shape.kv_floor_bytes,
+            service_class=ServiceClass(classes[number % len(classes)]),
+        )
+
+    def _adapter(self, number: int) -> AdapterEntry:
+        base = number % self.shape.models
+        classes = self.shape.classes
+        return AdapterEntry(
+            name=f'{self.model_name(base)}-topic-{number + 1}',
+            owner=self.shape.owner,
+            version='1',
+            base=self.model_name(base),
+            weight_bytes=self.shape.adapter_bytes,
+            service_class=ServiceClass(classes[base % len(classes)]),
+        )
+
+
+def _control_vms(vms: int) -> int:
+    """Return the largest odd control group that the VMs allow."""
+    return next(size for size in _CONTROL_GROUPS if size <= vms)
--- /dev/null
+++ b/persimmonhold/deployment/_deployment_shape.py
@@ -0,0 +1,81 @@
+"""The sizes of the two deployments, as the brief gives them."""
+
+from typing import Final, final
+
+import msgspec
+
+_GIGABYTE: Final = 1_000_000_000
+
+
+@final
+class DeploymentShape(msgspec.Struct, frozen=True, kw_only=True):
+    """Places, workers and models of a deployment.
+
+    `weights_gb` is the cycle of model sizes. The classes of models cycle
+    through `classes`.
+    """
+
+    name: str
+    owner: str
+    failure_domains: tuple[str, ...]
+    model_stem: str
+    models: int
+    adapters: int
+    engines: int
+    calls_service: str
+    service_workers: int
+    classes: tuple[str, ...]
+    weights_gb: tuple[int, ...]
+    adapter_load_ms: float
+    move_cost: float
+    attainment_weight: float
+    loads_at_once: int
+    adapters_in_flight: int
+    loads_per_second: float = 3
+    memory_bytes: int = 80 * _GIGABYTE
+    kv_floor_bytes: int = 4 * _GIGABYTE
+    adapter_bytes: int = _GIGABYTE // 10
+
+    def weight_bytes(self, model: int) -> int:
+        """Return the size of a model by its number."""
+        cycle = self.weights_gb
+        return cycle[model % len(cycle)] * _GIGABYTE
+
+
+HOOGWERK: Final = DeploymentShape(
+    name='hoogwerk',
+    owner='hoogwerk',
+    failure_domains=('nl-west-a', 'nl-west-b', 'nl-west-c', 'nl-west-d'),
+    model_stem='tutor',
+    models=20,
+    adapters=120,
+    engines=9,
+    calls_service='bookings',
+    service_workers=4,
+    classes=('interactive', 'interactive', 'check', 'batch'),
+    weights_gb=(14, 14, 26, 8),
+    adapter_load_ms=7,
+    move_cost=4,
+    attainment_weight=1,
+    loads_at_once=3,
+    adapters_in_flight=25,
+)
+LEVY: Final = DeploymentShape(
+    name='levy',
+    owner='levy-office',
+    failure_domains=('kyushu-a', 'kyushu-b', 'kyushu-c'),
+    model_stem='guide',
+    models=30,
+    adapters=120,
+    engines=9,
+    calls_service='lodgements',
+    service_workers=3,
+    classes=('interactive', 'check', 'batch'),
+    weights_gb=(14, 8, 16),
+    adapter_load_ms=9,
+    move_cost=1,
+    attainment_weight=4,
+    loads_at_once=4,
+    adapters_in_flight=30,
+)
+SHAPES: Final = (HOOGWERK, LEVY)
--- /dev/null
+++ b/persimmonhold/operations/__init__.py
@@ -0,0 +1,21 @@
+"""What operators do from the command line, over the operators' interface."""
+
+from persimmonhold.operations._catalogue_change import (
+    ENTRIES,
+    AppliedChange,
+    ChangeKind,
+    apply_entry,
+)
+from persimmonhold.operations._history_check import find_broken_link
+from persimmonhold.operations._operator_client import OperatorClient
+from persimmonhold.operations._operator_reply import OperatorReply
+
+__all__ = (
+    'ENTRIES',
+    'AppliedChange',
+    'ChangeKind',
+    'OperatorClient',
+    'OperatorReply',
+    'apply_entry',
+    'find_broken_link',
+)
--- /dev/null
+++ b/persimmonhold/operations/_catalogue_change.py
@@ -0,0 +1,78 @@
+"""Brings the catalogue into line with a file."""
+
+import enum
+import hashlib
+from typing import Any, Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.catalogue import CatalogueEntry
+from persimmonhold.failures import Failure
+from persimmonhold.operations._operator_client import OperatorClient
+
+ENTRIES: Final = '/catalogue/v1/entries'
+_COMMAND_ID_CHARACTERS: Final = 32
+
+
+@final
+@enum.unique
+class ChangeKind(enum.StrEnum):
+    """What applying an entry did."""
+
+    created = 'created'
+    updated = 'updated'
+    unchanged = 'unchanged'
+
+
+@final
+class AppliedChange(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry of a file and what came of it."""
+
+    name: str
+    kind: ChangeKind
+    revision: int
+
+
+async def apply_entry(
+    client: OperatorClient,
+    entry: CatalogueEntry,
+    present: dict[str, Any] | None,
+) -> Result[AppliedChange, Failure]:
+    """Create or update an entry; `present` is what control has now."""
+    wanted: dict[str, Any] = msgspec.to_builtins(entry)
+    known = dict(present or {})
+    revision = int(known.pop('revision', 0))
+    if known == wanted:
+        return Success(
+            AppliedChange(
+                name=entry.name,
+                kind=ChangeKind.unchanged,
+                revision=revision,
+            ),
+        )
+    headers = {
+        'if-match': f'"{revision}"',
+        'persimmonhold-command-id': command_id(entry, revision),
+    }
+    target = f'{ENTRIES}/{entry.name}'
+    reply = await client.change('PUT', target, headers, wanted)
+    if isinstance(reply, Failed):
+        return reply
+    checked = reply.unwrap().checked(f'apply {entry.name}')
+    if isinstance(checked, Failed):
+        return checked
+    return Success(
+        AppliedChange(
+            name=entry.name,
+            kind=ChangeKind.updated if present else ChangeKind.created,
+            revision=int(checked.unwrap()['revision']),
+        ),
+    )
+
+
+def command_id(entry: CatalogueEntry, revision: int) -> str:
+    """Return an id that a resend of the same change has again."""
+    content = msgspec.json.encode((entry, revision))
+    return hashlib.sha256(content).hexdigest()[:_COMMAND_ID_CHARACTERS]
--- /dev/null
+++ b/persimmonhold/operations/_operator_client.py
@@ -0,0 +1,126 @@
+"""A client of the operators' interface."""
+
+import asyncio
+from typing import Any, Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.operations._operator_reply import OperatorReply
+from persimmonhold.web import (
+    Address,
+    ClientRequest,
+    FetchedResponse,
+    encode_headers,
+    fetch,
+)
+
+_TIMEOUT_S: Final = 10.0
+_RETRY_DELAY_S: Final = 0.3
+_ROUNDS: Final = 8
+_UNAVAILABLE: Final = 503
+
+
+@final
+class OperatorClient:
+    """Tries the control addresses in turn until one answers.
+
+    Every command is safe to resend: it carries a command id, and control
+    answers a resend with the first answer.
+    """
+
+    __slots__ = ('_addresses', 'operator')
+
+    def __init__(self, addresses: tuple[Address, ...], operator: str) -> None:
+        """Create a client that acts as `operator`."""
+        self.operator = operator
+        self._addresses = addresses
+
+    async def read(self, target: str) -> Result[OperatorReply, Failure]:
+        """Send a GET request."""
+        return await self._send(ClientRequest(method='GET', target=target))
+
+    async def change(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        document: object = None,
+    ) -> Result[OperatorReply, Failure]:
+        """Send a change; `headers` carry revision and command id."""
+        body = b'' if document is None else msgspec.json.encode(document)
+        own = {'persimmonhold-operator': self.operator, **headers}
+        return await self._send(
+            ClientRequest(
+                method=method,
+                target=target,
+                headers=encode_headers(own),
+                body=body,
+            ),
+        )
+
+    async def _send(
+        self,
+        request: ClientRequest,
+    ) -> Result[OperatorReply, Failure]:
+        last: Result[OperatorReply, Failure] = Failed(
+            Failure(
+                kind=FailureKind.connect_failed,
+                step='reach control',
+                detail='no control address was given',
+            ),
+        )
+        for attempt in range(_ROUNDS * len(self._addresses)):
+            address = self._addresses[attempt % len(self._addresses)]
+            last = await self._send_to(address, request)
+            if _is_final(last):
+                return last
+            if (attempt + 1) % len(self._addresses) == 0:
+                await asyncio.sleep(_RETRY_DELAY_S)
+        return last
+
+    async def _send_to(
+        self,
+        address: Address,
+        request: ClientRequest,
+    ) -> Result[OperatorReply, Failure]:
+        fetched = await fetch(address, request, _TIMEOUT_S)
+        if isinstance(fetched, Failed):
+            return fetched
+        return _decode(address, fetched.unwrap())
+
+
+def _is_final(reply: Result[OperatorReply, Failure]) -> bool:
+    """Tell whether another control address would not answer better."""
+    if isinstance(reply, Failed):
+        return False
+    return reply.unwrap().status != _UNAVAILABLE
+
+
+def _decode(
+    address: Address,
+    response: FetchedResponse,
+) -> Result[OperatorReply, Failure]:
+    try:
+        document = msgspec.json.decode(
+            response.body or b'{}',
+            type=dict[str, Any],
+        )
+    except msgspec.DecodeError as error:
+        return Failed(
+            Failure(
+                kind=FailureKind.protocol_violation,
+                step='read answer',
+                peer=str(address),
+                detail=str(error),
+            ),
+        )
+    return Success(
+        OperatorReply(
+            status=response.head.status,
+            document=document,
+            peer=str(address),
+        ),
+    )
--- /dev/null
+++ b/persimmonhold/operations/_operator_reply.py
@@ -0,0 +1,35 @@
+"""An answer of the operators' interface."""
+
+from typing import Any, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+
+_FIRST_ERROR_STATUS = 400
+
+
+@final
+class OperatorReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Status and JSON document of an answer, and who gave it."""
+
+    status: int
+    document: dict[str, Any]
+    peer: str
+
+    def checked(self, step: str) -> Result[dict[str, Any], Failure]:
+        """Return the document of a success, else the refusal."""
+        if self.status < _FIRST_ERROR_STATUS:
+            return Success(self.document)
+        reason = str(self.document.get('reason', self.status))
+        detail = str(self.document.get('detail', ''))
+        return Failed(
+            Failure(
+                kind=FailureKind.refused,
+                step=step,
+                peer=self.peer,
+                detail=f'{reason}: {detail}' if detail else reason,
+            ),
+        )
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,71 @@
+"""The command line: exit codes, one-line errors, JSON."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength
+
+from persimmonhold.cli import ExitCode, run
+
+# A port of the reserved discard service, where nothing listens.
+_CLOSED = '127.0.0.1:9'
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'exit_code', 'message'),
+    [
+        (['check', '--settings', '/none.ini'], ExitCode.bad_settings, 'none'),
+        (['status', '--operators', 'x'], ExitCode.bad_settings, 'ip:port'),
+        (['status', '--operators', _CLOSED], ExitCode.unreachable, _CLOSED),
+        (['catalogue', 'apply', '/none'], ExitCode.bad_settings, '/none'),
+        (['init', 'mars', '/tmp/x'], ExitCode.bad_settings, 'hoogwerk'),
+        (['standin', '/none.ini'], ExitCode.bad_settings, '/none.ini'),
+        (['nonsense'], ExitCode.usage, 'nonsense'),
+    ],
+)
+def test_errors_are_one_line_and_have_a_code(
+    arguments: list[str],
+    exit_code: ExitCode,
+    message: str,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    assert_that(run(arguments), Equals(exit_code))
+    printed = capsys.readouterr()
+    assert_that(printed.err, Contains(message))
+    assert_that('Traceback' in printed.err, Equals(False))
+    assert_that(printed.out, Equals(''))
+
+
+def test_init_prints_a_document_on_request(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    arguments = ['init', 'levy', str(tmp_path / 'd'), '--vms=7', '--json']
+    assert_that(run(arguments), Equals(ExitCode.ok))
+    document: dict[str, Any] = msgspec.json.decode(capsys.readouterr().out)
+    assert_that(document['vms'], HasLength(7))
+
+
+def test_folder_that_cannot_be_written(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    taken = tmp_path / 'file'
+    taken.write_text('')
+    code = run(['init', 'levy', str(taken / 'd')])
+    assert_that(code, Equals(ExitCode.unavailable_resource))
+    assert_that(capsys.readouterr().err, Contains(str(taken)))
+
+
+def test_check_prints_effective_settings(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / 'vm.ini'
+    path.write_text('[vm]\nname = vm1\nfailure_domain = a\n')
+    assert_that(run(['check', str(path)]), Equals(ExitCode.ok))
+    printed = capsys.readouterr().out
+    assert_that(printed, Contains('election_timeout_ms = 500'))
