Load tool: open-loop schedule, whole-answer check, exactly-once audit

Cause: promises are to be shown under load, by counts and not by hope. Change: a seeded open-loop schedule of both deployments' mixes, callers that follow /v1/entries, streams checked token by token, an audit of keys against the services' own record of executions, figures by class, JSON and a plot.

--- a/persimmonhold/cli/_commands.py
+++ b/persimmonhold/cli/_commands.py
@@ -11,6 +11,8 @@
     failure_output,
 )
 from persimmonhold.cli._dev_command import run_dev
+from persimmonhold.cli._load_command import compare as compare_reports
+from persimmonhold.cli._load_command import measure, save
 from persimmonhold.cli._operator_session import OperatorSession
 from persimmonhold.cli._settings_text import settings_text
 from persimmonhold.cli._standin_command import run_standin
@@ -112,6 +114,41 @@
             document=document,
         )
 
+    def load(
+        self,
+        deployment: str = '',
+        seed: int = 1,
+        rate: float = 20,
+        duration_s: float = 20,
+        output: str = '',
+        plot: str = '',
+        compare: str = '',
+        progress: bool = True,
+    ) -> CommandOutput:
+        """Send the load of a deployment's callers and audit the answers.
+
+        Args:
+            deployment: Path of deployment.json.
+            seed: Seed of the schedule.
+            rate: Mean requests a second.
+            duration_s: Length of the run in seconds.
+            output: File for the JSON report.
+            plot: File for a plot of attainment over time.
+            compare: Two report files to compare, split by a comma.
+            progress: Show a progress line.
+        """
+        if compare:
+            first, _, second = compare.partition(',')
+            return compare_reports(first, second)
+        measured = measure(
+            deployment,
+            seed,
+            rate,
+            duration_s,
+            show_progress=progress,
+        )
+        return save(measured, output, plot)
+
     def status(self) -> CommandOutput:
         """Show what is true now: revisions, copies, orders, memory."""
         return self._session.run(show_status)
--- /dev/null
+++ b/persimmonhold/cli/_load_command.py
@@ -0,0 +1,92 @@
+"""The load command."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import msgspec
+
+from persimmonhold.cli._command_output import (
+    CommandOutput,
+    failure_output,
+)
+from persimmonhold.cli._exit_code import ExitCode
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.load import (
+    RunParameters,
+    RunReport,
+    comparison_text,
+    default_parameters,
+    draw_plot,
+    read_deployment,
+    report_text,
+    run_load,
+)
+
+
+def measure(
+    deployment: str,
+    seed: int,
+    rate_per_s: float,
+    duration_s: float,
+    *,
+    show_progress: bool,
+) -> CommandOutput:
+    """Run a load and report it."""
+    try:
+        document = read_deployment(Path(deployment))
+    except (OSError, msgspec.DecodeError) as error:
+        return failure_output(_unreadable(deployment, error))
+    run: RunParameters = default_parameters(
+        document,
+        seed,
+        rate_per_s,
+        duration_s,
+    )
+    is_seen = show_progress and sys.stderr.isatty()
+    report = asyncio.run(run_load(document, run, show_progress=is_seen))
+    code = ExitCode.ok if report.is_clean else ExitCode.audit_mismatch
+    return CommandOutput(
+        text=report_text(report),
+        document=report,
+        exit_code=code,
+    )
+
+
+def save(output: CommandOutput, path: str, plot: str) -> CommandOutput:
+    """Write the report and the plot of an output where they are wanted."""
+    report = output.document
+    if not isinstance(report, RunReport):
+        return output
+    try:
+        if path:
+            Path(path).write_bytes(msgspec.json.encode(report))
+        if plot:
+            draw_plot(report, Path(plot))
+    except OSError as error:
+        return failure_output(_unreadable(path or plot, error))
+    return output
+
+
+def compare(first: str, second: str) -> CommandOutput:
+    """Compare two written reports."""
+    try:
+        reports = [
+            msgspec.json.decode(Path(path).read_bytes(), type=RunReport)
+            for path in (first, second)
+        ]
+    except (OSError, msgspec.DecodeError) as error:
+        return failure_output(_unreadable(f'{first}, {second}', error))
+    return CommandOutput(
+        text=comparison_text(*reports),
+        document=reports,
+    )
+
+
+def _unreadable(path: str, error: Exception) -> Failure:
+    return Failure(
+        kind=FailureKind.bad_settings,
+        step='load',
+        peer=path,
+        detail=str(error),
+    )
--- /dev/null
+++ b/persimmonhold/load/_class_report.py
@@ -0,0 +1,72 @@
+"""The figures of one kind of request."""
+
+from typing import Final, final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from persimmonhold.catalogue import Bounds
+from persimmonhold.load._judgement import is_attained
+from persimmonhold.load._request_kind import RequestKind
+from persimmonhold.load._request_outcome import RequestOutcome
+
+_MAX_MS: Final = 3_600_000
+_DIGITS: Final = 3
+_MS_PER_S: Final = 1000
+_P50: Final = 50
+_P95: Final = 95
+_P99: Final = 99
+
+
+@final
+class ClassReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Offered, attained and times in milliseconds of one kind.
+
+    Times count from when a request was due, so a stalled sender does not
+    hide waiting.
+    """
+
+    kind: RequestKind
+    offered: int
+    answered: int
+    attained: int
+    first_p50_ms: float
+    first_p95_ms: float
+    first_p99_ms: float
+    gap_p95_ms: float
+    total_p95_ms: float
+
+    @property
+    def attainment(self) -> float:
+        """The share of offered requests that met their bounds."""
+        return self.attained / self.offered if self.offered else 1
+
+
+def report_class(
+    kind: RequestKind,
+    outcomes: list[RequestOutcome],
+    bounds: Bounds,
+) -> ClassReport:
+    """Return the figures of the outcomes of one kind."""
+    whole = [outcome for outcome in outcomes if outcome.whole]
+    first = _histogram([outcome.first_token_s for outcome in whole])
+    gaps = _histogram([outcome.gap_p95_s for outcome in whole])
+    totals = _histogram([outcome.total_s for outcome in whole])
+    return ClassReport(
+        kind=kind,
+        offered=len(outcomes),
+        answered=len(whole),
+        attained=sum(is_attained(one, bounds) for one in outcomes),
+        first_p50_ms=first.get_value_at_percentile(_P50),
+        first_p95_ms=first.get_value_at_percentile(_P95),
+        first_p99_ms=first.get_value_at_percentile(_P99),
+        gap_p95_ms=gaps.get_value_at_percentile(_P95),
+        total_p95_ms=totals.get_value_at_percentile(_P95),
+    )
+
+
+def _histogram(seconds: list[float]) -> HdrHistogram:
+    histogram = HdrHistogram(1, _MAX_MS, _DIGITS)
+    for one in seconds:
+        histogram.record_value(max(1, round(one * _MS_PER_S)))
+    return histogram
--- /dev/null
+++ b/persimmonhold/load/_entry_directory.py
@@ -0,0 +1,95 @@
+"""Keeps the addresses of entries as a caller does."""
+
+import random
+from typing import Any, Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from persimmonhold.web import (
+    Address,
+    ClientRequest,
+    fetch,
+    parse_address,
+)
+
+_TIMEOUT_S: Final = 2.0
+_OK: Final = 200
+_OWN_DOMAIN_FACTOR: Final = 4
+
+
+@final
+class EntryDirectory:
+    """Asks a known entry which entries to use, and keeps the answer.
+
+    The addresses given at the start are asked when no kept one answers.
+    """
+
+    __slots__ = (
+        '_entries',
+        '_expires_at',
+        '_random',
+        '_seeds',
+        '_suspects',
+        'refreshes',
+    )
+
+    def __init__(self, seeds: tuple[Address, ...], seed: int) -> None:
+        """Create a directory that knows only the first addresses."""
+        self.refreshes = 0
+        self._seeds = seeds
+        self._random = random.Random(seed)
+        self._entries: list[dict[str, Any]] = []
+        self._expires_at = 0.0
+        self._suspects: dict[Address, float] = {}
+
+    async def choose(self, failure_domain: str, now: float) -> Address:
+        """Return an entry, most often one of the caller's own domain."""
+        if now >= self._expires_at:
+            await self._refresh(now)
+        candidates = [
+            entry for entry in self._entries if not self._is_suspect(entry, now)
+        ]
+        if not candidates:
+            return self._random.choice(self._seeds)
+        weights = [self._weight(entry, failure_domain) for entry in candidates]
+        chosen = self._random.choices(candidates, weights)[0]
+        return parse_address(chosen['address']).unwrap()
+
+    def suspect(self, address: Address, until: float) -> None:
+        """Avoid an address that did not answer."""
+        self._suspects[address] = until
+        self._expires_at = min(self._expires_at, until)
+
+    def _is_suspect(self, entry: dict[str, Any], now: float) -> bool:
+        address = parse_address(entry['address']).unwrap()
+        return self._suspects.get(address, 0) > now
+
+    def _weight(self, entry: dict[str, Any], failure_domain: str) -> float:
+        weight = float(entry['weight'])
+        if entry['failure_domain'] == failure_domain:
+            return weight * _OWN_DOMAIN_FACTOR
+        return weight
+
+    async def _refresh(self, now: float) -> None:
+        known = [
+            parse_address(entry['address']).unwrap() for entry in self._entries
+        ]
+        request = ClientRequest(method='GET', target='/v1/entries')
+        for address in self._shuffled((*known, *self._seeds)):
+            fetched = await fetch(address, request, _TIMEOUT_S)
+            if isinstance(fetched, Failed):
+                continue
+            if fetched.unwrap().head.status != _OK:
+                continue
+            document = msgspec.json.decode(fetched.unwrap().body)
+            self._entries = document['entries']
+            self._expires_at = now + float(document['ttl_s'])
+            self.refreshes += 1
+            return
+        self._expires_at = now + 1
+
+    def _shuffled(self, addresses: tuple[Address, ...]) -> list[Address]:
+        unique = sorted(set(addresses), key=str)
+        self._random.shuffle(unique)
+        return unique
--- /dev/null
+++ b/persimmonhold/load/_judgement.py
@@ -0,0 +1,22 @@
+"""Judges outcomes by the bounds of their class."""
+
+from persimmonhold.catalogue import Bounds
+from persimmonhold.load._request_kind import RequestKind
+from persimmonhold.load._request_outcome import RequestOutcome
+
+_MS_PER_S = 1000
+
+
+def is_attained(outcome: RequestOutcome, bounds: Bounds) -> bool:
+    """Tell whether a request met every bound of its class.
+
+    Streams: first token, and the 95th percentile of the gaps. Others: the
+    deadline. A refused or broken request has met none.
+    """
+    if not outcome.whole:
+        return False
+    if outcome.planned.kind is RequestKind.stream:
+        in_time = outcome.first_token_s * _MS_PER_S <= bounds.first_token_ms
+        gap_ms = outcome.gap_p95_s * _MS_PER_S
+        return in_time and gap_ms <= bounds.token_gap_ms
+    return outcome.total_s <= outcome.planned.deadline_s
--- /dev/null
+++ b/persimmonhold/load/_load_command.py
@@ -0,0 +1,110 @@
+"""Puts a load run together from a deployment."""
+
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+from persimmonhold.catalogue import (
+    Bounds,
+    CatalogueEntry,
+    ModelEntry,
+    ServiceClass,
+)
+from persimmonhold.deployment import (
+    SHAPES,
+    DeploymentDocument,
+    DeploymentPlan,
+)
+from persimmonhold.load._entry_directory import EntryDirectory
+from persimmonhold.load._load_run import LoadRun
+from persimmonhold.load._planned_request import PlannedRequest
+from persimmonhold.load._request_kind import RequestKind
+from persimmonhold.load._run_parameters import RunParameters
+from persimmonhold.load._run_report import RunReport, build_report
+from persimmonhold.load._schedule import Schedule
+from persimmonhold.load._standin_record import read_standins
+from persimmonhold.load._traffic_mix import MIXES, TrafficMix
+from persimmonhold.web import parse_address
+
+_KIND_OF_CLASS: Final = (
+    (ServiceClass.interactive, RequestKind.stream),
+    (ServiceClass.check, RequestKind.check),
+    (ServiceClass.batch, RequestKind.batch),
+)
+
+
+def read_deployment(path: Path) -> DeploymentDocument:
+    """Read `deployment.json`; raises `OSError` or `msgspec.DecodeError`."""
+    return msgspec.json.decode(path.read_bytes(), type=DeploymentDocument)
+
+
+async def run_load(
+    document: DeploymentDocument,
+    run: RunParameters,
+    *,
+    show_progress: bool,
+) -> RunReport:
+    """Send the load of a deployment's callers and return the figures."""
+    planned = _plan(document, run)
+    seeds = tuple(parse_address(vm.callers).unwrap() for vm in document.vms)
+    directory = EntryDirectory(seeds, run.seed)
+    before = await read_standins(document)
+    load = LoadRun(planned, directory, show_progress=show_progress)
+    outcomes = await load.run()
+    after = await read_standins(document)
+    return build_report(run, outcomes, before, after)
+
+
+def _plan(
+    document: DeploymentDocument,
+    run: RunParameters,
+) -> tuple[PlannedRequest, ...]:
+    mix = next(mix for mix in MIXES if mix.name == document.deployment)
+    domains = sorted({vm.failure_domain for vm in document.vms})
+    schedule = Schedule(mix, _targets(mix), tuple(domains), run.seed)
+    return schedule.plan(run.rate_per_s, run.duration_s)
+
+
+def default_parameters(
+    document: DeploymentDocument,
+    seed: int,
+    rate_per_s: float,
+    duration_s: float,
+) -> RunParameters:
+    """Return the parameters of a run under the letter's bounds."""
+    return RunParameters(
+        deployment=document.deployment,
+        seed=seed,
+        rate_per_s=rate_per_s,
+        duration_s=duration_s,
+        bounds=Bounds(),
+    )
+
+
+def _targets(mix: TrafficMix) -> dict[RequestKind, tuple[str, ...]]:
+    """Return the models that serve each kind, and the services."""
+    shape = next(shape for shape in SHAPES if shape.name == mix.name)
+    entries = DeploymentPlan(shape, vms=1, port=1).catalogue()
+    targets = {
+        kind: _names_of_class(entries, service_class)
+        for service_class, kind in _KIND_OF_CLASS
+    }
+    targets[RequestKind.call] = (mix.calls_service,)
+    targets[RequestKind.lookup] = ('status',)
+    return targets
+
+
+def _names_of_class(
+    entries: tuple[CatalogueEntry, ...],
+    service_class: ServiceClass,
+) -> tuple[str, ...]:
+    """Return models and adapters of a class, in turn."""
+    named = [
+        entry
+        for entry in entries
+        if getattr(entry, 'service_class', None) is service_class
+    ]
+    models = [one.name for one in named if isinstance(one, ModelEntry)]
+    adapters = [one.name for one in named if not isinstance(one, ModelEntry)]
+    return (*models, *adapters)
--- /dev/null
+++ b/persimmonhold/load/_load_plot.py
@@ -0,0 +1,24 @@
+"""Draws attainment over the time of a run."""
+
+from pathlib import Path
+
+from persimmonhold.load._run_report import RunReport
+
+
+def draw_plot(report: RunReport, path: Path) -> None:
+    """Write the plot; needs matplotlib, which only development installs."""
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    seconds = [row[0] for row in report.attainment_by_second]
+    offered = [row[1] for row in report.attainment_by_second]
+    attained = [row[2] for row in report.attainment_by_second]
+    figure, axes = pyplot.subplots(figsize=(8, 3))
+    axes.step(seconds, offered, label='offered', where='post')
+    axes.step(seconds, attained, label='attained', where='post')
+    axes.set_xlabel('second of the run')
+    axes.set_ylabel('requests')
+    axes.set_title(f'{report.deployment}, seed {report.seed}')
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- /dev/null
+++ b/persimmonhold/load/_planned_request.py
@@ -0,0 +1,82 @@
+"""A request that the schedule has planned."""
+
+from typing import Any, final
+
+import msgspec
+
+from persimmonhold.load._request_kind import RequestKind
+from persimmonhold.web import Headers, encode_headers
+
+
+@final
+class PlannedRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """When to send what; `at_s` counts from the start of the run.
+
+    `deadline_s` is the bound by which a request of its kind is judged; a
+    stream is judged by first token and gaps as well.
+    """
+
+    at_s: float
+    kind: RequestKind
+    target: str
+    caller: str
+    failure_domain: str
+    deadline_s: float
+    key: str = ''
+    prompt: str = ''
+    max_tokens: int = 0
+
+    @property
+    def is_generation(self) -> bool:
+        """Tell whether a model answers the request."""
+        return self.kind in _GENERATIONS
+
+    @property
+    def method(self) -> str:
+        """The method of the request."""
+        return 'GET' if self.kind is RequestKind.lookup else 'POST'
+
+    @property
+    def path(self) -> str:
+        """The path of the request at an entry."""
+        if self.is_generation:
+            return '/v1/chat/completions'
+        return f'/services/{self.target}/records/{self.key or self.caller}'
+
+    def document(self) -> dict[str, Any]:
+        """Return the body as a document."""
+        if not self.is_generation:
+            return {'record': self.key, 'note': self.prompt}
+        return {
+            'model': self.target,
+            'stream': self.kind is RequestKind.stream,
+            'max_tokens': self.max_tokens,
+            'messages': [{'role': 'user', 'content': self.prompt}],
+        }
+
+    def body(self) -> bytes:
+        """Return the body as it is sent."""
+        if self.kind is RequestKind.lookup:
+            return b''
+        return msgspec.json.encode(self.document())
+
+    def headers(self) -> Headers:
+        """Return the request headers."""
+        pairs = {
+            'persimmonhold-caller': self.caller,
+            'content-type': 'application/json',
+        }
+        if self.kind is not RequestKind.stream:
+            deadline_ms = int(self.deadline_s * _MS_PER_S)
+            pairs['persimmonhold-deadline-ms'] = str(deadline_ms)
+        if self.key:
+            pairs['idempotency-key'] = self.key
+        return encode_headers(pairs)
+
+
+_MS_PER_S = 1000
+_GENERATIONS = frozenset((
+    RequestKind.stream,
+    RequestKind.check,
+    RequestKind.batch,
+))
--- /dev/null
+++ b/persimmonhold/load/_run_report.py
@@ -0,0 +1,122 @@
+"""The figures of one run."""
+
+from collections import Counter
+from typing import final
+
+import msgspec
+
+from persimmonhold.catalogue import Bounds
+from persimmonhold.load._audit import AuditResult, audit
+from persimmonhold.load._class_report import ClassReport, report_class
+from persimmonhold.load._judgement import is_attained
+from persimmonhold.load._request_kind import RequestKind
+from persimmonhold.load._request_outcome import RequestOutcome
+from persimmonhold.load._run_parameters import RunParameters
+from persimmonhold.load._standin_record import StandinRecord
+
+
+@final
+class RunReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that a run prints; written as JSON on request."""
+
+    deployment: str
+    seed: int
+    rate_per_s: float
+    duration_s: float
+    classes: tuple[ClassReport, ...]
+    refusals: dict[str, int]
+    faults: dict[str, int]
+    foreign_or_broken_answers: int
+    moves: int
+    adapter_moves: int
+    accelerators: int
+    overcommitted: int
+    audit: AuditResult
+    attainment_by_second: tuple[tuple[int, int, int], ...]
+
+    @property
+    def offered(self) -> int:
+        """Requests that were due."""
+        return sum(report.offered for report in self.classes)
+
+    @property
+    def attained(self) -> int:
+        """Requests that met every bound of their class."""
+        return sum(report.attained for report in self.classes)
+
+    @property
+    def attainment(self) -> float:
+        """The share of offered requests that met their bounds."""
+        return self.attained / self.offered if self.offered else 1
+
+    @property
+    def attained_per_accelerator_s(self) -> float:
+        """Attained requests a second for each accelerator."""
+        return self.attained / self.duration_s / max(1, self.accelerators)
+
+    @property
+    def is_clean(self) -> bool:
+        """Tell whether no promise was seen broken."""
+        broken = self.audit.mismatches or self.foreign_or_broken_answers
+        return not broken and not self.overcommitted
+
+
+def build_report(
+    run: RunParameters,
+    outcomes: tuple[RequestOutcome, ...],
+    before: StandinRecord,
+    after: StandinRecord,
+) -> RunReport:
+    """Return the figures of the outcomes of a run."""
+    return RunReport(
+        deployment=run.deployment,
+        seed=run.seed,
+        rate_per_s=run.rate_per_s,
+        duration_s=run.duration_s,
+        classes=_class_reports(outcomes, run.bounds),
+        refusals=dict(Counter(one.reason for one in outcomes if one.reason)),
+        faults=dict(Counter(one.fault for one in outcomes if one.fault)),
+        foreign_or_broken_answers=sum(map(_is_foreign, outcomes)),
+        moves=after.moves - before.moves,
+        adapter_moves=after.adapter_moves - before.adapter_moves,
+        accelerators=max(before.accelerators, after.accelerators),
+        overcommitted=after.overcommitted - before.overcommitted,
+        audit=audit(outcomes, after),
+        attainment_by_second=_by_second(outcomes, run),
+    )
+
+
+def _class_reports(
+    outcomes: tuple[RequestOutcome, ...],
+    bounds: Bounds,
+) -> tuple[ClassReport, ...]:
+    by_kind: dict[RequestKind, list[RequestOutcome]] = {}
+    for outcome in outcomes:
+        by_kind.setdefault(outcome.planned.kind, []).append(outcome)
+    return tuple(
+        report_class(kind, by_kind[kind], bounds)
+        for kind in RequestKind
+        if kind in by_kind
+    )
+
+
+def _is_foreign(outcome: RequestOutcome) -> bool:
+    """Tell a wrong answer from one that was refused or openly cut."""
+    return outcome.fault.startswith(('token ', 'not '))
+
+
+def _by_second(
+    outcomes: tuple[RequestOutcome, ...],
+    run: RunParameters,
+) -> tuple[tuple[int, int, int], ...]:
+    """Return (second, offered, attained) by the time that was planned."""
+    offered: Counter[int] = Counter()
+    attained: Counter[int] = Counter()
+    for outcome in outcomes:
+        second = int(outcome.planned.at_s)
+        offered[second] += 1
+        attained[second] += is_attained(outcome, run.bounds)
+    return tuple(
+        (second, offered[second], attained[second])
+        for second in sorted(offered)
+    )
--- /dev/null
+++ b/persimmonhold/load/_schedule.py
@@ -0,0 +1,104 @@
+"""Plans an open-loop run: arrivals do not wait for answers.
+
+The plan is a function of the seed; prompts repeat a caller's own text, so
+that prefix caches have something to hit.
+"""
+
+import bisect
+import itertools
+import random
+from typing import Final, final
+
+from persimmonhold.load._planned_request import PlannedRequest
+from persimmonhold.load._request_kind import RequestKind
+from persimmonhold.load._traffic_mix import KindShare, TrafficMix
+
+_CALLERS: Final = 40
+_LOOKUP_SERVICE: Final = 'status'
+_ZIPF_EXPONENT: Final = 0.9
+
+
+@final
+class Schedule:
+    """The planned requests of one run."""
+
+    __slots__ = ('_domains', '_mix', '_random', '_seed', '_targets')
+
+    def __init__(
+        self,
+        mix: TrafficMix,
+        targets: dict[RequestKind, tuple[str, ...]],
+        failure_domains: tuple[str, ...],
+        seed: int,
+    ) -> None:
+        """Create a schedule over the models that serve each kind."""
+        self._mix = mix
+        self._targets = targets
+        self._domains = failure_domains
+        self._seed = seed
+        self._random = random.Random(seed)
+
+    def plan(
+        self,
+        rate_per_s: float,
+        duration_s: float,
+    ) -> tuple[PlannedRequest, ...]:
+        """Return the requests of a run in the order of their times."""
+        kinds = [
+            share for share in self._mix.kinds if self._can_plan(share.kind)
+        ]
+        weights = [share.share for share in kinds]
+        planned: list[PlannedRequest] = []
+        at_s = 0.0
+        while True:
+            rate = self._rate(at_s, rate_per_s, duration_s)
+            at_s += self._random.expovariate(rate)
+            if at_s >= duration_s:
+                return tuple(planned)
+            share = self._random.choices(kinds, weights)[0]
+            planned.append(self._request(len(planned), at_s, share))
+
+    def _can_plan(self, kind: RequestKind) -> bool:
+        return bool(self._targets.get(kind))
+
+    def _rate(self, at_s: float, mean: float, duration_s: float) -> float:
+        profile = self._mix.profile
+        part = min(int(at_s / duration_s * len(profile)), len(profile) - 1)
+        return mean * profile[part] * len(profile) / sum(profile)
+
+    def _request(
+        self,
+        number: int,
+        at_s: float,
+        share: KindShare,
+    ) -> PlannedRequest:
+        caller = f'caller-{self._random.randrange(_CALLERS)}'
+        is_call = share.kind is RequestKind.call
+        return PlannedRequest(
+            at_s=at_s,
+            kind=share.kind,
+            target=self._pick_target(share.kind),
+            caller=caller,
+            failure_domain=self._random.choice(self._domains),
+            deadline_s=share.deadline_s,
+            key=f'{self._seed}-{number}' if is_call else '',
+            prompt=self._prompt(number, caller, share),
+            max_tokens=share.max_tokens,
+        )
+
+    def _pick_target(self, kind: RequestKind) -> str:
+        """Pick a model, the first ones of the list most often."""
+        names = self._targets[kind]
+        weights = [
+            1 / (rank + 1) ** _ZIPF_EXPONENT for rank in range(len(names))
+        ]
+        cumulative = list(itertools.accumulate(weights))
+        drawn = self._random.random() * cumulative[-1]
+        return names[bisect.bisect(cumulative, drawn)]
+
+    def _prompt(self, number: int, caller: str, share: KindShare) -> str:
+        if not share.prompt_characters:
+            return ''
+        text = f'{caller} asks about the schedule in force. '
+        repeats = share.prompt_characters // len(text) + 1
+        return (text * repeats)[: share.prompt_characters] + f' #{number}'
--- /dev/null
+++ b/persimmonhold/load/_standin_record.py
@@ -0,0 +1,110 @@
+"""What the stand-ins say befell them."""
+
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from persimmonhold.deployment import DeploymentDocument
+from persimmonhold.standin import Execution
+from persimmonhold.web import ClientRequest, fetch, parse_address
+
+_TIMEOUT_S: Final = 5.0
+
+
+@final
+class EngineState(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to `GET /_standin/state` of an engine."""
+
+    capacity_bytes: dict[str, int]
+    held_bytes: dict[str, int]
+    peak_bytes: dict[str, int]
+    overcommitted: int
+    loads: int
+    unloads: int
+    orders_refused: int
+    requests_run: int
+    adapter_loads: int = 0
+    adapter_unloads: int = 0
+
+
+@final
+class ExecutionList(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to `GET /_standin/executions` of a service."""
+
+    executions: tuple[Execution, ...]
+
+
+@final
+class StandinRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Engines' states and services' executions, by upstream.
+
+    `unread` names the stand-ins that did not answer.
+    """
+
+    engines: dict[str, EngineState]
+    executions: dict[str, tuple[Execution, ...]]
+    unread: tuple[str, ...]
+
+    @property
+    def moves(self) -> int:
+        """Loads and unloads of models that took effect."""
+        return sum(
+            state.loads
+            - state.adapter_loads
+            + state.unloads
+            - state.adapter_unloads
+            for state in self.engines.values()
+        )
+
+    @property
+    def adapter_moves(self) -> int:
+        """Loads and unloads of adapters that took effect."""
+        return sum(
+            state.adapter_loads + state.adapter_unloads
+            for state in self.engines.values()
+        )
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of the engines that answered."""
+        return sum(len(state.capacity_bytes) for state in self.engines.values())
+
+    @property
+    def overcommitted(self) -> int:
+        """Times that an engine held more than its memory."""
+        return sum(state.overcommitted for state in self.engines.values())
+
+
+async def read_standins(document: DeploymentDocument) -> StandinRecord:
+    """Ask every stand-in of a deployment."""
+    engines: dict[str, EngineState] = {}
+    executions: dict[str, tuple[Execution, ...]] = {}
+    unread: list[str] = []
+    for upstream in document.upstreams:
+        is_engine = upstream.kind == 'engine'
+        page = 'state' if is_engine else 'executions'
+        body = await _read(upstream.address, f'/_standin/{page}')
+        if body is None:
+            unread.append(upstream.name)
+        elif is_engine:
+            engines[upstream.name] = msgspec.json.decode(body, type=EngineState)
+        else:
+            listed = msgspec.json.decode(body, type=ExecutionList)
+            executions[upstream.name] = listed.executions
+    return StandinRecord(
+        engines=engines,
+        executions=executions,
+        unread=tuple(unread),
+    )
+
+
+async def _read(address: str, target: str) -> bytes | None:
+    fetched = await fetch(
+        parse_address(address).unwrap(),
+        ClientRequest(method='GET', target=target),
+        _TIMEOUT_S,
+    )
+    if isinstance(fetched, Failed):
+        return None
+    return fetched.unwrap().body
--- a/persimmonhold/standin/_engine_handler.py
+++ b/persimmonhold/standin/_engine_handler.py
@@ -186,6 +186,8 @@
             'overcommitted': memory.overcommitted,
             'loads': memory.loads,
             'unloads': memory.unloads,
+            'adapter_loads': memory.adapter_loads,
+            'adapter_unloads': memory.adapter_unloads,
             'orders_refused': memory.orders_refused,
             'requests_run': self.scheduler.requests_run,
         }
--- a/persimmonhold/standin/_engine_memory.py
+++ b/persimmonhold/standin/_engine_memory.py
@@ -21,6 +21,8 @@
     """What each accelerator holds, and what orders did to it."""
 
     __slots__ = (
+        'adapter_loads',
+        'adapter_unloads',
         'boot_id',
         'capacity_bytes',
         'checks_fencing',
@@ -42,6 +44,8 @@
         self.items: dict[tuple[str, str, str], HeldItem] = {}
         self.loads = 0
         self.unloads = 0
+        self.adapter_loads = 0
+        self.adapter_unloads = 0
         self.orders_refused = 0
         self.overcommitted = 0
         self.peak_bytes = dict.fromkeys(capacity_bytes, 0)
@@ -79,12 +83,14 @@
         key = (order.accelerator, order.target, order.version)
         if order.kind is OrderKind.unload:
             self.unloads += 1
+            self.adapter_unloads += bool(order.base)
             self.items.pop(key, None)
             return
         held = self.items.get(key)
         if held is None:
             return
         self.loads += 1
+        self.adapter_loads += bool(order.base)
         self.items[key] = HeldItem(
             accelerator=held.accelerator,
             target=held.target,
