--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 ENVIRONMENT := $(VENV)/.installed
+SOURCES := $(shell find persimmonhold -name '*.py')
 
-.PHONY: run test check format binary bench drills clean
+.PHONY: run test check check-binary format binary bench drills clean
 
 run: $(ENVIRONMENT)
 	$(BIN)/persimmonhold dev
 
-test: $(ENVIRONMENT) check
+test: $(ENVIRONMENT) check check-binary
 	$(BIN)/python -m pytest
 
 check: $(ENVIRONMENT)
@@ -29,5 +30,24 @@
 	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $(ENVIRONMENT)
 
+binary: dist/persimmonhold
+
+dist/persimmonhold: $(ENVIRONMENT) requirements-runtime.lock $(SOURCES)
+	rm -rf build/site dist/persimmonhold
+	mkdir -p dist
+	$(BIN)/python -m pip install --quiet --no-deps --require-hashes \
+		--target build/site -r requirements-runtime.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
+		--target build/site .
+	$(BIN)/shiv --compressed --site-packages build/site \
+		--python '/usr/bin/env python3' --console-script persimmonhold \
+		--output-file dist/persimmonhold
+
+drills: $(ENVIRONMENT)
+	$(BIN)/python -m bench.drills
+
+check-binary: dist/persimmonhold
+	$(BIN)/python -m bench.check_binary dist/persimmonhold
+
 clean:
 	rm -rf build dist
--- /dev/null
+++ b/bench/check_binary.py
@@ -0,0 +1,95 @@
+"""Runs the dev path of the one-file binary for one request.
+
+Run as `python -m bench.check_binary dist/persimmonhold`. Exits 0 when the
+binary streamed a whole answer, started no other process and exited 0 on
+SIGTERM.
+"""
+
+import argparse
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+from persimmonhold.web import (
+    Address,
+    ClientRequest,
+    fetch,
+    parse_address,
+)
+
+_START_TIMEOUT_S: Final = 60.0
+_TIMEOUT_S: Final = 30.0
+_POLL_S: Final = 0.2
+
+
+async def check(binary: Path) -> str:
+    """Return what is wrong with the binary, or an empty string."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(binary),
+        'dev',
+        '--port=0',
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, 'PYTHONPATH': '', 'PYTHONNOUSERSITE': '1'},
+    )
+    assert process.stdout is not None
+    try:
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            greeting = (await process.stdout.readline()).decode()
+        problem = await _request(parse_address(_address(greeting)).unwrap())
+        problem = problem or _children(process.pid)
+    finally:
+        process.send_signal(signal.SIGTERM)
+        code = await process.wait()
+    if code and not problem:
+        return f'exit code {code}'
+    return problem
+
+
+def _address(greeting: str) -> str:
+    return greeting.rpartition('http://')[2].strip()
+
+
+async def _request(callers: Address) -> str:
+    body = msgspec.json.encode({
+        'model': 'tutor',
+        'stream': True,
+        'max_tokens': 3,
+    })
+    request = ClientRequest(
+        method='POST',
+        target='/v1/chat/completions',
+        body=body,
+    )
+    last = ''
+    for _ in range(int(_TIMEOUT_S / _POLL_S)):
+        response = (await fetch(callers, request, _TIMEOUT_S)).unwrap()
+        last = response.body.decode()
+        if last.endswith('data: [DONE]\n\n'):
+            return ''
+        await asyncio.sleep(_POLL_S)
+    return f'no whole answer: {last}'
+
+
+def _children(process_id: int) -> str:
+    path = Path(f'/proc/{process_id}/task/{process_id}/children')
+    children = path.read_text(encoding='ascii').split()
+    return f'started other processes: {children}' if children else ''
+
+
+def main() -> None:
+    """Check the binary named by the arguments."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('binary', type=Path)
+    problem = asyncio.run(check(parser.parse_args().binary))
+    sys.stdout.write(f'{problem or "the binary answers"}\n')
+    sys.exit(1 if problem else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/drills/__init__.py
@@ -0,0 +1,1 @@
+"""Failure drills with plain processes: `python -m bench.drills`."""
--- /dev/null
+++ b/bench/drills/__main__.py
@@ -0,0 +1,170 @@
+"""Runs the drills and prints each promise, held or not.
+
+Run as `python -m bench.drills --deployment levy --seed 1`. Each drill has a
+deployment of its own: nine VMs, five with control, stand-in upstreams.
+"""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from bench.drills._change_probe import ChangeProbe
+from bench.drills._drill import DRILLS, Drill
+from bench.drills._drill_result import (
+    DrillResult,
+    attainment_around,
+    judge,
+)
+from bench.drills._processes import Processes
+from persimmonhold.catalogue import AdapterEntry, ModelEntry
+from persimmonhold.load import (
+    RunReport,
+    default_parameters,
+    report_text,
+    run_load,
+)
+from persimmonhold.web import ClientRequest, fetch, parse_address
+
+_OK: Final = 200
+_SWEEP_TIMEOUT_S: Final = 20.0
+_SWEEP_ATTEMPTS: Final = 3
+_VMS: Final = 9
+
+
+async def run_drill(
+    drill: Drill,
+    arguments: argparse.Namespace,
+    directory: Path,
+) -> DrillResult:
+    """Run one drill on a deployment of its own."""
+    loop = asyncio.get_running_loop()
+    async with Processes(
+        arguments.deployment,
+        _VMS,
+        directory,
+    ) as processes:
+        probe = ChangeProbe(processes)
+        probing = loop.create_task(probe.run())
+        loading = loop.create_task(_load(processes, arguments))
+        start_s = arguments.duration / 4
+        await asyncio.sleep(start_s)
+        began_at = loop.time()
+        await drill.act(processes)
+        end_s = start_s + loop.time() - began_at
+        report = await loading
+        unreachable = await _sweep(processes)
+        probing.cancel()
+        await asyncio.gather(probing, return_exceptions=True)
+    return DrillResult(
+        drill=drill.name,
+        promises=judge(drill, report, probe, unreachable),
+        attainment=attainment_around(report, start_s, end_s),
+        notes={**drill.notes, 'duration_s': end_s - start_s},
+        report=report,
+    )
+
+
+async def _load(
+    processes: Processes,
+    arguments: argparse.Namespace,
+) -> RunReport:
+    run = default_parameters(
+        processes.document,
+        arguments.seed,
+        arguments.rate,
+        arguments.duration,
+    )
+    return await run_load(processes.document, run, show_progress=False)
+
+
+async def _sweep(processes: Processes) -> tuple[str, ...]:
+    """Ask every model once; return those that do not answer."""
+    names = [
+        entry.name
+        for entry in processes.plan.catalogue()
+        if isinstance(entry, (ModelEntry, AdapterEntry))
+    ]
+    answered = await asyncio.gather(
+        *(
+            _answers(processes, number, name)
+            for number, name in enumerate(names)
+        ),
+    )
+    return tuple(
+        name for name, ok in zip(names, answered, strict=True) if not ok
+    )
+
+
+async def _answers(processes: Processes, number: int, name: str) -> bool:
+    vms = processes.document.vms
+    request = ClientRequest(
+        method='POST',
+        target='/v1/completions',
+        body=msgspec.json.encode({'model': name, 'max_tokens': 2}),
+    )
+    for attempt in range(_SWEEP_ATTEMPTS):
+        vm = vms[(number + attempt) % len(vms)]
+        address = parse_address(vm.callers).unwrap()
+        fetched = await fetch(address, request, _SWEEP_TIMEOUT_S)
+        status = 0
+        if not isinstance(fetched, Failed):
+            status = fetched.unwrap().head.status
+        if status == _OK:
+            return True
+        await asyncio.sleep(1)
+    return False
+
+
+def print_result(drill: DrillResult) -> None:
+    """Print the promises of a drill."""
+    before, during, after = drill.attainment
+    lines = [
+        f'\n== {drill.drill}: attainment before {before:.3f}, during'
+        f' {during:.3f}, after {after:.3f}; {drill.notes}',
+        report_text(drill.report),
+    ]
+    lines.extend(
+        f'{"held    " if promise.held else "NOT HELD"} {promise.name}:'
+        f' {promise.figure}'
+        for promise in drill.promises
+    )
+    sys.stdout.write('\n'.join(lines) + '\n')
+    sys.stdout.flush()
+
+
+def main() -> None:
+    """Run the drills that the arguments name."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--deployment', default='levy')
+    parser.add_argument('--drill', default='')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--rate', type=float, default=15)
+    parser.add_argument('--duration', type=float, default=30)
+    parser.add_argument('--output', type=Path)
+    parser.add_argument('--keep', type=Path)
+    arguments = parser.parse_args()
+    results = []
+    for drill_type in DRILLS:
+        if arguments.drill and arguments.drill not in drill_type.name:
+            continue
+        with tempfile.TemporaryDirectory(prefix='drill-') as folder:
+            directory = arguments.keep or Path(folder)
+            drill = drill_type()
+            result = asyncio.run(run_drill(drill, arguments, directory))
+        print_result(result)
+        results.append(result)
+    if arguments.output:
+        arguments.output.write_bytes(msgspec.json.encode(results))
+    held = sum(result.is_held for result in results)
+    sys.stdout.write(f'\n{held} of {len(results)} drills held\n')
+    sys.exit(0 if held == len(results) else 1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/drills/_change_probe.py
@@ -0,0 +1,142 @@
+"""Changes the catalogue during a drill and watches every entry."""
+
+import asyncio
+import time
+from typing import Any, Final, final
+
+import msgspec
+
+from bench.drills._processes import Processes, read_json
+from persimmonhold.operations import OperatorClient
+from persimmonhold.web import parse_address
+
+_CHANGE_INTERVAL_S: Final = 0.5
+_WATCH_INTERVAL_S: Final = 0.1
+_OWNER_STEM: Final = 'owner-'
+
+
+@final
+class ChangeProbe:
+    """Raises a number in the owner of one entry, and reads it everywhere.
+
+    The number that an entry shows is in force there. It may never fall, and
+    must reach each running entry within seconds of its acceptance.
+    """
+
+    def __init__(self, processes: Processes) -> None:
+        """Create a probe of a running deployment."""
+        self.accepted_at: dict[int, float] = {}
+        self.seen_at: dict[tuple[str, int], float] = {}
+        self.answered_at: dict[str, list[float]] = {}
+        self.highest: dict[str, int] = {}
+        self.reverts = 0
+        self.unaccepted = 0
+        self._processes = processes
+        self._entry = processes.plan.first_adapter()
+        self._revision = 0
+
+    async def run(self) -> None:
+        """Change and watch until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._change())
+            for vm in self._processes.document.vms:
+                group.create_task(self._watch(vm.name, vm.callers))
+
+    def worst_delay_s(self) -> float:
+        """Return the longest time from acceptance to in force anywhere.
+
+        A VM counts from when it answers again, if it did not answer for a
+        time after the acceptance.
+        """
+        worst = 0.0
+        for number, accepted in self.accepted_at.items():
+            for name in self.highest:
+                worst = max(worst, self._delay(name, number, accepted))
+        return worst
+
+    def never_seen(self) -> int:
+        """Return the accepted changes that a running VM never showed."""
+        newest = max(self.accepted_at, default=0)
+        return sum(
+            max(0, newest - highest) > 1 for highest in self.highest.values()
+        )
+
+    def _delay(self, name: str, number: int, accepted: float) -> float:
+        """Return the time that VM `name` served without the change."""
+        seen = min(
+            (
+                at
+                for (vm, shown), at in self.seen_at.items()
+                if vm == name and shown >= number
+            ),
+            default=None,
+        )
+        stale = [
+            at
+            for at in self.answered_at.get(name, ())
+            if at > accepted and (seen is None or at < seen)
+        ]
+        return max(stale) - accepted if stale else 0
+
+    async def _change(self) -> None:
+        addresses = tuple(
+            parse_address(address).unwrap()
+            for address in self._processes.operators
+        )
+        client = OperatorClient(addresses, 'drill')
+        number = 0
+        while True:
+            number += 1
+            await self._put(client, number)
+            await asyncio.sleep(_CHANGE_INTERVAL_S)
+
+    async def _put(self, client: OperatorClient, number: int) -> None:
+        entry = msgspec.structs.replace(
+            self._entry,
+            owner=f'{_OWNER_STEM}{number}',
+        )
+        headers = {
+            'if-match': f'"{self._revision}"',
+            'persimmonhold-command-id': f'probe-{number}',
+        }
+        target = f'/catalogue/v1/entries/{self._entry.name}'
+        reply = await client.change('PUT', target, headers, entry)
+        document: dict[str, Any] = reply.map(
+            lambda answer: answer.document if answer.status < 300 else {},
+        ).value_or({})
+        if 'entry_revision' in document:
+            self._revision = int(document['entry_revision'])
+            self.accepted_at[number] = time.monotonic()
+            return
+        self.unaccepted += 1
+        present = await client.read(target)
+        found = present.map(lambda answer: answer.document).value_or({})
+        self._revision = int(found.get('revision', self._revision))
+
+    async def _watch(self, name: str, callers: str) -> None:
+        while True:
+            sent_at = time.monotonic()
+            document = await read_json(callers, '/v1/models')
+            if document is not None:
+                self._note(name, document, sent_at)
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+
+    def _note(
+        self,
+        name: str,
+        document: dict[str, Any],
+        sent_at: float,
+    ) -> None:
+        owner = next(
+            model['owned_by']
+            for model in document['data']
+            if model['id'] == self._entry.name
+        )
+        stem, _, number = owner.partition('-')
+        shown = int(number) if f'{stem}-' == _OWNER_STEM else 0
+        self.answered_at.setdefault(name, []).append(sent_at)
+        if shown < self.highest.get(name, 0):
+            self.reverts += 1
+        if shown > self.highest.get(name, -1):
+            self.highest[name] = shown
+            self.seen_at[name, shown] = sent_at
--- /dev/null
+++ b/bench/drills/_drill_result.py
@@ -0,0 +1,110 @@
+"""What a drill showed, promise by promise."""
+
+from typing import Final, final
+
+import msgspec
+
+from bench.drills._change_probe import ChangeProbe
+from bench.drills._drill import Drill
+from persimmonhold.load import RunReport
+
+# The bound within which an accepted change is in force everywhere.
+_IN_FORCE_S: Final = 6.0
+_CUT: Final = ('stream was cut', 'answer was cut', 'cut before the answer')
+
+
+@final
+class Promise(msgspec.Struct, frozen=True, kw_only=True):
+    """One promise: held or not, and the count that shows it."""
+
+    name: str
+    held: bool
+    figure: str
+
+
+@final
+class DrillResult(msgspec.Struct, frozen=True, kw_only=True):
+    """The promises of one drill, and attainment around its failure."""
+
+    drill: str
+    promises: tuple[Promise, ...]
+    attainment: tuple[float, float, float]
+    notes: dict[str, float]
+    report: RunReport
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether every promise was held."""
+        return all(promise.held for promise in self.promises)
+
+
+def judge(
+    drill: Drill,
+    report: RunReport,
+    probe: ChangeProbe,
+    unreachable: tuple[str, ...],
+) -> tuple[Promise, ...]:
+    """Return each promise with what the run showed of it."""
+    cut = sum(report.faults.get(fault, 0) for fault in _CUT)
+    delay_s = probe.worst_delay_s()
+    late = drill.notes.get('requests_after_2_s', 0)
+    unclean = drill.notes.get('unclean_exits', 0)
+    return (
+        Promise(
+            name='memory never overcommitted',
+            held=report.overcommitted == 0,
+            figure=f'{report.overcommitted} times',
+        ),
+        Promise(
+            name='every model reachable',
+            held=not unreachable,
+            figure=f'{len(unreachable)} without an answer',
+        ),
+        Promise(
+            name='whole answers to own requests',
+            held=report.foreign_or_broken_answers == 0,
+            figure=f'{report.foreign_or_broken_answers} wrong',
+        ),
+        Promise(
+            name='not run means not run; at most once',
+            held=not report.audit.mismatches,
+            figure=f'{len(report.audit.mismatches)} of'
+            f' {report.audit.sent} calls',
+        ),
+        Promise(
+            name='planned stops cut nothing off',
+            held=not drill.is_planned or not (cut or unclean),
+            figure=f'{cut} cut, {unclean:.0f} unclean exits',
+        ),
+        Promise(
+            name='a leaving upstream gets no new work',
+            held=late == 0,
+            figure=f'{late:.0f} after 2 s',
+        ),
+        Promise(
+            name='changes in force everywhere, never reverted',
+            held=not probe.reverts and delay_s <= _IN_FORCE_S,
+            figure=f'{len(probe.accepted_at)} changes, worst'
+            f' {delay_s:.2f} s, {probe.reverts} reverts,'
+            f' {probe.never_seen()} never seen',
+        ),
+    )
+
+
+def attainment_around(
+    report: RunReport,
+    start_s: float,
+    end_s: float,
+) -> tuple[float, float, float]:
+    """Return attainment before, during and after the failure."""
+    rows = report.attainment_by_second
+    return (
+        _share([row for row in rows if row[0] < start_s]),
+        _share([row for row in rows if start_s <= row[0] < end_s]),
+        _share([row for row in rows if row[0] >= end_s]),
+    )
+
+
+def _share(rows: list[tuple[int, int, int]]) -> float:
+    offered = sum(row[1] for row in rows)
+    return sum(row[2] for row in rows) / offered if offered else 1
--- /dev/null
+++ b/bench/drills/_processes.py
@@ -0,0 +1,214 @@
+"""Starts and ends the plain processes of a loopback deployment."""
+
+import asyncio
+import os
+import shutil
+import signal
+import sys
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final, Self, final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from persimmonhold.deployment import (
+    SHAPES,
+    DeploymentDocument,
+    DeploymentPlan,
+    DeploymentWriter,
+)
+from persimmonhold.web import ClientRequest, fetch, parse_address
+
+_PORT: Final = 24_000
+_POLL_S: Final = 0.3
+_STOP_TIMEOUT_S: Final = 60.0
+_FETCH_TIMEOUT_S: Final = 3.0
+_READY_POLLS: Final = 400
+_OK: Final = 200
+
+
+@final
+class Processes:
+    """Owns every process that a drill started; ends only those."""
+
+    def __init__(self, deployment: str, vms: int, directory: Path) -> None:
+        """Lay out a deployment under a folder."""
+        shape = next(one for one in SHAPES if one.name == deployment)
+        self.plan = DeploymentPlan(shape, vms, _PORT)
+        self.directory = directory
+        self.document = DeploymentDocument(
+            deployment=deployment,
+            vms=(),
+            upstreams=(),
+        )
+        self._running: dict[str, asyncio.subprocess.Process] = {}
+        self._logs = directory / 'output.log'
+
+    async def __aenter__(self) -> Self:
+        """Write the files, start everything and await all models."""
+        self.document = DeploymentWriter(self.plan, self.directory).write()
+        for upstream in self.document.upstreams:
+            await self.start(upstream.name)
+        for vm in self.document.vms:
+            await self.start(vm.name)
+        try:
+            await self._apply_catalogue()
+            await self.wait_until_served()
+        except BaseException:
+            await self._end_all()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End every process."""
+        await self._end_all()
+
+    @property
+    def operators(self) -> tuple[str, ...]:
+        """The operators' addresses of all control VMs."""
+        return tuple(vm.operators for vm in self.document.vms if vm.operators)
+
+    async def start(self, name: str) -> None:
+        """Start a VM or a stand-in by name."""
+        command = 'standin'
+        settings = ''
+        for vm in self.document.vms:
+            if vm.name == name:
+                command, settings = 'serve', vm.settings
+        for upstream in self.document.upstreams:
+            if upstream.name == name:
+                settings = upstream.settings
+        with self._logs.open('ab') as output:
+            self._running[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'persimmonhold',
+                command,
+                f'--settings={settings}',
+                stdout=output,
+                stderr=output,
+            )
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that was started here."""
+        self._running[name].send_signal(number)
+
+    async def stop(self, name: str) -> int:
+        """Stop gracefully and return the exit code; -9 after a time-out."""
+        process = self._running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(_STOP_TIMEOUT_S):
+                return await process.wait()
+        except TimeoutError:
+            process.kill()
+            return await process.wait()
+
+    async def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self._running.pop(name)
+        process.kill()
+        await process.wait()
+
+    def wipe(self, name: str) -> None:
+        """Lose the disk of a VM that is not running."""
+        shutil.rmtree(self.directory / f'data-{name}', ignore_errors=True)
+
+    async def leader(self) -> str:
+        """Return the name of the leading control VM."""
+        return await self.leader_other_than('')
+
+    async def leader_other_than(self, former: str) -> str:
+        """Wait until a control VM other than `former` leads."""
+        for _ in range(_READY_POLLS):
+            status = await self.status()
+            leader = str(status.get('leader', ''))
+            if leader not in {former, ''}:
+                return leader
+            await asyncio.sleep(_POLL_S / 3)
+        raise TimeoutError('no leader was elected')
+
+    async def status(self) -> dict[str, Any]:
+        """Return the status by the first control VM that answers."""
+        for address in self.operators:
+            document = await read_json(address, '/catalogue/v1/status')
+            if document is not None:
+                return document
+        return {}
+
+    async def wait_until_served(self) -> None:
+        """Wait until every model and adapter has a serving copy."""
+        wanted = self.plan.shape.models + self.plan.shape.adapters
+        serving = 0
+        for _ in range(_READY_POLLS):
+            status = await self.status()
+            serving = len({
+                copy['target']
+                for copy in status.get('copies', ())
+                if copy['state'] == 'serving'
+            })
+            if serving >= wanted:
+                return
+            await asyncio.sleep(_POLL_S)
+        raise TimeoutError(f'{serving} of {wanted} models are served')
+
+    async def resident_bytes(self) -> dict[str, int]:
+        """Return the resident memory of each running VM process."""
+        page = os.sysconf('SC_PAGE_SIZE')
+        return {
+            name: int(_statm(process.pid).split()[1]) * page
+            for name, process in self._running.items()
+            if name.startswith('vm') and process.returncode is None
+        }
+
+    async def _apply_catalogue(self) -> None:
+        for _ in range(_READY_POLLS):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'persimmonhold',
+                'catalogue',
+                'apply',
+                str(self.directory / 'catalogue.ini'),
+                f'--operators={",".join(self.operators)}',
+                stdout=asyncio.subprocess.DEVNULL,
+            )
+            if await process.wait() == 0:
+                return
+            await asyncio.sleep(_POLL_S)
+        raise TimeoutError('the catalogue could not be applied')
+
+    async def _end_all(self) -> None:
+        for process in self._running.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._running.values():
+            await process.wait()
+        self._running.clear()
+
+
+def _statm(process_id: int) -> str:
+    return Path(f'/proc/{process_id}/statm').read_text(encoding='ascii')
+
+
+async def read_json(address: str, target: str) -> dict[str, Any] | None:
+    """Return the document of a GET request, or None."""
+    fetched = await fetch(
+        parse_address(address).unwrap(),
+        ClientRequest(method='GET', target=target),
+        _FETCH_TIMEOUT_S,
+    )
+    if isinstance(fetched, Failed):
+        return None
+    response = fetched.unwrap()
+    if response.head.status != _OK:
+        return None
+    document: dict[str, Any] = msgspec.json.decode(response.body)
+    return document
--- a/persimmonhold/deployment/_deployment_plan.py
+++ b/persimmonhold/deployment/_deployment_plan.py
@@ -68,6 +68,10 @@
             *(self._adapter(number) for number in range(shape.adapters)),
         )
 
+    def first_adapter(self) -> AdapterEntry:
+        """Return the first adapter of the catalogue."""
+        return self._adapter(0)
+
     def model_name(self, number: int) -> str:
         """Return the name of a model."""
         return f'{self.shape.model_stem}-{number + 1}'
