Reserve accelerator memory in the worst case; check that all models fit

Placement computed free memory from the catalogue alone: a copy whose entry had since changed or gone was counted at the wrong size, and what engines held beyond the orders was not counted at all.

MemoryLedger counts, per accelerator, each item that a copy, an order that has not ended or an inventory names, once and at its largest size. Copy carries memory_bytes for that, and the base of an adapter. check_fit packs every model with its adapters and returns the numbers where it cannot.

--- a/persimmonhold/messages/_copy.py
+++ b/persimmonhold/messages/_copy.py
@@ -9,7 +9,11 @@
 
 @final
 class Copy(msgspec.Struct, frozen=True, kw_only=True):
-    """Where one version of a model or adapter is, and in which state."""
+    """Where one version of a model or adapter is, and in which state.
+
+    `memory_bytes` is what its load order reserved: the catalogue may say
+    something else by now. `base` is the base model of an adapter.
+    """
 
     target: str
     version: str
@@ -17,3 +21,5 @@
     accelerator: str
     state: CopyState
     fence: int
+    memory_bytes: int = 0
+    base: str = ''
--- /dev/null
+++ b/persimmonhold/placement/_fit.py
@@ -0,0 +1,70 @@
+"""Whether all catalogued models can be resident at once.
+
+Each model is packed with all of its adapters as one item. Packing is by
+decreasing size into the tightest accelerator, then into the loosest; a
+catalogue that defeats both ways is refused, although an exhaustive search
+might still find a packing with nothing to spare.
+"""
+
+import bisect
+from typing import NamedTuple, final
+
+from persimmonhold.catalogue import Catalogue, ModelEntry
+from persimmonhold.placement._memory_ledger import capacities
+from persimmonhold.placement._sizes import adapters_by_base
+
+
+@final
+class _PackedItem(NamedTuple):
+    size_bytes: int
+    model: str
+
+
+def check_fit(catalogue: Catalogue) -> str:
+    """Return why not every model can be resident; empty where all can."""
+    items = sorted(_items(catalogue), reverse=True)
+    free = sorted(capacities(catalogue).values())
+    needed = sum(packed.size_bytes for packed in items)
+    if needed > sum(free):
+        return (
+            f'{len(items)} models with their adapters need {needed} bytes; '
+            f'{len(free)} accelerators have {sum(free)} bytes'
+        )
+    misfit = _pack(items, list(free), tightest=True)
+    if misfit and _pack(items, list(free), tightest=False):
+        return misfit
+    return ''
+
+
+def _items(catalogue: Catalogue) -> list[_PackedItem]:
+    adapters = adapters_by_base(catalogue)
+    return [
+        _PackedItem(
+            model.weight_bytes
+            + model.kv_floor_bytes
+            + sum(each.weight_bytes for each in adapters.get(model.name, ())),
+            model.name,
+        )
+        for model in catalogue.of_type(ModelEntry)
+    ]
+
+
+def _pack(
+    items: list[_PackedItem],
+    free: list[int],
+    *,
+    tightest: bool,
+) -> str:
+    """Pack into accelerators whose free bytes are sorted; name a misfit."""
+    for packed in items:
+        position = bisect.bisect_left(free, packed.size_bytes)
+        if position == len(free):
+            largest = free[-1] if free else 0
+            return (
+                f'model {packed.model} with its adapters needs '
+                f'{packed.size_bytes} bytes on one accelerator; at most '
+                f'{largest} bytes are left on any beside the other models'
+            )
+        chosen = free.pop(position if tightest else -1)
+        bisect.insort(free, chosen - packed.size_bytes)
+    return ''
--- /dev/null
+++ b/persimmonhold/placement/_memory_ledger.py
@@ -0,0 +1,108 @@
+"""The memory that accelerators may hold in the worst case.
+
+Invariant: an item stays reserved as long as a copy, an order that has not
+ended, or an inventory names it. Where several name the same item, the
+largest size counts once, since an engine holds each item at most once.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Self, final
+
+from persimmonhold.catalogue import Catalogue, UpstreamEntry
+from persimmonhold.messages import Copy, Inventory, Order, OrderKind
+from persimmonhold.placement._item_key import ItemKey
+from persimmonhold.placement._place import Place
+
+
+@final
+class MemoryLedger:
+    """Capacity and worst-case reservation of every accelerator, in bytes."""
+
+    __slots__ = ('_items', '_reserved', 'capacity_bytes')
+
+    def __init__(self, capacity_bytes: dict[Place, int]) -> None:
+        """Create a ledger of empty accelerators."""
+        self.capacity_bytes = capacity_bytes
+        self._items: dict[Place, dict[ItemKey, int]] = {}
+        self._reserved: dict[Place, int] = {}
+
+    @classmethod
+    def from_state(
+        cls,
+        catalogue: Catalogue,
+        copies: Iterable[Copy],
+        orders: Iterable[Order],
+        inventories: Mapping[str, Inventory],
+    ) -> Self:
+        """Build the ledger from committed state and last inventories."""
+        ledger = cls(capacities(catalogue))
+        for copy in copies:
+            ledger.add_copy(copy)
+        for order in orders:
+            ledger.add_order(order)
+        for upstream, inventory in inventories.items():
+            ledger.add_inventory(upstream, inventory)
+        return ledger
+
+    def add_copy(self, copy: Copy) -> None:
+        """Reserve what a recorded copy takes, whatever its state."""
+        self.reserve(
+            Place(copy.upstream, copy.accelerator),
+            ItemKey(copy.target, copy.version),
+            copy.memory_bytes,
+        )
+
+    def add_order(self, order: Order) -> None:
+        """Reserve what an order may leave; an unload leaves nothing new."""
+        if order.kind is OrderKind.unload:
+            return
+        key = ItemKey(order.target, order.version)
+        if order.kind is not OrderKind.load:
+            # A buffer is no copy of the model: it takes memory beside it.
+            key = ItemKey(f'{order.target} {order.kind}', str(order.fence))
+        place = Place(order.upstream, order.accelerator)
+        self.reserve(place, key, order.memory_bytes)
+
+    def add_inventory(self, upstream: str, inventory: Inventory) -> None:
+        """Reserve what an engine holds, explained by an order or not."""
+        for held in inventory.held:
+            self.reserve(
+                Place(upstream, held.accelerator),
+                ItemKey(held.target, held.version),
+                held.memory_bytes,
+            )
+
+    def reserve(self, place: Place, key: ItemKey, size_bytes: int) -> None:
+        """Reserve memory for an item, at its largest known size."""
+        items = self._items.setdefault(place, {})
+        known = items.get(key, 0)
+        if size_bytes > known or key not in items:
+            items[key] = max(known, size_bytes)
+            reserved = self._reserved.get(place, 0)
+            self._reserved[place] = reserved + max(size_bytes - known, 0)
+
+    def has_item(self, place: Place, key: ItemKey) -> bool:
+        """Tell whether an item may be in the memory of an accelerator."""
+        return key in self._items.get(place, {})
+
+    def items_at(self, place: Place) -> Mapping[ItemKey, int]:
+        """Return the items that an accelerator may hold, and their bytes."""
+        return self._items.get(place, {})
+
+    def reserved_bytes(self, place: Place) -> int:
+        """Return the worst case of one accelerator."""
+        return self._reserved.get(place, 0)
+
+    def free_bytes(self, place: Place) -> int:
+        """Return what may still be reserved; negative after a shrinking."""
+        capacity = self.capacity_bytes.get(place, 0)
+        return capacity - self._reserved.get(place, 0)
+
+
+def capacities(catalogue: Catalogue) -> dict[Place, int]:
+    """Return the memory of every catalogued accelerator, in bytes."""
+    return {
+        Place(upstream.name, accelerator.name): accelerator.memory_bytes
+        for upstream in catalogue.of_type(UpstreamEntry)
+        for accelerator in upstream.accelerators
+    }
--- a/persimmonhold/placement/_static_plan.py
+++ b/persimmonhold/placement/_static_plan.py
@@ -7,6 +7,7 @@
     UpstreamEntry,
 )
 from persimmonhold.messages import Copy, Order, OrderKind
+from persimmonhold.placement._sizes import memory_bytes
 
 
 def plan_missing(
@@ -53,16 +54,6 @@
     return free
 
 
-def memory_bytes(catalogue: Catalogue, target: str) -> int:
-    """Return what a model or adapter takes of accelerator memory."""
-    entry = catalogue.find(target)
-    if isinstance(entry, ModelEntry):
-        return entry.weight_bytes + entry.kv_floor_bytes
-    if isinstance(entry, AdapterEntry):
-        return entry.weight_bytes
-    return 0
-
-
 def _place_model(
     model: ModelEntry,
     free: dict[tuple[str, str], int],
