--- /dev/null
+++ b/persimmonhold/catalogue/_validation.py
@@ -0,0 +1,153 @@
+"""The rules that an entry has to meet before it is accepted.
+
+Every rule is a function of the catalogue in force and the change alone, so
+that each replica decides alike. A rule returns what is wrong in words for
+the operator, or an empty string.
+"""
+
+import ipaddress
+import re
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from persimmonhold.catalogue._adapter_entry import AdapterEntry
+from persimmonhold.catalogue._bounds import Bounds
+from persimmonhold.catalogue._catalogue import Catalogue
+from persimmonhold.catalogue._entry import CatalogueEntry
+from persimmonhold.catalogue._limits import Limits
+from persimmonhold.catalogue._model_entry import ModelEntry
+from persimmonhold.catalogue._service_class import ServiceClass
+from persimmonhold.catalogue._service_entry import ServiceEntry
+from persimmonhold.catalogue._upstream_entry import UpstreamEntry
+
+_NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}')
+_MAX_PORT: Final = 65_535
+
+
+def check_entry(catalogue: Catalogue, entry: CatalogueEntry) -> str:
+    """Return why `entry` may not be put into `catalogue`, or nothing."""
+    return next(_entry_faults(catalogue, entry), '')
+
+
+def check_removal(catalogue: Catalogue, name: str) -> str:
+    """Return why the named entry may not be deleted, or nothing."""
+    for adapter in catalogue.of_type(AdapterEntry):
+        if adapter.base == name:
+            return f'model is the base of adapter {adapter.name!r}'
+    for upstream in catalogue.of_type(UpstreamEntry):
+        if upstream.service == name:
+            return f'service has the upstream {upstream.name!r}'
+    return ''
+
+
+def _entry_faults(
+    catalogue: Catalogue,
+    entry: CatalogueEntry,
+) -> Iterator[str]:
+    if not _NAME.fullmatch(entry.name):
+        yield f'name {entry.name!r} does not match {_NAME.pattern}'
+    if not entry.owner.strip():
+        yield 'owner is empty'
+    present = catalogue.find(entry.name)
+    if present is not None and not isinstance(entry, type(present)):
+        yield 'name belongs to an entry of another kind'
+    match entry:
+        case ModelEntry():
+            yield from _model_faults(entry)
+        case AdapterEntry():
+            yield from _adapter_faults(catalogue, entry)
+        case ServiceEntry():
+            yield from _service_faults(entry)
+        case UpstreamEntry():
+            yield from _upstream_faults(catalogue, entry)
+
+
+def _model_faults(model: ModelEntry) -> Iterator[str]:
+    if model.kv_floor_bytes < 0:
+        yield 'kv_floor_bytes is negative'
+    yield from _generator_faults(model)
+
+
+def _adapter_faults(
+    catalogue: Catalogue,
+    adapter: AdapterEntry,
+) -> Iterator[str]:
+    if not isinstance(catalogue.find(adapter.base), ModelEntry):
+        yield f'base {adapter.base!r} is not a model of the catalogue'
+    yield from _generator_faults(adapter)
+
+
+def _generator_faults(entry: ModelEntry | AdapterEntry) -> Iterator[str]:
+    if not entry.version:
+        yield 'version is empty'
+    if entry.weight_bytes <= 0:
+        yield 'weight_bytes is not positive'
+    if entry.service_class is ServiceClass.call:
+        yield 'service_class call belongs to plain services'
+    yield from _promise_faults(entry.bounds, entry.limits)
+
+
+def _service_faults(service: ServiceEntry) -> Iterator[str]:
+    for rule in service.rules:
+        if not rule.method:
+            yield 'a rule has an empty method; * stands for any'
+    yield from _promise_faults(service.bounds, service.limits)
+
+
+def _promise_faults(bounds: Bounds, limits: Limits) -> Iterator[str]:
+    for bound, bound_ms in msgspec.structs.asdict(bounds).items():
+        if bound_ms <= 0:
+            yield f'bounds.{bound} is not positive'
+    for limit, agreed in msgspec.structs.asdict(limits).items():
+        if agreed < 0:
+            yield f'limits.{limit} is negative'
+    if limits.min_copies < 1:
+        yield 'limits.min_copies is below 1'
+    if limits.max_copies and limits.max_copies < limits.min_copies:
+        yield 'limits.max_copies is below min_copies'
+
+
+def _upstream_faults(
+    catalogue: Catalogue,
+    upstream: UpstreamEntry,
+) -> Iterator[str]:
+    if not _is_address(upstream.address):
+        yield f'address {upstream.address!r} is not ip:port'
+    if not upstream.failure_domain:
+        yield 'failure_domain is empty'
+    if bool(upstream.service) == upstream.is_engine:
+        yield 'an upstream has either accelerators or a service'
+    if upstream.service:
+        service = catalogue.find(upstream.service)
+        if not isinstance(service, ServiceEntry):
+            yield f'service {upstream.service!r} is not in the catalogue'
+    yield from _accelerator_faults(upstream)
+    for other in catalogue.of_type(UpstreamEntry):
+        # Memory of one engine would be counted twice.
+        if other.address == upstream.address and other.name != upstream.name:
+            yield f'address belongs to upstream {other.name!r}'
+
+
+def _accelerator_faults(upstream: UpstreamEntry) -> Iterator[str]:
+    names = {accelerator.name for accelerator in upstream.accelerators}
+    if '' in names:
+        yield 'an accelerator has an empty name'
+    if len(names) < len(upstream.accelerators):
+        yield 'two accelerators have the same name'
+    if any(device.memory_bytes <= 0 for device in upstream.accelerators):
+        yield 'memory_bytes of an accelerator is not positive'
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    if not (port.isascii() and port.isdecimal()):
+        return False
+    if not 0 < int(port) <= _MAX_PORT:
+        return False
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return ':' not in host or host.startswith('[')
--- a/persimmonhold/cli/_sample_catalogue.py
+++ b/persimmonhold/cli/_sample_catalogue.py
@@ -29,6 +29,8 @@
 ) -> tuple[CatalogueEntry, ...]:
     """Return entries for upstreams whose addresses are given by name."""
     return (
+        ServiceEntry(name='lodgements', owner=_OWNER, rules=(_READS,)),
+        ServiceEntry(name='status', owner=_OWNER, rules=(_ANY_CALL,)),
         *(_engine(name, address) for name, address in engines.items()),
         *(_replica(name, address) for name, address in services.items()),
         _model('tutor', ServiceClass.interactive),
@@ -40,8 +42,6 @@
             base='tutor',
             weight_bytes=_ADAPTER_BYTES,
         ),
-        ServiceEntry(name='lodgements', owner=_OWNER, rules=(_READS,)),
-        ServiceEntry(name='status', owner=_OWNER, rules=(_ANY_CALL,)),
     )
 
 
--- a/persimmonhold/control/machine/__init__.py
+++ b/persimmonhold/control/machine/__init__.py
@@ -2,40 +2,67 @@
 
 from persimmonhold.control.machine._claim import Claim
 from persimmonhold.control.machine._claim_key import ClaimKey
-from persimmonhold.control.machine._command import Command
+from persimmonhold.control.machine._claim_table import ClaimTable
+from persimmonhold.control.machine._command import Command, OperatorChange
+from persimmonhold.control.machine._command_ledger import CommandLedger
 from persimmonhold.control.machine._command_result import CommandResult
 from persimmonhold.control.machine._command_status import CommandStatus
-from persimmonhold.control.machine._control_machine import ControlMachine
+from persimmonhold.control.machine._control_machine import (
+    ControlMachine,
+    FitCheck,
+    fits_always,
+)
 from persimmonhold.control.machine._control_state import ControlState
 from persimmonhold.control.machine._delete_entry import DeleteEntry
+from persimmonhold.control.machine._digest_set import DigestSet
+from persimmonhold.control.machine._drain_vm import DrainVm
 from persimmonhold.control.machine._end_claim import EndClaim
 from persimmonhold.control.machine._history_record import (
     GENESIS_DIGEST,
     HistoryRecord,
 )
+from persimmonhold.control.machine._machine_limits import MachineLimits
 from persimmonhold.control.machine._operator_command import OperatorCommand
 from persimmonhold.control.machine._put_entry import PutEntry
 from persimmonhold.control.machine._record_copy import RecordCopy
 from persimmonhold.control.machine._record_intent import RecordIntent
 from persimmonhold.control.machine._record_order_end import RecordOrderEnd
 from persimmonhold.control.machine._register_vm import RegisterVm
+from persimmonhold.control.machine._verify_history import verify_history
+from persimmonhold.control.machine._view_state import (
+    ViewState,
+    copy_key,
+    view_digest,
+)
 
 __all__ = (
     'GENESIS_DIGEST',
     'Claim',
     'ClaimKey',
+    'ClaimTable',
     'Command',
+    'CommandLedger',
     'CommandResult',
     'CommandStatus',
     'ControlMachine',
     'ControlState',
     'DeleteEntry',
+    'DigestSet',
+    'DrainVm',
     'EndClaim',
+    'FitCheck',
     'HistoryRecord',
+    'MachineLimits',
+    'OperatorChange',
     'OperatorCommand',
     'PutEntry',
     'RecordCopy',
     'RecordIntent',
     'RecordOrderEnd',
     'RegisterVm',
+    'ViewState',
+    'copy_key',
+    'fits_always',
+    'verify_history',
+    'view_digest',
 )
--- a/persimmonhold/control/machine/_claim_key.py
+++ b/persimmonhold/control/machine/_claim_key.py
@@ -11,7 +11,8 @@
 
     `content_digest` tells a resend from another request under the same key.
     `request_id` identifies the claimant, so that its own resend of this
-    command is granted again.
+    command is granted again. The claim is refused where `incarnation` is
+    given and is not that of the registered VM.
     """
 
     at_ms: int
@@ -21,3 +22,4 @@
     content_digest: str
     request_id: str
     vm: str
+    incarnation: str = ''
--- /dev/null
+++ b/persimmonhold/control/machine/_claim_table.py
@@ -0,0 +1,194 @@
+"""The claimed idempotency keys.
+
+Invariants: a key is granted to one request; an outcome is recorded once and
+kept for the retention from then on, so that a resend never runs; a claim whose VM is gone or
+started anew is in doubt and stays until its outcome becomes known; a full
+table refuses new claims instead of forgetting one within its retention.
+"""
+
+from collections import deque
+from typing import TypeAlias, final
+
+import msgspec
+
+from persimmonhold.control.machine._claim import Claim
+from persimmonhold.control.machine._claim_key import ClaimKey
+from persimmonhold.control.machine._command_status import CommandStatus
+from persimmonhold.control.machine._end_claim import EndClaim
+from persimmonhold.control.machine._machine_limits import MachineLimits
+from persimmonhold.messages import CallOutcome
+
+Scope: TypeAlias = tuple[str, str, str]
+
+
+@final
+class ClaimTable:
+    """Claims by scope, by claim id and by VM."""
+
+    __slots__ = (
+        '_by_index',
+        '_limits',
+        '_open',
+        '_settled',
+        'by_scope',
+        'in_doubt',
+        'stored_bytes',
+    )
+
+    def __init__(self, limits: MachineLimits) -> None:
+        """Create an empty table."""
+        self.by_scope: dict[Scope, Claim] = {}
+        self.in_doubt: dict[int, Scope] = {}
+        self.stored_bytes = 0
+        self._limits = limits
+        self._by_index: dict[int, Scope] = {}
+        self._settled: deque[int] = deque()
+        self._open: dict[str, set[int]] = {}
+
+    def __len__(self) -> int:
+        """Return how many claims are kept."""
+        return len(self.by_scope)
+
+    def restore(self, claims: tuple[Claim, ...]) -> None:
+        """Replace the claims by those of a snapshot, oldest first."""
+        for claim in claims:
+            self._store(claim)
+        settled = [old for old in claims if old.settled_ms]
+        settled.sort(key=lambda old: (old.settled_ms, old.index))
+        self._settled.extend(old.index for old in settled)
+
+    def claim(
+        self,
+        index: int,
+        command: ClaimKey,
+    ) -> tuple[CommandStatus, Claim | None]:
+        """Grant a key or tell why not, with the claim that has it."""
+        held = self.by_scope.get((
+            command.caller,
+            command.service,
+            command.key,
+        ))
+        if held is not None and not _is_reusable(held, command):
+            return _status(held, command), held
+        if held is None and len(self) >= self._limits.claim_count:
+            return CommandStatus.claim_table_full, None
+        if held is not None:
+            self._remove(held)
+        granted = _new_claim(index, command)
+        self._store(granted)
+        return CommandStatus.claim_granted, granted
+
+    def end(self, now_ms: int, command: EndClaim) -> CommandStatus:
+        """Record an outcome, doubt or a release."""
+        scope = self._by_index.get(command.claim)
+        if scope is None:
+            return CommandStatus.not_found
+        claim = self.by_scope[scope]
+        if claim.request_id != command.request_id:
+            return CommandStatus.claim_conflict
+        if claim.outcome is None and not claim.released:
+            self._settle(claim, now_ms, command)
+        return CommandStatus.done
+
+    def doubt(self, vm: str, incarnation: str | None) -> None:
+        """Doubt the open claims of a VM that are not of `incarnation`."""
+        for index in sorted(self._open.get(vm, ())):
+            claim = self.by_scope[self._by_index[index]]
+            if claim.incarnation != incarnation:
+                self._replace(
+                    claim,
+                    msgspec.structs.replace(claim, in_doubt=True),
+                )
+
+    def expire(self, now_ms: int) -> None:
+        """Forget settled claims beyond the retention."""
+        horizon_ms = now_ms - self._limits.claim_retention_ms
+        while self._settled:
+            scope = self._by_index.get(self._settled[0])
+            if scope is not None:
+                claim = self.by_scope[scope]
+                if claim.settled_ms >= horizon_ms:
+                    return
+                self._remove(claim)
+            self._settled.popleft()
+
+    def _settle(self, claim: Claim, now_ms: int, command: EndClaim) -> None:
+        outcome = self._bounded(command.outcome)
+        in_doubt = command.in_doubt and outcome is None
+        self._replace(
+            claim,
+            msgspec.structs.replace(
+                claim,
+                outcome=outcome,
+                in_doubt=in_doubt,
+                released=outcome is None and not in_doubt,
+                settled_ms=0 if in_doubt else max(now_ms, 1),
+            ),
+        )
+        if not in_doubt:
+            self._settled.append(claim.index)
+
+    def _bounded(self, outcome: CallOutcome | None) -> CallOutcome | None:
+        if outcome is None:
+            return None
+        size = len(outcome.body)
+        room = self._limits.stored_outcome_bytes - self.stored_bytes
+        if size <= min(room, self._limits.outcome_bytes):
+            return outcome
+        return msgspec.structs.replace(outcome, body=b'', body_stored=False)
+
+    def _replace(self, claim: Claim, changed: Claim) -> None:
+        self._remove(claim)
+        self._store(changed)
+
+    def _store(self, claim: Claim) -> None:
+        self.by_scope[claim.scope] = claim
+        self._by_index[claim.index] = claim.scope
+        if claim.outcome is not None:
+            self.stored_bytes += len(claim.outcome.body)
+        if claim.in_doubt:
+            self.in_doubt[claim.index] = claim.scope
+        if claim.is_open:
+            self._open.setdefault(claim.vm, set()).add(claim.index)
+
+    def _remove(self, claim: Claim) -> None:
+        self.by_scope.pop(claim.scope)
+        self._by_index.pop(claim.index)
+        self.in_doubt.pop(claim.index, None)
+        if claim.outcome is not None:
+            self.stored_bytes -= len(claim.outcome.body)
+        opened = self._open.get(claim.vm, set())
+        opened.discard(claim.index)
+        if not opened:
+            self._open.pop(claim.vm, None)
+
+
+def _is_reusable(held: Claim, command: ClaimKey) -> bool:
+    """Tell whether a released key may be claimed by this request."""
+    return held.released and held.request_id != command.request_id
+
+
+def _status(held: Claim, command: ClaimKey) -> CommandStatus:
+    if held.content_digest != command.content_digest:
+        return CommandStatus.claim_conflict
+    if held.outcome is not None:
+        return CommandStatus.claim_completed
+    if held.in_doubt:
+        return CommandStatus.claim_in_doubt
+    if held.released or held.request_id != command.request_id:
+        return CommandStatus.claim_held
+    return CommandStatus.claim_granted
+
+
+def _new_claim(index: int, command: ClaimKey) -> Claim:
+    return Claim(
+        index=index,
+        at_ms=command.at_ms,
+        caller=command.caller,
+        service=command.service,
+        key=command.key,
+        content_digest=command.content_digest,
+        request_id=command.request_id,
+        vm=command.vm,
+        incarnation=command.incarnation,
+    )
--- a/persimmonhold/control/machine/_command.py
+++ b/persimmonhold/control/machine/_command.py
@@ -4,6 +4,7 @@
 
 from persimmonhold.control.machine._claim_key import ClaimKey
 from persimmonhold.control.machine._delete_entry import DeleteEntry
+from persimmonhold.control.machine._drain_vm import DrainVm
 from persimmonhold.control.machine._end_claim import EndClaim
 from persimmonhold.control.machine._put_entry import PutEntry
 from persimmonhold.control.machine._record_copy import RecordCopy
@@ -20,4 +21,7 @@
     | ClaimKey
     | EndClaim
     | RegisterVm
+    | DrainVm
 )
+
+OperatorChange: TypeAlias = PutEntry | DeleteEntry | DrainVm
--- a/persimmonhold/control/machine/_command_status.py
+++ b/persimmonhold/control/machine/_command_status.py
@@ -21,3 +21,5 @@
     claim_in_doubt = 'claim_in_doubt'
     claim_completed = 'claim_completed'
     claim_conflict = 'claim_conflict'
+    claim_table_full = 'claim_table_full'
+    claim_unregistered = 'claim_unregistered'
--- a/persimmonhold/control/machine/_control_machine.py
+++ b/persimmonhold/control/machine/_control_machine.py
@@ -2,79 +2,136 @@
 
 Invariants: applying is deterministic; a command of an operator takes effect
 once, whatever is resent; the catalogue revision rises by one with each
-accepted change.
+accepted change. A command costs what it touches, whatever the state holds.
 """
 
 import hashlib
-from typing import final
+from collections.abc import Callable
+from typing import Final, TypeAlias, final
 
 import msgspec
 
-from persimmonhold.catalogue import Catalogue
-from persimmonhold.control.machine._claim import Claim
+from persimmonhold.catalogue import (
+    Catalogue,
+    ServiceEntry,
+    StoredEntry,
+    UpstreamEntry,
+    check_entry,
+    check_removal,
+)
 from persimmonhold.control.machine._claim_key import ClaimKey
-from persimmonhold.control.machine._command import Command
+from persimmonhold.control.machine._command import Command, OperatorChange
 from persimmonhold.control.machine._command_result import CommandResult
 from persimmonhold.control.machine._command_status import CommandStatus
 from persimmonhold.control.machine._control_state import ControlState
 from persimmonhold.control.machine._delete_entry import DeleteEntry
+from persimmonhold.control.machine._drain_vm import DrainVm
 from persimmonhold.control.machine._end_claim import EndClaim
 from persimmonhold.control.machine._history_record import (
     GENESIS_DIGEST,
     HistoryRecord,
 )
+from persimmonhold.control.machine._machine_limits import MachineLimits
 from persimmonhold.control.machine._operator_command import OperatorCommand
 from persimmonhold.control.machine._put_entry import PutEntry
 from persimmonhold.control.machine._record_copy import RecordCopy
 from persimmonhold.control.machine._record_intent import RecordIntent
 from persimmonhold.control.machine._record_order_end import RecordOrderEnd
 from persimmonhold.control.machine._register_vm import RegisterVm
-from persimmonhold.messages import ControlView
+from persimmonhold.control.machine._state_image import (
+    IMAGE_VERSION,
+    StateImage,
+    load_image,
+    take_image,
+)
+from persimmonhold.control.machine._view_state import copy_key
+from persimmonhold.messages import ControlView, ViewChange, VmRecord
+
+FitCheck: TypeAlias = Callable[[Catalogue], str]
+_EXPIRING: Final = (PutEntry, DeleteEntry, DrainVm, ClaimKey, EndClaim)
+
+
+def fits_always(catalogue: Catalogue) -> str:
+    """Accept any catalogue; for a system without a planner."""
+    return ''
 
 
 @final
 class ControlMachine:
     """The state machine of the control log."""
 
-    __slots__ = ('state',)
+    __slots__ = ('_check_fit', '_limits', 'state')
+
+    def __init__(
+        self,
+        check_fit: FitCheck = fits_always,
+        limits: MachineLimits | None = None,
+    ) -> None:
+        """Create the machine before the first command.
 
-    def __init__(self) -> None:
-        """Create the machine before the first command."""
-        self.state = ControlState()
+        `check_fit` returns the numbers by which a catalogue does not fit
+        its accelerators, or an empty string.
+        """
+        self._check_fit = check_fit
+        self._limits = limits or MachineLimits()
+        self.state = ControlState(self._limits)
 
     def apply(self, index: int, command: Command) -> CommandResult:
-        """Apply the command at a log index."""
+        """Apply the command at a log index.
+
+        The command has to be one that was decoded from the log: digests are
+        taken of encoded items, and decoding settles how they are encoded.
+        """
         self.state.index = index
+        self._advance_clock(command)
         match command:
-            case PutEntry() | DeleteEntry():
-                return self._change_catalogue(index, command)
+            case PutEntry() | DeleteEntry() | DrainVm():
+                return self._change(command)
             case ClaimKey():
                 return self._claim(index, command)
             case EndClaim():
-                return self._end_claim(index, command)
+                claims = self.state.claims
+                return self._result(claims.end(self.state.clock_ms, command))
             case _:
                 self._record(index, command)
         return self._result(CommandStatus.done)
 
     def view(self) -> ControlView:
         """Return what the entries hold of the state."""
+        return self.state.view.view()
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return msgspec.msgpack.encode(take_image(self.state))
+
+    def restore(self, encoded: bytes) -> None:
+        """Replace the state; raises `ValueError` for another version."""
+        image = msgspec.msgpack.decode(encoded, type=StateImage)
+        if image.version != IMAGE_VERSION:
+            raise ValueError(f'snapshot of version {image.version}')
+        self.state = load_image(image, self._limits)
+
+    def _advance_clock(self, command: Command) -> None:
         state = self.state
-        return ControlView(
-            index=state.index,
-            catalogue=state.catalogue,
-            copies=tuple(state.copies.values()),
-            vms=tuple(state.vms.values()),
-        )
+        step_ms = max(command.at_ms - state.clock_ms, 0)
+        if state.clock_ms:
+            step_ms = min(step_ms, self._limits.max_clock_step_ms)
+        state.clock_ms += step_ms
+        if isinstance(command, _EXPIRING):
+            state.commands.expire(state.clock_ms)
+            state.claims.expire(state.clock_ms)
 
     def _result(
         self,
         status: CommandStatus,
         detail: str = '',
+        entry_revision: int = 0,
     ) -> CommandResult:
         return CommandResult(
             index=self.state.index,
             status=status,
             revision=self.state.catalogue.revision,
+            entry_revision=entry_revision,
             detail=detail,
         )
 
@@ -94,157 +151,190 @@
             case RegisterVm():
                 self._register_vm(command)
 
+    def _next_change(self, revision: int | None = None) -> ViewChange:
+        if revision is None:
+            revision = self.state.catalogue.revision
+        return ViewChange(
+            index=self.state.index,
+            previous=self.state.view.index,
+            revision=revision,
+        )
+
     def _record_copy(self, command: RecordCopy) -> None:
-        copy = command.copy
-        key = (copy.target, copy.version, copy.upstream, copy.accelerator)
-        if command.gone:
-            self.state.copies.pop(key, None)
-        else:
-            self.state.copies[key] = copy
+        present = self.state.copies.get(copy_key(command.copy))
+        wanted = None if command.gone else command.copy
+        if present == wanted:
+            return
+        change = msgspec.structs.replace(
+            self._next_change(),
+            copy=command.copy,
+            copy_gone=command.gone,
+        )
+        self.state.view.apply(change)
 
     def _register_vm(self, command: RegisterVm) -> None:
+        present = self.state.vms.get(command.vm.name)
+        vm = _keep_drain(command.vm, present)
         if command.gone:
-            self.state.vms.pop(command.vm.name, None)
-        else:
-            self.state.vms[command.vm.name] = command.vm
+            self.state.claims.doubt(vm.name, None)
+        elif vm.incarnation:
+            self.state.claims.doubt(vm.name, vm.incarnation)
+        wanted = None if command.gone else vm
+        if present == wanted:
+            return
+        change = msgspec.structs.replace(
+            self._next_change(),
+            vm=vm,
+            vm_gone=command.gone,
+        )
+        self.state.view.apply(change)
 
-    def _change_catalogue(
-        self,
-        index: int,
-        command: PutEntry | DeleteEntry,
-    ) -> CommandResult:
-        key = (command.operator, command.command_id)
+    def _change(self, command: OperatorChange) -> CommandResult:
+        ledger = self.state.commands
         digest = _content_digest(command)
-        answered = self.state.commands.get(key)
-        if answered is not None:
-            if answered.content_digest == digest:
-                return answered.result
-            return self._result(CommandStatus.command_id_reused)
-        result = self._compare_and_set(command, digest)
-        self.state.commands[key] = OperatorCommand(
-            content_digest=digest,
-            result=result,
+        found = ledger.find(command.operator, command.command_id, digest)
+        if isinstance(found, CommandStatus):
+            return self._result(found)
+        if found is not None:
+            return found
+        if isinstance(command, DrainVm):
+            result = self._drain(command, digest)
+        else:
+            result = self._compare_and_set(command, digest)
+        ledger.record(
+            OperatorCommand(
+                operator=command.operator,
+                command_id=command.command_id,
+                at_ms=self.state.clock_ms,
+                content_digest=digest,
+                result=result,
+            ),
         )
         return result
 
+    def _drain(self, command: DrainVm, digest: str) -> CommandResult:
+        vm = self.state.vms.get(command.name)
+        if vm is None:
+            return self._result(CommandStatus.not_found)
+        changed = msgspec.structs.replace(vm, draining=command.draining)
+        if changed != vm:
+            self.state.view.apply(
+                msgspec.structs.replace(self._next_change(), vm=changed),
+            )
+        self._append_history(command, digest)
+        return self._result(CommandStatus.done)
+
     def _compare_and_set(
         self,
         command: PutEntry | DeleteEntry,
         digest: str,
     ) -> CommandResult:
-        catalogue = self.state.catalogue
-        present = catalogue.entry_revision(command.name)
+        present = self.state.catalogue.entry_revision(command.name)
         if command.expected_revision != present:
-            return msgspec.structs.replace(
-                self._result(CommandStatus.revision_conflict),
+            return self._result(
+                CommandStatus.revision_conflict,
                 entry_revision=present,
             )
+        if isinstance(command, DeleteEntry) and not present:
+            return self._result(CommandStatus.not_found)
+        refused = self._refusal(command)
+        if refused is not None:
+            return refused
+        self._accept(command)
+        self._append_history(command, digest)
+        return self._result(
+            CommandStatus.done,
+            entry_revision=self.state.catalogue.entry_revision(command.name),
+        )
+
+    def _refusal(
+        self,
+        command: PutEntry | DeleteEntry,
+    ) -> CommandResult | None:
+        catalogue = self.state.catalogue
         if isinstance(command, PutEntry):
+            fault = check_entry(catalogue, command.entry)
             changed = catalogue.with_entry(command.entry)
         else:
+            fault = check_removal(catalogue, command.name)
             changed = catalogue.without_entry(command.name)
-        return self._accept(command, changed, digest)
+        if fault:
+            return self._result(CommandStatus.bad_entry, fault)
+        lacking = self._check_fit(changed) if _needs_fit(command) else ''
+        if lacking:
+            return self._result(CommandStatus.does_not_fit, lacking)
+        return None
 
-    def _accept(
-        self,
-        command: PutEntry | DeleteEntry,
-        changed: Catalogue,
-        digest: str,
-    ) -> CommandResult:
+    def _accept(self, command: PutEntry | DeleteEntry) -> None:
+        revision = self.state.catalogue.revision + 1
+        change = self._next_change(revision)
+        if isinstance(command, PutEntry):
+            stored = StoredEntry(revision, command.entry)
+            change = msgspec.structs.replace(change, stored=stored)
+        else:
+            change = msgspec.structs.replace(change, removed=command.name)
+        self.state.view.apply(change)
+
+    def _append_history(self, command: OperatorChange, digest: str) -> None:
         history = self.state.history
-        previous = history[-1].digest if history else GENESIS_DIGEST
-        self.state.catalogue = changed
-        action = 'put' if isinstance(command, PutEntry) else 'delete'
         record = HistoryRecord(
-            revision=changed.revision,
+            revision=self.state.catalogue.revision,
             at_ms=command.at_ms,
             operator=command.operator,
             command_id=command.command_id,
-            action=action,
+            action=_action(command),
             name=command.name,
             reason=command.reason,
             content_digest=digest,
-            previous_digest=previous,
+            previous_digest=history[-1].digest if history else GENESIS_DIGEST,
         )
         history.append(record.sealed())
-        return msgspec.structs.replace(
-            self._result(CommandStatus.done),
-            entry_revision=changed.entry_revision(command.name),
-        )
 
     def _claim(self, index: int, command: ClaimKey) -> CommandResult:
-        scope = (command.caller, command.service, command.key)
-        held = self.state.claims.get(scope)
-        if held is None:
-            self.state.claims[scope] = _new_claim(index, command)
-            return self._claim_result(
-                CommandStatus.claim_granted,
-                self.state.claims[scope],
-            )
-        return self._claim_result(_claim_status(held, command), held)
-
-    def _claim_result(
-        self,
-        status: CommandStatus,
-        claim: Claim,
-    ) -> CommandResult:
+        if command.incarnation:
+            vm = self.state.vms.get(command.vm)
+            if vm is None or vm.incarnation != command.incarnation:
+                return self._result(CommandStatus.claim_unregistered)
+        claims = self.state.claims
+        status, claim = claims.claim(index, command)
         return msgspec.structs.replace(
             self._result(status),
-            claim=claim.index,
-            outcome=claim.outcome,
+            claim=claim.index if claim else 0,
+            outcome=claim.outcome if claim else None,
         )
 
-    def _end_claim(self, index: int, command: EndClaim) -> CommandResult:
-        for scope, claim in self.state.claims.items():
-            if claim.index == command.claim:
-                self._settle(scope, claim, command)
-                return self._result(CommandStatus.done)
-        return self._result(CommandStatus.not_found)
 
-    def _settle(
-        self,
-        scope: tuple[str, str, str],
-        claim: Claim,
-        command: EndClaim,
-    ) -> None:
-        if claim.outcome is not None:
-            return
-        if command.outcome is None and not command.in_doubt:
-            self.state.claims.pop(scope)
-            return
-        self.state.claims[scope] = msgspec.structs.replace(
-            claim,
-            outcome=command.outcome,
-            in_doubt=command.in_doubt,
-        )
+def _keep_drain(vm: VmRecord, present: VmRecord | None) -> VmRecord:
+    """Keep an operator's drain while a VM registers itself again."""
+    if present is None or not vm.incarnation:
+        return vm
+    if present.incarnation != vm.incarnation:
+        return vm
+    draining = present.draining or vm.draining
+    return msgspec.structs.replace(vm, draining=draining)
+
+
+def _needs_fit(command: PutEntry | DeleteEntry) -> bool:
+    """Tell whether a change may need more memory than there is."""
+    if isinstance(command, DeleteEntry):
+        return True
+    if isinstance(command.entry, ServiceEntry):
+        return False
+    is_new = command.expected_revision == 0
+    return not (is_new and isinstance(command.entry, UpstreamEntry))
 
 
-def _content_digest(command: PutEntry | DeleteEntry) -> str:
+def _action(command: OperatorChange) -> str:
+    match command:
+        case PutEntry():
+            return 'put'
+        case DeleteEntry():
+            return 'delete'
+        case DrainVm():
+            return 'drain' if command.draining else 'undrain'
+
+
+def _content_digest(command: OperatorChange) -> str:
     content = msgspec.structs.replace(command, at_ms=0)
     encoded = msgspec.json.encode(content, order='sorted')
     return hashlib.sha256(encoded).hexdigest()
-
-
-def _new_claim(index: int, command: ClaimKey) -> Claim:
-    return Claim(
-        index=index,
-        at_ms=command.at_ms,
-        caller=command.caller,
-        service=command.service,
-        key=command.key,
-        content_digest=command.content_digest,
-        request_id=command.request_id,
-        vm=command.vm,
-    )
-
-
-def _claim_status(held: Claim, command: ClaimKey) -> CommandStatus:
-    if held.content_digest != command.content_digest:
-        return CommandStatus.claim_conflict
-    if held.outcome is not None:
-        return CommandStatus.claim_completed
-    if held.in_doubt:
-        return CommandStatus.claim_in_doubt
-    if held.request_id == command.request_id:
-        return CommandStatus.claim_granted
-    return CommandStatus.claim_held
--- a/persimmonhold/control/machine/_control_state.py
+++ b/persimmonhold/control/machine/_control_state.py
@@ -6,34 +6,53 @@
 from typing import final
 
 from persimmonhold.catalogue import Catalogue
-from persimmonhold.control.machine._claim import Claim
+from persimmonhold.control.machine._claim_table import ClaimTable
+from persimmonhold.control.machine._command_ledger import CommandLedger
 from persimmonhold.control.machine._history_record import HistoryRecord
-from persimmonhold.control.machine._operator_command import OperatorCommand
+from persimmonhold.control.machine._machine_limits import MachineLimits
+from persimmonhold.control.machine._view_state import CopyKey, ViewState
 from persimmonhold.messages import Copy, Order, VmRecord
 
 
 @final
 class ControlState:
-    """Catalogue, history, command results, orders, copies, claims, VMs."""
+    """Catalogue, history, command results, orders, copies, claims, VMs.
+
+    `clock_ms` is the latest time of any command applied; retention is
+    counted by it, so that each replica expires alike.
+    """
 
     __slots__ = (
-        'catalogue',
         'claims',
+        'clock_ms',
         'commands',
-        'copies',
         'history',
         'index',
         'orders',
-        'vms',
+        'view',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, limits: MachineLimits) -> None:
         """Create the state before the first command."""
         self.index = 0
-        self.catalogue = Catalogue()
+        self.clock_ms = 0
+        self.view = ViewState(limits.change_log_length)
         self.history: list[HistoryRecord] = []
-        self.commands: dict[tuple[str, str], OperatorCommand] = {}
+        self.commands = CommandLedger(limits)
         self.orders: dict[int, Order] = {}
-        self.copies: dict[tuple[str, str, str, str], Copy] = {}
-        self.claims: dict[tuple[str, str, str], Claim] = {}
-        self.vms: dict[str, VmRecord] = {}
+        self.claims = ClaimTable(limits)
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The catalogue in force."""
+        return self.view.catalogue
+
+    @property
+    def copies(self) -> dict[CopyKey, Copy]:
+        """The copies by target, version, upstream and accelerator."""
+        return self.view.copies
+
+    @property
+    def vms(self) -> dict[str, VmRecord]:
+        """The registered VMs by name."""
+        return self.view.vms
--- a/persimmonhold/control/machine/_operator_command.py
+++ b/persimmonhold/control/machine/_operator_command.py
@@ -9,7 +9,10 @@
 
 @final
 class OperatorCommand(msgspec.Struct, frozen=True, kw_only=True):
-    """The digest of the content and the first answer."""
+    """Whose it was, the digest of the content, and the first answer."""
 
+    operator: str
+    command_id: str
+    at_ms: int
     content_digest: str
     result: CommandResult
--- /dev/null
+++ b/persimmonhold/control/machine/_state_image.py
@@ -0,0 +1,64 @@
+"""The encoded form of the replicated state."""
+
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.control.machine._claim import Claim
+from persimmonhold.control.machine._control_state import ControlState
+from persimmonhold.control.machine._digest_set import DigestSet
+from persimmonhold.control.machine._history_record import HistoryRecord
+from persimmonhold.control.machine._machine_limits import MachineLimits
+from persimmonhold.control.machine._operator_command import OperatorCommand
+from persimmonhold.messages import ControlView, Order
+
+IMAGE_VERSION: Final = 1
+
+
+@final
+class StateImage(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that a replica needs to go on; `version` is checked."""
+
+    version: int
+    index: int
+    clock_ms: int
+    view: ControlView
+    history: tuple[HistoryRecord, ...]
+    commands: tuple[OperatorCommand, ...]
+    expired: bytes
+    orders: tuple[Order, ...]
+    claims: tuple[Claim, ...]
+
+
+def take_image(state: ControlState) -> StateImage:
+    """Return the image of a state; later commands leave it alone."""
+    claims = sorted(
+        state.claims.by_scope.values(),
+        key=lambda claim: claim.index,
+    )
+    return StateImage(
+        version=IMAGE_VERSION,
+        index=state.index,
+        clock_ms=state.clock_ms,
+        view=state.view.view(),
+        history=tuple(state.history),
+        commands=tuple(state.commands.answered.values()),
+        expired=state.commands.expired.encode(),
+        orders=tuple(state.orders.values()),
+        claims=tuple(claims),
+    )
+
+
+def load_image(image: StateImage, limits: MachineLimits) -> ControlState:
+    """Return the state that an image describes."""
+    state = ControlState(limits)
+    state.index = image.index
+    state.clock_ms = image.clock_ms
+    state.view.adopt(image.view)
+    state.history.extend(image.history)
+    state.commands.expired = DigestSet(image.expired)
+    for command in image.commands:
+        state.commands.record(command)
+    state.orders.update({order.fence: order for order in image.orders})
+    state.claims.restore(image.claims)
+    return state
--- /dev/null
+++ b/persimmonhold/control/machine/_verify_history.py
@@ -0,0 +1,27 @@
+"""Proves the chain of the history."""
+
+from collections.abc import Iterable
+
+from persimmonhold.control.machine._history_record import (
+    GENESIS_DIGEST,
+    HistoryRecord,
+)
+
+
+def verify_history(
+    records: Iterable[HistoryRecord],
+    previous_digest: str = GENESIS_DIGEST,
+) -> str:
+    """Return what breaks the chain after `previous_digest`, or nothing."""
+    revision = 0
+    for record in records:
+        place = f'record of revision {record.revision}'
+        if record.previous_digest != previous_digest:
+            return f'{place}: does not follow the record before'
+        if record.digest != record.expected_digest():
+            return f'{place}: content differs from its digest'
+        if record.revision < revision:
+            return f'{place}: revision falls'
+        revision = record.revision
+        previous_digest = record.digest
+    return ''
--- /dev/null
+++ b/persimmonhold/control/machine/_view_state.py
@@ -0,0 +1,153 @@
+"""The control view, changed step by step.
+
+Invariants: the index only rises; equal contents give equal digests, however
+they were reached; a change costs what it touches, and the view is put
+together only when it is asked for. Control replicas and readers share this
+class.
+"""
+
+import hashlib
+from collections import deque
+from typing import Final, TypeAlias, final
+
+import msgspec
+
+from persimmonhold.catalogue import Catalogue, StoredEntry
+from persimmonhold.messages import ControlView, Copy, ViewChange, VmRecord
+
+CopyKey: TypeAlias = tuple[str, str, str, str]
+_DIGEST_BYTES: Final = 8
+
+
+@final
+class ViewState:
+    """Catalogue, copies and VMs, with the recent changes to them."""
+
+    __slots__ = (
+        '_changes',
+        '_view',
+        'catalogue',
+        'copies',
+        'digest',
+        'index',
+        'vms',
+    )
+
+    def __init__(self, change_log_length: int) -> None:
+        """Create an empty view that remembers that many changes."""
+        self.index = 0
+        self.digest = 0
+        self.catalogue = Catalogue()
+        self.copies: dict[CopyKey, Copy] = {}
+        self.vms: dict[str, VmRecord] = {}
+        self._changes: deque[ViewChange] = deque(maxlen=change_log_length)
+        self._view: ControlView | None = None
+
+    def view(self) -> ControlView:
+        """Return the view at the last change."""
+        if self._view is None:
+            self._view = ControlView(
+                index=self.index,
+                catalogue=self.catalogue,
+                copies=tuple(self.copies.values()),
+                vms=tuple(self.vms.values()),
+                digest=self.digest,
+            )
+        return self._view
+
+    def changes_since(self, index: int) -> tuple[ViewChange, ...] | None:
+        """Return what leads from `index` here; None where it is forgotten."""
+        found: list[ViewChange] = []
+        if index == self.index:
+            return ()
+        for change in reversed(self._changes):
+            found.append(change)
+            if change.previous == index:
+                return tuple(reversed(found))
+        return None
+
+    def apply(self, change: ViewChange) -> bool:
+        """Apply the next change; tell whether it was the next one."""
+        if change.previous != self.index or change.index <= self.index:
+            return False
+        self._apply_entry(change)
+        if change.copy is not None:
+            self._apply_copy(change.copy, gone=change.copy_gone)
+        if change.vm is not None:
+            self._apply_vm(change.vm, gone=change.vm_gone)
+        self.index = change.index
+        self._changes.append(change)
+        self._view = None
+        return True
+
+    def adopt(self, view: ControlView) -> bool:
+        """Take a whole view over; tell whether it was newer and sound."""
+        digest = view_digest(view)
+        if view.index <= self.index or digest != view.digest:
+            return False
+        self.index = view.index
+        self.catalogue = view.catalogue
+        self.copies = {copy_key(copy): copy for copy in view.copies}
+        self.vms = {vm.name: vm for vm in view.vms}
+        self.digest = digest
+        self._changes.clear()
+        self._view = view
+        return True
+
+    def _apply_entry(self, change: ViewChange) -> None:
+        stored = change.stored
+        name = change.removed if stored is None else stored.entry.name
+        if not name:
+            return
+        entries = dict(self.catalogue.entries)
+        self._exchange(entries.pop(name, None), stored)
+        if stored is not None:
+            entries[name] = stored
+        self.catalogue = Catalogue(change.revision, entries)
+
+    def _apply_copy(self, copy: Copy, *, gone: bool) -> None:
+        key = copy_key(copy)
+        self._exchange(self.copies.pop(key, None), None if gone else copy)
+        if not gone:
+            self.copies[key] = copy
+
+    def _apply_vm(self, vm: VmRecord, *, gone: bool) -> None:
+        self._exchange(self.vms.pop(vm.name, None), None if gone else vm)
+        if not gone:
+            self.vms[vm.name] = vm
+
+    def _exchange(
+        self,
+        old: StoredEntry | Copy | VmRecord | None,
+        new: StoredEntry | Copy | VmRecord | None,
+    ) -> None:
+        self.digest ^= _item_digest(old) ^ _item_digest(new)
+
+
+def copy_key(copy: Copy) -> CopyKey:
+    """Return what identifies a copy."""
+    return (copy.target, copy.version, copy.upstream, copy.accelerator)
+
+
+def view_digest(view: ControlView) -> int:
+    """Return the digest that the items of a view give."""
+    digest = 0
+    for stored in view.catalogue.entries.values():
+        digest ^= _item_digest(stored)
+    for copy in view.copies:
+        digest ^= _item_digest(copy)
+    for vm in view.vms:
+        digest ^= _item_digest(vm)
+    return digest
+
+
+def _item_digest(item: StoredEntry | Copy | VmRecord | None) -> int:
+    if item is None:
+        return 0
+    encoded = msgspec.msgpack.encode(item)
+    hashed = hashlib.blake2b(
+        encoded,
+        digest_size=_DIGEST_BYTES,
+        person=type(item).__name__.encode(),
+    )
+    return int.from_bytes(hashed.digest(), 'little')
--- a/persimmonhold/messages/__init__.py
+++ b/persimmonhold/messages/__init__.py
@@ -19,6 +19,7 @@
     prefix_hashes,
 )
 from persimmonhold.messages._residency import Residency
+from persimmonhold.messages._view_change import ViewChange
 from persimmonhold.messages._vm_record import VmRecord
 
 __all__ = (
@@ -38,6 +39,7 @@
     'OrderKind',
     'OrderOutcome',
     'Residency',
+    'ViewChange',
     'VmRecord',
     'prefix_hashes',
 )
--- a/persimmonhold/messages/_control_view.py
+++ b/persimmonhold/messages/_control_view.py
@@ -13,10 +13,13 @@
 class ControlView(msgspec.Struct, frozen=True, kw_only=True):
     """Catalogue, copies and VMs at one index of the control log.
 
-    Invariant: a reader never replaces its view by one of a lower index.
+    `index` is the log index of the last command that changed the view, and
+    `digest` a hash of its items whatever their order. Invariant: a reader
+    never replaces its view by one of a lower index.
     """
 
     index: int = 0
     catalogue: Catalogue = Catalogue()
     copies: tuple[Copy, ...] = ()
     vms: tuple[VmRecord, ...] = ()
+    digest: int = 0
--- /dev/null
+++ b/persimmonhold/messages/_view_change.py
@@ -0,0 +1,33 @@
+"""One change of the control view."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.catalogue import StoredEntry
+from persimmonhold.messages._copy import Copy
+from persimmonhold.messages._vm_record import VmRecord
+
+
+@final
+class ViewChange(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+):
+    """Leads from the view at `previous` to the view at `index`.
+
+    `revision` is that of the catalogue afterwards. One of `stored` (an entry
+    put), `removed` (the name of a deleted entry), `copy` and `vm` is set.
+    """
+
+    index: int
+    previous: int
+    revision: int
+    stored: StoredEntry | None = None
+    removed: str = ''
+    copy: Copy | None = None
+    copy_gone: bool = False
+    vm: VmRecord | None = None
+    vm_gone: bool = False
--- a/persimmonhold/messages/_vm_record.py
+++ b/persimmonhold/messages/_vm_record.py
@@ -9,7 +9,8 @@
 class VmRecord(msgspec.Struct, frozen=True, kw_only=True):
     """A VM: its addresses (`ip:port`, empty without that role) and state.
 
-    `draining` takes it out of the directory of entries.
+    `draining` takes it out of the directory of entries. `incarnation`
+    changes with each start of the process.
     """
 
     name: str
@@ -19,3 +20,4 @@
     peers: str = ''
     weight: float = 1
     draining: bool = False
+    incarnation: str = ''
