--- a/persimmonhold/cli/_catalogue_commands.py
+++ b/persimmonhold/cli/_catalogue_commands.py
@@ -13,7 +13,7 @@
 )
 from persimmonhold.cli._exit_code import ExitCode
 from persimmonhold.cli._operator_session import OperatorSession
-from persimmonhold.control.machine import HistoryRecord
+from persimmonhold.control.machine import HistoryRecord, verify_history
 from persimmonhold.deployment import read_catalogue
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.operations import (
@@ -21,7 +21,6 @@
     OperatorClient,
     OperatorReply,
     apply_entry,
-    find_broken_link,
 )
 
 _POLL_S: Final = 0.2
@@ -181,11 +180,11 @@
     if isinstance(document, Failure):
         return failure_output(document)
     records = msgspec.convert(document['history'], tuple[HistoryRecord, ...])
-    broken = find_broken_link(records) if verify else None
-    if broken is not None:
+    broken = verify_history(records) if verify else ''
+    if broken:
         return CommandOutput(
-            text=f'persimmonhold: the history is broken at revision {broken}',
-            document={'broken_revision': broken},
+            text=f'persimmonhold: the history is broken: {broken}',
+            document={'broken': broken},
             exit_code=ExitCode.audit_mismatch,
         )
     shown = [record for record in records if record.revision > since]
--- a/persimmonhold/operations/__init__.py
+++ b/persimmonhold/operations/__init__.py
@@ -6,7 +6,6 @@
     ChangeKind,
     apply_entry,
 )
-from persimmonhold.operations._history_check import find_broken_link
 from persimmonhold.operations._operator_client import OperatorClient
 from persimmonhold.operations._operator_reply import OperatorReply
 
@@ -17,5 +16,4 @@
     'OperatorClient',
     'OperatorReply',
     'apply_entry',
-    'find_broken_link',
 )
