Router by predicted first token and Dispatcher with queues, first version

Cause: entry code needs the types of the seam routing and admission. Change: Router (predicted time to first token, prefix belief, ejection, subsets) and Dispatcher (queues, limits, fairness, preemption, retry budget); the two call sites adapted. The router is given attempts as objects, so that an upstream that leaves and returns keeps true counts.

--- /dev/null
+++ b/persimmonhold/admission/_dispatcher_settings.py
@@ -0,0 +1,30 @@
+"""The numbers that admission decides by."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class DispatcherSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of queues and budgets; times in seconds."""
+
+    queue_requests: int = 512
+    queue_tokens: int = 4_000_000
+    class_concurrent_requests: int = 4096
+    max_callers: int = 1024
+    caller_buckets: int = 64
+    loading_hold_s: float = 10.0
+    absent_hold_s: float = 2.0
+    batch_aging_s: float = 20.0
+    batch_turn: int = 16
+    max_preemptions: int = 3
+    retry_ratio: float = 0.1
+    retry_burst: float = 10.0
+    limit_decrease: float = 0.8
+    limit_bound_share: float = 0.8
+    upstream_wait_share: float = 0.5
+    limit_window_s: float = 1.0
+    pump_interval_s: float = 0.05
+    retry_after_max_s: float = 60.0
+    demand_period_s: float = 5.0
--- /dev/null
+++ b/persimmonhold/admission/_forecast.py
@@ -0,0 +1,92 @@
+"""How long a request may wait, and how long it is expected to.
+
+An interactive request may wait for as long as its first token can still
+come in time, any other for as long as it can still end by its deadline.
+Where no upstream serves the target, a request may wait for a load that is
+under way, within its deadline and a bound.
+"""
+
+from typing import Final, final
+
+from persimmonhold.admission._dispatcher_settings import DispatcherSettings
+from persimmonhold.admission._launcher import route_request
+from persimmonhold.admission._pending import Pending
+from persimmonhold.admission._target_record import TargetRecord
+from persimmonhold.admission._waiting_room import WaitingRoom
+from persimmonhold.catalogue import ServiceClass
+from persimmonhold.routing import Router
+
+_MS_PER_S: Final = 1000
+_LEAST_PATIENCE: Final = 0.25
+
+
+@final
+class Forecast:
+    """What is learned about targets, and what follows for requests."""
+
+    __slots__ = ('_records', '_room', '_router', '_settings')
+
+    def __init__(
+        self,
+        router: Router,
+        room: WaitingRoom,
+        settings: DispatcherSettings,
+    ) -> None:
+        """Create a forecast without experience."""
+        self._router = router
+        self._room = room
+        self._settings = settings
+        self._records: dict[str, TargetRecord] = {}
+
+    def record(self, target: str) -> TargetRecord:
+        """Return what is learned about a target."""
+        found = self._records.get(target)
+        if found is None:
+            found = TargetRecord(self._router.interval_s(target))
+            self._records[target] = found
+        return found
+
+    def keep(self, targets: frozenset[str]) -> None:
+        """Forget targets that are no longer catalogued."""
+        self._records = {
+            target: record
+            for target, record in self._records.items()
+            if target in targets
+        }
+
+    def wait_s(self, pending: Pending) -> float:
+        """Return the expected wait of a request that joins its queue."""
+        ahead = self._room.ahead_of(pending)
+        return (ahead + 1) * self.record(pending.ticket.target).interval_s
+
+    def service_s(self, pending: Pending) -> float:
+        """Return the expected time from dispatch to the end."""
+        ticket = pending.ticket
+        known_s = self.record(ticket.target).service_s
+        request = route_request(pending, frozenset())
+        least_s = self._router.first_token_s(request)
+        if ticket.service_class is ServiceClass.interactive:
+            return least_s
+        return max(least_s, known_s or 0)
+
+    def expires_at(self, pending: Pending, now: float) -> float:
+        """Return until when a request may wait."""
+        ticket = pending.ticket
+        latest = max(now, ticket.deadline - self.service_s(pending))
+        if not self._router.has_site(ticket.target, now):
+            return min(latest, now + self._hold_s(ticket.target))
+        if pending.is_batch or pending.delivered_tokens:
+            return latest
+        if ticket.service_class is ServiceClass.interactive:
+            return min(latest, now + self._patience_s(pending))
+        return latest
+
+    def _hold_s(self, target: str) -> float:
+        if self._router.is_loading(target):
+            return self._settings.loading_hold_s
+        return self._settings.absent_hold_s
+
+    def _patience_s(self, pending: Pending) -> float:
+        bound_s = pending.ticket.bounds.first_token_ms / _MS_PER_S
+        left_s = bound_s - self.service_s(pending)
+        return max(left_s, bound_s * _LEAST_PATIENCE)
--- /dev/null
+++ b/persimmonhold/admission/_refuse.py
@@ -0,0 +1,15 @@
+"""The action that refuses a request."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.failures import Refusal
+
+
+@final
+class Refuse(msgspec.Struct, frozen=True):
+    """Answer the caller with the refusal now; the request is forgotten."""
+
+    request_id: str
+    refusal: Refusal
--- /dev/null
+++ b/persimmonhold/admission/_retry_reason.py
@@ -0,0 +1,48 @@
+"""Why an attempt has to be repeated."""
+
+import enum
+from types import MappingProxyType
+from typing import Final, final
+
+from persimmonhold.routing import AttemptOutcome
+
+
+@final
+@enum.unique
+class RetryReason(enum.StrEnum):
+    """What became of the last attempt.
+
+    After the first three the request was certainly not run.
+    """
+
+    connect_failed = 'connect_failed'
+    nothing_sent = 'nothing_sent'
+    upstream_refused = 'upstream_refused'
+    timed_out = 'timed_out'
+    broken = 'broken'
+    server_error = 'server_error'
+
+    @property
+    def certainly_not_run(self) -> bool:
+        """Tell whether the request was certainly not run."""
+        return self in _NOT_RUN
+
+    @property
+    def outcome(self) -> AttemptOutcome:
+        """The end of the attempt, as the router counts it."""
+        return _OUTCOMES[self]
+
+
+_NOT_RUN: Final = frozenset((
+    RetryReason.connect_failed,
+    RetryReason.nothing_sent,
+    RetryReason.upstream_refused,
+))
+_OUTCOMES: Final = MappingProxyType({
+    RetryReason.connect_failed: AttemptOutcome.connect_failed,
+    RetryReason.nothing_sent: AttemptOutcome.broken,
+    RetryReason.upstream_refused: AttemptOutcome.refused,
+    RetryReason.timed_out: AttemptOutcome.timed_out,
+    RetryReason.broken: AttemptOutcome.broken,
+    RetryReason.server_error: AttemptOutcome.server_error,
+})
--- /dev/null
+++ b/persimmonhold/admission/_token_bucket.py
@@ -0,0 +1,42 @@
+"""A bucket that fills at a constant rate."""
+
+from typing import final
+
+
+@final
+class TokenBucket:
+    """Permits `rate` takings a second and bursts of `burst`."""
+
+    __slots__ = ('_at', '_burst', '_level', '_rate')
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        """Create a full bucket."""
+        self._rate = rate
+        self._burst = burst
+        self._level = burst
+        self._at = now
+
+    def take(self, now: float) -> bool:
+        """Take one; return False where less than one is left."""
+        self._fill(now)
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+    def wait_s(self, now: float) -> float:
+        """Return the seconds until one can be taken."""
+        self._fill(now)
+        return max(0, 1 - self._level) / self._rate
+
+    def go_on_at(self, rate: float, burst: float, now: float) -> None:
+        """Go on with another rate."""
+        self._fill(now)
+        self._rate = rate
+        self._burst = burst
+        self._level = min(burst, self._level)
+
+    def _fill(self, now: float) -> None:
+        gained = max(0, now - self._at) * self._rate
+        self._level = min(self._burst, self._level + gained)
+        self._at = now
--- /dev/null
+++ b/persimmonhold/admission/_upstream_uses.py
@@ -0,0 +1,90 @@
+"""What one entry has in flight, by upstream.
+
+Invariant: the full sets are those of the counts and limits at every moment
+between two calls.
+"""
+
+from typing import Final, final
+
+from persimmonhold.admission._concurrency_limit import ConcurrencyLimit
+from persimmonhold.admission._dispatcher_settings import DispatcherSettings
+from persimmonhold.admission._pending import Pending
+from persimmonhold.admission._upstream_use import UpstreamUse
+
+_CEILING_BATCHES: Final = 2
+_MIN_INITIAL: Final = 2.0
+
+
+@final
+class UpstreamUses:
+    """Use by upstream name; `entries` share the upstreams."""
+
+    __slots__ = (
+        '_full_for_batch',
+        '_full_for_urgent',
+        '_settings',
+        'by_name',
+        'entries',
+    )
+
+    def __init__(self, settings: DispatcherSettings) -> None:
+        """Create the use of an idle entry."""
+        self.entries = 1
+        self.by_name: dict[str, UpstreamUse] = {}
+        self._full_for_batch: frozenset[str] = frozenset()
+        self._full_for_urgent: frozenset[str] = frozenset()
+        self._settings = settings
+
+    def full(self, *, for_batch: bool) -> frozenset[str]:
+        """Return the upstreams that take no more of such work."""
+        return self._full_for_batch if for_batch else self._full_for_urgent
+
+    def add(self, pending: Pending, upstream: str, slots: int) -> UpstreamUse:
+        """Count a request that is sent to an upstream of so many slots."""
+        use = self.by_name.get(upstream)
+        if use is None:
+            ceiling = float(_CEILING_BATCHES * slots)
+            initial = max(_MIN_INITIAL, ceiling / self.entries)
+            limit = ConcurrencyLimit(initial, ceiling, self._settings)
+            use = UpstreamUse(limit)
+            self.by_name[upstream] = use
+        use.add(pending)
+        self._refresh(upstream, use)
+        return use
+
+    def remove(self, pending: Pending, upstream: str) -> None:
+        """Stop counting a request."""
+        use = self.by_name.get(upstream)
+        if use:
+            use.remove(pending)
+            self._refresh(upstream, use)
+
+    def judge(self, upstream: str, now: float, *, in_time: bool) -> None:
+        """Adapt the limit of an upstream."""
+        use = self.by_name.get(upstream)
+        if use is None:
+            return
+        if in_time:
+            use.limit.succeed(use.in_flight)
+        else:
+            use.limit.fail(now)
+        self._refresh(upstream, use)
+
+    def keep(self, upstreams: frozenset[str]) -> None:
+        """Forget idle upstreams that are not among the given ones."""
+        gone = [
+            name
+            for name, use in self.by_name.items()
+            if name not in upstreams and not use.in_flight
+        ]
+        for name in gone:
+            self.by_name.pop(name)
+        self._full_for_batch -= frozenset(gone)
+        self._full_for_urgent -= frozenset(gone)
+
+    def _refresh(self, upstream: str, use: UpstreamUse) -> None:
+        own = frozenset((upstream,))
+        if use.is_full(for_batch=True) != (upstream in self._full_for_batch):
+            self._full_for_batch ^= own
+        if use.is_full(for_batch=False) != (upstream in self._full_for_urgent):
+            self._full_for_urgent ^= own
--- a/persimmonhold/cli/_dev_system.py
+++ b/persimmonhold/cli/_dev_system.py
@@ -1,6 +1,7 @@
 """Control, entry and stand-ins in one process on one loop."""
 
 import asyncio
+import random
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import TracebackType
@@ -20,7 +21,7 @@
 from persimmonhold.entry import EntryHandler
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import Metrics
-from persimmonhold.routing import Router
+from persimmonhold.routing import Router, RouterSettings
 from persimmonhold.settings import StandinSection
 from persimmonhold.standin import Standin
 from persimmonhold.web import Address, HttpBounds, HttpServer
@@ -86,8 +87,14 @@
         await self._start_standins(stack)
         await self._apply_sample()
         self.link.view = self.node.view()
-        router = Router(seed=0)
-        router.adopt_view(self.link.view)
+        router = Router(
+            'local',
+            'dev',
+            RouterSettings(),
+            random.Random(0),
+        )
+        now = asyncio.get_running_loop().time()
+        router.adopt_view(self.link.view, now)
         entry = EntryHandler(self.link, router, Metrics(), _TTL_S)
         callers = HttpServer(self.callers, entry, HttpBounds())
         operators = HttpServer(
@@ -112,7 +119,8 @@
         while True:
             await self.link.changed.wait()
             self.link.changed.clear()
-            router.adopt_view(self.link.view)
+            now = asyncio.get_running_loop().time()
+            router.adopt_view(self.link.view, now)
 
     async def _start_standins(self, stack: AsyncExitStack) -> None:
         for name in _ENGINES:
--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -19,7 +19,7 @@
 from persimmonhold.failures import Ran, Refusal, RefusalReason
 from persimmonhold.messages import prefix_hashes
 from persimmonhold.observability import Metrics, metric
-from persimmonhold.routing import Router, RouteRequest
+from persimmonhold.routing import AttemptOutcome, Router, RouteRequest
 from persimmonhold.web import (
     REQUEST_ID,
     ClientRequest,
@@ -137,10 +137,12 @@
             headers=_upstream_headers(context),
             body=body,
         )
-        self._router.attempt_started(route.upstream, now)
+        attempt = self._router.attempt_started(route, wanted, now)
         relayed = await Relay(context, route).run(request)
         ok = not isinstance(relayed, Failed)
-        self._router.attempt_ended(route.upstream, now, ok=ok)
+        outcome = AttemptOutcome.completed if ok else AttemptOutcome.broken
+        now = asyncio.get_running_loop().time()
+        self._router.attempt_ended(attempt, outcome, now)
         self._metrics.increment(
             metric.REQUESTS,
             service_class=wanted.service_class,
--- /dev/null
+++ b/persimmonhold/routing/_attempt_outcome.py
@@ -0,0 +1,35 @@
+"""How an attempt at an upstream ended."""
+
+import enum
+from typing import Final, final
+
+
+@final
+@enum.unique
+class AttemptOutcome(enum.StrEnum):
+    """The ends of an attempt, as evidence about the upstream.
+
+    `refused` is an explicit answer that the request was not run;
+    `cancelled` is an end that this entry or the caller wanted.
+    """
+
+    completed = 'completed'
+    cancelled = 'cancelled'
+    refused = 'refused'
+    connect_failed = 'connect_failed'
+    timed_out = 'timed_out'
+    broken = 'broken'
+    server_error = 'server_error'
+
+    @property
+    def is_failure(self) -> bool:
+        """Tell whether the end speaks against the upstream."""
+        return self in _FAILURES
+
+
+_FAILURES: Final = frozenset((
+    AttemptOutcome.connect_failed,
+    AttemptOutcome.timed_out,
+    AttemptOutcome.broken,
+    AttemptOutcome.server_error,
+))
--- /dev/null
+++ b/persimmonhold/routing/_copy_site.py
@@ -0,0 +1,19 @@
+"""Where a target can be served."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.catalogue import UpstreamEntry
+
+
+@final
+class CopySite(msgspec.Struct, frozen=True):
+    """An upstream that serves a target, and the version it serves.
+
+    `is_current` tells whether that is the version of the catalogue.
+    """
+
+    upstream: UpstreamEntry
+    version: str
+    is_current: bool
--- a/persimmonhold/routing/_route_request.py
+++ b/persimmonhold/routing/_route_request.py
@@ -11,12 +11,16 @@
 class RouteRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request for a model, an adapter or a plain service.
 
-    `excluded` names upstreams that already failed this request.
+    `excluded` names upstreams that already failed this request; `full` names
+    upstreams that take no more work of this class now. `base` is the model
+    below an adapter, else empty.
     """
 
     target: str
     service_class: ServiceClass
+    base: str = ''
     is_service: bool = False
     prompt_tokens: int = 0
     prefixes: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
+    full: frozenset[str] = frozenset()
--- a/persimmonhold/routing/_router.py
+++ b/persimmonhold/routing/_router.py
@@ -1,75 +1,283 @@
 """Chooses an upstream for a request.
 
-Invariant: only upstreams with a serving copy of the target are chosen.
+Invariants: a route leads to a site of the target in the adopted view, never
+to an upstream that is leaving, excluded or full, and to an ejected one only
+where more than the permitted share of the target's sites is ejected.
 """
 
 import random
-from typing import final
+from collections.abc import Sequence
+from typing import Final, final
 
-from persimmonhold.catalogue import UpstreamEntry
-from persimmonhold.messages import ControlView, CopyState
+from persimmonhold.messages import CacheEventPage, ControlView, LoadReport
+from persimmonhold.routing._attempt import Attempt
+from persimmonhold.routing._attempt_outcome import AttemptOutcome
+from persimmonhold.routing._copy_index import CopyIndex
+from persimmonhold.routing._copy_site import CopySite
 from persimmonhold.routing._route import Route
 from persimmonhold.routing._route_request import RouteRequest
+from persimmonhold.routing._router_settings import RouterSettings
+from persimmonhold.routing._site_chooser import SiteChooser
+from persimmonhold.routing._subset import Subset, order_sites
+from persimmonhold.routing._upstream_state import UpstreamState
+
+_MS_PER_S: Final = 1000
+_LEAST_ENDS_PER_S: Final = 0.01
 
 
 @final
 class Router:
-    """Picks the less used of two random candidates."""
+    """The routing state of one entry."""
 
-    __slots__ = ('_in_flight', '_random', '_view')
+    __slots__ = (
+        '_chooser',
+        '_entry_name',
+        '_failure_domain',
+        '_settings',
+        '_subsets',
+        'index',
+        'states',
+        'view',
+    )
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        own_failure_domain: str,
+        entry_name: str,
+        settings: RouterSettings,
+        source: random.Random,
+    ) -> None:
         """Create a router without a view."""
-        self._view = ControlView()
-        self._in_flight: dict[str, int] = {}
-        self._random = random.Random(seed)
+        self.view = ControlView()
+        self.index = CopyIndex(self.view)
+        self.states: dict[str, UpstreamState] = {}
+        self._failure_domain = own_failure_domain
+        self._entry_name = entry_name
+        self._settings = settings
+        self._chooser = SiteChooser(
+            own_failure_domain,
+            self.states,
+            settings,
+            source,
+        )
+        self._subsets: dict[str, Subset] = {}
 
-    def adopt_view(self, view: ControlView) -> None:
+    def adopt_view(self, view: ControlView, now: float) -> None:
         """Route by a newer view from now on."""
-        self._view = view
+        self.view = view
+        self.index = CopyIndex(view)
+        for gone in self.states.keys() - self.index.upstreams.keys():
+            self.states.pop(gone)
+        for new in self.index.upstreams.keys() - self.states.keys():
+            self.states[new] = UpstreamState(self._settings)
+        known = self._subsets
+        self._subsets = {}
+        for target, sites in self.index.sites.items():
+            ordered = order_sites(self._entry_name, self._failure_domain, sites)
+            subset = known.get(target) or Subset(ordered, self._settings)
+            subset.arrange(ordered, now)
+            self._subsets[target] = subset
+
+    def observe_load(
+        self,
+        upstream: str,
+        report: LoadReport,
+        now: float,
+    ) -> None:
+        """Take a load report; one older than the last is ignored."""
+        state = self.states.get(upstream)
+        if state is None:
+            return
+        known = state.load.report
+        if not state.load.observe(report, now):
+            return
+        state.health.leaving_by_report = report.leaving
+        if known and known.boot_id != report.boot_id:
+            state.health.restart(now)
+
+    def observe_leaving(
+        self,
+        upstream: str,
+        leaving: bool,
+        now: float,
+    ) -> None:
+        """Take what the VM list says of an upstream."""
+        state = self.states.get(upstream)
+        if state:
+            state.health.leaving_by_list = leaving
+
+    def observe_unreachable(self, upstream: str, now: float) -> None:
+        """Take a refused connection as a sign of leaving."""
+        state = self.states.get(upstream)
+        if state:
+            state.health.lose(now)
+
+    def observe_cache_events(
+        self,
+        upstream: str,
+        page: CacheEventPage,
+        now: float,
+    ) -> None:
+        """Take a page of cache events."""
+        state = self.states.get(upstream)
+        if state:
+            state.prefixes.observe(page)
 
     def choose(self, request: RouteRequest, now: float) -> Route | None:
-        """Return a route, or None where no upstream can serve."""
-        candidates = self._candidates(request)
-        if not candidates:
+        """Return a route, or None where no upstream can serve now."""
+        subset = self._subsets.get(request.target)
+        if subset is None:
             return None
-        sampled = self._random.sample(candidates, min(2, len(candidates)))
-        chosen = min(sampled, key=self._outstanding)
-        return Route(
-            upstream=chosen.name,
-            address=chosen.address,
-            failure_domain=chosen.failure_domain,
-            explanation=f'least used of {len(sampled)} sampled',
+        usable = self._usable(subset.sites, request, now)
+        if not usable:
+            usable = self._usable(subset.ordered, request, now)
+        free = [site for site in usable if _name(site) not in request.full]
+        if usable and not free and subset.grow():
+            return self.choose(request, now)
+        if not free:
+            return None
+        if request.is_service:
+            return self._chooser.choose_replica(free)
+        return self._chooser.choose_engine(free, request, now)
+
+    def has_site(self, target: str, now: float) -> bool:
+        """Tell whether an upstream that serves a target can be reached."""
+        return any(
+            self.states[_name(site)].health.is_reachable(now)
+            for site in self.index.sites.get(target, ())
         )
 
-    def attempt_started(self, upstream: str, now: float) -> None:
-        """Count an attempt on an upstream."""
-        self._in_flight[upstream] = self._in_flight.get(upstream, 0) + 1
+    def is_exhausted(self, target: str, excluded: frozenset[str]) -> bool:
+        """Tell whether every upstream that serves a target is excluded."""
+        sites = self.index.sites.get(target, ())
+        if not sites or self.is_loading(target):
+            return False
+        return all(_name(site) in excluded for site in sites)
 
-    def attempt_ended(self, upstream: str, now: float, *, ok: bool) -> None:
-        """Stop counting an attempt."""
-        self._in_flight[upstream] = self._in_flight.get(upstream, 1) - 1
+    def is_loading(self, target: str) -> bool:
+        """Tell whether a copy of a target is being loaded or moved."""
+        return target in self.index.loading
 
-    def _outstanding(self, upstream: UpstreamEntry) -> int:
-        return self._in_flight.get(upstream.name, 0)
+    def slots(self, upstream: str) -> int:
+        """Return the number of requests in one batch of an upstream."""
+        state = self.states.get(upstream)
+        return state.load.slots if state else self._settings.default_slots
 
-    def _candidates(self, request: RouteRequest) -> list[UpstreamEntry]:
-        catalogue = self._view.catalogue
-        if request.is_service:
-            found = list(catalogue.replicas(request.target))
+    def wait_ms(self, upstream: str, now: float) -> float:
+        """Return the believed wait for a place at an upstream."""
+        state = self.states.get(upstream)
+        return state.load.wait_ms(now) if state else 0
+
+    def first_token_s(self, request: RouteRequest) -> float:
+        """Return the time to the first token at an idle upstream."""
+        sites = self.index.sites.get(request.target)
+        if request.is_service or not sites:
+            return 0
+        load = self.states[_name(sites[0])].load
+        idle_ms = load.prompt_ms(request.prompt_tokens) + load.step_ms()
+        return idle_ms / _MS_PER_S
+
+    def interval_s(self, target: str) -> float:
+        """Return the time between two ends at the upstreams of a target."""
+        sites = self.index.sites.get(target, ())
+        loads = [self.states[_name(site)].load for site in sites]
+        per_second = sum(load.slots / load.residence_s for load in loads)
+        entries = sum(bool(vm.callers) for vm in self.view.vms)
+        return max(1, entries) / max(per_second, _LEAST_ENDS_PER_S)
+
+    def subset(self, now: float) -> frozenset[str]:
+        """Return the upstreams that this entry polls and connects to."""
+        names: set[str] = set()
+        for subset in self._subsets.values():
+            subset.resize(now)
+            names.update(_name(site) for site in subset.sites)
+        return frozenset(names)
+
+    def attempt_started(
+        self,
+        route: Route,
+        request: RouteRequest,
+        now: float,
+    ) -> Attempt:
+        """Count an attempt along a route."""
+        state = self.states.get(route.upstream)
+        subset = self._subsets.get(request.target)
+        if state:
+            state.load.start(now, request.prompt_tokens - route.hit_tokens)
+            state.health.start()
+        if subset:
+            subset.add(1, now)
+        return Attempt(route, request, state, subset, now)
+
+    def first_token(self, attempt: Attempt, now: float) -> None:
+        """Learn from the first token of an attempt."""
+        state = attempt.state
+        if attempt.first_token_at is not None or state is None:
+            return
+        attempt.first_token_at = now
+        state.load.pending_prefill_tokens -= attempt.prefill_tokens
+        state.prefixes.confirm(attempt.request.prefixes)
+        seen_ms = (now - attempt.started_at) * _MS_PER_S
+        predicted_ms = attempt.route.predicted_first_token_ms
+        state.load.learn(now, predicted_ms, seen_ms)
+        ratio = seen_ms / max(predicted_ms, state.load.step_ms())
+        state.health.learn_slowness(now, ratio, seen_ms - predicted_ms)
+
+    def attempt_ended(
+        self,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        now: float,
+    ) -> None:
+        """Stop counting an attempt and learn from its end."""
+        if attempt.subset:
+            attempt.subset.add(-1, now)
+        state = attempt.state
+        if state is None:
+            return
+        if attempt.first_token_at is None:
+            state.load.pending_prefill_tokens -= attempt.prefill_tokens
+        state.load.end(now, attempt.started_at)
+        if outcome is AttemptOutcome.connect_failed:
+            state.health.lose(now)
+        if outcome.is_failure:
+            state.health.fail(now)
+        elif outcome is AttemptOutcome.completed:
+            state.health.succeed(now)
         else:
-            found = self._holders(request.target)
-        return [
-            upstream
-            for upstream in found
-            if upstream.name not in request.excluded
+            state.health.cancel()
+
+    def _usable(
+        self,
+        sites: Sequence[CopySite],
+        request: RouteRequest,
+        now: float,
+    ) -> list[CopySite]:
+        reachable = [
+            site
+            for site in sites
+            if self.states[site.upstream.name].health.is_reachable(now)
+        ]
+        barred = self._ejected(reachable, now) | request.excluded
+        return [site for site in reachable if _name(site) not in barred]
+
+    def _ejected(self, sites: list[CopySite], now: float) -> frozenset[str]:
+        """Return the ejected sites, no more than the permitted share."""
+        ejected = [
+            site.upstream.name
+            for site in sites
+            if self.states[site.upstream.name].health.is_ejected(now)
         ]
+        permitted = int(len(sites) * self._settings.ejected_share)
+        if len(ejected) > permitted:
+            ejected.sort(key=self._badness)
+            ejected = ejected[len(ejected) - permitted :]
+        return frozenset(ejected)
+
+    def _badness(self, upstream: str) -> tuple[int, float, str]:
+        health = self.states[upstream].health
+        return health.failures, health.ejected_until, upstream
+
 
-    def _holders(self, target: str) -> list[UpstreamEntry]:
-        names = sorted({
-            copy.upstream
-            for copy in self._view.copies
-            if copy.target == target and copy.state is CopyState.serving
-        })
-        entries = (self._view.catalogue.find(name) for name in names)
-        return [entry for entry in entries if isinstance(entry, UpstreamEntry)]
+def _name(site: CopySite) -> str:
+    return site.upstream.name
--- /dev/null
+++ b/persimmonhold/routing/_router_settings.py
@@ -0,0 +1,38 @@
+"""The numbers that the router decides by."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Latencies, evidence for ejection, and sizes of what is remembered."""
+
+    cross_domain_ms: float = 1.0
+    old_version_ms: float = 20.0
+    default_residence_s: float = 2.0
+    default_slots: int = 16
+    default_prefill_tokens_per_second: float = 8000.0
+    default_decode_step_ms: float = 20.0
+    prefix_block_tokens: int = 64
+    prefix_blocks_per_upstream: int = 2048
+    ejection_failures: int = 5
+    ejection_slow_ratio: float = 4.0
+    ejection_slow_excess_ms: float = 500.0
+    ejection_s: float = 5.0
+    ejection_max_s: float = 60.0
+    ejected_share: float = 0.5
+    probe_successes: int = 3
+    unreachable_s: float = 1.0
+    unreachable_max_s: float = 30.0
+    warm_up_s: float = 10.0
+    warm_up_floor: float = 0.1
+    report_stale_s: float = 10.0
+    subset_copies: int = 4
+    subset_concurrency_per_copy: float = 4.0
+    demand_half_life_s: float = 30.0
+    service_domain_allowance: int = 4
+    poll_interval_s: float = 0.25
+    poll_bytes: float = 700.0
+    poll_bytes_per_second: float = 4000.0
--- /dev/null
+++ b/persimmonhold/routing/_upstream_state.py
@@ -0,0 +1,21 @@
+"""Everything that the router remembers of one upstream."""
+
+from typing import final
+
+from persimmonhold.routing._prefix_index import PrefixIndex
+from persimmonhold.routing._router_settings import RouterSettings
+from persimmonhold.routing._upstream_health import UpstreamHealth
+from persimmonhold.routing._upstream_load import UpstreamLoad
+
+
+@final
+class UpstreamState:
+    """Load, health and prefix cache of an upstream."""
+
+    __slots__ = ('health', 'load', 'prefixes')
+
+    def __init__(self, settings: RouterSettings) -> None:
+        """Create the state of an upstream that nothing is known of."""
+        self.load = UpstreamLoad(settings)
+        self.health = UpstreamHealth(settings)
+        self.prefixes = PrefixIndex(settings.prefix_blocks_per_upstream)
