--- a/persimmonhold/admission/_dispatcher.py
+++ b/persimmonhold/admission/_dispatcher.py
@@ -318,6 +318,7 @@
         return self._router.index.targets.get(upstream, frozenset())
 
     def _forget(self, pending: Pending, now: float) -> None:
+        pending.state = PendingState.ended
         self._pending.pop(pending.ticket.request_id)
         self._usage.remove(pending.ticket, now - pending.arrived_at)
 
--- a/persimmonhold/admission/_pending_state.py
+++ b/persimmonhold/admission/_pending_state.py
@@ -7,8 +7,9 @@
 @final
 @enum.unique
 class PendingState(enum.StrEnum):
-    """Waiting for dispatch, running, or being stopped for urgent work."""
+    """Waiting, running, being stopped for urgent work, or forgotten."""
 
     waiting = 'waiting'
     running = 'running'
     stopping = 'stopping'
+    ended = 'ended'
--- a/persimmonhold/routing/_router.py
+++ b/persimmonhold/routing/_router.py
@@ -174,7 +174,7 @@
         if request.is_service or not sites:
             return 0
         load = self.states[_name(sites[0])].load
-        idle_ms = load.prompt_ms(request.prompt_tokens) + load.step_ms()
+        idle_ms = load.prompt_ms(request.prompt_tokens) + load.idle_step_ms()
         return idle_ms / _MS_PER_S
 
     def interval_s(self, target: str) -> float:
@@ -220,7 +220,7 @@
         seen_ms = (now - attempt.started_at) * _MS_PER_S
         predicted_ms = attempt.route.predicted_first_token_ms
         state.load.learn(now, predicted_ms, seen_ms)
-        ratio = seen_ms / max(predicted_ms, state.load.step_ms())
+        ratio = seen_ms / max(predicted_ms, state.load.idle_step_ms())
         state.health.learn_slowness(now, ratio, seen_ms - predicted_ms)
 
     def attempt_ended(
--- a/persimmonhold/routing/_site_chooser.py
+++ b/persimmonhold/routing/_site_chooser.py
@@ -48,7 +48,7 @@
         """
         near = [site for site in usable if self._is_near_and_free(site)]
         pool = near or usable
-        sampled = self._random.sample(pool, min(_SAMPLES, len(pool)))
+        sampled = self._draw(pool)
         chosen = min(sampled, key=self._outstanding)
         outstanding = self._outstanding(chosen)
         return _route(
@@ -108,17 +108,29 @@
         usable: list[CopySite],
         now: float,
     ) -> list[CopySite]:
-        """Return up to two sites; one that warms up is drawn less often."""
-        wanted = min(_SAMPLES, len(usable))
-        sampled: list[CopySite] = []
+        """Return up to two sites; one that warms up is passed over often."""
+        drawn = usable
         for _ in range(_SAMPLING_TRIES):
-            site = self._random.choice(usable)
-            weight = self._states[site.upstream.name].health.weight(now)
-            if site not in sampled and self._random.random() < weight:
-                sampled.append(site)
-            if len(sampled) == wanted:
-                return sampled
-        return sampled or self._random.sample(usable, wanted)
+            drawn = self._draw(usable)
+            kept = [site for site in drawn if self._is_warm_enough(site, now)]
+            if kept:
+                return kept
+        return drawn
+
+    def _draw(self, usable: list[CopySite]) -> list[CopySite]:
+        """Return up to two different sites in random order."""
+        count = len(usable)
+        if count == 1:
+            return usable
+        first = int(self._random.random() * count)
+        second = int(self._random.random() * (count - 1))
+        if second >= first:
+            second += 1
+        return [usable[first], usable[second]]
+
+    def _is_warm_enough(self, site: CopySite, now: float) -> bool:
+        weight = self._states[site.upstream.name].health.weight(now)
+        return weight >= 1 or self._random.random() < weight
 
     def _hits(self, site: CopySite, blocks: list[int]) -> int:
         return self._states[site.upstream.name].prefixes.hits(blocks)
@@ -133,7 +145,7 @@
         load = self._states[site.upstream.name].load
         cached = self._hits(site, blocks) * self._settings.prefix_block_tokens
         hit_tokens = min(cached, request.prompt_tokens)
-        other_ms = load.step_ms() + load.correction_ms(now)
+        other_ms = load.step_ms(now) + load.correction_ms(now)
         if site.upstream.failure_domain != self._failure_domain:
             other_ms += self._settings.cross_domain_ms
         if not site.is_current:
--- a/persimmonhold/routing/_upstream_load.py
+++ b/persimmonhold/routing/_upstream_load.py
@@ -119,12 +119,17 @@
         """Return the time to read a prompt after those already sent."""
         return self.prompt_ms(self.pending_prefill_tokens + tokens)
 
-    def step_ms(self) -> float:
-        """Return the time of one decode step."""
+    def idle_step_ms(self) -> float:
+        """Return the time of one decode step of a small batch."""
         if self.report is None:
             return self._settings.default_decode_step_ms
         return self.report.decode_step_ms
 
+    def step_ms(self, now: float) -> float:
+        """Return the time of one decode step, which grows with the batch."""
+        filled = min(1, self.occupancy(now) / self.slots)
+        return self.idle_step_ms() * (1 + filled)
+
     def correction_ms(self, now: float) -> float:
         """Return what first tokens have lately taken beyond predictions."""
         return max(0, self._faded_error_ms(now))
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,324 @@
+"""The choice of upstreams under lagging, lost and wrong evidence."""
+
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
+
+from persimmonhold.catalogue import ServiceClass
+from persimmonhold.messages import (
+    CacheEvent,
+    CacheEventPage,
+    ControlView,
+    CopyState,
+)
+from persimmonhold.routing import (
+    AttemptOutcome,
+    Router,
+    RouteRequest,
+    RouterSettings,
+)
+from tests.routing_builders import copy_of, report, router_over, view_of
+
+_WHOLE = RouterSettings(subset_copies=9)
+
+_WANTED = RouteRequest(
+    target='m',
+    service_class=ServiceClass.interactive,
+    prompt_tokens=80,
+)
+_CALL = RouteRequest(
+    target='status',
+    service_class=ServiceClass.call,
+    is_service=True,
+)
+_BLOCKS = tuple(f'{number:016x}' for number in range(1, 9))
+_LONG = RouteRequest(
+    target='m',
+    service_class=ServiceClass.interactive,
+    prompt_tokens=8 * 64,
+    prefixes=_BLOCKS,
+)
+
+
+@pytest.fixture
+def view() -> ControlView:
+    return view_of(9, {'m': range(9)}, replicas=6)
+
+
+def _send(
+    router: Router,
+    now: float,
+    wanted: RouteRequest = _WANTED,
+) -> str:
+    route = router.choose(wanted, now)
+    assert route is not None
+    router.attempt_started(route, wanted, now)
+    return route.upstream
+
+
+def _chosen(router: Router, wanted: RouteRequest, now: float) -> set[str]:
+    routes = [router.choose(wanted, now) for _ in range(64)]
+    return {route.upstream for route in routes if route}
+
+
+def _usable(router: Router, wanted: RouteRequest, now: float) -> set[str]:
+    found: set[str] = set()
+    while True:
+        excluded = frozenset(found)
+        route = router.choose(replace(wanted, excluded=excluded), now)
+        if route is None:
+            return found
+        found.add(route.upstream)
+
+
+def _page(*sequences: int, last: int = 0) -> CacheEventPage:
+    events = tuple(
+        CacheEvent(
+            sequence=sequence,
+            target='m',
+            prefix_hash=_BLOCKS[sequence - 1],
+            stored=True,
+        )
+        for sequence in sequences
+    )
+    return CacheEventPage(
+        boot_id='b',
+        last=last or max(sequences),
+        events=events,
+    )
+
+
+@given(seed=st.integers(0, 1000), sends=st.integers(1, 40))
+def test_own_sends_correct_a_lagging_report(seed: int, sends: int) -> None:
+    router = router_over(view_of(2, {'m': (0, 1)}), seed)
+    for number in (0, 1):
+        router.observe_load(f'e{number}', report(age_ms=2000), 10)
+    sent = Counter(_send(router, 10) for _ in range(sends))
+    assert_that(abs(sent['e0'] - sent['e1']), LessThan(2))
+
+
+def test_late_report_does_not_replace_a_newer_one(view: ControlView) -> None:
+    router = router_over(view)
+    router.observe_load('e0', report(running=3), 10)
+    router.observe_load('e0', report(running=0, age_ms=900), 10.5)
+    assert_that(router.states['e0'].load.occupancy(10.5), Equals(3))
+
+
+def test_entries_do_not_herd_on_the_idlest(view: ControlView) -> None:
+    sent: Counter[str] = Counter()
+    for entry in range(9):
+        name = f'v{entry}'
+        router = router_over(view, entry, name, _WHOLE)
+        for number in range(9):
+            busy = 0 if number == 0 else 6
+            router.observe_load(f'e{number}', report(busy, slots=8), 10)
+        sent.update(_send(router, 10) for _ in range(10))
+    assert_that(sent['e0'], LessThan(90 * 0.45))
+
+
+def test_wrong_report_is_corrected_by_first_tokens() -> None:
+    router = router_over(view_of(2, {'m': (0, 1)}))
+    for step in range(40):
+        now = 10 + step / 10
+        router.observe_load('e0', report(), now)
+        router.observe_load('e1', report(running=2), now)
+        route = router.choose(_WANTED, now)
+        assert route is not None
+        attempt = router.attempt_started(route, _WANTED, now)
+        late = 0.4 if route.upstream == 'e0' else 0.03
+        router.first_token(attempt, now + late)
+        router.attempt_ended(attempt, AttemptOutcome.completed, now + late)
+    assert_that(_chosen(router, _WANTED, 14.1), Equals({'e1'}))
+
+
+def test_gap_makes_the_prefix_index_unknown(view: ControlView) -> None:
+    router = router_over(view)
+    router.observe_cache_events('e0', _page(1, 2), 1)
+    index = router.states['e0'].prefixes
+    blocks = [int(text, 16) for text in _BLOCKS]
+    assert_that(index.hits(blocks), Equals(2))
+    router.observe_cache_events('e0', _page(4), 2)
+    assert_that(index.hits(blocks), Equals(0))
+    route = router.choose(_LONG, 2)
+    assert route is not None
+    attempt = router.attempt_started(route, _LONG, 2)
+    router.first_token(attempt, 2.1)
+    confirmed = router.states[route.upstream].prefixes
+    assert_that(confirmed.hits(blocks), Equals(len(blocks)))
+
+
+def test_lost_last_event_is_a_gap_too(view: ControlView) -> None:
+    router = router_over(view)
+    router.observe_cache_events('e0', _page(1, 2, last=5), 1)
+    blocks = [int(text, 16) for text in _BLOCKS]
+    assert_that(router.states['e0'].prefixes.hits(blocks), Equals(0))
+
+
+def test_prefix_holder_wins_unless_loaded(view: ControlView) -> None:
+    router = router_over(view, settings=_WHOLE)
+    router.observe_cache_events('e4', _page(*range(1, 9)), 1)
+    assert_that(_chosen(router, _LONG, 1), Equals({'e4'}))
+    router.observe_load('e4', report(running=4, waiting=4), 1)
+    assert_that('e4' in _chosen(router, _LONG, 1), Is(False))
+
+
+@given(st.lists(st.integers(1, 2**63), max_size=200))
+def test_prefix_index_is_bounded(hashes: list[int]) -> None:
+    settings = RouterSettings(prefix_blocks_per_upstream=16)
+    router = router_over(view_of(1, {'m': (0,)}), settings=settings)
+    index = router.states['e0'].prefixes
+    index.confirm([f'{digest:016x}' for digest in hashes])
+    assert_that(len(index), LessThan(17))
+
+
+_SIGNS: tuple[Callable[[Router], None], ...] = (
+    lambda router: router.observe_load('e0', report(leaving=True), 5),
+    lambda router: router.observe_leaving('e0', leaving=True, now=5),
+    lambda router: router.observe_unreachable('e0', 5),
+)
+
+
+@pytest.mark.parametrize('sign', _SIGNS)
+def test_each_sign_alone_stops_new_work_at_once(
+    sign: Callable[[Router], None],
+    view: ControlView,
+) -> None:
+    router = router_over(view)
+    for _ in range(50):
+        _send(router, 4)
+    sign(router)
+    assert_that('e0' in _chosen(router, _WANTED, 5), Is(False))
+
+
+def test_refused_connection_is_tried_again_later() -> None:
+    router = router_over(view_of(1, {'m': (0,)}))
+    router.observe_unreachable('e0', 5)
+    assert_that(router.choose(_WANTED, 5.9), Is(None))
+    assert_that(_chosen(router, _WANTED, 6), Equals({'e0'}))
+
+
+def test_withdrawn_and_loading_copies_get_nothing() -> None:
+    extra = (
+        copy_of('m', 1, CopyState.withdrawing),
+        copy_of('m', 2, CopyState.loading),
+    )
+    router = router_over(view_of(3, {'m': (0,)}, extra=extra))
+    assert_that(_chosen(router, _WANTED, 1), Equals({'e0'}))
+
+
+def test_adapter_needs_its_base_beside_it() -> None:
+    extra = tuple(copy_of('adapter', number, version='1') for number in (1, 2))
+    router = router_over(view_of(3, {'m': (0, 1)}, extra=extra))
+    wanted = RouteRequest(
+        target='adapter',
+        base='m',
+        service_class=ServiceClass.interactive,
+    )
+    assert_that(_chosen(router, wanted, 1), Equals({'e1'}))
+
+
+def test_either_version_serves_during_an_upgrade() -> None:
+    extra = (copy_of('m', 1, version='1'),)
+    router = router_over(view_of(2, {'m': (0,)}, extra=extra))
+    assert_that(_chosen(router, _WANTED, 1), Equals({'e0'}))
+    router.observe_load('e0', report(running=4, waiting=2), 1)
+    assert_that(_chosen(router, _WANTED, 1), Equals({'e1'}))
+
+
+def test_services_stay_in_their_domain_unless_loaded(
+    view: ControlView,
+) -> None:
+    router = router_over(view, settings=_WHOLE)
+    near = {'status-0', 'status-3'}
+    for _ in range(8):
+        assert_that(_send(router, 1, _CALL) in near, Is(True))
+    assert_that(_chosen(router, _CALL, 1) - near, HasLength(4))
+
+
+@pytest.mark.parametrize(('copies', 'least'), [(1, 1), (2, 1), (4, 2), (9, 5)])
+def test_ejection_leaves_a_share(copies: int, least: int) -> None:
+    view = view_of(copies, {'m': range(copies)})
+    router = router_over(view, settings=_WHOLE)
+    for step in range(200):
+        route = router.choose(_WANTED, step / 100)
+        assert route is not None
+        attempt = router.attempt_started(route, _WANTED, step / 100)
+        router.attempt_ended(attempt, AttemptOutcome.server_error, step / 100)
+    assert_that(len(_usable(router, _WANTED, 2)), GreaterThan(least - 1))
+
+
+def test_failing_upstream_is_ejected_and_probed_back() -> None:
+    settings = RouterSettings(warm_up_s=0.1)
+    router = router_over(view_of(3, {'m': range(3)}), settings=settings)
+    seen: Counter[bool] = Counter()
+    for step in range(2000):
+        now = step / 100
+        route = router.choose(_WANTED, now)
+        assert route is not None
+        attempt = router.attempt_started(route, _WANTED, now)
+        is_bad = route.upstream == 'e0' and now < 8
+        outcome = AttemptOutcome.completed
+        if is_bad:
+            outcome = AttemptOutcome.timed_out
+        router.attempt_ended(attempt, outcome, now)
+        seen[is_bad] += 1
+    assert_that(seen[True], LessThan(10))
+    assert_that('e0' in _chosen(router, _WANTED, 20), Is(True))
+
+
+def test_slow_upstream_is_ejected() -> None:
+    router = router_over(view_of(3, {'m': range(3)}))
+    for step in range(400):
+        now = step / 100
+        route = router.choose(_WANTED, now)
+        assert route is not None
+        attempt = router.attempt_started(route, _WANTED, now)
+        late = 3.0 if route.upstream == 'e0' else 0.03
+        router.first_token(attempt, now + late)
+        router.attempt_ended(attempt, AttemptOutcome.completed, now + late)
+    assert_that('e0' in _chosen(router, _WANTED, 4), Is(False))
+
+
+@given(
+    entry=st.integers(0, 600),
+    targets=st.dictionaries(
+        st.text('abcdef', min_size=1, max_size=3),
+        st.sets(st.integers(0, 29), min_size=1),
+        min_size=1,
+    ),
+)
+def test_subset_is_deterministic_and_holds_every_target(
+    entry: int,
+    targets: dict[str, set[int]],
+) -> None:
+    holders = {target: tuple(sorted(targets[target])) for target in targets}
+    view = view_of(30, holders)
+    router = router_over(view, name=f'v{entry}')
+    chosen = router.subset(0)
+    again = router_over(view, seed=7, name=f'v{entry}')
+    assert_that(again.subset(0), Equals(chosen))
+    for target in targets:
+        names = {f'e{number}' for number in targets[target]}
+        assert_that(len(names & chosen), GreaterThan(0))
+
+
+def test_subset_grows_with_demand_and_shrinks_later() -> None:
+    router = router_over(view_of(30, {'m': range(30)}))
+    small = router.subset(0)
+    attempts = []
+    for _ in range(80):
+        route = router.choose(_WANTED, 1)
+        assert route is not None
+        attempts.append(router.attempt_started(route, _WANTED, 1))
+    grown = router.subset(1)
+    assert_that(len(grown), GreaterThan(len(small)))
+    assert_that(small <= grown, Is(True))
+    for attempt in attempts:
+        router.attempt_ended(attempt, AttemptOutcome.completed, 2)
+    assert_that(router.subset(600), Equals(small))
