--- a/tests/test_admission_stateful.py
+++ b/tests/test_admission_stateful.py
@@ -51,8 +51,7 @@
     batch_aging_s=1,
     batch_turn=3,
 )
-_HOLDERS = {'m': (0, 1), 'n': (1, 2)}
-_WHOLE = view_of(3, _HOLDERS, replicas=2)
+_WHOLE = view_of(3, {'m': (0, 1), 'n': (1, 2)}, replicas=2)
 _VIEWS = (
     _WHOLE,
     view_of(3, {'m': (0,), 'n': (1, 2)}, replicas=2),
@@ -67,6 +66,7 @@
 
     @initialize(seed=st.integers(0, 100))
     def start(self, seed: int) -> None:
+        """Create an idle dispatcher."""
         self.now = 10.0
         self.router = router_over(_WHOLE, seed)
         self.dispatcher = Dispatcher(self.router, _SETTINGS, Random(seed))
@@ -101,6 +101,7 @@
         idempotent: bool,
         count: int,
     ) -> None:
+        """Bring new requests."""
         for _ in range(count):
             ticket = Ticket(
                 request_id=f'r{len(self.tickets)}',
@@ -122,6 +123,7 @@
 
     @rule(seconds=st.floats(0, 3))
     def advance(self, seconds: float) -> None:
+        """Let time pass; nothing outlives its deadline in a queue."""
         self.now += seconds
         self.perform(self.dispatcher.tick(self.now))
         late = {
@@ -131,29 +133,32 @@
         }
         assert_that(late, HasLength(0))
 
-    @precondition(lambda self: self.running)
+    @precondition(lambda machine: machine.running)
     @rule(choice=st.randoms(use_true_random=False))
     def see_first_token(self, choice: Random) -> None:
+        """Tell of a first token."""
         request_id = choice.choice(sorted(self.running))
         self.dispatcher.first_token(request_id, self.now)
 
-    @precondition(lambda self: self.running)
+    @precondition(lambda machine: machine.running)
     @rule(
         choice=st.randoms(use_true_random=False),
         outcome=st.sampled_from(AttemptOutcome),
     )
     def end(self, choice: Random, outcome: AttemptOutcome) -> None:
+        """End a running request."""
         request_id = choice.choice(sorted(self.running))
         self.forget(request_id)
         self.successes += outcome is AttemptOutcome.completed
         self.perform(self.dispatcher.end(request_id, outcome, self.now))
 
-    @precondition(lambda self: self.running)
+    @precondition(lambda machine: machine.running)
     @rule(
         choice=st.randoms(use_true_random=False),
         reason=st.sampled_from(RetryReason),
     )
     def retry(self, choice: Random, reason: RetryReason) -> None:
+        """Fail an attempt."""
         request_id = choice.choice(sorted(self.running))
         upstream = self.running.pop(request_id)
         self.stopping.discard(request_id)
@@ -175,18 +180,20 @@
         self.retries += request_id not in refused
         self.perform(actions)
 
-    @precondition(lambda self: self.stopping)
+    @precondition(lambda machine: machine.stopping)
     @rule(choice=st.randoms(use_true_random=False))
     def resume(self, choice: Random) -> None:
+        """Bring a stopped request back."""
         request_id = choice.choice(sorted(self.stopping))
         self.stopping.remove(request_id)
         self.running.pop(request_id)
         self.waiting.add(request_id)
         self.perform(self.dispatcher.resume(request_id, 3, self.now))
 
-    @precondition(lambda self: self.tickets)
+    @precondition(lambda machine: machine.tickets)
     @rule(choice=st.randoms(use_true_random=False))
     def abandon(self, choice: Random) -> None:
+        """Lose a caller."""
         request_id = choice.choice(sorted(self.tickets))
         if request_id in self.waiting or request_id in self.running:
             self.forget(request_id)
@@ -194,6 +201,7 @@
 
     @rule(number=st.integers(0, len(_VIEWS) - 1))
     def change_view(self, number: int) -> None:
+        """Adopt a view."""
         self.router.adopt_view(_VIEWS[number], self.now)
         known = self.router.states
         self.leaving = {name for name in known if known[name].health.is_leaving}
@@ -217,12 +225,14 @@
         waiting: int,
         age_ms: float,
     ) -> None:
+        """Take a load report, right or wrong."""
         load = report(running, waiting, age_ms=age_ms)
         self.router.observe_load(upstream, load, self.now)
         self.perform(self.dispatcher.tick(self.now))
 
     @rule(upstream=_ENGINES, leaving=st.booleans())
     def leave(self, upstream: str, leaving: bool) -> None:
+        """Take a word of the VM list."""
         self.router.observe_leaving(upstream, leaving, self.now)
         if leaving and upstream in self.router.states:
             self.leaving.add(upstream)
@@ -231,13 +241,15 @@
 
     @rule(upstream=_ENGINES)
     def refuse_connection(self, upstream: str) -> None:
+        """Lose an upstream for a second."""
         self.router.observe_unreachable(upstream, self.now)
-        if self.now >= self.unreachable.get(upstream, 0):
-            if upstream in self.router.states:
-                self.unreachable[upstream] = self.now + 1
+        is_known = upstream in self.router.states
+        if is_known and self.now >= self.unreachable.get(upstream, 0):
+            self.unreachable[upstream] = self.now + 1
 
     @invariant()
     def nothing_leaks(self) -> None:
+        """Every request is counted exactly once."""
         depth = self.dispatcher.depth()
         in_flight = self.dispatcher.in_flight()
         assert_that(sum(depth.values()), Equals(len(self.waiting)))
@@ -249,6 +261,7 @@
 
     @invariant()
     def bounds_hold(self) -> None:
+        """Queues, limits and retries stay within their bounds."""
         for waiting in self.dispatcher.depth().values():
             assert_that(waiting, LessThan(_SETTINGS.queue_requests + 1))
         alive = [self.tickets[name] for name in (*self.waiting, *self.running)]
@@ -261,12 +274,14 @@
 
     @invariant()
     def a_wakeup_is_due(self) -> None:
+        """What waits is looked at again soon."""
         if self.waiting:
             wakeup = self.dispatcher.next_wakeup()
             assert wakeup is not None
             assert_that(wakeup, LessThan(self.now + 0.051))
 
     def teardown(self) -> None:
+        """End everything; nothing is left."""
         for request_id in (*self.waiting, *self.running):
             if request_id in self.waiting or request_id in self.running:
                 self.forget(request_id)
@@ -275,11 +290,13 @@
             assert_that(sum(self.dispatcher.in_flight().values()), Equals(0))
 
     def forget(self, request_id: str) -> None:
+        """Follow a request no more."""
         self.waiting.discard(request_id)
         self.stopping.discard(request_id)
         self.running.pop(request_id, None)
 
     def perform(self, actions: tuple[DispatchAction, ...]) -> None:
+        """Check and follow actions."""
         for action in actions:
             if isinstance(action, Dispatch):
                 self.check_dispatch(action)
@@ -289,6 +306,7 @@
                 self.check_preemption(action)
 
     def check_dispatch(self, action: Dispatch) -> None:
+        """A dispatch is of a waiting request to a permitted site."""
         request_id = action.request_id
         upstream = action.route.upstream
         assert_that(self.waiting, Contains(request_id))
@@ -306,6 +324,7 @@
         self.running[request_id] = upstream
 
     def check_refusal(self, action: Refuse) -> None:
+        """A refusal is of a waiting request and tells the truth."""
         assert_that(self.waiting, Contains(action.request_id))
         self.waiting.remove(action.request_id)
         is_certain = action.request_id not in self.uncertain
@@ -313,6 +332,7 @@
         assert_that(action.refusal.ran, Equals(ran))
 
     def check_preemption(self, action: Preempt) -> None:
+        """Only running batch requests are stopped, and once."""
         request_id = action.request_id
         assert_that(self.running, Contains(request_id))
         assert_that(self.stopping, Not(Contains(request_id)))
