Entry on the Dispatcher: claims, retries, resumption, relay, drain, pollers

Cause: the thin entry had no retries, no claims, no resumption, no drain. Change: Entry assembles handler, server, pollers and dispatcher; each request runs its attempts state machine in a task of its own, so a caller that leaves is an event and not a cancellation. Directory and drain are pure.

--- a/persimmonhold/attempts/_answer.py
+++ b/persimmonhold/attempts/_answer.py
@@ -52,7 +52,12 @@
     @property
     def status_outcome(self) -> CallOutcome:
         """The record of an answer whose body is too long to be kept."""
-        return CallOutcome(status=self.head.status, media_type='', body=b'')
+        return CallOutcome(
+            status=self.head.status,
+            media_type=self.head.media_type,
+            body=b'',
+            body_stored=False,
+        )
 
     def is_failure(self, head: AnswerHead) -> bool:
         """Tell whether a head says that the attempt failed."""
--- a/persimmonhold/attempts/_answer_head.py
+++ b/persimmonhold/attempts/_answer_head.py
@@ -1,9 +1,11 @@
 """What the life of a request needs of a response head."""
 
-from typing import final
+from typing import Final, final
 
 import msgspec
 
+_CLIENT_ERRORS: Final = frozenset((400, 401, 403, 405, 413, 414, 415, 422))
+
 
 @final
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
@@ -22,3 +24,8 @@
     def is_event_stream(self) -> bool:
         """Tell whether the body is a stream of server-sent events."""
         return self.media_type.startswith('text/event-stream')
+
+    @property
+    def is_client_error(self) -> bool:
+        """Tell whether every upstream would answer the same."""
+        return self.status in _CLIENT_ERRORS
--- a/persimmonhold/attempts/_refusals.py
+++ b/persimmonhold/attempts/_refusals.py
@@ -1,5 +1,6 @@
 """The refusals that the life of a request gives of itself."""
 
+from types import MappingProxyType
 from typing import Final
 
 from persimmonhold.attempts._attempt_fault import AttemptFault
@@ -7,6 +8,10 @@
 from persimmonhold.failures import Ran, Refusal, RefusalReason
 
 COME_BACK_S: Final = 1.0
+_NOT_CLAIMED: Final = MappingProxyType({
+    CommandStatus.claim_table_full: RefusalReason.no_capacity,
+    CommandStatus.claim_unregistered: RefusalReason.isolated,
+})
 
 
 def claim_refusal(status: CommandStatus) -> Refusal:
@@ -17,6 +22,14 @@
             ran=Ran.no,
             detail='the key belongs to a request with other content',
         )
+    reason = _NOT_CLAIMED.get(status)
+    if reason is not None:
+        return Refusal(
+            reason=reason,
+            ran=Ran.no,
+            detail=status.value,
+            retry_after_s=COME_BACK_S,
+        )
     if status is CommandStatus.claim_held:
         return Refusal(
             reason=RefusalReason.outcome_unknown,
--- a/persimmonhold/attempts/_request_life.py
+++ b/persimmonhold/attempts/_request_life.py
@@ -145,6 +145,7 @@
             return ()
         if head.not_run:
             self.evidence.attempt_ran = False
+        if head.not_run and not head.is_client_error:
             return self._fail(AttemptFault.not_run)
         if self.answer.is_failure(head):
             return self._fail(AttemptFault.upstream_error)
--- /dev/null
+++ b/persimmonhold/directory/_directory.py
@@ -0,0 +1,74 @@
+"""Chooses the addresses that a caller is given.
+
+Invariants: an address of a draining VM is never given while another VM
+serves; the addresses of the caller's failure domain come first unless the
+domain is overloaded.
+"""
+
+from typing import Final, final
+
+from persimmonhold.directory._directory_entry import (
+    DirectoryAnswer,
+    DirectoryEntry,
+)
+from persimmonhold.messages import ControlView, VmRecord
+
+_OVERLOAD_FRACTION: Final = 0.9
+_LEAST_WEIGHT_FRACTION: Final = 0.05
+
+
+@final
+class Directory:
+    """The directory as one entry gives it."""
+
+    __slots__ = ('_own_domain', '_own_name', '_ttl_s', 'is_leaving', 'load')
+
+    def __init__(self, own_name: str, own_domain: str, ttl_s: float) -> None:
+        """Create the directory of the entry on VM `own_name`."""
+        self.load = 0.0
+        self.is_leaving = False
+        self._own_name = own_name
+        self._own_domain = own_domain
+        self._ttl_s = ttl_s
+
+    def answer(
+        self,
+        view: ControlView,
+        failure_domain: str = '',
+    ) -> DirectoryAnswer:
+        """Return the addresses for a caller in a failure domain.
+
+        `load` is the used fraction of what this entry may have in flight;
+        it lowers the entry's own weight. A caller that does not name its
+        failure domain is taken to be in that of this entry.
+        """
+        domain = failure_domain or self._own_domain
+        serving = [vm for vm in view.vms if self._is_serving(vm)]
+        if not serving:
+            serving = [vm for vm in view.vms if vm.callers]
+        if domain == self._own_domain and self.load >= _OVERLOAD_FRACTION:
+            domain = ''
+        ordered = sorted(
+            serving,
+            key=lambda vm: (vm.failure_domain != domain, vm.name),
+        )
+        return DirectoryAnswer(
+            revision=view.index,
+            ttl_s=self._ttl_s,
+            entries=tuple(self._entry(vm) for vm in ordered),
+        )
+
+    def _is_serving(self, vm: VmRecord) -> bool:
+        if not vm.callers or vm.draining:
+            return False
+        return not (self.is_leaving and vm.name == self._own_name)
+
+    def _entry(self, vm: VmRecord) -> DirectoryEntry:
+        weight = vm.weight
+        if vm.name == self._own_name:
+            weight *= max(_LEAST_WEIGHT_FRACTION, 1 - self.load)
+        return DirectoryEntry(
+            address=vm.callers,
+            failure_domain=vm.failure_domain,
+            weight=round(weight, 3),
+        )
--- /dev/null
+++ b/persimmonhold/directory/_directory_entry.py
@@ -0,0 +1,23 @@
+"""The answer to `GET /v1/entries`."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class DirectoryEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """An address that callers may use, and its share of them."""
+
+    address: str
+    failure_domain: str
+    weight: float
+
+
+@final
+class DirectoryAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The entries in order of preference; to be asked again after `ttl_s`."""
+
+    revision: int
+    ttl_s: float
+    entries: tuple[DirectoryEntry, ...]
--- /dev/null
+++ b/persimmonhold/directory/_drain.py
@@ -0,0 +1,40 @@
+"""A planned stop as a state machine.
+
+Invariants: the phases only advance; `closing` begins no earlier than the
+directory's ttl and a margin after the entry left the directory.
+"""
+
+from typing import final
+
+from persimmonhold.directory._drain_phase import DrainPhase
+
+
+@final
+class Drain:
+    """Times of one entry's stop, in seconds."""
+
+    __slots__ = ('_hold_s', '_timeout_s', 'closes_at', 'ends_at', 'phase')
+
+    def __init__(self, ttl_s: float, margin_s: float, timeout_s: float) -> None:
+        """Create the drain of an entry that serves."""
+        self.phase = DrainPhase.serving
+        self.closes_at = float('inf')
+        self.ends_at = float('inf')
+        self._hold_s = ttl_s + margin_s
+        self._timeout_s = timeout_s
+
+    def begin(self, now: float) -> None:
+        """Leave the directory; a second call changes nothing."""
+        if self.phase is DrainPhase.serving:
+            self.phase = DrainPhase.leaving
+            self.closes_at = now + self._hold_s
+            self.ends_at = self.closes_at + self._timeout_s
+
+    def advance(self, now: float, running: int) -> DrainPhase:
+        """Return the phase with `running` requests under way."""
+        if self.phase is DrainPhase.leaving and now >= self.closes_at:
+            self.phase = DrainPhase.closing
+        is_over = running == 0 or now >= self.ends_at
+        if self.phase is DrainPhase.closing and is_over:
+            self.phase = DrainPhase.drained
+        return self.phase
--- a/persimmonhold/entry/__init__.py
+++ b/persimmonhold/entry/__init__.py
@@ -1,5 +1,5 @@
 """The HTTP server that callers reach."""
 
-from persimmonhold.entry._entry_handler import EntryHandler
+from persimmonhold.entry._entry import Entry
 
-__all__ = ('EntryHandler',)
+__all__ = ('Entry',)
--- /dev/null
+++ b/persimmonhold/entry/_claim_settler.py
@@ -0,0 +1,106 @@
+"""Commits the ends of claims, however long control is away.
+
+Invariant: the end of a claim is proposed until control has answered, for a
+bounded time and a bounded number of claims; what is given up stays an open
+claim, which control puts in doubt and shows.
+"""
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Final, final
+
+from returns.result import Failure as Failed
+
+from persimmonhold.control.machine import ClaimKey, CommandStatus, EndClaim
+from persimmonhold.control.shell import ControlLink
+
+_MS_PER_S: Final = 1000
+_FIRST_DELAY_S: Final = 0.1
+_MAX_DELAY_S: Final = 5.0
+_MAX_ATTEMPTS: Final = 200
+_MAX_UNSETTLED: Final = 4096
+
+
+@final
+class ClaimSettler:
+    """Owns the tasks that settle claims."""
+
+    __slots__ = ('_link', '_tasks', 'given_up')
+
+    def __init__(self, link: ControlLink) -> None:
+        """Create a settler that proposes through a link."""
+        self.given_up = 0
+        self._link = link
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __len__(self) -> int:
+        """Return how many claims are not settled yet."""
+        return len(self._tasks)
+
+    def settle(self, end: EndClaim) -> asyncio.Task[None] | None:
+        """Start to commit an end; None where too many wait already."""
+        if len(self._tasks) >= _MAX_UNSETTLED:
+            self.given_up += 1
+            return None
+        return self._start(self._settle(end))
+
+    def release(self, claim: ClaimKey) -> None:
+        """Release a claim that was perhaps committed.
+
+        The claim is made once more, which has no effect if it is held,
+        to learn its id; the request was never dispatched.
+        """
+        if len(self._tasks) < _MAX_UNSETTLED:
+            self._start(self._release(claim))
+        else:
+            self.given_up += 1
+
+    async def close(self, timeout_s: float) -> None:
+        """Wait a while for what is under way, then give up."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def _start(
+        self,
+        settling: Coroutine[None, None, None],
+    ) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(settling)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _settle(self, end: EndClaim) -> None:
+        delay_s = _FIRST_DELAY_S
+        for _ in range(_MAX_ATTEMPTS):
+            settled = await self._link.end_claim(end)
+            if not isinstance(settled, Failed):
+                return
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, _MAX_DELAY_S)
+        self.given_up += 1
+
+    async def _release(self, claim: ClaimKey) -> None:
+        delay_s = _FIRST_DELAY_S
+        for _ in range(_MAX_ATTEMPTS):
+            claimed = await self._link.claim(claim)
+            if not isinstance(claimed, Failed):
+                answer = claimed.unwrap()
+                if answer.status is CommandStatus.claim_granted:
+                    await self._settle(release_of(claim, answer.claim))
+                return
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, _MAX_DELAY_S)
+        self.given_up += 1
+
+
+def release_of(claim: ClaimKey, index: int) -> EndClaim:
+    """Return the command that releases a granted claim."""
+    return EndClaim(at_ms=now_ms(), claim=index, request_id=claim.request_id)
+
+
+def now_ms() -> int:
+    """Return the time that goes into commands."""
+    return int(time.time() * _MS_PER_S)
--- /dev/null
+++ b/persimmonhold/entry/_entry.py
@@ -0,0 +1,185 @@
+"""The entry role of one process.
+
+Entering the context listens for callers; it raises `OSError` where the
+address cannot be had. `drain` is the planned stop: it returns when nothing
+runs any more, and leaving the context after it cuts off no request.
+"""
+
+import asyncio
+import random
+import ssl
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Final, Self, final
+
+from persimmonhold.admission import Dispatcher, DispatcherSettings
+from persimmonhold.control.shell import ControlLink
+from persimmonhold.directory import Directory, Drain, DrainPhase
+from persimmonhold.entry._dispatch_hub import DispatchHub
+from persimmonhold.entry._entry_handler import EntryHandler
+from persimmonhold.entry._entry_services import EntryServices
+from persimmonhold.observability import Metrics, log_event
+from persimmonhold.routing import Router, RouterSettings
+from persimmonhold.settings import (
+    CallerSettings,
+    PlatformSettings,
+    VmSettings,
+)
+from persimmonhold.upstreams import UpstreamPollers
+from persimmonhold.web import Address, HttpBounds, HttpServer, parse_address
+
+_SETTLE_S: Final = 5.0
+_MAX_LOAD_INTERVAL_S: Final = 0.5
+
+
+@final
+class Entry:
+    """Owns the server, the pollers and the requests of one entry."""
+
+    def __init__(
+        self,
+        vm: VmSettings,
+        callers: CallerSettings,
+        platform: PlatformSettings,
+        link: ControlLink,
+        metrics: Metrics,
+        seed: int | None = None,
+        incarnation: str = '',
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Create the entry of a VM from its sections of the settings."""
+        self._callers = callers
+        self._link = link
+        self._stack = AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+        source = random.Random(seed)
+        router = Router(vm.failure_domain, vm.name, RouterSettings(), source)
+        self._settings = DispatcherSettings()
+        dispatcher = Dispatcher(router, self._settings, source)
+        self._hub = DispatchHub(router, dispatcher)
+        self._services = EntryServices(
+            self._hub,
+            link,
+            metrics,
+            vm.name,
+            incarnation,
+        )
+        self._pollers = UpstreamPollers(self._hub, platform, source)
+        self._directory = Directory(
+            vm.name,
+            vm.failure_domain,
+            callers.directory_ttl_s,
+        )
+        self._drain = Drain(
+            callers.directory_ttl_s,
+            callers.drain_margin_s,
+            callers.drain_timeout_s,
+        )
+        self.handler = EntryHandler(
+            self._services,
+            self._directory,
+            self._drain,
+        )
+        self._server = HttpServer(
+            parse_address(callers.address).unwrap(),
+            self.handler,
+            _http_bounds(callers),
+            tls,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Adopt the view, listen and start to poll."""
+        async with AsyncExitStack() as stack:
+            self._hub.adopt_view(self._link.view)
+            stack.callback(self._hub.close)
+            stack.callback(self._services.pool.close)
+            await stack.enter_async_context(self._server)
+            await stack.enter_async_context(self._pollers)
+            self._start_tasks()
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop at once; what runs is cut off unless `drain` came first."""
+        for task in self._tasks:
+            task.cancel()
+        await self._stack.aclose()
+        await self._services.settler.close(0)
+
+    @property
+    def address(self) -> Address:
+        """Where callers reach this entry."""
+        return self._server.address
+
+    @property
+    def running(self) -> int:
+        """The number of requests under way."""
+        return self.handler.running
+
+    async def drain(self) -> None:
+        """Leave the directory, serve on, then finish what runs."""
+        now = _now()
+        self._drain.begin(now)
+        self._directory.is_leaving = True
+        log_event('drain', phase=self._drain.phase.value)
+        await self._link.announce_draining()
+        await asyncio.sleep(max(0, self._drain.closes_at - _now()))
+        self._drain.advance(_now(), self.running + 1)
+        log_event('drain', phase=self._drain.phase.value, running=self.running)
+        try:
+            async with asyncio.timeout_at(self._drain.ends_at):
+                await self._server.drain()
+                await self.handler.wait_for_detached()
+        except TimeoutError:
+            log_event('drain_timed_out', running=self.running)
+        await self._services.settler.close(_SETTLE_S)
+        self._drain.advance(_now(), 0)
+        log_event('drain', phase=DrainPhase.drained.value)
+
+    def _start_tasks(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._follow_views()),
+            loop.create_task(self._report_demand()),
+            loop.create_task(self._measure_load()),
+        ]
+
+    async def _follow_views(self) -> None:
+        while True:
+            await self._link.changed.wait()
+            self._link.changed.clear()
+            self._hub.adopt_view(self._link.view)
+
+    async def _report_demand(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.demand_period_s)
+            demand = self._hub.dispatcher.demand(_now())
+            self._link.report_demand(demand)
+
+    async def _measure_load(self) -> None:
+        """Follow how full this entry is, for the directory."""
+        while True:
+            connections = self._server.connection_count
+            used = connections / self._callers.max_connections
+            requests = len(self._hub) / self._settings.queue_requests
+            self._directory.load = min(1.0, max(used, requests))
+            await asyncio.sleep(_MAX_LOAD_INTERVAL_S)
+
+
+def _http_bounds(callers: CallerSettings) -> HttpBounds:
+    return HttpBounds(
+        max_head_bytes=callers.max_head_bytes,
+        max_body_bytes=callers.max_body_bytes,
+        head_timeout_s=callers.head_timeout_s,
+        body_timeout_s=callers.body_timeout_s,
+        max_connections=callers.max_connections,
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/persimmonhold/entry/_entry_services.py
@@ -0,0 +1,41 @@
+"""What every request of an entry works with."""
+
+from typing import final
+
+from persimmonhold.control.shell import ControlLink
+from persimmonhold.entry._claim_settler import ClaimSettler
+from persimmonhold.entry._dispatch_hub import DispatchHub
+from persimmonhold.observability import Metrics
+from persimmonhold.upstreams import ConnectionPool
+
+
+@final
+class EntryServices:
+    """The parts that the requests of one entry share."""
+
+    __slots__ = (
+        'hub',
+        'incarnation',
+        'link',
+        'metrics',
+        'pool',
+        'settler',
+        'vm',
+    )
+
+    def __init__(
+        self,
+        hub: DispatchHub,
+        link: ControlLink,
+        metrics: Metrics,
+        vm: str,
+        incarnation: str,
+    ) -> None:
+        """Create the shared parts of the entry on a VM."""
+        self.hub = hub
+        self.link = link
+        self.metrics = metrics
+        self.vm = vm
+        self.incarnation = incarnation
+        self.pool = ConnectionPool()
+        self.settler = ClaimSettler(link)
--- /dev/null
+++ b/persimmonhold/entry/_header_rules.py
@@ -0,0 +1,56 @@
+"""Which headers pass through an entry."""
+
+from typing import Final
+
+from persimmonhold.web import (
+    CALLER,
+    DEADLINE_MS,
+    PRIORITY,
+    RAN,
+    REQUEST_ID,
+    RESUME_OFFSET,
+    SERVICE_CLASS,
+    Headers,
+)
+
+_HOP_HEADERS: Final = frozenset((
+    b'connection',
+    b'content-length',
+    b'expect',
+    b'host',
+    b'keep-alive',
+    b'proxy-authenticate',
+    b'proxy-authorization',
+    b'proxy-connection',
+    b'te',
+    b'trailer',
+    b'transfer-encoding',
+    b'upgrade',
+))
+_OWN_HEADERS: Final = frozenset(
+    name.encode('ascii')
+    for name in (
+        DEADLINE_MS,
+        PRIORITY,
+        RAN,
+        REQUEST_ID,
+        RESUME_OFFSET,
+        SERVICE_CLASS,
+    )
+)
+_DROPPED: Final = _HOP_HEADERS | _OWN_HEADERS
+_CALLER: Final = CALLER.encode('ascii')
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return the headers that neither concern one connection nor are ours.
+
+    A header that the Connection header names concerns one connection.
+    """
+    dropped = _DROPPED
+    for name, text in headers:
+        if name == b'connection':
+            named = text.lower().split(b',')
+            dropped |= frozenset(option.strip() for option in named)
+    dropped -= {_CALLER}
+    return tuple(pair for pair in headers if pair[0] not in dropped)
--- /dev/null
+++ b/persimmonhold/entry/_request_report.py
@@ -0,0 +1,83 @@
+"""What the metrics and the log are told of one request."""
+
+import asyncio
+from typing import Final, final
+
+from persimmonhold.entry._attempt_runner import AttemptRunner
+from persimmonhold.entry._request_job import RequestJob
+from persimmonhold.observability import Metrics, log_event, metric
+from persimmonhold.routing import Route
+
+_MS_PER_S: Final = 1000
+
+
+@final
+class RequestReport:
+    """Times of a request, told once at its end.
+
+    No body, credential or idempotency key is told.
+    """
+
+    __slots__ = (
+        '_first_byte_at',
+        '_longest_gap_s',
+        '_metrics',
+        '_started_at',
+        '_ticket',
+    )
+
+    def __init__(self, metrics: Metrics, job: RequestJob) -> None:
+        """Create the report of a request that arrives now."""
+        self._metrics = metrics
+        self._ticket = job.ticket
+        self._started_at = _now()
+        self._first_byte_at = 0.0
+        self._longest_gap_s = 0.0
+
+    def add(self, attempt: AttemptRunner) -> None:
+        """Take the times of an attempt that has ended."""
+        self._first_byte_at = self._first_byte_at or attempt.first_byte_at
+        self._longest_gap_s = max(self._longest_gap_s, attempt.longest_gap_s)
+
+    def tell(self, outcome: str, attempts: int, route: Route | None) -> None:
+        """Tell the metrics and the log."""
+        service_class = self._ticket.service_class.value
+        self._metrics.increment(
+            metric.REQUESTS,
+            service_class=service_class,
+            outcome=outcome,
+        )
+        self._observe(service_class)
+        log_event(
+            'request',
+            request_id=self._ticket.request_id,
+            service_class=service_class,
+            target=self._ticket.target,
+            upstream=route.upstream if route else '',
+            reason=route.explanation if route else '',
+            attempts=attempts,
+            outcome=outcome,
+            first_byte_ms=self._elapsed_ms(self._first_byte_at),
+            total_ms=self._elapsed_ms(_now()),
+        )
+
+    def _observe(self, service_class: str) -> None:
+        if self._first_byte_at:
+            self._metrics.observe(
+                metric.FIRST_TOKEN,
+                self._first_byte_at - self._started_at,
+                service_class=service_class,
+            )
+        if self._longest_gap_s:
+            self._metrics.observe(
+                metric.TOKEN_GAP,
+                self._longest_gap_s,
+                service_class=service_class,
+            )
+
+    def _elapsed_ms(self, at: float) -> float:
+        return round(max(0.0, at - self._started_at) * _MS_PER_S, 3)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/persimmonhold/entry/_stall_watch.py
@@ -0,0 +1,62 @@
+"""Notices an upstream that sends nothing for long."""
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+from typing import Final, Self, final
+
+from persimmonhold.web import ClientConnection
+
+_CHECKS: Final = 4
+
+
+@final
+class StallWatch:
+    """Calls back if nothing was read for `timeout_s`.
+
+    The time during which the caller holds up reading does not count.
+    """
+
+    __slots__ = ('_connection', '_handle', '_stalled', '_timeout_s')
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        timeout_s: float,
+        stalled: Callable[[], None],
+    ) -> None:
+        """Create a watch over a connection; 0 seconds never calls back."""
+        self._connection = connection
+        self._timeout_s = timeout_s
+        self._stalled = stalled
+        self._handle: asyncio.TimerHandle | None = None
+
+    def __enter__(self) -> Self:
+        """Start to watch."""
+        loop = asyncio.get_running_loop()
+        self._connection.last_read_at = loop.time()
+        if self._timeout_s:
+            self._schedule()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop watching."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _schedule(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(self._timeout_s / _CHECKS, self._check)
+
+    def _check(self) -> None:
+        now = asyncio.get_running_loop().time()
+        silent_s = now - self._connection.last_read_at
+        if silent_s >= self._timeout_s and not self._connection.is_paused:
+            self._stalled()
+        else:
+            self._schedule()
--- /dev/null
+++ b/persimmonhold/upstreams/_connection_pool.py
@@ -0,0 +1,80 @@
+"""Open connections to upstreams that may be used again.
+
+Invariant: a connection is given out again only if its last response was
+whole, nothing arrived on it since, and it was not idle for long. Calls that
+may not be repeated never get a used connection: the peer may be closing it
+at this moment, and then it would stay unknown whether the call ran.
+"""
+
+from collections import deque
+from typing import Final, TypeAlias, final
+
+from persimmonhold.web import Address, ClientConnection
+
+_MAX_IDLE_S: Final = 15.0
+_MAX_IDLE_OF_PEER: Final = 16
+_MAX_IDLE: Final = 512
+_Idle: TypeAlias = deque[tuple[float, ClientConnection]]
+
+
+@final
+class ConnectionPool:
+    """Quiet connections by peer, the most recently used first."""
+
+    __slots__ = ('_idle', '_size')
+
+    def __init__(self) -> None:
+        """Create an empty pool."""
+        self._idle: dict[Address, _Idle] = {}
+        self._size = 0
+
+    def __len__(self) -> int:
+        """Return the number of idle connections."""
+        return self._size
+
+    def take(self, peer: Address, now: float) -> ClientConnection | None:
+        """Return a quiet connection, or None."""
+        idle = self._idle.get(peer)
+        while idle:
+            since, connection = idle.pop()
+            self._size -= 1
+            if now - since <= _MAX_IDLE_S and connection.is_reusable:
+                return connection
+            connection.close()
+        return None
+
+    def put(self, connection: ClientConnection, now: float) -> None:
+        """Keep a connection whose response is whole, or close it."""
+        if not connection.is_reusable or self._size >= _MAX_IDLE:
+            connection.close()
+            return
+        idle = self._idle.setdefault(connection.peer, deque())
+        idle.append((now, connection))
+        self._size += 1
+        if len(idle) > _MAX_IDLE_OF_PEER:
+            self._size -= 1
+            idle.popleft()[1].close()
+
+    def prune(self, now: float) -> None:
+        """Close what was idle for long or was closed by its peer."""
+        for peer, idle in tuple(self._idle.items()):
+            kept = deque(pair for pair in idle if _is_fresh(pair, now))
+            for _, connection in idle:
+                if all(connection is not other for _, other in kept):
+                    connection.close()
+            self._size += len(kept) - len(idle)
+            self._idle[peer] = kept
+            if not kept:
+                self._idle.pop(peer)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            for _, connection in idle:
+                connection.close()
+        self._idle.clear()
+        self._size = 0
+
+
+def _is_fresh(pair: tuple[float, ClientConnection], now: float) -> bool:
+    return now - pair[0] <= _MAX_IDLE_S and pair[1].is_reusable
--- /dev/null
+++ b/persimmonhold/upstreams/_observer.py
@@ -0,0 +1,39 @@
+"""Who is told what upstreams report."""
+
+import abc
+from collections.abc import Iterable
+
+from persimmonhold.catalogue import UpstreamEntry
+from persimmonhold.messages import CacheEventPage, LoadReport
+
+
+class UpstreamObserver(abc.ABC):
+    """Names the upstreams to poll and takes what they report."""
+
+    @abc.abstractmethod
+    def polled_upstreams(self) -> Iterable[UpstreamEntry]:
+        """Return the upstreams that this entry uses."""
+
+    @abc.abstractmethod
+    def upstream_addresses(self) -> dict[str, str]:
+        """Return the names of all upstreams by address."""
+
+    @abc.abstractmethod
+    def observe_load(self, upstream: str, report: LoadReport) -> None:
+        """Take a load report of an engine."""
+
+    @abc.abstractmethod
+    def observe_leaving(self, upstream: str, leaving: bool) -> None:
+        """Take whether an upstream is leaving."""
+
+    @abc.abstractmethod
+    def observe_unreachable(self, upstream: str) -> None:
+        """Take a refused connection."""
+
+    @abc.abstractmethod
+    def observe_cache_events(
+        self,
+        upstream: str,
+        page: CacheEventPage,
+    ) -> None:
+        """Take a page of cache events."""
--- /dev/null
+++ b/persimmonhold/upstreams/_upstream_pollers.py
@@ -0,0 +1,251 @@
+"""Asks upstreams for their load and the platform for its list.
+
+Only the upstreams that this entry uses are asked, each at most once in an
+interval, a bounded number at the same time, with jitter so that the entries
+do not ask in step.
+"""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from types import TracebackType
+from typing import Final, Self, TypeVar, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.catalogue import UpstreamEntry
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.messages import CacheEventPage, LoadReport
+from persimmonhold.settings import PlatformSettings
+from persimmonhold.upstreams._connection_pool import ConnectionPool
+from persimmonhold.upstreams._observer import UpstreamObserver
+from persimmonhold.upstreams._platform_list import PlatformList
+from persimmonhold.upstreams._service_state import ServiceState
+from persimmonhold.web import (
+    Address,
+    ClientConnection,
+    ClientRequest,
+    parse_address,
+)
+
+_MS_PER_S: Final = 1000
+_TIMEOUT_S: Final = 1.0
+_JITTER: Final = 0.2
+_MAX_CONCURRENT: Final = 16
+_CACHE_ROUNDS: Final = 4
+_LIST_INTERVAL_S: Final = 1.0
+_OK: Final = 200
+_DocumentT = TypeVar('_DocumentT')
+
+
+@final
+class UpstreamPollers:
+    """Owns the polling tasks of one entry."""
+
+    __slots__ = (
+        '_cursors',
+        '_leaving',
+        '_observer',
+        '_pool',
+        '_random',
+        '_settings',
+        '_slots',
+        '_tasks',
+    )
+
+    def __init__(
+        self,
+        observer: UpstreamObserver,
+        settings: PlatformSettings,
+        source: random.Random,
+    ) -> None:
+        """Create pollers that tell `observer` what they learn."""
+        self._observer = observer
+        self._settings = settings
+        self._random = source
+        self._pool = ConnectionPool()
+        self._slots = asyncio.Semaphore(_MAX_CONCURRENT)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._cursors: dict[str, tuple[str, int]] = {}
+        self._leaving: dict[str, set[str]] = {}
+
+    async def __aenter__(self) -> Self:
+        """Start to poll."""
+        self._start(self._poll_upstreams())
+        if self._settings.vm_list:
+            self._start(self._poll_list())
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop polling."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._pool.close()
+
+    async def poll_once(self, with_cache_events: bool) -> None:
+        """Ask every used upstream once."""
+        upstreams = tuple(self._observer.polled_upstreams())
+        known = {upstream.name for upstream in upstreams}
+        for name in self._cursors.keys() - known:
+            self._cursors.pop(name)
+        await asyncio.gather(
+            *(self._poll(one, with_cache_events) for one in upstreams),
+        )
+        self._pool.prune(_now())
+
+    async def poll_list_once(self) -> None:
+        """Ask the platform for its list once."""
+        address = parse_address(self._settings.vm_list).unwrap()
+        listed = await self._fetch(address, '/vms', PlatformList)
+        if isinstance(listed, Failed):
+            return
+        names = self._observer.upstream_addresses()
+        for vm in listed.unwrap().vms:
+            name = names.get(vm.address)
+            if name:
+                self._tell_leaving(name, 'list', vm.is_leaving)
+
+    def _start(self, polling: Coroutine[None, None, None]) -> None:
+        loop = asyncio.get_running_loop()
+        self._tasks.append(loop.create_task(polling))
+
+    async def _poll_upstreams(self) -> None:
+        interval_s = self._settings.poll_interval_ms / _MS_PER_S
+        rounds = 0
+        while True:
+            await self.poll_once(rounds % _CACHE_ROUNDS == 0)
+            rounds += 1
+            await asyncio.sleep(self._jittered(interval_s))
+
+    async def _poll_list(self) -> None:
+        while True:
+            await self.poll_list_once()
+            await asyncio.sleep(self._jittered(_LIST_INTERVAL_S))
+
+    def _jittered(self, interval_s: float) -> float:
+        return interval_s * (1 + _JITTER * (self._random.random() - 0.5))
+
+    async def _poll(
+        self,
+        upstream: UpstreamEntry,
+        with_cache_events: bool,
+    ) -> None:
+        async with self._slots:
+            if not upstream.is_engine:
+                await self._poll_service(upstream)
+                return
+            await self._poll_load(upstream)
+            if with_cache_events:
+                await self._poll_cache(upstream)
+
+    async def _poll_service(self, upstream: UpstreamEntry) -> None:
+        address = parse_address(upstream.address).unwrap()
+        state = await self._fetch(address, '/load', ServiceState)
+        if isinstance(state, Failed):
+            self._tell_unreachable(upstream.name, state.failure())
+        else:
+            self._tell_leaving(upstream.name, 'own', state.unwrap().leaving)
+
+    async def _poll_load(self, upstream: UpstreamEntry) -> None:
+        address = parse_address(upstream.address).unwrap()
+        report = await self._fetch(address, '/load', LoadReport)
+        if isinstance(report, Failed):
+            self._tell_unreachable(upstream.name, report.failure())
+        else:
+            self._observer.observe_load(upstream.name, report.unwrap())
+
+    async def _poll_cache(self, upstream: UpstreamEntry) -> None:
+        address = parse_address(upstream.address).unwrap()
+        boot_id, after = self._cursors.get(upstream.name, ('', 0))
+        target = f'/cache-events?after={after}'
+        fetched = await self._fetch(address, target, CacheEventPage)
+        if isinstance(fetched, Failed):
+            return
+        page = fetched.unwrap()
+        self._cursors[upstream.name] = (page.boot_id, page.last)
+        if boot_id and boot_id != page.boot_id and after:
+            # The cursor belongs to the engine's last life: start again.
+            self._cursors[upstream.name] = (page.boot_id, 0)
+        self._observer.observe_cache_events(upstream.name, page)
+
+    def _tell_unreachable(self, upstream: str, failure: Failure) -> None:
+        if failure.kind is FailureKind.connect_failed:
+            self._observer.observe_unreachable(upstream)
+
+    def _tell_leaving(self, upstream: str, sign: str, leaving: bool) -> None:
+        """Combine the signs: one of them is enough."""
+        signs = self._leaving.setdefault(upstream, set())
+        if leaving:
+            signs.add(sign)
+        else:
+            signs.discard(sign)
+        self._observer.observe_leaving(upstream, bool(signs))
+
+    async def _fetch(
+        self,
+        address: Address,
+        target: str,
+        document_type: type[_DocumentT],
+    ) -> Result[_DocumentT, Failure]:
+        connection = self._pool.take(address, _now())
+        if connection is None:
+            opened = await ClientConnection.connect(address, _TIMEOUT_S)
+            if isinstance(opened, Failed):
+                return opened
+            connection = opened.unwrap()
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                body = await _get(connection, target)
+        except TimeoutError:
+            connection.close()
+            return Failed(_failure(FailureKind.timed_out, address, target))
+        self._pool.put(connection, _now())
+        if isinstance(body, Failed):
+            return body
+        return _decode(body.unwrap(), document_type, address, target)
+
+
+async def _get(
+    connection: ClientConnection,
+    target: str,
+) -> Result[bytes, Failure]:
+    sent = await connection.send(ClientRequest(method='GET', target=target))
+    if isinstance(sent, Failed):
+        return sent
+    head = await connection.receive_head()
+    if isinstance(head, Failed):
+        return head
+    body = await connection.receive_body()
+    if isinstance(body, Failed) or head.unwrap().status == _OK:
+        return body
+    return Failed(_failure(FailureKind.refused, connection.peer, target))
+
+
+def _decode(
+    body: bytes,
+    document_type: type[_DocumentT],
+    address: Address,
+    target: str,
+) -> Result[_DocumentT, Failure]:
+    try:
+        return Success(msgspec.json.decode(body, type=document_type))
+    except msgspec.DecodeError:
+        return Failed(
+            _failure(FailureKind.protocol_violation, address, target),
+        )
+
+
+def _failure(kind: FailureKind, address: Address, target: str) -> Failure:
+    return Failure(kind=kind, step=f'GET {target}', peer=str(address))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/persimmonhold/web/_exchange.py
+++ b/persimmonhold/web/_exchange.py
@@ -83,6 +83,8 @@
 
     def start_now(self, status: int, headers: Headers) -> None:
         """Send the head of the response without waiting."""
+        if self.started:
+            return
         self.started = True
         self._connection.write(
             h11.Response(status_code=status, headers=list(headers)),
@@ -90,10 +92,14 @@
 
     def write(self, chunk: bytes) -> bool:
         """Send a part of the body; False asks to wait for `on_writable`."""
+        if self.ended:
+            return False
         return self._connection.write(h11.Data(data=chunk))
 
     def finish_now(self) -> None:
         """End the response without waiting."""
+        if self.ended:
+            return
         self.ended = True
         self._connection.write(h11.EndOfMessage())
 
@@ -105,6 +111,17 @@
         headers: Headers = (),
     ) -> None:
         """Send a whole response."""
+        self.respond_now(status, body, media_type, headers)
+        await self._connection.drain()
+
+    def respond_now(
+        self,
+        status: int,
+        body: bytes,
+        media_type: str = 'application/json',
+        headers: Headers = (),
+    ) -> None:
+        """Send a whole response without waiting."""
         own: dict[str, str] = {}
         if status != _NO_CONTENT:
             own['content-length'] = str(len(body))
@@ -112,7 +129,7 @@
         self.start_now(status, (*encode_headers(own), *headers))
         if body and self.head.method != 'HEAD':
             self.write(body)
-        await self.finish()
+        self.finish_now()
 
     async def respond_json(
         self,
