--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,184 @@
+"""Cost of one entry: latency, processor time and memory.
+
+Callers, engine and entry share one process on one loop. The same work runs
+with and without the entry in turn; the difference of processor time and of
+memory is that of the entry, with the sockets on both of its sides.
+
+    python -m bench.entry --seed 1 --output /tmp/entry.json
+"""
+
+import argparse
+import asyncio
+import gc
+import statistics
+import sys
+import time
+import tracemalloc
+from pathlib import Path
+from typing import Final, final
+
+import msgspec
+
+from bench.entry_world import EntryWorld, RawCaller, connect_caller
+
+_MS_PER_S: Final = 1000
+_US_PER_S: Final = 1_000_000
+_NEEDED_REQUESTS: Final = 140
+_NEEDED_TOKENS: Final = 28_000
+_HEADROOM: Final = 3
+_SHORT: Final = 4
+_LONG: Final = 100
+_STEP_S: Final = 0.01
+_STREAMS: Final = 60
+_LATENCY_REQUESTS: Final = 300
+_HELD_STREAMS: Final = 200
+
+
+@final
+class Round(msgspec.Struct, frozen=True, kw_only=True):
+    """The figures of one repeat, each through the entry less direct."""
+
+    added_p50_ms: float
+    added_p99_ms: float
+    request_us: float
+    token_us: float
+    stream_bytes: float
+
+    @property
+    def load(self) -> float:
+        """The share of one core that the needed size takes."""
+        used_us = (
+            _NEEDED_REQUESTS * self.request_us + _NEEDED_TOKENS * self.token_us
+        )
+        return used_us / _US_PER_S
+
+
+async def _latencies(world: EntryWorld) -> tuple[list[float], list[float]]:
+    """Return first-token times in seconds: direct, through the entry."""
+    times: tuple[list[float], list[float]] = ([], [])
+    for turn in range(2 * _LATENCY_REQUESTS):
+        through_entry = turn % 2 == 1
+        caller = await connect_caller(world.address(through_entry))
+        started = time.perf_counter()
+        caller.ask()
+        await caller.first
+        times[through_entry].append(time.perf_counter() - started)
+        await caller.ended
+        caller.leave()
+    return times
+
+
+async def _cpu_s(world: EntryWorld, through_entry: bool) -> float:
+    """Return the processor time of a round of streams, in seconds."""
+    address = world.address(through_entry)
+    callers = [await connect_caller(address) for _ in range(_STREAMS)]
+    started = time.process_time()
+    for caller in callers:
+        caller.ask()
+    await asyncio.gather(*(one.ended for one in callers))
+    used = time.process_time() - started
+    await _close(callers)
+    return used
+
+
+async def _entry_cpu_s(tokens: int, seed: int) -> float:
+    """Return the entry's processor time for a round of streams."""
+    async with EntryWorld(tokens, _STEP_S, seed) as world:
+        await _cpu_s(world, through_entry=True)
+        through = await _cpu_s(world, through_entry=True)
+        direct = await _cpu_s(world, through_entry=False)
+        return through - direct
+
+
+async def _stream_bytes(seed: int) -> float:
+    """Return the bytes that the entry keeps for one open stream."""
+    async with EntryWorld(_LONG, _STEP_S, seed) as world:
+        world.engine.held = True
+        await _held_bytes(world, through_entry=True)
+        through = await _held_bytes(world, through_entry=True)
+        direct = await _held_bytes(world, through_entry=False)
+        return (through - direct) / _HELD_STREAMS
+
+
+async def _held_bytes(world: EntryWorld, through_entry: bool) -> int:
+    gc.collect()
+    tracemalloc.start()
+    address = world.address(through_entry)
+    callers = [await connect_caller(address) for _ in range(_HELD_STREAMS)]
+    for caller in callers:
+        caller.ask()
+    await asyncio.gather(*(one.first for one in callers))
+    gc.collect()
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    await _close(callers)
+    return kept
+
+
+async def _close(callers: list[RawCaller]) -> None:
+    for caller in callers:
+        caller.leave()
+    await asyncio.sleep(0.1)
+
+
+async def _measure(seed: int) -> Round:
+    async with EntryWorld(2, 0.001, seed) as world:
+        await _latencies(world)
+        direct, through = await _latencies(world)
+    short = await _entry_cpu_s(_SHORT, seed)
+    long = await _entry_cpu_s(_LONG, seed)
+    token_s = (long - short) / (_STREAMS * (_LONG - _SHORT))
+    request_s = short / _STREAMS - _SHORT * token_s
+    return Round(
+        added_p50_ms=_added_ms(direct, through, 0.5),
+        added_p99_ms=_added_ms(direct, through, 0.99),
+        request_us=request_s * _US_PER_S,
+        token_us=token_s * _US_PER_S,
+        stream_bytes=await _stream_bytes(seed),
+    )
+
+
+def _added_ms(
+    direct: list[float],
+    through: list[float],
+    quantile: float,
+) -> float:
+    at = int(quantile * (len(direct) - 1))
+    return (sorted(through)[at] - sorted(direct)[at]) * _MS_PER_S
+
+
+def _print(rounds: list[Round]) -> None:
+    columns = ('added_p50_ms', 'added_p99_ms', 'request_us', 'token_us')
+    for name in (*columns, 'stream_bytes', 'load'):
+        figures = sorted(getattr(one, name) for one in rounds)
+        median = statistics.median(figures)
+        sys.stdout.write(
+            f'{name:>14} median {median:10.3f}'
+            f'  from {figures[0]:10.3f} to {figures[-1]:10.3f}\n',
+        )
+    load = statistics.median(one.load for one in rounds)
+    sys.stdout.write(
+        f'head-room at {_NEEDED_REQUESTS} requests and {_NEEDED_TOKENS} tokens'
+        f' a second: {1 / load:.2f} (wanted {_HEADROOM})\n',
+    )
+
+
+def main() -> None:
+    """Run the repeats, print a table and write JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--repeats', type=int, default=5)
+    parser.add_argument('--output', type=Path)
+    options = parser.parse_args()
+    rounds = [
+        asyncio.run(_measure(options.seed + repeat))
+        for repeat in range(options.repeats)
+    ]
+    _print(rounds)
+    if options.output:
+        document = {'seed': options.seed, 'rounds': rounds}
+        options.output.write_bytes(msgspec.json.encode(document))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/entry_world.py
@@ -0,0 +1,316 @@
+"""An entry, a raw engine and raw callers in one process.
+
+The engine and the callers speak HTTP by fixed byte strings, so that they
+cost little next to the entry that stands between them.
+"""
+
+import asyncio
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Final, Self, final
+
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from persimmonhold.catalogue import (
+    Accelerator,
+    Catalogue,
+    ModelEntry,
+    UpstreamEntry,
+)
+from persimmonhold.control.machine import ClaimKey, CommandResult, EndClaim
+from persimmonhold.control.shell import ControlLink
+from persimmonhold.entry import Entry
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.messages import (
+    ControlView,
+    Copy,
+    CopyState,
+    Demand,
+    VmRecord,
+)
+from persimmonhold.observability import Metrics
+from persimmonhold.settings import (
+    CallerSettings,
+    PlatformSettings,
+    VmSettings,
+)
+from persimmonhold.web import Address
+
+_LOOPBACK: Final = '127.0.0.1'
+_EVENT: Final = (
+    b'data: {"object":"chat.completion.chunk","model":"tutor",'
+    b'"choices":[{"index":0,"finish_reason":null,'
+    b'"delta":{"content":" t12.3456"}}]}\n\n'
+)
+_CHUNK: Final = b'%x\r\n%b\r\n' % (len(_EVENT), _EVENT)
+_DONE: Final = b'data: [DONE]\n\n'
+_LAST: Final = b'%x\r\n%b\r\n0\r\n\r\n' % (len(_DONE), _DONE)
+_STREAM_HEAD: Final = (
+    b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
+    b'transfer-encoding: chunked\r\n\r\n'
+)
+_REPORT: Final = (
+    b'{"boot_id":"b","age_ms":0,"running":0,"waiting":0,"slots":4096,'
+    b'"kv_used_fraction":0,"prefill_tokens_per_second":1000000,'
+    b'"decode_step_ms":1}'
+)
+_PAGE: Final = b'{"boot_id":"b","last":0}'
+
+
+@final
+class NoControl(ControlLink):
+    """A link whose view never changes."""
+
+    async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
+        """Refuse."""
+        return Failed(Failure(kind=FailureKind.no_quorum, step='claim'))
+
+    async def end_claim(
+        self,
+        end: EndClaim,
+    ) -> Result[CommandResult, Failure]:
+        """Refuse."""
+        return Failed(Failure(kind=FailureKind.no_quorum, step='end claim'))
+
+    def report_demand(self, demand: tuple[Demand, ...]) -> None:
+        """Ignore demand."""
+
+
+@final
+class RawEngine:
+    """Gives each open stream one token a step."""
+
+    def __init__(self, tokens: int, step_s: float) -> None:
+        """Create an engine whose streams have `tokens` tokens."""
+        self.tokens = tokens
+        self.step_s = step_s
+        self.streams: dict[asyncio.Transport, int] = {}
+        self.address = Address(_LOOPBACK, 0)
+        self.held = False
+        self._server: asyncio.Server | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Listen and start to make steps."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _EngineConnection(self),
+            _LOOPBACK,
+            0,
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address(_LOOPBACK, port)
+        self._task = loop.create_task(self._run())
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._server is not None:
+            self._server.close()
+
+    async def _run(self) -> None:
+        while True:
+            for transport, made in tuple(self.streams.items()):
+                self._step(transport, made)
+            await asyncio.sleep(self.step_s)
+
+    def _step(self, transport: asyncio.Transport, made: int) -> None:
+        if self.held and made:
+            return
+        if made < self.tokens:
+            transport.write(_CHUNK)
+            self.streams[transport] = made + 1
+        else:
+            transport.write(_LAST)
+            self.streams.pop(transport)
+
+
+@final
+class _EngineConnection(asyncio.Protocol):
+    """Reads requests by their length and starts streams."""
+
+    def __init__(self, engine: RawEngine) -> None:
+        self._engine = engine
+        self._received = b''
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the stream."""
+        if self._transport is not None:
+            self._engine.streams.pop(self._transport, None)
+
+    def data_received(self, data: bytes) -> None:
+        """Answer a request once it is whole."""
+        self._received += data
+        head, ended, body = self._received.partition(b'\r\n\r\n')
+        if not ended or len(body) < _length(head):
+            return
+        self._received = b''
+        if self._transport is not None:
+            self._answer(head, self._transport)
+
+    def _answer(self, head: bytes, transport: asyncio.Transport) -> None:
+        if head.startswith(b'GET /load'):
+            transport.write(_document(_REPORT))
+        elif head.startswith(b'GET /cache'):
+            transport.write(_document(_PAGE))
+        else:
+            transport.write(_STREAM_HEAD + _CHUNK)
+            self._engine.streams[transport] = 1
+
+
+@final
+class RawCaller(asyncio.Protocol):
+    """Sends one stream request and counts what comes back."""
+
+    def __init__(self) -> None:
+        """Create a caller that is not connected."""
+        loop = asyncio.get_running_loop()
+        self.ended: asyncio.Future[None] = loop.create_future()
+        self.first: asyncio.Future[None] = loop.create_future()
+        self.received = 0
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes and look for the end."""
+        self.received += len(data)
+        if not self.first.done() and b'data: ' in data:
+            self.first.set_result(None)
+        if data.endswith(b'0\r\n\r\n') and not self.ended.done():
+            self.ended.set_result(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail if the stream has not ended."""
+        if not self.ended.done():
+            self.ended.set_exception(ConnectionError('cut'))
+            self.ended.exception()
+
+    def ask(self) -> None:
+        """Send the request."""
+        body = b'{"model":"tutor","stream":true,"prompt":"Check my harness."}'
+        if self.transport is not None:
+            self.transport.write(
+                b'POST /v1/completions HTTP/1.1\r\nhost: a\r\n'
+                b'content-type: application/json\r\ncontent-length: %d'
+                b'\r\n\r\n%b' % (len(body), body),
+            )
+
+    def leave(self) -> None:
+        """Close the connection."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+@final
+class EntryWorld:
+    """Owns an engine and an entry before it."""
+
+    def __init__(self, tokens: int, step_s: float, seed: int) -> None:
+        """Create a world whose streams have `tokens` tokens."""
+        self.engine = RawEngine(tokens, step_s)
+        self._seed = seed
+        self._entry: Entry | None = None
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Start the engine and the entry."""
+        await self._stack.enter_async_context(self.engine)
+        link = NoControl()
+        link.view = _view(self.engine.address)
+        entry = Entry(
+            VmSettings(name='vm1', failure_domain='fd1'),
+            CallerSettings(address=f'{_LOOPBACK}:0', max_connections=100_000),
+            PlatformSettings(),
+            link,
+            Metrics(),
+            seed=self._seed,
+        )
+        self._entry = await self._stack.enter_async_context(entry)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop both."""
+        await self._stack.aclose()
+
+    def address(self, through_entry: bool) -> Address:
+        """Return where callers connect."""
+        if through_entry and self._entry is not None:
+            return self._entry.address
+        return self.engine.address
+
+
+async def connect_caller(address: Address) -> RawCaller:
+    """Return a connected caller."""
+    loop = asyncio.get_running_loop()
+    _, caller = await loop.create_connection(
+        RawCaller,
+        address.host,
+        address.port,
+    )
+    return caller
+
+
+def _length(head: bytes) -> int:
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            return int(line.partition(b':')[2])
+    return 0
+
+
+def _document(body: bytes) -> bytes:
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+    return head + body
+
+
+def _view(engine: Address) -> ControlView:
+    upstream = UpstreamEntry(
+        name='engine',
+        owner='bench',
+        address=str(engine),
+        failure_domain='fd1',
+        accelerators=(Accelerator(name='a0', memory_bytes=9),),
+    )
+    model = ModelEntry(
+        name='tutor',
+        owner='bench',
+        version='1',
+        weight_bytes=1,
+        kv_floor_bytes=1,
+    )
+    copy = Copy(
+        target='tutor',
+        version='1',
+        upstream='engine',
+        accelerator='a0',
+        state=CopyState.serving,
+        fence=1,
+    )
+    return ControlView(
+        index=1,
+        catalogue=Catalogue().with_entry(model).with_entry(upstream),
+        copies=(copy,),
+        vms=(VmRecord(name='vm1', failure_domain='fd1', callers='a:1'),),
+    )
--- a/persimmonhold/attempts/_request_life.py
+++ b/persimmonhold/attempts/_request_life.py
@@ -97,9 +97,10 @@
             self.phase = Phase.queued
             return (Enqueue(),)
         self.phase = Phase.ended
-        if answer.outcome is None:
-            return (Refuse(claim_refusal(answer.status)),)
-        return (ReplayOutcome(answer.outcome),)
+        completed = answer.status is CommandStatus.claim_completed
+        if completed and answer.outcome is not None:
+            return (ReplayOutcome(answer.outcome),)
+        return (Refuse(claim_refusal(answer.status)),)
 
     def claim_failed(self, detail: str) -> AttemptActions:
         """Refuse: without a committed claim nothing is dispatched."""
--- a/persimmonhold/web/_client_parser.py
+++ b/persimmonhold/web/_client_parser.py
@@ -13,6 +13,7 @@
 
 _MAX_HEAD_BYTES: Final = 65_536
 _BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+_CHUNK_END_BYTES: Final = 2
 _Event: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -20,12 +21,13 @@
 class ClientParser:
     """Encodes requests and parses the responses to them."""
 
-    __slots__ = ('_parser', 'ended', 'error')
+    __slots__ = ('_parser', '_unparsed', 'ended', 'error')
 
     def __init__(self) -> None:
         """Create a parser that has no request under way."""
         self.ended = False
         self.error = ''
+        self._unparsed = 0
         self._parser = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=_MAX_HEAD_BYTES,
@@ -49,6 +51,7 @@
 
     def receive(self, received: bytes) -> None:
         """Take bytes from the peer; none at the end of its stream."""
+        self._unparsed += len(received)
         self._parser.receive_data(received)
 
     def take_head(self) -> ResponseHead | None:
@@ -64,18 +67,37 @@
         )
 
     def take_body(self) -> bytes:
-        """Return the body bytes that are there."""
+        """Return the body bytes that are there.
+
+        Most reads bring one whole chunk; the parser is not asked again for
+        what cannot be there.
+        """
         taken: list[bytes] = []
         while not self.ended:
             event = self._next_event()
             if isinstance(event, h11.Data):
                 taken.append(event.data)
+                if self._is_used_up(event):
+                    break
             elif isinstance(event, h11.EndOfMessage):
                 self._end_response()
             else:
+                self._unparsed = len(self._parser.trailing_data[0])
                 break
         return b''.join(taken)
 
+    def _is_used_up(self, event: h11.Data) -> bool:
+        """Tell whether a chunk was the last of what was received.
+
+        The line end after a chunk may be left; it makes no event.
+        """
+        if not event.chunk_end:
+            return False
+        size = len(event.data)
+        framing = len(b'%x\r\n\r\n' % size) if event.chunk_start else 0
+        self._unparsed -= size + framing
+        return self._unparsed <= _CHUNK_END_BYTES
+
     def _encode(self, request: ClientRequest, host: str) -> bytes:
         own = [(b'host', host.encode('ascii'))]
         if request.body or request.method not in _BODILESS_METHODS:
--- /dev/null
+++ b/tests/entry_builders.py
@@ -0,0 +1,294 @@
+"""An entry between fake control and scripted upstreams on loopback."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Final, Self, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.catalogue import (
+    Accelerator,
+    CallRule,
+    Catalogue,
+    ModelEntry,
+    ServiceEntry,
+    UpstreamEntry,
+)
+from persimmonhold.control.machine import (
+    ClaimKey,
+    CommandResult,
+    ControlMachine,
+    EndClaim,
+)
+from persimmonhold.control.shell import ControlLink
+from persimmonhold.entry import Entry
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.messages import (
+    ControlView,
+    Copy,
+    CopyState,
+    Demand,
+    LoadReport,
+    VmRecord,
+)
+from persimmonhold.observability import Metrics
+from persimmonhold.settings import (
+    CallerSettings,
+    PlatformSettings,
+    VmSettings,
+)
+from persimmonhold.web import (
+    Address,
+    ClientRequest,
+    Exchange,
+    ExchangeHandler,
+    FetchedResponse,
+    HttpBounds,
+    HttpServer,
+    encode_headers,
+    fetch,
+)
+
+ANY_PORT = Address('127.0.0.1', 0)
+TIMEOUT_S = 10.0
+Script = Callable[[Exchange], Awaitable[None]]
+LOAD: Final = LoadReport(
+    boot_id='b',
+    age_ms=0,
+    running=0,
+    waiting=0,
+    slots=64,
+    kv_used_fraction=0,
+    prefill_tokens_per_second=100_000,
+    decode_step_ms=1,
+)
+
+
+@final
+class FakeControl(ControlLink):
+    """A link to a control state machine that may be cut off."""
+
+    def __init__(self, machine: ControlMachine) -> None:
+        super().__init__()
+        self.machine = machine
+        self.is_cut = False
+        self.is_isolated = False
+        self.loses_answers = False
+        self.ended = asyncio.Event()
+
+    async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
+        """Commit a claim unless cut off."""
+        return await self._propose(claim)
+
+    async def end_claim(
+        self,
+        end: EndClaim,
+    ) -> Result[CommandResult, Failure]:
+        """Commit the end of a claim unless cut off."""
+        answer = await self._propose(end)
+        self.ended.set()
+        return answer
+
+    def report_demand(self, demand: tuple[Demand, ...]) -> None:
+        """Ignore demand."""
+
+    def serving_allowed(self) -> bool:
+        """Tell whether the entry may serve."""
+        return not self.is_isolated
+
+    async def _propose(
+        self,
+        command: ClaimKey | EndClaim,
+    ) -> Result[CommandResult, Failure]:
+        await asyncio.sleep(0)
+        failure = Failure(kind=FailureKind.no_quorum, step='propose')
+        if self.is_cut:
+            return Failed(failure)
+        answer = self.machine.apply(self.machine.state.index + 1, command)
+        if self.loses_answers:
+            self.loses_answers = False
+            return Failed(failure)
+        return Success(answer)
+
+
+@final
+class ScriptedUpstream(ExchangeHandler):
+    """Answers its calls by scripts, the last one again and again."""
+
+    def __init__(self, name: str, *scripts: Script) -> None:
+        self.name = name
+        self.scripts = list(scripts)
+        self.bodies: list[bytes] = []
+        self.targets: list[str] = []
+        self.offsets: list[str] = []
+        self.connections: list[str] = []
+        self.headers: list[dict[bytes, bytes]] = []
+        self.gone = asyncio.Event()
+        self.called = asyncio.Event()
+        self.address = ANY_PORT
+
+    @property
+    def executions(self) -> int:
+        """How many requests were received whole."""
+        return len(self.bodies)
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer reports, and calls by the next script."""
+        if exchange.head.path == '/load':
+            await exchange.respond_json(200, LOAD)
+            return
+        if exchange.head.path == '/cache-events':
+            await exchange.respond_json(200, {'boot_id': 'b', 'last': 0})
+            return
+        body = await exchange.read_body()
+        self.bodies.append(body.unwrap())
+        self.targets.append(exchange.head.target)
+        self.connections.append(exchange.head.peer)
+        self.headers.append(dict(exchange.head.headers))
+        offset = exchange.head.header('persimmonhold-resume-offset')
+        self.offsets.append(offset)
+        self.called.set()
+        script = self.scripts[0]
+        if len(self.scripts) > 1:
+            self.scripts.pop(0)
+        try:
+            await script(exchange)
+        except asyncio.CancelledError:
+            self.gone.set()
+            raise
+
+
+@final
+class EntryWorld:
+    """Owns an entry and its upstreams."""
+
+    def __init__(
+        self,
+        *upstreams: ScriptedUpstream,
+        callers: CallerSettings | None = None,
+        entries: int = 1,
+    ) -> None:
+        self.upstreams = upstreams
+        self.machine = ControlMachine()
+        self.metrics = Metrics()
+        self.links = [FakeControl(self.machine) for _ in range(entries)]
+        self.entries: list[Entry] = []
+        self._callers = callers or CallerSettings(
+            directory_ttl_s=0.01,
+            drain_margin_s=0,
+        )
+        self._stack = AsyncExitStack()
+
+    @property
+    def link(self) -> FakeControl:
+        """The link of the first entry."""
+        return self.links[0]
+
+    @property
+    def entry(self) -> Entry:
+        """The first entry."""
+        return self.entries[0]
+
+    async def __aenter__(self) -> Self:
+        for upstream in self.upstreams:
+            server = HttpServer(ANY_PORT, upstream, HttpBounds())
+            await self._stack.enter_async_context(server)
+            upstream.address = server.address
+        for link in self.links:
+            link.view = self.view()
+            entry = Entry(
+                VmSettings(name='vm1', failure_domain='fd1'),
+                msgspec.structs.replace(
+                    self._callers,
+                    address=str(ANY_PORT),
+                ),
+                PlatformSettings(),
+                link,
+                self.metrics,
+                seed=1,
+            )
+            self.entries.append(await self._stack.enter_async_context(entry))
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    def view(self) -> ControlView:
+        """Return a view with a model and a service on all upstreams."""
+        rules = (CallRule(method='GET', path_prefix='', idempotent=True),)
+        catalogue = Catalogue().with_entry(
+            ServiceEntry(name='lodgements', owner='levy', rules=rules),
+        )
+        catalogue = catalogue.with_entry(
+            ModelEntry(
+                name='tutor',
+                owner='levy',
+                version='1',
+                weight_bytes=1,
+                kv_floor_bytes=1,
+            ),
+        )
+        copies = []
+        for upstream in self.upstreams:
+            catalogue = catalogue.with_entry(_upstream_entry(upstream))
+            copies.append(_copy(upstream))
+        vms = (VmRecord(name='vm1', failure_domain='fd1', callers='a:1'),)
+        return ControlView(
+            index=1,
+            catalogue=catalogue,
+            copies=tuple(copies),
+            vms=vms,
+        )
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        document: object = None,
+        headers: dict[str, str] | None = None,
+        entry: int = 0,
+    ) -> FetchedResponse:
+        """Send a request and return the whole response."""
+        request = ClientRequest(
+            method=method,
+            target=target,
+            headers=encode_headers(headers or {}),
+            body=b''
+            if document is None
+            else msgspec.json.encode(document, enc_hook=dict),
+        )
+        address = self.entries[entry].address
+        return (await fetch(address, request, TIMEOUT_S)).unwrap()
+
+
+def _upstream_entry(upstream: ScriptedUpstream) -> UpstreamEntry:
+    is_engine = upstream.name.startswith('engine')
+    accelerators = (Accelerator(name='a0', memory_bytes=9),)
+    return UpstreamEntry(
+        name=upstream.name,
+        owner='levy',
+        address=str(upstream.address),
+        failure_domain='fd1',
+        service='' if is_engine else 'lodgements',
+        accelerators=accelerators if is_engine else (),
+    )
+
+
+def _copy(upstream: ScriptedUpstream) -> Copy:
+    return Copy(
+        target='tutor',
+        version='1',
+        upstream=upstream.name,
+        accelerator='a0',
+        state=CopyState.serving,
+        fence=1,
+    )
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -36,6 +36,7 @@
     EndClaim,
 )
 from persimmonhold.failures import Ran, Refusal, RefusalReason
+from persimmonhold.messages import CallOutcome
 
 _TOKENS = 6
 _STREAM = AnswerHead(status=200, media_type='text/event-stream')
@@ -321,7 +322,11 @@
     life = RequestLife(RequestPlan(idempotent=False, claims=True))
     life.arrive()
     answered = ControlMachine().apply(1, _claim())
-    result = msgspec.structs.replace(answered, status=status)
+    result = msgspec.structs.replace(
+        answered,
+        status=status,
+        outcome=CallOutcome(status=200, media_type='', body=b'other'),
+    )
     action = life.claim_answered(result)[0]
     assert isinstance(action, Refuse)
     assert_that(action.refusal.reason, Equals(reason))
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,352 @@
+"""The HTTP server against every way of sending a request badly.
+
+A connection is driven as a protocol through a fake transport. The fuzz runs
+are 400 pipelines of good requests cut anywhere and 600 damaged requests.
+"""
+
+import asyncio
+from typing import Any, Final, final
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    Contains,
+    Equals,
+    HasLength,
+    LessThan,
+    Not,
+    StartsWith,
+)
+
+from persimmonhold.web import (
+    Address,
+    Exchange,
+    ExchangeHandler,
+    HttpBounds,
+    HttpServer,
+    Rejection,
+)
+from persimmonhold.web._server_connection import ServerConnection
+
+_BOUNDS: Final = HttpBounds(
+    max_head_bytes=1024,
+    max_body_bytes=512,
+    head_timeout_s=0.02,
+    body_timeout_s=0.02,
+    idle_timeout_s=0.02,
+    send_timeout_s=0.02,
+)
+_HOST: Final = b'Host: a\r\n'
+
+
+@final
+class _Transport(asyncio.Transport):
+    """Collects what is written; closes as the loop's transports do."""
+
+    def __init__(self, protocol: asyncio.Protocol) -> None:
+        super().__init__()
+        self.protocol = protocol
+        self.written = b''
+        self.is_closed = False
+        self.ended = asyncio.Event()
+        self.readable = asyncio.Event()
+        self.readable.set()
+
+    def write(self, data: Any) -> None:
+        """Collect the bytes."""
+        self.written += bytes(data)
+
+    def close(self) -> None:
+        """Report the end of the connection soon."""
+        self.ended.set()
+        self.readable.set()
+        if not self.is_closed:
+            self.is_closed = True
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.protocol.connection_lost, None)
+
+    def abort(self) -> None:
+        """Close without flushing."""
+        self.close()
+
+    def can_write_eof(self) -> bool:
+        """Tell that the sending half can be closed."""
+        return True
+
+    def write_eof(self) -> None:
+        """Note that nothing more will be written."""
+        self.ended.set()
+
+    def pause_reading(self) -> None:
+        """Note that reading is held."""
+        self.readable.clear()
+
+    def resume_reading(self) -> None:
+        """Note that reading goes on."""
+        self.readable.set()
+
+
+@final
+class _Echo(ExchangeHandler):
+    """Answers with method, target and body."""
+
+    def __init__(self) -> None:
+        self.running = 0
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Echo the request."""
+        self.running += 1
+        try:
+            await self._answer(exchange)
+        finally:
+            self.running -= 1
+
+    def reject(self, status: int) -> Rejection:
+        """Return a typed refusal."""
+        return Rejection(status=status, body=b'{"ran":"no"}')
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if exchange.head.target == '/hang':
+            await asyncio.Event().wait()
+        body = await exchange.read_body()
+        parts = (exchange.head.method, exchange.head.target)
+        echoed = ' '.join(parts).encode() + b' ' + body.value_or(b'refused')
+        status = 413 if exchange.body_too_large else 200
+        await exchange.respond(status, echoed)
+
+
+@final
+class _Driven:
+    """A connection, its transport and its handler."""
+
+    def __init__(self) -> None:
+        self.ends: list[ServerConnection] = []
+        self.handler = _Echo()
+        self.connection = ServerConnection(
+            self.handler,
+            _BOUNDS,
+            self.ends.append,
+        )
+        self.transport = _Transport(self.connection)
+        self.connection.connection_made(self.transport)
+
+    async def feed(self, *chunks: bytes) -> None:
+        """Deliver chunks as the loop would."""
+        for chunk in chunks:
+            await self.transport.readable.wait()
+            if not self.transport.is_closed:
+                self.connection.data_received(chunk)
+            await self.settle()
+
+    async def settle(self) -> None:
+        """Let tasks run."""
+        for _ in range(6):
+            await asyncio.sleep(0)
+
+    async def leave(self) -> None:
+        """End the connection from the peer's side."""
+        self.transport.close()
+        await self.settle()
+
+
+def _drive(*chunks: bytes) -> tuple[_Driven, int]:
+    """Feed chunks, leave, and return what is left running."""
+
+    async def scenario() -> tuple[_Driven, int]:
+        driven = _Driven()
+        await driven.feed(*chunks)
+        await driven.leave()
+        return driven, len(asyncio.all_tasks()) - 1
+
+    return asyncio.run(scenario())
+
+
+def _request(index: int, body: bytes, chunked: bool) -> bytes:
+    head = b'POST /%d HTTP/1.1\r\n' % index + _HOST
+    if not chunked:
+        length = b'Content-Length: %d\r\n\r\n' % len(body)
+        return head + length + body
+    framed = b'%x\r\n%s\r\n' % (len(body), body) if body else b''
+    coding = b'Transfer-Encoding: chunked\r\n\r\n'
+    return head + coding + framed + b'0\r\n\r\n'
+
+
+def _cut(whole: bytes, places: list[int]) -> list[bytes]:
+    edges = sorted({0, len(whole), *(at % len(whole) for at in places)})
+    return [
+        whole[start:end] for start, end in zip(edges, edges[1:], strict=False)
+    ]
+
+
+@settings(max_examples=400)
+@given(
+    st.lists(
+        st.tuples(st.binary(max_size=40), st.booleans()),
+        min_size=1,
+        max_size=5,
+    ),
+    st.lists(st.integers(0, 10_000), max_size=12),
+)
+def test_pipelined_requests_are_answered_in_order_however_cut(
+    bodies: list[tuple[bytes, bool]],
+    places: list[int],
+) -> None:
+    whole = b''.join(
+        _request(index, body, chunked)
+        for index, (body, chunked) in enumerate(bodies)
+    )
+    driven, left = _drive(*_cut(whole, places))
+    expected = [
+        b'POST /%d ' % index + body for index, (body, _) in enumerate(bodies)
+    ]
+    rest = driven.transport.written
+    for echoed in expected:
+        head, _, rest = rest.partition(b'\r\n\r\n')
+        assert_that(head, StartsWith(b'HTTP/1.1 200'))
+        assert_that(rest[: len(echoed)], Equals(echoed))
+        rest = rest[len(echoed) :]
+    assert_that((rest, left), Equals((b'', 0)))
+
+
+@settings(max_examples=600)
+@given(
+    st.binary(max_size=60),
+    st.integers(0, 120),
+    st.integers(0, 12),
+    st.booleans(),
+    st.lists(st.integers(0, 10_000), max_size=4),
+)
+def test_damaged_requests_leave_nothing_behind(
+    damage: bytes,
+    at: int,
+    dropped: int,
+    chunked: bool,
+    places: list[int],
+) -> None:
+    good = _request(0, b'x' * 20, chunked)
+    whole = good[:at] + damage + good[at + dropped :]
+    driven, left = _drive(*_cut(whole or b'\r', places))
+    assert_that((left, driven.handler.running), Equals((0, 0)))
+    assert_that(driven.ends, HasLength(1))
+    statuses = {
+        line.split(b' ')[1]
+        for line in driven.transport.written.split(b'\r\n')
+        if line.startswith(b'HTTP/1.1 ')
+    }
+    assert_that(statuses - {b'200', b'400', b'413', b'501'}, Equals(set()))
+
+
+@pytest.mark.parametrize(
+    ('head', 'status'),
+    [
+        (b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n', b'400'),
+        (b'Transfer-Encoding: chunked\r\nContent-Length: 3\r\n', b'400'),
+        (b'Content-Length: 3\r\nContent-Length: 4\r\n', b'400'),
+        (b'Content-Length: +3\r\n', b'400'),
+        (b'Content-Length: -1\r\n', b'400'),
+        (b'Transfer-Encoding: gzip, chunked\r\n', b'501'),
+        (b'Transfer-Encoding : chunked\r\n', b'400'),
+        (b'X-Long: ' + b'x' * 2000 + b'\r\n', b'413'),
+        (b'Host: b\r\n', b'400'),
+    ],
+)
+def test_ambiguous_heads_are_refused_and_the_connection_closed(
+    head: bytes,
+    status: bytes,
+) -> None:
+    whole = b'POST / HTTP/1.1\r\n' + _HOST + head + b'\r\n'
+    driven, left = _drive(whole + b'abc' + _request(1, b'', chunked=False))
+    written = driven.transport.written
+    assert_that(written, StartsWith(b'HTTP/1.1 ' + status))
+    assert_that(written, Contains(b'connection: close'))
+    assert_that(written, Not(Contains(b'POST /1')))
+    assert_that(left, Equals(0))
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'expected', 'unexpected'),
+    [
+        (
+            b'POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n'
+            b'Content-Length: 3\r\n\r\n',
+            b'100 ',
+            b'413',
+        ),
+        (
+            b'POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n'
+            b'Content-Length: 9999\r\n\r\n',
+            b'413',
+            b'100 ',
+        ),
+        (
+            b'GET /old HTTP/1.0\r\n\r\n',
+            b'GET /old ',
+            b'transfer-encoding',
+        ),
+        (
+            b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n3e8\r\n' + b'x' * 1000,
+            b'413',
+            b' 200 ',
+        ),
+    ],
+)
+def test_answers_to_unusual_requests(
+    request_bytes: bytes,
+    expected: bytes,
+    unexpected: bytes,
+) -> None:
+    driven, left = _drive(request_bytes)
+    assert_that(driven.transport.written, Contains(expected))
+    assert_that(driven.transport.written, Not(Contains(unexpected)))
+    assert_that(left, Equals(0))
+
+
+def test_caller_that_vanishes_cancels_its_handler() -> None:
+    driven, left = _drive(b'GET /hang HTTP/1.1\r\n' + _HOST + b'\r\n')
+    assert_that((left, driven.handler.running), Equals((0, 0)))
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'',
+        b'GET / HT',
+        b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n',
+    ],
+)
+def test_slow_senders_are_answered_or_closed(sent: bytes) -> None:
+    async def scenario() -> bytes:
+        driven = _Driven()
+        if sent:
+            driven.connection.data_received(sent)
+        await driven.transport.ended.wait()
+        await driven.leave()
+        return driven.transport.written
+
+    written = asyncio.run(scenario())
+    assert_that(written.count(b'HTTP/1.1'), Equals(1 if sent else 0))
+
+
+def test_connections_beyond_the_bound_are_closed_at_once() -> None:
+    async def scenario() -> int:
+        bounds = HttpBounds(max_connections=3)
+        server = HttpServer(Address('127.0.0.1', 0), _Echo(), bounds)
+        async with server:
+            streams = [
+                await asyncio.open_connection(
+                    server.address.host,
+                    server.address.port,
+                )
+                for _ in range(5)
+            ]
+            ended = [await streams[index][0].read() for index in (3, 4)]
+            open_count = server.connection_count
+            for _, writer in streams:
+                writer.close()
+            assert_that(ended, Equals([b'', b'']))
+            return open_count
+
+    assert_that(asyncio.run(scenario()), LessThan(4))
