Membership: proofs, leases and dissemination as a pure agent

An entry had no rule for hearing nobody, and no way to get the view but from a replica in its own process.

Each VM exchanges heartbeats with control and a few others; answers echo the time of the question and pass on proofs with their age. A proof is taken only by a VM whose view is as new as the sender's, so a majority of proofs, or one of control, implies every change that a majority held before. A VM without either for a lease does not serve.

--- /dev/null
+++ b/persimmonhold/membership/_ack_table.py
@@ -0,0 +1,84 @@
+"""Which VMs hold which view, as the leader of control is told.
+
+A change is accepted once a majority of the registered VMs holds it. It is
+in force once every registered VM holds it, or a lease after it was accepted
+because by then a VM without it has stopped to serve.
+"""
+
+import math
+from collections.abc import Collection
+from typing import final
+
+from persimmonhold.membership._proof_table import majority
+
+
+@final
+class AckTable:
+    """The newest view index reported by each VM."""
+
+    __slots__ = ('_accepted', '_lease_s', 'held')
+
+    def __init__(self, lease_s: float) -> None:
+        """Create an empty table; VMs serve for `lease_s` without proof."""
+        self.held: dict[str, tuple[str, int]] = {}
+        self._lease_s = lease_s
+        self._accepted: list[tuple[int, float]] = []
+
+    def report(
+        self,
+        now: float,
+        vm: str,
+        incarnation: str,
+        index: int,
+        names: Collection[str],
+    ) -> None:
+        """Note that a VM holds the view at `index`."""
+        before = self.held.get(vm)
+        if before and before[0] == incarnation and before[1] >= index:
+            return
+        self.held[vm] = (incarnation, index)
+        accepted = self.accepted_index(names)
+        if not self._accepted or accepted > self._accepted[-1][0]:
+            self._accepted.append((accepted, now))
+        self._trim(now)
+
+    def accepted_index(self, names: Collection[str]) -> int:
+        """Return the highest index that a majority of VMs holds."""
+        held = sorted(
+            (self.held[name][1] if name in self.held else 0 for name in names),
+            reverse=True,
+        )
+        return held[majority(len(held)) - 1] if held else 0
+
+    def is_accepted(self, index: int, names: Collection[str]) -> bool:
+        """Tell whether a majority of the VMs holds `index`."""
+        return not names or self.accepted_index(names) >= index
+
+    def is_in_force(
+        self,
+        now: float,
+        index: int,
+        names: Collection[str],
+    ) -> bool:
+        """Tell whether no VM serves a view older than `index`."""
+        if not self.behind(index, names):
+            return True
+        horizon = now - 2 * self._lease_s
+        return any(
+            accepted >= index and at <= horizon
+            for accepted, at in self._accepted
+        )
+
+    def behind(self, index: int, names: Collection[str]) -> tuple[str, ...]:
+        """Return the VMs that do not hold `index`, by name."""
+        return tuple(
+            name
+            for name in sorted(names)
+            if self.held.get(name, ('', -math.inf))[1] < index
+        )
+
+    def _trim(self, now: float) -> None:
+        """Keep one acceptance beyond the lease, and the later ones."""
+        horizon = now - 2 * self._lease_s
+        while len(self._accepted) > 1 and self._accepted[1][1] <= horizon:
+            self._accepted.pop(0)
--- /dev/null
+++ b/persimmonhold/membership/_membership_timings.py
@@ -0,0 +1,36 @@
+"""Times and bounds of membership and dissemination."""
+
+from typing import Final, final
+
+import msgspec
+
+_SMALL_SYSTEM: Final = 64
+
+
+@final
+class MembershipTimings(msgspec.Struct, frozen=True, kw_only=True):
+    """Times in seconds; equal at every VM of a system.
+
+    A VM serves while its proof is younger than `lease_s`. A VM that nobody
+    has proof of for `dead_after_s` is removed; it has to be longer than the
+    lease by more than the proofs take to spread.
+    """
+
+    interval_s: float = 0.5
+    lease_s: float = 4
+    dead_after_s: float = 10
+    pull_timeout_s: float = 0.3
+    fanout: int = 2
+    push_fanout: int = 3
+    leader_push_fanout: int = 32
+    part_bytes: int = 65_536
+
+    def interval_for(self, vm_count: int) -> float:
+        """Return the time between heartbeats in a system of that size."""
+        if vm_count <= _SMALL_SYSTEM:
+            return self.interval_s
+        return 2 * self.interval_s
+
+    def fanout_for(self, vm_count: int) -> int:
+        """Return how many VMs besides control a heartbeat goes to."""
+        return self.fanout if vm_count <= _SMALL_SYSTEM else 1
--- /dev/null
+++ b/persimmonhold/membership/_proof_table.py
@@ -0,0 +1,127 @@
+"""What a VM has proof of, and whether it may serve.
+
+A proof is a time in the clock of this VM at or before which something was
+true: that another VM lived, or that a leader of control with a quorum had
+nothing newer than this VM has. It comes from an answer that echoes the time
+of a question, so a late answer proves no more than an early one, and clocks
+are never compared. Proofs are passed on with their age.
+
+Invariant: a proof about a VM is taken over only by one whose view is at
+least as new as the view of the VM that it came from. Hence a proof that a
+VM lived at some time implies a view at least as new as that VM had then.
+"""
+
+import hashlib
+import math
+from collections.abc import Iterable
+from typing import Final, final
+
+AGE_UNIT_S: Final = 0.05
+UNKNOWN_AGE: Final = 255
+_HASH_BYTES: Final = 8
+
+
+@final
+class ProofTable:
+    """Times of proof by VM, and of control."""
+
+    __slots__ = (
+        '_lease_s',
+        '_name',
+        '_started_at',
+        'control_at',
+        'joined',
+        'lived_at',
+    )
+
+    def __init__(self, name: str, lease_s: float, started_at: float) -> None:
+        """Create the table of the VM `name`, without proof."""
+        self.lived_at: dict[str, float] = {}
+        self.control_at = -math.inf
+        self.joined = False
+        self._name = name
+        self._lease_s = lease_s
+        self._started_at = started_at
+
+    def prove_vm(self, vm: str, at: float) -> None:
+        """Note that a VM lived at `at`."""
+        self.lived_at[vm] = max(at, self.lived_at.get(vm, -math.inf))
+
+    def prove_control(self, at: float) -> None:
+        """Note that control had nothing newer at `at`."""
+        self.control_at = max(at, self.control_at)
+        # A VM that started anew has forgotten what it held before, so it
+        # counts for a majority only after control brought it up to date.
+        self.joined = self.joined or at >= self._started_at
+
+    def ages(self, now: float, names: tuple[str, ...]) -> bytes:
+        """Return the age of the proof of each VM, rounded up."""
+        return bytes(_age(now, self._lived_at(name, now)) for name in names)
+
+    def control_age(self, now: float) -> int:
+        """Return the age of the proof of control, rounded up."""
+        return _age(now, self.control_at)
+
+    def merge(
+        self,
+        asked_at: float,
+        names: tuple[str, ...],
+        ages: bytes,
+    ) -> None:
+        """Take over the proofs of a VM that was asked at `asked_at`."""
+        for name, age in zip(names, ages, strict=True):
+            if age != UNKNOWN_AGE and name != self._name:
+                self.prove_vm(name, asked_at - age * AGE_UNIT_S)
+
+    def live(self, now: float, names: Iterable[str]) -> frozenset[str]:
+        """Return the VMs with proof within the lease."""
+        horizon = now - self._lease_s
+        return frozenset(
+            name for name in names if self._lived_at(name, now) >= horizon
+        )
+
+    def serving_allowed(self, now: float, names: Iterable[str]) -> bool:
+        """Tell whether this registered VM may serve callers.
+
+        It may with proof of control, or of a majority of the registered
+        VMs: a change is accepted only once a majority has it, so one that
+        this VM lacks cannot have been accepted before the proofs.
+        """
+        registered = tuple(names)
+        if self._name not in registered:
+            return False
+        if now - self.control_at <= self._lease_s:
+            return True
+        return len(self.live(now, registered)) >= majority(len(registered))
+
+    def forget_others(self, names: Iterable[str]) -> None:
+        """Drop the proofs of VMs that are not registered."""
+        kept = set(names)
+        for name in tuple(self.lived_at):
+            if name not in kept:
+                self.lived_at.pop(name)
+
+    def _lived_at(self, name: str, now: float) -> float:
+        if name == self._name:
+            return now if self.joined else -math.inf
+        return self.lived_at.get(name, -math.inf)
+
+
+def majority(count: int) -> int:
+    """Return the size of the smallest majority."""
+    return count // 2 + 1
+
+
+def hash_names(names: tuple[str, ...]) -> int:
+    """Return a hash by which two VMs compare their lists of names."""
+    hashed = hashlib.blake2b(
+        '\n'.join(names).encode(),
+        digest_size=_HASH_BYTES,
+    )
+    return int.from_bytes(hashed.digest(), 'little')
+
+
+def _age(now: float, at: float) -> int:
+    if math.isinf(at):
+        return UNKNOWN_AGE
+    return min(math.ceil((now - at) / AGE_UNIT_S), UNKNOWN_AGE)
--- /dev/null
+++ b/persimmonhold/membership/_view_reader.py
@@ -0,0 +1,111 @@
+"""Brings one view up to date from others that are ahead.
+
+Invariant: the index of the view never falls. What is older than the view is
+counted and left.
+"""
+
+import math
+from typing import final
+
+import msgspec
+
+from persimmonhold.control.machine import ViewState
+from persimmonhold.membership._messages import (
+    Pull,
+    SnapshotPart,
+    ViewChanges,
+)
+from persimmonhold.messages import ControlView
+
+
+@final
+class ViewReader:
+    """Pulls from one VM at a time."""
+
+    __slots__ = (
+        '_asked_at',
+        '_parts',
+        '_pull_timeout_s',
+        '_snapshot',
+        '_source',
+        'stale_views',
+        'view',
+    )
+
+    def __init__(self, view: ViewState, pull_timeout_s: float) -> None:
+        """Create a reader that changes `view`."""
+        self.view = view
+        self.stale_views = 0
+        self._asked_at = -math.inf
+        self._pull_timeout_s = pull_timeout_s
+        self._snapshot = 0
+        self._source = ''
+        self._parts: list[bytes] = []
+
+    def pull(self, now: float, peer: str) -> Pull | None:
+        """Return what to ask a VM that is ahead; None while one is asked."""
+        if now - self._asked_at < self._pull_timeout_s:
+            return None
+        if peer != self._source:
+            # Two VMs may encode the same view in a different order.
+            self._forget()
+        self._asked_at = now
+        self._source = peer
+        return self._next_pull()
+
+    def take_changes(self, message: ViewChanges) -> bool:
+        """Apply what follows; tell whether there is a gap before it."""
+        self._asked_at = -math.inf
+        changes = message.changes
+        if changes and changes[-1].index < self.view.index:
+            self.stale_views += 1
+        for change in changes:
+            if change.index > self.view.index and not self.view.apply(change):
+                return True
+        return False
+
+    def take_part(
+        self,
+        now: float,
+        peer: str,
+        part: SnapshotPart,
+    ) -> Pull | None:
+        """Add a part; return the next question, or None at the end."""
+        if peer != self._source:
+            return None
+        self._asked_at = -math.inf
+        if part.snapshot <= self.view.index:
+            self.stale_views += part.snapshot < self.view.index
+            self._forget()
+            return None
+        if part.part == 0:
+            self._forget()
+            self._snapshot = part.snapshot
+        if part.snapshot != self._snapshot or part.part != len(self._parts):
+            return None
+        self._parts.append(part.payload)
+        if len(self._parts) == part.parts:
+            self._adopt()
+            return None
+        self._asked_at = now
+        return self._next_pull()
+
+    def _next_pull(self) -> Pull:
+        return Pull(
+            index=self.view.index,
+            snapshot=self._snapshot,
+            part=len(self._parts),
+        )
+
+    def _adopt(self) -> None:
+        encoded = b''.join(self._parts)
+        self._forget()
+        try:
+            view = msgspec.msgpack.decode(encoded, type=ControlView)
+        except msgspec.DecodeError:
+            return
+        self.view.adopt(view)
+
+    def _forget(self) -> None:
+        self._snapshot = 0
+        self._parts = []
--- /dev/null
+++ b/persimmonhold/membership/_view_server.py
@@ -0,0 +1,58 @@
+"""Answers VMs that lag behind with changes or parts of a snapshot."""
+
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.control.machine import ViewState
+from persimmonhold.membership._messages import (
+    Pull,
+    SnapshotPart,
+    ViewChanges,
+)
+
+_FEW_CHANGES: Final = 64
+
+
+@final
+class ViewServer:
+    """Serves one view; keeps the encoded snapshot that is being fetched."""
+
+    __slots__ = ('_encoded', '_encoded_index', '_part_bytes', '_view')
+
+    def __init__(self, view: ViewState, part_bytes: int) -> None:
+        """Create a server of `view`."""
+        self._view = view
+        self._part_bytes = part_bytes
+        self._encoded = b''
+        self._encoded_index = 0
+
+    def answer(self, pull: Pull) -> ViewChanges | SnapshotPart | None:
+        """Return what the VM that pulls lacks; None if nothing."""
+        if pull.index >= self._view.index:
+            return None
+        if not pull.snapshot:
+            changes = self._view.changes_since(pull.index)
+            if changes is not None and self._is_small(len(changes)):
+                return ViewChanges(changes=changes)
+        return self._part(pull)
+
+    def _is_small(self, count: int) -> bool:
+        """Tell whether changes are fewer than a snapshot has items."""
+        view = self._view
+        items = len(view.catalogue.entries) + len(view.copies) + len(view.vms)
+        return count <= max(items, _FEW_CHANGES)
+
+    def _part(self, pull: Pull) -> SnapshotPart:
+        wanted = pull.part
+        if pull.snapshot != self._encoded_index or not self._encoded:
+            self._encoded = msgspec.msgpack.encode(self._view.view())
+            self._encoded_index = self._view.index
+            wanted = 0
+        start = wanted * self._part_bytes
+        return SnapshotPart(
+            snapshot=self._encoded_index,
+            part=wanted,
+            parts=-(-len(self._encoded) // self._part_bytes),
+            payload=self._encoded[start : start + self._part_bytes],
+        )
--- /dev/null
+++ b/persimmonhold/membership/_vm_agent.py
@@ -0,0 +1,252 @@
+"""Heartbeats, proofs and the view of one VM, without input or output.
+
+Each interval the VM asks a control VM and a few others at random; each
+answer proves that the other lived and passes on what it has proof of. Who
+is found to be ahead is pulled from. What is new is pushed on to a few VMs
+at random, so a change reaches all in about as many steps as the logarithm
+of their number, and heartbeats mend what was lost.
+
+Invariant: proofs of a VM that is ahead are taken only after its view was.
+"""
+
+import random
+from typing import Final, final
+
+from persimmonhold.control.machine import ViewState
+from persimmonhold.membership._membership_timings import MembershipTimings
+from persimmonhold.membership._messages import (
+    AgentMessage,
+    Heartbeat,
+    HeartbeatAnswer,
+    Pull,
+    Send,
+    SnapshotPart,
+    ViewChanges,
+)
+from persimmonhold.membership._proof_table import (
+    AGE_UNIT_S,
+    UNKNOWN_AGE,
+    ProofTable,
+    hash_names,
+)
+from persimmonhold.membership._view_reader import ViewReader
+from persimmonhold.membership._view_server import ViewServer
+
+_CHANGE_LOG_LENGTH: Final = 4096
+
+
+@final
+class VmAgent:
+    """The part of a VM in membership and dissemination."""
+
+    __slots__ = (
+        '_control',
+        '_next_at',
+        '_random',
+        '_server',
+        'diverged_views',
+        'leader',
+        'name',
+        'names',
+        'proofs',
+        'reader',
+        'timings',
+        'view',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        control: tuple[str, ...],
+        timings: MembershipTimings,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Create the agent of a VM that knows the first control VMs."""
+        self.name = name
+        self.timings = timings
+        self.view = ViewState(_CHANGE_LOG_LENGTH)
+        self.proofs = ProofTable(name, timings.lease_s, now)
+        self.reader = ViewReader(self.view, timings.pull_timeout_s)
+        self.names: tuple[str, ...] = ()
+        self.leader = ''
+        self.diverged_views = 0
+        self._server = ViewServer(self.view, timings.part_bytes)
+        self._control = control
+        self._random = rng
+        self._next_at = 0.0
+
+    def serving_allowed(self, now: float) -> bool:
+        """Tell whether this VM may serve callers from its view."""
+        return self.proofs.serving_allowed(now, self.view.vms)
+
+    def live(self, now: float) -> frozenset[str]:
+        """Return the registered VMs with proof within the lease."""
+        return self.proofs.live(now, self.view.vms)
+
+    def tick(self, now: float) -> tuple[Send, ...]:
+        """Return the heartbeats that are due."""
+        if now < self._next_at:
+            return ()
+        self._next_at = now + self.timings.interval_for(len(self.names))
+        heartbeat = Heartbeat(sent_at=now, index=self.view.index)
+        return tuple(Send(peer, heartbeat) for peer in self._partners())
+
+    def receive(
+        self,
+        now: float,
+        peer: str,
+        message: AgentMessage,
+    ) -> tuple[Send, ...]:
+        """Take a message of another VM; return what to send."""
+        match message:
+            case Heartbeat():
+                answer = Send(peer, self._answer(now, message))
+                return (answer, *self._pull_if_behind(now, peer, message))
+            case HeartbeatAnswer():
+                self._take_answer(peer, message)
+                return self._pull_if_behind(now, peer, message)
+            case Pull():
+                served = self._server.answer(message)
+                return () if served is None else (Send(peer, served),)
+            case ViewChanges():
+                return self._take_changes(now, peer, message)
+            case SnapshotPart():
+                return self._take_part(now, peer, message)
+
+    def feed(self, source: ViewState, fanout: int) -> tuple[Send, ...]:
+        """Take over the view of the control replica of this process."""
+        if source.index <= self.view.index:
+            return ()
+        changes = source.changes_since(self.view.index)
+        if changes is None:
+            self.view.adopt(source.view())
+            self._note_members()
+            return ()
+        for change in changes:
+            self.view.apply(change)
+        self._note_members()
+        return self._push(ViewChanges(changes=changes), fanout)
+
+    def prove_control(self, at: float, index: int) -> bool:
+        """Note that control had nothing newer than `index` at `at`."""
+        if index > self.view.index:
+            return False
+        self.proofs.prove_control(at)
+        return True
+
+    def _partners(self) -> tuple[str, ...]:
+        others = [name for name in self.names if name != self.name]
+        fanout = self.timings.fanout_for(len(self.names))
+        chosen = self._random.sample(others, min(fanout, len(others)))
+        control = self._control_partner()
+        return tuple(dict.fromkeys((*control, *chosen)))
+
+    def _control_partner(self) -> tuple[str, ...]:
+        small = self.timings.leader_push_fanout
+        known = [name for name in self._control if name != self.name]
+        if self.leader in known and len(self.names) <= small:
+            # Now and then another one is asked, should the leader be gone.
+            known = [self.leader, self._random.choice(known)]
+            return tuple(dict.fromkeys(known))
+        return (self._random.choice(known),) if known else ()
+
+    def _answer(self, now: float, heartbeat: Heartbeat) -> HeartbeatAnswer:
+        return HeartbeatAnswer(
+            echoed=heartbeat.sent_at,
+            index=self.view.index,
+            digest=self.view.digest,
+            joined=self.proofs.joined,
+            leader=self.leader,
+            control_age=self.proofs.control_age(now),
+            members=hash_names(self.names),
+            ages=self.proofs.ages(now, self.names),
+        )
+
+    def _take_answer(self, peer: str, answer: HeartbeatAnswer) -> None:
+        if answer.index > self.view.index:
+            return
+        if answer.index == self.view.index:
+            self.diverged_views += answer.digest != self.view.digest
+        if answer.joined:
+            self.proofs.prove_vm(peer, answer.echoed)
+        if answer.members == hash_names(self.names):
+            self.proofs.merge(answer.echoed, self.names, answer.ages)
+        if answer.control_age != UNKNOWN_AGE:
+            age_s = answer.control_age * AGE_UNIT_S
+            self._take_control_proof(answer, answer.echoed - age_s)
+
+    def _take_control_proof(
+        self,
+        answer: HeartbeatAnswer,
+        proven_at: float,
+    ) -> None:
+        if proven_at > self.proofs.control_at:
+            self.leader = answer.leader or self.leader
+        self.proofs.prove_control(proven_at)
+
+    def _pull_if_behind(
+        self,
+        now: float,
+        peer: str,
+        message: Heartbeat | HeartbeatAnswer,
+    ) -> tuple[Send, ...]:
+        if message.index <= self.view.index:
+            return ()
+        return self._pull(now, peer)
+
+    def _pull(self, now: float, peer: str) -> tuple[Send, ...]:
+        pull = self.reader.pull(now, peer)
+        return () if pull is None else (Send(peer, pull),)
+
+    def _take_changes(
+        self,
+        now: float,
+        peer: str,
+        message: ViewChanges,
+    ) -> tuple[Send, ...]:
+        before = self.view.index
+        gap = self.reader.take_changes(message)
+        if gap:
+            return self._pull(now, peer)
+        if self.view.index == before:
+            return ()
+        self._note_members()
+        fresh = tuple(
+            change for change in message.changes if change.index > before
+        )
+        return self._push(
+            ViewChanges(changes=fresh),
+            self.timings.push_fanout,
+            peer,
+        )
+
+    def _take_part(
+        self,
+        now: float,
+        peer: str,
+        message: SnapshotPart,
+    ) -> tuple[Send, ...]:
+        pull = self.reader.take_part(now, peer, message)
+        self._note_members()
+        return () if pull is None else (Send(peer, pull),)
+
+    def _push(
+        self,
+        message: ViewChanges,
+        fanout: int,
+        source: str = '',
+    ) -> tuple[Send, ...]:
+        excluded = (self.name, source)
+        others = [name for name in self.names if name not in excluded]
+        chosen = self._random.sample(others, min(fanout, len(others)))
+        return tuple(Send(peer, message) for peer in chosen)
+
+    def _note_members(self) -> None:
+        if self.view.vms.keys() != set(self.names):
+            self.names = tuple(sorted(self.view.vms))
+            self.proofs.forget_others(self.names)
+        control = tuple(
+            vm.name for vm in self.view.vms.values() if vm.operators
+        )
+        self._control = control or self._control
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -532,6 +532,7 @@
     changes = replica.machine.state.view.changes_since(0)
     assert changes is not None
     reader = ViewState(8)
-    taken = [reader.apply(changes[number]) for number in (0, 2, 0, 1, 1, 2)]
+    order = (0, 2, 0, 1, 1, 2)
+    taken = [reader.apply(changes[position]) for position in order]
     assert_that(taken, Equals([True, False, False, True, False, True]))
     assert_that(reader.digest, Equals(replica.machine.state.view.digest))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,452 @@
+"""Proofs, serving and dissemination under loss, cuts and restarts."""
+
+import bisect
+import math
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan, Not
+
+from persimmonhold.catalogue import ModelEntry
+from persimmonhold.control.machine import (
+    Command,
+    ControlMachine,
+    PutEntry,
+    RegisterVm,
+    ViewState,
+)
+from persimmonhold.membership import (
+    AckTable,
+    AgentMessage,
+    MembershipTimings,
+    ProofTable,
+    Pull,
+    Send,
+    SnapshotPart,
+    ViewReader,
+    VmAgent,
+    majority,
+)
+from persimmonhold.messages import VmRecord
+
+_TIMINGS = MembershipTimings(part_bytes=1000)
+_STEP_S = 0.05
+_DOWN = -1
+_CONTROL = ('vm1', 'vm2', 'vm3')
+_CODEC: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AgentMessage)
+
+
+class System:
+    """Agents on a network that loses, delays, doubles and is cut.
+
+    The log of control is a fake: a leader is at once known to the side that
+    holds two of the three control VMs, and to no other.
+    """
+
+    def __init__(self, count: int, seed: int) -> None:
+        """Create a system whose VMs are registered and up to date."""
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.loss = 0.0
+        self.delay_s = 0.02
+        self.machine = ControlMachine()
+        self.acks = AckTable(_TIMINGS.lease_s)
+        self.pending: list[tuple[int, float]] = []
+        self.accepted: list[tuple[int, float]] = []
+        self.queue: list[tuple[float, str, str, bytes]] = []
+        self.side = {f'vm{number}': 0 for number in range(1, count + 1)}
+        self.cut_pairs: set[frozenset[str]] = set()
+        self.incarnations = dict.fromkeys(self.side, 0)
+        self.agents = {name: self.agent(name) for name in self.side}
+        self.indexes = {name: [(0.0, 0)] for name in self.side}
+        for name in self.side:
+            self.commit(RegisterVm(at_ms=1, vm=self.record(name)))
+        self.run(3)
+
+    def agent(self, name: str) -> VmAgent:
+        """Return a new agent with an empty view."""
+        rng = random.Random(self.rng.random())
+        return VmAgent(name, _CONTROL, _TIMINGS, rng, self.now)
+
+    def record(self, name: str) -> VmRecord:
+        """Return the record of a VM."""
+        return VmRecord(
+            name=name,
+            failure_domain='a',
+            operators='127.0.0.1:1' if name in _CONTROL else '',
+            incarnation=str(self.incarnations[name]),
+        )
+
+    def leader(self) -> str:
+        """Return the control VM that leads, or nothing."""
+        for name in _CONTROL:
+            peers = [peer for peer in _CONTROL if self.linked(name, peer)]
+            if len(peers) >= majority(len(_CONTROL)):
+                return name
+        return ''
+
+    def linked(self, one: str, other: str) -> bool:
+        """Tell whether messages pass between two VMs."""
+        if frozenset((one, other)) in self.cut_pairs:
+            return False
+        if self.side[one] == _DOWN:
+            return False
+        return self.side[one] == self.side[other]
+
+    def commit(self, command: Command) -> int:
+        """Commit a command; 0 where control has no quorum."""
+        if not self.leader():
+            return 0
+        index = self.machine.state.index + 1
+        encoded = msgspec.msgpack.encode(command)
+        decoded = msgspec.msgpack.decode(encoded, type=Command)
+        self.machine.apply(index, decoded)
+        return index
+
+    def put(self) -> int:
+        """Commit a change of the catalogue."""
+        number = self.machine.state.index
+        entry = ModelEntry(
+            name=f'm{number % 40}',
+            owner='levy',
+            version=str(number),
+            weight_bytes=1,
+            kv_floor_bytes=0,
+        )
+        command = PutEntry(
+            operator='aoi',
+            command_id=str(number),
+            at_ms=1,
+            expected_revision=self.machine.state.catalogue.entry_revision(
+                entry.name,
+            ),
+            entry=entry,
+        )
+        index = self.commit(command)
+        if index:
+            self.pending.append((index, self.now))
+        return index
+
+    def restart(self, name: str) -> None:
+        """Let a VM forget everything, and register itself again."""
+        self.incarnations[name] += 1
+        self.agents[name] = self.agent(name)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / _STEP_S)):
+            self.now += _STEP_S
+            self.step()
+            self.check()
+
+    def step(self) -> None:
+        """Perform one step of every VM, and of the network."""
+        self.lead()
+        for name, agent in self.agents.items():
+            if self.side[name] != _DOWN:
+                self.post(name, agent.tick(self.now))
+        due = [item for item in self.queue if item[0] <= self.now]
+        self.queue = [item for item in self.queue if item[0] > self.now]
+        for _, source, peer, encoded in due:
+            if self.linked(source, peer):
+                message = _CODEC.decode(encoded)
+                sent = self.agents[peer].receive(self.now, source, message)
+                self.post(peer, sent)
+
+    def lead(self) -> None:
+        """Perform the part of control."""
+        leader = self.leader()
+        for name in _CONTROL:
+            if leader and self.linked(leader, name):
+                pushed = self.agents[name].feed(self.machine.state.view, 32)
+                self.post(name, pushed)
+        if leader:
+            self.lead_as(leader)
+
+    def lead_as(self, leader: str) -> None:
+        """Perform the part of the leader."""
+        agent = self.agents[leader]
+        agent.leader = leader
+        agent.prove_control(self.now, self.machine.state.view.index)
+        names = self.machine.state.vms
+        for name in self.side:
+            if self.linked(leader, name) and self.rng.random() >= self.loss:
+                self.acks.report(
+                    self.now,
+                    name,
+                    str(self.incarnations[name]),
+                    self.agents[name].view.index,
+                    names,
+                )
+                if names.get(name) != self.record(name):
+                    self.commit(RegisterVm(at_ms=1, vm=self.record(name)))
+        for index, _ in tuple(self.pending):
+            if self.acks.is_accepted(index, names):
+                self.pending.pop(0)
+                self.accepted.append((index, self.now))
+
+    def post(self, source: str, sends: tuple[Send, ...]) -> None:
+        """Put messages on the network; some are lost or doubled."""
+        for send in sends:
+            copies = self.rng.choice((1, 1, 1, 2)) if self.loss else 1
+            for _ in range(copies):
+                if self.rng.random() < self.loss:
+                    continue
+                at = self.now + self.rng.random() * self.delay_s
+                encoded = msgspec.msgpack.encode(send.message)
+                self.queue.append((at, source, send.peer, encoded))
+
+    def check(self) -> None:
+        """No VM serves without what was accepted a lease ago."""
+        horizon = self.now - _TIMINGS.lease_s
+        due = [index for index, at in self.accepted if at < horizon]
+        newest = max(due, default=0)
+        for name in self.serving():
+            index = self.agents[name].view.index
+            assert_that(index, Not(LessThan(newest)), name)
+        for name, agent in self.agents.items():
+            indexes = self.indexes[name]
+            if indexes[-1][1] != agent.view.index:
+                indexes.append((self.now, agent.view.index))
+        for agent in self.agents.values():
+            self.check_proofs(agent)
+
+    def check_proofs(self, agent: VmAgent) -> None:
+        """Who has proof of a VM holds what that VM held then."""
+        for name, at in agent.proofs.lived_at.items():
+            indexes = self.indexes[name]
+            held = bisect.bisect_left(indexes, (at,)) - 1
+            floor = indexes[held][1]
+            assert_that(agent.view.index, Not(LessThan(floor)), name)
+
+    def serving(self) -> set[str]:
+        """Return the VMs that serve callers."""
+        return {
+            name
+            for name, agent in self.agents.items()
+            if self.side[name] != _DOWN and agent.serving_allowed(self.now)
+        }
+
+    def holding(self, index: int) -> set[str]:
+        """Return the VMs whose view is at least at `index`."""
+        return {
+            name
+            for name, agent in self.agents.items()
+            if agent.view.index >= index
+        }
+
+
+@pytest.fixture
+def system() -> System:
+    return System(7, 1)
+
+
+@pytest.mark.parametrize('loss', [0.0, 0.2])
+def test_change_reaches_every_vm_within_two_seconds(
+    system: System,
+    loss: float,
+) -> None:
+    system.loss = loss
+    for _ in range(20):
+        index = system.put()
+        system.run(2)
+        assert_that(system.holding(index), Equals(set(system.side)))
+    assert_that(system.serving(), Equals(set(system.side)))
+
+
+def test_cut_from_control_alone_loses_nothing(system: System) -> None:
+    for name in _CONTROL:
+        system.cut_pairs.add(frozenset((name, 'vm7')))
+    system.run(20)
+    index = system.put()
+    system.run(2)
+    assert_that(system.holding(index), Contains('vm7'))
+    assert_that(system.serving(), Contains('vm7'))
+
+
+def test_everybody_cut_stops_within_the_lease(system: System) -> None:
+    for number, name in enumerate(system.side):
+        system.side[name] = number
+    system.run(_TIMINGS.lease_s + 2 * _STEP_S)
+    assert_that(system.serving(), Equals(set()))
+
+
+def test_lost_quorum_of_control_stops_nobody(system: System) -> None:
+    for name in ('vm1', 'vm2'):
+        system.side[name] = _DOWN
+    system.run(60)
+    assert_that(system.put(), Equals(0))
+    assert_that(
+        system.serving(),
+        Equals({'vm3', 'vm4', 'vm5', 'vm6', 'vm7'}),
+    )
+
+
+def test_minority_stops_while_the_majority_accepts(system: System) -> None:
+    for name in ('vm3', 'vm6', 'vm7'):
+        system.side[name] = 1
+    system.run(_TIMINGS.lease_s + 1)
+    index = system.put()
+    system.run(1)
+    assert_that(system.serving(), Equals({'vm1', 'vm2', 'vm4', 'vm5'}))
+    assert_that([at[0] for at in system.accepted], Equals([index]))
+
+
+def test_change_that_a_majority_lacks_is_not_accepted(
+    system: System,
+) -> None:
+    for name in ('vm4', 'vm5', 'vm6', 'vm7'):
+        system.side[name] = 1
+    system.put()
+    system.run(10)
+    assert_that(system.accepted, Equals([]))
+    assert_that(system.serving(), Contains('vm7'))
+
+
+def test_restart_behind_many_changes_fetches_a_snapshot(
+    system: System,
+) -> None:
+    system.side['vm7'] = _DOWN
+    for _ in range(1000):
+        system.put()
+        system.step()
+    system.restart('vm7')
+    system.side['vm7'] = 0
+    system.run(2)
+    assert_that(
+        system.holding(system.machine.state.view.index),
+        Equals(set(system.side)),
+    )
+    assert_that(system.serving(), Contains('vm7'))
+
+
+@pytest.mark.parametrize(
+    ('down', 'serving'),
+    [
+        (('vm1', 'vm2'), {'vm3', 'vm4', 'vm5', 'vm6', 'vm7'}),
+        (_CONTROL, set()),
+    ],
+)
+def test_restarted_vm_does_not_count_for_a_majority(
+    system: System,
+    down: tuple[str, ...],
+    serving: set[str],
+) -> None:
+    for name in down:
+        system.side[name] = _DOWN
+    system.run(5)
+    assert_that(
+        system.serving(),
+        Equals(system.side.keys() - set(down)),
+    )
+    system.restart('vm7')
+    system.run(10)
+    assert_that(system.agents['vm7'].view.index, GreaterThan(0))
+    assert_that(system.serving(), Equals(serving))
+
+
+def test_late_answer_proves_no_more_than_an_early_one() -> None:
+    proofs = ProofTable('vm1', lease_s=4, started_at=0)
+    proofs.merge(10, ('vm1', 'vm2', 'vm3'), bytes((0, 20, 255)))
+    assert_that(proofs.lived_at, Equals({'vm2': 9.0}))
+    assert_that(
+        proofs.live(13.5, ('vm1', 'vm2', 'vm3')),
+        Equals(frozenset()),
+    )
+
+
+def test_in_force_waits_for_each_vm_or_for_its_lease() -> None:
+    acks = AckTable(lease_s=4)
+    names = ('vm1', 'vm2', 'vm3')
+    for name in ('vm1', 'vm2'):
+        acks.report(10, name, 'i', 5, names)
+    assert_that(acks.is_accepted(5, names), Equals(True))
+    assert_that(acks.is_accepted(6, names), Equals(False))
+    assert_that(acks.behind(5, names), Equals(('vm3',)))
+    assert_that(acks.is_in_force(10, 5, names), Equals(False))
+    assert_that(acks.is_in_force(18, 5, names), Equals(True))
+    assert_that(acks.is_in_force(18, 6, names), Equals(False))
+    acks.report(19, 'vm3', 'i', 6, names)
+    assert_that(acks.is_in_force(19, 5, names), Equals(True))
+
+
+def test_snapshot_parts_of_two_vms_are_not_mixed() -> None:
+    reader = ViewReader(ViewState(1), pull_timeout_s=1)
+    reader.pull(0, 'vm1')
+    part = SnapshotPart(snapshot=9, part=0, parts=2, payload=b'a')
+    assert_that(
+        reader.take_part(0, 'vm1', part),
+        Equals(Pull(index=0, snapshot=9, part=1)),
+    )
+    assert_that(reader.pull(0.5, 'vm2'), Equals(None))
+    assert_that(reader.pull(2, 'vm2'), Equals(Pull(index=0)))
+    assert_that(reader.take_part(2, 'vm1', part), Equals(None))
+
+
+_EVENTS = st.one_of(
+    st.tuples(st.just('put'), st.just(0)),
+    st.tuples(st.just('run'), st.integers(min_value=1, max_value=60)),
+    st.tuples(st.just('split'), st.integers(min_value=0, max_value=127)),
+    st.tuples(st.just('down'), st.integers(min_value=0, max_value=6)),
+    st.tuples(st.just('restart'), st.integers(min_value=0, max_value=6)),
+    st.tuples(st.just('heal'), st.just(0)),
+)
+
+
+@settings(max_examples=150)
+@given(
+    seed=st.integers(min_value=0, max_value=1000),
+    loss=st.sampled_from((0.0, 0.1, 0.4)),
+    delay_s=st.sampled_from((0.02, 0.5, 3.0)),
+    events=st.lists(_EVENTS, min_size=5, max_size=25),
+)
+def test_no_vm_serves_without_what_was_accepted(
+    seed: int,
+    loss: float,
+    delay_s: float,
+    events: list[tuple[str, int]],
+) -> None:
+    system = System(7, seed)
+    system.loss = loss
+    system.delay_s = delay_s
+    indexes = dict.fromkeys(system.side, 0)
+    for kind, number in events:
+        _bring_about(system, kind, number)
+        system.run(number * _STEP_S if kind == 'run' else _STEP_S)
+        for name, agent in system.agents.items():
+            floor = 0 if kind == 'restart' else indexes[name]
+            assert_that(agent.view.index, Not(LessThan(floor)))
+            indexes[name] = agent.view.index
+            assert_that(agent.diverged_views, Equals(0))
+    system.loss = 0.0
+    system.delay_s = 0.02
+    system.queue.clear()
+    system.side = dict.fromkeys(system.side, 0)
+    system.run(math.ceil(_TIMINGS.lease_s))
+    assert_that(system.serving(), Equals(set(system.side)))
+    newest = system.machine.state.view.index
+    assert_that(system.holding(newest), Equals(set(system.side)))
+
+
+def _bring_about(system: System, kind: str, number: int) -> None:
+    names = tuple(system.side)
+    if kind == 'split':
+        system.side = {
+            name: number >> position & 1 for position, name in enumerate(names)
+        }
+    if kind == 'down':
+        system.side[names[number]] = _DOWN
+    if kind == 'restart':
+        # Control keeps its state on disk; entries forget.
+        name = names[max(number, len(_CONTROL))]
+        system.restart(name)
+        system.side[name] = 0
+    if kind == 'heal':
+        system.side = dict.fromkeys(names, 0)
+    if kind == 'put':
+        system.put()
