--- /dev/null
+++ b/persimmonhold/placement/_action.py
@@ -0,0 +1,13 @@
+"""The union of what the order issuer asks its shell to do."""
+
+from typing import TypeAlias
+
+from persimmonhold.placement._commit_copy import CommitCopy
+from persimmonhold.placement._commit_end import CommitEnd
+from persimmonhold.placement._commit_intent import CommitIntent
+from persimmonhold.placement._read_inventory import ReadInventory
+from persimmonhold.placement._send_order import SendOrder
+
+Action: TypeAlias = (
+    CommitIntent | CommitEnd | CommitCopy | SendOrder | ReadInventory
+)
--- /dev/null
+++ b/persimmonhold/placement/_adapter_plan.py
@@ -0,0 +1,60 @@
+"""Plans adapters: beside every serving copy of their base.
+
+An adapter that has no copy yet goes first. Memory for all adapters of a model
+is reckoned with as soon as its copy is ordered; where it is short
+nevertheless, as many adapters as fit are loaded.
+"""
+
+from collections.abc import Iterator
+
+from persimmonhold.catalogue import AdapterEntry
+from persimmonhold.placement._item_key import ItemKey
+from persimmonhold.placement._move import Move
+from persimmonhold.placement._move_kind import MoveKind
+from persimmonhold.placement._place import Place
+from persimmonhold.placement._plan_round import PlanRound
+
+
+def plan_adapters(planned: PlanRound) -> None:
+    """Plan the loads of adapters that are missing beside their bases."""
+    missing = list(_missing_adapters(planned))
+    holders = planned.layout.holders
+    missing.sort(key=lambda found: bool(holders.get(found[0].name)))
+    for adapter, place in missing:
+        key = ItemKey(adapter.name, adapter.version)
+        if planned.ledger.has_item(place, key):
+            continue
+        if planned.ledger.free_bytes(place) < adapter.weight_bytes:
+            continue
+        if place in planned.layout.serving.get(adapter.base, ()):
+            move = _load(adapter, place)
+            planned.moves.append(move)
+            planned.expect(move)
+        else:
+            planned.ledger.reserve(place, key, adapter.weight_bytes)
+
+
+def _missing_adapters(
+    planned: PlanRound,
+) -> Iterator[tuple[AdapterEntry, Place]]:
+    layout = planned.layout
+    nothing: set[str] = set()
+    for base, adapters in planned.adapters.items():
+        names = {adapter.name for adapter in adapters}
+        for place in sorted(layout.holders.get(base, ())):
+            absent = names - layout.adapters_at.get(place, nothing)
+            for adapter in adapters if absent else ():
+                if adapter.name in absent:
+                    yield adapter, place
+
+
+def _load(adapter: AdapterEntry, place: Place) -> Move:
+    return Move(
+        kind=MoveKind.load,
+        target=adapter.name,
+        version=adapter.version,
+        place=place,
+        reason='its base model serves there without it',
+        memory_bytes=adapter.weight_bytes,
+        base=adapter.base,
+    )
--- /dev/null
+++ b/persimmonhold/placement/_copy_key.py
@@ -0,0 +1,18 @@
+"""The key of a copy in the control state."""
+
+from typing import TypeAlias
+
+from persimmonhold.messages import Copy, Order
+
+# Target, version, upstream and accelerator.
+CopyKey: TypeAlias = tuple[str, str, str, str]
+
+
+def copy_key(subject: Copy | Order) -> CopyKey:
+    """Return the key of a copy, or of the copy that an order is about."""
+    return (
+        subject.target,
+        subject.version,
+        subject.upstream,
+        subject.accelerator,
+    )
--- /dev/null
+++ b/persimmonhold/placement/_demand_forecast.py
@@ -0,0 +1,85 @@
+"""Turns reported demand into the expected work of every model.
+
+Work is counted in busy accelerators: prompt tokens by the prefill rate plus
+output tokens by the decode rate of one accelerator. Work of an adapter is
+work of its base model.
+"""
+
+from collections.abc import Collection, Iterable
+from typing import Final, final
+
+from persimmonhold.catalogue import AdapterEntry, Catalogue
+from persimmonhold.messages import Demand
+from persimmonhold.placement._engine_status import EngineStatus
+from persimmonhold.placement._target_forecast import TargetForecast
+
+_BACKLOG_S: Final = 30.0
+
+
+@final
+class DemandForecast:
+    """Forecasts of all models; its size is bounded by the catalogue."""
+
+    __slots__ = ('_targets',)
+
+    def __init__(self) -> None:
+        """Create a forecast without observations."""
+        self._targets: dict[str, TargetForecast] = {}
+
+    def observe(
+        self,
+        catalogue: Catalogue,
+        demand: Iterable[Demand],
+        engines: Collection[EngineStatus],
+        now: float,
+        clock_s: float,
+    ) -> None:
+        """Take the demand reported now; unreported targets have none."""
+        prefill, decode = _mean_rates(engines)
+        work: dict[str, float] = {}
+        for offered in demand:
+            entry = catalogue.find(offered.target)
+            name = entry.base if isinstance(entry, AdapterEntry) else ''
+            target = name or offered.target
+            work[target] = work.get(target, 0) + _work(
+                offered,
+                prefill,
+                decode,
+            )
+        for gone in self._targets.keys() - catalogue.entries.keys():
+            self._targets.pop(gone)
+        for target in work.keys() - self._targets.keys():
+            if target in catalogue.entries:
+                self._targets[target] = TargetForecast()
+        for target, forecast in self._targets.items():
+            forecast.observe(work.get(target, 0), now, clock_s)
+
+    def predict(self, clock_s: float) -> dict[str, float]:
+        """Return the work expected of each model."""
+        return {
+            target: forecast.predict(clock_s)
+            for target, forecast in self._targets.items()
+        }
+
+
+def _mean_rates(engines: Collection[EngineStatus]) -> tuple[float, float]:
+    count = len(engines)
+    if not count:
+        default = EngineStatus(name='')
+        return (
+            default.prefill_tokens_per_second,
+            default.decode_tokens_per_second,
+        )
+    return (
+        sum(each.prefill_tokens_per_second for each in engines) / count,
+        sum(each.decode_tokens_per_second for each in engines) / count,
+    )
+
+
+def _work(offered: Demand, prefill: float, decode: float) -> float:
+    work = offered.prompt_tokens_per_second / prefill
+    work += offered.output_tokens_per_second / decode
+    if offered.waiting and offered.requests_per_second > 0:
+        per_request = work / offered.requests_per_second
+        work += offered.waiting * per_request / _BACKLOG_S
+    return work
--- /dev/null
+++ b/persimmonhold/placement/_engine_watch.py
@@ -0,0 +1,120 @@
+"""What the leader has observed of one engine.
+
+Invariant: an engine is settled only when no order that ended earlier can
+still take effect there. An engine that checks fencing numbers is settled
+once it has taken a number committed after its present boot was first seen;
+one that ignores them, once the quarantine has passed since then.
+"""
+
+from typing import Final, final
+
+from persimmonhold.messages import HeldItem, Inventory, Order, Residency
+
+_READ_INTERVAL_S: Final = 0.5
+_MAX_READ_INTERVAL_S: Final = 4.0
+
+
+@final
+class EngineWatch:
+    """Boot, last inventory and readings of an engine."""
+
+    __slots__ = (
+        'boot_floor',
+        'boot_seen_at',
+        'checks_fencing',
+        'failing_since',
+        'has_news',
+        'held',
+        'idle_at',
+        'inventory',
+        'next_read_at',
+        'read_interval_s',
+        'read_started_at',
+        'reading_since',
+        'upstream',
+    )
+
+    def __init__(self, upstream: str) -> None:
+        """Create a watch that has not read the engine yet."""
+        self.upstream = upstream
+        self.checks_fencing = True
+        self.inventory: Inventory | None = None
+        self.held: dict[tuple[str, str, str], HeldItem] = {}
+        self.has_news = False
+        self.boot_floor = 0
+        self.boot_seen_at: float = 0
+        self.read_started_at: float = 0
+        self.reading_since: float | None = None
+        self.next_read_at: float = 0
+        self.read_interval_s = _READ_INTERVAL_S
+        self.failing_since: float | None = None
+        self.idle_at: float = -1
+
+    @property
+    def highest_fence(self) -> int:
+        """The highest number that the engine is known to have taken."""
+        return self.inventory.highest_fence if self.inventory else 0
+
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether the last reading succeeded."""
+        return self.inventory is not None and self.failing_since is None
+
+    def wants_reading(self, now: float, delay_s: float) -> bool:
+        """Tell whether it is time to read, `delay_s` later than usual."""
+        if self.reading_since is not None:
+            return False
+        return now >= self.next_read_at + delay_s
+
+    def begin_reading(self, now: float) -> None:
+        """Note that a reading has started."""
+        self.reading_since = now
+
+    def observe(self, inventory: Inventory, index: int, now: float) -> bool:
+        """Take an inventory; tell whether the engine has another boot."""
+        known = self.inventory
+        is_new_boot = known is None or known.boot_id != inventory.boot_id
+        if is_new_boot:
+            self.boot_floor = index
+            self.boot_seen_at = now
+        started_at = self.reading_since
+        self.read_started_at = now if started_at is None else started_at
+        self.inventory = inventory
+        self.has_news = True
+        self.held = {
+            (item.target, item.version, item.accelerator): item
+            for item in inventory.held
+        }
+        self.failing_since = None
+        self._end_reading(_READ_INTERVAL_S, now)
+        return is_new_boot
+
+    def note_failure(self, now: float) -> None:
+        """Note that a reading failed."""
+        if self.failing_since is None:
+            self.failing_since = now
+        interval_s = min(2 * self.read_interval_s, _MAX_READ_INTERVAL_S)
+        self._end_reading(interval_s, now)
+
+    def is_settled(self, quarantine_s: float) -> bool:
+        """Tell whether ended orders have no effect any more."""
+        if self.inventory is None:
+            return False
+        if self.checks_fencing:
+            return self.inventory.highest_fence > self.boot_floor
+        return self.read_started_at >= self.boot_seen_at + quarantine_s
+
+    def find(self, order: Order) -> HeldItem | None:
+        """Return the item that an order is about, if the engine holds it."""
+        key = (order.target, order.version, order.accelerator)
+        return self.held.get(key)
+
+    def has_ready(self, target: str, version: str, accelerator: str) -> bool:
+        """Tell whether the last inventory shows an item as ready."""
+        held = self.held.get((target, version, accelerator))
+        return held is not None and held.residency is Residency.ready
+
+    def _end_reading(self, interval_s: float, now: float) -> None:
+        self.reading_since = None
+        self.read_interval_s = interval_s
+        self.next_read_at = now + interval_s
--- /dev/null
+++ b/persimmonhold/placement/_layout.py
@@ -0,0 +1,155 @@
+"""Where current copies are or will be, and what surrounds them.
+
+A copy is current if it has the catalogued version, is serving, loading or
+ordered, and its engine is alive. Copies being withdrawn and copies of other
+versions are listed apart.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import final
+
+from persimmonhold.catalogue import (
+    AdapterEntry,
+    Catalogue,
+    ModelEntry,
+    UpstreamEntry,
+)
+from persimmonhold.messages import Copy, CopyState, OrderKind
+from persimmonhold.placement._place import Place
+from persimmonhold.placement._plan_view import PlanView
+
+
+@final
+class Layout:
+    """Copies of one planning round, by target and by place."""
+
+    __slots__ = (
+        '_versions',
+        'adapters_at',
+        'domains',
+        'holders',
+        'models_at',
+        'other_versions',
+        'places',
+        'serving',
+        'uncatalogued',
+    )
+
+    def __init__(self, view: PlanView) -> None:
+        """Sort the copies and ordered loads of a view."""
+        catalogue = view.state.catalogue
+        self.domains: dict[str, str] = {}
+        self.places: list[Place] = []
+        self.holders: dict[str, set[Place]] = {}
+        self.serving: dict[str, set[Place]] = {}
+        self.models_at: dict[Place, list[str]] = {}
+        self.adapters_at: dict[Place, set[str]] = {}
+        self.other_versions: dict[str, list[Copy]] = {}
+        self.uncatalogued: list[Copy] = []
+        self._versions = _versions(catalogue)
+        self._add_places(view)
+        self._add_copies(view)
+        self._add_ordered_loads(view)
+
+    def hold(self, target: str, base: str, place: Place) -> None:
+        """Count a copy that is held, ordered or planned."""
+        if base:
+            self.adapters_at.setdefault(place, set()).add(target)
+        holders = self.holders.setdefault(target, set())
+        if place in holders:
+            return
+        holders.add(place)
+        if not base:
+            self.models_at.setdefault(place, []).append(target)
+
+    def drop(self, target: str, place: Place) -> None:
+        """Stop counting a copy of a model."""
+        self.holders[target].discard(place)
+        self.serving.get(target, set()).discard(place)
+        if target in self.models_at.get(place, ()):
+            self.models_at[place].remove(target)
+
+    @property
+    def is_loading(self) -> bool:
+        """Tell whether any model has a copy that does not serve yet."""
+        return any(
+            holders - self.serving.get(target, set())
+            for target, holders in self.holders.items()
+        )
+
+    def older_serving(self, target: str) -> list[Copy]:
+        """Return the serving copies that have not the catalogued version."""
+        return [
+            copy
+            for copy in self.other_versions.get(target, ())
+            if copy.state is CopyState.serving
+        ]
+
+    def domain_count(self, target: str, place: Place) -> int:
+        """Count the copies of a target in the failure domain of a place."""
+        domain = self.domains[place.upstream]
+        return sum(
+            self.domains[holder.upstream] == domain
+            for holder in self.holders.get(target, ())
+        )
+
+    def domain_total(self, target: str) -> int:
+        """Count the failure domains that have a copy of a target."""
+        return len({
+            self.domains[holder.upstream]
+            for holder in self.holders.get(target, ())
+        })
+
+    def _add_places(self, view: PlanView) -> None:
+        for upstream in view.state.catalogue.of_type(UpstreamEntry):
+            status = view.engines.get(upstream.name)
+            if status is None:
+                continue
+            self.domains[upstream.name] = upstream.failure_domain
+            if status.is_alive and status.takes_loads:
+                self.places.extend(
+                    Place(upstream.name, accelerator.name)
+                    for accelerator in upstream.accelerators
+                )
+
+    def _add_copies(self, view: PlanView) -> None:
+        for copy in _alive(view):
+            version = self._versions.get(copy.target)
+            if version is None:
+                self.uncatalogued.append(copy)
+            elif version != copy.version:
+                self.other_versions.setdefault(copy.target, []).append(copy)
+            elif copy.state is not CopyState.withdrawing:
+                self._add_current(copy)
+
+    def _add_current(self, copy: Copy) -> None:
+        place = Place(copy.upstream, copy.accelerator)
+        self.hold(copy.target, copy.base, place)
+        if copy.state is CopyState.serving:
+            self.serving.setdefault(copy.target, set()).add(place)
+
+    def _add_ordered_loads(self, view: PlanView) -> None:
+        for order in view.state.orders.values():
+            if order.kind is not OrderKind.load:
+                continue
+            status = view.engines.get(order.upstream)
+            if status is None or not status.is_alive:
+                continue
+            if self._versions.get(order.target) == order.version:
+                place = Place(order.upstream, order.accelerator)
+                self.hold(order.target, order.base, place)
+
+
+def _versions(catalogue: Catalogue) -> dict[str, str]:
+    entries: Iterable[ModelEntry | AdapterEntry] = (
+        *catalogue.of_type(ModelEntry),
+        *catalogue.of_type(AdapterEntry),
+    )
+    return {entry.name: entry.version for entry in entries}
+
+
+def _alive(view: PlanView) -> Iterator[Copy]:
+    for copy in view.state.copies.values():
+        status = view.engines.get(copy.upstream)
+        if status is not None and status.is_alive:
+            yield copy
--- /dev/null
+++ b/persimmonhold/placement/_load_balance.py
@@ -0,0 +1,90 @@
+"""The expected load of accelerators under balanced routing.
+
+Work of a model is spread over its copies so that the busier ones get less,
+as routing by predicted time to first token does: each model fills its places
+up to a common level above what other models bring there.
+"""
+
+from collections.abc import Mapping
+from typing import Final, final
+
+from persimmonhold.placement._place import Place
+
+TARGET_LOAD: Final = 0.7
+_SWEEPS: Final = 2
+
+
+@final
+class LoadBalance:
+    """Shares of work by model and place, in busy accelerators."""
+
+    __slots__ = ('_holders', '_slack', '_work', 'loads', 'shares')
+
+    def __init__(
+        self,
+        work: Mapping[str, float],
+        holders: Mapping[str, set[Place]],
+    ) -> None:
+        """Balance the work of all models over their holders."""
+        self.loads: dict[Place, float] = {}
+        self.shares: dict[str, dict[Place, float]] = {}
+        self._work = work
+        self._holders = holders
+        self._slack: dict[str, float] = {}
+        busiest = sorted(work, key=lambda target: -work[target])
+        for _ in range(_SWEEPS):
+            for target in busiest:
+                self.balance(target)
+
+    def balance(self, target: str) -> None:
+        """Spread the work of one model anew over its present holders."""
+        loads = self.loads
+        for former, share in self.shares.get(target, {}).items():
+            loads[former] -= share
+        places = self._holders.get(target, ())
+        filled = fill(
+            self._work.get(target, 0),
+            {place: loads.get(place, 0) for place in places},
+        )
+        for chosen, portion in filled.items():
+            loads[chosen] = loads.get(chosen, 0) + portion
+        self.shares[target] = filled
+        self._slack.pop(target, None)
+
+    def load(self, place: Place) -> float:
+        """Return the expected load of an accelerator."""
+        return self.loads.get(place, 0)
+
+    def overload(self, target: str) -> float:
+        """Return the work of a model that exceeds what its places bear."""
+        return sum(
+            min(share, max(0, self.loads[place] - TARGET_LOAD))
+            for place, share in self.shares.get(target, {}).items()
+        )
+
+    def slack(self, place: Place) -> float:
+        """Return the work that a place can take beside its load."""
+        return max(0, TARGET_LOAD - self.load(place))
+
+    def slack_without(self, target: str, place: Place) -> float:
+        """Return the slack of all places of a model but one."""
+        total = self._slack.get(target)
+        if total is None:
+            total = sum(map(self.slack, self._holders.get(target, ())))
+            self._slack[target] = total
+        return max(0, total - self.slack(place))
+
+
+def fill(work: float, loads: Mapping[Place, float]) -> dict[Place, float]:
+    """Raise the least loaded places to one level by adding the work."""
+    ordered = sorted(loads.values())
+    level = float(0)
+    total = float(0)
+    for count, added in enumerate(ordered, start=1):
+        total += added
+        level = (work + total) / count
+        if count == len(ordered) or level <= ordered[count]:
+            break
+    return {
+        place: level - load for place, load in loads.items() if load < level
+    }
--- /dev/null
+++ b/persimmonhold/placement/_load_pacer.py
@@ -0,0 +1,33 @@
+"""Paces loads to what the weight store serves at full speed.
+
+Invariant: within any window of a second no more loads are sent than the
+store takes, resends included. A leader that takes over counts the window
+before it as full, since it does not know what its predecessor just sent.
+"""
+
+from collections import deque
+from itertools import repeat
+from typing import Final, final
+
+_WINDOW_S: Final = 1.0
+
+
+@final
+class LoadPacer:
+    """A sliding window over the sends of model loads."""
+
+    __slots__ = ('_limit', '_sent_at', '_window_s')
+
+    def __init__(self, loads_per_second: float, now: float) -> None:
+        """Create a pacer whose window up to now is full."""
+        self._limit = max(1, int(loads_per_second))
+        self._window_s = _WINDOW_S * self._limit / loads_per_second
+        self._sent_at = deque(repeat(now, self._limit), maxlen=self._limit)
+
+    def may_send(self, now: float) -> bool:
+        """Tell whether one more load keeps the pace."""
+        return now >= self._sent_at[0] + self._window_s
+
+    def note_send(self, now: float) -> None:
+        """Count a send."""
+        self._sent_at.append(now)
--- /dev/null
+++ b/persimmonhold/placement/_new_orders.py
@@ -0,0 +1,45 @@
+"""The orders that an issuer makes; their numbers come with the commit."""
+
+from persimmonhold.catalogue import UpstreamEntry
+from persimmonhold.messages import Copy, Order, OrderKind
+from persimmonhold.placement._move import Move
+
+
+def load_order(move: Move) -> Order:
+    """Return the order of a planned load."""
+    return Order(
+        fence=0,
+        kind=OrderKind.load,
+        upstream=move.place.upstream,
+        accelerator=move.place.accelerator,
+        target=move.target,
+        version=move.version,
+        memory_bytes=move.memory_bytes,
+        base=move.base,
+    )
+
+
+def unload_order(copy: Copy) -> Order:
+    """Return the order that removes a copy."""
+    return Order(
+        fence=0,
+        kind=OrderKind.unload,
+        upstream=copy.upstream,
+        accelerator=copy.accelerator,
+        target=copy.target,
+        version=copy.version,
+        memory_bytes=0,
+    )
+
+
+def barrier_order(engine: UpstreamEntry) -> Order:
+    """Return an unload of nothing, which only raises the engine's number."""
+    return Order(
+        fence=0,
+        kind=OrderKind.unload,
+        upstream=engine.name,
+        accelerator=engine.accelerators[0].name,
+        target='',
+        version='',
+        memory_bytes=0,
+    )
--- /dev/null
+++ b/persimmonhold/placement/_placement_leader.py
@@ -0,0 +1,118 @@
+"""The decisions of one leadership: planning and order issuing together.
+
+A deposed leader's instance is dropped with all that it knew; the next leader
+begins with committed state and observes the engines anew.
+"""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from persimmonhold.messages import Demand, LoadReport
+from persimmonhold.placement._action import Action
+from persimmonhold.placement._engine_status import EngineStatus
+from persimmonhold.placement._engine_watch import EngineWatch
+from persimmonhold.placement._order_issuer import OrderIssuer
+from persimmonhold.placement._placement_state import PlacementState
+from persimmonhold.placement._plan_view import PlanView
+from persimmonhold.placement._planner import Planner
+from persimmonhold.placement._withdrawals import InForce
+from persimmonhold.settings import PlacementSettings
+
+_MS_PER_S: Final = 1000
+_FAILURE_GRACE_S: Final = 5.0
+
+
+@final
+class PlacementLeader:
+    """Issuer, planner and load reports of one leadership."""
+
+    __slots__ = ('_reports', '_state', 'issuer', 'planner')
+
+    def __init__(
+        self,
+        settings: PlacementSettings,
+        state: PlacementState,
+        now: float,
+    ) -> None:
+        """Begin a leadership on the committed state."""
+        self.issuer = OrderIssuer(settings, now)
+        self.planner = Planner(settings)
+        self._reports: dict[str, LoadReport] = {}
+        self._state = state
+        self.adopt(state, now)
+
+    def adopt(self, state: PlacementState, now: float) -> None:
+        """Follow the committed state."""
+        self._state = state
+        self.issuer.adopt(state, now)
+
+    def load_read(
+        self,
+        upstream: str,
+        report: LoadReport,
+        started_at: float,
+    ) -> None:
+        """Take a load report whose reading began at a time."""
+        self._reports[upstream] = report
+        if report.running == 0 and report.waiting == 0:
+            made_at = started_at - report.age_ms / _MS_PER_S
+            self.issuer.note_idle(upstream, made_at)
+
+    def poll(self, is_in_force: InForce, now: float) -> tuple[Action, ...]:
+        """Return what follows from orders and observations."""
+        self.issuer.withdrawals.leaving = frozenset(
+            upstream
+            for upstream, report in self._reports.items()
+            if report.leaving
+        )
+        return self.issuer.poll(is_in_force, now)
+
+    def plan(
+        self,
+        demand: Iterable[Demand],
+        is_in_force: InForce,
+        now: float,
+        clock_s: float,
+    ) -> tuple[Action, ...]:
+        """Return the commits of the moves that are planned and safe now."""
+        slots = self.issuer.book.free_slots(now, is_adapter=False)
+        view = PlanView(
+            state=self._state,
+            ledger=self.issuer.ledger(),
+            engines={
+                watch.upstream: self._status(watch, now)
+                for watch in self.issuer.watches.values()
+            },
+            demand=tuple(demand),
+            free_slots=slots,
+            clock_s=clock_s,
+        )
+        moves = self.planner.plan(view, now)
+        if not moves:
+            return ()
+        ledger = self.issuer.ledger()
+        return self.issuer.issue(moves, ledger, is_in_force, now)
+
+    def _status(self, watch: EngineWatch, now: float) -> EngineStatus:
+        failing_since = watch.failing_since
+        is_alive = (
+            failing_since is None or now < failing_since + _FAILURE_GRACE_S
+        )
+        report = self._reports.get(watch.upstream)
+        is_leaving = report is not None and report.leaving
+        status = EngineStatus(
+            name=watch.upstream,
+            is_alive=is_alive and not is_leaving,
+            takes_loads=self.issuer.is_ready_for_loads(watch.upstream),
+        )
+        if report is None or not report.decode_step_ms:
+            return status
+        return EngineStatus(
+            name=status.name,
+            is_alive=status.is_alive,
+            takes_loads=status.takes_loads,
+            prefill_tokens_per_second=report.prefill_tokens_per_second,
+            decode_tokens_per_second=(
+                report.slots * _MS_PER_S / report.decode_step_ms
+            ),
+        )
--- /dev/null
+++ b/persimmonhold/placement/_placement_state.py
@@ -0,0 +1,20 @@
+"""The committed state that placement decides on."""
+
+from collections.abc import Mapping
+from typing import final
+
+import msgspec
+
+from persimmonhold.catalogue import Catalogue
+from persimmonhold.messages import Copy, Order
+from persimmonhold.placement._copy_key import CopyKey
+
+
+@final
+class PlacementState(msgspec.Struct, frozen=True):
+    """Catalogue, copies and orders without an end, at one log index."""
+
+    index: int
+    catalogue: Catalogue
+    copies: Mapping[CopyKey, Copy]
+    orders: Mapping[int, Order]
--- /dev/null
+++ b/persimmonhold/placement/_plan_view.py
@@ -0,0 +1,27 @@
+"""The input of one planning round."""
+
+from collections.abc import Mapping
+from typing import final
+
+import msgspec
+
+from persimmonhold.messages import Demand
+from persimmonhold.placement._engine_status import EngineStatus
+from persimmonhold.placement._memory_ledger import MemoryLedger
+from persimmonhold.placement._placement_state import PlacementState
+
+
+@final
+class PlanView(msgspec.Struct, frozen=True, kw_only=True):
+    """State, worst-case memory, engines and demand at one time.
+
+    `clock_s` is the time of day in seconds; `free_slots` is the number of
+    model loads that the weight store can still take.
+    """
+
+    state: PlacementState
+    ledger: MemoryLedger
+    engines: Mapping[str, EngineStatus]
+    demand: tuple[Demand, ...]
+    free_slots: int
+    clock_s: float = 0
--- /dev/null
+++ b/persimmonhold/placement/_presets.py
@@ -0,0 +1,31 @@
+"""The settings of the two deployments of today.
+
+Hoogwerk Opfrisacademie has nobody on nights, so a move has to bring a lot.
+The Kyushu levy office has to meet deadline peaks on the hardware it has, so
+attained requests are worth more.
+"""
+
+from types import MappingProxyType
+from typing import Final
+
+from persimmonhold.settings import PlacementSettings
+
+_HOOGWERK_ADAPTERS_IN_FLIGHT: Final = 25
+_LEVY_ADAPTERS_IN_FLIGHT: Final = 30
+
+PRESETS: Final = MappingProxyType({
+    'hoogwerk': PlacementSettings(
+        move_cost=6,
+        attainment_weight=1,
+        loads_per_second=3,
+        loads_at_once=3,
+        adapters_in_flight=_HOOGWERK_ADAPTERS_IN_FLIGHT,
+    ),
+    'levy': PlacementSettings(
+        move_cost=0.5,
+        attainment_weight=2,
+        loads_per_second=3,
+        loads_at_once=4,
+        adapters_in_flight=_LEVY_ADAPTERS_IN_FLIGHT,
+    ),
+})
--- /dev/null
+++ b/persimmonhold/placement/_read_inventory.py
@@ -0,0 +1,12 @@
+"""The action that reads the inventory of an engine."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class ReadInventory(msgspec.Struct, frozen=True):
+    """Read what an engine holds."""
+
+    upstream: str
--- /dev/null
+++ b/persimmonhold/placement/_reconcile.py
@@ -0,0 +1,81 @@
+"""Reconciles recorded copies with what an engine holds.
+
+Invariant: an item that an order without an end is about is left alone; that
+order's judgement decides on it.
+"""
+
+from collections.abc import Collection, Iterable, Iterator
+
+import msgspec
+
+from persimmonhold.catalogue import AdapterEntry, Catalogue, ModelEntry
+from persimmonhold.messages import Copy, CopyState, HeldItem, Residency
+from persimmonhold.placement._commit_copy import CommitCopy
+from persimmonhold.placement._commit_intent import CommitIntent
+from persimmonhold.placement._copy_key import CopyKey, copy_key
+from persimmonhold.placement._engine_watch import EngineWatch
+from persimmonhold.placement._new_orders import unload_order
+
+
+def reconcile_copies(
+    copies: Iterable[Copy],
+    watch: EngineWatch,
+    ordered: Collection[CopyKey],
+) -> Iterator[CommitCopy]:
+    """Yield the changes of an engine's recorded copies."""
+    for copy in copies:
+        if copy_key(copy) not in ordered:
+            yield from _reconcile_copy(copy, watch)
+
+
+def reconcile_strays(
+    catalogue: Catalogue,
+    watch: EngineWatch,
+    explained: Collection[CopyKey],
+) -> Iterator[CommitCopy | CommitIntent]:
+    """Adopt held items that no copy or order explains, or remove them."""
+    for held in watch.held.values():
+        key = (held.target, held.version, watch.upstream, held.accelerator)
+        if key in explained or held.residency is not Residency.ready:
+            continue
+        copy = _stray_copy(catalogue, watch.upstream, held)
+        entry = catalogue.find(held.target)
+        is_wanted = (
+            isinstance(entry, (ModelEntry, AdapterEntry))
+            and entry.version == held.version
+        )
+        if is_wanted:
+            yield CommitCopy(copy, 'found in the inventory')
+        else:
+            yield CommitIntent(unload_order(copy), 'not catalogued')
+
+
+def with_state(copy: Copy, state: CopyState) -> Copy:
+    """Return a copy in another state."""
+    return msgspec.structs.replace(copy, state=state)
+
+
+def _reconcile_copy(copy: Copy, watch: EngineWatch) -> Iterator[CommitCopy]:
+    held = watch.held.get((copy.target, copy.version, copy.accelerator))
+    if held is None:
+        yield CommitCopy(copy, 'the engine lost it', gone=True)
+        return
+    is_ready = held.residency is Residency.ready
+    if is_ready and copy.state is CopyState.loading:
+        yield CommitCopy(with_state(copy, CopyState.serving), 'ready')
+    if not is_ready and copy.state is CopyState.serving:
+        yield CommitCopy(with_state(copy, CopyState.loading), 'not ready')
+
+
+def _stray_copy(catalogue: Catalogue, upstream: str, held: HeldItem) -> Copy:
+    entry = catalogue.find(held.target)
+    return Copy(
+        target=held.target,
+        version=held.version,
+        upstream=upstream,
+        accelerator=held.accelerator,
+        state=CopyState.serving,
+        fence=held.fence,
+        memory_bytes=held.memory_bytes,
+        base=entry.base if isinstance(entry, AdapterEntry) else '',
+    )
--- /dev/null
+++ b/persimmonhold/placement/_send_order.py
@@ -0,0 +1,14 @@
+"""The action that sends an order."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.messages import Order
+
+
+@final
+class SendOrder(msgspec.Struct, frozen=True):
+    """Send a committed order on a connection of its own, then close it."""
+
+    order: Order
--- /dev/null
+++ b/tests/placement_world.py
@@ -0,0 +1,461 @@
+"""Engines, a network and a control log for the tests of placement.
+
+The engines are the stand-in's memory model, which records every overcommit;
+the log is the control state machine; messages stay in the network until a
+rule delivers or drops them.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from persimmonhold.catalogue import (
+    Accelerator,
+    AdapterEntry,
+    CatalogueEntry,
+    ModelEntry,
+    UpstreamEntry,
+)
+from persimmonhold.control.machine import (
+    Command,
+    ControlMachine,
+    PutEntry,
+    RecordCopy,
+    RecordIntent,
+    RecordOrderEnd,
+)
+from persimmonhold.messages import (
+    Copy,
+    CopyState,
+    Demand,
+    LoadReport,
+    Order,
+    OrderKind,
+    Residency,
+)
+from persimmonhold.placement import (
+    Action,
+    CommitCopy,
+    CommitEnd,
+    CommitIntent,
+    PlacementLeader,
+    PlacementState,
+    ReadInventory,
+    SendOrder,
+)
+from persimmonhold.settings import PlacementSettings
+from persimmonhold.standin import EngineMemory
+
+QUARANTINE_S = 5.0
+LOAD_S = 1.0
+SETTINGS = PlacementSettings(
+    quarantine_s=QUARANTINE_S,
+    move_cost=0.2,
+    loads_at_once=2,
+    loads_per_second=2,
+)
+
+
+class Message(NamedTuple):
+    """An order on its way, sent by one leadership."""
+
+    order: Order
+    leadership: int
+    sent_at: float
+
+
+class FakeEngine:
+    """An engine whose work is done by steps of the test."""
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.capacity = {
+            accelerator.name: accelerator.memory_bytes
+            for accelerator in entry.accelerators
+        }
+        self.checks_fencing = entry.checks_fencing
+        self.boots = 0
+        self.is_up = True
+        self.disturbed_at = -1.0
+        self.begun: set[int] = set()
+        self.work: list[tuple[Order, float]] = []
+        self.memory = self.boot()
+
+    def boot(self) -> EngineMemory:
+        self.boots += 1
+        memory = EngineMemory(f'boot-{self.boots}', dict(self.capacity))
+        memory.checks_fencing = self.checks_fencing
+        self.begun = set()
+        self.work = []
+        return memory
+
+    def ready(self, target: str) -> bool:
+        return self.is_up and self.memory.serves(target)
+
+
+class World:
+    """Everything outside the decisions under test."""
+
+    def __init__(self, entries: tuple[CatalogueEntry, ...]) -> None:
+        self.now = 1000.0
+        self.machine = ControlMachine()
+        self.network: list[Message] = []
+        self.views: list[dict[tuple[str, str, str, str], Copy]] = [{}]
+        self.view_index = 0
+        self.leadership = 0
+        self.deposed: list[Message] = []
+        self.load_sends: list[float] = []
+        self.ended: set[int] = set()
+        self.unsure_next = False
+        self.late_commits: list[Order] = []
+        self.demand: dict[str, float] = {}
+        self.unload_at: dict[int, float] = {}
+        self.overcommits = 0
+        for entry in entries:
+            self.put(entry)
+        self.engines = {
+            entry.name: FakeEngine(entry)
+            for entry in entries
+            if isinstance(entry, UpstreamEntry)
+        }
+        self.leader = self.elect()
+
+    def put(self, entry: CatalogueEntry) -> None:
+        catalogue = self.machine.state.catalogue
+        self.commit(
+            PutEntry(
+                operator='o',
+                command_id=str(catalogue.revision),
+                at_ms=0,
+                expected_revision=catalogue.entry_revision(entry.name),
+                entry=entry,
+                reason='test',
+            ),
+        )
+
+    def commit(self, command: Command) -> None:
+        self.machine.apply(self.machine.state.index + 1, command)
+        self.views.append(dict(self.machine.state.copies))
+
+    def state(self) -> PlacementState:
+        state = self.machine.state
+        return PlacementState(
+            state.index,
+            state.catalogue,
+            dict(state.copies),
+            dict(state.orders),
+        )
+
+    def elect(self) -> PlacementLeader:
+        """Depose the leader; what it was sending it may still send."""
+        for order in self.late_commits:
+            self.commit(RecordIntent(at_ms=0, order=order))
+        self.late_commits = []
+        self.deposed = [
+            Message(order, self.leadership, self.now)
+            for order in self.machine.state.orders.values()
+        ]
+        self.leadership += 1
+        self.leader = PlacementLeader(SETTINGS, self.state(), self.now)
+        return self.leader
+
+    def is_in_force(self, index: int) -> bool:
+        return index <= self.view_index
+
+    def step(self, elapsed_s: float, *, lag: bool = False) -> None:
+        """Let time pass and run one round of the leader."""
+        self.now += elapsed_s
+        for order in self.late_commits:
+            self.commit(RecordIntent(at_ms=0, order=order))
+        self.late_commits = []
+        self._expire_messages()
+        if not lag:
+            self.view_index = self.machine.state.index
+        self.leader.adopt(self.state(), self.now)
+        self.perform(self.leader.poll(self.is_in_force, self.now))
+        self.leader.adopt(self.state(), self.now)
+        demand = tuple(
+            Demand(
+                target=target,
+                requests_per_second=1,
+                prompt_tokens_per_second=0,
+                output_tokens_per_second=400 * work,
+            )
+            for target, work in self.demand.items()
+        )
+        self.perform(
+            self.leader.plan(demand, self.is_in_force, self.now, self.now),
+        )
+
+    def perform(self, actions: tuple[Action, ...]) -> None:
+        for action in actions:
+            match action:
+                case CommitIntent():
+                    self._commit_intent(action)
+                case CommitEnd():
+                    assert action.fence not in self.ended
+                    self.ended.add(action.fence)
+                    self.commit(
+                        RecordOrderEnd(
+                            at_ms=0,
+                            fence=action.fence,
+                            outcome=action.outcome,
+                        ),
+                    )
+                case CommitCopy():
+                    self.commit(
+                        RecordCopy(
+                            at_ms=0,
+                            copy=action.copy,
+                            gone=action.gone,
+                        ),
+                    )
+                case SendOrder():
+                    self._send(action.order)
+                case ReadInventory():
+                    self._read(action.upstream)
+
+    def deliver(self, position: int, *, answers: bool = True) -> None:
+        """Hand a message to its engine, and perhaps the answer back."""
+        message = self.network.pop(position)
+        engine = self.engines[message.order.upstream]
+        is_current = message.leadership == self.leadership
+        if not engine.is_up:
+            self.fail(message)
+            return
+        answer = engine.memory.check(message.order)
+        if answer.outcome.value == 'accepted':
+            engine.work.append((message.order, self.now))
+            if not is_current or not engine.checks_fencing:
+                self.begin(engine)
+        if is_current and answers:
+            self.leader.issuer.order_answered(
+                message.order.fence,
+                answer.outcome,
+                self.now,
+            )
+        elif is_current:
+            self.fail(message)
+
+    def fail(self, message: Message) -> None:
+        if message.leadership == self.leadership:
+            fence = message.order.fence
+            self.leader.issuer.order_failed(fence, self.now, delivered=True)
+
+    def begin(self, engine: FakeEngine) -> None:
+        """Begin the work that an engine has accepted."""
+        for order, _ in engine.work:
+            if order.kind is OrderKind.unload:
+                self._check_unload(engine, order)
+                engine.memory.complete(order)
+            elif engine.memory.begin(order):
+                assert order.fence not in engine.begun
+                engine.begun.add(order.fence)
+        engine.work = []
+
+    def complete(self, engine: FakeEngine) -> None:
+        """Finish the loads that an engine has begun."""
+        for held in tuple(engine.memory.items.values()):
+            if held.residency is Residency.loading:
+                engine.memory.complete(
+                    Order(
+                        fence=held.fence,
+                        kind=OrderKind.load,
+                        upstream='',
+                        accelerator=held.accelerator,
+                        target=held.target,
+                        version=held.version,
+                        memory_bytes=held.memory_bytes,
+                    ),
+                )
+
+    def restart(self, engine: FakeEngine, *, keep: bool) -> None:
+        """Restart an engine, which forgets the numbers it has taken.
+
+        Connections to the former process are gone. An engine that keeps its
+        memory is out of reach of deposed leaders (see the design note).
+        """
+        name = next(n for n, e in self.engines.items() if e is engine)
+        items = dict(engine.memory.items)
+        self.overcommits += engine.memory.overcommitted
+        engine.memory = engine.boot()
+        engine.disturbed_at = self.now
+        for message in tuple(self.network):
+            if message.order.upstream == name:
+                self.network.remove(message)
+                self.fail(message)
+        if keep:
+            engine.memory.items = {
+                key: msgspec.structs.replace(
+                    held,
+                    residency=Residency.ready,
+                    fence=0,
+                )
+                for key, held in items.items()
+            }
+            self.deposed = [
+                sent for sent in self.deposed if sent.order.upstream != name
+            ]
+
+    def overcommitted(self) -> int:
+        return self.overcommits + sum(
+            engine.memory.overcommitted for engine in self.engines.values()
+        )
+
+    def model_loads_in_flight(self) -> int:
+        """Count loads at the weight store that a live order accounts for."""
+        orders = self.machine.state.orders
+        return sum(
+            held.residency is Residency.loading
+            and held.fence in orders
+            and not orders[held.fence].base
+            for engine in self.engines.values()
+            if engine.is_up
+            for held in engine.memory.items.values()
+        )
+
+    def serves(self, target: str) -> bool:
+        """Tell whether entries reach a ready copy of a target."""
+        return any(
+            copy.target == target
+            and copy.state is CopyState.serving
+            and self.engines[copy.upstream].ready(target)
+            for copy in self.views[self.view_index].values()
+        )
+
+    def is_settled(self) -> bool:
+        """Tell whether every entry serves at its version, with no orders."""
+        state = self.machine.state
+        if state.orders:
+            return False
+        serving = {
+            (copy.target, copy.version)
+            for copy in state.copies.values()
+            if copy.state is CopyState.serving
+            and self.engines[copy.upstream].ready(copy.target)
+        }
+        return all(
+            (entry.name, entry.version) in serving
+            for kind in (ModelEntry, AdapterEntry)
+            for entry in state.catalogue.of_type(kind)
+        )
+
+    def heal(self, rounds: int) -> bool:
+        """End all faults; tell whether the system settles."""
+        self.deposed = []
+        self.unsure_next = False
+        for engine in self.engines.values():
+            engine.is_up = True
+        for _ in range(rounds):
+            self.step(1.0)
+            while self.network:
+                self.deliver(0)
+            for engine in self.engines.values():
+                self.begin(engine)
+                self.complete(engine)
+            if self.is_settled():
+                return True
+        return False
+
+    def _commit_intent(self, action: CommitIntent) -> None:
+        if self.unsure_next:
+            self.unsure_next = False
+            self.leader.issuer.book.unsure.append(action.order)
+            self.late_commits.append(action.order)
+            return
+        self.commit(RecordIntent(at_ms=0, order=action.order))
+        self.unload_at[self.machine.state.index] = self.now
+
+    def _send(self, order: Order) -> None:
+        assert order.fence in self.machine.state.orders
+        assert order.fence == self.machine.state.orders[order.fence].fence
+        if order.kind is OrderKind.load and not order.base:
+            self.load_sends.append(self.now)
+        self.network.append(Message(order, self.leadership, self.now))
+
+    def _read(self, upstream: str) -> None:
+        engine = self.engines[upstream]
+        issuer = self.leader.issuer
+        if not engine.is_up:
+            issuer.read_failed(upstream, self.now)
+            return
+        issuer.inventory_read(upstream, engine.memory.inventory(), self.now)
+        report = LoadReport(
+            boot_id=engine.memory.boot_id,
+            age_ms=0,
+            running=0,
+            waiting=0,
+            slots=8,
+            kv_used_fraction=0,
+            prefill_tokens_per_second=8000,
+            decode_step_ms=20,
+        )
+        self.leader.load_read(upstream, report, self.now)
+
+    def _check_unload(self, engine: FakeEngine, order: Order) -> None:
+        """Check that callers can do without what is being unloaded."""
+        key = (order.accelerator, order.target, order.version)
+        if key not in engine.memory.items:
+            return
+        if self.machine.state.catalogue.find(order.target) is None:
+            return
+        others = (
+            copy
+            for copy in self.views[self.view_index].values()
+            if copy.target == order.target
+            and copy.state is CopyState.serving
+            and (copy.upstream, copy.version, copy.accelerator)
+            != (order.upstream, order.version, order.accelerator)
+        )
+        committed_at = self.unload_at.get(order.fence, self.now)
+        assert any(
+            self.engines[copy.upstream].ready(order.target)
+            or self.engines[copy.upstream].disturbed_at >= committed_at - 3
+            for copy in others
+        ) or any(
+            each.disturbed_at >= committed_at - 3
+            for each in self.engines.values()
+        ), f'last copy of {order.target} unloaded'
+
+    def _expire_messages(self) -> None:
+        """Drop what outlived the quarantine at engines ignoring numbers."""
+        for message in tuple(self.network):
+            engine = self.engines[message.order.upstream]
+            is_old = self.now >= message.sent_at + QUARANTINE_S / 2
+            if is_old and not engine.checks_fencing:
+                self.network.remove(message)
+                self.fail(message)
+        self.deposed = [
+            sent
+            for sent in self.deposed
+            if self.engines[sent.order.upstream].checks_fencing
+            or self.now < sent.sent_at + QUARANTINE_S / 2
+        ]
+
+
+def engine(
+    name: str,
+    domain: str,
+    memory: int,
+    *,
+    checks: bool = True,
+) -> UpstreamEntry:
+    """Return an engine with one accelerator."""
+    return UpstreamEntry(
+        name=name,
+        owner='o',
+        address='127.0.0.1:1',
+        failure_domain=domain,
+        accelerators=(Accelerator(name='a0', memory_bytes=memory),),
+        checks_fencing=checks,
+    )
+
+
+def model(name: str, size: int, version: str = '1') -> ModelEntry:
+    """Return a model whose KV floor takes one of its bytes."""
+    return ModelEntry(
+        name=name,
+        owner='o',
+        version=version,
+        weight_bytes=size - 1,
+        kv_floor_bytes=1,
+    )
--- /dev/null
+++ b/tests/test_placement_orders.py
@@ -0,0 +1,141 @@
+"""Orders, withdrawals and repair under faults, against a reference model."""
+
+from collections.abc import Callable
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from persimmonhold.catalogue import AdapterEntry
+from tests.placement_world import SETTINGS, FakeEngine, World, engine, model
+
+_NAMES = ('engine-1', 'engine-2', 'engine-3', 'engine-4')
+_MODELS = ('m1', 'm2', 'm3', 'm4', 'm5')
+
+
+def _entries() -> World:
+    return World((
+        engine('engine-1', 'd1', 100),
+        engine('engine-2', 'd2', 100),
+        engine('engine-3', 'd3', 100, checks=False),
+        engine('engine-4', 'd3', 60),
+        *(model(name, 30 + 4 * index) for index, name in enumerate(_MODELS)),
+        AdapterEntry(
+            name='x1',
+            owner='o',
+            version='1',
+            base='m1',
+            weight_bytes=2,
+        ),
+    ))
+
+
+class PlacementMachine(RuleBasedStateMachine):
+    """Faults come in any order; the reference model checks every step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = _entries()
+        self.versions = 1
+
+    @rule(elapsed=st.sampled_from([0.1, 0.5, 1.0, 3.0]), lag=st.booleans())
+    def run_round(self, elapsed: float, lag: bool) -> None:
+        self.world.step(elapsed, lag=lag)
+
+    @rule(rounds=st.integers(1, 25))
+    def run_calmly(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.world.step(0.5)
+            while self.world.network:
+                self.world.deliver(0)
+            for each in self.world.engines.values():
+                self.world.begin(each)
+                self.world.complete(each)
+
+    @precondition(lambda self: self.world.network)
+    @rule(position=st.integers(0, 9), answers=st.booleans())
+    def deliver(self, position: int, answers: bool) -> None:
+        count = len(self.world.network)
+        self.world.deliver(position % count, answers=answers)
+
+    @precondition(lambda self: self.world.network)
+    @rule(position=st.integers(0, 9), arrives_later=st.booleans())
+    def time_out(self, position: int, arrives_later: bool) -> None:
+        world = self.world
+        message = world.network.pop(position % len(world.network))
+        world.fail(message)
+        if arrives_later:
+            world.network.append(message._replace(leadership=-1))
+
+    @rule(name=st.sampled_from(_NAMES), part=st.sampled_from(['all', 'begin']))
+    def engine_works(self, name: str, part: str) -> None:
+        self.world.begin(self.world.engines[name])
+        if part == 'all':
+            self.world.complete(self.world.engines[name])
+
+    @rule(name=st.sampled_from(_NAMES), keep=st.booleans())
+    def restart(self, name: str, keep: bool) -> None:
+        self.world.restart(self.world.engines[name], keep=keep)
+
+    @rule(name=st.sampled_from(_NAMES))
+    def lose_engine(self, name: str) -> None:
+        for each in self.world.engines.values():
+            self._bring_up(each)
+        self.world.engines[name].is_up = False
+        self.world.engines[name].disturbed_at = self.world.now
+
+    @rule()
+    def change_leader(self) -> None:
+        self.world.elect()
+
+    @precondition(lambda self: self.world.deposed)
+    @rule(position=st.integers(0, 9))
+    def deposed_leader_sends(self, position: int) -> None:
+        deposed = self.world.deposed
+        self.world.network.append(deposed[position % len(deposed)])
+
+    @rule()
+    def commit_without_answer(self) -> None:
+        self.world.unsure_next = True
+
+    @rule(name=st.sampled_from(_MODELS), size=st.integers(20, 40))
+    def upgrade(self, name: str, size: int) -> None:
+        self.versions += 1
+        self.world.put(model(name, size, str(self.versions)))
+
+    @rule(name=st.sampled_from(_MODELS), work=st.sampled_from([0.0, 0.5, 2.0]))
+    def shift_demand(self, name: str, work: float) -> None:
+        self.world.demand[name] = work
+
+    @invariant()
+    def memory_is_never_overcommitted(self) -> None:
+        assert not self.world.overcommitted()
+
+    @invariant()
+    def weight_store_keeps_its_pace(self) -> None:
+        assert self.world.model_loads_in_flight() <= SETTINGS.loads_at_once
+        sends = self.world.load_sends
+        limit = int(SETTINGS.loads_per_second)
+        for first, last in zip(sends, sends[limit:], strict=False):
+            assert last >= first + 1
+
+    def teardown(self) -> None:
+        assert self.world.heal(rounds=400)
+        assert not self.world.overcommitted()
+
+    def _bring_up(self, each: FakeEngine) -> None:
+        if not each.is_up:
+            each.is_up = True
+            each.disturbed_at = self.world.now
+
+
+PlacementTest: Callable[..., object] = PlacementMachine.TestCase
+PlacementMachine.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+)
