--- /dev/null
+++ b/persimmonhold/consensus/_hard_state.py
@@ -0,0 +1,21 @@
+"""What a replica must never forget beside its log."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.consensus._boot import Boot
+from persimmonhold.consensus._member import ReplicaId
+
+
+@final
+class HardState(msgspec.Struct, frozen=True, kw_only=True):
+    """Identity, term and vote, and the newest start known of each replica.
+
+    Invariant: synced before a message that rests on it is sent.
+    """
+
+    replica: ReplicaId
+    term: int = 0
+    voted_for: ReplicaId = ''
+    boots: dict[ReplicaId, Boot] = {}
--- /dev/null
+++ b/persimmonhold/consensus/_outbox.py
@@ -0,0 +1,71 @@
+"""Holds messages back until what they rest on is synced."""
+
+from collections import deque
+from typing import final
+
+from persimmonhold.consensus._actions import Action, Persist, Send
+from persimmonhold.consensus._hard_state import HardState
+from persimmonhold.consensus._log_entry import LogEntry
+from persimmonhold.consensus._snapshot import Snapshot
+
+
+@final
+class Outbox:
+    """The actions of one event, in order.
+
+    Invariant: a message passed to `send` leaves after every `Persist` that
+    was issued before it has been confirmed.
+    """
+
+    __slots__ = ('_actions', '_held', 'confirmed', 'issued')
+
+    def __init__(self) -> None:
+        """Create an empty outbox."""
+        self.issued = 0
+        self.confirmed = 0
+        self._actions: list[Action] = []
+        self._held: deque[tuple[int, Send]] = deque()
+
+    def emit(self, action: Action) -> None:
+        """Add an action that does not wait for the disk."""
+        self._actions.append(action)
+
+    def send(self, action: Send) -> None:
+        """Add a message that waits for what was issued before it."""
+        if self.issued > self.confirmed:
+            self._held.append((self.issued, action))
+        else:
+            self._actions.append(action)
+
+    def persist(
+        self,
+        *,
+        hard_state: HardState | None = None,
+        snapshot: Snapshot | None = None,
+        is_reset: bool = False,
+        entries: tuple[LogEntry, ...] = (),
+    ) -> int:
+        """Ask for a sync; return its number."""
+        self.issued += 1
+        self._actions.append(
+            Persist(
+                number=self.issued,
+                hard_state=hard_state,
+                snapshot=snapshot,
+                is_reset=is_reset,
+                entries=entries,
+            ),
+        )
+        return self.issued
+
+    def confirm(self, number: int) -> None:
+        """Release what waited for the sync with a number."""
+        self.confirmed = max(self.confirmed, number)
+        while self._held and self._held[0][0] <= self.confirmed:
+            self._actions.append(self._held.popleft()[1])
+
+    def take(self) -> tuple[Action, ...]:
+        """Return the actions and forget them."""
+        taken = tuple(self._actions)
+        self._actions.clear()
+        return taken
--- /dev/null
+++ b/persimmonhold/consensus/_raft_log.py
@@ -0,0 +1,171 @@
+"""The log of one replica, in memory.
+
+Invariants: entries are contiguous from `base_index + 1`; what the snapshot
+covers is committed, so nothing at or below it is ever truncated.
+"""
+
+from collections.abc import Sequence
+from itertools import islice
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.consensus._configuration import Configuration
+from persimmonhold.consensus._log_entry import EntryKind, LogEntry
+from persimmonhold.consensus._snapshot import Snapshot
+
+_ENTRY_OVERHEAD_BYTES: Final = 16
+
+
+@final
+class RaftLog:
+    """Entries, the snapshot below them and the configurations in them."""
+
+    __slots__ = (
+        '_configurations',
+        '_entries',
+        '_unsynced',
+        'base_index',
+        'base_term',
+        'snapshot',
+        'synced_index',
+    )
+
+    def __init__(
+        self,
+        snapshot: Snapshot,
+        entries: Sequence[LogEntry] = (),
+    ) -> None:
+        """Create the log that recovery found; all of it is synced."""
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self._entries: list[LogEntry] = []
+        self._unsynced: list[tuple[int, int]] = []
+        self._configurations = [(snapshot.index, snapshot.configuration)]
+        if entries and entries[0].index <= snapshot.index:
+            self.base_index = entries[0].index - 1
+            self.base_term = 0
+        self.append(entries)
+        self.synced_index = self.last_index
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def last(self) -> tuple[int, int]:
+        """Term and index of the last entry: how up to date the log is."""
+        return (self.last_term, self.last_index)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self._configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> int:
+        """The index from which it is in force."""
+        return self._configurations[-1][0]
+
+    def configuration_at(self, index: int) -> Configuration:
+        """Return the configuration in force after an index."""
+        found = self._configurations[0][1]
+        for since, configuration in self._configurations:
+            if since <= index:
+                found = configuration
+        return found
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None where it is not held."""
+        if index < self.base_index:
+            return None
+        if index == 0:
+            return 0
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if index == self.base_index:
+            return self.base_term or None
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def between(self, first: int, last: int) -> tuple[LogEntry, ...]:
+        """Return the entries from `first` to `last`, both included."""
+        start = first - self.base_index - 1
+        return tuple(self._entries[start : last - self.base_index])
+
+    def batch(self, first: int, max_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries from `first` on, within a bound or one of them."""
+        batch: list[LogEntry] = []
+        size = 0
+        start = first - self.base_index - 1
+        for entry in islice(self._entries, start, None):
+            size += len(entry.payload) + _ENTRY_OVERHEAD_BYTES
+            if batch and size > max_bytes:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries at the end."""
+        for entry in entries:
+            self._entries.append(entry)
+            is_newer = entry.index > self.snapshot.index
+            if entry.kind is EntryKind.configuration and is_newer:
+                configuration = msgspec.msgpack.decode(
+                    entry.payload,
+                    type=Configuration,
+                )
+                self._configurations.append((entry.index, configuration))
+
+    def truncate(self, first: int) -> None:
+        """Remove the entry at `first` and all after it."""
+        self._entries = self._entries[: first - self.base_index - 1]
+        while self._configurations[-1][0] >= first:
+            self._configurations.pop()
+        last = first - 1
+        self.synced_index = min(self.synced_index, last)
+        self._unsynced = [
+            (number, min(index, last)) for number, index in self._unsynced
+        ]
+
+    def note_unsynced(self, number: int) -> None:
+        """Remember that a sync with a number covers the log so far."""
+        self._unsynced.append((number, self.last_index))
+
+    def note_synced(self, number: int) -> None:
+        """Raise `synced_index` to what a sync covered."""
+        for waiting, index in self._unsynced:
+            if waiting <= number:
+                self.synced_index = max(self.synced_index, index)
+        self._unsynced = [one for one in self._unsynced if one[0] > number]
+
+    def compact(self, snapshot: Snapshot, kept_entries: int) -> None:
+        """Take a snapshot in place of entries; keep some before it."""
+        base = max(self.base_index, snapshot.index - kept_entries)
+        base_term = self.term_at(base)
+        self._entries = self._entries[base - self.base_index :]
+        self.base_term = base_term or 0
+        self.base_index = base
+        self._configurations = [
+            (snapshot.index, snapshot.configuration),
+            *(one for one in self._configurations if one[0] > snapshot.index),
+        ]
+        self.snapshot = snapshot
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replace everything by a snapshot."""
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self._entries = []
+        self._unsynced = []
+        self._configurations = [(snapshot.index, snapshot.configuration)]
+        self.synced_index = 0
--- /dev/null
+++ b/persimmonhold/consensus/_timings.py
@@ -0,0 +1,24 @@
+"""The intervals and bounds of a replica."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Timings(msgspec.Struct, frozen=True, kw_only=True):
+    """Intervals in seconds, sizes in bytes.
+
+    A follower starts an election after one to two election timeouts of
+    silence. `lease_fraction` of an election timeout is the leader's lease;
+    the rest allows for clocks that run at different rates.
+    """
+
+    heartbeat_s: float = 0.1
+    election_timeout_s: float = 0.5
+    lease_fraction: float = 0.9
+    verification_timeout_s: float = 5.0
+    replacement_timeout_s: float = 30.0
+    max_append_bytes: int = 262_144
+    max_in_flight_entries: int = 4096
+    snapshot_chunk_bytes: int = 65_536
--- /dev/null
+++ b/persimmonhold/replication/_describe.py
@@ -0,0 +1,64 @@
+"""Builds the status of a replica."""
+
+from typing import Final
+
+from persimmonhold.consensus import Member, Replica, vm_of
+from persimmonhold.replication._member_status import MemberStatus
+from persimmonhold.replication._replica_status import ReplicaStatus
+
+_SEPARATOR: Final = '/'
+
+
+def describe_replica(
+    replica: Replica,
+    applied_index: int,
+    now: float,
+) -> ReplicaStatus:
+    """Return the status at a time."""
+    core = replica.core
+    return ReplicaStatus(
+        vm=vm_of(core.replica),
+        incarnation=_incarnation(core.replica),
+        role=core.role.value,
+        term=core.term,
+        leader=vm_of(replica.leader),
+        is_verified=core.verification.is_done,
+        lease_s=max(float(0), replica.lease_until(now) - now),
+        last_index=core.log.last_index,
+        commit_index=core.commit_index,
+        applied_index=applied_index,
+        snapshot_index=core.log.snapshot.index,
+        members=tuple(
+            _describe_member(replica, member, now)
+            for member in replica.configuration.members
+        ),
+    )
+
+
+def _describe_member(
+    replica: Replica,
+    member: Member,
+    now: float,
+) -> MemberStatus:
+    match_index: int | None = None
+    silence_s: float | None = None
+    if replica.leadership is not None:
+        progress = replica.leadership.replicator.progress.get(member.replica)
+        if progress is None:
+            match_index = replica.core.log.synced_index
+            silence_s = 0
+        else:
+            match_index = progress.match
+            silence_s = now - progress.heard_at
+    return MemberStatus(
+        vm=member.vm,
+        incarnation=_incarnation(member.replica),
+        address=member.address,
+        is_voter=member.is_voter,
+        match_index=match_index,
+        silence_s=silence_s,
+    )
+
+
+def _incarnation(replica: str) -> str:
+    return replica.partition(_SEPARATOR)[2]
--- /dev/null
+++ b/persimmonhold/replication/_replica_host.py
@@ -0,0 +1,224 @@
+"""Performs what a replica asks for: disk, network and applying.
+
+One turn handles everything that arrived, writes what came of it with one
+sync, and only then lets the messages that rest on it leave.
+"""
+
+import random
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.consensus import (
+    Abandon,
+    Action,
+    Apply,
+    EntryKind,
+    Envelope,
+    HardState,
+    LogEntry,
+    Member,
+    Persist,
+    RaftLog,
+    ReadReady,
+    ReadsFailed,
+    Replica,
+    Restore,
+    Send,
+    Snapshot,
+    vm_of,
+)
+from persimmonhold.failures import Failure
+from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.replication._log_applier import LogApplier
+from persimmonhold.replication._log_writer import LogWriter
+from persimmonhold.replication._recover_log import recover_log
+from persimmonhold.replication._replica_settings import ReplicaSettings
+from persimmonhold.replication._waiters import Waiters
+from persimmonhold.storage import LogStore, encode_whole
+from persimmonhold.transport import Channel, Transport
+
+_INCARNATION_BITS: Final = 64
+
+
+@final
+class ReplicaHost:
+    """A replica with its store, its applier and its waiting callers.
+
+    Every method may raise `OSError` from the disk; the host is then not
+    used again, since what was synced is unknown.
+    """
+
+    __slots__ = (
+        '_applier',
+        '_decoder',
+        '_empty_state',
+        '_encoder',
+        '_generator',
+        '_settings',
+        '_store',
+        '_transport',
+        'applied_index',
+        'replica',
+        'waiters',
+        'writer',
+    )
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        store: LogStore,
+        transport: Transport,
+        applier: LogApplier,
+        generator: random.Random,
+    ) -> None:
+        """Create a host; `open` comes first."""
+        self._settings = settings
+        self._store = store
+        self._transport = transport
+        self._applier = applier
+        self._generator = generator
+        self._empty_state = applier.snapshot()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self.applied_index = 0
+        self.waiters = Waiters()
+        self.replica: Replica
+        self.writer: LogWriter
+
+    def open(self, now: float) -> Result[None, Failure]:
+        """Recover from the folder, or begin as a new incarnation."""
+        recovered = self._store.recover()
+        if isinstance(recovered, Failed):
+            return recovered
+        found = recovered.unwrap()
+        log = recover_log(found)
+        if isinstance(log, Failed):
+            return log
+        if found.state:
+            state = msgspec.msgpack.decode(found.state, type=HardState)
+        else:
+            state = self._new_identity()
+        self._begin(state, log.unwrap(), now)
+        return Success(None)
+
+    def receive(self, peer: str, payload: bytes, now: float) -> None:
+        """Pass a message to the replica; drop what does not decode."""
+        try:
+            envelope = self._decoder.decode(payload)
+        except msgspec.DecodeError:
+            log_event('consensus message dropped', LogLevel.warning, peer=peer)
+            return
+        if vm_of(envelope.sender) == peer:
+            self.replica.receive(envelope, now)
+
+    def perform(self, now: float) -> None:
+        """Do what the replica asks for until it asks for nothing."""
+        actions = self.replica.take_actions()
+        while actions:
+            actions = self._until_abandoned(actions, now)
+            syncs = tuple(one for one in actions if isinstance(one, Persist))
+            for action in actions:
+                self._do(action)
+            if syncs:
+                self.writer.write(syncs)
+                self.replica.persisted(syncs[-1].number, now)
+            actions = self.replica.take_actions()
+        if self.replica.leadership is None:
+            self.waiters.end_handovers()
+
+    def take_snapshot(self) -> Snapshot:
+        """Encode the applied state."""
+        return self.replica.snapshot_at(
+            self.applied_index,
+            self._applier.snapshot(),
+        )
+
+    def encode_snapshot(self, snapshot: Snapshot) -> bytes:
+        """Return the content of the snapshot file."""
+        self._store.begin_snapshot()
+        return encode_whole(self._encoder.encode(snapshot))
+
+    def write_snapshot_part(self, part: bytes) -> None:
+        """Write and sync a part of the snapshot file."""
+        self._store.add_to_snapshot(part)
+
+    def use_snapshot(self, snapshot: Snapshot) -> None:
+        """Put a written snapshot in force, then cut the log."""
+        self._store.finish_snapshot()
+        self.replica.compact(snapshot, self._settings.kept_entries)
+        self.writer.drop_covered(self.replica.core.log.base_index)
+
+    def _begin(self, state: HardState, log: RaftLog, now: float) -> None:
+        settings = self._settings
+        self.writer = LogWriter(self._store, log.last_index)
+        self._restore(log.snapshot)
+        self.replica = Replica(
+            Member(state.replica, settings.address),
+            settings.initial,
+            state,
+            log,
+            settings.timings,
+            self._generator,
+            now,
+        )
+
+    def _new_identity(self) -> HardState:
+        number = self._generator.getrandbits(_INCARNATION_BITS)
+        return HardState(replica=f'{self._settings.name}/{number:016x}')
+
+    def _until_abandoned(
+        self,
+        actions: tuple[Action, ...],
+        now: float,
+    ) -> tuple[Action, ...]:
+        """Return what is left to do; nothing of an abandoned identity."""
+        for action in actions:
+            if isinstance(action, Abandon):
+                self._abandon(action, now)
+                return self.replica.take_actions()
+        return actions
+
+    def _do(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case Apply():
+                self._apply(action.entries)
+            case Restore():
+                self.waiters.fail_proposals_to(action.snapshot.index)
+                self._restore(action.snapshot)
+            case ReadReady():
+                self.waiters.end_reads(action.tokens, action.index)
+            case ReadsFailed():
+                self.waiters.fail_reads(action.tokens)
+
+    def _send(self, action: Send) -> None:
+        payload = self._encoder.encode(action.envelope)
+        self._transport.send(action.vm, Channel.consensus, payload)
+
+    def _apply(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            returned: object = None
+            if entry.kind is EntryKind.command:
+                returned = self._applier.apply(entry.index, entry.payload)
+            self.applied_index = entry.index
+            self.waiters.note_applied(entry.index, entry.term, returned)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        state = snapshot.state if snapshot.index else self._empty_state
+        self._applier.restore(snapshot.index, state)
+        self.applied_index = snapshot.index
+
+    def _abandon(self, action: Abandon, now: float) -> None:
+        log_event(
+            'replica starts again as a new incarnation',
+            LogLevel.warning,
+            replica=self.replica.core.replica,
+            reason=action.reason,
+        )
+        self.waiters.fail_all()
+        self._store.clear()
+        self._begin(self._new_identity(), RaftLog(Snapshot()), now)
--- /dev/null
+++ b/persimmonhold/replication/_replica_node.py
@@ -0,0 +1,326 @@
+"""The replicated log of one control VM: the loop around a replica.
+
+Callers queue proposals and reads; everything that is queued when a turn
+begins shares one append, one round and one sync (group commit).
+"""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from contextlib import ExitStack, suppress
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from persimmonhold.consensus import vm_of
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.replication._describe import describe_replica
+from persimmonhold.replication._log_applier import LogApplier
+from persimmonhold.replication._replica_host import ReplicaHost
+from persimmonhold.replication._replica_settings import ReplicaSettings
+from persimmonhold.replication._replica_status import ReplicaStatus
+from persimmonhold.replication._replicated_log import ReplicatedLog
+from persimmonhold.replication._waiters import AnswerFuture, fail
+from persimmonhold.storage import DiskDirectory, FileSystem, LogStore
+from persimmonhold.transport import Channel, Transport
+
+_PROPOSE: Final = 'propose'
+_READ: Final = 'read barrier'
+_TRANSFER: Final = 'transfer leadership'
+
+
+@final
+class ReplicaNode(ReplicatedLog):
+    """Owns the folder and the loop of one replica; a context manager.
+
+    `directory` holds nothing else. `transport` knows the other VMs by name.
+    `applier` is new: it is driven from the start of the log. `generator`
+    must differ between starts (`random.Random()` outside tests), since it
+    draws incarnations. `clock` returns seconds that never go back. `files`
+    replaces the directory in tests.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_files',
+        '_host',
+        '_inbox',
+        '_proposals',
+        '_reads',
+        '_settings',
+        '_snapshot_task',
+        '_stack',
+        '_task',
+        '_wake',
+        'failure',
+    )
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        directory: Path,
+        transport: Transport,
+        applier: LogApplier,
+        generator: random.Random,
+        clock: Callable[[], float],
+        files: FileSystem | None = None,
+    ) -> None:
+        """Create a replica that starts on entry."""
+        self._settings = settings
+        self._clock = clock
+        self._stack = ExitStack()
+        self._files = files or DiskDirectory(directory)
+        self._host = ReplicaHost(
+            settings,
+            LogStore(self._files),
+            transport,
+            applier,
+            generator,
+        )
+        self._inbox: deque[tuple[str, bytes]] = deque()
+        self._proposals: deque[tuple[bytes, AnswerFuture]] = deque()
+        self._reads: list[AnswerFuture] = []
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._snapshot_task: asyncio.Task[None] | None = None
+        self.failure: Failure | None = None
+        transport.subscribe(Channel.consensus, self._receive)
+
+    async def __aenter__(self) -> Self:
+        """Recover and start; raises `OSError` where the folder is bad."""
+        if isinstance(self._files, DiskDirectory):
+            self._stack.enter_context(self._files)
+        opened = self._host.open(self._clock())
+        if isinstance(opened, Failed):
+            self._stack.close()
+            raise OSError(opened.failure().describe())
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop, answer everyone who waits, close the files."""
+        for task in (self._task, self._snapshot_task):
+            if task is not None:
+                task.cancel()
+                with suppress(asyncio.CancelledError):
+                    await task
+        self._stop(FailureKind.no_quorum)
+        self._stack.close()
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads and its lease holds."""
+        now = self._clock()
+        lease_until = self._host.replica.lease_until(now)
+        return self.failure is None and lease_until > now
+
+    @property
+    def leader(self) -> str:
+        """The name of the leading VM, or empty where it is unknown."""
+        return vm_of(self._host.replica.leader)
+
+    @property
+    def applied_index(self) -> int:
+        """The index of the last applied entry."""
+        return self._host.applied_index
+
+    @property
+    def syncs(self) -> int:
+        """How many times the log or state was synced since the start."""
+        return self._host.writer.syncs
+
+    @property
+    def peers(self) -> dict[str, str]:
+        """Addresses by name of the VMs that the replica talks to."""
+        known = dict(self._host.replica.core.contacts)
+        for member in self._host.replica.configuration.members:
+            known[member.vm] = member.address
+        return known
+
+    def status(self) -> ReplicaStatus:
+        """Describe the replica and the group as it knows it."""
+        described = describe_replica(
+            self._host.replica,
+            self._host.applied_index,
+            self._clock(),
+        )
+        if self.failure is None:
+            return described
+        return msgspec.structs.replace(
+            described,
+            failure=self.failure.describe(),
+        )
+
+    async def propose(self, payload: bytes) -> Result[object, Failure]:
+        """Commit and apply a payload; return what `apply` returned."""
+        if self._host.replica.leadership is None or self.failure:
+            return _failed(FailureKind.not_leader, _PROPOSE)
+        if len(self._proposals) >= self._settings.max_queued_proposals:
+            return _failed(FailureKind.overloaded, _PROPOSE)
+        answer: AnswerFuture = asyncio.get_running_loop().create_future()
+        self._proposals.append((payload, answer))
+        self._wake.set()
+        return await self._await(answer, _PROPOSE)
+
+    async def read_barrier(self) -> Result[int, Failure]:
+        """Wait until a read of the applied state is linearizable."""
+        if self._host.replica.leadership is None or self.failure:
+            return _failed(FailureKind.not_leader, _READ)
+        if len(self._reads) >= self._settings.max_queued_proposals:
+            return _failed(FailureKind.overloaded, _READ)
+        answer: AnswerFuture = asyncio.get_running_loop().create_future()
+        self._reads.append(answer)
+        self._wake.set()
+        confirmed = await self._await(answer, _READ)
+        return confirmed.map(lambda _: self._host.applied_index)
+
+    async def transfer_leadership(self) -> Result[str, Failure]:
+        """Hand leadership to the best follower; return its name."""
+        successor = vm_of(self._host.replica.transfer(self._clock()))
+        if not successor:
+            return _failed(FailureKind.not_leader, _TRANSFER)
+        answer: AnswerFuture = asyncio.get_running_loop().create_future()
+        self._host.waiters.await_handover(answer)
+        self._wake.set()
+        ended = await self._await(answer, _TRANSFER)
+        return ended.map(lambda _: successor)
+
+    async def _await(
+        self,
+        answer: AnswerFuture,
+        step: str,
+    ) -> Result[object, Failure]:
+        try:
+            async with asyncio.timeout(self._settings.proposal_timeout_s):
+                return await answer
+        except TimeoutError:
+            return _failed(FailureKind.timed_out, step)
+
+    def _receive(self, peer: str, payload: bytes) -> None:
+        if len(self._inbox) < self._settings.max_queued_messages:
+            self._inbox.append((peer, payload))
+            self._wake.set()
+
+    async def _run(self) -> None:
+        try:
+            while self.failure is None:
+                self._turn()
+                await self._sleep()
+        except OSError as error:
+            self._fail(error)
+
+    async def _sleep(self) -> None:
+        """Wait for something to arrive or to be due."""
+        delay_s = self._host.replica.next_wakeup - self._clock()
+        # Others run first, so that what they queue shares this turn's sync.
+        await asyncio.sleep(0)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(float(0), delay_s)):
+                await self._wake.wait()
+        self._wake.clear()
+
+    def _turn(self) -> None:
+        host = self._host
+        now = self._clock()
+        while self._inbox:
+            peer, payload = self._inbox.popleft()
+            host.receive(peer, payload, now)
+        host.perform(now)
+        self._begin_proposals(now)
+        self._begin_reads(now)
+        if host.replica.next_wakeup <= now:
+            host.replica.tick(now)
+        host.perform(now)
+        self._begin_snapshot()
+
+    def _begin_proposals(self, now: float) -> None:
+        if not self._proposals:
+            return
+        queued = tuple(self._proposals)
+        self._proposals.clear()
+        replica = self._host.replica
+        payloads = tuple(payload for payload, _ in queued)
+        first = replica.propose(payloads, now)
+        for offset, (_, answer) in enumerate(queued):
+            if first:
+                index = first + offset
+                self._host.waiters.await_entry(index, replica.core.term, answer)
+            else:
+                fail(answer, FailureKind.not_leader, _PROPOSE)
+
+    def _begin_reads(self, now: float) -> None:
+        if not self._reads:
+            return
+        waiters = self._host.waiters
+        tokens = tuple(waiters.await_read(answer) for answer in self._reads)
+        self._reads.clear()
+        if not self._host.replica.read(tokens, now):
+            waiters.fail_reads(tokens)
+
+    def _begin_snapshot(self) -> None:
+        """Take a snapshot when enough was applied since the last one."""
+        applied = self._host.applied_index
+        since = applied - self._host.replica.core.log.snapshot.index
+        is_idle = self._snapshot_task is None or self._snapshot_task.done()
+        if is_idle and since >= self._settings.snapshot_entries:
+            self._snapshot_task = asyncio.create_task(self._save())
+
+    async def _save(self) -> None:
+        try:
+            await self._save_snapshot()
+        except OSError as error:
+            self._fail(error)
+
+    async def _save_snapshot(self) -> None:
+        """Write the applied state in parts, between turns."""
+        replica = self._host.replica
+        snapshot = self._host.take_snapshot()
+        encoded = memoryview(self._host.encode_snapshot(snapshot))
+        size = self._settings.snapshot_part_bytes
+        for start in range(0, len(encoded), size):
+            self._host.write_snapshot_part(bytes(encoded[start : start + size]))
+            await asyncio.sleep(0)
+            # The folder may meanwhile hold a newer snapshot of the leader,
+            # or belong to a new incarnation.
+            installed = replica.core.log.snapshot.index
+            if self._host.replica is not replica or self.failure:
+                return
+            if installed >= snapshot.index:
+                return
+        self._host.use_snapshot(snapshot)
+
+    def _fail(self, error: OSError) -> None:
+        """Stop for good: it is unknown what the disk holds."""
+        self.failure = Failure(
+            kind=FailureKind.storage_unwritable,
+            step='replica turn',
+            peer=self._settings.name,
+            detail=str(error),
+        )
+        log_event('replica stopped', LogLevel.error, error=str(error))
+        self._stop(FailureKind.no_quorum)
+        self._wake.set()
+
+    def _stop(self, kind: FailureKind) -> None:
+        self._host.waiters.fail_all()
+        for _, answer in self._proposals:
+            fail(answer, kind, _PROPOSE)
+        for answer in self._reads:
+            fail(answer, kind, _READ)
+        self._proposals.clear()
+        self._reads.clear()
+
+
+def _failed(kind: FailureKind, step: str) -> Failed[Failure]:
+    return Failed(Failure(kind=kind, step=step))
--- /dev/null
+++ b/persimmonhold/replication/_replica_settings.py
@@ -0,0 +1,27 @@
+"""What a replica process is told at its start."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.consensus import Timings
+
+
+@final
+class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Name and address of this VM, the first members, and bounds.
+
+    `initial` holds `ip:port` by VM name. Its size is the number of voters
+    that the group keeps; a VM with a disk that is not in it is a spare.
+    """
+
+    name: str
+    address: str
+    initial: dict[str, str]
+    timings: Timings = Timings()
+    proposal_timeout_s: float = 5.0
+    max_queued_proposals: int = 4096
+    max_queued_messages: int = 4096
+    snapshot_entries: int = 8192
+    snapshot_part_bytes: int = 1_048_576
+    kept_entries: int = 1024
--- /dev/null
+++ b/persimmonhold/storage/_disk_directory.py
@@ -0,0 +1,93 @@
+"""The file system of the machine."""
+
+import os
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self, final
+
+from persimmonhold.storage._file_system import FileSystem
+
+_OPEN_FLAGS: Final = os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+_FILE_MODE: Final = 0o600
+
+
+@final
+class DiskDirectory(FileSystem):
+    """Owns the open files of one directory."""
+
+    __slots__ = ('_descriptors', 'path')
+
+    def __init__(self, path: Path) -> None:
+        """Create the owner; the directory is made on entry."""
+        self.path = path
+        self._descriptors: dict[str, int] = {}
+
+    def __enter__(self) -> Self:
+        """Make the directory."""
+        self.path.mkdir(parents=True, exist_ok=True)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close every file."""
+        for name in tuple(self._descriptors):
+            self._close(name)
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all files, sorted."""
+        return tuple(
+            sorted(one.name for one in self.path.iterdir() if one.is_file()),
+        )
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return (self.path / name).read_bytes()
+
+    def append(self, name: str, content: bytes) -> None:
+        """Write at the end of a file."""
+        descriptor = self._open(name)
+        remaining = memoryview(content)
+        while remaining:
+            remaining = remaining[os.write(descriptor, remaining) :]
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file."""
+        os.ftruncate(self._open(name), size)
+
+    def sync(self, name: str) -> None:
+        """Make content and size last."""
+        os.fdatasync(self._open(name))
+
+    def rename(self, name: str, new_name: str) -> None:
+        """Rename a file; open files of either name are closed."""
+        self._close(name)
+        self._close(new_name)
+        (self.path / name).replace(self.path / new_name)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._close(name)
+        (self.path / name).unlink()
+
+    def sync_directory(self) -> None:
+        """Make names last."""
+        descriptor = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _open(self, name: str) -> int:
+        if name not in self._descriptors:
+            path = self.path / name
+            self._descriptors[name] = os.open(path, _OPEN_FLAGS, _FILE_MODE)
+        return self._descriptors[name]
+
+    def _close(self, name: str) -> None:
+        descriptor = self._descriptors.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
--- /dev/null
+++ b/persimmonhold/storage/_log_store.py
@@ -0,0 +1,178 @@
+"""The files of one replica: log segments, hard state and snapshot.
+
+Names: `log-<number>` with numbers that rise, `state` and `snapshot`. A
+file that is replaced is written as `<name>.new`, synced, renamed, and the
+directory synced. Invariants: a record is in force once `append` returned;
+segments are removed only after the snapshot that covers them is in force.
+"""
+
+from typing import Final, final
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.storage._file_system import FileSystem
+from persimmonhold.storage._record_codec import decode_records, encode_batch
+from persimmonhold.storage._recovered import Recovered
+from persimmonhold.storage._segment import Segment
+
+_STATE: Final = 'state'
+_SNAPSHOT: Final = 'snapshot'
+_SEGMENT_PREFIX: Final = 'log-'
+_NEW_SUFFIX: Final = '.new'
+_NUMBER_DIGITS: Final = 12
+_SEGMENT_BYTES: Final = 4_194_304
+
+
+@final
+class LogStore:
+    """Reads and writes the files of one replica."""
+
+    __slots__ = ('_files', '_segment_bytes', '_segments')
+
+    def __init__(
+        self,
+        files: FileSystem,
+        segment_bytes: int = _SEGMENT_BYTES,
+    ) -> None:
+        """Create a store; `recover` comes first."""
+        self._files = files
+        self._segment_bytes = segment_bytes
+        self._segments: list[Segment] = []
+
+    @property
+    def segments(self) -> tuple[Segment, ...]:
+        """The segments in the order of writing."""
+        return tuple(self._segments)
+
+    def recover(self) -> Result[Recovered, Failure]:
+        """Read everything; remove what an interrupted write left."""
+        self._remove_unfinished()
+        state = self._read_whole(_STATE)
+        snapshot = self._read_whole(_SNAPSHOT)
+        records = self._read_segments()
+        for step in (state, snapshot, records):
+            if isinstance(step, Failed):
+                return step
+        return Success(
+            Recovered(
+                state=state.unwrap(),
+                snapshot=snapshot.unwrap(),
+                records=records.unwrap(),
+            ),
+        )
+
+    def append(self, records: tuple[bytes, ...]) -> Segment:
+        """Append records and sync once; return the segment they are in."""
+        if not self._segments:
+            self.begin_segment()
+        if self._segments[-1].size >= self._segment_bytes:
+            self.begin_segment()
+        self._segments[-1].append(records)
+        return self._segments[-1]
+
+    def begin_segment(self) -> None:
+        """Write what follows to a new segment."""
+        number = 1
+        if self._segments:
+            number = _number_of(self._segments[-1].name) + 1
+        name = f'{_SEGMENT_PREFIX}{number:0{_NUMBER_DIGITS}}'
+        self._segments.append(Segment(self._files, name))
+
+    def remove_before(self, kept: Segment | None) -> None:
+        """Remove the segments before one, or all of them."""
+        while self._segments and self._segments[0] is not kept:
+            segment = self._segments.pop(0)
+            if segment.name in self._files.names():
+                self._files.remove(segment.name)
+        self._files.sync_directory()
+
+    def write_state(self, state: bytes) -> None:
+        """Replace the hard state."""
+        self._replace(_STATE, state)
+
+    def write_snapshot(self, snapshot: bytes) -> None:
+        """Replace the snapshot."""
+        self._replace(_SNAPSHOT, snapshot)
+
+    def begin_snapshot(self) -> None:
+        """Begin a snapshot that is written in parts."""
+        if _SNAPSHOT + _NEW_SUFFIX in self._files.names():
+            self._files.remove(_SNAPSHOT + _NEW_SUFFIX)
+
+    def add_to_snapshot(self, part: bytes) -> None:
+        """Write and sync a part of an encoded snapshot file."""
+        self._files.append(_SNAPSHOT + _NEW_SUFFIX, part)
+        self._files.sync(_SNAPSHOT + _NEW_SUFFIX)
+
+    def finish_snapshot(self) -> None:
+        """Sync the snapshot and put it in force."""
+        self._put_in_force(_SNAPSHOT)
+
+    def clear(self) -> None:
+        """Remove every file."""
+        self._segments = []
+        for name in self._files.names():
+            self._files.remove(name)
+        self._files.sync_directory()
+
+    def _replace(self, name: str, content: bytes) -> None:
+        new_name = name + _NEW_SUFFIX
+        if new_name in self._files.names():
+            self._files.remove(new_name)
+        self._files.append(new_name, encode_whole(content))
+        self._put_in_force(name)
+
+    def _put_in_force(self, name: str) -> None:
+        self._files.sync(name + _NEW_SUFFIX)
+        self._files.rename(name + _NEW_SUFFIX, name)
+        self._files.sync_directory()
+
+    def _remove_unfinished(self) -> None:
+        for name in self._files.names():
+            if name.endswith(_NEW_SUFFIX):
+                self._files.remove(name)
+
+    def _read_whole(self, name: str) -> Result[bytes, Failure]:
+        if name not in self._files.names():
+            return Success(b'')
+        text = self._files.read(name)
+        decoded = decode_records(text)
+        if len(decoded.payloads) != 1 or decoded.end != len(text):
+            return Failed(_damaged(name, decoded.end))
+        return Success(decoded.payloads[0])
+
+    def _read_segments(self) -> Result[tuple[bytes, ...], Failure]:
+        names = [
+            name
+            for name in self._files.names()
+            if name.startswith(_SEGMENT_PREFIX)
+        ]
+        self._segments = [Segment(self._files, name) for name in names]
+        records: list[bytes] = []
+        for segment in self._segments:
+            is_last = segment is self._segments[-1]
+            found = segment.read(is_last=is_last)
+            if isinstance(found, Failed):
+                return found
+            records.extend(found.unwrap())
+        return Success(tuple(records))
+
+
+def encode_whole(content: bytes) -> bytes:
+    """Encode a file that is written and replaced as a whole."""
+    return encode_batch((content,), 0)
+
+
+def _number_of(name: str) -> int:
+    return int(name.removeprefix(_SEGMENT_PREFIX))
+
+
+def _damaged(name: str, offset: int) -> Failure:
+    return Failure(
+        kind=FailureKind.storage_damaged,
+        step='read whole file',
+        peer=name,
+        detail=f'damaged record at byte {offset}',
+    )
--- /dev/null
+++ b/persimmonhold/storage/_recovered.py
@@ -0,0 +1,17 @@
+"""What a folder held at the start."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class Recovered(msgspec.Struct, frozen=True, kw_only=True):
+    """The last synced state; empty bytes where there was none.
+
+    `records` are those of all segments in the order of writing.
+    """
+
+    state: bytes
+    snapshot: bytes
+    records: tuple[bytes, ...]
--- /dev/null
+++ b/persimmonhold/storage/_segment.py
@@ -0,0 +1,57 @@
+"""A file of checksummed records that is only appended to.
+
+Invariants: `append` returns after the records are synced; a torn last
+batch is cut; damage before it is an error that names file and offset.
+"""
+
+from typing import final
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.storage._file_system import FileSystem
+from persimmonhold.storage._record_codec import decode_records, encode_batch
+
+
+@final
+class Segment:
+    """One file of records in a file system."""
+
+    __slots__ = ('_files', 'name', 'size')
+
+    def __init__(self, files: FileSystem, name: str) -> None:
+        """Create the owner of a file that may not exist yet."""
+        self._files = files
+        self.name = name
+        self.size = 0
+
+    def read(self, *, is_last: bool) -> Result[tuple[bytes, ...], Failure]:
+        """Return every record; only a last file may have a torn end."""
+        text = self._files.read(self.name)
+        decoded = decode_records(text)
+        is_torn = decoded.end < len(text)
+        if decoded.is_damaged or (is_torn and not is_last):
+            return Failed(self._damaged(decoded.end))
+        if is_torn:
+            self._files.truncate(self.name, decoded.end)
+            self._files.sync(self.name)
+        self.size = decoded.end
+        return Success(decoded.payloads)
+
+    def append(self, payloads: tuple[bytes, ...]) -> None:
+        """Append records and sync the file once."""
+        batch = encode_batch(payloads, self.size)
+        self._files.append(self.name, batch)
+        self._files.sync(self.name)
+        if self.size == 0:
+            self._files.sync_directory()
+        self.size += len(batch)
+
+    def _damaged(self, offset: int) -> Failure:
+        return Failure(
+            kind=FailureKind.storage_damaged,
+            step='read record file',
+            peer=self.name,
+            detail=f'damaged record at byte {offset}',
+        )
--- /dev/null
+++ b/tests/_consensus_group.py
@@ -0,0 +1,367 @@
+"""A group of pure replicas in virtual time: network, disks and checks."""
+
+import heapq
+import random
+from collections.abc import Callable
+from functools import partial
+from itertools import combinations
+from typing import NamedTuple, TypeAlias
+
+import msgspec
+
+from persimmonhold.consensus import (
+    Abandon,
+    Action,
+    Apply,
+    EntryKind,
+    Envelope,
+    HardState,
+    LogEntry,
+    Member,
+    Persist,
+    RaftLog,
+    ReadReady,
+    Replica,
+    Restore,
+    Send,
+    Snapshot,
+    Timings,
+)
+
+TIMINGS = Timings(
+    verification_timeout_s=1e9,
+    replacement_timeout_s=2.0,
+    max_append_bytes=200,
+    snapshot_chunk_bytes=64,
+)
+
+
+_Event: TypeAlias = Callable[[], None]
+_Condition: TypeAlias = Callable[[], bool]
+
+
+_COPIES = (1,) * 9 + (2,)
+_LATENCY_S = 0.02
+
+
+class Timer(NamedTuple):
+    """Something that happens at a time."""
+
+    due: float
+    serial: int
+    event: _Event
+
+
+class Disk:
+    """What is synced, and what a crash may or may not lose."""
+
+    def __init__(self, vm: str, incarnation: int) -> None:
+        self.hard_state = HardState(replica=f'{vm}/{incarnation}')
+        self.snapshot = Snapshot()
+        self.entries: list[LogEntry] = []
+        self.pending: list[Persist] = []
+
+    def flush(self, count: int) -> int:
+        """Sync the oldest writes; return the number of the last one."""
+        flushed = self.pending[:count]
+        self.pending = self.pending[count:]
+        for persist in flushed:
+            self._store(persist)
+        return flushed[-1].number if flushed else 0
+
+    def copy(self) -> 'Disk':
+        other = Disk('', 0)
+        other.hard_state = self.hard_state
+        other.snapshot = self.snapshot
+        other.entries = list(self.entries)
+        return other
+
+    def log(self) -> RaftLog:
+        return RaftLog(self.snapshot, self.entries)
+
+    def _store(self, persist: Persist) -> None:
+        self.hard_state = persist.hard_state or self.hard_state
+        if persist.snapshot is not None:
+            self.snapshot = persist.snapshot
+            covered = persist.snapshot.index
+            self.entries = [
+                one
+                for one in self.entries
+                if not persist.is_reset and one.index > covered
+            ]
+        for entry in persist.entries:
+            self.entries = [
+                one for one in self.entries if one.index < entry.index
+            ]
+            self.entries.append(entry)
+
+
+class Node:
+    """A VM with its disk, its replica while it runs, and its state."""
+
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
+        self.incarnation = 1
+        self.disk = Disk(vm, 1)
+        self.replica: Replica | None = None
+        self.applied_index = 0
+        self.applied: list[bytes] = []
+
+    @property
+    def live(self) -> Replica:
+        assert self.replica is not None
+        return self.replica
+
+
+class Group:
+    """Replicas, the messages between them, and the invariants."""
+
+    def __init__(
+        self,
+        voters: int,
+        spares: int = 0,
+        timings: Timings = TIMINGS,
+        seed: int = 0,
+    ) -> None:
+        names = [f'vm{number}' for number in range(voters + spares)]
+        self.initial = {name: f'{name}:1' for name in names[:voters]}
+        self.random = random.Random(seed)
+        self.timings = timings
+        self.now = 0.0
+        self.loss = 0.0
+        self.nodes = {name: Node(name) for name in names}
+        self.cuts: set[tuple[str, str]] = set()
+        self.queue: list[Timer] = []
+        self.serial = 0
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, LogEntry] = {}
+        self.reads: dict[int, int] = {}
+        self.reads_done = 0
+        for name in names:
+            self.start(name)
+
+    @property
+    def leader(self) -> Node | None:
+        """The node that leads with a lease."""
+        for node in self.running:
+            if node.live.lease_until(self.now) > self.now:
+                return node
+        return None
+
+    @property
+    def running(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.replica]
+
+    @property
+    def last_committed(self) -> int:
+        return max(self.committed, default=0)
+
+    def start(self, vm: str) -> None:
+        node = self.nodes[vm]
+        node.replica = Replica(
+            Member(node.disk.hard_state.replica, f'{vm}:1'),
+            self.initial,
+            node.disk.hard_state,
+            node.disk.log(),
+            self.timings,
+            random.Random(self.random.random()),
+            self.now,
+        )
+        self._restore(node, node.disk.snapshot)
+        self.perform(node)
+
+    def crash(self, vm: str, kept_writes: int = 0) -> None:
+        """Stop a node; some unsynced writes may have reached the disk."""
+        node = self.nodes[vm]
+        node.replica = None
+        node.disk.flush(kept_writes)
+        node.disk.pending = []
+
+    def wipe(self, vm: str) -> None:
+        self.crash(vm)
+        node = self.nodes[vm]
+        node.incarnation += 1
+        node.disk = Disk(vm, node.incarnation)
+
+    def propose(self, payload: bytes) -> int:
+        leader = self.leader
+        if leader is None:
+            return 0
+        index = leader.live.propose((payload,), self.now)
+        self.perform(leader)
+        return index
+
+    def read(self, vm: str) -> None:
+        node = self.nodes[vm]
+        self.serial += 1
+        self.reads[self.serial] = self.last_committed
+        if node.replica and node.replica.read((self.serial,), self.now):
+            self.perform(node)
+
+    def snapshot(self, vm: str, kept_entries: int) -> None:
+        """Store a snapshot of the applied state and cut the log."""
+        node = self.nodes[vm]
+        if not node.replica or node.disk.pending:
+            return
+        state = msgspec.msgpack.encode(node.applied)
+        taken = node.live.snapshot_at(node.applied_index, state)
+        log = node.live.core.log
+        if taken.index > log.snapshot.index:
+            node.live.compact(taken, kept_entries)
+            node.disk.snapshot = taken
+            node.disk.entries = list(
+                log.between(log.base_index + 1, log.last_index),
+            )
+
+    def run(self, seconds: float, until: _Condition | None = None) -> None:
+        """Let time pass; stop early where `until` holds."""
+        end = self.now + seconds
+        while until is None or not until():
+            wakeups = [
+                max(self.now, node.live.next_wakeup) for node in self.running
+            ]
+            due = min(wakeups, default=float('inf'))
+            if self.queue and self.queue[0].due <= min(due, end):
+                timer = heapq.heappop(self.queue)
+                self.now = timer.due
+                timer.event()
+            elif due <= end:
+                self.now = due
+                self._tick()
+            else:
+                self.now = end
+                return
+
+    def perform(self, node: Node) -> None:
+        """Do what a replica asks for and check the invariants."""
+        for action in node.live.take_actions():
+            self._do(node, action)
+            if node.replica is None:
+                return
+        self.check(node)
+
+    def check(self, node: Node) -> None:
+        replica = node.live
+        if replica.leadership is not None:
+            known = self.leaders.setdefault(
+                replica.core.term,
+                replica.core.replica,
+            )
+            assert known == replica.core.replica, 'two leaders in a term'
+        leases = [
+            one.vm
+            for one in self.running
+            if one.live.lease_until(self.now) > self.now
+        ]
+        assert len(leases) <= 1, f'two leases: {leases}'
+
+    def describe(self) -> str:
+        """Return a line for each node, for failed checks."""
+        return '\n'.join(
+            f'{one.live.core.replica} {one.live.core.role.value}'
+            f' term={one.live.core.term} last={one.live.core.log.last}'
+            f' commit={one.live.core.commit_index}'
+            f' floor={one.live.core.verification.floor}'
+            f' verified={one.live.core.verification.is_done}'
+            f' voters={one.live.configuration.voters}'
+            for one in self.running
+        )
+
+    def check_log_matching(self) -> None:
+        """Equal index and term mean equal entries, and equal logs before."""
+        for first, second in combinations(self.running, 2):
+            one, two = first.live.core.log, second.live.core.log
+            since = max(one.base_index, two.base_index) + 1
+            last = min(one.last_index, two.last_index)
+            if since > last:
+                continue
+            pairs = tuple(
+                zip(
+                    one.between(since, last),
+                    two.between(since, last),
+                    strict=True,
+                ),
+            )
+            agreed = [one.term == two.term for one, two in pairs]
+            while agreed and not agreed[-1]:
+                agreed.pop()
+            for left, right in pairs[: len(agreed)]:
+                assert left == right, 'logs do not match'
+
+    def _tick(self) -> None:
+        for node in self.running:
+            if node.live.next_wakeup <= self.now:
+                node.live.tick(self.now)
+                self.perform(node)
+
+    def _do(self, node: Node, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(node.vm, action)
+            case Persist():
+                node.disk.pending.append(action)
+                self._later(0.005, lambda: self._sync(node, action.number))
+            case Apply():
+                for entry in action.entries:
+                    self._apply(node, entry)
+            case Restore():
+                self._restore(node, action.snapshot)
+            case ReadReady():
+                self._end_reads(node, action)
+            case Abandon():
+                self.wipe(node.vm)
+                self.start(node.vm)
+
+    def _send(self, sender: str, action: Send) -> None:
+        deliver = partial(self._deliver, sender, action.vm, action.envelope)
+        for _ in range(self.random.choice(_COPIES)):
+            if self.random.random() >= self.loss:
+                self._later(_LATENCY_S, deliver)
+
+    def _later(self, most_s: float, event: _Event) -> None:
+        self.serial += 1
+        due = self.now + self.random.random() * most_s
+        heapq.heappush(self.queue, Timer(due, self.serial, event))
+
+    def _deliver(self, sender: str, vm: str, envelope: Envelope) -> None:
+        node = self.nodes.get(vm)
+        if node is None or not node.replica or (sender, vm) in self.cuts:
+            return
+        encoded = msgspec.msgpack.encode(envelope)
+        node.replica.receive(
+            msgspec.msgpack.decode(encoded, type=Envelope),
+            self.now,
+        )
+        self.perform(node)
+
+    def _sync(self, node: Node, number: int) -> None:
+        """Sync writes up to a number, unless a crash came between."""
+        pending = node.disk.pending
+        count = sum(one.number <= number for one in pending)
+        is_known = any(one.number == number for one in pending)
+        if node.replica and is_known:
+            node.replica.persisted(node.disk.flush(count), self.now)
+            self.perform(node)
+
+    def _apply(self, node: Node, entry: LogEntry) -> None:
+        assert entry.index == node.applied_index + 1, 'gap in applying'
+        known = self.committed.setdefault(entry.index, entry)
+        assert known == entry, f'committed entry changed: {known} {entry}'
+        node.applied_index = entry.index
+        if entry.kind is EntryKind.command:
+            assert entry.payload not in node.applied, 'applied twice'
+            node.applied.append(entry.payload)
+
+    def _restore(self, node: Node, snapshot: Snapshot) -> None:
+        node.applied_index = snapshot.index
+        node.applied = (
+            msgspec.msgpack.decode(snapshot.state, type=list[bytes])
+            if snapshot.state
+            else []
+        )
+
+    def _end_reads(self, node: Node, action: ReadReady) -> None:
+        for token in action.tokens:
+            assert action.index >= self.reads[token], 'stale read'
+            assert node.applied_index >= action.index, 'read too early'
+            self.reads_done += 1
--- /dev/null
+++ b/tests/_replication_fakes.py
@@ -0,0 +1,201 @@
+"""A loop in virtual time, a network and a disk that tests can break."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+import msgspec
+
+from persimmonhold.replication import LogApplier
+from persimmonhold.storage import FileSystem
+from persimmonhold.transport import Channel, Receiver, Transport
+
+_Returned = TypeVar('_Returned')
+# Names of the base class that its type stubs leave out.
+_TIMERS = '_scheduled'
+_READY = '_ready'
+_RUN_ONCE = '_run_once'
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Jumps to the next timer instead of waiting for it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+
+    def time(self) -> float:
+        return self.now
+
+    def _run_once(self) -> None:
+        timers: list[asyncio.TimerHandle] = getattr(self, _TIMERS)
+        if timers and not getattr(self, _READY):
+            self.now = max(self.now, timers[0].when())
+        run_once: Callable[[], None] = getattr(super(), _RUN_ONCE)
+        run_once()
+
+
+def run_virtual(scenario: Coroutine[Any, Any, _Returned]) -> _Returned:
+    """Run a coroutine to its end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(scenario)
+
+
+def loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class FakeNetwork:
+    """Delays, loses, doubles and reorders messages; cuts pairs."""
+
+    def __init__(self, seed: int = 0, loss: float = 0.0) -> None:
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.cuts: set[tuple[str, str]] = set()
+        self.receivers: dict[tuple[str, Channel], Receiver] = {}
+
+    def deliver(
+        self,
+        pair: tuple[str, str],
+        channel: Channel,
+        payload: bytes,
+    ) -> None:
+        for _ in range(self.random.choice([1, 1, 1, 2])):
+            if self.random.random() >= self.loss and pair not in self.cuts:
+                asyncio.get_running_loop().call_later(
+                    self.random.random() * 0.01,
+                    self._arrive,
+                    pair,
+                    channel,
+                    payload,
+                )
+
+    def isolate(self, name: str, others: list[str]) -> None:
+        for other in others:
+            self.cuts |= {(name, other), (other, name)}
+
+    def _arrive(
+        self,
+        pair: tuple[str, str],
+        channel: Channel,
+        payload: bytes,
+    ) -> None:
+        receiver = self.receivers.get((pair[1], channel))
+        if receiver is not None and pair not in self.cuts:
+            receiver(pair[0], payload)
+
+
+class FakeTransport(Transport):
+    def __init__(self, name: str, network: FakeNetwork) -> None:
+        self.name = name
+        self.network = network
+
+    def send(self, peer: str, channel: Channel, payload: bytes) -> None:
+        self.network.deliver((self.name, peer), channel, payload)
+
+    def subscribe(self, channel: Channel, receiver: Receiver) -> None:
+        self.network.receivers[self.name, channel] = receiver
+
+    def set_peers(self, addresses: dict[str, str]) -> None:
+        """Names are addresses here."""
+
+
+class RecordingApplier(LogApplier):
+    """Keeps the payloads in order; refuses gaps."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.payloads: list[bytes] = []
+
+    def apply(self, index: int, payload: bytes) -> object:
+        assert index > self.index
+        self.index = index
+        self.payloads.append(payload)
+        return len(self.payloads)
+
+    def snapshot(self) -> bytes:
+        return msgspec.msgpack.encode(self.payloads)
+
+    def restore(self, index: int, state: bytes) -> None:
+        self.index = index
+        self.payloads = msgspec.msgpack.decode(state, type=list[bytes])
+
+
+class CrashError(OSError):
+    """The fake machine stopped at this operation."""
+
+
+class FakeFile:
+    def __init__(self) -> None:
+        self.content = b''
+        self.synced = b''
+
+
+class FakeDisk(FileSystem):
+    """Keeps synced and unsynced content apart; stops at a given step."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, FakeFile] = {}
+        self.durable: dict[str, FakeFile] = {}
+        self.steps = 0
+        self.stop_at = -1
+
+    def names(self) -> tuple[str, ...]:
+        return tuple(sorted(self.files))
+
+    def read(self, name: str) -> bytes:
+        return self.files[name].content
+
+    def append(self, name: str, content: bytes) -> None:
+        self._step()
+        self.files.setdefault(name, FakeFile()).content += content
+
+    def truncate(self, name: str, size: int) -> None:
+        self._step()
+        self.files[name].content = self.files[name].content[:size]
+
+    def sync(self, name: str) -> None:
+        self._step()
+        self.files[name].synced = self.files[name].content
+
+    def rename(self, name: str, new_name: str) -> None:
+        self._step()
+        self.files[new_name] = self.files.pop(name)
+
+    def remove(self, name: str) -> None:
+        self._step()
+        self.files.pop(name)
+
+    def sync_directory(self) -> None:
+        self._step()
+        self.durable = dict(self.files)
+
+    def after_crash(self, generator: random.Random) -> 'FakeDisk':
+        """Return what a restart finds: any part of what was not synced."""
+        survivor = FakeDisk()
+        for name in self.files | self.durable:
+            source = generator.choice([self.files, self.durable])
+            found = source.get(name)
+            if found is not None:
+                survivor.files[name] = _torn(found, generator)
+        survivor.durable = dict(survivor.files)
+        return survivor
+
+    def _step(self) -> None:
+        if self.steps == self.stop_at:
+            raise CrashError('the machine stopped')
+        self.steps += 1
+
+
+def _torn(file: FakeFile, generator: random.Random) -> FakeFile:
+    """Keep what was synced and any pieces of what came after."""
+    found = FakeFile()
+    unsynced = file.content[len(file.synced) :]
+    unsynced = unsynced[: generator.randint(0, len(unsynced))]
+    before = unsynced[: generator.randint(0, len(unsynced))]
+    hole = bytes(generator.randint(0, len(unsynced) - len(before)))
+    after = unsynced[len(before) + len(hole) :]
+    found.content = file.synced + before + hole + after
+    found.synced = found.content
+    return found
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,234 @@
+"""The replicated log over a lossy network and disks that stop."""
+
+import asyncio
+import random
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import pytest
+from returns.result import Success
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from persimmonhold.consensus import Timings
+from persimmonhold.failures import FailureKind
+from persimmonhold.replication import ReplicaNode, ReplicaSettings
+from tests._replication_fakes import (
+    FakeDisk,
+    FakeNetwork,
+    FakeTransport,
+    RecordingApplier,
+    loop_time,
+    run_virtual,
+)
+
+_TIMINGS = Timings(replacement_timeout_s=3.0, verification_timeout_s=1.0)
+
+
+class _FakeVm:
+    """A VM whose process can be started again on the same disk."""
+
+    def __init__(self, name: str, network: FakeNetwork, size: int) -> None:
+        self.name = name
+        self.transport = FakeTransport(name, network)
+        self.initial = {f'vm{one}': f'vm{one}' for one in range(size)}
+        self.disk = FakeDisk()
+        self.applier = RecordingApplier()
+        self.snapshot_entries = 50
+        self.starts = 0
+
+    def node(self) -> ReplicaNode:
+        self.applier = RecordingApplier()
+        self.starts += 1
+        settings = ReplicaSettings(
+            name=self.name,
+            address=self.name,
+            initial=self.initial,
+            timings=_TIMINGS,
+            snapshot_entries=self.snapshot_entries,
+            snapshot_part_bytes=64,
+            kept_entries=10,
+        )
+        return ReplicaNode(
+            settings,
+            Path('unused'),
+            self.transport,
+            self.applier,
+            random.Random(f'{self.name} {self.starts}'),
+            loop_time,
+            self.disk,
+        )
+
+
+class _Cluster:
+    def __init__(self, size: int, spares: int = 0, loss: float = 0.0) -> None:
+        self.network = FakeNetwork(seed=1, loss=loss)
+        self.vms = [
+            _FakeVm(f'vm{one}', self.network, size)
+            for one in range(size + spares)
+        ]
+        self.nodes: dict[str, ReplicaNode] = {}
+        self.stacks: dict[str, AsyncExitStack] = {}
+
+    async def start(self, vm: _FakeVm) -> None:
+        stack = AsyncExitStack()
+        self.nodes[vm.name] = await stack.enter_async_context(vm.node())
+        self.stacks[vm.name] = stack
+
+    async def stop(self, name: str) -> None:
+        self.nodes.pop(name)
+        await self.stacks.pop(name).aclose()
+
+    async def leader(self) -> ReplicaNode:
+        async with asyncio.timeout(60):
+            while True:
+                for node in self.nodes.values():
+                    if node.is_leader:
+                        return node
+                await asyncio.sleep(0.05)
+
+    def vm(self, name: str) -> _FakeVm:
+        return next(one for one in self.vms if one.name == name)
+
+
+@asynccontextmanager
+async def running(
+    size: int,
+    spares: int = 0,
+    loss: float = 0.0,
+) -> AsyncGenerator[_Cluster, None]:
+    cluster = _Cluster(size, spares, loss)
+    for vm in cluster.vms:
+        await cluster.start(vm)
+    try:
+        yield cluster
+    finally:
+        for name in tuple(cluster.nodes):
+            await cluster.stop(name)
+
+
+async def propose_all(cluster: _Cluster, count: int) -> list[bytes]:
+    """Propose one after another; return what was accepted."""
+    accepted = []
+    for number in range(count):
+        leader = await cluster.leader()
+        payload = b'%d' % number
+        if isinstance(await leader.propose(payload), Success):
+            accepted.append(payload)
+    return accepted
+
+
+@pytest.mark.parametrize('size', [1, 3, 5])
+@pytest.mark.parametrize('loss', [0.0, 0.2])
+def test_accepted_payloads_reach_every_applier(size: int, loss: float) -> None:
+    async def scenario() -> None:
+        async with running(size, loss=loss) as cluster:
+            accepted = await propose_all(cluster, 30)
+            leader = await cluster.leader()
+            assert_that(await leader.read_barrier(), Equals(Success(32)))
+            cluster.network.loss = 0
+            await asyncio.sleep(2)
+            assert_that(accepted, HasLength(30))
+            for vm in cluster.vms:
+                assert_that(vm.applier.payloads, Equals(accepted))
+
+    run_virtual(scenario())
+
+
+def test_accepted_payloads_outlive_a_restart_of_all() -> None:
+    async def scenario() -> None:
+        async with running(3) as cluster:
+            accepted = await propose_all(cluster, 120)
+            for vm in cluster.vms:
+                await cluster.stop(vm.name)
+            for vm in cluster.vms:
+                await cluster.start(vm)
+            leader = await cluster.leader()
+            assert isinstance(await leader.read_barrier(), Success)
+            payloads = cluster.vm(leader.leader).applier.payloads
+            assert_that(payloads, Equals(accepted))
+
+    run_virtual(scenario())
+
+
+def test_proposals_of_one_turn_share_a_sync() -> None:
+    async def scenario() -> None:
+        async with running(1) as cluster:
+            leader = await cluster.leader()
+            before = leader.syncs
+            answers = await asyncio.gather(
+                *(leader.propose(b'%d' % one) for one in range(100)),
+            )
+            assert_that(leader.syncs - before, Equals(1))
+            assert_that(set(map(type, answers)), Equals({Success}))
+
+    run_virtual(scenario())
+
+
+def test_silent_leader_loses_its_lease_and_its_proposals() -> None:
+    async def scenario() -> None:
+        async with running(3) as cluster:
+            old = await cluster.leader()
+            name = old.leader
+            cluster.network.isolate(name, [vm.name for vm in cluster.vms])
+            lost = asyncio.create_task(old.propose(b'lost'))
+            await asyncio.sleep(0.6)
+            assert_that(old.is_leader, Equals(False))
+            new = await cluster.leader()
+            assert_that(await new.propose(b'kept'), Equals(Success(1)))
+            assert isinstance(await old.read_barrier(), type(await lost))
+            cluster.network.cuts.clear()
+            await asyncio.sleep(2)
+            payloads = cluster.vm(name).applier.payloads
+            assert_that(payloads, Equals([b'kept']))
+
+    run_virtual(scenario())
+
+
+def test_leadership_is_handed_over() -> None:
+    async def scenario() -> None:
+        async with running(3) as cluster:
+            old = await cluster.leader()
+            name = (await old.transfer_leadership()).unwrap()
+            new = await cluster.leader()
+            assert_that(new.leader, Equals(name))
+            assert_that(await new.propose(b'x'), Equals(Success(1)))
+
+    run_virtual(scenario())
+
+
+def test_lost_vm_is_replaced_by_the_spare() -> None:
+    async def scenario() -> None:
+        async with running(3, spares=1) as cluster:
+            accepted = await propose_all(cluster, 80)
+            await cluster.stop((await cluster.leader()).leader)
+            await asyncio.sleep(10)
+            leader = await cluster.leader()
+            voters = [one.vm for one in leader.status().members]
+            assert_that('vm3' in voters, Equals(True))
+            assert_that(voters, HasLength(3))
+            # The next VM may be lost right after.
+            await cluster.stop(leader.leader)
+            leader = await cluster.leader()
+            assert isinstance(await leader.read_barrier(), Success)
+            payloads = cluster.vm('vm3').applier.payloads
+            assert_that(payloads, Equals(accepted))
+
+    run_virtual(scenario())
+
+
+def test_full_queue_refuses_proposals() -> None:
+    async def scenario() -> None:
+        async with running(1) as cluster:
+            leader = await cluster.leader()
+            tasks = [
+                asyncio.create_task(leader.propose(b'x')) for _ in range(5000)
+            ]
+            answers = await asyncio.gather(*tasks)
+            refused = [one for one in answers if not isinstance(one, Success)]
+            assert_that(refused, HasLength(5000 - 4096))
+            kinds = {one.failure().kind for one in refused}
+            assert_that(kinds, Equals({FailureKind.overloaded}))
+
+    run_virtual(scenario())
