Transport over pynng: bounded push and pull, mutual TLS, few threads

One pull socket receives for a process and one push socket sends to each peer; nothing is resent and no call blocks. The sender's name and address travel with each message, so a VM that control does not know yet is answered. Mutual TLS binds a peer's name to its certificate, and changed files are taken without a restart. Beyond loopback the settings have to say so or TLS has to be on.

--- a/persimmonhold/transport/__init__.py
+++ b/persimmonhold/transport/__init__.py
@@ -1,6 +1,22 @@
 """Messages between the processes of the system."""
 
+from persimmonhold.transport._byte_counts import ByteCounts
 from persimmonhold.transport._channel import Channel
+from persimmonhold.transport._envelope import (
+    Envelope,
+    decode_envelope,
+    encode_head,
+)
+from persimmonhold.transport._nng_transport import NngTransport
 from persimmonhold.transport._transport import Receiver, Transport
 
-__all__ = ('Channel', 'Receiver', 'Transport')
+__all__ = (
+    'ByteCounts',
+    'Channel',
+    'Envelope',
+    'NngTransport',
+    'Receiver',
+    'Transport',
+    'decode_envelope',
+    'encode_head',
+)
--- /dev/null
+++ b/persimmonhold/transport/_byte_counts.py
@@ -0,0 +1,34 @@
+"""What a transport has carried."""
+
+from typing import final
+
+
+@final
+class ByteCounts:
+    """Messages and bytes by direction, and messages that were dropped."""
+
+    __slots__ = (
+        'dropped',
+        'received_bytes',
+        'received_messages',
+        'sent_bytes',
+        'sent_messages',
+    )
+
+    def __init__(self) -> None:
+        """Create counts of nothing."""
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.received_messages = 0
+        self.received_bytes = 0
+        self.dropped = 0
+
+    def count_sent(self, size: int) -> None:
+        """Count a message that was queued."""
+        self.sent_messages += 1
+        self.sent_bytes += size
+
+    def count_received(self, size: int) -> None:
+        """Count a message that arrived."""
+        self.received_messages += 1
+        self.received_bytes += size
--- /dev/null
+++ b/persimmonhold/transport/_nng_transport.py
@@ -0,0 +1,227 @@
+"""Messages between VMs over pynng.
+
+One socket receives for the whole process, and one socket sends to each
+peer. Push and pull never resend and never wait for an answer. Invariants:
+no call blocks; a peer that does not read loses messages once its queue is
+full, and delays nobody else; a peer that falls silent is found by
+heartbeats, not here.
+"""
+
+import asyncio
+from types import TracebackType
+from typing import Final, Self, final
+
+import pynng
+
+from persimmonhold.settings import PeerSettings, TlsSettings
+from persimmonhold.transport._byte_counts import ByteCounts
+from persimmonhold.transport._channel import Channel
+from persimmonhold.transport._envelope import decode_envelope, encode_head
+from persimmonhold.transport._native_threads import limit_native_threads
+from persimmonhold.transport._peer_socket import PeerSocket
+from persimmonhold.transport._tls_files import TlsFiles
+from persimmonhold.transport._transport import Receiver, Transport
+from persimmonhold.web import parse_address
+
+_RECEIVE_QUEUE: Final = 1024
+_MAX_MESSAGE_BYTES: Final = 16_777_216
+_BATCH: Final = 128
+_LEARNED_PEERS: Final = 4096
+_RELOAD_INTERVAL_S: Final = 2.0
+
+
+@final
+class NngTransport(Transport):
+    """Owns the sockets of one process.
+
+    Entering the context listens; it raises `OSError` where the address
+    cannot be had, a certificate cannot be read, or an address beyond
+    loopback would be used without TLS.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        peers: PeerSettings,
+        tls: TlsSettings,
+        reload_interval_s: float = _RELOAD_INTERVAL_S,
+    ) -> None:
+        """Create the transport of the VM `name`; port 0 takes a free one."""
+        self.name = name
+        self.address = peers.address
+        self.counts = ByteCounts()
+        self._plain_allowed = peers.plain_outside_loopback
+        self._tls_settings = tls
+        self._tls: TlsFiles | None = None
+        self._reload_interval_s = reload_interval_s
+        self._receivers: dict[Channel, Receiver] = {}
+        self._known: dict[str, str] = {}
+        self._learned: dict[str, str] = {}
+        self._sockets: dict[str, PeerSocket] = {}
+        self._heads: dict[Channel, bytes] = {}
+        self._socket: pynng.Pull0 | None = None
+        self._listener: pynng.Listener | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def __aenter__(self) -> Self:
+        """Start to listen."""
+        limit_native_threads()
+        if self._tls_settings.is_configured:
+            self._tls = TlsFiles(self._tls_settings)
+        self._check_plain(self.address)
+        self._socket = pynng.Pull0(
+            recv_buffer_size=_RECEIVE_QUEUE,
+            recv_max_size=_MAX_MESSAGE_BYTES,
+        )
+        try:
+            self._listen(self._socket)
+        except pynng.NNGException as error:
+            self._socket.close()
+            raise OSError(f'listen on {self.address}: {error}') from error
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket.recv_fd, self._receive)
+        if self._tls is not None:
+            self._schedule_reload()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close every socket; queued messages are lost."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket.recv_fd)
+            self._socket.close()
+            self._socket = None
+        for peer in tuple(self._sockets):
+            self._sockets.pop(peer).close()
+
+    def send(self, peer: str, channel: Channel, payload: bytes) -> None:
+        """Queue a message for the VM `peer`; drops it when full."""
+        address = self._known.get(peer) or self._learned.get(peer, '')
+        if not address or self._socket is None:
+            self.counts.dropped += 1
+            return
+        message = self._heads[channel] + payload
+        if self._socket_for(peer, address).send(message):
+            self.counts.count_sent(len(message))
+        else:
+            self.counts.dropped += 1
+
+    def subscribe(self, channel: Channel, receiver: Receiver) -> None:
+        """Pass messages of a channel to `receiver` as (peer, payload)."""
+        self._receivers[channel] = receiver
+
+    def set_peers(self, addresses: dict[str, str]) -> None:
+        """Replace the known VMs: `ip:port` by name."""
+        self._known = {
+            peer: address
+            for peer, address in addresses.items()
+            if address and self._is_allowed(address)
+        }
+        for peer, opened in tuple(self._sockets.items()):
+            wanted = self._known.get(peer) or self._learned.get(peer)
+            if wanted != opened.address:
+                self._sockets.pop(peer).close()
+
+    def reload_certificates(self) -> bool:
+        """Use changed certificate files; tell whether they had changed.
+
+        Connections are made anew; messages on their way are lost.
+        """
+        if self._tls is None or self._socket is None:
+            return False
+        if not self._tls.refresh():
+            return False
+        if self._listener is not None:
+            self._listener.close()
+        self._listen(self._socket)
+        for peer in tuple(self._sockets):
+            self._sockets.pop(peer).close()
+        return True
+
+    def _listen(self, socket: pynng.Pull0) -> None:
+        if self._tls is not None:
+            socket.tls_config = self._tls.server()
+        scheme = 'tcp' if self._tls is None else 'tls+tcp'
+        self._listener = socket.listen(f'{scheme}://{self.address}')
+        listening = parse_address(self.address).unwrap()
+        # pynng gives the port as it is on the wire.
+        port = int.from_bytes(
+            self._listener.local_address.port.to_bytes(2, 'little'),
+            'big',
+        )
+        self.address = str(type(listening)(listening.host, port))
+        self._heads = {
+            channel: encode_head(channel, self.name, self.address)
+            for channel in Channel
+        }
+
+    def _receive(self) -> None:
+        """Pass on what has arrived; what is left makes another call."""
+        for _ in range(_BATCH):
+            if self._socket is None:
+                return
+            try:
+                received = self._socket.recv(block=False)
+            except pynng.NNGException:
+                return
+            self._dispatch(received)
+
+    def _dispatch(self, received: bytes) -> None:
+        self.counts.count_received(len(received))
+        envelope = decode_envelope(received)
+        if envelope is None:
+            self.counts.dropped += 1
+            return
+        self._learn(envelope.sender, envelope.address)
+        receiver = self._receivers.get(envelope.channel)
+        if receiver is not None:
+            receiver(envelope.sender, envelope.payload)
+
+    def _learn(self, sender: str, address: str) -> None:
+        if sender in self._known or not self._is_allowed(address):
+            return
+        if self._learned.get(sender) == address:
+            return
+        if len(self._learned) >= _LEARNED_PEERS:
+            self._learned.pop(next(iter(self._learned)))
+        self._learned[sender] = address
+
+    def _socket_for(self, peer: str, address: str) -> PeerSocket:
+        opened = self._sockets.get(peer)
+        if opened is not None and opened.address != address:
+            opened.close()
+            opened = None
+        if opened is None:
+            tls = None if self._tls is None else self._tls.client(peer)
+            opened = PeerSocket(address, tls)
+            self._sockets[peer] = opened
+        return opened
+
+    def _is_allowed(self, address: str) -> bool:
+        parsed = parse_address(address).value_or(None)
+        if parsed is None:
+            return False
+        return (
+            self._plain_allowed or self._tls is not None or parsed.is_loopback
+        )
+
+    def _check_plain(self, address: str) -> None:
+        if not self._is_allowed(address):
+            raise OSError(
+                f'peers address {address}: beyond loopback needs [tls]'
+                ' or plain_outside_loopback',
+            )
+
+    def _schedule_reload(self) -> None:
+        self.reload_certificates()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(
+            self._reload_interval_s,
+            self._schedule_reload,
+        )
--- /dev/null
+++ b/persimmonhold/transport/_peer_socket.py
@@ -0,0 +1,42 @@
+"""The sending socket of one peer."""
+
+from typing import Final, final
+
+import pynng
+
+_SEND_QUEUE: Final = 128
+_RECONNECT_MIN_MS: Final = 50
+_RECONNECT_MAX_MS: Final = 1000
+
+
+@final
+class PeerSocket:
+    """Connects by itself, again and again, and queues a bounded number."""
+
+    __slots__ = ('_socket', 'address')
+
+    def __init__(self, address: str, tls: pynng.TLSConfig | None) -> None:
+        """Start to connect to `address`."""
+        self.address = address
+        self._socket = pynng.Push0(
+            send_buffer_size=_SEND_QUEUE,
+            reconnect_time_min=_RECONNECT_MIN_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
+        )
+        scheme = 'tcp'
+        if tls is not None:
+            self._socket.tls_config = tls
+            scheme = 'tls+tcp'
+        self._socket.dial(f'{scheme}://{address}', block=False)
+
+    def send(self, message: bytes) -> bool:
+        """Queue a message; tell whether there was room."""
+        try:
+            self._socket.send(message, block=False)
+        except pynng.NNGException:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
