--- /dev/null
+++ b/bench/memory_network.py
@@ -0,0 +1,105 @@
+"""A network within one process that loses, delays and is cut."""
+
+import asyncio
+import random
+from typing import Final, final
+
+from persimmonhold.transport import (
+    ByteCounts,
+    Channel,
+    Receiver,
+    Transport,
+)
+
+_HEAD_BYTES: Final = 32
+
+
+@final
+class MemoryTransport(Transport):
+    """The transport of one VM on a memory network."""
+
+    def __init__(self, name: str, network: 'MemoryNetwork') -> None:
+        """Create the transport of the VM `name`."""
+        self.name = name
+        self.counts = ByteCounts()
+        self.receivers: dict[Channel, Receiver] = {}
+        self._network = network
+
+    def send(self, peer: str, channel: Channel, payload: bytes) -> None:
+        """Pass a message to the network."""
+        self.counts.count_sent(len(payload) + _HEAD_BYTES)
+        self._network.carry(self.name, peer, channel, payload)
+
+    def subscribe(self, channel: Channel, receiver: Receiver) -> None:
+        """Pass messages of a channel to `receiver`."""
+        self.receivers[channel] = receiver
+
+    def set_peers(self, addresses: dict[str, str]) -> None:
+        """Do nothing: names are addresses here."""
+
+
+@final
+class MemoryNetwork:
+    """Carries messages by VM name; delays in seconds."""
+
+    def __init__(self, seed: int, delay_s: float = 0.0005) -> None:
+        """Create a network that loses nothing."""
+        self.loss = 0.0
+        self.delay_s = delay_s
+        self.transports: dict[str, MemoryTransport] = {}
+        self.down: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self._random = random.Random(seed)
+
+    def transport(self, name: str) -> MemoryTransport:
+        """Return a new transport of a VM, in the place of an old one."""
+        self.transports[name] = MemoryTransport(name, self)
+        return self.transports[name]
+
+    def linked(self, one: str, other: str) -> bool:
+        """Tell whether messages pass between two VMs."""
+        if one in self.down or other in self.down:
+            return False
+        return frozenset((one, other)) not in self.cut
+
+    def cut_sides(self, one: set[str], other: set[str]) -> None:
+        """Cut each VM of one side from each of the other."""
+        self.cut.update(
+            frozenset((left, right)) for left in one for right in other
+        )
+
+    def carry(
+        self,
+        source: str,
+        peer: str,
+        channel: Channel,
+        payload: bytes,
+    ) -> None:
+        """Deliver a message later, or lose it."""
+        if not self.linked(source, peer) or self._random.random() < self.loss:
+            return
+        # A delay that differs from message to message reorders them.
+        delay_s = self.delay_s * (1 + self._random.random())
+        asyncio.get_running_loop().call_later(
+            delay_s,
+            self._deliver,
+            source,
+            peer,
+            channel,
+            payload,
+        )
+
+    def _deliver(
+        self,
+        source: str,
+        peer: str,
+        channel: Channel,
+        payload: bytes,
+    ) -> None:
+        transport = self.transports.get(peer)
+        if transport is None or not self.linked(source, peer):
+            return
+        transport.counts.count_received(len(payload) + _HEAD_BYTES)
+        receiver = transport.receivers.get(channel)
+        if receiver is not None:
+            receiver(source, payload)
--- /dev/null
+++ b/bench/shared_log.py
@@ -0,0 +1,127 @@
+"""A replicated log without consensus, for systems within one process.
+
+One list of payloads stands for what consensus has committed; the leader is
+named from outside. It leads while it reaches a majority of the replicas.
+"""
+
+import asyncio
+from typing import Final, final
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from bench.memory_network import MemoryNetwork
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.replication import LogApplier, ReplicatedLog
+
+_COMMIT_S: Final = 0.002
+_FOLLOW_S: Final = 0.05
+
+
+@final
+class LogGroup:
+    """The committed payloads and the replicas that apply them."""
+
+    def __init__(self, network: MemoryNetwork) -> None:
+        """Create a group without replicas."""
+        self.network = network
+        self.payloads: list[bytes] = []
+        self.replicas: dict[str, SharedLog] = {}
+        self.leader = ''
+
+    def replica(self, name: str, applier: LogApplier) -> 'SharedLog':
+        """Return a replica that has applied nothing."""
+        self.replicas[name] = SharedLog(name, self, applier)
+        return self.replicas[name]
+
+    def has_quorum(self, name: str) -> bool:
+        """Tell whether a replica reaches a majority, itself included."""
+        reached = [
+            other
+            for other in self.replicas
+            if other == name or self.network.linked(name, other)
+        ]
+        return name not in self.network.down and (
+            len(reached) > len(self.replicas) // 2
+        )
+
+
+@final
+class SharedLog(ReplicatedLog):
+    """One replica of a group."""
+
+    def __init__(
+        self,
+        name: str,
+        group: LogGroup,
+        applier: LogApplier,
+    ) -> None:
+        """Create a replica."""
+        self._name = name
+        self._group = group
+        self._applier = applier
+        self._applied = 0
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica is the leader and has a quorum."""
+        return self._group.leader == self._name and self._has_quorum()
+
+    @property
+    def leader(self) -> str:
+        """The leader that this replica hears."""
+        leader = self._group.leader
+        if leader == self._name or not leader:
+            return leader if self.is_leader else ''
+        linked = self._group.network.linked(self._name, leader)
+        return leader if linked else ''
+
+    @property
+    def applied_index(self) -> int:
+        """The index of the last applied payload."""
+        return self._applied
+
+    async def propose(self, payload: bytes) -> Result[object, Failure]:
+        """Commit after a moment, if this replica still leads then."""
+        if not self.is_leader:
+            return Failed(self._failure(FailureKind.not_leader))
+        await asyncio.sleep(_COMMIT_S)
+        if self._group.leader != self._name or not self._has_quorum():
+            return Failed(self._failure(FailureKind.no_quorum))
+        self._group.payloads.append(payload)
+        return Success(self.catch_up())
+
+    async def read_barrier(self) -> Result[int, Failure]:
+        """Wait until what is committed is applied."""
+        if not self.is_leader:
+            return Failed(self._failure(FailureKind.not_leader))
+        self.catch_up()
+        return Success(self._applied)
+
+    async def transfer_leadership(self) -> Result[str, Failure]:
+        """Hand over to the next replica."""
+        names = list(self._group.replicas)
+        position = names.index(self._name) + 1
+        self._group.leader = names[position % len(names)]
+        return Success(self._group.leader)
+
+    async def follow(self) -> None:
+        """Apply what others commit until cancelled."""
+        while True:
+            if self.leader or self.is_leader:
+                self.catch_up()
+            await asyncio.sleep(_FOLLOW_S)
+
+    def catch_up(self) -> object:
+        """Apply what is missing; return the last result."""
+        applied: object = None
+        for payload in self._group.payloads[self._applied :]:
+            self._applied += 1
+            applied = self._applier.apply(self._applied, payload)
+        return applied
+
+    def _has_quorum(self) -> bool:
+        return self._group.has_quorum(self._name)
+
+    def _failure(self, kind: FailureKind) -> Failure:
+        return Failure(kind=kind, step='propose', peer=self._group.leader)
--- /dev/null
+++ b/bench/virtual_loop.py
@@ -0,0 +1,47 @@
+"""An event loop in virtual time, for systems without real input."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, Final, TypeVar, final
+
+_ResultT = TypeVar('_ResultT')
+_START_S: Final = 1000.0
+
+
+@final
+class _ForwardingSelector(selectors.DefaultSelector):
+    """Lets the clock of the loop jump to the next timer."""
+
+    def __init__(self, loop: 'VirtualTimeLoop') -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(
+        self,
+        timeout: float | None = None,
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Return at once; time passes as if it had been waited."""
+        if timeout:
+            self._loop.now += timeout
+        return super().select(0)
+
+
+@final
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock stands still while callbacks run."""
+
+    def __init__(self) -> None:
+        """Create a loop at a time that is no special one."""
+        self.now = _START_S
+        super().__init__(_ForwardingSelector(self))
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now
+
+
+def run_virtual(main: Coroutine[Any, Any, _ResultT]) -> _ResultT:
+    """Run a coroutine in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(main)
--- a/persimmonhold/cli/_dev_system.py
+++ b/persimmonhold/cli/_dev_system.py
@@ -55,7 +55,7 @@
         """Create a system with its control state under `directory`."""
         self.callers = callers
         self.operators = operators
-        self.node = ControlNode(directory)
+        self.node = ControlNode.in_directory(directory)
         self.link = LocalControlLink(self.node)
         self.standins: dict[str, Standin] = {}
         self._directory = directory
--- a/persimmonhold/control/machine/_command_status.py
+++ b/persimmonhold/control/machine/_command_status.py
@@ -14,6 +14,7 @@
     command_id_reused = 'command_id_reused'
     command_expired = 'command_expired'
     bad_entry = 'bad_entry'
+    in_use = 'in_use'
     does_not_fit = 'does_not_fit'
     not_found = 'not_found'
     claim_granted = 'claim_granted'
--- a/persimmonhold/control/machine/_control_machine.py
+++ b/persimmonhold/control/machine/_control_machine.py
@@ -253,13 +253,15 @@
     ) -> CommandResult | None:
         catalogue = self.state.catalogue
         if isinstance(command, PutEntry):
+            status = CommandStatus.bad_entry
             fault = check_entry(catalogue, command.entry)
             changed = catalogue.with_entry(command.entry)
         else:
+            status = CommandStatus.in_use
             fault = check_removal(catalogue, command.name)
             changed = catalogue.without_entry(command.name)
         if fault:
-            return self._result(CommandStatus.bad_entry, fault)
+            return self._result(status, fault)
         lacking = self._check_fit(changed) if _needs_fit(command) else ''
         if lacking:
             return self._result(CommandStatus.does_not_fit, lacking)
--- a/persimmonhold/control/shell/__init__.py
+++ b/persimmonhold/control/shell/__init__.py
@@ -1,17 +1,37 @@
 """The process around the replicated state machine."""
 
+from persimmonhold.control.shell._control_applier import ControlApplier
+from persimmonhold.control.shell._control_client import ControlClient
 from persimmonhold.control.shell._control_link import ControlLink
 from persimmonhold.control.shell._control_node import ControlNode
+from persimmonhold.control.shell._leader_duties import LeaderDuties
 from persimmonhold.control.shell._local_control_link import LocalControlLink
 from persimmonhold.control.shell._operator_handler import OperatorHandler
+from persimmonhold.control.shell._operator_refusal import (
+    OPERATOR_STATUS,
+    OperatorRefusal,
+)
 from persimmonhold.control.shell._placement_host import PlacementHost
 from persimmonhold.control.shell._placement_runner import PlacementRunner
+from persimmonhold.control.shell._proposal_server import ProposalServer
+from persimmonhold.control.shell._remote_control_link import RemoteControlLink
+from persimmonhold.control.shell._single_replica_log import SingleReplicaLog
+from persimmonhold.control.shell._vm_shell import VmShell
 
 __all__ = (
+    'OPERATOR_STATUS',
+    'ControlApplier',
+    'ControlClient',
     'ControlLink',
     'ControlNode',
+    'LeaderDuties',
     'LocalControlLink',
     'OperatorHandler',
+    'OperatorRefusal',
     'PlacementHost',
     'PlacementRunner',
+    'ProposalServer',
+    'RemoteControlLink',
+    'SingleReplicaLog',
+    'VmShell',
 )
--- /dev/null
+++ b/persimmonhold/control/shell/_control_applier.py
@@ -0,0 +1,54 @@
+"""Puts the state machine behind a replicated log."""
+
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+
+from persimmonhold.control.machine import (
+    Command,
+    CommandResult,
+    ControlMachine,
+)
+from persimmonhold.replication import LogApplier
+
+
+@final
+class ControlApplier(LogApplier):
+    """Decodes payloads and tells listeners what was applied."""
+
+    __slots__ = ('_decoder', '_encoder', '_listeners', 'machine')
+
+    def __init__(self, machine: ControlMachine) -> None:
+        """Create the applier of a machine."""
+        self.machine = machine
+        self._decoder = msgspec.msgpack.Decoder(Command)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each command and each restored snapshot."""
+        self._listeners.append(listener)
+
+    def encode(self, command: Command) -> bytes:
+        """Return the payload of a command."""
+        return self._encoder.encode(command)
+
+    def apply(self, index: int, payload: bytes) -> CommandResult:
+        """Apply a committed payload."""
+        applied = self.machine.apply(index, self._decoder.decode(payload))
+        self._notify()
+        return applied
+
+    def snapshot(self) -> bytes:
+        """Encode the state."""
+        return self.machine.snapshot()
+
+    def restore(self, index: int, state: bytes) -> None:
+        """Replace the state by a snapshot."""
+        self.machine.restore(state)
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/persimmonhold/control/shell/_control_client.py
@@ -0,0 +1,125 @@
+"""Proposes commands to the leader of control, wherever it is.
+
+A command is resent under one request id, with its content unchanged, until
+the leader answers or the time is up. The machine makes every such command
+idempotent, so neither a lost answer nor a doubled request counts twice.
+"""
+
+import asyncio
+import itertools
+import secrets
+from collections.abc import Iterator
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.control.machine import CommandResult
+from persimmonhold.control.shell._control_messages import (
+    ControlMessage,
+    ProposeReply,
+    ProposeRequest,
+    VmCommand,
+)
+from persimmonhold.control.shell._vm_shell import VmShell
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.transport import Channel, Transport
+
+_ID_BYTES: Final = 12
+_TRY_S: Final = 0.3
+_PAUSE_S: Final = 0.05
+_PROPOSE_TIMEOUT_S: Final = 3.0
+
+
+@final
+class ControlClient:
+    """Correlates replies with requests by ids of its own."""
+
+    __slots__ = ('_transport', '_vm', '_waiting')
+
+    def __init__(self, vm: VmShell, transport: Transport) -> None:
+        """Create the client of a VM; `receive` has to get its replies."""
+        self._vm = vm
+        self._transport = transport
+        self._waiting: dict[str, asyncio.Queue[ProposeReply]] = {}
+
+    def receive(self, reply: ProposeReply) -> None:
+        """Take a reply; one that nobody waits for is dropped."""
+        waiting = self._waiting.get(reply.request_id)
+        if waiting is not None:
+            waiting.put_nowait(reply)
+
+    async def propose(
+        self,
+        command: VmCommand,
+        timeout_s: float = _PROPOSE_TIMEOUT_S,
+        *,
+        forwarded: bool = False,
+    ) -> Result[CommandResult, Failure]:
+        """Have a command committed, or return why that is not known."""
+        request = ProposeRequest(
+            request_id=secrets.token_hex(_ID_BYTES),
+            command=command,
+            forwarded=forwarded,
+        )
+        self._waiting[request.request_id] = asyncio.Queue()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._ask_until_answered(request)
+        except TimeoutError:
+            return Failed(
+                Failure(
+                    kind=FailureKind.no_quorum,
+                    step='propose to control',
+                    peer=self._vm.agent.leader,
+                    detail='no leader answered in time',
+                ),
+            )
+        finally:
+            self._waiting.pop(request.request_id)
+
+    async def _ask_until_answered(
+        self,
+        request: ProposeRequest,
+    ) -> Result[CommandResult, Failure]:
+        encoded = msgspec.msgpack.encode(request)
+        for peer in self._endless_peers():
+            self._transport.send(peer, Channel.control, encoded)
+            reply = await self._wait(request.request_id)
+            if reply is None:
+                continue
+            if reply.result is not None:
+                return Success(reply.result)
+            if reply.leader:
+                self._vm.agent.leader = reply.leader
+            await asyncio.sleep(_PAUSE_S)
+        raise TimeoutError
+
+    def _endless_peers(self) -> Iterator[str]:
+        """Yield the leader, by turns with the other control VMs."""
+        for turn in itertools.count():
+            names = [
+                name
+                for name in self._vm.control_names
+                if name != self._vm.record.name
+            ]
+            position = 0
+            if turn % 2 and len(names) > 1:
+                position = 1 + turn // 2 % (len(names) - 1)
+            yield names[position] if names else ''
+
+    async def _wait(self, request_id: str) -> ProposeReply | None:
+        try:
+            async with asyncio.timeout(_TRY_S):
+                return await self._waiting[request_id].get()
+        except TimeoutError:
+            return None
+
+
+def decode_control_message(payload: bytes) -> ControlMessage | None:
+    """Return the message, or None where the bytes are none."""
+    try:
+        return msgspec.msgpack.decode(payload, type=ControlMessage)
+    except msgspec.DecodeError:
+        return None
--- a/persimmonhold/control/shell/_control_link.py
+++ b/persimmonhold/control/shell/_control_link.py
@@ -5,9 +5,11 @@
 
 from returns.result import Result
 
-from persimmonhold.control.machine import CommandResult
-from persimmonhold.control.machine._claim_key import ClaimKey
-from persimmonhold.control.machine._end_claim import EndClaim
+from persimmonhold.control.machine import (
+    ClaimKey,
+    CommandResult,
+    EndClaim,
+)
 from persimmonhold.failures import Failure
 from persimmonhold.messages import ControlView, Demand
 
@@ -23,6 +25,24 @@
         """Create a link without a view."""
         self.view = ControlView()
         self.changed = asyncio.Event()
+        self.draining = False
+
+    @property
+    def serving_allowed(self) -> bool:
+        """Tell whether callers may be served from the view.
+
+        Where not, they are refused with the reason `isolated`.
+        """
+        return True
+
+    @property
+    def live_vms(self) -> frozenset[str]:
+        """The registered VMs that are not known to be silent."""
+        return frozenset(vm.name for vm in self.view.vms)
+
+    def mark_draining(self, *, draining: bool) -> None:
+        """Have this VM taken out of, or put into, the directory."""
+        self.draining = draining
 
     @abc.abstractmethod
     async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
--- /dev/null
+++ b/persimmonhold/control/shell/_control_messages.py
@@ -0,0 +1,71 @@
+"""The messages between an entry and the leader of control."""
+
+from typing import TypeAlias, final
+
+import msgspec
+
+from persimmonhold.control.machine import (
+    ClaimKey,
+    CommandResult,
+    EndClaim,
+    RegisterVm,
+)
+from persimmonhold.failures import Failure
+from persimmonhold.messages import Demand
+
+VmCommand: TypeAlias = ClaimKey | EndClaim | RegisterVm
+
+
+@final
+class ProposeRequest(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='propose',
+    array_like=True,
+):
+    """Asks for a command to be committed; a resend keeps the id.
+
+    A control VM that does not lead passes it on once, as `forwarded`.
+    """
+
+    request_id: str
+    command: VmCommand
+    forwarded: bool = False
+
+
+@final
+class ProposeReply(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='reply',
+    array_like=True,
+):
+    """The result of a command, or why it has none."""
+
+    request_id: str
+    result: CommandResult | None = None
+    failure: Failure | None = None
+    leader: str = ''
+
+
+@final
+class VmReport(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='report',
+    array_like=True,
+):
+    """Which view a VM holds and, now and then, the demand it sees."""
+
+    vm: str
+    incarnation: str
+    index: int
+    revision: int
+    serving: bool
+    demand: tuple[Demand, ...] | None = None
+
+
+ControlMessage: TypeAlias = ProposeRequest | ProposeReply | VmReport
--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -1,6 +1,8 @@
-"""A control replica: the synced log and the state machine.
+"""A control replica: the log, the state machine and what it tells.
 
-Invariant: a command is applied, and answered, only after it is synced.
+Invariants: a command is answered only after it is committed and applied; a
+change of an operator is reported as accepted only after a majority of the
+registered VMs holds it, so that no majority serves without it.
 """
 
 import asyncio
@@ -10,44 +12,90 @@
 from types import TracebackType
 from typing import Final, Self, final
 
-import msgspec
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from persimmonhold.control.machine import (
     Command,
     CommandResult,
+    CommandStatus,
     ControlMachine,
     ControlState,
+    FitCheck,
+    OperatorChange,
+    RegisterVm,
 )
+from persimmonhold.control.shell._control_applier import ControlApplier
+from persimmonhold.control.shell._control_messages import VmReport
 from persimmonhold.control.shell._placement_host import PlacementHost
-from persimmonhold.failures import Failure
+from persimmonhold.control.shell._report_book import ReportBook
+from persimmonhold.control.shell._single_replica_log import SingleReplicaLog
+from persimmonhold.control.shell._vm_shell import VmShell
+from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import ControlView, Demand
-from persimmonhold.storage import RecordFile
+from persimmonhold.placement import check_fit
+from persimmonhold.replication import ReplicatedLog
 
-_LOG_FILE: Final = 'control.log'
 _MS_PER_S: Final = 1000
+_ACCEPT_TIMEOUT_S: Final = 4.0
 
 
 @final
 class ControlNode(PlacementHost):
-    """Owns the data folder of one control VM."""
+    """One replica; without a VM shell it is a system of its own."""
 
-    __slots__ = ('_decoder', '_log', '_stack', 'changed', 'machine', 'reported')
+    __slots__ = (
+        '_applier',
+        '_members',
+        '_reported',
+        '_single',
+        '_stack',
+        'changed',
+        'log',
+        'reported',
+        'reports',
+        'vm',
+    )
 
-    def __init__(self, directory: Path) -> None:
-        """Create a replica whose state lives under `directory`."""
-        self.machine = ControlMachine()
+    def __init__(
+        self,
+        applier: ControlApplier,
+        log: ReplicatedLog,
+        vm: VmShell | None = None,
+    ) -> None:
+        """Create a node on a log that applies through `applier`."""
+        self.log = log
+        self.vm = vm
         self.changed = asyncio.Event()
         self.reported: tuple[Demand, ...] = ()
-        self._log = RecordFile(directory / _LOG_FILE)
+        self._applier = applier
+        self._members = asyncio.Lock()
+        self._reported = asyncio.Event()
+        self._single: SingleReplicaLog | None = None
         self._stack = ExitStack()
-        self._decoder = msgspec.msgpack.Decoder(Command)
+        applier.subscribe(self._applied)
+        lease_s = vm.timings.lease_s if vm else 0
+        self.reports = ReportBook(lease_s)
+        if vm is not None:
+            vm.report_locally = self.take_report
+
+    @classmethod
+    def in_directory(
+        cls,
+        directory: Path,
+        fit_check: FitCheck = check_fit,
+    ) -> Self:
+        """Return a node without other replicas that owns its log file."""
+        applier = ControlApplier(ControlMachine(fit_check))
+        log = SingleReplicaLog(directory, applier)
+        node = cls(applier, log)
+        node._single = log  # noqa: SLF001 # A constructor of this class.
+        return node
 
     def __enter__(self) -> Self:
-        """Open the log; raises `OSError` where it cannot be written."""
-        self._log.path.parent.mkdir(parents=True, exist_ok=True)
-        self._stack.enter_context(self._log)
+        """Open the log file, where the node owns one."""
+        if self._single is not None:
+            self._stack.enter_context(self._single)
         return self
 
     def __exit__(
@@ -56,54 +104,157 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Close the log."""
+        """Close the log file."""
         self._stack.close()
 
     def recover(self) -> Result[int, Failure]:
-        """Apply the log; return the index of its last command."""
-        records = self._log.read()
-        if isinstance(records, Failed):
-            return records
-        for record in records.unwrap():
-            self._apply(self._decoder.decode(record))
-        return Success(self.machine.state.index)
-
-    async def propose(
-        self,
-        command: Command,
-    ) -> Result[CommandResult, Failure]:
-        """Commit a command and return its result."""
-        self._log.append((msgspec.msgpack.encode(command),))
-        return Success(self._apply(command))
-
-    def view(self) -> ControlView:
-        """Return the view at the last applied command."""
-        return self.machine.view()
+        """Apply the log file; return the index of its last command."""
+        if self._single is None:
+            return Success(self.log.applied_index)
+        return self._single.recover()
 
     @property
-    def leads(self) -> bool:
-        """Tell whether this replica leads; a single one always does."""
-        return True
+    def machine(self) -> ControlMachine:
+        """The state machine."""
+        return self._applier.machine
 
     @property
     def state(self) -> ControlState:
         """The applied state."""
         return self.machine.state
 
-    def demand(self) -> tuple[Demand, ...]:
-        """Return the reported demand."""
-        return self.reported
+    @property
+    def leads(self) -> bool:
+        """Tell whether this replica leads and its lease holds."""
+        return self.log.is_leader
 
-    def is_in_force(self, index: int) -> bool:
-        """Tell whether entries follow; in one process they always do."""
-        return index <= self.machine.state.index
+    @property
+    def leader_operators(self) -> str:
+        """The operators' address of the leader, or empty if unknown."""
+        leader = self.state.vms.get(self.log.leader)
+        return leader.operators if leader else ''
+
+    def view(self) -> ControlView:
+        """Return the view at the last applied command."""
+        return self.machine.view()
 
     def now_ms(self) -> int:
         """Return the time that goes into commands."""
         return int(time.time() * _MS_PER_S)
 
-    def _apply(self, command: Command) -> CommandResult:
-        index = self.machine.state.index + 1
-        result = self.machine.apply(index, command)
+    def demand(self) -> tuple[Demand, ...]:
+        """Return the demand of all entries, summed by target."""
+        if self.vm is None:
+            return self.reported
+        return self.reports.demand(self.vm.clock())
+
+    def is_in_force(self, index: int) -> bool:
+        """Tell whether no VM serves a view older than `index`."""
+        if self.vm is None:
+            return index <= self.state.index
+        if index > self.state.index:
+            return False
+        return self.reports.acks.is_in_force(
+            self.vm.clock(),
+            min(index, self.state.view.index),
+            self.state.vms,
+        )
+
+    async def propose(
+        self,
+        command: Command,
+    ) -> Result[CommandResult, Failure]:
+        """Commit a command and return its result."""
+        if isinstance(command, RegisterVm):
+            return await self._change_members(command)
+        return await self._propose(command)
+
+    async def change(
+        self,
+        command: OperatorChange,
+    ) -> Result[CommandResult, Failure]:
+        """Commit a change, and wait until it is accepted for good."""
+        proposed = await self._propose(command)
+        if isinstance(proposed, Failed):
+            return proposed
+        result = proposed.unwrap()
+        if result.status is not CommandStatus.done:
+            return proposed
+        if await self._is_accepted(min(result.index, self.state.view.index)):
+            return proposed
+        return Failed(
+            Failure(
+                kind=FailureKind.no_quorum,
+                step='await acceptance',
+                detail='committed, but a majority of VMs does not hold it'
+                ' yet; resend the command to learn its answer',
+            ),
+        )
+
+    async def read_barrier(self) -> Result[int, Failure]:
+        """Wait until a read of the state is linearizable."""
+        return await self.log.read_barrier()
+
+    def take_report(self, report: VmReport) -> None:
+        """Note what a VM holds and what it is asked for."""
+        if self.vm is not None:
+            now = self.vm.clock()
+            self.reports.take(now, report, self.state.vms)
+            self._reported.set()
+
+    async def _propose(
+        self,
+        command: Command,
+    ) -> Result[CommandResult, Failure]:
+        proposed = await self.log.propose(self._applier.encode(command))
+        if isinstance(proposed, Failed):
+            return proposed
+        result = proposed.unwrap()
+        assert isinstance(result, CommandResult)
+        return Success(result)
+
+    async def _change_members(
+        self,
+        command: RegisterVm,
+    ) -> Result[CommandResult, Failure]:
+        """Change the set of VMs by one, once the last change is accepted.
+
+        Two majorities of sets that differ by one VM have a VM in common, so
+        the set may not move on before a majority knows of it.
+        """
+        async with self._members:
+            is_member = command.vm.name in self.state.vms
+            if is_member == command.gone and not await self._is_accepted(
+                self.state.view.index,
+            ):
+                return Failed(
+                    Failure(
+                        kind=FailureKind.no_quorum,
+                        step='change the set of VMs',
+                        peer=command.vm.name,
+                    ),
+                )
+            return await self._propose(command)
+
+    async def _is_accepted(self, index: int) -> bool:
+        """Wait until a majority of the VMs holds the view at `index`."""
+        if self.vm is None:
+            return True
+        try:
+            async with asyncio.timeout(_ACCEPT_TIMEOUT_S):
+                while not self.reports.acks.is_accepted(index, self.state.vms):
+                    self._reported.clear()
+                    await self._reported.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _applied(self) -> None:
         self.changed.set()
-        return result
+        if self.vm is None:
+            return
+        timings = self.vm.timings
+        fanout = timings.push_fanout
+        if self.log.leader == self.vm.record.name:
+            fanout = timings.leader_push_fanout
+        self.vm.feed(self.state.view, fanout)
--- a/persimmonhold/control/shell/_local_control_link.py
+++ b/persimmonhold/control/shell/_local_control_link.py
@@ -1,4 +1,4 @@
-"""A link to a control replica in the same process."""
+"""A link to a control replica that is a system of its own."""
 
 from typing import final
 
--- /dev/null
+++ b/persimmonhold/control/shell/_operator_exchange.py
@@ -0,0 +1,79 @@
+"""One request of an operator: its headers, and refusals."""
+
+from typing import Any, final
+
+import msgspec
+
+from persimmonhold.control.shell._operator_refusal import (
+    OPERATOR_STATUS,
+    OperatorRefusal,
+)
+from persimmonhold.observability import Metrics, metric
+from persimmonhold.web import COMMAND_ID, IF_MATCH, OPERATOR, Exchange
+
+
+@final
+class OperatorExchange:
+    """Reads what a change needs, and answers."""
+
+    __slots__ = ('_metrics', 'exchange')
+
+    def __init__(self, exchange: Exchange, metrics: Metrics) -> None:
+        """Wrap an exchange; refusals are counted in `metrics`."""
+        self.exchange = exchange
+        self._metrics = metrics
+
+    @property
+    def method(self) -> str:
+        """The method of the request."""
+        return self.exchange.head.method
+
+    def header(self, name: str) -> str:
+        """Return a header, or an empty string."""
+        return self.exchange.head.header(name)
+
+    def missing_header(self, *, needs_revision: bool) -> str:
+        """Return what a change lacks, or an empty string."""
+        for header in (OPERATOR, COMMAND_ID):
+            if not self.header(header).strip():
+                return f'the header {header} is missing'
+        if needs_revision and self.expected_revision() is None:
+            return (
+                'the header if-match has to be the revision of the entry in'
+                ' quotes; "0" creates an entry that does not exist'
+            )
+        return ''
+
+    def expected_revision(self) -> int | None:
+        """Return the revision in `If-Match`, or None."""
+        text = self.header(IF_MATCH).strip()
+        digits = text.removeprefix('"').removesuffix('"')
+        return int(digits) if digits.isascii() and digits.isdigit() else None
+
+    async def respond(self, document: object, status: int = 200) -> None:
+        """Answer with a JSON document."""
+        await self.exchange.respond_json(status, document)
+
+    async def refuse(
+        self,
+        reason: OperatorRefusal,
+        detail: str = '',
+        **fields: object,
+    ) -> None:
+        """Answer with a problem document, and count its reason."""
+        self.count(reason)
+        status = OPERATOR_STATUS[reason]
+        document: dict[str, Any] = {
+            'type': 'about:blank',
+            'title': reason.value.replace('_', ' '),
+            'status': status,
+            'reason': reason.value,
+            'detail': detail,
+            **fields,
+        }
+        body = msgspec.json.encode(document)
+        await self.exchange.respond(status, body, 'application/problem+json')
+
+    def count(self, outcome: str) -> None:
+        """Count the outcome of a command."""
+        self._metrics.increment(metric.COMMANDS, outcome=outcome)
--- a/persimmonhold/control/shell/_operator_handler.py
+++ b/persimmonhold/control/shell/_operator_handler.py
@@ -1,151 +1,296 @@
-"""The HTTP interface of operators."""
+"""The HTTP interface of operators.
 
-from typing import Any, Final, final
+Any control VM takes a request; one that does not lead passes it on to the
+leader. The leader answers reads behind a read barrier, so that an operator
+reads what was accepted before.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeAlias, final
 
 import msgspec
 from returns.result import Failure as Failed
 
 from persimmonhold.catalogue import CatalogueEntry, StoredEntry
 from persimmonhold.control.machine import (
-    Command,
+    CommandResult,
     CommandStatus,
     DeleteEntry,
+    DrainVm,
+    OperatorChange,
     PutEntry,
 )
 from persimmonhold.control.shell._control_node import ControlNode
-from persimmonhold.web import (
-    COMMAND_ID,
-    IF_MATCH,
-    OPERATOR,
-    Exchange,
-    ExchangeHandler,
+from persimmonhold.control.shell._leader_forwarder import LeaderForwarder
+from persimmonhold.control.shell._operator_exchange import OperatorExchange
+from persimmonhold.control.shell._operator_refusal import (
+    COMMAND_REFUSALS,
+    OperatorRefusal,
+)
+from persimmonhold.control.shell._status_document import (
+    claims_document,
+    control_document,
+    explanation_document,
+    status_document,
 )
+from persimmonhold.observability import Metrics
+from persimmonhold.web import COMMAND_ID, OPERATOR, Exchange, ExchangeHandler
 
-_ENTRIES: Final = '/catalogue/v1/entries'
+REASON: Final = 'persimmonhold-reason'
+_ROOT: Final = '/catalogue/v1/'
 _OK: Final = 200
-_CREATED: Final = 201
-_BAD_REQUEST: Final = 400
-_NOT_FOUND: Final = 404
-_CONFLICT: Final = 409
-_PRECONDITION_FAILED: Final = 412
-_UNAVAILABLE: Final = 503
+_Route: TypeAlias = Callable[[OperatorExchange, str], Awaitable[None]]
+_Explain: TypeAlias = Callable[[str], object]
+
+
+def _no_decisions(name: str) -> object:
+    return []
 
 
 @final
 class OperatorHandler(ExchangeHandler):
-    """Serves catalogue changes, status and history."""
+    """Serves catalogue changes, status, history and drains."""
+
+    def __init__(
+        self,
+        node: ControlNode,
+        metrics: Metrics | None = None,
+        explain: _Explain = _no_decisions,
+    ) -> None:
+        """Create a handler in front of a replica.
 
-    def __init__(self, node: ControlNode) -> None:
-        """Create a handler in front of a replica."""
+        `explain` returns the decisions of placement about a name.
+        """
         self._node = node
+        self._metrics = metrics or Metrics()
+        self._explain = explain
+        self._forwarder = LeaderForwarder(node)
+        self._routes: dict[str, _Route] = {
+            'entries': self._serve_entries,
+            'status': self._show_status,
+            'history': self._show_history,
+            'claims': self._show_claims,
+            'explain': self._show_explanation,
+            'drain': self._drain,
+            'undrain': self._drain,
+        }
 
     async def serve(self, exchange: Exchange) -> None:
-        """Dispatch by path and method."""
+        """Answer here, or have the leader answer."""
+        operator = OperatorExchange(exchange, self._metrics)
         path = exchange.head.path
-        if path == _ENTRIES:
-            await self._list_entries(exchange)
-        elif path.startswith(f'{_ENTRIES}/'):
-            await self._serve_entry(exchange, path[len(_ENTRIES) + 1 :])
-        elif path == '/catalogue/v1/status':
-            await self._show_status(exchange)
-        elif path == '/catalogue/v1/history':
-            await self._show_history(exchange)
+        if path == '/healthz':
+            control = control_document(self._node)
+            await operator.respond({'status': 'ok', 'control': control})
+        elif path == '/metrics':
+            body, kind = self._metrics.render(operator.header('accept'))
+            await exchange.respond(_OK, body, kind)
+        elif self._node.leads:
+            await self._lead(operator, path)
         else:
-            await _refuse(exchange, _NOT_FOUND, 'unknown_path')
+            await self._forwarder.forward(operator)
 
-    async def _list_entries(self, exchange: Exchange) -> None:
-        catalogue = self._node.machine.state.catalogue
-        document = {
-            'revision': catalogue.revision,
-            'entries': [
-                _entry_document(catalogue.entries[name])
-                for name in sorted(catalogue.entries)
-            ],
-        }
-        await exchange.respond_json(_OK, document)
-
-    async def _serve_entry(self, exchange: Exchange, name: str) -> None:
-        if exchange.head.method == 'GET':
-            await self._read_entry(exchange, name)
-        elif exchange.head.method == 'PUT':
-            await self._put_entry(exchange, name)
-        elif exchange.head.method == 'DELETE':
-            await self._change(exchange, self._deletion(exchange, name))
-        else:
-            await _refuse(exchange, _BAD_REQUEST, 'unknown_method')
+    async def _lead(self, operator: OperatorExchange, path: str) -> None:
+        kind, _, name = path.removeprefix(_ROOT).partition('/')
+        route = self._routes.get(kind)
+        if route is None or not path.startswith(_ROOT):
+            await operator.refuse(OperatorRefusal.unknown_path, path)
+            return
+        if operator.method == 'GET':
+            barrier = await self._node.read_barrier()
+            if isinstance(barrier, Failed):
+                detail = barrier.failure().describe()
+                await operator.refuse(OperatorRefusal.no_quorum, detail)
+                return
+        await route(operator, name)
 
-    async def _read_entry(self, exchange: Exchange, name: str) -> None:
-        stored = self._node.machine.state.catalogue.entries.get(name)
-        if stored is None:
-            await _refuse(exchange, _NOT_FOUND, 'unknown_entry')
+    async def _serve_entries(
+        self,
+        operator: OperatorExchange,
+        name: str,
+    ) -> None:
+        if operator.method == 'GET':
+            await self._read_entries(operator, name)
+        elif name and operator.method == 'PUT':
+            await self._put_entry(operator, name)
+        elif name and operator.method == 'DELETE':
+            await self._delete_entry(operator, name)
         else:
-            await exchange.respond_json(_OK, _entry_document(stored))
+            await operator.refuse(
+                OperatorRefusal.unknown_method,
+                operator.method,
+            )
 
-    async def _put_entry(self, exchange: Exchange, name: str) -> None:
-        body = await exchange.read_body()
+    async def _read_entries(
+        self,
+        operator: OperatorExchange,
+        name: str,
+    ) -> None:
+        catalogue = self._node.state.catalogue
+        stored = catalogue.entries.get(name)
+        if stored is not None:
+            await operator.respond(_entry_document(stored))
+            return
+        if name:
+            await operator.refuse(OperatorRefusal.unknown_entry, name)
+            return
+        entries = [
+            _entry_document(catalogue.entries[listed])
+            for listed in sorted(catalogue.entries)
+        ]
+        await operator.respond({
+            'revision': catalogue.revision,
+            'entries': entries,
+        })
+
+    async def _put_entry(self, operator: OperatorExchange, name: str) -> None:
+        body = await operator.exchange.read_body()
         if isinstance(body, Failed):
-            await _refuse(exchange, _BAD_REQUEST, 'unreadable_body')
+            detail = body.failure().describe()
+            await operator.refuse(OperatorRefusal.body_too_large, detail)
+            return
+        missing = operator.missing_header(needs_revision=True)
+        if missing:
+            await operator.refuse(OperatorRefusal.missing_header, missing)
             return
         try:
             entry = _decode_entry(body.unwrap(), name)
         except msgspec.DecodeError as error:
-            await _refuse(exchange, _BAD_REQUEST, 'bad_entry', str(error))
+            await operator.refuse(OperatorRefusal.bad_entry, str(error))
             return
         command = PutEntry(
-            operator=exchange.head.header(OPERATOR),
-            command_id=exchange.head.header(COMMAND_ID),
+            operator=operator.header(OPERATOR),
+            command_id=operator.header(COMMAND_ID),
             at_ms=self._node.now_ms(),
-            expected_revision=_expected_revision(exchange),
+            expected_revision=operator.expected_revision() or 0,
             entry=entry,
+            reason=operator.header(REASON),
         )
-        await self._change(exchange, command)
+        await self._change(operator, command)
 
-    def _deletion(self, exchange: Exchange, name: str) -> DeleteEntry:
-        return DeleteEntry(
-            operator=exchange.head.header(OPERATOR),
-            command_id=exchange.head.header(COMMAND_ID),
+    async def _delete_entry(
+        self,
+        operator: OperatorExchange,
+        name: str,
+    ) -> None:
+        missing = operator.missing_header(needs_revision=True)
+        if missing:
+            await operator.refuse(OperatorRefusal.missing_header, missing)
+            return
+        command = DeleteEntry(
+            operator=operator.header(OPERATOR),
+            command_id=operator.header(COMMAND_ID),
             at_ms=self._node.now_ms(),
-            expected_revision=_expected_revision(exchange),
+            expected_revision=operator.expected_revision() or 0,
             name=name,
+            reason=operator.header(REASON),
         )
+        await self._change(operator, command)
 
-    async def _change(self, exchange: Exchange, command: Command) -> None:
-        proposed = await self._node.propose(command)
+    async def _drain(self, operator: OperatorExchange, name: str) -> None:
+        if operator.method != 'POST':
+            await operator.refuse(
+                OperatorRefusal.unknown_method,
+                operator.method,
+            )
+            return
+        missing = operator.missing_header(needs_revision=False)
+        if missing:
+            await operator.refuse(OperatorRefusal.missing_header, missing)
+            return
+        action = operator.exchange.head.path.removeprefix(_ROOT)
+        command = DrainVm(
+            operator=operator.header(OPERATOR),
+            command_id=operator.header(COMMAND_ID),
+            at_ms=self._node.now_ms(),
+            name=name,
+            draining=action.startswith('drain/'),
+            reason=operator.header(REASON),
+        )
+        await self._change(operator, command)
+
+    async def _change(
+        self,
+        operator: OperatorExchange,
+        command: OperatorChange,
+    ) -> None:
+        proposed = await self._node.change(command)
         if isinstance(proposed, Failed):
             detail = proposed.failure().describe()
-            await _refuse(exchange, _UNAVAILABLE, 'no_quorum', detail)
+            await operator.refuse(OperatorRefusal.no_quorum, detail)
             return
-        result = proposed.unwrap()
-        document = msgspec.to_builtins(result)
-        if result.status is CommandStatus.done:
-            await exchange.respond_json(_OK, document)
-        elif result.status is CommandStatus.revision_conflict:
-            document['reason'] = result.status
-            await exchange.respond_json(_PRECONDITION_FAILED, document)
+        answer = proposed.unwrap()
+        if answer.status is CommandStatus.done:
+            operator.count(answer.status)
+            await operator.respond(answer)
         else:
-            document['reason'] = result.status
-            await exchange.respond_json(_CONFLICT, document)
-
-    async def _show_status(self, exchange: Exchange) -> None:
-        state = self._node.machine.state
-        document = {
-            'revision': state.catalogue.revision,
-            'index': state.index,
-            'orders': list(state.orders.values()),
-            'copies': list(state.copies.values()),
-            'vms': list(state.vms.values()),
-        }
-        await exchange.respond_json(_OK, document)
+            await _refuse_command(operator, command, answer)
 
-    async def _show_history(self, exchange: Exchange) -> None:
-        since = exchange.head.query.get('since', '0')
-        floor = int(since) if since.isdecimal() else 0
+    async def _show_status(
+        self,
+        operator: OperatorExchange,
+        name: str,
+    ) -> None:
+        await operator.respond(status_document(self._node))
+
+    async def _show_claims(
+        self,
+        operator: OperatorExchange,
+        name: str,
+    ) -> None:
+        await operator.respond(claims_document(self._node.state))
+
+    async def _show_history(
+        self,
+        operator: OperatorExchange,
+        name: str,
+    ) -> None:
+        since = operator.exchange.head.query.get('since', '0')
+        if not (since.isascii() and since.isdigit()):
+            await operator.refuse(
+                OperatorRefusal.malformed_request,
+                'since has to be a revision',
+            )
+            return
         records = [
             record
-            for record in self._node.machine.state.history
-            if record.revision > floor
+            for record in self._node.state.history
+            if record.revision > int(since)
         ]
-        await exchange.respond_json(_OK, {'history': records})
+        await operator.respond({'history': records})
+
+    async def _show_explanation(
+        self,
+        operator: OperatorExchange,
+        name: str,
+    ) -> None:
+        if name not in self._node.state.catalogue.entries:
+            await operator.refuse(OperatorRefusal.unknown_entry, name)
+            return
+        decisions = self._explain(name)
+        document = explanation_document(self._node, name, decisions)
+        await operator.respond(document)
+
+
+async def _refuse_command(
+    operator: OperatorExchange,
+    command: OperatorChange,
+    answer: CommandResult,
+) -> None:
+    reason = COMMAND_REFUSALS[answer.status]
+    is_vm = isinstance(command, DrainVm)
+    if is_vm and reason is OperatorRefusal.unknown_entry:
+        reason = OperatorRefusal.unknown_vm
+    detail = answer.detail
+    if reason is OperatorRefusal.revision_conflict:
+        detail = f'the entry is at revision {answer.entry_revision}'
+    await operator.refuse(
+        reason,
+        detail,
+        revision=answer.revision,
+        entry_revision=answer.entry_revision,
+        index=answer.index,
+    )
 
 
 def _entry_document(stored: StoredEntry) -> dict[str, Any]:
@@ -163,19 +308,3 @@
     if entry.name != name:
         raise msgspec.ValidationError('`name` differs from the path')
     return entry
-
-
-def _expected_revision(exchange: Exchange) -> int:
-    text = exchange.head.header(IF_MATCH).strip('"')
-    return int(text) if text.isdecimal() else -1
-
-
-async def _refuse(
-    exchange: Exchange,
-    status: int,
-    reason: str,
-    detail: str = '',
-) -> None:
-    document = {'reason': reason, 'detail': detail, 'status': status}
-    body = msgspec.json.encode(document)
-    await exchange.respond(status, body, 'application/problem+json')
--- /dev/null
+++ b/persimmonhold/control/shell/_proposal_server.py
@@ -0,0 +1,138 @@
+"""Answers the requests of VMs on the control channel.
+
+A resend of a request under way is dropped, and one of an answered request
+gets the same answer; both are bounded in number.
+"""
+
+import asyncio
+from collections import OrderedDict
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from persimmonhold.control.machine import CommandResult
+from persimmonhold.control.shell._control_client import (
+    ControlClient,
+    decode_control_message,
+)
+from persimmonhold.control.shell._control_messages import (
+    ProposeReply,
+    ProposeRequest,
+    VmReport,
+)
+from persimmonhold.control.shell._control_node import ControlNode
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.transport import Channel, Transport
+
+_MAX_UNDER_WAY: Final = 1024
+_KEPT_REPLIES: Final = 1024
+_FORWARD_TIMEOUT_S: Final = 1.0
+
+
+@final
+class ProposalServer:
+    """Receives the control channel of a VM, with or without a replica."""
+
+    __slots__ = ('_client', '_node', '_replies', '_tasks', '_transport')
+
+    def __init__(
+        self,
+        client: ControlClient,
+        transport: Transport,
+        node: ControlNode | None = None,
+    ) -> None:
+        """Subscribe to the control channel."""
+        self._client = client
+        self._node = node
+        self._transport = transport
+        self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self._replies: OrderedDict[tuple[str, str], bytes] = OrderedDict()
+        transport.subscribe(Channel.control, self._receive)
+
+    async def close(self) -> None:
+        """Cancel the requests under way."""
+        tasks = tuple(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _receive(self, peer: str, payload: bytes) -> None:
+        message = decode_control_message(payload)
+        match message:
+            case ProposeReply():
+                self._client.receive(message)
+            case ProposeRequest():
+                self._accept(peer, message)
+            case VmReport():
+                if self._node is not None:
+                    self._node.take_report(message)
+            case None:
+                return
+
+    def _accept(self, peer: str, request: ProposeRequest) -> None:
+        key = (peer, request.request_id)
+        answered = self._replies.get(key)
+        if answered is not None:
+            self._transport.send(peer, Channel.control, answered)
+            return
+        if key in self._tasks or len(self._tasks) >= _MAX_UNDER_WAY:
+            return
+        if self._node is None:
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._serve(self._node, peer, request),
+        )
+        self._tasks[key] = task
+        task.add_done_callback(lambda _: self._tasks.pop(key, None))
+
+    async def _serve(
+        self,
+        node: ControlNode,
+        peer: str,
+        request: ProposeRequest,
+    ) -> None:
+        proposed = await self._propose(node, request)
+        if isinstance(proposed, Failed):
+            reply = ProposeReply(
+                request_id=request.request_id,
+                failure=proposed.failure(),
+                leader=node.log.leader,
+            )
+            encoded = msgspec.msgpack.encode(reply)
+        else:
+            reply = ProposeReply(
+                request_id=request.request_id,
+                result=proposed.unwrap(),
+                leader=node.log.leader,
+            )
+            encoded = msgspec.msgpack.encode(reply)
+            self._keep((peer, request.request_id), encoded)
+        self._transport.send(peer, Channel.control, encoded)
+
+    async def _propose(
+        self,
+        node: ControlNode,
+        request: ProposeRequest,
+    ) -> Result[CommandResult, Failure]:
+        if node.leads:
+            return await node.propose(request.command)
+        if not request.forwarded:
+            return await self._client.propose(
+                request.command,
+                _FORWARD_TIMEOUT_S,
+                forwarded=True,
+            )
+        return Failed(
+            Failure(
+                kind=FailureKind.not_leader,
+                step='propose to control',
+                peer=node.log.leader,
+            ),
+        )
+
+    def _keep(self, key: tuple[str, str], encoded: bytes) -> None:
+        self._replies[key] = encoded
+        if len(self._replies) > _KEPT_REPLIES:
+            self._replies.popitem(last=False)
--- /dev/null
+++ b/persimmonhold/control/shell/_remote_control_link.py
@@ -0,0 +1,127 @@
+"""The control link of a VM that is one of many."""
+
+import asyncio
+import time
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.control.machine import (
+    ClaimKey,
+    CommandResult,
+    CommandStatus,
+    EndClaim,
+    RegisterVm,
+)
+from persimmonhold.control.shell._control_client import ControlClient
+from persimmonhold.control.shell._control_link import ControlLink
+from persimmonhold.control.shell._control_messages import VmCommand
+from persimmonhold.control.shell._control_node import ControlNode
+from persimmonhold.control.shell._vm_shell import VmShell
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.messages import Demand
+
+_MS_PER_S: Final = 1000
+_REGISTER_INTERVAL_S: Final = 0.5
+_UNGRANTED: Final = frozenset((
+    CommandStatus.claim_table_full,
+    CommandStatus.claim_unregistered,
+))
+
+
+@final
+class RemoteControlLink(ControlLink):
+    """Follows the view of the VM; proposes to the leader of control."""
+
+    def __init__(
+        self,
+        vm: VmShell,
+        client: ControlClient,
+        node: ControlNode | None = None,
+    ) -> None:
+        """Create a link; `node` is the replica of this process, if any."""
+        super().__init__()
+        self._vm = vm
+        self._client = client
+        self._node = node
+        vm.subscribe(self._view_changed)
+
+    @property
+    def serving_allowed(self) -> bool:
+        """Tell whether this VM may serve callers from its view."""
+        return self._vm.serving_allowed
+
+    @property
+    def live_vms(self) -> frozenset[str]:
+        """The VMs that are known to have lived within a lease."""
+        return self._vm.agent.live(self._vm.clock())
+
+    async def run(self) -> None:
+        """Keep this VM registered as it is, until cancelled."""
+        while True:
+            if not self._vm.is_registered:
+                await self._register()
+            await asyncio.sleep(_REGISTER_INTERVAL_S)
+
+    async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
+        """Commit a claim of this incarnation of the VM.
+
+        A failure tells that the claim may not be dispatched now; whether it
+        was committed shows when the same request claims again.
+        """
+        own = msgspec.structs.replace(
+            claim,
+            vm=self._vm.record.name,
+            incarnation=self._vm.record.incarnation,
+        )
+        proposed = await self._propose(own)
+        if isinstance(proposed, Failed):
+            return proposed
+        result = proposed.unwrap()
+        if result.status in _UNGRANTED:
+            return Failed(
+                Failure(
+                    kind=FailureKind.refused,
+                    step='claim an idempotency key',
+                    peer=self._vm.agent.leader,
+                    detail=result.status.value,
+                ),
+            )
+        return Success(result)
+
+    async def end_claim(
+        self,
+        end: EndClaim,
+    ) -> Result[CommandResult, Failure]:
+        """Commit the outcome of a claimed request."""
+        return await self._propose(end)
+
+    def report_demand(self, demand: tuple[Demand, ...]) -> None:
+        """Have the next report carry this demand."""
+        self._vm.demand = demand
+
+    def mark_draining(self, *, draining: bool) -> None:
+        """Have this VM registered with another draining state."""
+        super().mark_draining(draining=draining)
+        self._vm.mark_draining(draining=draining)
+
+    async def _register(self) -> None:
+        command = RegisterVm(
+            at_ms=int(time.time() * _MS_PER_S),
+            vm=self._vm.record,
+        )
+        await self._propose(command)
+
+    async def _propose(
+        self,
+        command: VmCommand,
+    ) -> Result[CommandResult, Failure]:
+        if self._node is not None and self._node.leads:
+            return await self._node.propose(command)
+        return await self._client.propose(command)
+
+    def _view_changed(self) -> None:
+        self.view = self._vm.agent.view.view()
+        self.changed.set()
--- /dev/null
+++ b/persimmonhold/control/shell/_single_replica_log.py
@@ -0,0 +1,88 @@
+"""The log of a control process that has no other replicas.
+
+Invariant: a payload is applied, and answered, only after it is synced.
+"""
+
+from contextlib import ExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self, final
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.replication import LogApplier, ReplicatedLog
+from persimmonhold.storage import RecordFile
+
+_LOG_FILE: Final = 'control.log'
+
+
+@final
+class SingleReplicaLog(ReplicatedLog):
+    """Owns one record file."""
+
+    def __init__(self, directory: Path, applier: LogApplier) -> None:
+        """Create a log whose file lives under `directory`."""
+        self._file = RecordFile(directory / _LOG_FILE)
+        self._applier = applier
+        self._applied = 0
+        self._stack = ExitStack()
+
+    def __enter__(self) -> Self:
+        """Open the file; raises `OSError` where it cannot be written."""
+        self._file.path.parent.mkdir(parents=True, exist_ok=True)
+        self._stack.enter_context(self._file)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the file."""
+        self._stack.close()
+
+    def recover(self) -> Result[int, Failure]:
+        """Apply the file; return the index of its last payload."""
+        records = self._file.read()
+        if isinstance(records, Failed):
+            return records
+        for record in records.unwrap():
+            self._apply(record)
+        return Success(self._applied)
+
+    @property
+    def is_leader(self) -> bool:
+        """A single replica always leads."""
+        return True
+
+    @property
+    def leader(self) -> str:
+        """A single replica has no name among others."""
+        return ''
+
+    @property
+    def applied_index(self) -> int:
+        """The index of the last applied payload."""
+        return self._applied
+
+    async def propose(self, payload: bytes) -> Result[object, Failure]:
+        """Sync and apply a payload; return what `apply` returned."""
+        self._file.append((payload,))
+        return Success(self._apply(payload))
+
+    async def read_barrier(self) -> Result[int, Failure]:
+        """Return at once, since all that is synced is applied."""
+        return Success(self._applied)
+
+    async def transfer_leadership(self) -> Result[str, Failure]:
+        """Fail: there is no other replica."""
+        return Failed(
+            Failure(kind=FailureKind.refused, step='transfer leadership'),
+        )
+
+    def _apply(self, payload: bytes) -> object:
+        self._applied += 1
+        return self._applier.apply(self._applied, payload)
--- /dev/null
+++ b/tests/test_control_node.py
@@ -0,0 +1,248 @@
+"""A system of control VMs and entries over a network that fails."""
+
+import asyncio
+
+import pytest
+from returns.result import Failure as Failed
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, LessThan, Not
+
+from bench.memory_system import MemorySystem
+from bench.virtual_loop import run_virtual
+from persimmonhold.control.machine import (
+    ClaimKey,
+    CommandResult,
+    CommandStatus,
+    EndClaim,
+)
+from persimmonhold.failures import FailureKind
+from persimmonhold.messages import CallOutcome, Demand
+
+_OUTCOME = CallOutcome(status=200, media_type='text/plain', body=b'paid')
+
+
+@pytest.fixture
+def system() -> MemorySystem:
+    return MemorySystem(9, 5, 1)
+
+
+def _claim(request: str) -> ClaimKey:
+    return ClaimKey(
+        at_ms=1,
+        caller='kiln',
+        service='lodgements',
+        key='k',
+        content_digest='d',
+        request_id=request,
+        vm='',
+    )
+
+
+async def _claim_at(system: MemorySystem, name: str) -> CommandResult | None:
+    claimed = await system.vms[name].link.claim(_claim(f'at-{name}'))
+    return claimed.value_or(None)
+
+
+@pytest.mark.parametrize('loss', [0.0, 0.3])
+def test_claim_raced_from_nine_entries_is_granted_once(
+    system: MemorySystem,
+    loss: float,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            system.network.loss = loss
+            claims = [_claim_at(system, name) for name in system.names]
+            results = await asyncio.gather(*claims)
+            statuses = [result.status for result in results if result]
+            assert_that(
+                statuses.count(CommandStatus.claim_granted),
+                Equals(1),
+            )
+            if not loss:
+                assert_that(
+                    statuses.count(CommandStatus.claim_held),
+                    Equals(8),
+                )
+
+    run_virtual(scenario())
+
+
+def test_resend_after_a_leader_change_gets_the_first_answer(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            command = system.next_change()
+            first = (await system.leader.change(command)).unwrap()
+            for _ in range(300):
+                await system.change()
+            await system.kill('vm1')
+            system.group.leader = 'vm2'
+            again = (await system.leader.change(command)).unwrap()
+            assert_that(again, Equals(first))
+            assert_that(system.leader.state.catalogue.revision, Equals(301))
+
+    run_virtual(scenario())
+
+
+def test_leader_lost_in_a_change_delays_it_less_than_six_seconds(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            command = system.next_change()
+            change = asyncio.create_task(system.leader.change(command))
+            await asyncio.sleep(0.0021)
+            await system.kill('vm1')
+            system.group.leader = 'vm2'
+            again = (await system.leader.change(command)).unwrap()
+            await system.await_index(again.index)
+            assert_that(loop.time() - started_at, LessThan(6))
+            assert_that(system.leader.state.catalogue.revision, Equals(1))
+            change.cancel()
+
+    run_virtual(scenario())
+
+
+def test_dead_vm_leaves_and_its_claims_are_in_doubt(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            granted = await _claim_at(system, 'vm9')
+            assert granted is not None
+            await system.kill('vm9')
+            await asyncio.sleep(15)
+            view = system.vms['vm8'].link.view
+            assert_that(
+                [vm.name for vm in view.vms],
+                Not(Contains('vm9')),
+            )
+            doubtful = await _claim_at(system, 'vm8')
+            assert doubtful is not None
+            assert_that(doubtful.status, Equals(CommandStatus.claim_in_doubt))
+            await system.restart('vm9')
+            await asyncio.sleep(3)
+            assert_that(system.serving(), Equals(set(system.names)))
+
+    run_virtual(scenario())
+
+
+def test_restarted_entry_ends_no_claim_of_its_former_life(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            granted = await _claim_at(system, 'vm9')
+            assert granted is not None
+            await system.restart('vm9')
+            await asyncio.sleep(3)
+            again = await _claim_at(system, 'vm9')
+            assert again is not None
+            assert_that(again.status, Equals(CommandStatus.claim_in_doubt))
+
+    run_virtual(scenario())
+
+
+def test_entry_cut_from_the_leader_claims_through_a_follower(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            system.network.cut_sides({'vm1'}, {'vm9'})
+            claimed = await _claim_at(system, 'vm9')
+            assert claimed is not None
+            assert_that(claimed.status, Equals(CommandStatus.claim_granted))
+            end = EndClaim(
+                at_ms=2,
+                claim=claimed.claim,
+                request_id='at-vm9',
+                outcome=_OUTCOME,
+            )
+            (await system.vms['vm9'].link.end_claim(end)).unwrap()
+            replayed = await _claim_at(system, 'vm2')
+            assert replayed is not None
+            assert_that(replayed.outcome, Equals(_OUTCOME))
+            changed = await system.change()
+            await system.await_index(changed.index)
+
+    run_virtual(scenario())
+
+
+def test_without_a_quorum_entries_serve_and_claims_fail(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            command = system.next_change()
+            for name in ('vm1', 'vm2', 'vm3'):
+                await system.kill(name)
+            await asyncio.sleep(60)
+            assert_that(
+                system.serving(),
+                Equals({'vm4', 'vm5', 'vm6', 'vm7', 'vm8', 'vm9'}),
+            )
+            claimed = await system.vms['vm9'].link.claim(_claim('late'))
+            assert isinstance(claimed, Failed)
+            assert_that(claimed.failure().kind, Equals(FailureKind.no_quorum))
+            changed = await system.leader.change(command)
+            assert isinstance(changed, Failed)
+
+    run_virtual(scenario())
+
+
+def test_change_without_a_majority_of_vms_is_not_accepted(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            others = {'vm5', 'vm6', 'vm7', 'vm8', 'vm9'}
+            system.network.cut_sides({'vm1', 'vm2', 'vm3', 'vm4'}, others)
+            command = system.next_change()
+            refused = await system.leader.change(command)
+            assert isinstance(refused, Failed)
+            assert_that(refused.failure().step, Equals('await acceptance'))
+            system.network.cut.clear()
+            answer = (await system.leader.change(command)).unwrap()
+            assert_that(answer.status, Equals(CommandStatus.done))
+            assert_that(system.leader.state.catalogue.revision, Equals(1))
+
+    run_virtual(scenario())
+
+
+def test_demand_and_views_of_all_entries_reach_the_leader(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            for vm in system.vms.values():
+                vm.link.report_demand((
+                    Demand(
+                        target='tutor',
+                        requests_per_second=2,
+                        prompt_tokens_per_second=10,
+                        output_tokens_per_second=20,
+                        waiting=1,
+                    ),
+                ))
+            await asyncio.sleep(3)
+            demand = system.leader.demand()[0]
+            assert_that(demand.requests_per_second, Equals(18))
+            assert_that(demand.waiting, Equals(9))
+            system.network.cut_sides({'vm9'}, set(system.names) - {'vm9'})
+            changed = await system.change()
+            await asyncio.sleep(1)
+            assert_that(
+                system.leader.is_in_force(changed.index),
+                Equals(False),
+            )
+            await asyncio.sleep(8)
+            assert_that(
+                system.leader.is_in_force(changed.index),
+                Equals(True),
+            )
+            assert_that(system.serving(), Not(Contains('vm9')))
+
+    run_virtual(scenario())
