--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -19,13 +19,14 @@
 from persimmonhold.failures import Ran, Refusal, RefusalReason
 from persimmonhold.messages import prefix_hashes
 from persimmonhold.observability import Metrics, metric
-from persimmonhold.routing import Router, RouteRequest
+from persimmonhold.routing import AttemptOutcome, Router, RouteRequest
 from persimmonhold.web import (
     REQUEST_ID,
     ClientRequest,
     Exchange,
     ExchangeHandler,
     Headers,
+    Rejection,
     encode_headers,
 )
 
@@ -72,10 +73,10 @@
         else:
             await self._refuse(context, RefusalReason.unknown_path)
 
-    def rejection(self, status: int) -> bytes:
+    def reject(self, status: int) -> Rejection:
         """Return the problem document of a request that is no HTTP."""
         refusal = Refusal(reason=RefusalReason.malformed_request, ran=Ran.no)
-        return problem_document(refusal, '')
+        return Rejection(status=status, body=problem_document(refusal, ''))
 
     async def _generate(self, context: RequestContext) -> None:
         body = await context.exchange.read_body()
@@ -137,10 +138,12 @@
             headers=_upstream_headers(context),
             body=body,
         )
-        self._router.attempt_started(route.upstream, now)
+        attempt = self._router.attempt_started(route, wanted, now)
         relayed = await Relay(context, route).run(request)
         ok = not isinstance(relayed, Failed)
-        self._router.attempt_ended(route.upstream, now, ok=ok)
+        outcome = AttemptOutcome.completed if ok else AttemptOutcome.broken
+        now = asyncio.get_running_loop().time()
+        self._router.attempt_ended(attempt, outcome, now)
         self._metrics.increment(
             metric.REQUESTS,
             service_class=wanted.service_class,
