--- /dev/null
+++ b/tests/test_control_operators.py
@@ -0,0 +1,401 @@
+"""The HTTP interface of operators, at the leader and at a follower."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, final
+
+import msgspec
+import pytest
+from returns.result import Failure as Failed
+from returns.result import Result
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from persimmonhold.control.machine import (
+    ClaimKey,
+    ControlMachine,
+    EndClaim,
+    HistoryRecord,
+    RegisterVm,
+    verify_history,
+)
+from persimmonhold.control.shell import (
+    OPERATOR_STATUS,
+    ControlApplier,
+    ControlNode,
+    OperatorHandler,
+    OperatorRefusal,
+)
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.messages import VmRecord
+from persimmonhold.observability import Metrics, metric
+from persimmonhold.replication import ReplicatedLog
+from persimmonhold.web import (
+    Address,
+    ClientRequest,
+    FetchedResponse,
+    HttpBounds,
+    HttpServer,
+    encode_headers,
+    fetch,
+)
+
+_ANY_PORT = Address('127.0.0.1', 0)
+_ENTRIES = '/catalogue/v1/entries'
+_ENGINE = MappingProxyType({
+    'kind': 'upstream',
+    'name': 'engine',
+    'owner': 'levy',
+    'address': '127.0.0.1:9',
+    'failure_domain': 'a',
+    'accelerators': [{'name': 'a0', 'memory_bytes': 100}],
+})
+_MODEL = MappingProxyType({
+    'kind': 'model',
+    'name': 'guide',
+    'owner': 'levy',
+    'version': '1',
+    'weight_bytes': 50,
+    'kv_floor_bytes': 5,
+})
+
+
+@final
+class FollowerLog(ReplicatedLog):
+    """The log of a replica that hears a leader, or none."""
+
+    def __init__(self, leader: str) -> None:
+        """Create the log of a follower of `leader`."""
+        self._leader = leader
+
+    @property
+    def is_leader(self) -> bool:
+        """A follower does not lead."""
+        return False
+
+    @property
+    def leader(self) -> str:
+        """The leader."""
+        return self._leader
+
+    @property
+    def applied_index(self) -> int:
+        """The last index."""
+        return 0
+
+    async def propose(self, payload: bytes) -> Result[object, Failure]:
+        """Refuse."""
+        return Failed(Failure(kind=FailureKind.not_leader, step='propose'))
+
+    async def read_barrier(self) -> Result[int, Failure]:
+        """Refuse."""
+        return Failed(Failure(kind=FailureKind.not_leader, step='read'))
+
+    async def transfer_leadership(self) -> Result[str, Failure]:
+        """Refuse."""
+        return Failed(Failure(kind=FailureKind.not_leader, step='transfer'))
+
+
+@final
+class Operators:
+    """Sends requests of operators to a node of its own."""
+
+    def __init__(self, directory: Path) -> None:
+        """Create a node under `directory`."""
+        self.node = ControlNode.in_directory(directory)
+        self.metrics = Metrics()
+        self.handler = OperatorHandler(
+            self.node,
+            self.metrics,
+            lambda name: [{'decided': name}],
+        )
+        self.address = _ANY_PORT
+        self.command_id = 0
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        document: object = None,
+        revision: int | None = None,
+        **headers: str,
+    ) -> tuple[int, dict[str, Any]]:
+        """Return status and document."""
+        self.command_id += 1
+        own = {
+            'persimmonhold-operator': 'aoi',
+            'persimmonhold-command-id': str(self.command_id),
+            'persimmonhold-reason': 'levy of May',
+        }
+        if isinstance(document, Mapping):
+            document = dict(document)
+        if revision is not None:
+            own['if-match'] = f'"{revision}"'
+        own.update({name.replace('_', '-'): headers[name] for name in headers})
+        request = ClientRequest(
+            method=method,
+            target=target,
+            headers=encode_headers({name: own[name] for name in own}),
+            body=b'' if document is None else msgspec.json.encode(document),
+        )
+        fetched = await fetch(self.address, request, 10)
+        response: FetchedResponse = fetched.unwrap()
+        answer = msgspec.json.decode(response.body, type=dict[str, Any])
+        return response.head.status, answer
+
+    async def put(
+        self,
+        document: Mapping[str, Any],
+        revision: int | None = 0,
+        **headers: str,
+    ) -> tuple[int, dict[str, Any]]:
+        """Put an entry."""
+        target = f'{_ENTRIES}/{document["name"]}'
+        return await self.send('PUT', target, document, revision, **headers)
+
+    def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
+        """Run a scenario while the node answers."""
+
+        async def served() -> None:
+            server = HttpServer(_ANY_PORT, self.handler, HttpBounds())
+            async with server, asyncio.timeout(20):
+                self.address = server.address
+                await scenario()
+
+        with self.node:
+            self.node.recover().unwrap()
+            asyncio.run(served())
+
+
+@pytest.fixture
+def operators(tmp_path: Path) -> Operators:
+    return Operators(tmp_path)
+
+
+def test_entry_is_put_read_and_put_back(operators: Operators) -> None:
+    async def scenario() -> None:
+        await operators.put(_ENGINE)
+        status, answer = await operators.put(_MODEL)
+        assert_that((status, answer['entry_revision']), Equals((200, 2)))
+        target = f'{_ENTRIES}/guide'
+        _, read = await operators.send('GET', target)
+        assert_that(read['revision'], Equals(2))
+        status, answer = await operators.put(read, 2)
+        assert_that((status, answer['entry_revision']), Equals((200, 3)))
+        _, listed = await operators.send('GET', _ENTRIES)
+        assert_that(listed['revision'], Equals(3))
+        names = [entry['name'] for entry in listed['entries']]
+        assert_that(names, Equals(['engine', 'guide']))
+        status, _ = await operators.send('DELETE', target, None, 3)
+        assert_that(status, Equals(200))
+        status, answer = await operators.send('GET', target)
+        assert_that((status, answer['reason']), Equals((404, 'unknown_entry')))
+
+    operators.run(scenario)
+
+
+def test_resend_lost_race_and_reused_id(operators: Operators) -> None:
+    async def scenario() -> None:
+        await operators.put(_ENGINE)
+        same = {'persimmonhold_command_id': 'x'}
+        first = await operators.put(_MODEL, 0, **same)
+        assert_that(await operators.put(_MODEL, 0, **same), Equals(first))
+        changed = {**_MODEL, 'version': '2'}
+        status, answer = await operators.put(changed, 2, **same)
+        assert_that(
+            (status, answer['reason']),
+            Equals((409, 'command_id_reused')),
+        )
+        other = {**same, 'persimmonhold_operator': 'bram'}
+        status, answer = await operators.put(changed, 0, **other)
+        assert_that(
+            (status, answer['reason'], answer['entry_revision']),
+            Equals((412, 'revision_conflict', 2)),
+        )
+        _, history = await operators.send('GET', '/catalogue/v1/history')
+        records = msgspec.convert(history['history'], list[HistoryRecord])
+        assert_that(verify_history(records), Equals(''))
+        assert_that(records[1].reason, Equals('levy of May'))
+        _, later = await operators.send(
+            'GET',
+            '/catalogue/v1/history?since=1',
+        )
+        assert_that(len(later['history']), Equals(1))
+
+    operators.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'document', 'headers', 'expected'),
+    [
+        ('PUT', '/guide', _MODEL, {}, 'missing_header'),
+        ('PUT', '/guide', _MODEL, {'if_match': 'W/"x"'}, 'missing_header'),
+        (
+            'PUT',
+            '/guide',
+            _MODEL,
+            {'if_match': '"0"', 'persimmonhold_operator': ''},
+            'missing_header',
+        ),
+        (
+            'DELETE',
+            '/guide',
+            None,
+            {'if_match': '"0"', 'persimmonhold_command_id': ''},
+            'missing_header',
+        ),
+        ('DELETE', '/guide', None, {'if_match': '"0"'}, 'unknown_entry'),
+        ('PUT', '/other', _MODEL, {'if_match': '"0"'}, 'bad_entry'),
+        ('PUT', '/guide', [1], {'if_match': '"0"'}, 'bad_entry'),
+        (
+            'PUT',
+            '/guide',
+            {**_MODEL, 'bounds': {'first_token_ms': 0}},
+            {'if_match': '"0"'},
+            'bad_entry',
+        ),
+        (
+            'PUT',
+            '/guide',
+            {**_MODEL, 'weight_bytes': 101},
+            {'if_match': '"0"'},
+            'does_not_fit',
+        ),
+        ('POST', '/guide', _MODEL, {}, 'unknown_method'),
+        ('GET', '/absent', None, {}, 'unknown_entry'),
+        ('GET', '/../nothing', None, {}, 'unknown_entry'),
+        ('GET', '/../../v2/nothing', None, {}, 'unknown_entry'),
+    ],
+)
+def test_refusals_are_problem_documents_and_counted(
+    operators: Operators,
+    method: str,
+    target: str,
+    document: object,
+    headers: dict[str, str],
+    expected: str,
+) -> None:
+    async def scenario() -> None:
+        await operators.put(_ENGINE)
+        status, answer = await operators.send(
+            method,
+            f'{_ENTRIES}{target}',
+            document,
+            None,
+            **headers,
+        )
+        reason = OperatorRefusal(expected)
+        assert_that(answer['reason'], Equals(reason.value))
+        assert_that(status, Equals(OPERATOR_STATUS[reason]))
+        assert_that(answer['status'], Equals(status))
+        counted = operators.metrics.counted(metric.COMMANDS, outcome=reason)
+        assert_that(counted, Equals(1))
+
+    operators.run(scenario)
+
+
+def test_status_explains_and_vms_drain(operators: Operators) -> None:
+    async def scenario() -> None:
+        await operators.put(_ENGINE)
+        await operators.put(_MODEL)
+        vm = VmRecord(name='vm1', failure_domain='a')
+        await operators.node.propose(RegisterVm(at_ms=1, vm=vm))
+        for action in ('drain', 'undrain', 'drain'):
+            status, _ = await operators.send(
+                'POST',
+                f'/catalogue/v1/{action}/vm1',
+            )
+            assert_that(status, Equals(200))
+        _, status_now = await operators.send('GET', '/catalogue/v1/status')
+        assert_that(status_now['vms'][0]['draining'], Equals(True))
+        assert_that(status_now['behind'], Equals([]))
+        assert_that(
+            status_now['models'],
+            Equals([
+                {
+                    'name': 'guide',
+                    'kind': 'model',
+                    'wanted': 1,
+                    'serving': 0,
+                    'copies': 0,
+                },
+            ]),
+        )
+        assert_that(
+            status_now['memory'],
+            Equals([
+                {
+                    'upstream': 'engine',
+                    'accelerator': 'a0',
+                    'capacity_bytes': 100,
+                    'held_bytes': 0,
+                    'reserved_bytes': 0,
+                },
+            ]),
+        )
+        _, explained = await operators.send(
+            'GET',
+            '/catalogue/v1/explain/guide',
+        )
+        assert_that(explained['decisions'], Equals([{'decided': 'guide'}]))
+        code, absent = await operators.send('POST', '/catalogue/v1/drain/vm9')
+        assert_that((code, absent['reason']), Equals((404, 'unknown_vm')))
+        _, health = await operators.send('GET', '/healthz')
+        assert_that(health['status'], Equals('ok'))
+
+    operators.run(scenario)
+
+
+def test_claims_in_doubt_are_listed(operators: Operators) -> None:
+    async def scenario() -> None:
+        claim = ClaimKey(
+            at_ms=1,
+            caller='kiln',
+            service='lodgements',
+            key='may',
+            content_digest='d',
+            request_id='r',
+            vm='vm1',
+        )
+        granted = (await operators.node.propose(claim)).unwrap()
+        end = EndClaim(
+            at_ms=2,
+            claim=granted.claim,
+            request_id='r',
+            in_doubt=True,
+        )
+        await operators.node.propose(end)
+        _, listed = await operators.send('GET', '/catalogue/v1/claims')
+        assert_that(listed['claims'][0]['key'], Equals('may'))
+
+    operators.run(scenario)
+
+
+def test_follower_passes_on_once(operators: Operators) -> None:
+    async def ask(leader: str) -> tuple[int, dict[str, Any]]:
+        machine = ControlMachine()
+        vm = VmRecord(
+            name='vm1',
+            failure_domain='a',
+            operators=str(operators.address),
+        )
+        machine.apply(1, RegisterVm(at_ms=1, vm=vm))
+        node = ControlNode(ControlApplier(machine), FollowerLog(leader))
+        handler = OperatorHandler(node)
+        async with HttpServer(_ANY_PORT, handler, HttpBounds()) as server:
+            at_leader = operators.address
+            operators.address = server.address
+            answered = await operators.put(_ENGINE)
+            operators.address = at_leader
+        return answered
+
+    async def scenario() -> None:
+        status, answer = await ask('vm1')
+        assert_that((status, answer['entry_revision']), Equals((200, 1)))
+        status, answer = await ask('')
+        assert_that((status, answer['reason']), Equals((503, 'no_leader')))
+        assert_that(answer['detail'], Contains('resend'))
+
+    operators.run(scenario)
