--- a/persimmonhold/placement/_copy_retirement.py
+++ b/persimmonhold/placement/_copy_retirement.py
@@ -1,9 +1,9 @@
 """Plans withdrawals of copies that the catalogue does not want any more.
 
 Copies of an older version leave once as many copies of the catalogued version
-serve. Where memory is too short for that, they leave one by one, and the last
-one not before a copy of the catalogued version serves. Adapters leave before
-their base, and places without their base.
+serve. Where memory is too short for that, surplus copies of the older version
+make room one by one; the last one stays until a copy of the catalogued
+version serves. Adapters leave before their base, and places without it.
 """
 
 from collections.abc import Iterator
@@ -32,11 +32,11 @@
     serving = layout.serving.get(target, set())
     if len(serving) >= len(older):
         return older
-    is_stuck = layout.holders.get(target) == serving
+    is_stuck = layout.holders.get(target, set()) == serving
     is_leaving = len(older) < len(layout.other_versions[target])
-    if serving and is_stuck and not is_leaving:
-        return older[:1]
-    return []
+    if not is_stuck or is_leaving or planned.limits.loads <= 0:
+        return []
+    return older[:1] if serving or len(older) > 1 else []
 
 
 def _orphaned_adapters(planned: PlanRound) -> Iterator[Move]:
--- a/persimmonhold/placement/_plan_round.py
+++ b/persimmonhold/placement/_plan_round.py
@@ -117,8 +117,12 @@
         key = ItemKey(move.target, move.version)
         self.ledger.reserve(move.place, key, move.memory_bytes)
         self.layout.hold(move.target, move.base, move.place)
-        if not move.base:
-            self.balance.balance(move.target)
+        if move.base:
+            return
+        self.balance.balance(move.target)
+        for adapter in self.adapters.get(move.target, ()):
+            key = ItemKey(adapter.name, adapter.version)
+            self.ledger.reserve(move.place, key, adapter.weight_bytes)
 
     def forgo(self, model: str, place: Place) -> None:
         """Reckon without the copy of a model at a place."""
--- a/persimmonhold/placement/_planner.py
+++ b/persimmonhold/placement/_planner.py
@@ -18,7 +18,12 @@
 from persimmonhold.placement._move_maker import MoveMaker
 from persimmonhold.placement._plan_round import PlanRound
 from persimmonhold.placement._plan_view import PlanView
-from persimmonhold.placement._repair import missing_models, repair, spread
+from persimmonhold.placement._repair import (
+    missing_models,
+    repair,
+    repair_adapters,
+    spread,
+)
 from persimmonhold.placement._swap_book import SwapBook
 from persimmonhold.settings import PlacementSettings
 
@@ -53,6 +58,7 @@
         self._swaps.follow(planned, now)
         plan_adapters(planned)
         repair(maker)
+        repair_adapters(maker)
         planned.moves.extend(plan_retirements(planned))
         self._improvement.plan(maker, now)
         spread(maker)
--- a/persimmonhold/placement/_repair.py
+++ b/persimmonhold/placement/_repair.py
@@ -36,6 +36,24 @@
         _repair_model(maker, model)
 
 
+def repair_adapters(maker: MoveMaker) -> None:
+    """Give a base another place where its adapters have no room."""
+    planned = maker.planned
+    layout = planned.layout
+    for base, adapters in planned.adapters.items():
+        homeless = [
+            adapter.name
+            for adapter in adapters
+            if not layout.holders.get(adapter.name)
+        ]
+        serving = layout.serving.get(base)
+        if not homeless or not serving or layout.holders[base] - serving:
+            continue
+        entry = planned.catalogue.find(base)
+        if isinstance(entry, ModelEntry):
+            _rehouse(maker, entry, homeless[0])
+
+
 def spread(maker: MoveMaker) -> None:
     """Give models in one failure domain a copy in another, if it is free."""
     planned = maker.planned
@@ -58,6 +76,14 @@
     return planned.layout.domain_total(model.name) == 1
 
 
+def _rehouse(maker: MoveMaker, base: ModelEntry, adapter: str) -> None:
+    room = maker.find_room(base, maker.finder(()), spread=True)
+    if room is None:
+        maker.block(adapter, 'no room beside its base model or elsewhere')
+    else:
+        maker.make(base, room, f'no room for {adapter} beside its base')
+
+
 def _repair_model(maker: MoveMaker, model: ModelEntry) -> None:
     planned = maker.planned
     finder = maker.finder(())
--- a/persimmonhold/placement/_room_finder.py
+++ b/persimmonhold/placement/_room_finder.py
@@ -146,8 +146,16 @@
             return False
         if (model, place) in self._kept:
             return False
-        serving = self._round.layout.serving.get(model, set())
-        return place in serving and len(serving) > entry.limits.min_copies
+        layout = self._round.layout
+        serving = layout.serving.get(model, set())
+        if place not in serving or len(serving) <= entry.limits.min_copies:
+            return False
+        present = layout.adapters_at.get(place, set())
+        return all(
+            layout.serving.get(adapter.name, set()) - {place}
+            for adapter in self._round.adapters.get(model, ())
+            if adapter.name in present
+        )
 
     def _loss(self, model: str, place: Place) -> float:
         """Return the work that would not be borne without a copy."""
