--- a/persimmonhold/placement/_copy_retirement.py
+++ b/persimmonhold/placement/_copy_retirement.py
@@ -36,7 +36,10 @@
     is_leaving = len(older) < len(layout.other_versions[target])
     if not is_stuck or is_leaving or planned.limits.loads <= 0:
         return []
-    return older[:1] if serving or len(older) > 1 else []
+    if not serving and len(older) == 1:
+        return []
+    older.sort(key=lambda copy: len(layout.adapters_at.get(_place(copy), ())))
+    return older[:1]
 
 
 def _orphaned_adapters(planned: PlanRound) -> Iterator[Move]:
@@ -65,6 +68,10 @@
         kind=MoveKind.withdraw,
         target=copy.target,
         version=copy.version,
-        place=Place(copy.upstream, copy.accelerator),
+        place=_place(copy),
         reason=reason,
     )
+
+
+def _place(copy: Copy) -> Place:
+    return Place(copy.upstream, copy.accelerator)
--- a/persimmonhold/placement/_order_issuer.py
+++ b/persimmonhold/placement/_order_issuer.py
@@ -239,15 +239,15 @@
         for move in moves:
             if move.kind is not MoveKind.withdraw:
                 continue
-            copy = self._state.copies.get((
-                move.target,
-                move.version,
-                *move.place,
-            ))
-            if copy is None or copy.state is not CopyState.serving:
+            key = (move.target, move.version, *move.place)
+            copy = self._state.copies.get(key)
+            if copy is None or key in withdrawn:
                 continue
-            if self.withdrawals.may_withdraw(copy, is_in_force, withdrawn):
-                withdrawn.add(copy_key(copy))
+            if (
+                copy.state is CopyState.serving
+                and self.withdrawals.may_withdraw(copy, is_in_force, withdrawn)
+            ):
+                withdrawn.add(key)
                 withdrawing = with_state(copy, CopyState.withdrawing)
                 yield CommitCopy(withdrawing, move.reason)
 
@@ -303,7 +303,7 @@
             if not self.withdrawals.may_withdraw(copy, is_in_force):
                 serving = with_state(copy, CopyState.serving)
                 yield CommitCopy(serving, 'no other copy serves')
-            elif self.withdrawals.is_drained(copy, is_in_force, now):
+            elif self.withdrawals.may_unload(copy, is_in_force, now):
                 yield CommitIntent(unload_order(copy), 'withdrawn')
 
     def _barriers(self) -> Iterator[CommitIntent]:
@@ -334,7 +334,10 @@
             len(self.watches) / _MAX_READS_PER_S,
         )
         for watch in self.watches.values():
-            is_busy = watch.upstream in self.book.queues
+            is_busy = (
+                watch.upstream in self.book.queues
+                or watch.upstream in self.withdrawals.relied_on
+            )
             delay_s = 0 if is_busy or not watch.is_reachable else idle_s
             if watch.wants_reading(now, delay_s):
                 watch.begin_reading(now)
--- a/persimmonhold/placement/_withdrawals.py
+++ b/persimmonhold/placement/_withdrawals.py
@@ -9,7 +9,7 @@
 force as serving at every live entry.
 """
 
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final, TypeAlias, final
 
 from persimmonhold.catalogue import AdapterEntry, Catalogue, ModelEntry
@@ -20,6 +20,7 @@
 
 _MS_PER_S: Final = 1000
 _MARGIN_S: Final = 1.0
+_FRESH_S: Final = 2.0
 InForce: TypeAlias = Callable[[int], bool]
 
 
@@ -28,13 +29,14 @@
     """When copies came into force, and which may be withdrawn."""
 
     __slots__ = (
+        '_beside',
         '_by_target',
-        '_dependents',
         '_in_force_at',
         '_seen',
         '_state',
         '_watches',
         'leaving',
+        'relied_on',
         'withdrawing',
     )
 
@@ -42,10 +44,11 @@
         """Create the record of a leader that has seen no copies yet."""
         self.leaving: frozenset[str] = frozenset()
         self.withdrawing: tuple[Copy, ...] = ()
+        self.relied_on: frozenset[str] = frozenset()
         self._watches = watches
         self._state = PlacementState(0, Catalogue(), {}, {})
         self._by_target: dict[str, list[Copy]] = {}
-        self._dependents: set[tuple[str, str, str]] = set()
+        self._beside: dict[tuple[str, str, str], list[Copy | Order]] = {}
         self._seen: dict[CopyKey, tuple[CopyState, int]] = {}
         self._in_force_at: dict[CopyKey, float] = {}
 
@@ -62,15 +65,20 @@
                 self._in_force_at.pop(key, None)
             self._seen[key] = known
             self._by_target.setdefault(copy.target, []).append(copy)
-        self._dependents = {
-            *_places_of_bases(state.copies.values()),
-            *_places_of_bases(state.orders.values()),
-        }
+        self._beside = _adapters_beside((
+            *state.copies.values(),
+            *state.orders.values(),
+        ))
         self.withdrawing = tuple(
             kept
             for kept in state.copies.values()
             if kept.state is CopyState.withdrawing
         )
+        self.relied_on = frozenset(
+            other.upstream
+            for withdrawn in self.withdrawing
+            for other in self.copies_of(withdrawn.target)
+        )
         for gone in self._in_force_at.keys() - self._seen.keys():
             self._in_force_at.pop(gone)
 
@@ -88,24 +96,50 @@
 
         `withdrawn` names copies whose withdrawal is about to be committed.
         """
+        if self._has_dependents(copy, withdrawn):
+            return False
+        return self._has_replacement(copy, is_in_force, withdrawn=withdrawn)
+
+    def may_unload(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        now: float,
+    ) -> bool:
+        """Tell whether a withdrawing copy is drained and another confirmed.
+
+        Confirmed means ready in an inventory that was just read.
+        """
         if self._has_dependents(copy):
             return False
+        if not self._is_drained(copy, is_in_force, now):
+            return False
+        read_after = now - _FRESH_S
+        return self._has_replacement(copy, is_in_force, read_after=read_after)
+
+    def _has_replacement(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        *,
+        withdrawn: Collection[CopyKey] = (),
+        read_after: float = 0,
+    ) -> bool:
         if self._state.catalogue.find(copy.target) is None:
             return True
         key = copy_key(copy)
         return any(
-            self._serves(other, is_in_force)
+            self._serves(other, is_in_force, read_after)
             for other in self.copies_of(copy.target)
             if copy_key(other) != key and copy_key(other) not in withdrawn
         )
 
-    def is_drained(
+    def _is_drained(
         self,
         copy: Copy,
         is_in_force: InForce,
         now: float,
     ) -> bool:
-        """Tell whether no request can still use a withdrawing copy."""
         key = copy_key(copy)
         if not is_in_force(self._seen[key][1]):
             return False
@@ -115,24 +149,43 @@
             return True
         return now >= in_force_at + self._deadline_s(copy)
 
-    def _serves(self, copy: Copy, is_in_force: InForce) -> bool:
+    def _serves(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        read_after: float,
+    ) -> bool:
         if copy.state is not CopyState.serving:
             return False
         watch = self._watches.get(copy.upstream)
         if watch is None or not watch.is_reachable:
             return False
-        if copy.upstream in self.leaving:
+        if copy.upstream in self.leaving or watch.read_started_at < read_after:
             return False
         if not watch.has_ready(copy.target, copy.version, copy.accelerator):
             return False
         return is_in_force(self._seen[copy_key(copy)][1])
 
-    def _has_dependents(self, copy: Copy) -> bool:
-        """Tell whether adapters beside a copy have no other base there."""
+    def _has_dependents(
+        self,
+        copy: Copy,
+        withdrawn: Collection[CopyKey] | None = None,
+    ) -> bool:
+        """Tell whether adapters beside a copy have no other base there.
+
+        Given the keys in `withdrawn`, adapters that are being withdrawn do
+        not count.
+        """
         place = (copy.upstream, copy.accelerator)
-        if (copy.target, *place) not in self._dependents:
-            return False
-        return not any(
+        beside = self._beside.get((copy.target, *place), ())
+        if withdrawn is not None:
+            beside = [
+                adapter
+                for adapter in beside
+                if copy_key(adapter) not in withdrawn
+                and not _is_withdrawing(adapter)
+            ]
+        return bool(beside) and not any(
             other.version != copy.version
             and (other.upstream, other.accelerator) == place
             for other in self.copies_of(copy.target)
@@ -145,9 +198,19 @@
         return entry.bounds.deadline_ms / _MS_PER_S + _MARGIN_S
 
 
-def _places_of_bases(
+def _is_withdrawing(adapter: Copy | Order) -> bool:
+    if isinstance(adapter, Order):
+        return False
+    return adapter.state is CopyState.withdrawing
+
+
+def _adapters_beside(
     items: Iterable[Copy | Order],
-) -> Iterator[tuple[str, str, str]]:
+) -> dict[tuple[str, str, str], list[Copy | Order]]:
+    """Group adapters by their base and place."""
+    beside: dict[tuple[str, str, str], list[Copy | Order]] = {}
     for adapter in items:
         if adapter.base:
-            yield (adapter.base, adapter.upstream, adapter.accelerator)
+            key = (adapter.base, adapter.upstream, adapter.accelerator)
+            beside.setdefault(key, []).append(adapter)
+    return beside
--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -5,7 +5,7 @@
 rule delivers or drops them.
 """
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 import msgspec
 
@@ -46,6 +46,7 @@
 from persimmonhold.settings import PlacementSettings
 from persimmonhold.standin import EngineMemory
 
+CopyKey: TypeAlias = tuple[str, str, str, str]
 QUARANTINE_S = 5.0
 LOAD_S = 1.0
 SETTINGS = PlacementSettings(
@@ -81,6 +82,7 @@
         self.memory = self.boot()
 
     def boot(self) -> EngineMemory:
+        """Start a new process with empty memory."""
         self.boots += 1
         memory = EngineMemory(f'boot-{self.boots}', dict(self.capacity))
         memory.checks_fencing = self.checks_fencing
@@ -89,6 +91,7 @@
         return memory
 
     def ready(self, target: str) -> bool:
+        """Tell whether a target is served."""
         return self.is_up and self.memory.serves(target)
 
 
@@ -99,7 +102,7 @@
         self.now = 1000.0
         self.machine = ControlMachine()
         self.network: list[Message] = []
-        self.views: list[dict[tuple[str, str, str, str], Copy]] = [{}]
+        self.views: list[dict[CopyKey, Copy]] = [{}]
         self.view_index = 0
         self.leadership = 0
         self.deposed: list[Message] = []
@@ -108,10 +111,10 @@
         self.unsure_next = False
         self.late_commits: list[Order] = []
         self.demand: dict[str, float] = {}
-        self.unload_at: dict[int, float] = {}
+        self.committed_at: dict[int, float] = {}
         self.overcommits = 0
-        for entry in entries:
-            self.put(entry)
+        for catalogued in entries:
+            self.put(catalogued)
         self.engines = {
             entry.name: FakeEngine(entry)
             for entry in entries
@@ -120,6 +123,7 @@
         self.leader = self.elect()
 
     def put(self, entry: CatalogueEntry) -> None:
+        """Put a catalogue entry."""
         catalogue = self.machine.state.catalogue
         self.commit(
             PutEntry(
@@ -133,10 +137,14 @@
         )
 
     def commit(self, command: Command) -> None:
+        """Apply a command to the log."""
         self.machine.apply(self.machine.state.index + 1, command)
+        if isinstance(command, RecordIntent):
+            self.committed_at[self.machine.state.index] = self.now
         self.views.append(dict(self.machine.state.copies))
 
     def state(self) -> PlacementState:
+        """Return the committed state."""
         state = self.machine.state
         return PlacementState(
             state.index,
@@ -147,9 +155,7 @@
 
     def elect(self) -> PlacementLeader:
         """Depose the leader; what it was sending it may still send."""
-        for order in self.late_commits:
-            self.commit(RecordIntent(at_ms=0, order=order))
-        self.late_commits = []
+        self._commit_late()
         self.deposed = [
             Message(order, self.leadership, self.now)
             for order in self.machine.state.orders.values()
@@ -159,15 +165,17 @@
         return self.leader
 
     def is_in_force(self, index: int) -> bool:
+        """Tell whether every entry follows up to an index."""
         return index <= self.view_index
 
     def step(self, elapsed_s: float, *, lag: bool = False) -> None:
         """Let time pass and run one round of the leader."""
         self.now += elapsed_s
-        for order in self.late_commits:
-            self.commit(RecordIntent(at_ms=0, order=order))
-        self.late_commits = []
+        self._commit_late()
         self._expire_messages()
+        for each in self.engines.values():
+            if each.work and self.now >= each.work[0][1] + QUARANTINE_S / 2:
+                self.begin(each)
         if not lag:
             self.view_index = self.machine.state.index
         self.leader.adopt(self.state(), self.now)
@@ -187,6 +195,7 @@
         )
 
     def perform(self, actions: tuple[Action, ...]) -> None:
+        """Do what the leader asked for."""
         for action in actions:
             match action:
                 case CommitIntent():
@@ -237,6 +246,7 @@
             self.fail(message)
 
     def fail(self, message: Message) -> None:
+        """Tell the leader that an attempt had no answer."""
         if message.leadership == self.leadership:
             fence = message.order.fence
             self.leader.issuer.order_failed(fence, self.now, delivered=True)
@@ -268,13 +278,13 @@
                     ),
                 )
 
-    def restart(self, engine: FakeEngine, *, keep: bool) -> None:
+    def restart(self, name: str, *, keep: bool) -> None:
         """Restart an engine, which forgets the numbers it has taken.
 
         Connections to the former process are gone. An engine that keeps its
         memory is out of reach of deposed leaders (see the design note).
         """
-        name = next(n for n, e in self.engines.items() if e is engine)
+        engine = self.engines[name]
         items = dict(engine.memory.items)
         self.overcommits += engine.memory.overcommitted
         engine.memory = engine.boot()
@@ -297,6 +307,7 @@
             ]
 
     def overcommitted(self) -> int:
+        """Count the overcommits ever seen."""
         return self.overcommits + sum(
             engine.memory.overcommitted for engine in self.engines.values()
         )
@@ -333,11 +344,11 @@
             if copy.state is CopyState.serving
             and self.engines[copy.upstream].ready(copy.target)
         }
-        return all(
-            (entry.name, entry.version) in serving
-            for kind in (ModelEntry, AdapterEntry)
-            for entry in state.catalogue.of_type(kind)
-        )
+        entries: list[ModelEntry | AdapterEntry] = [
+            *state.catalogue.of_type(ModelEntry),
+            *state.catalogue.of_type(AdapterEntry),
+        ]
+        return all((each.name, each.version) in serving for each in entries)
 
     def heal(self, rounds: int) -> bool:
         """End all faults; tell whether the system settles."""
@@ -356,6 +367,11 @@
                 return True
         return False
 
+    def _commit_late(self) -> None:
+        for order in self.late_commits:
+            self.commit(RecordIntent(at_ms=0, order=order))
+        self.late_commits = []
+
     def _commit_intent(self, action: CommitIntent) -> None:
         if self.unsure_next:
             self.unsure_next = False
@@ -363,7 +379,6 @@
             self.late_commits.append(action.order)
             return
         self.commit(RecordIntent(at_ms=0, order=action.order))
-        self.unload_at[self.machine.state.index] = self.now
 
     def _send(self, order: Order) -> None:
         assert order.fence in self.machine.state.orders
@@ -406,7 +421,7 @@
             and (copy.upstream, copy.version, copy.accelerator)
             != (order.upstream, order.version, order.accelerator)
         )
-        committed_at = self.unload_at.get(order.fence, self.now)
+        committed_at = self.committed_at.get(order.fence, self.now)
         assert any(
             self.engines[copy.upstream].ready(order.target)
             or self.engines[copy.upstream].disturbed_at >= committed_at - 3
--- a/tests/test_placement_orders.py
+++ b/tests/test_placement_orders.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-import hypothesis.strategies as st
 from hypothesis import settings
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
@@ -45,10 +45,12 @@
 
     @rule(elapsed=st.sampled_from([0.1, 0.5, 1.0, 3.0]), lag=st.booleans())
     def run_round(self, elapsed: float, lag: bool) -> None:
+        """Run one round; entries may lag behind."""
         self.world.step(elapsed, lag=lag)
 
     @rule(rounds=st.integers(1, 25))
     def run_calmly(self, rounds: int) -> None:
+        """Run rounds without faults."""
         for _ in range(rounds):
             self.world.step(0.5)
             while self.world.network:
@@ -57,15 +59,17 @@
                 self.world.begin(each)
                 self.world.complete(each)
 
-    @precondition(lambda self: self.world.network)
+    @precondition(lambda machine: machine.world.network)
     @rule(position=st.integers(0, 9), answers=st.booleans())
     def deliver(self, position: int, answers: bool) -> None:
+        """Deliver any message: reordered, late, or with its answer lost."""
         count = len(self.world.network)
         self.world.deliver(position % count, answers=answers)
 
-    @precondition(lambda self: self.world.network)
+    @precondition(lambda machine: machine.world.network)
     @rule(position=st.integers(0, 9), arrives_later=st.booleans())
     def time_out(self, position: int, arrives_later: bool) -> None:
+        """End an attempt; its message is lost or arrives later."""
         world = self.world
         message = world.network.pop(position % len(world.network))
         world.fail(message)
@@ -74,16 +78,19 @@
 
     @rule(name=st.sampled_from(_NAMES), part=st.sampled_from(['all', 'begin']))
     def engine_works(self, name: str, part: str) -> None:
+        """Let an engine begin or finish what it accepted."""
         self.world.begin(self.world.engines[name])
         if part == 'all':
             self.world.complete(self.world.engines[name])
 
     @rule(name=st.sampled_from(_NAMES), keep=st.booleans())
     def restart(self, name: str, keep: bool) -> None:
-        self.world.restart(self.world.engines[name], keep=keep)
+        """Restart an engine, empty or with leftovers."""
+        self.world.restart(name, keep=keep)
 
     @rule(name=st.sampled_from(_NAMES))
     def lose_engine(self, name: str) -> None:
+        """Cut one engine off and bring the others back."""
         for each in self.world.engines.values():
             self._bring_up(each)
         self.world.engines[name].is_up = False
@@ -91,33 +98,40 @@
 
     @rule()
     def change_leader(self) -> None:
+        """Elect another leader."""
         self.world.elect()
 
-    @precondition(lambda self: self.world.deposed)
+    @precondition(lambda machine: machine.world.deposed)
     @rule(position=st.integers(0, 9))
     def deposed_leader_sends(self, position: int) -> None:
+        """Let the former leader send what it had."""
         deposed = self.world.deposed
         self.world.network.append(deposed[position % len(deposed)])
 
     @rule()
     def commit_without_answer(self) -> None:
+        """Commit the next intent with an unknown result."""
         self.world.unsure_next = True
 
     @rule(name=st.sampled_from(_MODELS), size=st.integers(20, 40))
     def upgrade(self, name: str, size: int) -> None:
+        """Catalogue a new version of another size."""
         self.versions += 1
         self.world.put(model(name, size, str(self.versions)))
 
     @rule(name=st.sampled_from(_MODELS), work=st.sampled_from([0.0, 0.5, 2.0]))
     def shift_demand(self, name: str, work: float) -> None:
+        """Change the demand for a model."""
         self.world.demand[name] = work
 
     @invariant()
     def memory_is_never_overcommitted(self) -> None:
+        """No engine ever held more than it has."""
         assert not self.world.overcommitted()
 
     @invariant()
     def weight_store_keeps_its_pace(self) -> None:
+        """Loads keep the limits, across leaders too."""
         assert self.world.model_loads_in_flight() <= SETTINGS.loads_at_once
         sends = self.world.load_sends
         limit = int(SETTINGS.loads_per_second)
@@ -125,6 +139,7 @@
             assert last >= first + 1
 
     def teardown(self) -> None:
+        """End all faults: the system settles."""
         assert self.world.heal(rounds=400)
         assert not self.world.overcommitted()
 
