Drive placement from the shell: concurrent sends, closed connections, one leadership at a time

Whether the host leads is asked again between an opened connection and the first byte. ORDERS counts outcomes; each order is logged at each stage.

--- a/persimmonhold/control/shell/_placement_host.py
+++ b/persimmonhold/control/shell/_placement_host.py
@@ -21,6 +21,11 @@
     def leads(self) -> bool:
         """Tell whether orders may be sent: leader with a valid lease."""
 
+    @property
+    def term(self) -> int:
+        """The number of the present leadership; it rises with each one."""
+        return 0
+
     @property
     @abc.abstractmethod
     def state(self) -> ControlState:
--- /dev/null
+++ b/persimmonhold/control/shell/_placement_round.py
@@ -0,0 +1,258 @@
+"""Performs the actions of one leadership.
+
+Commits are awaited, sends and reads run beside the rounds: at most one each
+for an engine and a bounded number in all. Planning takes at most a tenth of
+the loop's time, however large the system is.
+"""
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+from typing import Final, final
+
+from returns.result import Failure as Failed
+
+from persimmonhold.catalogue import UpstreamEntry
+from persimmonhold.control.machine import (
+    Command,
+    CommandStatus,
+    RecordCopy,
+    RecordIntent,
+    RecordOrderEnd,
+)
+from persimmonhold.control.shell._placement_engine_link import (
+    PlacementEngineLink,
+)
+from persimmonhold.control.shell._placement_host import PlacementHost
+from persimmonhold.failures import FailureKind
+from persimmonhold.messages import Order
+from persimmonhold.observability import LogLevel, Metrics, log_event, metric
+from persimmonhold.placement import (
+    Action,
+    CommitCopy,
+    CommitEnd,
+    CommitIntent,
+    PlacementLeader,
+    PlacementState,
+    ReadInventory,
+    SendOrder,
+)
+from persimmonhold.web import Address, parse_address
+
+_MAX_EXCHANGES: Final = 64
+_MS_PER_S: Final = 1000
+_REST_PER_PLANNING: Final = 10
+_NOT_WRITTEN: Final = frozenset((
+    FailureKind.connect_failed,
+    FailureKind.not_leader,
+))
+_NOT_COMMITTED: Final = frozenset((
+    FailureKind.not_leader,
+    FailureKind.overloaded,
+    FailureKind.refused,
+))
+
+
+@final
+class PlacementRound:
+    """The tasks and commits of one leadership."""
+
+    __slots__ = (
+        '_exchanges',
+        '_host',
+        '_leader',
+        '_link',
+        '_metrics',
+        '_plan_at',
+        '_tasks',
+    )
+
+    def __init__(
+        self,
+        host: PlacementHost,
+        leader: PlacementLeader,
+        metrics: Metrics,
+    ) -> None:
+        """Create the rounds of a leadership that has begun."""
+        self._host = host
+        self._leader = leader
+        self._link = PlacementEngineLink(lambda: host.leads)
+        self._metrics = metrics
+        self._exchanges = asyncio.Semaphore(_MAX_EXCHANGES)
+        self._plan_at: float = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Follow the orders, then plan."""
+        leader = self._leader
+        loop = asyncio.get_running_loop()
+        leader.adopt(placement_state(self._host), loop.time())
+        actions = leader.poll(self._host.is_in_force, loop.time())
+        await self._perform(actions)
+        leader.adopt(placement_state(self._host), loop.time())
+        if loop.time() >= self._plan_at:
+            await self._plan()
+
+    def close(self) -> None:
+        """Cancel the exchanges, which closes their connections."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _plan(self) -> None:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        moves = self._leader.plan(
+            self._host.demand(),
+            self._host.is_in_force,
+            began_at,
+            self._host.now_ms() / _MS_PER_S,
+        )
+        spent_s = loop.time() - began_at
+        self._plan_at = loop.time() + spent_s * _REST_PER_PLANNING
+        await self._perform(moves)
+
+    async def _perform(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case CommitIntent():
+                    await self._commit_intent(action)
+                case CommitEnd():
+                    await self._commit_end(action)
+                case CommitCopy():
+                    await self._commit_copy(action)
+                case SendOrder():
+                    self._start(self._send(action.order))
+                case ReadInventory():
+                    self._start(self._read(action.upstream))
+
+    async def _commit_intent(self, action: CommitIntent) -> None:
+        command = RecordIntent(
+            at_ms=self._host.now_ms(),
+            order=action.order,
+            reason=action.reason,
+        )
+        proposed = await self._host.propose(command)
+        if isinstance(proposed, Failed):
+            kind = proposed.failure().kind
+            if kind not in _NOT_COMMITTED:
+                self._leader.issuer.book.unsure.append(action.order)
+            return
+        _log_order('order intended', action.order, action.reason)
+
+    async def _commit_end(self, action: CommitEnd) -> None:
+        command = RecordOrderEnd(
+            at_ms=self._host.now_ms(),
+            fence=action.fence,
+            outcome=action.outcome,
+        )
+        progress = self._leader.issuer.book.progress.get(action.fence)
+        if await self._is_committed(command) and progress is not None:
+            _log_order('order ended', progress.order, action.outcome.value)
+            self._metrics.increment(
+                metric.ORDERS,
+                kind=progress.order.kind.value,
+                outcome=action.outcome.value,
+            )
+
+    async def _commit_copy(self, action: CommitCopy) -> None:
+        command = RecordCopy(
+            at_ms=self._host.now_ms(),
+            copy=action.copy,
+            gone=action.gone,
+        )
+        if await self._is_committed(command):
+            log_event(
+                'copy gone' if action.gone else 'copy changed',
+                target=action.copy.target,
+                version=action.copy.version,
+                upstream=action.copy.upstream,
+                state=action.copy.state.value,
+                reason=action.reason,
+            )
+
+    async def _is_committed(self, command: Command) -> bool:
+        proposed = await self._host.propose(command)
+        if isinstance(proposed, Failed):
+            return False
+        return proposed.unwrap().status is CommandStatus.done
+
+    def _start(self, exchange: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(exchange)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, order: Order) -> None:
+        loop = asyncio.get_running_loop()
+        issuer = self._leader.issuer
+        peer = self._address(order.upstream)
+        if peer is None:
+            issuer.order_failed(order.fence, loop.time(), delivered=False)
+            return
+        async with self._exchanges:
+            answered = await self._link.send(peer, order)
+        if isinstance(answered, Failed):
+            failure = answered.failure()
+            delivered = failure.kind not in _NOT_WRITTEN
+            issuer.order_failed(order.fence, loop.time(), delivered=delivered)
+            log_event(
+                'order not answered',
+                LogLevel.warning,
+                fence=order.fence,
+                failure=failure.describe(),
+            )
+            return
+        answer = answered.unwrap()
+        issuer.order_answered(order.fence, answer.outcome, loop.time())
+        _log_order('order answered', order, answer.outcome.value)
+
+    async def _read(self, upstream: str) -> None:
+        loop = asyncio.get_running_loop()
+        peer = self._address(upstream)
+        if peer is None:
+            self._leader.issuer.read_failed(upstream, loop.time())
+            return
+        async with self._exchanges:
+            self._leader.issuer.reading_began(upstream, loop.time())
+            inventory = await self._link.read_inventory(peer)
+            if isinstance(inventory, Failed):
+                self._leader.issuer.read_failed(upstream, loop.time())
+                return
+            self._leader.issuer.inventory_read(
+                upstream,
+                inventory.unwrap(),
+                loop.time(),
+            )
+            started_at = loop.time()
+            report = await self._link.read_load(peer)
+        if not isinstance(report, Failed):
+            self._leader.load_read(upstream, report.unwrap(), started_at)
+
+    def _address(self, upstream: str) -> Address | None:
+        entry = self._host.state.catalogue.find(upstream)
+        if not isinstance(entry, UpstreamEntry):
+            return None
+        return parse_address(entry.address).value_or(None)
+
+
+def placement_state(host: PlacementHost) -> PlacementState:
+    """Return the applied state as placement takes it."""
+    state = host.state
+    return PlacementState(
+        state.index,
+        state.catalogue,
+        dict(state.copies),
+        dict(state.orders),
+    )
+
+
+def _log_order(event: str, order: Order, detail: str) -> None:
+    log_event(
+        event,
+        fence=order.fence,
+        kind=order.kind.value,
+        upstream=order.upstream,
+        accelerator=order.accelerator,
+        target=order.target,
+        version=order.version,
+        memory_bytes=order.memory_bytes,
+        detail=detail,
+    )
--- a/persimmonhold/placement/_judge.py
+++ b/persimmonhold/placement/_judge.py
@@ -25,12 +25,18 @@
     return _judge_load(progress, watch, quarantine_s)
 
 
-def wants_barrier(progress: OrderProgress, watch: EngineWatch) -> bool:
-    """Tell whether a higher number has to rule out a doubtful order."""
+def wants_barrier(
+    progress: OrderProgress,
+    watch: EngineWatch,
+    quarantine_s: float,
+) -> bool:
+    """Tell whether a higher number has to rule out an order."""
     if not watch.checks_fencing or progress.outcome is None:
         return False
     if progress.order.kind is OrderKind.unload:
         return False
+    if watch.read_started_at < progress.closed_at + quarantine_s:
+        return False
     is_absent = watch.find(progress.order) is None
     return is_absent and watch.highest_fence <= progress.order.fence
 
--- a/persimmonhold/placement/_order_issuer.py
+++ b/persimmonhold/placement/_order_issuer.py
@@ -166,17 +166,17 @@
             for progress in self.book.queues.get(upstream, ()):
                 progress.forget_answer(now)
 
-    def read_failed(self, upstream: str, now: float) -> None:
-        """Take the failure of a reading."""
+    def reading_began(self, upstream: str, now: float) -> None:
+        """Note that a reading that had to wait has really started."""
         watch = self.watches.get(upstream)
         if watch is not None:
-            watch.note_failure(now)
+            watch.begin_reading(now)
 
-    def note_idle(self, upstream: str, at: float) -> None:
-        """Note that an engine had nothing to run at a time."""
+    def read_failed(self, upstream: str, now: float) -> None:
+        """Take the failure of a reading."""
         watch = self.watches.get(upstream)
         if watch is not None:
-            watch.idle_at = max(watch.idle_at, at)
+            watch.note_failure(now)
 
     def _watch_engines(self, catalogue: Catalogue) -> None:
         if catalogue.revision == self._watched_revision:
@@ -321,7 +321,7 @@
         wanted = [
             progress.order.fence
             for progress in queue
-            if wants_barrier(progress, watch)
+            if wants_barrier(progress, watch, self._quarantine_s)
         ]
         if not watch.is_settled(self._quarantine_s):
             wanted.append(watch.boot_floor)
--- a/persimmonhold/placement/_placement_leader.py
+++ b/persimmonhold/placement/_placement_leader.py
@@ -54,9 +54,10 @@
     ) -> None:
         """Take a load report whose reading began at a time."""
         self._reports[upstream] = report
-        if report.running == 0 and report.waiting == 0:
+        watch = self.issuer.watches.get(upstream)
+        if watch and report.running == 0 and report.waiting == 0:
             made_at = started_at - report.age_ms / _MS_PER_S
-            self.issuer.note_idle(upstream, made_at)
+            watch.idle_at = max(watch.idle_at, made_at)
 
     def poll(self, is_in_force: InForce, now: float) -> tuple[Action, ...]:
         """Return what follows from orders and observations."""
--- a/persimmonhold/placement/_reconcile.py
+++ b/persimmonhold/placement/_reconcile.py
@@ -33,18 +33,18 @@
     watch: EngineWatch,
     explained: Collection[CopyKey],
 ) -> Iterator[CommitCopy | CommitIntent]:
-    """Adopt held items that no copy or order explains, or remove them."""
+    """Adopt held items that no copy or order explains, or remove them.
+
+    Another version of what is catalogued may be all that serves: it is
+    adopted too, and leaves as a copy of an older version does.
+    """
     for held in watch.held.values():
         key = (held.target, held.version, watch.upstream, held.accelerator)
         if key in explained or held.residency is not Residency.ready:
             continue
         copy = _stray_copy(catalogue, watch.upstream, held)
         entry = catalogue.find(held.target)
-        is_wanted = (
-            isinstance(entry, (ModelEntry, AdapterEntry))
-            and entry.version == held.version
-        )
-        if is_wanted:
+        if isinstance(entry, (ModelEntry, AdapterEntry)):
             yield CommitCopy(copy, 'found in the inventory')
         else:
             yield CommitIntent(unload_order(copy), 'not catalogued')
--- /dev/null
+++ b/tests/test_placement_runner.py
@@ -0,0 +1,113 @@
+"""The runner of placement against stand-in engines on loopback."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength
+
+from persimmonhold.cli import DevSystem
+from persimmonhold.control.shell._placement_engine_link import (
+    PlacementEngineLink,
+)
+from persimmonhold.failures import FailureKind
+from persimmonhold.messages import CopyState, Order, OrderKind
+from persimmonhold.standin import EngineHandler, EngineMemory
+from persimmonhold.standin._faults import Faults
+from persimmonhold.web import Address
+
+_ANY_PORT = Address('127.0.0.1', 0)
+_TARGETS = frozenset(('tutor', 'reviewer', 'tutor-harness'))
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> DevSystem:
+    return DevSystem(tmp_path, _ANY_PORT, _ANY_PORT)
+
+
+def _engines(system: DevSystem) -> list[EngineHandler]:
+    handlers = (standin.handler for standin in system.standins.values())
+    return [each for each in handlers if isinstance(each, EngineHandler)]
+
+
+def _all_serve(system: DevSystem) -> bool:
+    """Tell whether all targets serve, on record and in memory."""
+    state = system.node.state
+    recorded = {
+        copy.target
+        for copy in state.copies.values()
+        if copy.state is CopyState.serving
+    }
+    held = {
+        target
+        for handler in _engines(system)
+        for target in _TARGETS
+        if handler.memory.serves(target)
+    }
+    return recorded & held >= _TARGETS and not state.orders
+
+
+async def _await_all(system: DevSystem) -> None:
+    while not _all_serve(system):
+        await system.link.changed.wait()
+        await asyncio.sleep(0)
+
+
+def test_lost_orders_are_resent_until_all_models_serve(
+    system: DevSystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            for handler in _engines(system):
+                handler.faults = Faults(order_loss=0.5, order_delay_ms=20)
+            await _await_all(system)
+
+    asyncio.run(scenario())
+    memories = [handler.memory for handler in _engines(system)]
+    assert_that([each.overcommitted for each in memories], Equals([0, 0]))
+
+
+def test_engines_that_restart_empty_are_filled_again(
+    system: DevSystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            await _await_all(system)
+            for handler in _engines(system):
+                handler.memory = EngineMemory(
+                    'second boot',
+                    handler.memory.capacity_bytes,
+                )
+            await _await_all(system)
+
+    asyncio.run(scenario())
+    loads = sum(handler.memory.loads for handler in _engines(system))
+    assert_that(loads, GreaterThan(len(_TARGETS) - 1))
+
+
+def test_deposed_leader_writes_no_order(system: DevSystem) -> None:
+    order = Order(
+        fence=10_000,
+        kind=OrderKind.load,
+        upstream='engine-1',
+        accelerator='a0',
+        target='tutor',
+        version='9',
+        memory_bytes=1,
+    )
+
+    async def scenario() -> FailureKind:
+        async with system:
+            peer = system.standins['engine-1'].address
+            link = PlacementEngineLink(bool)
+            return (await link.send(peer, order)).failure().kind
+
+    assert_that(asyncio.run(scenario()), Equals(FailureKind.not_leader))
+    strays = [
+        held
+        for handler in _engines(system)
+        for held in handler.memory.items.values()
+        if held.version == '9'
+    ]
+    assert_that(strays, HasLength(0))
