Admission bench in virtual time; batch takes its share of free places

Cause: with nine entries each stopped one batch request for every report that showed waiting requests, and all filled the same free places. Change: batch requests spend credits that are the entry's share of reported free places; a report of waiting work is answered with the entry's share, rounded at random; urgent work stops batch only where no place comes free in 0.3 of the first-token bound.

--- /dev/null
+++ b/bench/admission.py
@@ -0,0 +1,87 @@
+"""Attainment by class under load, against two plain routers.
+
+Run `python -m bench.admission --seed N`. Each figure is the mean over
+`--repeats` seeds from N on, with the lowest and the highest. What the fakes
+leave out is told in `bench.routing_fakes`.
+"""
+
+import argparse
+import pathlib
+import statistics
+from typing import Any, Final
+
+import msgspec
+
+from bench.routing_world import (
+    POLICIES,
+    Outcome,
+    Scenario,
+    Workload,
+    run,
+)
+
+_LOADS: Final = (0.5, 0.8, 1.0, 1.5, 3.0)
+_REPEATS: Final = 5
+_SECONDS: Final = 40.0
+_COLUMNS: Final = ('interactive', 'check', 'batch', 'goodput', 'preempted')
+
+
+def main() -> None:
+    """Run all loads and policies."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--repeats', type=int, default=_REPEATS)
+    parser.add_argument('--seconds', type=float, default=_SECONDS)
+    parser.add_argument('--loads', default=','.join(map(str, _LOADS)))
+    parser.add_argument('--policies', default=','.join(POLICIES))
+    parser.add_argument('--output', default='')
+    options = parser.parse_args()
+    rows: list[dict[str, Any]] = []
+    print('load', 'policy', *_COLUMNS)
+    for load in map(float, options.loads.split(',')):
+        for policy in options.policies.split(','):
+            row = _measure(load, policy, options)
+            rows.append(row)
+            print(load, policy, *(_cell(row[name]) for name in _COLUMNS))
+    if options.output:
+        document = {'seed': options.seed, 'rows': rows}
+        encoded = msgspec.json.encode(document)
+        pathlib.Path(options.output).write_bytes(encoded)
+
+
+def _measure(
+    load: float,
+    policy: str,
+    options: argparse.Namespace,
+) -> dict[str, Any]:
+    workload = Workload(seconds=options.seconds)
+    outcomes = [
+        run(Scenario(policy=policy, load=load, seed=seed, workload=workload))
+        for seed in range(options.seed, options.seed + options.repeats)
+    ]
+    row: dict[str, Any] = {'load': load, 'policy': policy}
+    for name in _COLUMNS:
+        row[name] = spread([_value(outcome, name) for outcome in outcomes])
+    row['refused'] = [outcome.refused for outcome in outcomes]
+    return row
+
+
+def spread(values: list[float]) -> tuple[float, float, float]:
+    """Return mean, lowest and highest."""
+    return statistics.fmean(values), min(values), max(values)
+
+
+def _value(outcome: Outcome, name: str) -> float:
+    if name == 'goodput':
+        return outcome.goodput
+    if name == 'preempted':
+        return outcome.preemptions
+    return outcome.attainment[name]
+
+
+def _cell(value: tuple[float, float, float]) -> str:
+    return f'{value[0]:.3f} ({value[1]:.3f}-{value[2]:.3f})'
+
+
+if __name__ == '__main__':
+    main()
--- a/persimmonhold/admission/_dispatcher.py
+++ b/persimmonhold/admission/_dispatcher.py
@@ -83,7 +83,7 @@
         self._meter = DemandMeter(settings.demand_period_s)
         self._room = WaitingRoom(settings)
         self._usage = Usage(settings)
-        self._launcher = Launcher(router, settings)
+        self._launcher = Launcher(router, settings, source)
         self._forecast = Forecast(router, self._room, settings)
         self._pending: dict[str, Pending] = {}
         self._sequence = 0
--- a/persimmonhold/admission/_dispatcher_settings.py
+++ b/persimmonhold/admission/_dispatcher_settings.py
@@ -16,6 +16,7 @@
     caller_buckets: int = 64
     loading_hold_s: float = 10.0
     absent_hold_s: float = 2.0
+    batch_reserve: float = 0.1
     batch_aging_s: float = 20.0
     batch_turn: int = 16
     max_preemptions: int = 3
@@ -24,6 +25,8 @@
     limit_decrease: float = 0.8
     limit_bound_share: float = 0.8
     upstream_wait_share: float = 0.5
+    preemption_wait_share: float = 0.3
+    yield_wait_s: float = 0.15
     limit_window_s: float = 1.0
     pump_interval_s: float = 0.05
     retry_after_max_s: float = 60.0
--- a/persimmonhold/admission/_launcher.py
+++ b/persimmonhold/admission/_launcher.py
@@ -6,8 +6,10 @@
 its count until its attempt has ended.
 """
 
+import random
 from typing import Final, final
 
+from persimmonhold.admission._batch_gaps import BatchGaps
 from persimmonhold.admission._dispatch import Dispatch
 from persimmonhold.admission._dispatch_action import DispatchAction
 from persimmonhold.admission._dispatcher_settings import DispatcherSettings
@@ -25,18 +27,24 @@
 )
 
 _MS_PER_S: Final = 1000
-_GAP_TRIES: Final = 3
 
 
 @final
 class Launcher:
     """The attempts under way and the limits on them."""
 
-    __slots__ = ('_router', '_settings', 'uses')
+    __slots__ = ('_gaps', '_random', '_router', '_settings', 'uses')
 
-    def __init__(self, router: Router, settings: DispatcherSettings) -> None:
+    def __init__(
+        self,
+        router: Router,
+        settings: DispatcherSettings,
+        source: random.Random,
+    ) -> None:
         """Create a launcher with nothing in flight."""
         self.uses = UpstreamUses(settings)
+        self._gaps = BatchGaps(router, self.uses, settings, source)
+        self._random = source
         self._router = router
         self._settings = settings
 
@@ -69,7 +77,7 @@
         """Send a request; stop a batch request that is in its way."""
         urgent = is_due or not pending.is_batch
         actions: list[DispatchAction] = []
-        if urgent and self._lacks_place(route.upstream, now):
+        if urgent and self._must_preempt(pending, route.upstream, now):
             actions.extend(self._stop_batch(route.upstream, 1))
         slots = self._router.slots(route.upstream)
         pending.attempt = self._router.attempt_started(
@@ -79,6 +87,8 @@
         )
         pending.state = PendingState.running
         self.uses.add(pending, route.upstream, slots)
+        if not urgent:
+            self._gaps.fill(route.upstream)
         rank = pending.ticket.service_class.rank
         if is_due:
             pending.is_protected = True
@@ -117,6 +127,7 @@
         elif pending.ticket.is_service:
             self.uses.judge(upstream, now, in_time=True)
         self.uses.remove(pending, upstream)
+        self._gaps.free(upstream)
         return upstream
 
     def yield_places(self) -> list[DispatchAction]:
@@ -132,14 +143,15 @@
 
     def _find_gap(self, pending: Pending, now: float) -> Route | None:
         full = self.uses.full(for_batch=True)
-        for _ in range(_GAP_TRIES):
-            route = self._router.choose(route_request(pending, full), now)
-            if route is None or pending.ticket.is_service:
-                return route
-            if self._router.wait_ms(route.upstream, now) <= 0:
-                return route
-            full |= {route.upstream}
-        return None
+        if not pending.ticket.is_service:
+            names = self._router.sites_in_use(pending.ticket.target)
+            closed = {
+                name for name in names if not self._gaps.has_one(name, now)
+            }
+            if len(closed) == len(names):
+                return None
+            full |= closed
+        return self._router.choose(route_request(pending, full), now)
 
     def _is_backed_up(
         self, pending: Pending, upstream: str, now: float
@@ -156,13 +168,19 @@
         permitted_ms = pending.ticket.bounds.first_token_ms * share
         return self._router.wait_ms(upstream, now) > permitted_ms
 
-    def _lacks_place(self, upstream: str, now: float) -> bool:
+    def _must_preempt(
+        self,
+        pending: Pending,
+        upstream: str,
+        now: float,
+    ) -> bool:
+        """Tell whether a place would not come free soon enough by itself."""
         use = self.uses.by_name.get(upstream)
         if use is None or not use.batch:
             return False
-        if use.is_full(for_batch=True):
-            return True
-        return self._router.wait_ms(upstream, now) > 0
+        share = self._settings.preemption_wait_share
+        permitted_ms = pending.ticket.bounds.first_token_ms * share
+        return self._router.wait_ms(upstream, now) > permitted_ms
 
     def _stop_batch(self, upstream: str, count: int) -> list[DispatchAction]:
         use = self.uses.by_name[upstream]
@@ -187,8 +205,12 @@
         if state.load.made_at <= use.yielded_to:
             return []
         use.yielded_to = state.load.made_at
+        ends_per_s = report.slots / state.load.residence_s
+        permitted = ends_per_s * self._settings.yield_wait_s
         share = len(use.batch) / max(1, report.running)
-        return self._stop_batch(upstream, max(1, round(report.waiting * share)))
+        lacking = report.running + report.waiting - report.slots
+        excess = (lacking - permitted) * share
+        return self._stop_batch(upstream, int(excess + self._random.random()))
 
 
 def route_request(pending: Pending, full: frozenset[str]) -> RouteRequest:
--- a/persimmonhold/admission/_upstream_use.py
+++ b/persimmonhold/admission/_upstream_use.py
@@ -12,15 +12,26 @@
     """Requests in flight by id, and the adaptive limit on them.
 
     `urgent` counts those that are not batch; `batch` holds the batch
-    requests in the order of their start.
+    requests in the order of their start. `credits` is this entry's share of
+    the free places in the report made at `credit_at`; batch requests spend
+    it, and each own end earns one.
     """
 
-    __slots__ = ('batch', 'limit', 'urgent', 'yielded_to')
+    __slots__ = (
+        'batch',
+        'credit_at',
+        'credits',
+        'limit',
+        'urgent',
+        'yielded_to',
+    )
 
     def __init__(self, limit: ConcurrencyLimit) -> None:
         """Create the use of an upstream with nothing in flight."""
         self.limit = limit
         self.urgent = 0
+        self.credits = 0
+        self.credit_at = float('-inf')
         self.batch: dict[str, Pending] = {}
         self.yielded_to = float('-inf')
 
--- a/persimmonhold/admission/_upstream_uses.py
+++ b/persimmonhold/admission/_upstream_uses.py
@@ -39,8 +39,8 @@
         """Return the upstreams that take no more of such work."""
         return self._full_for_batch if for_batch else self._full_for_urgent
 
-    def add(self, pending: Pending, upstream: str, slots: int) -> UpstreamUse:
-        """Count a request that is sent to an upstream of so many slots."""
+    def use_of(self, upstream: str, slots: int) -> UpstreamUse:
+        """Return the use of an upstream, made where it is the first."""
         use = self.by_name.get(upstream)
         if use is None:
             ceiling = float(_CEILING_BATCHES * slots)
@@ -48,9 +48,13 @@
             limit = ConcurrencyLimit(initial, ceiling, self._settings)
             use = UpstreamUse(limit)
             self.by_name[upstream] = use
+        return use
+
+    def add(self, pending: Pending, upstream: str, slots: int) -> None:
+        """Count a request that is sent to an upstream of so many slots."""
+        use = self.use_of(upstream, slots)
         use.add(pending)
         self._refresh(upstream, use)
-        return use
 
     def remove(self, pending: Pending, upstream: str) -> None:
         """Stop counting a request."""
--- a/persimmonhold/routing/_router.py
+++ b/persimmonhold/routing/_router.py
@@ -163,6 +163,21 @@
         state = self.states.get(upstream)
         return state.load.slots if state else self._settings.default_slots
 
+    def sites_in_use(self, target: str) -> list[str]:
+        """Return the upstreams of the entry's subset for a target."""
+        subset = self._subsets.get(target)
+        return [_name(site) for site in subset.sites] if subset else []
+
+    def reported_at(self, upstream: str) -> float:
+        """Return when the last load report of an upstream was made."""
+        state = self.states.get(upstream)
+        return state.load.made_at if state else float('-inf')
+
+    def occupancy(self, upstream: str, now: float) -> int:
+        """Return the believed number of requests at an upstream."""
+        state = self.states.get(upstream)
+        return state.load.occupancy(now) if state else 0
+
     def wait_ms(self, upstream: str, now: float) -> float:
         """Return the believed wait for a place at an upstream."""
         state = self.states.get(upstream)
