--- a/persimmonhold/cli/_commands.py
+++ b/persimmonhold/cli/_commands.py
@@ -14,6 +14,7 @@
 from persimmonhold.cli._load_command import compare as compare_reports
 from persimmonhold.cli._load_command import measure, save
 from persimmonhold.cli._operator_session import OperatorSession
+from persimmonhold.cli._serve_command import run_vm
 from persimmonhold.cli._settings_text import settings_text
 from persimmonhold.cli._standin_command import run_standin
 from persimmonhold.cli._status_commands import (
@@ -65,6 +66,17 @@
         """
         return run_dev(port, directory)
 
+    def serve(self, settings: str) -> CommandOutput:
+        """Run one VM in the roles of its settings until it is stopped.
+
+        SIGTERM drains: the VM leaves the directory, finishes what runs,
+        hands leadership over and exits.
+
+        Args:
+            settings: Path of the INI file.
+        """
+        return run_vm(settings)
+
     def check(self, settings: str) -> CommandOutput:
         """Check a settings file and print the effective settings.
 
--- a/persimmonhold/control/shell/_control_link.py
+++ b/persimmonhold/control/shell/_control_link.py
@@ -59,10 +59,7 @@
     def report_demand(self, demand: tuple[Demand, ...]) -> None:
         """Tell control what callers asked of this entry."""
 
-    def serving_allowed(self) -> bool:
-        """Tell whether callers may be served from the view."""
-        return True
-
     async def announce_draining(self) -> bool:
         """Take this VM out of every directory; tell whether it is out."""
-        return False
+        self.mark_draining(draining=True)
+        return True
--- a/persimmonhold/control/shell/_remote_control_link.py
+++ b/persimmonhold/control/shell/_remote_control_link.py
@@ -25,6 +25,7 @@
 
 _MS_PER_S: Final = 1000
 _REGISTER_INTERVAL_S: Final = 0.5
+_ANNOUNCE_TIMEOUT_S: Final = 5.0
 _UNGRANTED: Final = frozenset((
     CommandStatus.claim_table_full,
     CommandStatus.claim_unregistered,
@@ -107,6 +108,18 @@
         super().mark_draining(draining=draining)
         self._vm.mark_draining(draining=draining)
 
+    async def announce_draining(self) -> bool:
+        """Register as draining, and wait until the view shows it."""
+        self.mark_draining(draining=True)
+        try:
+            async with asyncio.timeout(_ANNOUNCE_TIMEOUT_S):
+                while not self._vm.is_registered:
+                    await self._register()
+                    await asyncio.sleep(_REGISTER_INTERVAL_S)
+        except TimeoutError:
+            return False
+        return True
+
     async def _register(self) -> None:
         command = RegisterVm(
             at_ms=int(time.time() * _MS_PER_S),
--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -136,7 +136,7 @@
         """Return why this entry takes no new work, or None."""
         if self._drain.phase not in {DrainPhase.serving, DrainPhase.leaving}:
             return _refusal(RefusalReason.draining)
-        if not self._services.link.serving_allowed():
+        if not self._services.link.serving_allowed:
             return _refusal(RefusalReason.isolated)
         return None
 
--- a/persimmonhold/replication/_replica_host.py
+++ b/persimmonhold/replication/_replica_host.py
@@ -154,7 +154,6 @@
     def _begin(self, state: HardState, log: RaftLog, now: float) -> None:
         settings = self._settings
         self.writer = LogWriter(self._store, log.last_index)
-        self._restore(log.snapshot)
         self.replica = Replica(
             Member(state.replica, settings.address),
             settings.initial,
@@ -164,6 +163,8 @@
             self._generator,
             now,
         )
+        # Listeners of the applier ask for the leader, so the replica is first.
+        self._restore(log.snapshot)
 
     def _new_identity(self) -> HardState:
         number = self._generator.getrandbits(_INCARNATION_BITS)
--- /dev/null
+++ b/persimmonhold/system/_background.py
@@ -0,0 +1,52 @@
+"""Tasks that run as long as their owner."""
+
+import asyncio
+from collections.abc import Coroutine
+from types import TracebackType
+from typing import Self, final
+
+from persimmonhold.observability import LogLevel, log_event
+
+
+@final
+class Background:
+    """Owns tasks; the first one that fails sets `failed`."""
+
+    __slots__ = ('_tasks', 'failed')
+
+    def __init__(self) -> None:
+        """Create an owner without tasks."""
+        self.failed = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> Self:
+        """Begin to own tasks."""
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Cancel the tasks and wait for their end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def run(self, work: Coroutine[None, None, None], name: str) -> None:
+        """Start a task that is expected to run until it is cancelled."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        task.add_done_callback(self._ended)
+        self._tasks.append(task)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        log_event(
+            'task_failed',
+            LogLevel.error,
+            task=task.get_name(),
+            error=repr(task.exception()),
+        )
+        self.failed.set()
--- /dev/null
+++ b/persimmonhold/system/_control_side.py
@@ -0,0 +1,102 @@
+"""The control role of one VM."""
+
+import random
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self, final
+
+from persimmonhold.consensus import Timings
+from persimmonhold.control.machine import ControlMachine
+from persimmonhold.control.shell import (
+    ControlApplier,
+    ControlNode,
+    LeaderDuties,
+    OperatorHandler,
+    PlacementRunner,
+    VmShell,
+)
+from persimmonhold.observability import Metrics
+from persimmonhold.placement import check_fit
+from persimmonhold.replication import ReplicaNode, ReplicaSettings
+from persimmonhold.settings import PeerSettings, Settings
+from persimmonhold.system._background import Background
+from persimmonhold.transport import Transport
+from persimmonhold.web import HttpBounds, HttpServer, parse_address
+
+_MS_PER_S: Final = 1000
+
+
+@final
+class ControlSide:
+    """Owns the replica, placement and the operators' server."""
+
+    __slots__ = ('_background', '_stack', 'node', 'operators', 'replica')
+
+    def __init__(
+        self,
+        settings: Settings,
+        vm: VmShell,
+        transport: Transport,
+        metrics: Metrics,
+        background: Background,
+    ) -> None:
+        """Create the control role; entering the context starts it."""
+        applier = ControlApplier(ControlMachine(check_fit))
+        self.replica = ReplicaNode(
+            replica_settings(settings.vm.name, settings.peers),
+            Path(settings.vm.data_directory),
+            transport,
+            applier,
+            random.Random(),
+            time.monotonic,
+        )
+        self.node = ControlNode(applier, self.replica, vm)
+        runner = PlacementRunner(self.node, settings.placement, metrics)
+        handler = OperatorHandler(self.node, metrics, runner.explain)
+        self.operators = HttpServer(
+            parse_address(settings.operators.address).unwrap(),
+            handler,
+            HttpBounds(),
+        )
+        self._background = background
+        self._stack = AsyncExitStack()
+        background.run(LeaderDuties(self.node, vm).run(), 'leader duties')
+        background.run(runner.run(), 'placement')
+
+    async def __aenter__(self) -> Self:
+        """Recover, join the group and listen for operators."""
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self.replica)
+            await stack.enter_async_context(self.operators)
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the server and the replica."""
+        await self._stack.aclose()
+
+    async def drain(self) -> None:
+        """Hand leadership over and end the requests of operators."""
+        if self.node.leads:
+            await self.replica.transfer_leadership()
+        await self.operators.drain()
+
+
+def replica_settings(name: str, peers: PeerSettings) -> ReplicaSettings:
+    """Return the settings of the replica of a VM."""
+    return ReplicaSettings(
+        name=name,
+        address=peers.address,
+        initial=peers.control_addresses,
+        timings=Timings(
+            heartbeat_s=peers.heartbeat_ms / _MS_PER_S,
+            election_timeout_s=peers.election_timeout_ms / _MS_PER_S,
+        ),
+    )
