Directory leaves silent VMs out; the hold of a drain counts from leaving

Cause: the hold began before control had taken the VM out of the directory, so an address given out meanwhile could have been closed too early. Change: Drain.left_directory moves the start; the directory follows live_vms of the control link.

--- a/persimmonhold/directory/_directory.py
+++ b/persimmonhold/directory/_directory.py
@@ -1,7 +1,7 @@
 """Chooses the addresses that a caller is given.
 
 Invariants: an address of a draining VM is never given while another VM
-serves; the addresses of the caller's failure domain come first unless the
+serves, nor that of a silent one while another is heard; the addresses of the caller's failure domain come first unless the
 domain is overloaded.
 """
 
@@ -34,16 +34,20 @@
     def answer(
         self,
         view: ControlView,
+        live: frozenset[str],
         failure_domain: str = '',
     ) -> DirectoryAnswer:
         """Return the addresses for a caller in a failure domain.
 
+        VMs that are not in `live` are left out while others serve.
+
         `load` is the used fraction of what this entry may have in flight;
         it lowers the entry's own weight. A caller that does not name its
         failure domain is taken to be in that of this entry.
         """
         domain = failure_domain or self._own_domain
-        serving = [vm for vm in view.vms if self._is_serving(vm)]
+        staying = [vm for vm in view.vms if self._is_serving(vm)]
+        serving = [vm for vm in staying if vm.name in live] or staying
         if not serving:
             serving = [vm for vm in view.vms if vm.callers]
         if domain == self._own_domain and self.load >= _OVERLOAD_FRACTION:
--- a/persimmonhold/directory/_drain.py
+++ b/persimmonhold/directory/_drain.py
@@ -30,6 +30,12 @@
             self.closes_at = now + self._hold_s
             self.ends_at = self.closes_at + self._timeout_s
 
+    def left_directory(self, now: float) -> None:
+        """Count the hold from now: until now addresses were given out."""
+        if self.phase is DrainPhase.leaving:
+            self.closes_at = max(self.closes_at, now + self._hold_s)
+            self.ends_at = self.closes_at + self._timeout_s
+
     def advance(self, now: float, running: int) -> DrainPhase:
         """Return the phase with `running` requests under way."""
         if self.phase is DrainPhase.leaving and now >= self.closes_at:
--- a/persimmonhold/entry/_entry.py
+++ b/persimmonhold/entry/_entry.py
@@ -123,11 +123,11 @@
 
     async def drain(self) -> None:
         """Leave the directory, serve on, then finish what runs."""
-        now = _now()
-        self._drain.begin(now)
+        self._drain.begin(_now())
         self._directory.is_leaving = True
-        log_event('drain', phase=self._drain.phase.value)
-        await self._link.announce_draining()
+        is_out = await self._link.announce_draining()
+        self._drain.left_directory(_now())
+        log_event('drain', phase=self._drain.phase.value, announced=is_out)
         await asyncio.sleep(max(0, self._drain.closes_at - _now()))
         self._drain.advance(_now(), self.running + 1)
         log_event('drain', phase=self._drain.phase.value, running=self.running)
--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -155,7 +155,8 @@
 
     async def _show_entries(self, context: RequestContext) -> None:
         asked = context.exchange.head.query.get('failure_domain', '')
-        answer = self._directory.answer(self._services.link.view, asked)
+        link = self._services.link
+        answer = self._directory.answer(link.view, link.live_vms, asked)
         await self._respond(context, answer)
 
     async def _show_models(self, context: RequestContext) -> None:
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -96,6 +96,7 @@
     def report_demand(self, demand: tuple[Demand, ...]) -> None:
         """Ignore demand."""
 
+    @property
     def serving_allowed(self) -> bool:
         """Tell whether the entry may serve."""
         return not self.is_isolated
