Entry: paths that may be rewritten are not idempotent; lengths of streams

Cause: a path such as status/../lodge matched an idempotent rule and could have been sent twice; a stream of events with an announced length could not be resumed; 204 got a length. Change: such paths count as non-idempotent, the length of a stream of events is not relayed. Ended background tasks and failed requests are logged, and Entry.failed is set. Tests of each, and of preemption end to end.

--- a/persimmonhold/entry/_attempt_runner.py
+++ b/persimmonhold/entry/_attempt_runner.py
@@ -26,6 +26,7 @@
     RAN,
     REQUEST_ID,
     RESUME_OFFSET,
+    Address,
     BodySink,
     ClientConnection,
     ClientRequest,
@@ -72,11 +73,15 @@
 
     async def run(self) -> None:
         """Perform the attempt to its end."""
-        connection = self._reused()
+        address = parse_address(self._order.address)
+        if isinstance(address, Failed):
+            self._fail(AttemptFault.connect_failed, wrote=False)
+            return
+        connection = self._reused(address.unwrap())
         if connection is not None and await self._exchange(connection):
             return
         opened = await ClientConnection.connect(
-            parse_address(self._order.address).unwrap(),
+            address.unwrap(),
             _CONNECT_TIMEOUT_S,
         )
         if isinstance(opened, Failed):
@@ -107,11 +112,10 @@
             return True
         return self._caller.exchange.write(forwarded)
 
-    def _reused(self) -> ClientConnection | None:
+    def _reused(self, address: Address) -> ClientConnection | None:
         """Return a used connection if the request may be repeated."""
         if not self._job.plan.idempotent:
             return None
-        address = parse_address(self._order.address).unwrap()
         return self._services.pool.take(address, _now())
 
     async def _exchange(self, connection: ClientConnection) -> bool:
--- a/persimmonhold/entry/_caller_answer.py
+++ b/persimmonhold/entry/_caller_answer.py
@@ -31,7 +31,7 @@
 )
 
 _REPLAYED: Final = 'persimmonhold-replayed'
-_LENGTH: Final = b'content-length'
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 @final
@@ -65,10 +65,12 @@
     def start(self, head: ResponseHead, body_length: int | None) -> None:
         """Send the head; `body_length` replaces the announced length."""
         headers = end_to_end_headers(head.headers)
-        length = head.header('content-length')
+        own = {REQUEST_ID: self._request_id}
+        length = _announced_length(head)
         if body_length is not None and self.exchange.head.method != 'HEAD':
             length = str(body_length)
-        own = {REQUEST_ID: self._request_id}
+        if head.status in _BODILESS_STATUSES:
+            length = ''
         if length:
             own['content-length'] = length
         self.exchange.start_now(
@@ -129,3 +131,10 @@
     def _end(self, outcome: str) -> None:
         self.outcome = outcome
         self.ended.set()
+
+
+def _announced_length(head: ResponseHead) -> str:
+    """Return the announced length; none of a stream that may be resumed."""
+    if head.header('content-type').startswith('text/event-stream'):
+        return ''
+    return head.header('content-length')
--- a/persimmonhold/entry/_dispatch_hub.py
+++ b/persimmonhold/entry/_dispatch_hub.py
@@ -32,18 +32,18 @@
         """Create a hub without requests."""
         self.router = router
         self.dispatcher = dispatcher
-        self._listeners: dict[str, DispatchListener] = {}
+        self.listeners: dict[str, DispatchListener] = {}
         self._undelivered: deque[DispatchAction] = deque()
         self._is_delivering = False
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
         """Return the number of requests that admission knows."""
-        return len(self._listeners)
+        return len(self.listeners)
 
     def arrive(self, ticket: Ticket, listener: DispatchListener) -> None:
         """Ask for an upstream."""
-        self._listeners[ticket.request_id] = listener
+        self.listeners[ticket.request_id] = listener
         self._deliver(self.dispatcher.arrive(ticket, _now()))
 
     def retry(
@@ -76,7 +76,7 @@
 
     def end(self, request_id: str, outcome: AttemptOutcome | None) -> None:
         """End a request; None if its last attempt says nothing."""
-        if self._listeners.pop(request_id, None) is None:
+        if self.listeners.pop(request_id, None) is None:
             return
         if outcome is None:
             self._deliver(self.dispatcher.abandon(request_id, _now()))
@@ -136,11 +136,11 @@
 
     def _deliver_one(self, action: DispatchAction) -> None:
         if isinstance(action, Refuse):
-            refused = self._listeners.pop(action.request_id, None)
+            refused = self.listeners.pop(action.request_id, None)
             if refused is not None:
                 refused.refused(action.refusal)
             return
-        listener = self._listeners.get(action.request_id)
+        listener = self.listeners.get(action.request_id)
         if listener is None:
             return
         if isinstance(action, Dispatch):
--- a/persimmonhold/entry/_entry.py
+++ b/persimmonhold/entry/_entry.py
@@ -18,7 +18,7 @@
 from persimmonhold.entry._dispatch_hub import DispatchHub
 from persimmonhold.entry._entry_handler import EntryHandler
 from persimmonhold.entry._entry_services import EntryServices
-from persimmonhold.observability import Metrics, log_event
+from persimmonhold.observability import LogLevel, Metrics, log_event
 from persimmonhold.routing import Router, RouterSettings
 from persimmonhold.settings import (
     CallerSettings,
@@ -47,7 +47,11 @@
         incarnation: str = '',
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        """Create the entry of a VM from its sections of the settings."""
+        """Create the entry of a VM from its sections of the settings.
+
+        `failed` is set when a task that must run on has ended.
+        """
+        self.failed = asyncio.Event()
         self._callers = callers
         self._link = link
         self._stack = AsyncExitStack()
@@ -56,15 +60,15 @@
         router = Router(vm.failure_domain, vm.name, RouterSettings(), source)
         self._settings = DispatcherSettings()
         dispatcher = Dispatcher(router, self._settings, source)
-        self._hub = DispatchHub(router, dispatcher)
+        self.hub = DispatchHub(router, dispatcher)
         self._services = EntryServices(
-            self._hub,
+            self.hub,
             link,
             metrics,
             vm.name,
             incarnation,
         )
-        self._pollers = UpstreamPollers(self._hub, platform, source)
+        self._pollers = UpstreamPollers(self.hub, platform, source)
         self._directory = Directory(
             vm.name,
             vm.failure_domain,
@@ -90,8 +94,8 @@
     async def __aenter__(self) -> Self:
         """Adopt the view, listen and start to poll."""
         async with AsyncExitStack() as stack:
-            self._hub.adopt_view(self._link.view)
-            stack.callback(self._hub.close)
+            self.hub.adopt_view(self._link.view)
+            stack.callback(self.hub.close)
             stack.callback(self._services.pool.close)
             await stack.enter_async_context(self._server)
             await stack.enter_async_context(self._pollers)
@@ -148,17 +152,25 @@
             loop.create_task(self._report_demand()),
             loop.create_task(self._measure_load()),
         ]
+        for task in (*self._tasks, *self._pollers.tasks):
+            task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled():
+            error = repr(task.exception())
+            log_event('task_failed', LogLevel.error, error=error)
+            self.failed.set()
 
     async def _follow_views(self) -> None:
         while True:
             await self._link.changed.wait()
             self._link.changed.clear()
-            self._hub.adopt_view(self._link.view)
+            self.hub.adopt_view(self._link.view)
 
     async def _report_demand(self) -> None:
         while True:
             await asyncio.sleep(self._settings.demand_period_s)
-            demand = self._hub.dispatcher.demand(_now())
+            demand = self.hub.dispatcher.demand(_now())
             self._link.report_demand(demand)
 
     async def _measure_load(self) -> None:
@@ -166,7 +178,7 @@
         while True:
             connections = self._server.connection_count
             used = connections / self._callers.max_connections
-            requests = len(self._hub) / self._settings.queue_requests
+            requests = len(self.hub) / self._settings.queue_requests
             self._directory.load = min(1.0, max(used, requests))
             await asyncio.sleep(_MAX_LOAD_INTERVAL_S)
 
--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -21,7 +21,7 @@
 from persimmonhold.entry._request_reader import SERVICES, RequestReader
 from persimmonhold.entry._request_runner import RequestRunner
 from persimmonhold.failures import Ran, Refusal, RefusalReason
-from persimmonhold.observability import metric
+from persimmonhold.observability import LogLevel, log_event, metric
 from persimmonhold.web import (
     REQUEST_ID,
     Exchange,
@@ -125,13 +125,19 @@
         runner = RequestRunner(self._services, job.unwrap(), context.exchange)
         task = asyncio.get_running_loop().create_task(runner.run())
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._request_ended)
         try:
             await runner.caller.ended.wait()
         except asyncio.CancelledError:
             runner.caller_gone()
             raise
 
+    def _request_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            log_event('request_failed', LogLevel.error, error=repr(error))
+
     def _unavailable(self) -> Refusal | None:
         """Return why this entry takes no new work, or None."""
         if self._drain.phase not in {DrainPhase.serving, DrainPhase.leaving}:
--- a/persimmonhold/entry/_request_reader.py
+++ b/persimmonhold/entry/_request_reader.py
@@ -43,6 +43,7 @@
 _MS_PER_S: Final = 1000
 _MAX_DEADLINE_MS: Final = 86_400_000
 _MAX_KEY_LENGTH: Final = 255
+_REWRITTEN: Final = ('%2e', '%2f', '%5c', '\\', '..', ';')
 _Entry: TypeAlias = ModelEntry | AdapterEntry | ServiceEntry
 
 
@@ -143,7 +144,8 @@
 ) -> RequestJob:
     head = context.exchange.head
     path = target.partition('?')[0].lstrip('/')
-    idempotent = entry.is_idempotent(head.method, path)
+    declared = entry.is_idempotent(head.method, path)
+    idempotent = declared and _is_unambiguous(path)
     key = '' if idempotent else head.header(IDEMPOTENCY_KEY)
     ticket = msgspec.structs.replace(
         _ticket(context, entry),
@@ -169,6 +171,19 @@
     )
 
 
+def _is_unambiguous(path: str) -> bool:
+    """Tell whether a service can only read the path as it is written.
+
+    A path that a service may rewrite could name another call than the one
+    that the catalogue declares to be idempotent.
+    """
+    lowered = path.lower()
+    if any(mark in lowered for mark in _REWRITTEN):
+        return False
+    segments = path.split('/')
+    return '.' not in segments and '' not in segments[:-1]
+
+
 def _ticket(context: RequestContext, entry: _Entry) -> Ticket:
     head = context.exchange.head
     now = asyncio.get_running_loop().time()
--- a/persimmonhold/upstreams/_upstream_pollers.py
+++ b/persimmonhold/upstreams/_upstream_pollers.py
@@ -71,6 +71,11 @@
         self._cursors: dict[str, tuple[str, int]] = {}
         self._leaving: dict[str, set[str]] = {}
 
+    @property
+    def tasks(self) -> tuple[asyncio.Task[None], ...]:
+        """The tasks that poll; they run until the context is left."""
+        return tuple(self._tasks)
+
     async def __aenter__(self) -> Self:
         """Start to poll."""
         self._start(self._poll_upstreams())
@@ -103,8 +108,8 @@
 
     async def poll_list_once(self) -> None:
         """Ask the platform for its list once."""
-        address = parse_address(self._settings.vm_list).unwrap()
-        listed = await self._fetch(address, '/vms', PlatformList)
+        vm_list = self._settings.vm_list
+        listed = await self._fetch(vm_list, '/vms', PlatformList)
         if isinstance(listed, Failed):
             return
         names = self._observer.upstream_addresses()
@@ -147,26 +152,27 @@
                 await self._poll_cache(upstream)
 
     async def _poll_service(self, upstream: UpstreamEntry) -> None:
-        address = parse_address(upstream.address).unwrap()
-        state = await self._fetch(address, '/load', ServiceState)
+        state = await self._fetch(upstream.address, '/load', ServiceState)
         if isinstance(state, Failed):
             self._tell_unreachable(upstream.name, state.failure())
         else:
             self._tell_leaving(upstream.name, 'own', state.unwrap().leaving)
 
     async def _poll_load(self, upstream: UpstreamEntry) -> None:
-        address = parse_address(upstream.address).unwrap()
-        report = await self._fetch(address, '/load', LoadReport)
+        report = await self._fetch(upstream.address, '/load', LoadReport)
         if isinstance(report, Failed):
             self._tell_unreachable(upstream.name, report.failure())
         else:
             self._observer.observe_load(upstream.name, report.unwrap())
 
     async def _poll_cache(self, upstream: UpstreamEntry) -> None:
-        address = parse_address(upstream.address).unwrap()
         boot_id, after = self._cursors.get(upstream.name, ('', 0))
         target = f'/cache-events?after={after}'
-        fetched = await self._fetch(address, target, CacheEventPage)
+        fetched = await self._fetch(
+            upstream.address,
+            target,
+            CacheEventPage,
+        )
         if isinstance(fetched, Failed):
             return
         page = fetched.unwrap()
@@ -191,26 +197,39 @@
 
     async def _fetch(
         self,
-        address: Address,
+        address: str,
         target: str,
         document_type: type[_DocumentT],
     ) -> Result[_DocumentT, Failure]:
-        connection = self._pool.take(address, _now())
+        parsed = parse_address(address)
+        if isinstance(parsed, Failed):
+            return parsed
+        peer = parsed.unwrap()
+        connection = self._pool.take(peer, _now())
         if connection is None:
-            opened = await ClientConnection.connect(address, _TIMEOUT_S)
+            opened = await ClientConnection.connect(peer, _TIMEOUT_S)
             if isinstance(opened, Failed):
                 return opened
             connection = opened.unwrap()
+        return await self._ask(connection, target, document_type)
+
+    async def _ask(
+        self,
+        connection: ClientConnection,
+        target: str,
+        document_type: type[_DocumentT],
+    ) -> Result[_DocumentT, Failure]:
+        peer = connection.peer
         try:
             async with asyncio.timeout(_TIMEOUT_S):
                 body = await _get(connection, target)
         except TimeoutError:
             connection.close()
-            return Failed(_failure(FailureKind.timed_out, address, target))
+            return Failed(_failure(FailureKind.timed_out, peer, target))
         self._pool.put(connection, _now())
         if isinstance(body, Failed):
             return body
-        return _decode(body.unwrap(), document_type, address, target)
+        return _decode(body.unwrap(), document_type, peer, target)
 
 
 async def _get(
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -250,6 +250,11 @@
             vms=vms,
         )
 
+    def preempt_all(self) -> None:
+        """Have every request of the first entry preempted."""
+        for listener in tuple(self.entry.hub.listeners.values()):
+            listener.preempted()
+
     async def call(
         self,
         method: str,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -542,3 +542,104 @@
     response = _run(scenario())
     assert_that(response.head.status, Equals(200))
     assert_that(response.body, Equals(b''))
+
+
+@pytest.mark.parametrize(
+    ('path', 'executions'),
+    [
+        ('status/1', 2),
+        ('status/../lodge', 1),
+        ('status/%2e%2E/lodge', 1),
+        ('status//lodge', 1),
+        ('./status', 1),
+    ],
+)
+def test_path_that_may_be_rewritten_is_not_taken_as_idempotent(
+    path: str,
+    executions: int,
+) -> None:
+    one = ScriptedUpstream('replica-1', _drop)
+    two = ScriptedUpstream('replica-2', _drop)
+
+    async def scenario() -> FetchedResponse:
+        async with EntryWorld(one, two) as world:
+            return await world.call('GET', f'/services/lodgements/{path}')
+
+    assert_that(_reason(_run(scenario())), EndsWith(' unknown'))
+    assert_that(one.executions + two.executions, Equals(executions))
+
+
+async def _no_content(exchange: Exchange) -> None:
+    await exchange.respond(204)
+
+
+async def _measured_stream(exchange: Exchange) -> None:
+    length = encode_headers({'content-length': str(len(_WHOLE))})
+    await exchange.start(200, (*_STREAM_HEADERS, *length))
+    await exchange.send(_WHOLE[:30])
+    await asyncio.sleep(0)
+    exchange.abort()
+
+
+def test_answer_without_body_stays_without() -> None:
+    replica = ScriptedUpstream('replica-1', _no_content)
+
+    async def scenario() -> FetchedResponse:
+        async with EntryWorld(replica) as world:
+            return await world.call('POST', '/services/lodgements/a')
+
+    response = _run(scenario())
+    assert_that(response.head.status, Equals(204))
+    assert_that(response.head.header('content-length'), Equals(''))
+
+
+def test_stream_of_announced_length_is_resumed_like_any_other() -> None:
+    script = _once(_measured_stream, _stream())
+    engines = [
+        ScriptedUpstream(f'engine-{number}', script) for number in (1, 2)
+    ]
+
+    async def scenario() -> FetchedResponse:
+        async with EntryWorld(*engines) as world:
+            return await world.call('POST', '/v1/completions', _ASK)
+
+    assert_that(_run(scenario()).body, Equals(_WHOLE))
+
+
+def test_document_that_breaks_is_generated_again() -> None:
+    script = _once(_cut_body, _echo)
+    engines = [
+        ScriptedUpstream(f'engine-{number}', script) for number in (1, 2)
+    ]
+    asked = {'model': 'tutor', 'prompt': 'Check.'}
+
+    async def scenario() -> FetchedResponse:
+        async with EntryWorld(*engines) as world:
+            return await world.call('POST', '/v1/completions', asked)
+
+    assert_that(msgspec.json.decode(_run(scenario()).body), Equals(asked))
+
+
+def test_batch_preemption_stops_and_resumes_a_stream() -> None:
+    pause = asyncio.Event()
+
+    async def held(exchange: Exchange) -> None:
+        await exchange.start(200, _STREAM_HEADERS)
+        await exchange.send(_event(0) + _event(1))
+        pause.set()
+        await asyncio.Event().wait()
+
+    engine = ScriptedUpstream('engine-1', held, _stream())
+
+    async def scenario() -> bytes:
+        async with EntryWorld(engine) as world:
+            stream = await _begin(world, '/v1/completions', _ASK)
+            await pause.wait()
+            seen = (await stream.receive_head()).unwrap()
+            assert_that(seen.status, Equals(200))
+            first = (await stream.receive_chunk()).unwrap()
+            world.preempt_all()
+            return first + (await stream.receive_body()).unwrap()
+
+    assert_that(_run(scenario()), Equals(_WHOLE))
+    assert_that(engine.offsets, Equals(['', '2']))
