--- a/persimmonhold/load/_load_command.py
+++ b/persimmonhold/load/_load_command.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from persimmonhold.catalogue import (
+    AdapterEntry,
     Bounds,
     CatalogueEntry,
     ModelEntry,
@@ -103,7 +104,8 @@
     named = [
         entry
         for entry in entries
-        if getattr(entry, 'service_class', None) is service_class
+        if isinstance(entry, (ModelEntry, AdapterEntry))
+        and entry.service_class is service_class
     ]
     models = [one.name for one in named if isinstance(one, ModelEntry)]
     adapters = [one.name for one in named if not isinstance(one, ModelEntry)]
