--- a/bench/entry_relay.py
+++ b/bench/entry_relay.py
@@ -22,6 +22,7 @@
 from persimmonhold.attempts import EventCutter
 from persimmonhold.web import (
     Address,
+    BodyBudget,
     BodySink,
     ClientConnection,
     ClientRequest,
@@ -113,6 +114,7 @@
     server = ServerConnection(
         _Relay(upstream, pumps),
         HttpBounds(),
+        BodyBudget(1),
         lambda _: None,
     )
     server.connection_made(caller)
--- a/persimmonhold/entry/_request_reader.py
+++ b/persimmonhold/entry/_request_reader.py
@@ -43,6 +43,7 @@
 _MS_PER_S: Final = 1000
 _MAX_DEADLINE_MS: Final = 86_400_000
 _MAX_KEY_LENGTH: Final = 255
+_COME_BACK_S: Final = 1.0
 _REWRITTEN: Final = ('%2e', '%2f', '%5c', '\\', '..', ';')
 _Entry: TypeAlias = ModelEntry | AdapterEntry | ServiceEntry
 
@@ -240,8 +241,17 @@
     body = await context.exchange.read_body()
     if not isinstance(body, Failed):
         return Success(body.unwrap())
-    if body.failure().kind is FailureKind.timed_out:
+    kind = body.failure().kind
+    if kind is FailureKind.timed_out:
         return _malformed('the body was not sent in time')
+    if kind is FailureKind.overloaded:
+        refusal = Refusal(
+            reason=RefusalReason.no_capacity,
+            ran=Ran.no,
+            detail='no memory for the body',
+            retry_after_s=_COME_BACK_S,
+        )
+        return Failed(refusal)
     return _refused(RefusalReason.body_too_large)
 
 
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on asyncio and h11: servers, connections and addresses."""
 
 from persimmonhold.web._address import Address, parse_address
+from persimmonhold.web._body_budget import BodyBudget
 from persimmonhold.web._body_sink import BodySink
 from persimmonhold.web._bounds import HttpBounds
 from persimmonhold.web._client_connection import ClientConnection
@@ -42,6 +43,7 @@
     'RESUME_OFFSET',
     'SERVICE_CLASS',
     'Address',
+    'BodyBudget',
     'BodySink',
     'ClientConnection',
     'ClientRequest',
--- a/persimmonhold/web/_exchange.py
+++ b/persimmonhold/web/_exchange.py
@@ -31,7 +31,7 @@
         '_body',
         '_body_ended',
         '_connection',
-        'body_too_large',
+        'body_refused',
         'ended',
         'head',
         'on_writable',
@@ -47,7 +47,7 @@
         self.head = head
         self.started = False
         self.ended = False
-        self.body_too_large = False
+        self.body_refused: FailureKind | None = None
         self.on_writable: Callable[[], None] | None = None
         self._connection = connection
         self._body = bytearray()
@@ -62,8 +62,8 @@
                     await self._body_ended.wait()
             except TimeoutError:
                 return Failed(self._failure(FailureKind.timed_out))
-        if self.body_too_large:
-            return Failed(self._failure(FailureKind.overloaded))
+        if self.body_refused is not None:
+            return Failed(self._failure(self.body_refused))
         return Success(bytes(self._body))
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -143,25 +143,37 @@
 
     def abort(self) -> None:
         """Break the connection so that the peer sees a cut response."""
-        self._connection.abort()
+        if not self.ended:
+            self._connection.abort()
 
     def receive(self, chunk: bytes) -> None:
         """Add a received part of the body."""
         limit = self._connection.bounds.max_body_bytes
         if len(self._body) + len(chunk) > limit:
-            self.refuse_body()
-        if not self.body_too_large:
+            self.refuse_body(FailureKind.refused)
+        elif self._connection.budget.take(len(chunk)):
             self._body.extend(chunk)
+        else:
+            self.refuse_body(FailureKind.overloaded)
 
     def receive_end(self) -> None:
         """Note that the whole body was received."""
         self._body_ended.set()
 
-    def refuse_body(self) -> None:
-        """Take no more of a body that exceeds the bound."""
-        self.body_too_large = True
-        self._body.clear()
+    def refuse_body(self, kind: FailureKind) -> None:
+        """Take no more of the body.
+
+        `refused` says that it exceeds its bound, `overloaded` that the
+        server has no memory for it now.
+        """
+        self.body_refused = kind
+        self.release()
         self._body_ended.set()
 
+    def release(self) -> None:
+        """Forget the body."""
+        self._connection.budget.give_back(len(self._body))
+        self._body.clear()
+
     def _failure(self, kind: FailureKind) -> Failure:
         return Failure(kind=kind, step='read body', peer=self.head.peer)
--- a/persimmonhold/web/_server.py
+++ b/persimmonhold/web/_server.py
@@ -6,6 +6,7 @@
 from typing import Self, final
 
 from persimmonhold.web._address import Address
+from persimmonhold.web._body_budget import BodyBudget
 from persimmonhold.web._bounds import HttpBounds
 from persimmonhold.web._exchange_handler import ExchangeHandler
 from persimmonhold.web._server_connection import ServerConnection
@@ -29,6 +30,7 @@
         '_tls',
         'address',
         'bounds',
+        'budget',
     )
 
     def __init__(
@@ -41,6 +43,7 @@
         """Create a server for `address`; port 0 takes a free one."""
         self.address = address
         self.bounds = bounds
+        self.budget = BodyBudget(bounds.max_kept_bytes)
         self._address = address
         self._handler = handler
         self._tls = tls
@@ -95,6 +98,7 @@
         connection = ServerConnection(
             self._handler,
             self.bounds,
+            self.budget,
             self._forget,
         )
         self._connections.add(connection)
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -12,6 +12,8 @@
 
 import h11
 
+from persimmonhold.failures import FailureKind
+from persimmonhold.web._body_budget import BodyBudget
 from persimmonhold.web._bounds import HttpBounds
 from persimmonhold.web._connection_timer import ConnectionTimer
 from persimmonhold.web._exchange import Exchange
@@ -34,10 +36,12 @@
         self,
         handler: ExchangeHandler,
         bounds: HttpBounds,
+        budget: BodyBudget,
         closed: Callable[['ServerConnection'], None],
     ) -> None:
         """Create a connection that reports its end to `closed`."""
         self.bounds = bounds
+        self.budget = budget
         self.closing = False
         self.is_refused = False
         self._handler = handler
@@ -166,9 +170,9 @@
         if self._exchange is None:
             return False
         self._exchange.receive(chunk)
-        if self._exchange.body_too_large and self._transport is not None:
+        if self._exchange.body_refused and self._transport is not None:
             self._transport.pause_reading()
-        return not self._exchange.body_too_large
+        return self._exchange.body_refused is None
 
     def _begin(self, request: h11.Request) -> bool:
         self.timer.stop()
@@ -181,7 +185,7 @@
         exchange = Exchange(_read_head(request, self._peer), self)
         self._exchange = exchange
         if _announced_bytes(request) > self.bounds.max_body_bytes:
-            exchange.refuse_body()
+            exchange.refuse_body(FailureKind.refused)
         elif self._parser.they_are_waiting_for_100_continue:
             self.write(
                 h11.InformationalResponse(status_code=100, headers=[]),
@@ -189,7 +193,7 @@
         self._task = asyncio.get_running_loop().create_task(
             self._serve(exchange),
         )
-        return not exchange.body_too_large
+        return exchange.body_refused is None
 
     async def _serve(self, exchange: Exchange) -> None:
         try:
@@ -203,6 +207,7 @@
         self._task = None
         self._exchange = None
         exchange.on_writable = None
+        exchange.release()
         if self._transport is None:
             return
         if not exchange.started:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -18,6 +18,7 @@
     Not,
 )
 
+from persimmonhold.entry._stall_watch import StallWatch
 from persimmonhold.observability import metric
 from persimmonhold.web import (
     ClientConnection,
@@ -27,6 +28,7 @@
     encode_headers,
 )
 from tests.entry_builders import (
+    ANY_PORT,
     TIMEOUT_S,
     EntryWorld,
     Script,
@@ -649,3 +651,22 @@
 
     assert_that(_run(scenario()), Equals(_WHOLE))
     assert_that(engine.offsets, Equals(['', '2']))
+
+
+@pytest.mark.parametrize(('is_paused', 'expected'), [(False, 1), (True, 0)])
+def test_silent_upstream_is_noticed_unless_the_caller_holds_it_up(
+    is_paused: bool,
+    expected: int,
+) -> None:
+    async def scenario() -> int:
+        loop = asyncio.get_running_loop()
+        connection = ClientConnection(ANY_PORT)
+        connection.is_paused = is_paused
+        noticed = asyncio.Event()
+        with StallWatch(connection, 0.004, noticed.set):
+            over = loop.create_future()
+            loop.call_later(0.04, over.set_result, None)
+            await over
+        return int(noticed.is_set())
+
+    assert_that(_run(scenario()), Equals(expected))
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from types import MappingProxyType
 from typing import Any, Final, final
 
 import pytest
@@ -20,8 +21,10 @@
     StartsWith,
 )
 
+from persimmonhold.failures import FailureKind
 from persimmonhold.web import (
     Address,
+    BodyBudget,
     Exchange,
     ExchangeHandler,
     HttpBounds,
@@ -33,11 +36,17 @@
 _BOUNDS: Final = HttpBounds(
     max_head_bytes=1024,
     max_body_bytes=512,
+    max_kept_bytes=600,
     head_timeout_s=0.02,
     body_timeout_s=0.02,
     idle_timeout_s=0.02,
     send_timeout_s=0.02,
 )
+_STATUSES: Final = MappingProxyType({
+    None: 200,
+    FailureKind.refused: 413,
+    FailureKind.overloaded: 503,
+})
 _HOST: Final = b'Host: a\r\n'
 
 
@@ -113,7 +122,7 @@
         body = await exchange.read_body()
         parts = (exchange.head.method, exchange.head.target)
         echoed = ' '.join(parts).encode() + b' ' + body.value_or(b'refused')
-        status = 413 if exchange.body_too_large else 200
+        status = _STATUSES[exchange.body_refused]
         await exchange.respond(status, echoed)
 
 
@@ -121,12 +130,14 @@
 class _Driven:
     """A connection, its transport and its handler."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: BodyBudget | None = None) -> None:
         self.ends: list[ServerConnection] = []
         self.handler = _Echo()
+        self.budget = budget or BodyBudget(_BOUNDS.max_kept_bytes)
         self.connection = ServerConnection(
             self.handler,
             _BOUNDS,
+            self.budget,
             self.ends.append,
         )
         self.transport = _Transport(self.connection)
@@ -152,14 +163,14 @@
 
 
 def _drive(*chunks: bytes) -> tuple[_Driven, int]:
-    """Feed chunks, leave, and count the tasks and timers left."""
+    """Feed chunks, leave, and count the tasks, timers and bytes left."""
 
     async def scenario() -> tuple[_Driven, int]:
         driven = _Driven()
         await driven.feed(*chunks)
         await driven.leave()
-        running = driven.connection.timer.is_running
-        return driven, len(asyncio.all_tasks()) - 1 + running
+        left = driven.connection.timer.is_running, driven.budget.kept_bytes
+        return driven, len(asyncio.all_tasks()) - 1 + sum(left)
 
     return asyncio.run(scenario())
 
@@ -335,6 +346,22 @@
     assert_that(written.count(b'HTTP/1.1'), Equals(1 if sent else 0))
 
 
+def test_bodies_share_a_budget_and_give_it_back() -> None:
+    async def scenario() -> tuple[bytes, int]:
+        budget = BodyBudget(_BOUNDS.max_kept_bytes)
+        first, second = _Driven(budget), _Driven(budget)
+        half = _request(0, b'x' * 400, chunked=False)
+        await first.feed(half[:-1])
+        await second.feed(half)
+        await first.leave()
+        await second.leave()
+        return second.transport.written, budget.kept_bytes
+
+    written, kept = asyncio.run(scenario())
+    assert_that(written, StartsWith(b'HTTP/1.1 503'))
+    assert_that(kept, Equals(0))
+
+
 def test_connections_beyond_the_bound_are_closed_at_once() -> None:
     async def scenario() -> int:
         bounds = HttpBounds(max_connections=3)
