Drain: connections are told before they end; accepted ones do not hold it up

Cause: a connection that the loop had accepted when the listener closed was counted and never opened, so a drain waited for it until its end (seen as a test that hung in 4 of 10 runs). An answer begun just before the end was followed by a close that it had not told of. Change: connections count from when they open. During the margin answers carry Connection: close and nothing is closed that was not told.

--- a/persimmonhold/directory/_drain.py
+++ b/persimmonhold/directory/_drain.py
@@ -1,7 +1,9 @@
 """A planned stop as a state machine.
 
 Invariants: the phases only advance; `closing` begins no earlier than the
-directory's ttl and a margin after the entry left the directory.
+directory's ttl and a margin after the entry left the directory. During the
+margin, from `announces_at`, answers carry `Connection: close`, so that a
+caller with an open connection is not surprised by its end.
 """
 
 from typing import final
@@ -13,28 +15,36 @@
 class Drain:
     """Times of one entry's stop, in seconds."""
 
-    __slots__ = ('_hold_s', '_timeout_s', 'closes_at', 'ends_at', 'phase')
+    __slots__ = (
+        '_margin_s',
+        '_timeout_s',
+        '_ttl_s',
+        'announces_at',
+        'closes_at',
+        'ends_at',
+        'phase',
+    )
 
     def __init__(self, ttl_s: float, margin_s: float, timeout_s: float) -> None:
         """Create the drain of an entry that serves."""
         self.phase = DrainPhase.serving
+        self.announces_at = float('inf')
         self.closes_at = float('inf')
         self.ends_at = float('inf')
-        self._hold_s = ttl_s + margin_s
+        self._ttl_s = ttl_s
+        self._margin_s = margin_s
         self._timeout_s = timeout_s
 
     def begin(self, now: float) -> None:
         """Leave the directory; a second call changes nothing."""
         if self.phase is DrainPhase.serving:
             self.phase = DrainPhase.leaving
-            self.closes_at = now + self._hold_s
-            self.ends_at = self.closes_at + self._timeout_s
+            self._hold(now)
 
     def left_directory(self, now: float) -> None:
         """Count the hold from now: until now addresses were given out."""
         if self.phase is DrainPhase.leaving:
-            self.closes_at = max(self.closes_at, now + self._hold_s)
-            self.ends_at = self.closes_at + self._timeout_s
+            self._hold(now)
 
     def advance(self, now: float, running: int) -> DrainPhase:
         """Return the phase with `running` requests under way."""
@@ -44,3 +54,9 @@
         if self.phase is DrainPhase.closing and is_over:
             self.phase = DrainPhase.drained
         return self.phase
+
+    def _hold(self, now: float) -> None:
+        """Serve for the ttl, and tell of the end during the margin."""
+        self.announces_at = now + self._ttl_s
+        self.closes_at = self.announces_at + self._margin_s
+        self.ends_at = self.closes_at + self._timeout_s
--- a/persimmonhold/directory/_drain_phase.py
+++ b/persimmonhold/directory/_drain_phase.py
@@ -11,7 +11,7 @@
 
     In `leaving` it is out of the directory and serves as before, because
     callers keep its address for a while. In `closing` it takes no new
-    connection, and answers what still comes with `Connection: close`. It is
+    connection and finishes what runs. It is
     `drained` when nothing runs any more or the time for that is up.
     """
 
--- a/persimmonhold/entry/_entry.py
+++ b/persimmonhold/entry/_entry.py
@@ -132,18 +132,24 @@
         is_out = await self._link.announce_draining()
         self._drain.left_directory(_now())
         log_event('drain', phase=self._drain.phase.value, announced=is_out)
+        await asyncio.sleep(max(0, self._drain.announces_at - _now()))
+        self._server.announce_close()
         await asyncio.sleep(max(0, self._drain.closes_at - _now()))
         self._drain.advance(_now(), self.running + 1)
         log_event('drain', phase=self._drain.phase.value, running=self.running)
+        await self._finish_running()
+        await self._services.settler.close(_SETTLE_S)
+        self._drain.advance(_now(), 0)
+        log_event('drain', phase=DrainPhase.drained.value)
+
+    async def _finish_running(self) -> None:
+        """Take no new connection and end what runs, within its time."""
         try:
             async with asyncio.timeout_at(self._drain.ends_at):
                 await self._server.drain()
                 await self.handler.wait_for_detached()
         except TimeoutError:
             log_event('drain_timed_out', running=self.running)
-        await self._services.settler.close(_SETTLE_S)
-        self._drain.advance(_now(), 0)
-        log_event('drain', phase=DrainPhase.drained.value)
 
     def _start_tasks(self) -> None:
         loop = asyncio.get_running_loop()
--- a/persimmonhold/web/_server.py
+++ b/persimmonhold/web/_server.py
@@ -26,6 +26,8 @@
         '_connections',
         '_handler',
         '_idle',
+        '_is_closing',
+        '_is_draining',
         '_server',
         '_tls',
         'address',
@@ -49,6 +51,8 @@
         self._tls = tls
         self._connections: set[ServerConnection] = set()
         self._idle = asyncio.Event()
+        self._is_closing = False
+        self._is_draining = False
         self._server: asyncio.Server | None = None
 
     async def __aenter__(self) -> Self:
@@ -81,9 +85,17 @@
         """The number of open connections."""
         return len(self._connections)
 
+    def announce_close(self) -> None:
+        """Serve on, but tell each peer that its connection will close."""
+        self._is_closing = True
+        for connection in self._connections:
+            connection.closing = True
+
     async def drain(self) -> None:
         """Stop listening, end requests under way, close connections."""
         self._stop_listening()
+        # What was accepted and not yet handed over is refused.
+        self._is_draining = True
         for connection in tuple(self._connections):
             connection.close_when_idle()
         while self._connections:
@@ -99,13 +111,18 @@
             self._handler,
             self.bounds,
             self.budget,
-            self._forget,
+            self._closed,
         )
-        self._connections.add(connection)
-        if len(self._connections) > self.bounds.max_connections:
-            connection.is_refused = True
+        connection.opened = self._opened
         return connection
 
-    def _forget(self, connection: ServerConnection) -> None:
+    def _opened(self, connection: ServerConnection) -> None:
+        """Take a connection; one that was only accepted never gets here."""
+        connection.closing = self._is_closing
+        self._connections.add(connection)
+        is_full = len(self._connections) > self.bounds.max_connections
+        connection.is_refused = is_full or self._is_draining
+
+    def _closed(self, connection: ServerConnection) -> None:
         self._connections.discard(connection)
         self._idle.set()
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -43,6 +43,7 @@
         self.bounds = bounds
         self.budget = budget
         self.closing = False
+        self.opened: Callable[[ServerConnection], None] | None = None
         self.is_refused = False
         self._handler = handler
         self._closed = closed
@@ -57,6 +58,7 @@
         self.timer = ConnectionTimer()
         self._is_idle = True
         self._is_lingering = False
+        self._closes_when_idle = False
         self._peer = ''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -64,6 +66,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._writable.set()
+        if self.opened is not None:
+            self.opened(self)
         if self.is_refused:
             transport.abort()
             return
@@ -132,6 +136,7 @@
     def close_when_idle(self) -> None:
         """Close now if idle, else after the response under way."""
         self.closing = True
+        self._closes_when_idle = True
         if self._exchange is None and self._is_idle:
             self._close()
 
@@ -222,7 +227,8 @@
             return
         done = (h11.DONE, h11.DONE)
         states = (self._parser.our_state, self._parser.their_state)
-        if self.closing or states != done:
+        # A peer that was told to go leaves the parser in another state.
+        if self._closes_when_idle or states != done:
             self._linger()
             return
         self._parser.start_next_cycle()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -20,6 +20,7 @@
 
 from persimmonhold.entry._stall_watch import StallWatch
 from persimmonhold.observability import metric
+from persimmonhold.settings import CallerSettings
 from persimmonhold.web import (
     ClientConnection,
     ClientRequest,
@@ -434,6 +435,37 @@
     assert_that((early, running), Equals((False, 0)))
 
 
+def test_open_connection_is_served_and_told_to_close_before_it_ends() -> None:
+    replica = ScriptedUpstream('replica-1', _echo)
+    callers = CallerSettings(directory_ttl_s=0.01, drain_margin_s=600)
+
+    async def scenario() -> list[str]:
+        async with EntryWorld(replica, callers=callers) as world:
+            kept = await _begin(world, '/services/lodgements/a', 1)
+            told = [await _told(kept)]
+            drained = asyncio.ensure_future(world.entry.drain())
+            while 'close' not in told:
+                again = ClientRequest(
+                    method='GET',
+                    target='/services/lodgements/a',
+                )
+                (await kept.send(again)).unwrap()
+                told.append(await _told(kept))
+            drained.cancel()
+            return told
+
+    told = _run(scenario())
+    assert_that(set(told), Equals({'', 'close'}))
+    assert_that(replica.executions, Equals(len(told)))
+
+
+async def _told(connection: ClientConnection) -> str:
+    head = (await connection.receive_head()).unwrap()
+    assert_that(head.status, Equals(200))
+    (await connection.receive_body()).unwrap()
+    return head.header('connection')
+
+
 def test_isolated_entry_refuses_and_is_not_ready() -> None:
     engine = ScriptedUpstream('engine-1', _stream())
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from types import MappingProxyType
 from typing import Any, Final, final
 
@@ -47,6 +48,7 @@
     FailureKind.refused: 413,
     FailureKind.overloaded: 503,
 })
+_PATIENCE_S: Final = 5.0
 _HOST: Final = b'Host: a\r\n'
 
 
@@ -382,3 +384,25 @@
             return open_count
 
     assert_that(asyncio.run(scenario()), LessThan(4))
+
+
+def test_connection_accepted_while_closing_does_not_hold_up_a_drain() -> None:
+    async def scenario() -> int:
+        server = HttpServer(Address('127.0.0.1', 0), _Echo(), HttpBounds())
+        async with server:
+            loop = asyncio.get_running_loop()
+            address = (server.address.host, server.address.port)
+            late = [socket.create_connection(address) for _ in range(3)]
+            # The loop accepts them in one turn and hands them over later.
+            handed_over = loop.create_future()
+            loop.call_soon(handed_over.set_result, None)
+            await handed_over
+            async with asyncio.timeout(_PATIENCE_S):
+                await server.drain()
+                await loop.create_task(asyncio.sleep(0))
+                await server.drain()
+            for one in late:
+                one.close()
+            return server.connection_count
+
+    assert_that(asyncio.run(scenario()), Equals(0))
