Replacement removes the dead voter first; boot reports carry members

Cause: the fault machine found a group of three stuck when the new member was lost right after its promotion (4 voters, 2 dead), and a restarted replica that waited for voters which had been replaced meanwhile. The dead voter is now removed before the caught-up learner is promoted, and a replica counts answers by the newest configuration that an answer names.

--- a/persimmonhold/consensus/_core.py
+++ b/persimmonhold/consensus/_core.py
@@ -181,7 +181,9 @@
     def announce_boot(self) -> None:
         """Ask the other members what they know of this replica."""
         check = BootCheck(self.boot, self.term, self.log.last_index)
-        for member in self.others:
+        known = self.verification.configuration.members
+        asked = {one.replica for one in known if one.replica != self.replica}
+        for member in sorted(asked.union(self.others)):
             self.send(member, check)
 
     def commit_to(self, index: int) -> None:
--- a/persimmonhold/consensus/_identity.py
+++ b/persimmonhold/consensus/_identity.py
@@ -66,6 +66,7 @@
         core = self._core
         core.verification.conclude(
             core.configuration,
+            core.log.configuration_index,
             core.replica,
             is_overdue=is_overdue,
         )
@@ -94,6 +95,8 @@
             term=core.term,
             last_index=core.log.last_index,
             last_term=core.log.last_term,
+            configuration=core.configuration,
+            configuration_index=core.log.configuration_index,
             is_void=is_void,
         )
         core.send(sender, report)
--- a/persimmonhold/consensus/_messages.py
+++ b/persimmonhold/consensus/_messages.py
@@ -114,6 +114,8 @@
     term: int
     last_index: int
     last_term: int
+    configuration: Configuration
+    configuration_index: int
     is_void: bool
 
 
--- a/persimmonhold/consensus/_repair.py
+++ b/persimmonhold/consensus/_repair.py
@@ -1,14 +1,16 @@
 """Chooses the next membership change.
 
-One change at a time, and only while a quorum answers. A new member is added
-as a learner, promoted when caught up, and only then the member that it
-replaces is removed: the group never counts a voter that lacks the log, and
-a returning member can still help until the change is complete.
+One change at a time, and only while a quorum answers. A replacement is
+added as a learner. When it is caught up, the dead voter is removed, and
+then the learner is promoted. In this order the voters that must answer are
+never more than before the repair: were the learner promoted first, a group
+of three would for a moment need three of four, one of them dead, and the
+loss of the new member would stop it.
 """
 
 from persimmonhold.consensus._configuration import Configuration
 from persimmonhold.consensus._group_health import GroupHealth
-from persimmonhold.consensus._member import Member, ReplicaId
+from persimmonhold.consensus._member import Member, ReplicaId, vm_of
 from persimmonhold.consensus._spare import Spare
 
 
@@ -20,74 +22,78 @@
     )
     if live < health.configuration.quorum:
         return None
-    learners = tuple(
-        one for one in health.configuration.members if not one.is_voter
-    )
-    if learners:
-        return _advance_learner(health, learners[0])
+    for member in health.configuration.members:
+        if not member.is_voter:
+            return _advance(health, member)
     if len(voters) > health.target_voters:
-        return health.configuration.without(_surplus_voter(health))
+        return health.configuration.without(_most_silent(health))
     return _add_learner(health)
 
 
-def _advance_learner(
-    health: GroupHealth,
-    learner: Member,
-) -> Configuration | None:
+def _advance(health: GroupHealth, learner: Member) -> Configuration | None:
+    """Return the next step towards making a learner a voter."""
     silence_s = health.silence_s[learner.replica]
-    if _is_superseded(health, learner):
-        return health.configuration.without(learner.replica)
-    if silence_s >= health.replacement_timeout_s:
+    is_gone = learner.vm in _spare_vms(health)
+    if is_gone or silence_s >= health.replacement_timeout_s:
         return health.configuration.without(learner.replica)
     is_live = silence_s < health.live_within_s
-    if is_live and learner.replica in health.caught_up:
+    if not is_live or learner.replica not in health.caught_up:
+        return None
+    if len(health.configuration.voters) < health.target_voters:
         promoted = Member(learner.replica, learner.address)
         return health.configuration.with_member(promoted)
-    return None
-
-
-def _surplus_voter(health: GroupHealth) -> ReplicaId:
-    """Return a voter whose VM has a newer member, else the most silent."""
-    members = health.configuration.members
-    for position, member in enumerate(members):
-        newer = {one.vm for one in members[position + 1 :]}
-        is_other = member.is_voter and member.replica != health.leader
-        if is_other and member.vm in newer:
-            return member.replica
+    dead = _dead_voter(health)
+    # A voter that came back in the meantime makes the learner superfluous.
+    return health.configuration.without(dead or learner.replica)
+
+
+def _dead_voter(health: GroupHealth) -> ReplicaId:
+    """Return a voter to replace, or nothing where all may be alive.
+
+    A voter is certainly gone where its VM has a newer incarnation.
+    """
+    newer = _spare_vms(health)
+    newer |= {
+        one.vm for one in health.configuration.members if not one.is_voter
+    }
+    for voter in health.configuration.voters:
+        if voter != health.leader and vm_of(voter) in newer:
+            return voter
+    silent = _most_silent(health)
+    if health.silence_s.get(silent, 0) >= health.replacement_timeout_s:
+        return silent
+    return ''
+
+
+def _most_silent(health: GroupHealth) -> ReplicaId:
     others = set(health.configuration.voters) - {health.leader}
-    return max(sorted(others), key=lambda voter: health.silence_s[voter])
+    return max(
+        sorted(others),
+        key=lambda voter: health.silence_s[voter],
+        default='',
+    )
 
 
 def _add_learner(health: GroupHealth) -> Configuration | None:
-    spare = _wanted_spare(health)
+    is_short = len(health.configuration.voters) < health.target_voters
+    if not is_short and not _dead_voter(health):
+        return None
+    spare = _best_spare(health)
     if spare is None:
         return None
     learner = Member(spare.replica, spare.address, is_voter=False)
     return health.configuration.with_member(learner)
 
 
-def _wanted_spare(health: GroupHealth) -> Spare | None:
+def _best_spare(health: GroupHealth) -> Spare | None:
+    """Prefer a VM that returns with an empty folder."""
     members = {one.vm for one in health.configuration.members}
-    returned = [
-        one for one in health.spares if one.replica.split('/')[0] in members
-    ]
-    if returned:
-        return returned[0]
-    if health.spares and _lacks_voter(health):
-        return health.spares[0]
-    return None
-
-
-def _lacks_voter(health: GroupHealth) -> bool:
-    voters = health.configuration.voters
-    longest_s = max(health.silence_s[voter] for voter in voters)
-    return (
-        len(voters) < health.target_voters
-        or longest_s >= health.replacement_timeout_s
+    return max(
+        health.spares,
+        key=lambda spare: (vm_of(spare.replica) in members, spare.replica),
+        default=None,
     )
 
 
-def _is_superseded(health: GroupHealth, member: Member) -> bool:
-    return any(
-        spare.replica.split('/')[0] == member.vm for spare in health.spares
-    )
+def _spare_vms(health: GroupHealth) -> set[str]:
+    return {vm_of(spare.replica) for spare in health.spares}
--- a/tests/test_consensus_faults.py
+++ b/tests/test_consensus_faults.py
@@ -12,7 +12,7 @@
 )
 
 from persimmonhold.consensus import Timings
-from tests._consensus_group import TIMINGS, Disk, Group
+from tests._consensus_group import TIMINGS, Disk, Group, Node
 
 _VMS = st.integers(0, 5)
 _SECONDS = st.floats(0.01, 2.0)
@@ -24,7 +24,7 @@
     """Three to five voters and a spare VM under every fault at once.
 
     Lost disks, wiped or older, are kept to what the group tolerates: a
-    minority that is not repaired yet. Where disks come back older, replicas
+    quorum of the voters keeps its disks. Where disks come back older, replicas
     wait for all the answers they need, since an older disk and long cuts
     together may be more losses than the group tolerates.
     """
@@ -33,7 +33,7 @@
         super().__init__()
         self.group = Group(3)
         self.backups: dict[str, Disk] = {}
-        self.impaired: set[str] = set()
+        self.impaired: dict[str, str] = {}
         self.payloads = 0
         self.has_older = False
 
@@ -131,6 +131,7 @@
         if backup.hard_state.replica != node.disk.hard_state.replica:
             return
         if self._may_lose(name):
+            self.impaired[name] = node.disk.hard_state.replica
             self.group.crash(name)
             node.disk = backup
             self.group.start(name)
@@ -176,31 +177,37 @@
         return not leader.live.leadership.successor
 
     def _may_lose(self, name: str) -> bool:
-        """Tell whether a minority of the voters would be impaired."""
-        self._note_repairs()
-        tolerated = (len(self.group.initial) - 1) // 2
-        if len(self.impaired | {name}) > tolerated:
+        """Tell whether a quorum of each newest configuration keeps its disks."""
+        logs = [
+            node.live.core.log if node.replica else node.disk.log()
+            for node in self._nodes()
+        ]
+        indexes = sorted({log.configuration_index for log in logs})
+        kept = {
+            node.disk.hard_state.replica
+            for node in self._nodes()
+            if node.vm != name and not self._is_impaired(node)
+        }
+        return all(
+            log.configuration.is_quorum(kept)
+            for log in logs
+            if log.configuration_index in indexes[-2:] and log.last_index
+        )
+
+    def _nodes(self) -> list[Node]:
+        return list(self.group.nodes.values())
+
+    def _is_impaired(self, node: Node) -> bool:
+        """Tell whether an older disk may still lack what it acknowledged."""
+        if self.impaired.get(node.vm) != node.disk.hard_state.replica:
+            return False
+        is_checked = node.replica and node.live.core.verification.is_done
+        last = node.disk.log().last_index
+        if is_checked and last >= self.group.last_committed:
+            self.impaired.pop(node.vm)
             return False
-        self.impaired.add(name)
         return True
 
-    def _note_repairs(self) -> None:
-        leader = self.group.leader
-        if leader is None:
-            return
-        members = leader.live.configuration.members
-        voters = [one.replica for one in members if one.is_voter]
-        for name in tuple(self.impaired):
-            node = self.group.nodes[name]
-            own = [one for one in voters if one.startswith(f'{name}/')]
-            is_alone = own in ([], [node.disk.hard_state.replica])
-            if node.replica is None or not is_alone:
-                continue
-            is_checked = node.live.core.verification.is_done
-            log = node.disk.log()
-            if is_checked and log.last_index >= self.group.last_committed:
-                self.impaired.discard(name)
-
 
 def _with_verification(timings: Timings, timeout_s: float) -> Timings:
     return msgspec.structs.replace(
