--- a/persimmonhold/control/machine/_command_status.py
+++ b/persimmonhold/control/machine/_command_status.py
@@ -14,6 +14,7 @@
     command_id_reused = 'command_id_reused'
     command_expired = 'command_expired'
     bad_entry = 'bad_entry'
+    in_use = 'in_use'
     does_not_fit = 'does_not_fit'
     not_found = 'not_found'
     claim_granted = 'claim_granted'
@@ -21,3 +22,5 @@
     claim_in_doubt = 'claim_in_doubt'
     claim_completed = 'claim_completed'
     claim_conflict = 'claim_conflict'
+    claim_table_full = 'claim_table_full'
+    claim_unregistered = 'claim_unregistered'
