--- a/tests/test_consensus_faults.py
+++ b/tests/test_consensus_faults.py
@@ -34,6 +34,7 @@
         self.group = Group(3)
         self.backups: dict[str, Disk] = {}
         self.impaired: dict[str, str] = {}
+        self.lost_early: set[str] = set()
         self.payloads = 0
         self.has_older = False
 
@@ -178,6 +179,9 @@
 
     def _may_lose(self, name: str) -> bool:
         """Tell whether a quorum of each newest configuration keeps its disks."""
+        if not self.group.committed:
+            self.lost_early.add(name)
+            return len(self.lost_early) * 2 < len(self.group.initial)
         logs = [
             node.live.core.log if node.replica else node.disk.log()
             for node in self._nodes()
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,178 @@
+"""Files that tear, crash at any step and come back damaged."""
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Success
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, MatchesAny
+
+from persimmonhold.failures import FailureKind
+from persimmonhold.storage import DiskDirectory, LogStore
+from tests._replication_fakes import CrashError, FakeDisk
+
+_RECORDS = (b'first', b'second record', b'third')
+_HEADER_BYTES = 20
+
+
+@pytest.fixture
+def disk() -> FakeDisk:
+    return FakeDisk()
+
+
+@pytest.fixture
+def written(disk: FakeDisk) -> bytes:
+    """Three records, each in a batch of its own."""
+    store = LogStore(disk)
+    store.recover().unwrap()
+    for record in _RECORDS:
+        store.append((record,))
+    return disk.read(disk.names()[0])
+
+
+def _recover(disk: FakeDisk, content: bytes) -> LogStore:
+    disk.files[disk.names()[0]].content = content
+    return LogStore(disk)
+
+
+@pytest.mark.parametrize('lost_bytes', range(1, _HEADER_BYTES + 5))
+def test_torn_last_record_is_cut(
+    disk: FakeDisk,
+    written: bytes,
+    lost_bytes: int,
+) -> None:
+    store = _recover(disk, written[:-lost_bytes])
+    assert_that(store.recover().unwrap().records, Equals(_RECORDS[:2]))
+    store.append((b'after',))
+    again = LogStore(disk).recover().unwrap()
+    assert_that(again.records, Equals((*_RECORDS[:2], b'after')))
+
+
+@pytest.mark.parametrize('position', range(2 * _HEADER_BYTES + 18))
+@pytest.mark.parametrize('value', [0, 255])
+def test_damage_before_the_last_record_names_file_and_offset(
+    disk: FakeDisk,
+    written: bytes,
+    position: int,
+    value: int,
+) -> None:
+    """A damaged length that reaches beyond the end is found as well."""
+    content = bytearray(written)
+    content[position] = value
+    if bytes(content) == written:
+        return
+    failure = _recover(disk, bytes(content)).recover().failure()
+    assert_that(failure.kind, Equals(FailureKind.storage_damaged))
+    assert_that(failure.peer, Equals('log-000000000001'))
+    start = 0 if position < _HEADER_BYTES + 5 else _HEADER_BYTES + 5
+    assert_that(failure.detail, Equals(f'damaged record at byte {start}'))
+
+
+def test_hole_in_the_last_batch_is_torn_not_damage(disk: FakeDisk) -> None:
+    store = LogStore(disk)
+    store.recover().unwrap()
+    store.append((b'kept',))
+    store.append((b'lost in a hole', b'written behind it'))
+    content = disk.read(disk.names()[0])
+    hole = content[:30] + bytes(10) + content[40:]
+    found = _recover(disk, hole).recover().unwrap()
+    assert_that(found.records, Equals((b'kept',)))
+
+
+def test_torn_end_of_an_earlier_segment_is_damage(disk: FakeDisk) -> None:
+    store = LogStore(disk, segment_bytes=1)
+    store.recover().unwrap()
+    store.append((b'one',))
+    store.append((b'two',))
+    first = disk.files[disk.names()[0]]
+    first.content = first.content[:-1]
+    failure = LogStore(disk).recover().failure()
+    assert_that(failure.peer, Equals('log-000000000001'))
+
+
+@pytest.mark.parametrize('name', ['state', 'snapshot'])
+def test_damaged_whole_file_is_an_error(disk: FakeDisk, name: str) -> None:
+    store = LogStore(disk)
+    store.write_state(b'term 4')
+    store.write_snapshot(b'the state')
+    disk.files[name].content = disk.files[name].content[:-1]
+    failure = LogStore(disk).recover().failure()
+    assert_that(failure.peer, Equals(name))
+
+
+class _Write(NamedTuple):
+    kind: str
+    content: bytes
+    perform: Callable[[], object]
+
+
+def _history(store: LogStore) -> list[_Write]:
+    """Return writes of every kind, twice the same record in a batch."""
+    writes: list[_Write] = []
+    for number in range(6):
+        record = b'record %d' % number
+        state = b'state %d' % number
+        snapshot = b'snapshot %d' % number * 5
+        writes.extend((
+            _Write('records', record, partial(store.append, (record, record))),
+            _Write('state', state, partial(store.write_state, state)),
+            _Write(
+                'snapshot',
+                snapshot,
+                partial(store.write_snapshot, snapshot),
+            ),
+        ))
+    return writes
+
+
+@given(stop_at=st.integers(0, 110), seed=st.integers(0, 1000))
+def test_what_was_synced_outlives_a_crash_at_any_step(
+    stop_at: int,
+    seed: int,
+) -> None:
+    disk = FakeDisk()
+    disk.stop_at = stop_at
+    store = LogStore(disk, segment_bytes=80)
+    store.recover().unwrap()
+    kept: dict[str, list[bytes]] = {'records': [], 'state': [], 'snapshot': []}
+    under_way = _Write('', b'', store.recover)
+    try:
+        for write in _history(store):
+            under_way = write
+            write.perform()
+            kept[write.kind].append(write.content)
+    except CrashError:
+        disk.stop_at = -1
+    survivor = disk.after_crash(random.Random(seed))
+    found = LogStore(survivor, segment_bytes=80).recover().unwrap()
+    for kind, present in (('state', found.state), ('snapshot', found.snapshot)):
+        last = kept[kind][-1] if kept[kind] else b''
+        newer = under_way.content if under_way.kind == kind else last
+        assert_that(present, MatchesAny(Equals(last), Equals(newer)))
+    acknowledged = [one for one in kept['records'] for _ in range(2)]
+    rest = set(found.records[len(acknowledged) :])
+    assert_that(found.records[: len(acknowledged)], Equals(tuple(acknowledged)))
+    assert_that(rest - {under_way.content}, Equals(set()))
+
+
+def test_files_of_the_machine_are_read_back(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    path = tmp_path_factory.mktemp('replica')
+    with DiskDirectory(path) as files:
+        store = LogStore(files, segment_bytes=20)
+        assert isinstance(store.recover(), Success)
+        for record in _RECORDS:
+            store.append((record,))
+        store.write_state(b'term 1')
+        store.write_state(b'term 2')
+        store.remove_before(store.segments[1])
+    with DiskDirectory(path) as files:
+        found = LogStore(files).recover().unwrap()
+    assert_that(found.records, Equals(_RECORDS[1:]))
+    assert_that(found.state, Equals(b'term 2'))
