--- /dev/null
+++ b/bench/consensus_group.py
@@ -0,0 +1,124 @@
+"""Replicas in one process: real files, messages passed on the loop."""
+
+import asyncio
+import random
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Self, final
+
+from persimmonhold.consensus import Timings
+from persimmonhold.replication import (
+    LogApplier,
+    ReplicaNode,
+    ReplicaSettings,
+)
+from persimmonhold.transport import Channel, Receiver, Transport
+
+
+@final
+class LoopTransport(Transport):
+    """Delivers on the next turn of the loop."""
+
+    def __init__(self, name: str, receivers: dict[str, Receiver]) -> None:
+        """Create the transport of one VM."""
+        self._name = name
+        self._receivers = receivers
+
+    def send(self, peer: str, channel: Channel, payload: bytes) -> None:
+        """Deliver to a VM that has subscribed."""
+        receiver = self._receivers.get(peer)
+        if receiver is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(receiver, self._name, payload)
+
+    def subscribe(self, channel: Channel, receiver: Receiver) -> None:
+        """Receive what is sent to this VM."""
+        self._receivers[self._name] = receiver
+
+    def set_peers(self, addresses: dict[str, str]) -> None:
+        """Names are enough here."""
+
+
+@final
+class FixedApplier(LogApplier):
+    """Counts payloads; its encoded state has a given size."""
+
+    def __init__(self, state: bytes = b'') -> None:
+        """Create an applier whose snapshot is `state`."""
+        self.count = 0
+        self._state = state
+
+    def apply(self, index: int, payload: bytes) -> object:
+        """Count a payload."""
+        self.count += 1
+        return self.count
+
+    def snapshot(self) -> bytes:
+        """Return the state."""
+        return self._state
+
+    def restore(self, index: int, state: bytes) -> None:
+        """Begin again."""
+        self.count = 0
+
+
+@final
+class BenchGroup:
+    """Owns a group of replicas under one directory."""
+
+    def __init__(
+        self,
+        directory: Path,
+        size: int,
+        seed: int,
+        state: bytes = b'',
+        snapshot_entries: int = 1_000_000,
+    ) -> None:
+        """Create a group that starts on entry."""
+        self.nodes: list[ReplicaNode] = []
+        self._stack = AsyncExitStack()
+        receivers: dict[str, Receiver] = {}
+        initial = {f'vm{number}': '' for number in range(size)}
+        for name in initial:
+            settings = ReplicaSettings(
+                name=name,
+                address='',
+                initial=initial,
+                timings=Timings(election_timeout_s=1.0),
+                snapshot_entries=snapshot_entries,
+                proposal_timeout_s=30.0,
+            )
+            node = ReplicaNode(
+                settings,
+                directory / name,
+                LoopTransport(name, receivers),
+                FixedApplier(state),
+                random.Random(f'{name} {seed}'),
+                time.monotonic,
+            )
+            self.nodes.append(node)
+
+    async def __aenter__(self) -> Self:
+        """Start the replicas."""
+        for node in self.nodes:
+            await self._stack.enter_async_context(node)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop the replicas."""
+        await self._stack.aclose()
+
+    async def leader(self) -> ReplicaNode:
+        """Wait for a leader with a lease."""
+        leading = [node for node in self.nodes if node.is_leader]
+        while not leading:
+            await asyncio.sleep(0.02)
+            leading = [node for node in self.nodes if node.is_leader]
+        return leading[0]
--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -205,12 +205,30 @@
         core = self.core
         if self._joining.is_needed:
             self._joining.tick(now)
-        elif not core.verification.is_done:
+            return
+        if self._is_floor_lost(now):
+            core.verification = core.verification.again(now)
+        if not core.verification.is_done:
             waited_s = now - core.verification.since
             limit_s = core.timings.verification_timeout_s
             self._identity.conclude(is_overdue=waited_s >= limit_s)
             core.announce_boot()
 
+    def _is_floor_lost(self, now: float) -> bool:
+        """Tell whether nobody alive may hold the log that votes wait for.
+
+        An answer may have told of entries that were never committed, on a
+        disk that was lost since.
+        """
+        core = self.core
+        limit_s = core.timings.verification_timeout_s
+        began_at = max(core.verification.since, core.heard_at)
+        is_waiting = (
+            core.verification.is_done
+            and core.log.last < core.verification.floor
+        )
+        return is_waiting and now - began_at >= limit_s
+
     def _settle(self, now: float) -> None:
         """Begin or end leading after the events were handled."""
         core = self.core
--- a/persimmonhold/consensus/_verification.py
+++ b/persimmonhold/consensus/_verification.py
@@ -15,12 +15,14 @@
 of the newest configuration that this replica or an answer knows.
 """
 
-from typing import final
+from typing import Final, final
 
 from persimmonhold.consensus._configuration import Configuration
 from persimmonhold.consensus._member import ReplicaId
 from persimmonhold.consensus._messages import BootReport
 
+_NO_LOG: Final = (float('inf'), float('inf'))
+
 
 @final
 class Verification:
@@ -29,6 +31,7 @@
     __slots__ = (
         'configuration',
         'configuration_index',
+        'earlier_floor',
         'floor',
         'is_done',
         'reports',
@@ -42,10 +45,20 @@
         self.is_done = is_done
         self.reports: set[ReplicaId] = set()
         self.floor = (0, 0)
+        self.earlier_floor: tuple[float, float] = _NO_LOG
         self.term = 0
         self.configuration = Configuration()
         self.configuration_index = 0
 
+    def again(self, since: float) -> 'Verification':
+        """Return a check that asks everyone anew; what was allowed stays so."""
+        renewed = Verification(since, is_done=False)
+        renewed.earlier_floor = self.floor
+        renewed.term = self.term
+        renewed.configuration = self.configuration
+        renewed.configuration_index = self.configuration_index
+        return renewed
+
     def add(self, sender: ReplicaId, report: BootReport) -> None:
         """Take an answer."""
         self.reports.add(sender)
@@ -71,7 +84,8 @@
 
     def allows(self, last: tuple[int, int], term: int) -> bool:
         """Tell whether a vote for such a log in such a term is safe."""
-        return self.is_done and last >= self.floor and term > self.term
+        is_newer = self.is_done and last >= self.floor
+        return term > self.term and (is_newer or last >= self.earlier_floor)
 
     def _learn(self, configuration: Configuration, index: int) -> None:
         if index >= self.configuration_index:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from returns.result import Success
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
@@ -15,6 +17,7 @@
 from persimmonhold.failures import FailureKind
 from persimmonhold.replication import ReplicaNode, ReplicaSettings
 from tests._replication_fakes import (
+    CrashError,
     FakeDisk,
     FakeNetwork,
     FakeTransport,
@@ -232,3 +235,98 @@
             assert_that(kinds, Equals({FailureKind.overloaded}))
 
     run_virtual(scenario())
+
+
+@given(stop_at=st.integers(3, 160), seed=st.integers(0, 1000))
+@settings(max_examples=60)
+def test_nothing_accepted_is_lost_by_a_crash_at_any_step(
+    stop_at: int,
+    seed: int,
+) -> None:
+    """The only replica stops at a step of its disk, twice."""
+
+    async def scenario() -> None:
+        vm = _FakeVm('vm0', FakeNetwork(), 1)
+        vm.snapshot_entries = 8
+        accepted: list[bytes] = []
+        for life in range(3):
+            vm.disk = vm.disk.after_crash(random.Random(seed + life))
+            vm.disk.stop_at = stop_at if life < 2 else -1
+            accepted.extend(await _use_until_stopped(vm, b'%d' % life))
+        kept = [one for one in vm.applier.payloads if one in accepted]
+        assert_that(kept, Equals(accepted))
+        assert_that(accepted[-1], Equals(b'2.39'))
+
+    run_virtual(scenario())
+
+
+async def _use_until_stopped(vm: _FakeVm, life: bytes) -> list[bytes]:
+    """Propose until the disk stops; return what was accepted."""
+    accepted = []
+    try:
+        async with vm.node() as node:
+            await asyncio.sleep(0.1)
+            for number in range(40):
+                payload = life + b'.%d' % number
+                answer = await node.propose(payload)
+                if isinstance(answer, Success):
+                    accepted.append(payload)
+            assert node.failure is not None or vm.disk.stop_at < 0 or accepted
+    except CrashError:
+        return accepted
+    return accepted
+
+
+def test_failed_disk_stops_the_replica_and_another_leads() -> None:
+    async def scenario() -> None:
+        async with running(3) as cluster:
+            old = await cluster.leader()
+            disk = cluster.vm(old.leader).disk
+            disk.stop_at = disk.steps
+            refused = (await old.propose(b'lost')).failure()
+            assert_that(refused.kind, Equals(FailureKind.no_quorum))
+            assert_that(old.is_leader, Equals(False))
+            assert old.failure is not None
+            assert_that(
+                old.failure.kind,
+                Equals(FailureKind.storage_unwritable),
+            )
+            assert_that((await cluster.leader()) is old, Equals(False))
+
+    run_virtual(scenario())
+
+
+def test_wiped_vm_takes_a_snapshot_and_votes_again() -> None:
+    async def scenario() -> None:
+        async with running(3) as cluster:
+            accepted = await propose_all(cluster, 130)
+            leader = await cluster.leader()
+            wiped = next(vm for vm in cluster.vms if vm.name != leader.leader)
+            await cluster.stop(wiped.name)
+            wiped.disk = FakeDisk()
+            await cluster.start(wiped)
+            await asyncio.sleep(5)
+            assert_that(wiped.applier.payloads, Equals(accepted))
+            members = leader.status().members
+            assert_that([one.is_voter for one in members], Equals([True] * 3))
+            found = next(one for one in members if one.vm == wiped.name)
+            own = cluster.nodes[wiped.name].status()
+            assert_that(found.incarnation, Equals(own.incarnation))
+            assert_that(found.match_index, Equals(own.last_index))
+
+    run_virtual(scenario())
+
+
+def test_damaged_log_is_named_and_not_used() -> None:
+    async def scenario() -> None:
+        vm = _FakeVm('vm0', FakeNetwork(), 1)
+        async with vm.node() as node:
+            await asyncio.sleep(0.1)
+            await node.propose(b'1')
+            await node.propose(b'2')
+        file = vm.disk.files['log-000000000001']
+        file.content = file.content[:30] + b'?' + file.content[31:]
+        with pytest.raises(OSError, match='log-000000000001.*byte 0'):
+            await vm.node().__aenter__()
+
+    run_virtual(scenario())
