--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -83,6 +83,10 @@
         self._follower = Follower(self.core)
         self._joining = Joining(self.core, initial, member.address)
         self._retry_at = now
+        if self.core.configuration.voters == (self.core.replica,):
+            # Nobody else can answer or lead.
+            self._identity.conclude(is_overdue=False)
+            self.core.election_at = now
 
     @property
     def next_wakeup(self) -> float:
--- a/persimmonhold/replication/_replica_node.py
+++ b/persimmonhold/replication/_replica_node.py
@@ -48,6 +48,7 @@
 
     __slots__ = (
         '_clock',
+        '_directory',
         '_files',
         '_host',
         '_inbox',
@@ -75,6 +76,7 @@
         self._settings = settings
         self._clock = clock
         self._stack = ExitStack()
+        self._directory = directory
         self._files = files or DiskDirectory(directory)
         self._host = ReplicaHost(
             settings,
@@ -99,7 +101,8 @@
         opened = self._host.open(self._clock())
         if isinstance(opened, Failed):
             self._stack.close()
-            raise OSError(opened.failure().describe())
+            detail = opened.failure().describe()
+            raise OSError(f'{self._directory}: {detail}')
         self._task = asyncio.create_task(self._run())
         return self
 
