--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -251,3 +251,14 @@
     group.run(2)
     assert_that(group.serial - before, LessThan(600))
     assert_that(late.applied, HasLength(220))
+
+
+def test_deaf_follower_does_not_depose_the_leader() -> None:
+    group = _formed(3)
+    leader = _leader(group)
+    deaf = _followers(group)[0]
+    group.cuts = {(leader.vm, deaf.vm)}
+    term = leader.live.core.term
+    group.run(1.9)
+    assert_that(leader.live.core.term, Equals(term))
+    assert_that(leader.live.lease_until(group.now), GreaterThan(group.now))
--- /dev/null
+++ b/tests/test_consensus_repair.py
@@ -0,0 +1,72 @@
+"""The next membership change, case by case."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from persimmonhold.consensus import Configuration, Member
+from persimmonhold.consensus._group_health import GroupHealth
+from persimmonhold.consensus._repair import choose_change
+from persimmonhold.consensus._spare import Spare
+
+_QUIET_S = 0.1
+_DEAD_S = 60.0
+
+
+def _members(names: str) -> Configuration:
+    """Return members; a name in lower case is a learner."""
+    return Configuration(
+        tuple(Member(f'{one}/1', one, one.isupper()) for one in names),
+    )
+
+
+@pytest.mark.parametrize(
+    ('members', 'dead', 'caught_up', 'spares', 'expected'),
+    [
+        ('ABC', '', '', 'D', 'ABC'),
+        ('ABC', 'C', '', '', 'ABC'),
+        ('ABC', 'C', '', 'd', 'ABCd'),
+        ('ABCd', 'C', '', '', 'ABCd'),
+        ('ABCd', 'C', 'd', '', 'ABd'),
+        ('ABd', '', '', '', 'ABd'),
+        ('ABd', '', 'd', '', 'ABD'),
+        ('ABCd', '', 'd', '', 'ABC'),
+        ('ABCd', 'Cd', '', '', 'ABC'),
+        ('ABCd', 'BC', 'd', '', 'ABCd'),
+        ('AB', '', '', 'd', 'ABd'),
+        ('ABCD', 'C', '', '', 'ABD'),
+        ('ABCDE', 'DE', '', 'fg', 'ABCDEg'),
+        ('ABCDEg', 'DE', 'g', 'f', 'ABCEg'),
+    ],
+)
+def test_next_change(
+    members: str,
+    dead: str,
+    caught_up: str,
+    spares: str,
+    expected: str,
+) -> None:
+    configuration = _members(members)
+    silence_s = {
+        f'{one}/1': _DEAD_S if one in dead else _QUIET_S for one in members
+    }
+    health = GroupHealth(
+        leader='A/1',
+        configuration=configuration,
+        target_voters=5 if 'E' in members else 3,
+        silence_s=silence_s,
+        caught_up=frozenset(f'{one}/1' for one in caught_up),
+        spares=tuple(Spare(f'{one}/1', one, 0) for one in spares),
+        live_within_s=1,
+        replacement_timeout_s=30,
+    )
+    changed = choose_change(health) or configuration
+    found = ''.join(
+        one.vm if one.is_voter else one.vm.lower() for one in changed.members
+    )
+    assert_that(found.upper(), Equals(expected.upper()))
+    learners = {one.vm.lower() for one in changed.members if not one.is_voter}
+    assert_that(
+        learners,
+        Equals({one for one in expected if one.islower()}),
+    )
