Only a leader with a lease voids an identity; one membership change in flight is checked

Cause: a deposed leader could have told a replica that an identity was removed or its disk older, from an outdated configuration or match index.

--- a/persimmonhold/consensus/_identity.py
+++ b/persimmonhold/consensus/_identity.py
@@ -3,7 +3,7 @@
 Each start has a number that rises and a random value. A member answers a
 start that it has recorded on disk, and calls the identity void where the
 folder is provably older: a start number that was used before, a log shorter
-than what the leader saw synced, or an identity that the group removed.
+than what the leader in force saw synced, or an identity that the group removed.
 """
 
 from typing import final
@@ -33,13 +33,15 @@
         sender: ReplicaId,
         check: BootCheck,
         leadership: Leadership | None,
+        *,
+        is_lease_held: bool,
     ) -> None:
         """Record the start of a member and report."""
         core = self._core
         known = core.hard_state.boots.get(sender, Boot())
         is_void = check.boot != known and (
             check.boot.number <= known.number
-            or self._is_shorter(sender, check, leadership)
+            or (is_lease_held and self._is_shorter(sender, check, leadership))
         )
         if not is_void and check.boot != known:
             core.record_boot(sender, check.boot)
@@ -61,6 +63,17 @@
             core.verification.add(sender, report)
             self.conclude(is_overdue=False)
 
+    def verify(self, now: float) -> None:
+        """Ask the other members again while votes are not allowed."""
+        core = self._core
+        if self._is_floor_lost(now):
+            core.verification = core.verification.again(now)
+        if not core.verification.is_done:
+            waited_s = now - core.verification.since
+            limit_s = core.timings.verification_timeout_s
+            self.conclude(is_overdue=waited_s >= limit_s)
+            core.announce_boot()
+
     def conclude(self, *, is_overdue: bool) -> None:
         """End the verification where enough members answered."""
         core = self._core
@@ -71,6 +84,21 @@
             is_overdue=is_overdue,
         )
 
+    def _is_floor_lost(self, now: float) -> bool:
+        """Tell whether nobody alive may hold the log that votes wait for.
+
+        An answer may have told of entries that were never committed, on a
+        disk that was lost since.
+        """
+        core = self._core
+        limit_s = core.timings.verification_timeout_s
+        began_at = max(core.verification.since, core.heard_at)
+        is_waiting = (
+            core.verification.is_done
+            and core.log.last < core.verification.floor
+        )
+        return is_waiting and now - began_at >= limit_s
+
     def _is_shorter(
         self,
         sender: ReplicaId,
--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -147,7 +147,7 @@
         is_own = envelope.receiver in {'', core.replica}
         if not is_own or self._identity.is_abandoned:
             return
-        if self._is_removed(envelope):
+        if self._is_removed(envelope, now):
             self._identity.refuse_stranger(envelope.sender)
         else:
             self._dispatch(envelope.sender, envelope.message, now)
@@ -206,32 +206,10 @@
                 core.announce_boot()
 
     def _retry(self, now: float) -> None:
-        core = self.core
         if self._joining.is_needed:
             self._joining.tick(now)
-            return
-        if self._is_floor_lost(now):
-            core.verification = core.verification.again(now)
-        if not core.verification.is_done:
-            waited_s = now - core.verification.since
-            limit_s = core.timings.verification_timeout_s
-            self._identity.conclude(is_overdue=waited_s >= limit_s)
-            core.announce_boot()
-
-    def _is_floor_lost(self, now: float) -> bool:
-        """Tell whether nobody alive may hold the log that votes wait for.
-
-        An answer may have told of entries that were never committed, on a
-        disk that was lost since.
-        """
-        core = self.core
-        limit_s = core.timings.verification_timeout_s
-        began_at = max(core.verification.since, core.heard_at)
-        is_waiting = (
-            core.verification.is_done
-            and core.log.last < core.verification.floor
-        )
-        return is_waiting and now - began_at >= limit_s
+        else:
+            self._identity.verify(now)
 
     def _settle(self, now: float) -> None:
         """Begin or end leading after the events were handled."""
@@ -244,10 +222,12 @@
             target = len(self._initial)
             self.leadership = Leadership(core, target, now)
 
-    def _is_removed(self, envelope: Envelope) -> bool:
-        """Tell whether the group has removed a sender that asks to act."""
-        leadership = self.leadership
-        if leadership is None or not leadership.is_established:
+    def _is_removed(self, envelope: Envelope, now: float) -> bool:
+        """Tell whether the group has removed a sender that asks to act.
+
+        Only a leader whose lease holds knows the newest configuration.
+        """
+        if self.lease_until(now) <= now:
             return False
         asks = isinstance(envelope.message, RequestVote | BootCheck)
         is_known = self.configuration.find(envelope.sender) is not None
@@ -283,7 +263,7 @@
     ) -> None:
         match message:
             case BootCheck():
-                self._identity.on_check(sender, message, self.leadership)
+                self._on_boot_check(sender, message, now)
             case BootReport():
                 self._identity.on_report(sender, message)
             case Hello():
@@ -292,6 +272,19 @@
             case HelloReply():
                 self._joining.on_reply(sender, message)
 
+    def _on_boot_check(
+        self,
+        sender: ReplicaId,
+        message: BootCheck,
+        now: float,
+    ) -> None:
+        self._identity.on_check(
+            sender,
+            message,
+            self.leadership,
+            is_lease_held=self.lease_until(now) > now,
+        )
+
     def _on_progress(
         self,
         sender: ReplicaId,
--- a/persimmonhold/replication/_replica_host.py
+++ b/persimmonhold/replication/_replica_host.py
@@ -57,6 +57,7 @@
         '_empty_state',
         '_encoder',
         '_generator',
+        '_logged',
         '_settings',
         '_store',
         '_transport',
@@ -83,6 +84,7 @@
         self._empty_state = applier.snapshot()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._logged = ('', '', 0)
         self.applied_index = 0
         self.waiters = Waiters()
         self.replica: Replica
@@ -128,6 +130,7 @@
             actions = self.replica.take_actions()
         if self.replica.leadership is None:
             self.waiters.end_handovers()
+        self._log_changes()
 
     def take_snapshot(self) -> Snapshot:
         """Encode the applied state."""
@@ -182,6 +185,25 @@
                 return self.replica.take_actions()
         return actions
 
+    def _log_changes(self) -> None:
+        """Log a new role, leader or configuration."""
+        replica = self.replica
+        seen = (
+            replica.core.role.value,
+            replica.leader,
+            replica.core.log.configuration_index,
+        )
+        if seen != self._logged:
+            self._logged = seen
+            log_event(
+                'replica changed',
+                replica=replica.core.replica,
+                role=seen[0],
+                leader=seen[1],
+                term=replica.core.term,
+                voters=replica.configuration.voters,
+            )
+
     def _do(self, action: Action) -> None:
         match action:
             case Send():
--- a/persimmonhold/replication/_waiters.py
+++ b/persimmonhold/replication/_waiters.py
@@ -29,6 +29,9 @@
 
     def await_entry(self, index: int, term: int, answer: AnswerFuture) -> None:
         """Answer when the entry of a term at an index is applied."""
+        earlier = self._proposals.get(index)
+        if earlier is not None:
+            fail(earlier[1], FailureKind.no_quorum, _PROPOSE_STEP)
         self._proposals[index] = (term, answer)
 
     def await_read(self, answer: AnswerFuture) -> int:
--- a/tests/_consensus_group.py
+++ b/tests/_consensus_group.py
@@ -260,6 +260,13 @@
                 replica.core.replica,
             )
             assert known == replica.core.replica, 'two leaders in a term'
+            log, commit_index = replica.core.log, replica.core.commit_index
+            changes = [
+                one
+                for one in log.between(commit_index + 1, log.last_index)
+                if one.kind is EntryKind.configuration
+            ]
+            assert len(changes) <= 1, 'two membership changes at once'
         leases = [
             one.vm
             for one in self.running
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -262,3 +262,15 @@
     group.run(1.9)
     assert_that(leader.live.core.term, Equals(term))
     assert_that(leader.live.lease_until(group.now), GreaterThan(group.now))
+
+
+def test_membership_changes_wait_for_one_another() -> None:
+    group = _formed(5, spares=2)
+    for node in _followers(group)[:2]:
+        group.crash(node.vm)
+    group.sync_s = 0.6
+    group.run(40)
+    group.calm()
+    group.run(20)
+    assert_that(_voters(group), HasLength(5))
+    assert_that(len(group.running), Equals(5))
--- a/tests/test_consensus_leader.py
+++ b/tests/test_consensus_leader.py
@@ -147,3 +147,17 @@
     assert_that(leader.replica.core.commit_index, Equals(0))
     leader.acknowledge('b', _OWN_ENTRY, {'b/1': Boot(2, 8)})
     assert_that(leader.replica.core.commit_index, Equals(_OWN_ENTRY))
+
+
+def test_truncated_entries_are_not_counted_as_synced() -> None:
+    entries = [LogEntry(one, 1, EntryKind.command) for one in range(1, 6)]
+    log = RaftLog(Snapshot(), entries)
+    log.append([LogEntry(6, 1, EntryKind.command)])
+    log.note_unsynced(1)
+    log.truncate(4)
+    log.append([LogEntry(4, 2, EntryKind.command)])
+    log.note_unsynced(2)
+    log.note_synced(1)
+    assert_that(log.synced_index, Equals(3))
+    log.note_synced(2)
+    assert_that(log.synced_index, Equals(4))
