--- a/bench/drills/_processes.py
+++ b/bench/drills/_processes.py
@@ -128,7 +128,7 @@
         """Wait until a control VM other than `former` leads."""
         for _ in range(_READY_POLLS):
             status = await self.status()
-            leader = str(status.get('leader', ''))
+            leader = str(status.get('control', {}).get('leader', ''))
             if leader not in {former, ''}:
                 return leader
             await asyncio.sleep(_POLL_S / 3)
