Assemble the control side of a VM from settings; count control traffic

A replica that repeats its log no longer pushes every change again: commands applied in one turn are passed on together, and more than 64 changes are left to pulls.

--- a/persimmonhold/control/shell/__init__.py
+++ b/persimmonhold/control/shell/__init__.py
@@ -16,6 +16,7 @@
 from persimmonhold.control.shell._proposal_server import ProposalServer
 from persimmonhold.control.shell._remote_control_link import RemoteControlLink
 from persimmonhold.control.shell._single_replica_log import SingleReplicaLog
+from persimmonhold.control.shell._vm_control import LogFactory, VmControl
 from persimmonhold.control.shell._vm_shell import VmShell
 
 __all__ = (
@@ -26,6 +27,7 @@
     'ControlNode',
     'LeaderDuties',
     'LocalControlLink',
+    'LogFactory',
     'OperatorHandler',
     'OperatorRefusal',
     'PlacementHost',
@@ -33,5 +35,6 @@
     'ProposalServer',
     'RemoteControlLink',
     'SingleReplicaLog',
+    'VmControl',
     'VmShell',
 )
--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -46,6 +46,7 @@
 
     __slots__ = (
         '_applier',
+        '_feed_due',
         '_members',
         '_reported',
         '_single',
@@ -69,6 +70,7 @@
         self.changed = asyncio.Event()
         self.reported: tuple[Demand, ...] = ()
         self._applier = applier
+        self._feed_due = False
         self._members = asyncio.Lock()
         self._reported = asyncio.Event()
         self._single: SingleReplicaLog | None = None
@@ -202,6 +204,17 @@
             self.reports.take(now, report, self.state.vms)
             self._reported.set()
 
+    def feed_vm(self) -> None:
+        """Pass what was applied to the agent of this VM."""
+        self._feed_due = False
+        if self.vm is None:
+            return
+        timings = self.vm.timings
+        fanout = timings.push_fanout
+        if self.log.leader == self.vm.record.name:
+            fanout = timings.leader_push_fanout
+        self.vm.feed(self.state.view, fanout)
+
     async def _propose(
         self,
         command: Command,
@@ -251,10 +264,8 @@
 
     def _applied(self) -> None:
         self.changed.set()
-        if self.vm is None:
+        if self.vm is None or self._feed_due:
             return
-        timings = self.vm.timings
-        fanout = timings.push_fanout
-        if self.log.leader == self.vm.record.name:
-            fanout = timings.leader_push_fanout
-        self.vm.feed(self.state.view, fanout)
+        # Commands that are applied in one turn are passed on together.
+        self._feed_due = True
+        asyncio.get_running_loop().call_soon(self.feed_vm)
--- a/persimmonhold/control/shell/_leader_duties.py
+++ b/persimmonhold/control/shell/_leader_duties.py
@@ -44,6 +44,7 @@
         barrier = await self._node.read_barrier()
         if isinstance(barrier, Failed):
             return
+        self._node.feed_vm()
         self._vm.prove_control(asked_at, self._node.state.view.index)
         await self._remove_dead(asked_at)
 
--- a/persimmonhold/control/shell/_remote_control_link.py
+++ b/persimmonhold/control/shell/_remote_control_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from typing import Final, final
 
 import msgspec
@@ -46,6 +47,7 @@
         self._vm = vm
         self._client = client
         self._node = node
+        self._due = asyncio.Event()
         vm.subscribe(self._view_changed)
 
     @property
@@ -61,9 +63,19 @@
     async def run(self) -> None:
         """Keep this VM registered as it is, until cancelled."""
         while True:
+            self._due.clear()
             if not self._vm.is_registered:
-                await self._register()
-            await asyncio.sleep(_REGISTER_INTERVAL_S)
+                await self._register(gone=False)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_REGISTER_INTERVAL_S):
+                    await self._due.wait()
+
+    async def leave(self) -> None:
+        """Have this VM removed at once, at the end of a planned stop.
+
+        `run` has to be cancelled before, since it would register again.
+        """
+        await self._register(gone=True)
 
     async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
         """Commit a claim of this incarnation of the VM.
@@ -106,11 +118,13 @@
         """Have this VM registered with another draining state."""
         super().mark_draining(draining=draining)
         self._vm.mark_draining(draining=draining)
+        self._due.set()
 
-    async def _register(self) -> None:
+    async def _register(self, *, gone: bool) -> None:
         command = RegisterVm(
             at_ms=int(time.time() * _MS_PER_S),
             vm=self._vm.record,
+            gone=gone,
         )
         await self._propose(command)
 
--- a/persimmonhold/membership/_membership_timings.py
+++ b/persimmonhold/membership/_membership_timings.py
@@ -23,6 +23,7 @@
     fanout: int = 2
     push_fanout: int = 3
     leader_push_fanout: int = 32
+    push_changes: int = 64
     part_bytes: int = 65_536
 
     def interval_for(self, vm_count: int) -> float:
--- a/persimmonhold/membership/_vm_agent.py
+++ b/persimmonhold/membership/_vm_agent.py
@@ -126,6 +126,9 @@
         for change in changes:
             self.view.apply(change)
         self._note_members()
+        if len(changes) > self.timings.push_changes:
+            # A replica that starts repeats its log; others pull if need be.
+            return ()
         return self._push(ViewChanges(changes=changes), fanout)
 
     def prove_control(self, at: float, index: int) -> bool:
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -57,6 +57,16 @@
     kind=MetricKind.counter,
     doc='Offered control views older than the one in force; not taken.',
 )
+DIVERGED_VIEWS: Final = MetricSpec(
+    name='persimmonhold_diverged_views_total',
+    kind=MetricKind.counter,
+    doc='Views of equal index whose contents differ; a fault.',
+)
+DROPPED_MESSAGES: Final = MetricSpec(
+    name='persimmonhold_dropped_messages_total',
+    kind=MetricKind.counter,
+    doc='Messages between VMs that were not queued or not understood.',
+)
 CONTROL_BYTES: Final = MetricSpec(
     name='persimmonhold_control_bytes_total',
     kind=MetricKind.counter,
@@ -91,6 +101,8 @@
     IN_FLIGHT,
     REVISION,
     STALE_VIEWS,
+    DIVERGED_VIEWS,
+    DROPPED_MESSAGES,
     CONTROL_BYTES,
     PROCESS_CPU,
     COMMANDS,
