Announce a new leader, push to five, mend who is seen to lag

A new leader waited for VMs to learn of it by heartbeats before a change was accepted, and a VM that a push had missed waited up to a second or, under loss, several.

--- a/persimmonhold/control/shell/_leader_duties.py
+++ b/persimmonhold/control/shell/_leader_duties.py
@@ -14,19 +14,20 @@
 from persimmonhold.control.shell._control_node import ControlNode
 from persimmonhold.control.shell._vm_shell import VmShell
 
-_ROUND_S: Final = 0.25
+_ROUND_S: Final = 0.2
 
 
 @final
 class LeaderDuties:
     """Runs on every control VM and acts while it leads."""
 
-    __slots__ = ('_node', '_seen_at', '_vm')
+    __slots__ = ('_announced', '_node', '_seen_at', '_vm')
 
     def __init__(self, node: ControlNode, vm: VmShell) -> None:
         """Create the duties of a node."""
         self._node = node
         self._vm = vm
+        self._announced = False
         self._seen_at: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -39,6 +40,7 @@
         """Perform one round."""
         if not self._node.leads:
             self._seen_at.clear()
+            self._announced = False
             return
         asked_at = self._vm.clock()
         barrier = await self._node.read_barrier()
@@ -46,6 +48,9 @@
             return
         self._node.feed_vm()
         self._vm.prove_control(asked_at, self._node.state.view.index)
+        if not self._announced:
+            self._announced = True
+            self._vm.announce_leader()
         await self._remove_dead(asked_at)
 
     async def _remove_dead(self, now: float) -> None:
--- a/persimmonhold/control/shell/_vm_shell.py
+++ b/persimmonhold/control/shell/_vm_shell.py
@@ -143,6 +143,10 @@
         if self.agent.prove_control(at, index):
             self.agent.leader = self.record.name
 
+    def announce_leader(self) -> None:
+        """Have every VM report to this one, which has begun to lead."""
+        self._post(self.agent.announce(self.clock()))
+
     def mark_draining(self, *, draining: bool) -> None:
         """Have this VM registered with another draining state."""
         self.record = msgspec.structs.replace(self.record, draining=draining)
@@ -153,8 +157,11 @@
         except msgspec.DecodeError:
             return
         before = self.agent.view.index
+        leader = self.agent.leader
         self._post(self.agent.receive(self.clock(), peer, message))
         self._note_change(before)
+        if self.agent.leader != leader:
+            self._report(self.clock())
 
     def _post(self, sends: tuple[Send, ...]) -> None:
         encoded: dict[int, bytes] = {}
--- a/persimmonhold/membership/_membership_timings.py
+++ b/persimmonhold/membership/_membership_timings.py
@@ -21,7 +21,7 @@
     dead_after_s: float = 10
     pull_timeout_s: float = 0.3
     fanout: int = 2
-    push_fanout: int = 3
+    push_fanout: int = 5
     leader_push_fanout: int = 32
     push_changes: int = 64
     part_bytes: int = 65_536
--- a/persimmonhold/membership/_messages.py
+++ b/persimmonhold/membership/_messages.py
@@ -15,10 +15,14 @@
     tag='heartbeat',
     array_like=True,
 ):
-    """Asks for an answer; `sent_at` is in the clock of the sender."""
+    """Asks for an answer; `sent_at` is in the clock of the sender.
+
+    `leads` is set by a new leader of control, so that VMs report to it.
+    """
 
     sent_at: float
     index: int
+    leads: bool = False
 
 
 @final
--- a/persimmonhold/membership/_vm_agent.py
+++ b/persimmonhold/membership/_vm_agent.py
@@ -101,8 +101,11 @@
         """Take a message of another VM; return what to send."""
         match message:
             case Heartbeat():
+                if message.leads:
+                    self.leader = peer
                 answer = Send(peer, self._answer(now, message))
-                return (answer, *self._pull_if_behind(now, peer, message))
+                mended = self._mend(now, peer, message)
+                return (answer, *mended)
             case HeartbeatAnswer():
                 self._take_answer(peer, message)
                 return self._pull_if_behind(now, peer, message)
@@ -138,6 +141,17 @@
         self.proofs.prove_control(at)
         return True
 
+    def announce(self, now: float) -> tuple[Send, ...]:
+        """Return the heartbeats by which a new leader is known to all."""
+        self.leader = self.name
+        heartbeat = Heartbeat(
+            sent_at=now,
+            index=self.view.index,
+            leads=True,
+        )
+        others = (name for name in self.names if name != self.name)
+        return tuple(Send(peer, heartbeat) for peer in others)
+
     def _partners(self) -> tuple[str, ...]:
         others = [name for name in self.names if name != self.name]
         fanout = self.timings.fanout_for(len(self.names))
@@ -188,6 +202,20 @@
             self.leader = answer.leader or self.leader
         self.proofs.prove_control(proven_at)
 
+    def _mend(
+        self,
+        now: float,
+        peer: str,
+        heartbeat: Heartbeat,
+    ) -> tuple[Send, ...]:
+        """Send a VM that lags the few changes it lacks, unasked."""
+        if heartbeat.index >= self.view.index:
+            return self._pull_if_behind(now, peer, heartbeat)
+        changes = self.view.changes_since(heartbeat.index)
+        if changes is None or len(changes) > self.timings.push_changes:
+            return ()
+        return (Send(peer, ViewChanges(changes=changes)),)
+
     def _pull_if_behind(
         self,
         now: float,
