VMs from settings with consensus; whole systems in virtual time

VmControl opens the replica itself. Nine-VM tests run on a shared log, and two more on consensus with files: an elected leader answers resends of the lost one, twice in a row, within six seconds; a leader cut off silently for a minute neither accepts nor serves. ReplicatedLog has status(), which gives placement its term and operators the state of the group.

--- a/bench/memory_system.py
+++ b/bench/memory_system.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from types import TracebackType
-from typing import Any, Final, Self, final
+from typing import Any, Final, Self, TypeAlias, final
 
 from bench.memory_network import MemoryNetwork
-from bench.shared_log import LogGroup
+from bench.shared_log import LogGroup, SharedLog
 from persimmonhold.catalogue import ModelEntry
 from persimmonhold.control.machine import (
     CommandResult,
@@ -24,8 +26,15 @@
     VmShell,
 )
 from persimmonhold.messages import VmRecord
+from persimmonhold.replication import (
+    LogApplier,
+    ReplicaNode,
+    ReplicaSettings,
+)
 from persimmonhold.transport import Transport
 
+MemoryLog: TypeAlias = SharedLog | ReplicaNode
+OpenLog: TypeAlias = Callable[[str, LogApplier, Transport], MemoryLog]
 _POLL_S: Final = 0.005
 
 
@@ -38,7 +47,7 @@
         name: str,
         control: tuple[str, ...],
         transport: Transport,
-        group: LogGroup,
+        open_log: OpenLog,
     ) -> None:
         """Create a VM; one that is named in `control` has a replica."""
         has_control = name in control
@@ -53,16 +62,24 @@
         self.vm = VmShell(record, addresses, transport, clock=clock)
         self.client = ControlClient(self.vm, transport)
         self.node: ControlNode | None = None
-        work: list[Coroutine[Any, Any, None]] = [self.vm.run()]
+        self.log: MemoryLog | None = None
         if has_control:
             applier = ControlApplier(ControlMachine())
-            log = group.replica(name, applier)
-            self.node = ControlNode(applier, log, self.vm)
-            duties = LeaderDuties(self.node, self.vm)
-            work.extend((log.follow(), duties.run()))
+            self.log = open_log(name, applier, transport)
+            self.node = ControlNode(applier, self.log, self.vm)
         self.server = ProposalServer(self.client, transport, self.node)
         self.link = RemoteControlLink(self.vm, self.client, self.node)
-        work.append(self.link.run())
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything."""
+        work: list[Coroutine[Any, Any, None]] = [
+            self.vm.run(),
+            self.link.run(),
+        ]
+        if self.log is not None and self.node is not None:
+            await self.log.__aenter__()
+            work.append(LeaderDuties(self.node, self.vm).run())
         self._tasks = [asyncio.create_task(task) for task in work]
 
     async def stop(self) -> None:
@@ -71,26 +88,40 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.server.close()
+        if self.log is not None:
+            await self.log.__aexit__(None, None, None)
 
 
 @final
 class MemorySystem:
     """VMs by name; the first ones have control, and the first one leads."""
 
-    def __init__(self, count: int, control: int, seed: int) -> None:
-        """Create a system that is not started."""
+    def __init__(
+        self,
+        count: int,
+        control: int,
+        seed: int,
+        directory: Path | None = None,
+    ) -> None:
+        """Create a system that is not started.
+
+        With a directory control is replicated by consensus, and elects its
+        leader; else it is a shared log led by the first VM.
+        """
         self.names = tuple(f'vm{number}' for number in range(1, count + 1))
         self.control = self.names[:control]
         self.network = MemoryNetwork(seed)
         self.group = LogGroup(self.network)
         self.vms: dict[str, MemoryVm] = {}
         self._commands = 0
+        self._directory = directory
+        self._random = random.Random(seed)
 
     async def __aenter__(self) -> Self:
         """Start every VM and wait until all of them serve."""
-        for name in self.names:
-            self.start(name)
         self.group.leader = self.control[0]
+        for name in self.names:
+            await self.start(name)
         await _until(lambda: self.serving() == set(self.names))
         return self
 
@@ -106,15 +137,33 @@
 
     @property
     def leader(self) -> ControlNode:
-        """The node of the leader."""
-        node = self.vms[self.group.leader].node
-        assert node is not None
-        return node
+        """The node of the leader; there has to be one."""
+        return next(
+            vm.node
+            for name, vm in self.vms.items()
+            if vm.node and vm.node.leads and name not in self.network.down
+        )
 
-    def start(self, name: str) -> None:
+    @property
+    def has_leader(self) -> bool:
+        """Tell whether a node leads."""
+        return any(
+            vm.node is not None and vm.node.leads
+            for name, vm in self.vms.items()
+            if name not in self.network.down
+        )
+
+    async def await_leader(self) -> ControlNode:
+        """Wait until a node leads; return it."""
+        await _until(lambda: self.has_leader)
+        return self.leader
+
+    async def start(self, name: str) -> None:
         """Start a VM."""
         transport = self.network.transport(name)
-        self.vms[name] = MemoryVm(name, self.control, transport, self.group)
+        vm = MemoryVm(name, self.control, transport, self._open_log)
+        self.vms[name] = vm
+        await vm.start()
 
     async def kill(self, name: str) -> None:
         """Let a VM vanish."""
@@ -125,14 +174,14 @@
         """Start a VM anew that was killed or runs."""
         await self.vms[name].stop()
         self.network.down.discard(name)
-        self.start(name)
+        await self.start(name)
 
     def serving(self) -> set[str]:
         """Return the VMs that may serve callers."""
         return {
             name
             for name, vm in self.vms.items()
-            if name not in self.network.down and vm.link.serving_allowed
+            if name not in self.network.down and vm.link.serving_allowed()
         }
 
     def next_change(self) -> PutEntry:
@@ -172,6 +221,27 @@
             if vm.link.view.index < index and name not in self.network.down
         }
 
+    def _open_log(
+        self,
+        name: str,
+        applier: LogApplier,
+        transport: Transport,
+    ) -> 'MemoryLog':
+        if self._directory is None:
+            return self.group.replica(name, applier)
+        return ReplicaNode(
+            ReplicaSettings(
+                name=name,
+                address='',
+                initial=dict.fromkeys(self.control, ''),
+            ),
+            self._directory / name,
+            transport,
+            applier,
+            random.Random(self._random.random()),
+            asyncio.get_running_loop().time,
+        )
+
 
 async def _until(condition: Callable[[], bool]) -> None:
     """Wait for a condition."""
--- a/bench/shared_log.py
+++ b/bench/shared_log.py
@@ -5,14 +5,19 @@
 """
 
 import asyncio
-from typing import Final, final
+from types import TracebackType
+from typing import Final, Self, final
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from bench.memory_network import MemoryNetwork
 from persimmonhold.failures import Failure, FailureKind
-from persimmonhold.replication import LogApplier, ReplicatedLog
+from persimmonhold.replication import (
+    LogApplier,
+    ReplicaStatus,
+    ReplicatedLog,
+)
 
 _COMMIT_S: Final = 0.002
 _FOLLOW_S: Final = 0.05
@@ -28,6 +33,7 @@
         self.payloads: list[bytes] = []
         self.replicas: dict[str, SharedLog] = {}
         self.leader = ''
+        self.term = 1
 
     def replica(self, name: str, applier: LogApplier) -> 'SharedLog':
         """Return a replica that has applied nothing."""
@@ -61,6 +67,22 @@
         self._group = group
         self._applier = applier
         self._applied = 0
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Start to follow."""
+        self._task = asyncio.create_task(self._follow())
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop to follow."""
+        if self._task is not None:
+            self._task.cancel()
 
     @property
     def is_leader(self) -> bool:
@@ -105,12 +127,23 @@
         self._group.leader = names[position % len(names)]
         return Success(self._group.leader)
 
-    async def follow(self) -> None:
-        """Apply what others commit until cancelled."""
-        while True:
-            if self.leader or self.is_leader:
-                self.catch_up()
-            await asyncio.sleep(_FOLLOW_S)
+    def status(self) -> ReplicaStatus:
+        """Describe the replica."""
+        committed = len(self._group.payloads)
+        return ReplicaStatus(
+            vm=self._name,
+            incarnation='',
+            role='leader' if self.is_leader else 'follower',
+            term=self._group.term,
+            leader=self.leader,
+            is_verified=True,
+            lease_s=0,
+            last_index=committed,
+            commit_index=committed,
+            applied_index=self._applied,
+            snapshot_index=0,
+            members=(),
+        )
 
     def catch_up(self) -> object:
         """Apply what is missing; return the last result."""
@@ -120,6 +153,13 @@
             applied = self._applier.apply(self._applied, payload)
         return applied
 
+    async def _follow(self) -> None:
+        """Apply what others commit until cancelled."""
+        while True:
+            if self.leader or self.is_leader:
+                self.catch_up()
+            await asyncio.sleep(_FOLLOW_S)
+
     def _has_quorum(self) -> bool:
         return self._group.has_quorum(self._name)
 
--- a/persimmonhold/control/shell/__init__.py
+++ b/persimmonhold/control/shell/__init__.py
@@ -16,7 +16,7 @@
 from persimmonhold.control.shell._proposal_server import ProposalServer
 from persimmonhold.control.shell._remote_control_link import RemoteControlLink
 from persimmonhold.control.shell._single_replica_log import SingleReplicaLog
-from persimmonhold.control.shell._vm_control import LogFactory, VmControl
+from persimmonhold.control.shell._vm_control import VmControl
 from persimmonhold.control.shell._vm_shell import VmShell
 
 __all__ = (
@@ -27,7 +27,6 @@
     'ControlNode',
     'LeaderDuties',
     'LocalControlLink',
-    'LogFactory',
     'OperatorHandler',
     'OperatorRefusal',
     'PlacementHost',
--- a/persimmonhold/control/shell/_control_link.py
+++ b/persimmonhold/control/shell/_control_link.py
@@ -25,25 +25,12 @@
         """Create a link without a view."""
         self.view = ControlView()
         self.changed = asyncio.Event()
-        self.draining = False
-
-    @property
-    def serving_allowed(self) -> bool:
-        """Tell whether callers may be served from the view.
-
-        Where not, they are refused with the reason `isolated`.
-        """
-        return True
 
     @property
     def live_vms(self) -> frozenset[str]:
         """The registered VMs that are not known to be silent."""
         return frozenset(vm.name for vm in self.view.vms)
 
-    def mark_draining(self, *, draining: bool) -> None:
-        """Have this VM taken out of, or put into, the directory."""
-        self.draining = draining
-
     @abc.abstractmethod
     async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
         """Commit a claim; a failure means that it may not be dispatched."""
@@ -60,7 +47,10 @@
         """Tell control what callers asked of this entry."""
 
     def serving_allowed(self) -> bool:
-        """Tell whether callers may be served from the view."""
+        """Tell whether callers may be served from the view.
+
+        Where not, they are refused with the reason `isolated`.
+        """
         return True
 
     async def announce_draining(self) -> bool:
--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -130,6 +130,11 @@
         """Tell whether this replica leads and its lease holds."""
         return self.log.is_leader
 
+    @property
+    def term(self) -> int:
+        """The term of the log; each leadership has one of its own."""
+        return self.log.status().term
+
     @property
     def leader_operators(self) -> str:
         """The operators' address of the leader, or empty if unknown."""
--- a/persimmonhold/control/shell/_remote_control_link.py
+++ b/persimmonhold/control/shell/_remote_control_link.py
@@ -26,6 +26,7 @@
 
 _MS_PER_S: Final = 1000
 _REGISTER_INTERVAL_S: Final = 0.5
+_DRAIN_TIMEOUT_S: Final = 4.0
 _UNGRANTED: Final = frozenset((
     CommandStatus.claim_table_full,
     CommandStatus.claim_unregistered,
@@ -48,13 +49,9 @@
         self._client = client
         self._node = node
         self._due = asyncio.Event()
+        self._shown = asyncio.Event()
         vm.subscribe(self._view_changed)
 
-    @property
-    def serving_allowed(self) -> bool:
-        """Tell whether this VM may serve callers from its view."""
-        return self._vm.serving_allowed
-
     @property
     def live_vms(self) -> frozenset[str]:
         """The VMs that are known to have lived within a lease."""
@@ -114,11 +111,32 @@
         """Have the next report carry this demand."""
         self._vm.demand = demand
 
-    def mark_draining(self, *, draining: bool) -> None:
-        """Have this VM registered with another draining state."""
-        super().mark_draining(draining=draining)
-        self._vm.mark_draining(draining=draining)
+    def serving_allowed(self) -> bool:
+        """Tell whether this VM may serve callers from its view."""
+        return self._vm.serving_allowed
+
+    async def announce_draining(self) -> bool:
+        """Take this VM out of every directory; tell whether it is out.
+
+        It is out once each VM that lives has had the time to hear of it.
+        """
+        self._vm.mark_draining(draining=True)
         self._due.set()
+        try:
+            async with asyncio.timeout(_DRAIN_TIMEOUT_S):
+                await self._until_shown_draining()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _until_shown_draining(self) -> None:
+        name = self._vm.record.name
+        shown = self._vm.agent.view.vms.get(name)
+        while shown is None or not shown.draining:
+            self._shown.clear()
+            await self._shown.wait()
+            shown = self._vm.agent.view.vms.get(name)
+        await asyncio.sleep(self._vm.timings.interval_s)
 
     async def _register(self, *, gone: bool) -> None:
         command = RegisterVm(
@@ -139,3 +157,4 @@
     def _view_changed(self) -> None:
         self.view = self._vm.agent.view.view()
         self.changed.set()
+        self._shown.set()
--- a/persimmonhold/control/shell/_single_replica_log.py
+++ b/persimmonhold/control/shell/_single_replica_log.py
@@ -12,7 +12,11 @@
 from returns.result import Result, Success
 
 from persimmonhold.failures import Failure, FailureKind
-from persimmonhold.replication import LogApplier, ReplicatedLog
+from persimmonhold.replication import (
+    LogApplier,
+    ReplicaStatus,
+    ReplicatedLog,
+)
 from persimmonhold.storage import RecordFile
 
 _LOG_FILE: Final = 'control.log'
@@ -83,6 +87,23 @@
             Failure(kind=FailureKind.refused, step='transfer leadership'),
         )
 
+    def status(self) -> ReplicaStatus:
+        """Describe the replica."""
+        return ReplicaStatus(
+            vm='',
+            incarnation='',
+            role='leader',
+            term=1,
+            leader='',
+            is_verified=True,
+            lease_s=0,
+            last_index=self._applied,
+            commit_index=self._applied,
+            applied_index=self._applied,
+            snapshot_index=0,
+            members=(),
+        )
+
     def _apply(self, payload: bytes) -> object:
         self._applied += 1
         return self._applier.apply(self._applied, payload)
--- a/persimmonhold/control/shell/_status_document.py
+++ b/persimmonhold/control/shell/_status_document.py
@@ -35,6 +35,7 @@
         'leads': node.leads,
         'applied_index': node.log.applied_index,
         'vm': node.vm.record.name if node.vm else '',
+        'replica': node.log.status(),
     }
 
 
--- a/persimmonhold/control/shell/_vm_control.py
+++ b/persimmonhold/control/shell/_vm_control.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from collections.abc import Coroutine
+from contextlib import AsyncExitStack
 from types import TracebackType
-from typing import Any, Final, Self, TypeAlias, final
+from typing import Any, Final, Self, final
 
 from persimmonhold.control.machine import ControlMachine
 from persimmonhold.control.shell._control_applier import ControlApplier
@@ -17,20 +17,16 @@
 from persimmonhold.control.shell._control_metrics import ControlMetrics
 from persimmonhold.control.shell._control_node import ControlNode
 from persimmonhold.control.shell._leader_duties import LeaderDuties
+from persimmonhold.control.shell._open_replica import open_replica
 from persimmonhold.control.shell._proposal_server import ProposalServer
 from persimmonhold.control.shell._remote_control_link import RemoteControlLink
 from persimmonhold.control.shell._vm_shell import VmShell
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import LogLevel, Metrics, log_event
 from persimmonhold.placement import check_fit
-from persimmonhold.replication import LogApplier, ReplicatedLog
 from persimmonhold.settings import Settings
-from persimmonhold.transport import NngTransport, Transport
+from persimmonhold.transport import NngTransport
 
-LogFactory: TypeAlias = Callable[
-    [LogApplier, Transport],
-    AbstractAsyncContextManager[ReplicatedLog],
-]
 _METRICS_INTERVAL_S: Final = 1.0
 
 
@@ -38,15 +34,13 @@
 class VmControl:
     """Owns the transport, the shell, the link and the replica of a VM.
 
-    `open_log` returns the replicated log of a control VM; it is not called
-    on others. `node` is None there, and `link` is the same on both.
+    `node` is None on a VM without control, and `link` is the same on both.
     """
 
     def __init__(
         self,
         settings: Settings,
         metrics: Metrics,
-        open_log: LogFactory,
     ) -> None:
         """Create what `settings` describe; entering starts it."""
         self.transport = NngTransport(
@@ -56,7 +50,6 @@
         )
         self._settings = settings
         self._metrics = metrics
-        self._open_log = open_log
         self._stack = AsyncExitStack()
         self._vm: VmShell | None = None
         self._link: RemoteControlLink | None = None
@@ -114,9 +107,9 @@
         vm: VmShell,
     ) -> ControlNode:
         applier = ControlApplier(ControlMachine(check_fit))
-        log = self._open_log(applier, self.transport)
-        opened = await stack.enter_async_context(log)
-        return ControlNode(applier, opened, vm)
+        log = open_replica(self._settings, applier, self.transport)
+        await stack.enter_async_context(log)
+        return ControlNode(applier, log, vm)
 
     def _run(
         self,
--- a/persimmonhold/replication/_replicated_log.py
+++ b/persimmonhold/replication/_replicated_log.py
@@ -5,6 +5,7 @@
 from returns.result import Result
 
 from persimmonhold.failures import Failure
+from persimmonhold.replication._replica_status import ReplicaStatus
 
 
 class ReplicatedLog(abc.ABC):
@@ -40,3 +41,7 @@
     @abc.abstractmethod
     async def transfer_leadership(self) -> Result[str, Failure]:
         """Hand leadership to the best follower; return its name."""
+
+    @abc.abstractmethod
+    def status(self) -> ReplicaStatus:
+        """Describe the replica and the group as it knows it."""
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -1,6 +1,7 @@
 """A system of control VMs and entries over a network that fails."""
 
 import asyncio
+from pathlib import Path
 
 import pytest
 from returns.result import Failure as Failed
@@ -26,6 +27,11 @@
     return MemorySystem(9, 5, 1)
 
 
+@pytest.fixture
+def replicated(tmp_path: Path) -> MemorySystem:
+    return MemorySystem(7, 5, 1, tmp_path)
+
+
 def _claim(request: str) -> ClaimKey:
     return ClaimKey(
         at_ms=1,
@@ -187,8 +193,9 @@
             claimed = await system.vms['vm9'].link.claim(_claim('late'))
             assert isinstance(claimed, Failed)
             assert_that(claimed.failure().kind, Equals(FailureKind.no_quorum))
-            changed = await system.leader.change(command)
-            assert isinstance(changed, Failed)
+            node = system.vms['vm4'].node
+            assert node is not None
+            assert isinstance(await node.change(command), Failed)
 
     run_virtual(scenario())
 
@@ -246,3 +253,55 @@
             assert_that(system.serving(), Not(Contains('vm9')))
 
     run_virtual(scenario())
+
+
+def test_elected_leader_answers_resends_of_the_lost_one(
+    replicated: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with replicated as system:
+            loop = asyncio.get_running_loop()
+            command = system.next_change()
+            first = (await system.leader.change(command)).unwrap()
+            for _ in range(50):
+                await system.change()
+            for _ in range(2):
+                lost = system.leader.log.status().vm
+                started_at = loop.time()
+                await system.kill(lost)
+                successor = await system.await_leader()
+                again = (await successor.change(command)).unwrap()
+                assert_that(again, Equals(first))
+                changed = await system.change()
+                await system.await_index(changed.index)
+                assert_that(loop.time() - started_at, LessThan(6))
+                await system.restart(lost)
+                await asyncio.sleep(5)
+            assert_that(system.serving(), Equals(set(system.names)))
+
+    run_virtual(scenario())
+
+
+def test_leader_cut_off_silently_neither_accepts_nor_serves(
+    replicated: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with replicated as system:
+            lost = system.leader
+            name = lost.log.status().vm
+            command = system.next_change()
+            system.network.cut_sides({name}, set(system.names) - {name})
+            assert isinstance(await lost.change(command), Failed)
+            await asyncio.sleep(60)
+            assert_that(
+                system.serving(),
+                Equals(set(system.names) - {name}),
+            )
+            answer = (await system.leader.change(command)).unwrap()
+            assert_that(answer.status, Equals(CommandStatus.done))
+            system.network.cut.clear()
+            await asyncio.sleep(5)
+            assert_that(system.serving(), Equals(set(system.names)))
+            assert_that(lost.state.catalogue.revision, Equals(1))
+
+    run_virtual(scenario())
--- a/tests/test_control_operators.py
+++ b/tests/test_control_operators.py
@@ -31,7 +31,7 @@
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import Metrics, metric
-from persimmonhold.replication import ReplicatedLog
+from persimmonhold.replication import ReplicaStatus, ReplicatedLog
 from persimmonhold.web import (
     Address,
     ClientRequest,
@@ -97,6 +97,23 @@
         """Refuse."""
         return Failed(Failure(kind=FailureKind.not_leader, step='transfer'))
 
+    def status(self) -> ReplicaStatus:
+        """Describe the follower."""
+        return ReplicaStatus(
+            vm='vm2',
+            incarnation='',
+            role='follower',
+            term=1,
+            leader=self._leader,
+            is_verified=True,
+            lease_s=0,
+            last_index=0,
+            commit_index=0,
+            applied_index=0,
+            snapshot_index=0,
+            members=(),
+        )
+
 
 @final
 class Operators:
