--- a/bench/memory_system.py
+++ b/bench/memory_system.py
@@ -181,7 +181,7 @@
         return {
             name
             for name, vm in self.vms.items()
-            if name not in self.network.down and vm.link.serving_allowed()
+            if name not in self.network.down and vm.link.serving_allowed
         }
 
     def next_change(self) -> PutEntry:
--- a/persimmonhold/control/shell/__init__.py
+++ b/persimmonhold/control/shell/__init__.py
@@ -3,6 +3,7 @@
 from persimmonhold.control.shell._control_applier import ControlApplier
 from persimmonhold.control.shell._control_client import ControlClient
 from persimmonhold.control.shell._control_link import ControlLink
+from persimmonhold.control.shell._control_metrics import ControlMetrics
 from persimmonhold.control.shell._control_node import ControlNode
 from persimmonhold.control.shell._leader_duties import LeaderDuties
 from persimmonhold.control.shell._local_control_link import LocalControlLink
@@ -16,7 +17,6 @@
 from persimmonhold.control.shell._proposal_server import ProposalServer
 from persimmonhold.control.shell._remote_control_link import RemoteControlLink
 from persimmonhold.control.shell._single_replica_log import SingleReplicaLog
-from persimmonhold.control.shell._vm_control import VmControl
 from persimmonhold.control.shell._vm_shell import VmShell
 
 __all__ = (
@@ -24,6 +24,7 @@
     'ControlApplier',
     'ControlClient',
     'ControlLink',
+    'ControlMetrics',
     'ControlNode',
     'LeaderDuties',
     'LocalControlLink',
@@ -34,6 +35,5 @@
     'ProposalServer',
     'RemoteControlLink',
     'SingleReplicaLog',
-    'VmControl',
     'VmShell',
 )
--- a/persimmonhold/control/shell/_remote_control_link.py
+++ b/persimmonhold/control/shell/_remote_control_link.py
@@ -52,6 +52,11 @@
         self._shown = asyncio.Event()
         vm.subscribe(self._view_changed)
 
+    @property
+    def serving_allowed(self) -> bool:
+        """Tell whether this VM may serve callers from its view."""
+        return self._vm.serving_allowed
+
     @property
     def live_vms(self) -> frozenset[str]:
         """The VMs that are known to have lived within a lease."""
@@ -62,18 +67,11 @@
         while True:
             self._due.clear()
             if not self._vm.is_registered:
-                await self._register(gone=False)
+                await self._register()
             with suppress(TimeoutError):
                 async with asyncio.timeout(_REGISTER_INTERVAL_S):
                     await self._due.wait()
 
-    async def leave(self) -> None:
-        """Have this VM removed at once, at the end of a planned stop.
-
-        `run` has to be cancelled before, since it would register again.
-        """
-        await self._register(gone=True)
-
     async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
         """Commit a claim of this incarnation of the VM.
 
@@ -111,17 +109,18 @@
         """Have the next report carry this demand."""
         self._vm.demand = demand
 
-    def serving_allowed(self) -> bool:
-        """Tell whether this VM may serve callers from its view."""
-        return self._vm.serving_allowed
+    def mark_draining(self, *, draining: bool) -> None:
+        """Have this VM registered with another draining state."""
+        super().mark_draining(draining=draining)
+        self._vm.mark_draining(draining=draining)
+        self._due.set()
 
     async def announce_draining(self) -> bool:
         """Take this VM out of every directory; tell whether it is out.
 
         It is out once each VM that lives has had the time to hear of it.
         """
-        self._vm.mark_draining(draining=True)
-        self._due.set()
+        self.mark_draining(draining=True)
         try:
             async with asyncio.timeout(_DRAIN_TIMEOUT_S):
                 await self._until_shown_draining()
@@ -138,11 +137,10 @@
             shown = self._vm.agent.view.vms.get(name)
         await asyncio.sleep(self._vm.timings.interval_s)
 
-    async def _register(self, *, gone: bool) -> None:
+    async def _register(self) -> None:
         command = RegisterVm(
             at_ms=int(time.time() * _MS_PER_S),
             vm=self._vm.record,
-            gone=gone,
         )
         await self._propose(command)
 
--- a/tests/test_control_vms.py
+++ b/tests/test_control_vms.py
@@ -17,8 +17,8 @@
     CommandStatus,
     PutEntry,
 )
-from persimmonhold.control.shell import ControlNode, VmControl
-from persimmonhold.observability import Metrics, metric
+from persimmonhold.control.shell import ControlNode
+from persimmonhold.observability import metric
 from persimmonhold.settings import (
     CallerSettings,
     OperatorSettings,
@@ -26,6 +26,7 @@
     Settings,
     VmSettings,
 )
+from persimmonhold.system import VmProcess
 
 _CONTROL = ('vm1', 'vm2', 'vm3')
 _ENTRIES = ('vm4', 'vm5')
@@ -51,8 +52,8 @@
                 roles='control' if name in _CONTROL else 'entry',
                 data_directory=str(tmp_path / name),
             ),
-            callers=CallerSettings(address='127.0.0.1:1'),
-            operators=OperatorSettings(address='127.0.0.1:2'),
+            callers=CallerSettings(address='127.0.0.1:0'),
+            operators=OperatorSettings(address='127.0.0.1:0'),
             peers=PeerSettings(address=address, control=control),
         )
         for name, address in addresses.items()
@@ -64,9 +65,9 @@
         await asyncio.sleep(_ROUND_S)
 
 
-def _leader(vms: dict[str, VmControl]) -> ControlNode | None:
-    nodes = (vm.node for vm in vms.values())
-    return next((node for node in nodes if node and node.leads), None)
+def _leader(vms: dict[str, VmProcess]) -> ControlNode | None:
+    nodes = (vm.control.node for vm in vms.values() if vm.control)
+    return next((node for node in nodes if node.leads), None)
 
 
 def _put(number: int) -> PutEntry:
@@ -86,7 +87,7 @@
     )
 
 
-async def _change(vms: dict[str, VmControl], number: int) -> CommandStatus:
+async def _change(vms: dict[str, VmProcess], number: int) -> CommandStatus:
     """Have a change answered by whoever leads."""
     while True:
         node = _leader(vms)
@@ -100,18 +101,16 @@
 def test_vms_from_settings_outlive_their_leader(
     settings: dict[str, Settings],
 ) -> None:
-    metrics = Metrics()
-
     async def scenario() -> None:
-        vms: dict[str, VmControl] = {}
+        vms: dict[str, VmProcess] = {}
         stacks: dict[str, AsyncExitStack] = {}
         for name, own in settings.items():
             stacks[name] = AsyncExitStack()
             vms[name] = await stacks[name].enter_async_context(
-                VmControl(own, metrics),
+                VmProcess(own),
             )
         await _until(
-            lambda: all(vm.link.serving_allowed() for vm in vms.values()),
+            lambda: all(vm.vm.serving_allowed for vm in vms.values()),
         )
         # No accelerator is in the catalogue, so that no model fits.
         status = await _change(vms, 1)
@@ -132,11 +131,18 @@
             request_id='r',
             vm='',
         )
-        claimed = await vms['vm4'].link.claim(claim)
+        link = vms['vm4'].link
+        assert link is not None
+        claimed = await link.claim(claim)
         assert_that(
             claimed.unwrap().status,
             Equals(CommandStatus.claim_granted),
         )
+        counted = vms['vm4'].metrics.counted(
+            metric.CONTROL_BYTES,
+            direction='sent',
+        )
+        assert_that(counted > 0, Equals(True))
         for stack in stacks.values():
             await stack.aclose()
 
@@ -145,5 +151,3 @@
             await scenario()
 
     asyncio.run(bounded())
-    sent = metrics.counted(metric.CONTROL_BYTES, direction='sent')
-    assert_that(sent > 0, Equals(True))
