Operators forget VMs that are lost for good

Where more than half of the registered VMs were lost at once no change could be accepted again, and no VM removed. POST /catalogue/v1/forget/{vm} removes one on the operator's word, with a record in the history. A test loses six of nine VMs and changes the catalogue after forgetting them; another restarts every VM from its disk.

--- a/persimmonhold/control/machine/__init__.py
+++ b/persimmonhold/control/machine/__init__.py
@@ -17,6 +17,7 @@
 from persimmonhold.control.machine._digest_set import DigestSet
 from persimmonhold.control.machine._drain_vm import DrainVm
 from persimmonhold.control.machine._end_claim import EndClaim
+from persimmonhold.control.machine._forget_vm import ForgetVm
 from persimmonhold.control.machine._history_record import (
     GENESIS_DIGEST,
     HistoryRecord,
@@ -51,6 +52,7 @@
     'DrainVm',
     'EndClaim',
     'FitCheck',
+    'ForgetVm',
     'HistoryRecord',
     'MachineLimits',
     'OperatorChange',
--- a/persimmonhold/control/machine/_command.py
+++ b/persimmonhold/control/machine/_command.py
@@ -6,6 +6,7 @@
 from persimmonhold.control.machine._delete_entry import DeleteEntry
 from persimmonhold.control.machine._drain_vm import DrainVm
 from persimmonhold.control.machine._end_claim import EndClaim
+from persimmonhold.control.machine._forget_vm import ForgetVm
 from persimmonhold.control.machine._put_entry import PutEntry
 from persimmonhold.control.machine._record_copy import RecordCopy
 from persimmonhold.control.machine._record_intent import RecordIntent
@@ -22,6 +23,7 @@
     | EndClaim
     | RegisterVm
     | DrainVm
+    | ForgetVm
 )
 
-OperatorChange: TypeAlias = PutEntry | DeleteEntry | DrainVm
+OperatorChange: TypeAlias = PutEntry | DeleteEntry | DrainVm | ForgetVm
--- a/persimmonhold/control/machine/_control_machine.py
+++ b/persimmonhold/control/machine/_control_machine.py
@@ -5,7 +5,6 @@
 accepted change. A command costs what it touches, whatever the state holds.
 """
 
-import hashlib
 from collections.abc import Callable
 from typing import Final, TypeAlias, final
 
@@ -19,6 +18,10 @@
     check_entry,
     check_removal,
 )
+from persimmonhold.control.machine._append_history import (
+    append_history,
+    digest_content,
+)
 from persimmonhold.control.machine._claim_key import ClaimKey
 from persimmonhold.control.machine._command import Command, OperatorChange
 from persimmonhold.control.machine._command_result import CommandResult
@@ -27,10 +30,7 @@
 from persimmonhold.control.machine._delete_entry import DeleteEntry
 from persimmonhold.control.machine._drain_vm import DrainVm
 from persimmonhold.control.machine._end_claim import EndClaim
-from persimmonhold.control.machine._history_record import (
-    GENESIS_DIGEST,
-    HistoryRecord,
-)
+from persimmonhold.control.machine._forget_vm import ForgetVm
 from persimmonhold.control.machine._machine_limits import MachineLimits
 from persimmonhold.control.machine._operator_command import OperatorCommand
 from persimmonhold.control.machine._put_entry import PutEntry
@@ -48,7 +48,14 @@
 from persimmonhold.messages import ControlView, ViewChange, VmRecord
 
 FitCheck: TypeAlias = Callable[[Catalogue], str]
-_EXPIRING: Final = (PutEntry, DeleteEntry, DrainVm, ClaimKey, EndClaim)
+_EXPIRING: Final = (
+    PutEntry,
+    DeleteEntry,
+    DrainVm,
+    ForgetVm,
+    ClaimKey,
+    EndClaim,
+)
 
 
 def fits_always(catalogue: Catalogue) -> str:
@@ -85,7 +92,7 @@
         self.state.index = index
         self._advance_clock(command)
         match command:
-            case PutEntry() | DeleteEntry() | DrainVm():
+            case PutEntry() | DeleteEntry() | DrainVm() | ForgetVm():
                 return self._change(command)
             case ClaimKey():
                 return self._claim(index, command)
@@ -191,14 +198,14 @@
 
     def _change(self, command: OperatorChange) -> CommandResult:
         ledger = self.state.commands
-        digest = _content_digest(command)
+        digest = digest_content(command)
         found = ledger.find(command.operator, command.command_id, digest)
         if isinstance(found, CommandStatus):
             return self._result(found)
         if found is not None:
             return found
-        if isinstance(command, DrainVm):
-            result = self._drain(command, digest)
+        if isinstance(command, (DrainVm, ForgetVm)):
+            result = self._change_vm(command, digest)
         else:
             result = self._compare_and_set(command, digest)
         ledger.record(
@@ -212,16 +219,28 @@
         )
         return result
 
-    def _drain(self, command: DrainVm, digest: str) -> CommandResult:
+    def _change_vm(
+        self,
+        command: DrainVm | ForgetVm,
+        digest: str,
+    ) -> CommandResult:
         vm = self.state.vms.get(command.name)
         if vm is None:
             return self._result(CommandStatus.not_found)
-        changed = msgspec.structs.replace(vm, draining=command.draining)
-        if changed != vm:
-            self.state.view.apply(
-                msgspec.structs.replace(self._next_change(), vm=changed),
+        gone = isinstance(command, ForgetVm)
+        changed = vm
+        if isinstance(command, DrainVm):
+            changed = msgspec.structs.replace(vm, draining=command.draining)
+        if gone or changed != vm:
+            change = msgspec.structs.replace(
+                self._next_change(),
+                vm=changed,
+                vm_gone=gone,
             )
-        self._append_history(command, digest)
+            self.state.view.apply(change)
+        if gone:
+            self.state.claims.doubt(vm.name, None)
+        append_history(self.state, command, digest)
         return self._result(CommandStatus.done)
 
     def _compare_and_set(
@@ -241,7 +260,7 @@
         if refused is not None:
             return refused
         self._accept(command)
-        self._append_history(command, digest)
+        append_history(self.state, command, digest)
         return self._result(
             CommandStatus.done,
             entry_revision=self.state.catalogue.entry_revision(command.name),
@@ -277,21 +296,6 @@
             change = msgspec.structs.replace(change, removed=command.name)
         self.state.view.apply(change)
 
-    def _append_history(self, command: OperatorChange, digest: str) -> None:
-        history = self.state.history
-        record = HistoryRecord(
-            revision=self.state.catalogue.revision,
-            at_ms=command.at_ms,
-            operator=command.operator,
-            command_id=command.command_id,
-            action=_action(command),
-            name=command.name,
-            reason=command.reason,
-            content_digest=digest,
-            previous_digest=history[-1].digest if history else GENESIS_DIGEST,
-        )
-        history.append(record.sealed())
-
     def _claim(self, index: int, command: ClaimKey) -> CommandResult:
         if command.incarnation:
             vm = self.state.vms.get(command.vm)
@@ -324,19 +328,3 @@
         return False
     is_new = command.expected_revision == 0
     return not (is_new and isinstance(command.entry, UpstreamEntry))
-
-
-def _action(command: OperatorChange) -> str:
-    match command:
-        case PutEntry():
-            return 'put'
-        case DeleteEntry():
-            return 'delete'
-        case DrainVm():
-            return 'drain' if command.draining else 'undrain'
-
-
-def _content_digest(command: OperatorChange) -> str:
-    content = msgspec.structs.replace(command, at_ms=0)
-    encoded = msgspec.json.encode(content, order='sorted')
-    return hashlib.sha256(encoded).hexdigest()
--- a/persimmonhold/control/shell/_operator_handler.py
+++ b/persimmonhold/control/shell/_operator_handler.py
@@ -17,6 +17,7 @@
     CommandStatus,
     DeleteEntry,
     DrainVm,
+    ForgetVm,
     OperatorChange,
     PutEntry,
 )
@@ -71,8 +72,9 @@
             'history': self._show_history,
             'claims': self._show_claims,
             'explain': self._show_explanation,
-            'drain': self._drain,
-            'undrain': self._drain,
+            'drain': self._change_vm,
+            'undrain': self._change_vm,
+            'forget': self._change_vm,
         }
 
     async def serve(self, exchange: Exchange) -> None:
@@ -187,7 +189,7 @@
         )
         await self._change(operator, command)
 
-    async def _drain(self, operator: OperatorExchange, name: str) -> None:
+    async def _change_vm(self, operator: OperatorExchange, name: str) -> None:
         if operator.method != 'POST':
             await operator.refuse(
                 OperatorRefusal.unknown_method,
@@ -207,7 +209,10 @@
             draining=action.startswith('drain/'),
             reason=operator.header(REASON),
         )
-        await self._change(operator, command)
+        if action.startswith('forget/'):
+            await self._change(operator, _forget(command))
+        else:
+            await self._change(operator, command)
 
     async def _change(
         self,
@@ -272,13 +277,23 @@
         await operator.respond(document)
 
 
+def _forget(command: DrainVm) -> ForgetVm:
+    return ForgetVm(
+        operator=command.operator,
+        command_id=command.command_id,
+        at_ms=command.at_ms,
+        name=command.name,
+        reason=command.reason,
+    )
+
+
 async def _refuse_command(
     operator: OperatorExchange,
     command: OperatorChange,
     answer: CommandResult,
 ) -> None:
     reason = COMMAND_REFUSALS[answer.status]
-    is_vm = isinstance(command, DrainVm)
+    is_vm = isinstance(command, (DrainVm, ForgetVm))
     if is_vm and reason is OperatorRefusal.unknown_entry:
         reason = OperatorRefusal.unknown_vm
     detail = answer.detail
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -15,6 +15,7 @@
     CommandResult,
     CommandStatus,
     EndClaim,
+    ForgetVm,
 )
 from persimmonhold.failures import FailureKind
 from persimmonhold.messages import CallOutcome, Demand
@@ -219,6 +220,52 @@
     run_virtual(scenario())
 
 
+def test_operator_forgets_vms_when_most_are_lost(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            lost = ('vm4', 'vm5', 'vm6', 'vm7', 'vm8', 'vm9')
+            command = system.next_change()
+            for name in lost:
+                await system.kill(name)
+            await asyncio.sleep(20)
+            assert isinstance(await system.leader.change(command), Failed)
+            for name in lost:
+                forget = ForgetVm(
+                    operator='aoi',
+                    command_id=name,
+                    at_ms=1,
+                    name=name,
+                )
+                await system.leader.change(forget)
+            answer = (await system.leader.change(command)).unwrap()
+            assert_that(answer.status, Equals(CommandStatus.done))
+            assert_that(system.serving(), Equals({'vm1', 'vm2', 'vm3'}))
+
+    run_virtual(scenario())
+
+
+def test_whole_system_restarts_from_its_disks(
+    replicated: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with replicated as system:
+            command = system.next_change()
+            first = (await system.leader.change(command)).unwrap()
+            for name in system.names:
+                await system.kill(name)
+            for name in system.names:
+                await system.restart(name)
+            await system.await_leader()
+            await asyncio.sleep(5)
+            again = (await system.leader.change(command)).unwrap()
+            assert_that(again, Equals(first))
+            assert_that(system.serving(), Equals(set(system.names)))
+
+    run_virtual(scenario())
+
+
 def test_demand_and_views_of_all_entries_reach_the_leader(
     system: MemorySystem,
 ) -> None:
--- a/tests/test_control_operators.py
+++ b/tests/test_control_operators.py
@@ -357,6 +357,8 @@
             '/catalogue/v1/explain/guide',
         )
         assert_that(explained['decisions'], Equals([{'decided': 'guide'}]))
+        code, _ = await operators.send('POST', '/catalogue/v1/forget/vm1')
+        assert_that((code, operators.node.state.vms), Equals((200, {})))
         code, absent = await operators.send('POST', '/catalogue/v1/drain/vm9')
         assert_that((code, absent['reason']), Equals((404, 'unknown_vm')))
         _, health = await operators.send('GET', '/healthz')
