--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -3,20 +3,23 @@
 Run as `python -m bench.dissemination --seed N [--output FILE]`. Whole
 systems run within one process and in virtual time over a network that
 delays each message by 0.5 to 1 ms; processor time is that of this process,
-divided by the number of VMs. Control is a fake log without syncs.
+divided by the number of VMs. Control is a log without consensus, but where
+the leader vanishes: there it is consensus with files. `--loopback` runs nine
+VMs with consensus in one process over pynng, in real time, instead.
 """
 
 import argparse
 import asyncio
 import statistics
 import sys
+import tempfile
 import time
-from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any, Final, final
+from typing import Final, final
 
 import msgspec
 
+from bench.loopback_system import LoopbackResult, measure_loopback
 from bench.memory_system import MemorySystem
 from bench.virtual_loop import run_virtual
 
@@ -28,7 +31,9 @@
 _MISSED_CHANGES: Final = 1000
 _LOSS: Final = 0.1
 _MS: Final = 1000
-_ELECTION_S: Final = 1.5
+_FAILOVERS: Final = 10
+_CALM_S: Final = 5.0
+_LOST_AFTER_S: Final = 0.0021
 
 
 @final
@@ -39,7 +44,8 @@
     in_force_ms_median: float
     in_force_ms_max: float
     in_force_lossy_ms_max: float
-    in_force_failover_ms: float
+    in_force_failover_ms_median: float
+    in_force_failover_ms_max: float
     restart_ms: float
     restart_bytes: int
     rest_messages_per_s: float
@@ -104,21 +110,30 @@
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     command = system.next_change()
-    lost = asyncio.create_task(system.leader.change(command))
-    await asyncio.sleep(0.0021)
-    leader = system.group.leader
+    leader = system.leader.log.status().vm
+    change = asyncio.create_task(system.leader.change(command))
+    await asyncio.sleep(_LOST_AFTER_S)
     await system.kill(leader)
-    lost.cancel()
-    await asyncio.sleep(_ELECTION_S)
-    system.group.leader = system.control[1]
-    again = (await system.leader.change(command)).unwrap()
+    change.cancel()
+    successor = await system.await_leader()
+    again = (await successor.change(command)).unwrap()
     await system.await_index(again.index)
     taken = loop.time() - started_at
     await system.restart(leader)
-    await asyncio.sleep(_REST_S)
+    await asyncio.sleep(_CALM_S)
     return taken
 
 
+async def _time_failovers(
+    count: int,
+    seed: int,
+    directory: Path,
+) -> list[float]:
+    async with MemorySystem(count, _CONTROL, seed, directory) as system:
+        await asyncio.sleep(_CALM_S)
+        return [await _time_failover(system) for _ in range(_FAILOVERS)]
+
+
 async def _time_restart(system: MemorySystem) -> tuple[float, int]:
     """Return the time until a VM serves that missed many changes."""
     loop = asyncio.get_running_loop()
@@ -135,7 +150,11 @@
     return loop.time() - started_at, received
 
 
-async def _measure(count: int, seed: int) -> SizeResult:
+async def _measure(
+    count: int,
+    seed: int,
+    failovers: list[float],
+) -> SizeResult:
     async with MemorySystem(count, _CONTROL, seed) as system:
         await asyncio.sleep(_REST_S)
         rest = Meter(system)
@@ -153,7 +172,6 @@
         system.network.loss = _LOSS
         lossy = await _time_changes(system)
         system.network.loss = 0
-        failover_s = await _time_failover(system)
         restart_s, restart_bytes = await _time_restart(system)
     share = elapsed_s / _REST_S
     return SizeResult(
@@ -161,7 +179,8 @@
         in_force_ms_median=statistics.median(taken) * _MS,
         in_force_ms_max=max(taken) * _MS,
         in_force_lossy_ms_max=max(lossy) * _MS,
-        in_force_failover_ms=failover_s * _MS,
+        in_force_failover_ms_median=statistics.median(failovers) * _MS,
+        in_force_failover_ms_max=max(failovers) * _MS,
         restart_ms=restart_s * _MS,
         restart_bytes=restart_bytes,
         rest_messages_per_s=messages / _REST_S,
@@ -174,28 +193,44 @@
     )
 
 
-def _print_table(results: list[SizeResult]) -> None:
-    for field in SizeResult.__struct_fields__:
+def _print_table(
+    results: list[SizeResult] | list[LoopbackResult],
+) -> None:
+    for field in results[0].__struct_fields__:
         columns = ''.join(
             f'{getattr(figures, field):>14.2f}' for figures in results
         )
         sys.stdout.write(f'{field:28}{columns}\n')
 
 
-def _run(main: Coroutine[Any, Any, SizeResult]) -> SizeResult:
-    return run_virtual(main)
+def _measure_size(count: int, seed: int) -> SizeResult:
+    with tempfile.TemporaryDirectory() as directory:
+        failovers = run_virtual(
+            _time_failovers(count, seed, Path(directory)),
+        )
+    return run_virtual(_measure(count, seed, failovers))
+
+
+def _measure_loopback(seed: int) -> LoopbackResult:
+    with tempfile.TemporaryDirectory() as directory:
+        return asyncio.run(measure_loopback(Path(directory), seed))
 
 
 def main() -> None:
-    """Measure every size, print the table, write the figures."""
+    """Measure, print the table, write the figures."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--output', type=Path)
     parser.add_argument('--sizes', type=int, nargs='+', default=_SIZES)
+    parser.add_argument('--loopback', action='store_true')
     arguments = parser.parse_args()
-    results = [
-        _run(_measure(count, arguments.seed)) for count in arguments.sizes
-    ]
+    results: list[SizeResult] | list[LoopbackResult]
+    if arguments.loopback:
+        results = [_measure_loopback(arguments.seed)]
+    else:
+        results = [
+            _measure_size(count, arguments.seed) for count in arguments.sizes
+        ]
     sys.stdout.write(f'seed {arguments.seed}\n')
     _print_table(results)
     if arguments.output:
--- /dev/null
+++ b/bench/dissemination_state.py
@@ -0,0 +1,173 @@
+"""What the replicated state costs by command, claim and entry.
+
+Run as `python -m bench.dissemination_state --seed N [--output FILE]`. Times
+are processor time; memory is what Python allocated, by tracemalloc, and the
+size of the snapshot.
+"""
+
+import argparse
+import gc
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.catalogue import ModelEntry
+from persimmonhold.control.machine import (
+    ClaimKey,
+    Command,
+    ControlMachine,
+    EndClaim,
+    PutEntry,
+)
+from persimmonhold.messages import CallOutcome
+
+_SIZES: Final = (250, 2500, 7500)
+_COMMANDS: Final = 2000
+_BODY_BYTES: Final = 200
+_US: Final = 1e6
+
+
+@final
+class StateResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Cost of one command of a kind, in a catalogue of a size."""
+
+    entries: int
+    kind: str
+    apply_us: float
+    memory_bytes: float
+    snapshot_bytes: float
+
+
+def _put(machine: ControlMachine, number: int, name: str) -> PutEntry:
+    entry = ModelEntry(
+        name=name,
+        owner='levy',
+        version=str(number),
+        weight_bytes=1,
+        kv_floor_bytes=1,
+    )
+    catalogue = machine.state.catalogue
+    return PutEntry(
+        operator='bench',
+        command_id=f'{number:036}',
+        at_ms=1,
+        expected_revision=catalogue.entry_revision(name),
+        entry=entry,
+        reason='bench',
+    )
+
+
+def _claim(number: int) -> ClaimKey:
+    return ClaimKey(
+        at_ms=1,
+        caller='kiln',
+        service='lodgements',
+        key=f'{number:036}',
+        content_digest=f'{number:064}',
+        request_id=f'{number:024}',
+        vm='vm1',
+    )
+
+
+def _end(machine: ControlMachine, number: int) -> EndClaim:
+    claim = _claim(number)
+    scope = (claim.caller, claim.service, claim.key)
+    return EndClaim(
+        at_ms=1,
+        claim=machine.state.claims.by_scope[scope].index,
+        request_id=claim.request_id,
+        outcome=CallOutcome(
+            status=200,
+            media_type='application/json',
+            body=b'x' * _BODY_BYTES,
+        ),
+    )
+
+
+def _apply(machine: ControlMachine, command: Command) -> float:
+    encoded = msgspec.msgpack.encode(command)
+    decoded = msgspec.msgpack.decode(encoded, type=Command)
+    started = time.process_time()
+    machine.apply(machine.state.index + 1, decoded)
+    return time.process_time() - started
+
+
+def _measure(
+    machine: ControlMachine,
+    kind: str,
+    make: Callable[[int], Command],
+) -> StateResult:
+    gc.collect()
+    tracemalloc.start()
+    snapshot = len(machine.snapshot())
+    before = tracemalloc.get_traced_memory()[0]
+    for early in range(_COMMANDS):
+        _apply(machine, make(early))
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0] - before
+    snapshot = len(machine.snapshot()) - snapshot
+    tracemalloc.stop()
+    spent = sum(
+        _apply(machine, make(number + _COMMANDS)) for number in range(_COMMANDS)
+    )
+    return StateResult(
+        entries=len(machine.state.catalogue.entries),
+        kind=kind,
+        apply_us=spent / _COMMANDS * _US,
+        memory_bytes=held / _COMMANDS,
+        snapshot_bytes=snapshot / _COMMANDS,
+    )
+
+
+def _measure_size(count: int, seed: int) -> list[StateResult]:
+    machine = ControlMachine()
+    generator = random.Random(seed)
+    names = [f'model-{number}' for number in range(count)]
+    for position, name in enumerate(names):
+        _apply(machine, _put(machine, position - count, name))
+    return [
+        _measure(
+            machine,
+            'put',
+            lambda called: _put(machine, called, generator.choice(names)),
+        ),
+        _measure(machine, 'claim', _claim),
+        _measure(
+            machine,
+            'end claim',
+            lambda called: _end(machine, called),
+        ),
+    ]
+
+
+def main() -> None:
+    """Measure every size, print the table, write the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--output', type=Path)
+    arguments = parser.parse_args()
+    results = [
+        cost
+        for count in _SIZES
+        for cost in _measure_size(count, arguments.seed)
+    ]
+    sys.stdout.write(f'seed {arguments.seed}\n')
+    for cost in results:
+        sys.stdout.write(
+            f'{cost.entries:6} entries  {cost.kind:10}'
+            f' {cost.apply_us:8.1f} us {cost.memory_bytes:8.0f} B held'
+            f' {cost.snapshot_bytes:8.0f} B in the snapshot\n',
+        )
+    if arguments.output:
+        document = {'seed': arguments.seed, 'results': results}
+        arguments.output.write_bytes(msgspec.json.encode(document))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/loopback_system.py
@@ -0,0 +1,220 @@
+"""Nine VMs in one process over pynng on loopback, with consensus."""
+
+import asyncio
+import random
+import statistics
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Final, Self, final
+
+import msgspec
+
+from bench.memory_system import MemoryVm, make_change, until
+from persimmonhold.control.shell import ControlNode
+from persimmonhold.replication import (
+    LogApplier,
+    ReplicaNode,
+    ReplicaSettings,
+)
+from persimmonhold.settings import PeerSettings, TlsSettings
+from persimmonhold.transport import NngTransport, Transport
+
+_VMS: Final = 9
+_CONTROL: Final = 5
+_REST_S: Final = 10.0
+_CHANGES: Final = 100
+_FAILOVERS: Final = 5
+_CALM_S: Final = 2.0
+_MS: Final = 1000
+_KIB: Final = 1024
+
+
+@final
+class LoopbackResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of the whole process, or of one VM where so named."""
+
+    vms: int
+    in_force_ms_median: float
+    in_force_ms_max: float
+    in_force_failover_ms_max: float
+    rest_cpu_percent_per_vm: float
+    rest_bytes_per_s_entry: float
+    rest_bytes_per_s_leader: float
+    native_threads: int
+    resident_mb: float
+
+
+@final
+class LoopbackSystem:
+    """VMs by name; the first ones have control."""
+
+    def __init__(self, directory: Path, seed: int) -> None:
+        """Create a system whose files are under `directory`."""
+        self.names = tuple(f'vm{number}' for number in range(1, _VMS + 1))
+        self.vms: dict[str, MemoryVm] = {}
+        self.transports: dict[str, NngTransport] = {}
+        self._directory = directory
+        self._random = random.Random(seed)
+        self._stacks = {name: AsyncExitStack() for name in self.names}
+        self._addresses: dict[str, str] = {}
+
+    async def __aenter__(self) -> Self:
+        """Start every VM and wait until all of them serve."""
+        for name in self.names:
+            await self._listen(name, '127.0.0.1:0')
+        self._addresses = {
+            listening.name: listening.address
+            for listening in self.transports.values()
+        }
+        for name in self.names:
+            await self._start(name)
+        await until(self.all_serve)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop every VM."""
+        for name in tuple(self.vms):
+            await self.kill(name)
+
+    @property
+    def leader(self) -> ControlNode:
+        """The node of the leader; there has to be one."""
+        return next(
+            vm.node for vm in self.vms.values() if vm.node and vm.node.leads
+        )
+
+    def has_leader(self) -> bool:
+        """Tell whether a node leads."""
+        return any(vm.node and vm.node.leads for vm in self.vms.values())
+
+    def all_serve(self) -> bool:
+        """Tell whether every VM serves."""
+        return all(vm.link.serving_allowed for vm in self.vms.values())
+
+    def all_hold(self, index: int) -> bool:
+        """Tell whether every VM that is up holds a view."""
+        return all(vm.link.view.index >= index for vm in self.vms.values())
+
+    async def kill(self, name: str) -> None:
+        """Stop a VM at once."""
+        await self.vms.pop(name).stop()
+        await self._stacks[name].aclose()
+
+    async def restart(self, name: str) -> None:
+        """Start a VM that was killed."""
+        await self._listen(name, self._addresses[name])
+        await self._start(name)
+        await until(self.all_serve)
+
+    async def _listen(self, name: str, address: str) -> None:
+        peers = PeerSettings(address=address)
+        transport = NngTransport(name, peers, TlsSettings())
+        await self._stacks[name].enter_async_context(transport)
+        self.transports[name] = transport
+
+    async def _start(self, name: str) -> None:
+        vm = MemoryVm(
+            name,
+            {other: self._addresses[other] for other in self.names[:_CONTROL]},
+            self.transports[name],
+            self._open_log,
+            self._addresses[name],
+        )
+        self.vms[name] = vm
+        await vm.start()
+
+    def _open_log(
+        self,
+        name: str,
+        applier: LogApplier,
+        transport: Transport,
+    ) -> ReplicaNode:
+        control = self.names[:_CONTROL]
+        return ReplicaNode(
+            ReplicaSettings(
+                name=name,
+                address=self._addresses[name],
+                initial={other: self._addresses[other] for other in control},
+            ),
+            self._directory / name,
+            transport,
+            applier,
+            random.Random(self._random.random()),
+            time.monotonic,
+        )
+
+
+async def measure_loopback(directory: Path, seed: int) -> LoopbackResult:
+    """Run the system and return its figures."""
+    async with LoopbackSystem(directory, seed) as system:
+        await asyncio.sleep(_CALM_S)
+        sent = _sent_bytes(system)
+        spent = time.process_time()
+        await asyncio.sleep(_REST_S)
+        spent = time.process_time() - spent
+        rest = {
+            name: after - sent[name]
+            for name, after in _sent_bytes(system).items()
+        }
+        leader = system.leader.log.status().vm
+        taken = [
+            await _time_change(system, number) for number in range(_CHANGES)
+        ]
+        threads, resident_mb = _read_process()
+        failovers = [
+            await _time_failover(system, _CHANGES + number)
+            for number in range(_FAILOVERS)
+        ]
+        return LoopbackResult(
+            vms=_VMS,
+            in_force_ms_median=statistics.median(taken) * _MS,
+            in_force_ms_max=max(taken) * _MS,
+            in_force_failover_ms_max=max(failovers) * _MS,
+            rest_cpu_percent_per_vm=spent / _REST_S / _VMS * 100,
+            rest_bytes_per_s_entry=rest[system.names[-1]] / _REST_S,
+            rest_bytes_per_s_leader=rest[leader] / _REST_S,
+            native_threads=threads,
+            resident_mb=resident_mb,
+        )
+
+
+async def _time_change(system: LoopbackSystem, number: int) -> float:
+    started_at = time.monotonic()
+    node = system.leader
+    change = (await node.change(make_change(node, number))).unwrap()
+    await until(lambda: system.all_hold(change.index))
+    return time.monotonic() - started_at
+
+
+async def _time_failover(system: LoopbackSystem, number: int) -> float:
+    """Return the time of a change whose leader is stopped meanwhile."""
+    started_at = time.monotonic()
+    command = make_change(system.leader, number)
+    lost = system.leader.log.status().vm
+    change = asyncio.create_task(system.leader.change(command))
+    await asyncio.sleep(0)
+    await system.kill(lost)
+    change.cancel()
+    await until(system.has_leader)
+    again = (await system.leader.change(command)).unwrap()
+    await until(lambda: system.all_hold(again.index))
+    taken = time.monotonic() - started_at
+    await system.restart(lost)
+    await asyncio.sleep(_CALM_S)
+    return taken
+
+
+def _sent_bytes(system: LoopbackSystem) -> dict[str, int]:
+    return {
+        name: transport.counts.sent_bytes
+        for name, transport in system.transports.items()
+    }
+
+
+def _read_process() -> tuple[int, float]:
+    """Return the threads and the resident megabytes of this process."""
+    text = Path('/proc/self/status').read_text(encoding='ascii')
+    fields = dict(line.split(':', 1) for line in text.splitlines())
+    resident = int(fields['VmRSS'].split()[0]) * _KIB
+    return int(fields['Threads']), resident / _MS / _MS
--- a/bench/memory_system.py
+++ b/bench/memory_system.py
@@ -45,21 +45,26 @@
     def __init__(
         self,
         name: str,
-        control: tuple[str, ...],
+        control: dict[str, str],
         transport: Transport,
         open_log: OpenLog,
+        address: str = '',
     ) -> None:
-        """Create a VM; one that is named in `control` has a replica."""
+        """Create a VM; one that is named in `control` has a replica.
+
+        `control` holds addresses by name, and `address` is its own; names
+        suffice on a memory network.
+        """
         has_control = name in control
         record = VmRecord(
             name=name,
             failure_domain='local',
             callers='127.0.0.1:1',
             operators='127.0.0.1:2' if has_control else '',
+            peers=address,
         )
-        addresses = dict.fromkeys(control, '')
         clock = asyncio.get_running_loop().time
-        self.vm = VmShell(record, addresses, transport, clock=clock)
+        self.vm = VmShell(record, control, transport, clock=clock)
         self.client = ControlClient(self.vm, transport)
         self.node: ControlNode | None = None
         self.log: MemoryLog | None = None
@@ -122,7 +127,7 @@
         self.group.leader = self.control[0]
         for name in self.names:
             await self.start(name)
-        await _until(lambda: self.serving() == set(self.names))
+        await until(lambda: self.serving() == set(self.names))
         return self
 
     async def __aexit__(
@@ -155,13 +160,14 @@
 
     async def await_leader(self) -> ControlNode:
         """Wait until a node leads; return it."""
-        await _until(lambda: self.has_leader)
+        await until(lambda: self.has_leader)
         return self.leader
 
     async def start(self, name: str) -> None:
         """Start a VM."""
         transport = self.network.transport(name)
-        vm = MemoryVm(name, self.control, transport, self._open_log)
+        control = dict.fromkeys(self.control, '')
+        vm = MemoryVm(name, control, transport, self._open_log)
         self.vms[name] = vm
         await vm.start()
 
@@ -187,22 +193,7 @@
     def next_change(self) -> PutEntry:
         """Return a change of the catalogue that no other one equals."""
         self._commands += 1
-        name = f'model-{self._commands % 100}'
-        catalogue = self.leader.state.catalogue
-        entry = ModelEntry(
-            name=name,
-            owner='bench',
-            version=str(self._commands),
-            weight_bytes=1_000_000_000,
-            kv_floor_bytes=1_000_000_000,
-        )
-        return PutEntry(
-            operator='bench',
-            command_id=str(self._commands),
-            at_ms=1,
-            expected_revision=catalogue.entry_revision(name),
-            entry=entry,
-        )
+        return make_change(self.leader, self._commands)
 
     async def change(self) -> CommandResult:
         """Have a change accepted."""
@@ -211,7 +202,7 @@
 
     async def await_index(self, index: int) -> None:
         """Wait until each VM that is up holds a view."""
-        await _until(lambda: not self.behind(index))
+        await until(lambda: not self.behind(index))
 
     def behind(self, index: int) -> set[str]:
         """Return the VMs that are up and lack a view."""
@@ -243,7 +234,26 @@
         )
 
 
-async def _until(condition: Callable[[], bool]) -> None:
+def make_change(node: ControlNode, number: int) -> PutEntry:
+    """Return a change whose content and id depend on `number`."""
+    name = f'model-{number % 100}'
+    entry = ModelEntry(
+        name=name,
+        owner='bench',
+        version=str(number),
+        weight_bytes=1_000_000_000,
+        kv_floor_bytes=1_000_000_000,
+    )
+    return PutEntry(
+        operator='bench',
+        command_id=str(number),
+        at_ms=1,
+        expected_revision=node.state.catalogue.entry_revision(name),
+        entry=entry,
+    )
+
+
+async def until(condition: Callable[[], bool]) -> None:
     """Wait for a condition."""
     for _ in itertools.count():
         if condition():
--- a/persimmonhold/control/machine/_machine_limits.py
+++ b/persimmonhold/control/machine/_machine_limits.py
@@ -21,7 +21,7 @@
 
     command_count: int = 20_000
     command_retention_ms: int = 7 * _DAY_MS
-    claim_count: int = 100_000
+    claim_count: int = 50_000
     claim_retention_ms: int = _DAY_MS
     outcome_bytes: int = 16_384
     stored_outcome_bytes: int = 16_777_216
