--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -1,6 +1,7 @@
 """A system of control VMs and entries over a network that fails."""
 
 import asyncio
+from pathlib import Path
 
 import pytest
 from returns.result import Failure as Failed
@@ -14,6 +15,7 @@
     CommandResult,
     CommandStatus,
     EndClaim,
+    ForgetVm,
 )
 from persimmonhold.failures import FailureKind
 from persimmonhold.messages import CallOutcome, Demand
@@ -26,6 +28,11 @@
     return MemorySystem(9, 5, 1)
 
 
+@pytest.fixture
+def replicated(tmp_path: Path) -> MemorySystem:
+    return MemorySystem(7, 5, 1, tmp_path)
+
+
 def _claim(request: str) -> ClaimKey:
     return ClaimKey(
         at_ms=1,
@@ -187,8 +194,9 @@
             claimed = await system.vms['vm9'].link.claim(_claim('late'))
             assert isinstance(claimed, Failed)
             assert_that(claimed.failure().kind, Equals(FailureKind.no_quorum))
-            changed = await system.leader.change(command)
-            assert isinstance(changed, Failed)
+            node = system.vms['vm4'].node
+            assert node is not None
+            assert isinstance(await node.change(command), Failed)
 
     run_virtual(scenario())
 
@@ -212,6 +220,52 @@
     run_virtual(scenario())
 
 
+def test_operator_forgets_vms_when_most_are_lost(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            lost = ('vm4', 'vm5', 'vm6', 'vm7', 'vm8', 'vm9')
+            command = system.next_change()
+            for name in lost:
+                await system.kill(name)
+            await asyncio.sleep(20)
+            assert isinstance(await system.leader.change(command), Failed)
+            for name in lost:
+                forget = ForgetVm(
+                    operator='aoi',
+                    command_id=name,
+                    at_ms=1,
+                    name=name,
+                )
+                await system.leader.change(forget)
+            answer = (await system.leader.change(command)).unwrap()
+            assert_that(answer.status, Equals(CommandStatus.done))
+            assert_that(system.serving(), Equals({'vm1', 'vm2', 'vm3'}))
+
+    run_virtual(scenario())
+
+
+def test_whole_system_restarts_from_its_disks(
+    replicated: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with replicated as system:
+            command = system.next_change()
+            first = (await system.leader.change(command)).unwrap()
+            for name in system.names:
+                await system.kill(name)
+            for name in system.names:
+                await system.restart(name)
+            await system.await_leader()
+            await asyncio.sleep(5)
+            again = (await system.leader.change(command)).unwrap()
+            assert_that(again, Equals(first))
+            assert_that(system.serving(), Equals(set(system.names)))
+
+    run_virtual(scenario())
+
+
 def test_demand_and_views_of_all_entries_reach_the_leader(
     system: MemorySystem,
 ) -> None:
@@ -246,3 +300,55 @@
             assert_that(system.serving(), Not(Contains('vm9')))
 
     run_virtual(scenario())
+
+
+def test_elected_leader_answers_resends_of_the_lost_one(
+    replicated: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with replicated as system:
+            loop = asyncio.get_running_loop()
+            command = system.next_change()
+            first = (await system.leader.change(command)).unwrap()
+            for _ in range(50):
+                await system.change()
+            for _ in range(2):
+                lost = system.leader.log.status().vm
+                started_at = loop.time()
+                await system.kill(lost)
+                successor = await system.await_leader()
+                again = (await successor.change(command)).unwrap()
+                assert_that(again, Equals(first))
+                changed = await system.change()
+                await system.await_index(changed.index)
+                assert_that(loop.time() - started_at, LessThan(6))
+                await system.restart(lost)
+                await asyncio.sleep(5)
+            assert_that(system.serving(), Equals(set(system.names)))
+
+    run_virtual(scenario())
+
+
+def test_leader_cut_off_silently_neither_accepts_nor_serves(
+    replicated: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with replicated as system:
+            lost = system.leader
+            name = lost.log.status().vm
+            command = system.next_change()
+            system.network.cut_sides({name}, set(system.names) - {name})
+            assert isinstance(await lost.change(command), Failed)
+            await asyncio.sleep(60)
+            assert_that(
+                system.serving(),
+                Equals(set(system.names) - {name}),
+            )
+            answer = (await system.leader.change(command)).unwrap()
+            assert_that(answer.status, Equals(CommandStatus.done))
+            system.network.cut.clear()
+            await asyncio.sleep(5)
+            assert_that(system.serving(), Equals(set(system.names)))
+            assert_that(lost.state.catalogue.revision, Equals(1))
+
+    run_virtual(scenario())
