--- /dev/null
+++ b/bench/placement_baselines.py
@@ -0,0 +1,159 @@
+"""The baselines: static even placement, and load-on-miss with LRU eviction."""
+
+import math
+import random
+
+from bench.placement_fleet import MEMORY_BYTES, Fleet
+from bench.placement_policy import Policy
+from persimmonhold.catalogue import Catalogue
+from persimmonhold.placement import Place
+
+_WORK_PER_REQUEST_S = 0.25
+_SATURATED = 0.85
+
+
+class StaticEven(Policy):
+    """Copies stay where they are; lost engines are filled as before."""
+
+    name = 'static even'
+
+    def step(
+        self,
+        now: float,
+        elapsed_s: float,
+        work: dict[str, float],
+        loads: dict[Place, float],
+    ) -> None:
+        """Do nothing."""
+
+    def lose(self, engines: frozenset[str]) -> None:
+        """Serve without the lost engines."""
+        self.lost = engines
+
+    def regain(self, engines: frozenset[str]) -> None:
+        """Load again what the engines held."""
+        for held in self.holders.values():
+            for place in held:
+                if place.upstream in engines:
+                    self.count_move()
+        self.lost = frozenset()
+
+
+class LoadOnMiss(Policy):
+    """Loads where a request finds no copy, or only saturated ones.
+
+    The least loaded engine takes the load and evicts what was used least
+    recently, at once and without regard to other copies: what an evicted copy
+    was running, work of one step, is cut off. Loads queue at the pace of the
+    weight store; requests that wait for one miss their bound.
+    """
+
+    name = 'load on miss, LRU'
+
+    def __init__(self, fleet: Fleet, catalogue: Catalogue, seed: int) -> None:
+        """Start from the even placement with all copies used just now."""
+        super().__init__(fleet, catalogue)
+        self._random = random.Random(seed)
+        self._used_at: dict[tuple[str, Place], float] = {}
+        self._cold: dict[str, float] = {}
+
+    def step(
+        self,
+        now: float,
+        elapsed_s: float,
+        work: dict[str, float],
+        loads: dict[Place, float],
+    ) -> None:
+        """Note uses, then load for the misses, at the store's pace."""
+        serving = self.serving()
+        self._cold = {}
+        for model, held in serving.items():
+            self._note_uses(model, held, work[model], now, elapsed_s)
+        budget = int(self.fleet.settings.loads_per_second * elapsed_s)
+        missing = self._missing(serving, work, loads, elapsed_s)
+        at_once = self.fleet.settings.loads_at_once
+        for position, model in enumerate(missing[:budget]):
+            if not serving[model]:
+                delay_s = self.fleet.load_s * (1 + position // at_once)
+                self._cold[model] = min(1, delay_s / elapsed_s)
+            self._load(model, loads, now)
+
+    def lose(self, engines: frozenset[str]) -> None:
+        """Forget what the lost engines held."""
+        self.lost = engines
+        for model, held in self.holders.items():
+            self.holders[model] = {
+                place for place in held if place.upstream not in engines
+            }
+
+    def regain(self, engines: frozenset[str]) -> None:
+        """Use the engines again."""
+        self.lost = frozenset()
+
+    def missed(self, model: str) -> float:
+        """Return the share of the step that a cold load took."""
+        return self._cold.get(model, 0)
+
+    def _note_uses(
+        self,
+        model: str,
+        held: set[Place],
+        work: float,
+        now: float,
+        elapsed_s: float,
+    ) -> None:
+        rate = work / _WORK_PER_REQUEST_S / max(1, len(held))
+        for place in held:
+            age = self._random.expovariate(max(rate, 1e-9))
+            if age <= elapsed_s:
+                self._used_at[model, place] = now - age
+
+    def _missing(
+        self,
+        serving: dict[str, set[Place]],
+        work: dict[str, float],
+        loads: dict[Place, float],
+        elapsed_s: float,
+    ) -> list[str]:
+        missing = []
+        for model, held in serving.items():
+            rate = work[model] / _WORK_PER_REQUEST_S
+            asked = self._random.random() < 1 - math.exp(-rate * elapsed_s)
+            saturated = all(loads.get(place, 0) >= _SATURATED for place in held)
+            if asked and saturated and len(held) < len(self.places):
+                missing.append(model)
+        self._random.shuffle(missing)
+        return missing
+
+    def _load(
+        self,
+        model: str,
+        loads: dict[Place, float],
+        now: float,
+    ) -> None:
+        candidates = [
+            place
+            for place in self.places
+            if place.upstream not in self.lost
+            and place not in self.holders[model]
+        ]
+        if not candidates:
+            return
+        place = min(candidates, key=lambda each: (loads.get(each, 0), each))
+        if loads.get(place, 0) >= _SATURATED and self.holders[model]:
+            return
+        self._evict(place, self.sizes[model])
+        self.holders[model].add(place)
+        self._used_at[model, place] = now
+        self.count_move()
+
+    def _evict(self, place: Place, needed: int) -> None:
+        held = [name for name, at in self.holders.items() if place in at]
+        held.sort(key=lambda name: self._used_at.get((name, place), 0))
+        free = MEMORY_BYTES - sum(self.sizes[name] for name in held)
+        for name in held:
+            if free >= needed:
+                return
+            self.cut_work += self.shares.get(name, {}).get(place, 0)
+            self.holders[name].discard(place)
+            free += self.sizes[name]
--- /dev/null
+++ b/bench/placement_demand.py
@@ -0,0 +1,157 @@
+"""Seeded demand for the measurements of placement.
+
+Work is counted in busy accelerators per model. The days differ in how much
+of the fleet they need and how the need moves between models.
+"""
+
+import math
+import random
+from collections.abc import Callable, Mapping
+from itertools import repeat
+from types import MappingProxyType
+from typing import Final, NamedTuple, TypeAlias
+
+HOURS: Final = 3600.0
+HORIZON_S: Final = 4 * HOURS
+DAYS: Final = ('quiet', 'lunch', 'deadline', 'burst', 'domain loss', 'swings')
+_NOISE_STEP_S: Final = 60.0
+_BURST_S: Final = 1200
+_ZIPF: Final = 0.8
+
+
+class Peak(NamedTuple):
+    """A raised demand of one model between two times, with ramps."""
+
+    begins_at: float
+    ends_at: float
+    ramp_s: float
+    factor: float
+
+    def at(self, now: float) -> float:
+        """Return the factor at a time; 1 outside."""
+        if not self.begins_at <= now <= self.ends_at:
+            return 1.0
+        edge = min(now - self.begins_at, self.ends_at - now)
+        return 1 + (self.factor - 1) * min(1.0, edge / max(self.ramp_s, 1))
+
+
+class DemandDay:
+    """The work of every model over one window of a day."""
+
+    def __init__(
+        self,
+        day: str,
+        models: int,
+        accelerators: int,
+        seed: int,
+    ) -> None:
+        """Draw a day; the same arguments give the same day."""
+        self._random = random.Random(f'{day} {models} {accelerators} {seed}')
+        self.day = day
+        self.accelerators = accelerators
+        order = list(range(models))
+        self._random.shuffle(order)
+        weights = [1 / (rank + 2) ** _ZIPF for rank in range(models)]
+        self.base = [weights[rank] / sum(weights) for rank in order]
+        self.peaks: dict[int, list[Peak]] = {}
+        self.total = 0.3 * accelerators
+        _DRAWS[day](self, self._random)
+        self._noise = list(repeat(1.0, models))
+        self._noise_at = -_NOISE_STEP_S
+
+    def work(self, now: float) -> dict[int, float]:
+        """Return the work of each model; call with rising times."""
+        if now >= self._noise_at + _NOISE_STEP_S:
+            self._noise_at = now
+            self._noise = [self._drift(noise) for noise in self._noise]
+        scaled = (share * self.total for share in self.base)
+        return {
+            index: share * noise * self._peak(index, now)
+            for index, (share, noise) in enumerate(
+                zip(scaled, self._noise, strict=True),
+            )
+        }
+
+    def _drift(self, noise: float) -> float:
+        level = 0.9 * math.log(noise) + self._random.gauss(0, 0.12)
+        return math.exp(level)
+
+    def _peak(self, index: int, now: float) -> float:
+        factor = 1.0
+        for peak in self.peaks.get(index, ()):
+            factor *= peak.at(now)
+        return factor
+
+
+def _quiet(day: DemandDay, rng: random.Random) -> None:
+    day.total = 0.35 * day.accelerators
+
+
+def _lunch(day: DemandDay, rng: random.Random) -> None:
+    """A third of the models rise within a quarter of an hour."""
+    hot = rng.sample(range(len(day.base)), len(day.base) // 3)
+    _raise(day, hot, Peak(HOURS, 2.5 * HOURS, 900, 1), 0.8)
+
+
+def _deadline(day: DemandDay, rng: random.Random) -> None:
+    """A few models take most of the fleet, rising over two hours."""
+    count = max(3, len(day.base) // 8)
+    hot = rng.sample(range(len(day.base)), count)
+    shape = Peak(HOURS / 2, HORIZON_S - HOURS / 2, 2 * HOURS, 1)
+    _raise(day, hot, shape, 0.9)
+
+
+def _burst(day: DemandDay, rng: random.Random) -> None:
+    """Now and then two models rise at once, without a ramp."""
+    day.total = 0.4 * day.accelerators
+    for _ in range(6):
+        begins_at = rng.uniform(0, HORIZON_S - _BURST_S)
+        for model in rng.sample(range(len(day.base)), 2):
+            share = day.base[model] * day.total
+            factor = max(1, rng.uniform(1, 2) / share)
+            peak = Peak(begins_at, begins_at + _BURST_S, 10, factor)
+            day.peaks.setdefault(model, []).append(peak)
+
+
+def _domain_loss(day: DemandDay, rng: random.Random) -> None:
+    """A steady load that the remaining accelerators can just bear."""
+    day.total = 0.5 * day.accelerators
+
+
+def _swings(day: DemandDay, rng: random.Random) -> None:
+    """Each model rises and falls tenfold within an hour, at its own time."""
+    day.total = 0.12 * day.accelerators
+    for model, _ in enumerate(day.base):
+        begins_at = rng.uniform(-HOURS, HORIZON_S)
+        for start in (begins_at, begins_at + 2 * HOURS):
+            peak = Peak(start, start + HOURS, 1800, 10)
+            day.peaks.setdefault(model, []).append(peak)
+
+
+def _raise(
+    day: DemandDay,
+    hot: list[int],
+    shape: Peak,
+    fleet_share: float,
+) -> None:
+    """Raise some models together to a share of the fleet at the top."""
+    others = sum(
+        share * day.total
+        for index, share in enumerate(day.base)
+        if index not in hot
+    )
+    hot_work = sum(day.base[index] * day.total for index in hot)
+    factor = (fleet_share * day.accelerators - others) / hot_work
+    for model in hot:
+        day.peaks.setdefault(model, []).append(shape._replace(factor=factor))
+
+
+_Draw: TypeAlias = Callable[[DemandDay, random.Random], None]
+_DRAWS: Final[Mapping[str, _Draw]] = MappingProxyType({
+    'quiet': _quiet,
+    'lunch': _lunch,
+    'deadline': _deadline,
+    'burst': _burst,
+    'domain loss': _domain_loss,
+    'swings': _swings,
+})
--- a/persimmonhold/control/shell/_placement_round.py
+++ b/persimmonhold/control/shell/_placement_round.py
@@ -211,7 +211,9 @@
             self._leader.issuer.read_failed(upstream, loop.time())
             return
         async with self._exchanges:
-            self._leader.issuer.reading_began(upstream, loop.time())
+            watch = self._leader.issuer.watches.get(upstream)
+            if watch is not None:
+                watch.begin_reading(loop.time())
             inventory = await self._link.read_inventory(peer)
             if isinstance(inventory, Failed):
                 self._leader.issuer.read_failed(upstream, loop.time())
--- a/persimmonhold/placement/_improvement.py
+++ b/persimmonhold/placement/_improvement.py
@@ -27,12 +27,13 @@
 class Improvement:
     """Remembers how long models are overloaded and copies resident."""
 
-    __slots__ = ('_resident_since', '_settings', 'overloaded_since')
+    __slots__ = ('_arrived_at', '_holders', '_settings', 'overloaded_since')
 
     def __init__(self, settings: PlacementSettings) -> None:
         """Create the memory of a leadership."""
         self.overloaded_since: dict[str, float] = {}
-        self._resident_since: dict[tuple[str, Place], float] = {}
+        self._arrived_at: dict[tuple[str, Place], float] = {}
+        self._holders: dict[str, frozenset[Place]] = {}
         self._settings = settings
 
     def observe(self, planned: PlanRound, now: float) -> None:
@@ -42,12 +43,7 @@
             for model in planned.models
             if planned.balance.overload(model.name) > _MIN_OVERLOAD
         }
-        known = self._resident_since
-        self._resident_since = {
-            (model, place): known.get((model, place), now)
-            for place, models in planned.layout.models_at.items()
-            for model in models
-        }
+        self._note_arrivals(planned, now)
 
     def plan(self, maker: MoveMaker, now: float) -> None:
         """Plan copies for the most overloaded models."""
@@ -65,15 +61,14 @@
             if hindrance:
                 maker.block(model.name, hindrance)
             else:
-                self._plan_model(maker, model, now)
+                self._plan_model(maker, model)
 
     def _plan_model(
         self,
         maker: MoveMaker,
         model: ModelEntry,
-        now: float,
     ) -> None:
-        finder = maker.finder(self._recent(now))
+        finder = maker.finder(self._arrived_at)
         room = maker.find_room(model, finder, spread=False)
         if room is None:
             maker.block(model.name, 'no accelerator can make room')
@@ -86,13 +81,23 @@
         reason = f'work of {overload:.2f} accelerators exceeds its places'
         maker.make(model, room, reason)
 
-    def _recent(self, now: float) -> set[tuple[str, Place]]:
+    def _note_arrivals(self, planned: PlanRound, now: float) -> None:
+        """Remember copies until they have been resident for long enough."""
+        known = self._holders
+        holders = planned.layout.holders
+        self._holders = {
+            model.name: frozenset(holders.get(model.name, ()))
+            for model in planned.models
+        }
         residence_s = _RESIDENCE_S * self._settings.move_cost
-        return {
-            copy
-            for copy, since in self._resident_since.items()
-            if now < since + residence_s
+        self._arrived_at = {
+            copy: at
+            for copy, at in self._arrived_at.items()
+            if now < at + residence_s
         }
+        for name, held in self._holders.items():
+            for place in held - known.get(name, held):
+                self._arrived_at[name, place] = now
 
     def _hindrance(
         self,
@@ -106,8 +111,8 @@
         if most and len(holders) >= most:
             return f'has as many copies as agreed ({most})'
         growing = len(holders) - len(serving)
-        if growing >= max(1, int(len(holders) * _MAX_GROWTH_FRACTION)):
-            return 'another copy is on its way'
+        if growing >= max(2, int(len(holders) * _MAX_GROWTH_FRACTION)):
+            return 'other copies are on their way'
         if planned.limits.loads <= 0 and planned.limits.swaps <= 0:
             return 'as many moves are under way as allowed'
         patience_s = _PATIENCE_S * self._settings.move_cost
--- a/persimmonhold/placement/_layout.py
+++ b/persimmonhold/placement/_layout.py
@@ -5,7 +5,8 @@
 versions are listed apart.
 """
 
-from collections.abc import Iterable, Iterator
+from collections import defaultdict
+from collections.abc import Iterable
 from typing import final
 
 from persimmonhold.catalogue import (
@@ -40,8 +41,8 @@
         catalogue = view.state.catalogue
         self.domains: dict[str, str] = {}
         self.places: list[Place] = []
-        self.holders: dict[str, set[Place]] = {}
-        self.serving: dict[str, set[Place]] = {}
+        self.holders: dict[str, set[Place]] = defaultdict(set)
+        self.serving: dict[str, set[Place]] = defaultdict(set)
         self.models_at: dict[Place, list[str]] = {}
         self.adapters_at: dict[Place, set[str]] = {}
         self.other_versions: dict[str, list[Copy]] = {}
@@ -55,7 +56,7 @@
         """Count a copy that is held, ordered or planned."""
         if base:
             self.adapters_at.setdefault(place, set()).add(target)
-        holders = self.holders.setdefault(target, set())
+        holders = self.holders[target]
         if place in holders:
             return
         holders.add(place)
@@ -101,32 +102,49 @@
         })
 
     def _add_places(self, view: PlanView) -> None:
+        usable: set[str] = set()
         for upstream in view.state.catalogue.of_type(UpstreamEntry):
             status = view.engines.get(upstream.name)
             if status is None:
                 continue
             self.domains[upstream.name] = upstream.failure_domain
             if status.is_alive and status.takes_loads:
-                self.places.extend(
-                    Place(upstream.name, accelerator.name)
-                    for accelerator in upstream.accelerators
-                )
+                usable.add(upstream.name)
+        self.places.extend(
+            place
+            for place in view.ledger.capacity_bytes
+            if place.upstream in usable
+        )
 
     def _add_copies(self, view: PlanView) -> None:
-        for copy in _alive(view):
-            version = self._versions.get(copy.target)
-            if version is None:
-                self.uncatalogued.append(copy)
-            elif version != copy.version:
-                self.other_versions.setdefault(copy.target, []).append(copy)
+        """Sort all copies; this loop is most of a round in large systems."""
+        alive = {
+            status.name for status in view.engines.values() if status.is_alive
+        }
+        versions = self._versions
+        for key, copy in view.state.copies.items():
+            target, version, upstream, accelerator = key
+            if upstream not in alive:
+                continue
+            if versions.get(target) != version:
+                self._add_other(copy)
             elif copy.state is not CopyState.withdrawing:
-                self._add_current(copy)
-
-    def _add_current(self, copy: Copy) -> None:
-        place = Place(copy.upstream, copy.accelerator)
-        self.hold(copy.target, copy.base, place)
+                self._add_current(copy, Place(upstream, accelerator))
+
+    def _add_other(self, copy: Copy) -> None:
+        if copy.target in self._versions:
+            self.other_versions.setdefault(copy.target, []).append(copy)
+        else:
+            self.uncatalogued.append(copy)
+
+    def _add_current(self, copy: Copy, place: Place) -> None:
+        self.holders[copy.target].add(place)
+        if copy.base:
+            self.adapters_at.setdefault(place, set()).add(copy.target)
+        else:
+            self.models_at.setdefault(place, []).append(copy.target)
         if copy.state is CopyState.serving:
-            self.serving.setdefault(copy.target, set()).add(place)
+            self.serving[copy.target].add(place)
 
     def _add_ordered_loads(self, view: PlanView) -> None:
         for order in view.state.orders.values():
@@ -146,10 +164,3 @@
         *catalogue.of_type(AdapterEntry),
     )
     return {entry.name: entry.version for entry in entries}
-
-
-def _alive(view: PlanView) -> Iterator[Copy]:
-    for copy in view.state.copies.values():
-        status = view.engines.get(copy.upstream)
-        if status is not None and status.is_alive:
-            yield copy
--- /dev/null
+++ b/persimmonhold/placement/_ledger_book.py
@@ -0,0 +1,116 @@
+"""Keeps the ledger current without adding everything anew.
+
+Invariant: the ledger equals one built from the whole committed state and all
+last inventories; an upstream of which anything changed is added anew.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Final, TypeVar, final
+
+from persimmonhold.catalogue import Catalogue
+from persimmonhold.messages import Copy, Inventory, Order
+from persimmonhold.placement._copy_key import CopyKey
+from persimmonhold.placement._engine_watch import EngineWatch
+from persimmonhold.placement._memory_ledger import MemoryLedger, capacities
+from persimmonhold.placement._place import Place
+from persimmonhold.placement._placement_state import PlacementState
+
+_KeyT = TypeVar('_KeyT')
+_ItemT = TypeVar('_ItemT')
+_EMPTY: Final = PlacementState(-1, Catalogue(), {}, {})
+
+
+@final
+class LedgerBook:
+    """The ledger of a leadership, by upstream."""
+
+    __slots__ = (
+        '_inventories',
+        '_ledger',
+        '_places',
+        '_state',
+        'copies',
+        'stale',
+    )
+
+    def __init__(self) -> None:
+        """Create the book of an empty system."""
+        self.copies: dict[str, dict[CopyKey, Copy]] = {}
+        self.stale: set[str] = set()
+        self._inventories: dict[str, Inventory] = {}
+        self._ledger = MemoryLedger({})
+        self._places: dict[str, list[Place]] = {}
+        self._state = _EMPTY
+
+    def adopt(self, state: PlacementState) -> None:
+        """Note the upstreams whose copies or orders differ."""
+        if state.catalogue.revision != self._state.catalogue.revision:
+            self._adopt_places(state.catalogue)
+        former = self._state
+        for copy in _differing(former.copies, state.copies):
+            self.stale.add(copy.upstream)
+            key = (copy.target, copy.version, copy.upstream, copy.accelerator)
+            held = self.copies.setdefault(copy.upstream, {})
+            present = state.copies.get(key)
+            if present is None:
+                held.pop(key, None)
+            else:
+                held[key] = present
+        for order in _differing(former.orders, state.orders):
+            self.stale.add(order.upstream)
+        self._state = state
+
+    def ledger(
+        self,
+        orders: Mapping[str, Iterable[Order]],
+        watches: Mapping[str, EngineWatch],
+    ) -> MemoryLedger:
+        """Return a fork of the current ledger."""
+        for watch in watches.values():
+            known = self._inventories.get(watch.upstream)
+            if known is not watch.inventory and watch.inventory is not None:
+                self._inventories[watch.upstream] = watch.inventory
+                if known is None or known.held != watch.inventory.held:
+                    self.stale.add(watch.upstream)
+        for upstream in self.stale:
+            self._refresh(upstream, orders.get(upstream, ()))
+        self.stale.clear()
+        return self._ledger.fork()
+
+    def _refresh(self, upstream: str, orders: Iterable[Order]) -> None:
+        for place in self._places.get(upstream, ()):
+            self._ledger.clear(place)
+        for copy in self.copies.get(upstream, {}).values():
+            self._ledger.add_copy(copy)
+        for order in orders:
+            self._ledger.add_order(order)
+        inventory = self._inventories.get(upstream)
+        if inventory is not None:
+            self._ledger.add_inventory(upstream, inventory)
+
+    def _adopt_places(self, catalogue: Catalogue) -> None:
+        capacity_bytes = capacities(catalogue)
+        self._ledger = MemoryLedger(capacity_bytes)
+        self._places = {}
+        for place in capacity_bytes:
+            self._places.setdefault(place.upstream, []).append(place)
+        self.stale.update(self._places)
+        self._inventories = {
+            upstream: inventory
+            for upstream, inventory in self._inventories.items()
+            if upstream in self._places
+        }
+
+
+def _differing(
+    former: Mapping[_KeyT, _ItemT],
+    present: Mapping[_KeyT, _ItemT],
+) -> Iterator[_ItemT]:
+    """Yield the items that one of two mappings has and the other has not."""
+    if former is present:
+        return
+    for key, item in present.items():
+        if former.get(key) is not item:
+            yield item
+    for gone in former.keys() - present.keys():
+        yield former[gone]
--- a/persimmonhold/placement/_load_balance.py
+++ b/persimmonhold/placement/_load_balance.py
@@ -10,7 +10,7 @@
 
 from persimmonhold.placement._place import Place
 
-TARGET_LOAD: Final = 0.7
+TARGET_LOAD: Final = 0.8
 _SWEEPS: Final = 2
 
 
--- a/persimmonhold/placement/_memory_ledger.py
+++ b/persimmonhold/placement/_memory_ledger.py
@@ -16,13 +16,22 @@
 
 @final
 class MemoryLedger:
-    """Capacity and worst-case reservation of every accelerator, in bytes."""
+    """Capacity and worst-case reservation of every accelerator, in bytes.
 
-    __slots__ = ('_items', '_reserved', 'capacity_bytes')
+    A fork reserves on its own; accelerators that it does not touch are
+    looked up in the ledger that it came from.
+    """
 
-    def __init__(self, capacity_bytes: dict[Place, int]) -> None:
-        """Create a ledger of empty accelerators."""
+    __slots__ = ('_base', '_items', '_reserved', 'capacity_bytes')
+
+    def __init__(
+        self,
+        capacity_bytes: Mapping[Place, int],
+        base: Self | None = None,
+    ) -> None:
+        """Create a ledger of empty accelerators, or a fork of `base`."""
         self.capacity_bytes = capacity_bytes
+        self._base = base
         self._items: dict[Place, dict[ItemKey, int]] = {}
         self._reserved: dict[Place, int] = {}
 
@@ -44,6 +53,15 @@
             ledger.add_inventory(upstream, inventory)
         return ledger
 
+    def fork(self) -> 'MemoryLedger':
+        """Return a ledger whose reservations do not show in this one."""
+        return MemoryLedger(self.capacity_bytes, self)
+
+    def clear(self, place: Place) -> None:
+        """Forget what an accelerator may hold, to add it anew."""
+        self._items.pop(place, None)
+        self._reserved.pop(place, None)
+
     def add_copy(self, copy: Copy) -> None:
         """Reserve what a recorded copy takes, whatever its state."""
         self.reserve(
@@ -74,29 +92,41 @@
 
     def reserve(self, place: Place, key: ItemKey, size_bytes: int) -> None:
         """Reserve memory for an item, at its largest known size."""
-        items = self._items.setdefault(place, {})
-        known = items.get(key, 0)
-        if size_bytes > known or key not in items:
-            items[key] = max(known, size_bytes)
-            reserved = self._reserved.get(place, 0)
-            self._reserved[place] = reserved + max(size_bytes - known, 0)
+        items = self._items.get(place)
+        if items is None:
+            items = dict(self.items_at(place))
+            self._reserved[place] = self.reserved_bytes(place)
+            self._items[place] = items
+        known = items.get(key)
+        if known is None:
+            items[key] = size_bytes
+            self._reserved[place] += size_bytes
+        elif size_bytes > known:
+            items[key] = size_bytes
+            self._reserved[place] += size_bytes - known
 
     def has_item(self, place: Place, key: ItemKey) -> bool:
         """Tell whether an item may be in the memory of an accelerator."""
-        return key in self._items.get(place, {})
+        return key in self.items_at(place)
 
     def items_at(self, place: Place) -> Mapping[ItemKey, int]:
         """Return the items that an accelerator may hold, and their bytes."""
-        return self._items.get(place, {})
+        items = self._items.get(place)
+        if items is None:
+            return self._base.items_at(place) if self._base else {}
+        return items
 
     def reserved_bytes(self, place: Place) -> int:
         """Return the worst case of one accelerator."""
-        return self._reserved.get(place, 0)
+        reserved = self._reserved.get(place)
+        if reserved is None:
+            return self._base.reserved_bytes(place) if self._base else 0
+        return reserved
 
     def free_bytes(self, place: Place) -> int:
         """Return what may still be reserved; negative after a shrinking."""
         capacity = self.capacity_bytes.get(place, 0)
-        return capacity - self._reserved.get(place, 0)
+        return capacity - self.reserved_bytes(place)
 
 
 def capacities(catalogue: Catalogue) -> dict[Place, int]:
--- a/persimmonhold/placement/_order_issuer.py
+++ b/persimmonhold/placement/_order_issuer.py
@@ -29,6 +29,7 @@
 from persimmonhold.placement._engine_watch import EngineWatch
 from persimmonhold.placement._item_key import ItemKey
 from persimmonhold.placement._judge import judge, wants_barrier
+from persimmonhold.placement._ledger_book import LedgerBook
 from persimmonhold.placement._memory_ledger import MemoryLedger
 from persimmonhold.placement._move import Move
 from persimmonhold.placement._move_kind import MoveKind
@@ -58,7 +59,7 @@
     """Orders and observations of one leadership."""
 
     __slots__ = (
-        '_by_upstream',
+        '_ledgers',
         '_quarantine_s',
         '_state',
         '_watched_revision',
@@ -74,7 +75,7 @@
         self.book = OrderBook(settings, self.watches, now)
         self._quarantine_s = settings.quarantine_s
         self._state = PlacementState(-1, Catalogue(), {}, {})
-        self._by_upstream: dict[str, list[Copy]] = {}
+        self._ledgers = LedgerBook()
         self._watched_revision = -1
 
     def adopt(self, state: PlacementState, now: float) -> None:
@@ -85,22 +86,19 @@
         self._watch_engines(state.catalogue)
         self.book.adopt(state.orders, now)
         self.withdrawals.adopt(state)
-        self._by_upstream = {}
-        for copy in state.copies.values():
-            self._by_upstream.setdefault(copy.upstream, []).append(copy)
+        self._ledgers.adopt(state)
 
     def ledger(self) -> MemoryLedger:
         """Return the worst case over all that is known."""
-        return MemoryLedger.from_state(
-            self._state.catalogue,
-            self._state.copies.values(),
-            (*self._state.orders.values(), *self.book.unsure),
-            {
-                watch.upstream: watch.inventory
-                for watch in self.watches.values()
-                if watch.inventory is not None
-            },
-        )
+        orders: dict[str, list[Order]] = {}
+        for order in (*self._state.orders.values(), *self.book.unsure):
+            orders.setdefault(order.upstream, []).append(order)
+            self._ledgers.stale.add(order.upstream)
+        return self._ledgers.ledger(orders, self.watches)
+
+    def copies_at(self, upstream: str) -> Iterable[Copy]:
+        """Return the recorded copies at an upstream."""
+        return self._ledgers.copies.get(upstream, {}).values()
 
     def issue(
         self,
@@ -166,12 +164,6 @@
             for progress in self.book.queues.get(upstream, ()):
                 progress.forget_answer(now)
 
-    def reading_began(self, upstream: str, now: float) -> None:
-        """Note that a reading that had to wait has really started."""
-        watch = self.watches.get(upstream)
-        if watch is not None:
-            watch.begin_reading(now)
-
     def read_failed(self, upstream: str, now: float) -> None:
         """Take the failure of a reading."""
         watch = self.watches.get(upstream)
@@ -227,7 +219,7 @@
             copy.target == move.base
             and copy.accelerator == move.place.accelerator
             and copy.state is CopyState.serving
-            for copy in self._by_upstream.get(move.place.upstream, ())
+            for copy in self.copies_at(move.place.upstream)
         )
 
     def _issue_withdrawals(
@@ -279,8 +271,8 @@
             yield CommitEnd(order.fence, verdict.outcome)
 
     def _reconciliation(self) -> Iterator[Action]:
-        for upstream in self._by_upstream.keys() - self.watches.keys():
-            for copy in self._by_upstream[upstream]:
+        for upstream in self._ledgers.copies.keys() - self.watches.keys():
+            for copy in self.copies_at(upstream):
                 yield CommitCopy(copy, 'upstream removed', gone=True)
         for watch in self.watches.values():
             if watch.has_news:
@@ -289,7 +281,7 @@
                 yield from changes
 
     def _reconcile(self, watch: EngineWatch) -> Iterator[Action]:
-        copies = self._by_upstream.get(watch.upstream, ())
+        copies = self.copies_at(watch.upstream)
         yield from reconcile_copies(copies, watch, self.book.keys)
         if watch.is_settled(self._quarantine_s):
             explained = self.book.keys.union(map(copy_key, copies))
--- a/persimmonhold/placement/_plan_round.py
+++ b/persimmonhold/placement/_plan_round.py
@@ -35,6 +35,7 @@
         'models',
         'moves',
         'view',
+        'work',
     )
 
     def __init__(
@@ -48,6 +49,7 @@
         `max_free_bytes` is an upper bound: planned loads do not lower it.
         """
         self.view = view
+        self.work = work
         self.catalogue: Catalogue = view.state.catalogue
         self.ledger: MemoryLedger = view.ledger
         self.layout = Layout(view)
--- a/persimmonhold/placement/_presets.py
+++ b/persimmonhold/placement/_presets.py
@@ -11,18 +11,19 @@
 from persimmonhold.settings import PlacementSettings
 
 _HOOGWERK_ADAPTERS_IN_FLIGHT: Final = 25
+_LEVY_MOVE_COST: Final = 0.2
 _LEVY_ADAPTERS_IN_FLIGHT: Final = 30
 
 PRESETS: Final = MappingProxyType({
     'hoogwerk': PlacementSettings(
-        move_cost=6,
+        move_cost=0.5,
         attainment_weight=1,
         loads_per_second=3,
         loads_at_once=3,
         adapters_in_flight=_HOOGWERK_ADAPTERS_IN_FLIGHT,
     ),
     'levy': PlacementSettings(
-        move_cost=0.5,
+        move_cost=_LEVY_MOVE_COST,
         attainment_weight=2,
         loads_per_second=3,
         loads_at_once=4,
--- a/persimmonhold/placement/_repair.py
+++ b/persimmonhold/placement/_repair.py
@@ -22,12 +22,13 @@
 
 
 def repair(maker: MoveMaker) -> None:
-    """Load missing copies: models without any first, large ones first."""
+    """Load missing copies: models without any first, busy ones first."""
     planned = maker.planned
     missing = sorted(
         missing_models(planned),
         key=lambda model: (
             len(planned.layout.holders.get(model.name, ())),
+            -planned.work.get(model.name, 0),
             -planned.size_bytes(model.name),
             model.name,
         ),
--- a/persimmonhold/placement/_target_forecast.py
+++ b/persimmonhold/placement/_target_forecast.py
@@ -9,10 +9,10 @@
 from typing import Final, final
 
 _RISE_S: Final = 10.0
-_FALL_S: Final = 300.0
+_FALL_S: Final = 60.0
 _SLOPE_S: Final = 60.0
 _LOOKAHEAD_S: Final = 90.0
-_MAX_GROWTH: Final = 2.0
+_MAX_GROWTH: Final = 1.5
 _BUCKET_S: Final = 900
 _BUCKETS: Final = 96
 _DAY_S: Final = _BUCKET_S * _BUCKETS
