--- a/bench/placement.py
+++ b/bench/placement.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from bench.placement_baselines import LoadOnMiss, StaticEven
+from bench.placement_baselines import Everywhere, LoadOnMiss, StaticEven
 from bench.placement_demand import DAYS, HORIZON_S, HOURS, DemandDay
 from bench.placement_fleet import FLEETS, Fleet, fleet_catalogue, model_name
 from bench.placement_planned import Planned
@@ -154,6 +154,7 @@
         StaticEven(fleet, catalogue),
         LoadOnMiss(fleet, catalogue, seed),
         Planned(fleet, catalogue),
+        Everywhere(fleet, catalogue),
     ]
 
 
--- a/bench/placement_baselines.py
+++ b/bench/placement_baselines.py
@@ -1,4 +1,4 @@
-"""The baselines: static even placement, and load-on-miss with LRU eviction."""
+"""Static even placement, load-on-miss with LRU eviction, and a bound."""
 
 import math
 import random
@@ -39,6 +39,35 @@
         self.lost = frozenset()
 
 
+class Everywhere(Policy):
+    """The bound: every model on every accelerator, memory set aside."""
+
+    name = 'bound'
+
+    def __init__(self, fleet: Fleet, catalogue: Catalogue) -> None:
+        """Put every model everywhere."""
+        super().__init__(fleet, catalogue)
+        for held in self.holders.values():
+            held.update(self.places)
+
+    def step(
+        self,
+        now: float,
+        elapsed_s: float,
+        work: dict[str, float],
+        loads: dict[Place, float],
+    ) -> None:
+        """Do nothing."""
+
+    def lose(self, engines: frozenset[str]) -> None:
+        """Serve without the lost engines."""
+        self.lost = engines
+
+    def regain(self, engines: frozenset[str]) -> None:
+        """Serve with all engines again."""
+        self.lost = frozenset()
+
+
 class LoadOnMiss(Policy):
     """Loads where a request finds no copy, or only saturated ones.
 
--- a/persimmonhold/placement/__init__.py
+++ b/persimmonhold/placement/__init__.py
@@ -23,7 +23,6 @@
 from persimmonhold.placement._read_inventory import ReadInventory
 from persimmonhold.placement._send_order import SendOrder
 from persimmonhold.placement._sizes import memory_bytes
-from persimmonhold.placement._static_plan import plan_missing
 
 __all__ = (
     'PRESETS',
@@ -50,5 +49,4 @@
     'check_fit',
     'fill',
     'memory_bytes',
-    'plan_missing',
 )
--- a/persimmonhold/placement/_presets.py
+++ b/persimmonhold/placement/_presets.py
@@ -10,13 +10,14 @@
 
 from persimmonhold.settings import PlacementSettings
 
+_HOOGWERK_MOVE_COST: Final = 0.25
 _HOOGWERK_ADAPTERS_IN_FLIGHT: Final = 25
-_LEVY_MOVE_COST: Final = 0.2
+_LEVY_MOVE_COST: Final = 0.1
 _LEVY_ADAPTERS_IN_FLIGHT: Final = 30
 
 PRESETS: Final = MappingProxyType({
     'hoogwerk': PlacementSettings(
-        move_cost=0.5,
+        move_cost=_HOOGWERK_MOVE_COST,
         attainment_weight=1,
         loads_per_second=3,
         loads_at_once=3,
