--- a/persimmonhold/admission/_batch_gaps.py
+++ b/persimmonhold/admission/_batch_gaps.py
@@ -35,13 +35,15 @@
 
     def has_one(self, upstream: str, now: float) -> bool:
         """Tell whether a batch request may be sent to an upstream."""
-        slots = self._router.slots(upstream)
-        use = self._uses.use_of(upstream, slots)
-        made_at = self._router.reported_at(upstream)
-        free = slots * (1 - self._settings.batch_reserve)
-        free -= self._router.occupancy(upstream, now)
-        if made_at != use.credit_at:
-            use.credit_at = made_at
+        state = self._router.states.get(upstream)
+        if state is None:
+            return False
+        load = state.load
+        use = self._uses.use_of(upstream, load.slots)
+        fillable = load.slots * (1 - self._settings.batch_reserve)
+        free = fillable - load.occupancy(now)
+        if load.made_at != use.credit_at:
+            use.credit_at = load.made_at
             share = max(0, free) / self._uses.entries
             use.credits = int(share + self._random.random())
         return use.credits > 0 and free > 0
--- a/persimmonhold/routing/_router.py
+++ b/persimmonhold/routing/_router.py
@@ -14,6 +14,7 @@
 from persimmonhold.routing._attempt_outcome import AttemptOutcome
 from persimmonhold.routing._copy_index import CopyIndex
 from persimmonhold.routing._copy_site import CopySite
+from persimmonhold.routing._poll_plan import PollPlan
 from persimmonhold.routing._route import Route
 from persimmonhold.routing._route_request import RouteRequest
 from persimmonhold.routing._router_settings import RouterSettings
@@ -33,6 +34,7 @@
         '_chooser',
         '_entry_name',
         '_failure_domain',
+        '_poll_plan',
         '_settings',
         '_subsets',
         'index',
@@ -53,6 +55,7 @@
         self.states: dict[str, UpstreamState] = {}
         self._failure_domain = own_failure_domain
         self._entry_name = entry_name
+        self._poll_plan = PollPlan(settings)
         self._settings = settings
         self._chooser = SiteChooser(
             own_failure_domain,
@@ -168,16 +171,6 @@
         subset = self._subsets.get(target)
         return [_name(site) for site in subset.sites] if subset else []
 
-    def reported_at(self, upstream: str) -> float:
-        """Return when the last load report of an upstream was made."""
-        state = self.states.get(upstream)
-        return state.load.made_at if state else float('-inf')
-
-    def occupancy(self, upstream: str, now: float) -> int:
-        """Return the believed number of requests at an upstream."""
-        state = self.states.get(upstream)
-        return state.load.occupancy(now) if state else 0
-
     def wait_ms(self, upstream: str, now: float) -> float:
         """Return the believed wait for a place at an upstream."""
         state = self.states.get(upstream)
@@ -208,6 +201,14 @@
             names.update(_name(site) for site in subset.sites)
         return frozenset(names)
 
+    def polls_due(self, now: float) -> tuple[str, ...]:
+        """Return the engines whose load to fetch now, within the budget."""
+        upstreams = self.index.upstreams
+        engines = [
+            name for name in self.subset(now) if upstreams[name].is_engine
+        ]
+        return self._poll_plan.due(engines, self.states, now)
+
     def attempt_started(
         self,
         route: Route,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -322,3 +322,19 @@
     for attempt in attempts:
         router.attempt_ended(attempt, AttemptOutcome.completed, 2)
     assert_that(router.subset(600), Equals(small))
+
+
+@given(rate=st.floats(700, 20_000), copies=st.integers(1, 30))
+def test_polls_stay_within_the_budget(rate: float, copies: int) -> None:
+    settings = RouterSettings(
+        poll_bytes_per_second=rate,
+        subset_copies=copies,
+    )
+    router = router_over(view_of(30, {'m': range(30)}), settings=settings)
+    polled: Counter[str] = Counter()
+    for step in range(200):
+        polled.update(router.polls_due(step / 10))
+    permitted = (20 + 2) * rate / settings.poll_bytes
+    assert_that(polled.total(), LessThan(permitted + 1))
+    if rate > copies * settings.poll_bytes:
+        assert_that(set(polled), Equals(set(router.subset(20))))
