--- a/persimmonhold/control/shell/_remote_control_link.py
+++ b/persimmonhold/control/shell/_remote_control_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from typing import Final, final
 
 import msgspec
@@ -25,7 +26,7 @@
 
 _MS_PER_S: Final = 1000
 _REGISTER_INTERVAL_S: Final = 0.5
-_ANNOUNCE_TIMEOUT_S: Final = 5.0
+_DRAIN_TIMEOUT_S: Final = 4.0
 _UNGRANTED: Final = frozenset((
     CommandStatus.claim_table_full,
     CommandStatus.claim_unregistered,
@@ -47,6 +48,8 @@
         self._vm = vm
         self._client = client
         self._node = node
+        self._due = asyncio.Event()
+        self._shown = asyncio.Event()
         vm.subscribe(self._view_changed)
 
     @property
@@ -62,9 +65,12 @@
     async def run(self) -> None:
         """Keep this VM registered as it is, until cancelled."""
         while True:
+            self._due.clear()
             if not self._vm.is_registered:
                 await self._register()
-            await asyncio.sleep(_REGISTER_INTERVAL_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_REGISTER_INTERVAL_S):
+                    await self._due.wait()
 
     async def claim(self, claim: ClaimKey) -> Result[CommandResult, Failure]:
         """Commit a claim of this incarnation of the VM.
@@ -107,19 +113,30 @@
         """Have this VM registered with another draining state."""
         super().mark_draining(draining=draining)
         self._vm.mark_draining(draining=draining)
+        self._due.set()
 
     async def announce_draining(self) -> bool:
-        """Register as draining, and wait until the view shows it."""
+        """Take this VM out of every directory; tell whether it is out.
+
+        It is out once each VM that lives has had the time to hear of it.
+        """
         self.mark_draining(draining=True)
         try:
-            async with asyncio.timeout(_ANNOUNCE_TIMEOUT_S):
-                while not self._vm.is_registered:
-                    await self._register()
-                    await asyncio.sleep(_REGISTER_INTERVAL_S)
+            async with asyncio.timeout(_DRAIN_TIMEOUT_S):
+                await self._until_shown_draining()
         except TimeoutError:
             return False
         return True
 
+    async def _until_shown_draining(self) -> None:
+        name = self._vm.record.name
+        shown = self._vm.agent.view.vms.get(name)
+        while shown is None or not shown.draining:
+            self._shown.clear()
+            await self._shown.wait()
+            shown = self._vm.agent.view.vms.get(name)
+        await asyncio.sleep(self._vm.timings.interval_s)
+
     async def _register(self) -> None:
         command = RegisterVm(
             at_ms=int(time.time() * _MS_PER_S),
@@ -138,3 +155,4 @@
     def _view_changed(self) -> None:
         self.view = self._vm.agent.view.view()
         self.changed.set()
+        self._shown.set()
