Measured cost of an entry; the bench shows refused streams

Cause: a refused stream let the bench wait for ever (seen once: no figures after 280 s); the entry's cost was not written down.

--- a/bench/entry_world.py
+++ b/bench/entry_world.py
@@ -14,6 +14,7 @@
 
 from persimmonhold.catalogue import (
     Accelerator,
+    Bounds,
     Catalogue,
     ModelEntry,
     UpstreamEntry,
@@ -55,6 +56,7 @@
     b'"kv_used_fraction":0,"prefill_tokens_per_second":1000000,'
     b'"decode_step_ms":1}'
 )
+_OK: Final = b'HTTP/1.1 200 '
 _PAGE: Final = b'{"boot_id":"b","last":0}'
 
 
@@ -191,6 +193,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Count the bytes and look for the end."""
+        if not self.received and not data.startswith(_OK):
+            self._refused(data)
         self.received += len(data)
         if not self.first.done() and b'data: ' in data:
             self.first.set_result(None)
@@ -218,6 +222,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _refused(self, data: bytes) -> None:
+        error = ConnectionError(data.decode('latin-1'))
+        for waiter in (self.first, self.ended):
+            waiter.set_exception(error)
+
 
 @final
 class EntryWorld:
@@ -299,6 +308,7 @@
         version='1',
         weight_bytes=1,
         kv_floor_bytes=1,
+        bounds=Bounds(first_token_ms=60_000, deadline_ms=120_000),
     )
     copy = Copy(
         target='tutor',
