--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -194,7 +194,6 @@
     def _tick_follower(self, now: float) -> None:
         core = self.core
         if now >= self._retry_at:
-            self._retry_at = now + core.timings.heartbeat_s
             self._retry(now)
         if now < core.election_at:
             return
@@ -206,9 +205,12 @@
                 core.announce_boot()
 
     def _retry(self, now: float) -> None:
+        timings = self.core.timings
         if self._joining.is_needed:
+            self._retry_at = now + timings.election_timeout_s
             self._joining.tick(now)
         else:
+            self._retry_at = now + timings.heartbeat_s
             self._identity.verify(now)
 
     def _settle(self, now: float) -> None:
--- a/persimmonhold/replication/_replica_node.py
+++ b/persimmonhold/replication/_replica_node.py
@@ -239,7 +239,6 @@
         while self._inbox:
             peer, payload = self._inbox.popleft()
             host.receive(peer, payload, now)
-        host.perform(now)
         self._begin_proposals(now)
         self._begin_reads(now)
         if host.replica.next_wakeup <= now:
