--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -43,13 +43,15 @@
     parser.add_argument('--repeats', type=int, default=5)
     parser.add_argument('--seconds', type=float, default=0.5)
     parser.add_argument('--directory', default=None)
+    parser.add_argument('--tables', default='commits,snapshots,pure')
     parser.add_argument('--output', default='')
     options = parser.parse_args()
-    rows = {
-        'commits': _commit_rows(options),
-        'snapshots': _snapshot_rows(options),
-        'pure': _pure_rows(options),
+    tables = {
+        'commits': _commit_rows,
+        'snapshots': _snapshot_rows,
+        'pure': _pure_rows,
     }
+    rows = {name: tables[name](options) for name in options.tables.split(',')}
     if options.output:
         document = {'seed': options.seed, **rows}
         encoded = msgspec.json.encode(document)
@@ -168,10 +170,11 @@
             await leader.propose(b'')
         proposals = [leader.propose(b'') for _ in range(20)]
         started = time.monotonic()
-        await asyncio.gather(*proposals)
-        longest = await _longest_turn(
-            lambda: leader.status().snapshot_index > 0,
+        watch = asyncio.create_task(
+            _longest_turn(lambda: leader.status().snapshot_index > 0),
         )
+        await asyncio.gather(*proposals)
+        longest = await watch
         total = time.monotonic() - started
     return {
         'total_ms': total * _MS_PER_S,
