--- a/persimmonhold/transport/_envelope.py
+++ b/persimmonhold/transport/_envelope.py
@@ -15,7 +15,10 @@
 
 @final
 class Envelope(msgspec.Struct, frozen=True):
-    """A message with the name and the address of its sender."""
+    """A message with the name and the address of its sender.
+
+    The address may be empty.
+    """
 
     channel: Channel
     sender: str
--- a/persimmonhold/transport/_nng_transport.py
+++ b/persimmonhold/transport/_nng_transport.py
@@ -156,8 +156,13 @@
             'big',
         )
         self.address = str(type(listening)(listening.host, port))
+        # Consensus is most of the traffic, and its peers are known.
         self._heads = {
-            channel: encode_head(channel, self.name, self.address)
+            channel: encode_head(
+                channel,
+                self.name,
+                '' if channel is Channel.consensus else self.address,
+            )
             for channel in Channel
         }
 
