--- a/bench/memory_system.py
+++ b/bench/memory_system.py
@@ -36,6 +36,7 @@
 MemoryLog: TypeAlias = SharedLog | ReplicaNode
 OpenLog: TypeAlias = Callable[[str, LogApplier, Transport], MemoryLog]
 _POLL_S: Final = 0.005
+_WAIT_TIMEOUT_S: Final = 60.0
 
 
 @final
@@ -88,13 +89,16 @@
         self._tasks = [asyncio.create_task(task) for task in work]
 
     async def stop(self) -> None:
-        """Stop everything at once."""
+        """Stop everything at once; raises what ended a task before."""
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        ended = await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.server.close()
         if self.log is not None:
             await self.log.__aexit__(None, None, None)
+        for outcome in ended:
+            if isinstance(outcome, Exception):
+                raise outcome
 
 
 @final
@@ -254,8 +258,9 @@
 
 
 async def until(condition: Callable[[], bool]) -> None:
-    """Wait for a condition."""
-    for _ in itertools.count():
-        if condition():
-            return
-        await asyncio.sleep(_POLL_S)
+    """Wait for a condition; raises `TimeoutError` after a minute."""
+    async with asyncio.timeout(_WAIT_TIMEOUT_S):
+        for _ in itertools.count():
+            if condition():
+                return
+            await asyncio.sleep(_POLL_S)
