--- a/persimmonhold/control/shell/_placement_round.py
+++ b/persimmonhold/control/shell/_placement_round.py
@@ -10,10 +10,12 @@
 from typing import Final, final
 
 from returns.result import Failure as Failed
+from returns.result import Result
 
 from persimmonhold.catalogue import UpstreamEntry
 from persimmonhold.control.machine import (
     Command,
+    CommandResult,
     CommandStatus,
     RecordCopy,
     RecordIntent,
@@ -23,7 +25,7 @@
     PlacementEngineLink,
 )
 from persimmonhold.control.shell._placement_host import PlacementHost
-from persimmonhold.failures import FailureKind
+from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import Order
 from persimmonhold.observability import LogLevel, Metrics, log_event, metric
 from persimmonhold.placement import (
@@ -64,6 +66,7 @@
         '_metrics',
         '_plan_at',
         '_tasks',
+        'is_over',
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         self._exchanges = asyncio.Semaphore(_MAX_EXCHANGES)
         self._plan_at: float = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self.is_over = False
 
     async def run(self) -> None:
         """Follow the orders, then plan."""
@@ -112,6 +116,8 @@
 
     async def _perform(self, actions: Iterable[Action]) -> None:
         for action in actions:
+            if self.is_over:
+                return
             match action:
                 case CommitIntent():
                     await self._commit_intent(action)
@@ -130,7 +136,7 @@
             order=action.order,
             reason=action.reason,
         )
-        proposed = await self._host.propose(command)
+        proposed = await self._propose(command)
         if isinstance(proposed, Failed):
             kind = proposed.failure().kind
             if kind not in _NOT_COMMITTED:
@@ -170,11 +176,26 @@
             )
 
     async def _is_committed(self, command: Command) -> bool:
-        proposed = await self._host.propose(command)
+        proposed = await self._propose(command)
         if isinstance(proposed, Failed):
             return False
         return proposed.unwrap().status is CommandStatus.done
 
+    async def _propose(
+        self,
+        command: Command,
+    ) -> Result[CommandResult, Failure]:
+        """Commit a command; another leader's term ends this leadership.
+
+        The host may lead again before anyone asks it: by then another leader
+        may have sent orders of which this one knows nothing.
+        """
+        proposed = await self._host.propose(command)
+        if isinstance(proposed, Failed):
+            kind = proposed.failure().kind
+            self.is_over = self.is_over or kind is FailureKind.not_leader
+        return proposed
+
     def _start(self, exchange: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(exchange)
         self._tasks.add(task)
--- a/persimmonhold/control/shell/_placement_runner.py
+++ b/persimmonhold/control/shell/_placement_runner.py
@@ -48,6 +48,11 @@
         finally:
             self._step_down()
 
+    @property
+    def is_leading(self) -> bool:
+        """Tell whether a leadership is under way."""
+        return self._round is not None
+
     def explain(self, target: str) -> tuple[Decision, ...]:
         """Return the kept decisions about a model or adapter.
 
@@ -74,6 +79,8 @@
                 self._metrics,
             )
         await self._round.run()
+        if self._round.is_over:
+            self._step_down()
 
     def _step_down(self) -> None:
         if self._round is not None:
--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -5,6 +5,7 @@
 rule delivers or drops them.
 """
 
+import zlib
 from typing import NamedTuple, TypeAlias
 
 import msgspec
@@ -125,6 +126,7 @@
     def put(self, entry: CatalogueEntry) -> None:
         """Put a catalogue entry."""
         catalogue = self.machine.state.catalogue
+        revision = catalogue.revision
         self.commit(
             PutEntry(
                 operator='o',
@@ -135,6 +137,8 @@
                 reason='test',
             ),
         )
+        accepted = self.machine.state.catalogue.revision
+        assert accepted == revision + 1, entry.name
 
     def commit(self, command: Command) -> None:
         """Apply a command to the log."""
@@ -458,7 +462,7 @@
     return UpstreamEntry(
         name=name,
         owner='o',
-        address='127.0.0.1:1',
+        address=f'127.0.0.1:{1 + zlib.crc32(name.encode()) % 60_000}',
         failure_domain=domain,
         accelerators=(Accelerator(name='a0', memory_bytes=memory),),
         checks_fencing=checks,
--- a/tests/test_placement_runner.py
+++ b/tests/test_placement_runner.py
@@ -2,17 +2,34 @@
 
 import asyncio
 from pathlib import Path
+from typing import final
 
 import pytest
+from returns.result import Failure as Failed
+from returns.result import Result
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength
 
 from persimmonhold.cli import DevSystem
+from persimmonhold.control.machine import (
+    Command,
+    CommandResult,
+    ControlMachine,
+    ControlState,
+    RecordCopy,
+)
+from persimmonhold.control.shell import PlacementHost, PlacementRunner
 from persimmonhold.control.shell._placement_engine_link import (
     PlacementEngineLink,
 )
-from persimmonhold.failures import FailureKind
-from persimmonhold.messages import CopyState, Order, OrderKind
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.messages import (
+    Copy,
+    CopyState,
+    Demand,
+    Order,
+    OrderKind,
+)
 from persimmonhold.standin import EngineHandler, EngineMemory
 from persimmonhold.standin._faults import Faults
 from persimmonhold.web import Address
@@ -111,3 +128,71 @@
         if held.version == '9'
     ]
     assert_that(strays, HasLength(0))
+
+
+@final
+class _DeposedHost(PlacementHost):
+    """Leads when asked, but another leader took over in between."""
+
+    def __init__(self) -> None:
+        """Create a host whose control state has one engine."""
+        self.machine = ControlMachine()
+        self.proposals = 0
+        self.gave_up = asyncio.Event()
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether orders may be sent."""
+        return True
+
+    @property
+    def state(self) -> ControlState:
+        """The applied state, with a copy at an upstream that is gone."""
+        state = self.machine.state
+        if not state.copies:
+            copy = Copy(
+                target='m',
+                version='1',
+                upstream='gone',
+                accelerator='a0',
+                state=CopyState.serving,
+                fence=1,
+            )
+            self.machine.apply(1, RecordCopy(at_ms=0, copy=copy))
+        return state
+
+    async def propose(
+        self,
+        command: Command,
+    ) -> Result[CommandResult, Failure]:
+        """Fail as a replica that has lost its leadership."""
+        self.proposals += 1
+        self.gave_up.set()
+        return Failed(Failure(kind=FailureKind.not_leader, step='propose'))
+
+    def now_ms(self) -> int:
+        """Return the time of commands."""
+        return 0
+
+    def demand(self) -> tuple[Demand, ...]:
+        """Return no demand."""
+        return ()
+
+    def is_in_force(self, index: int) -> bool:
+        """Tell that entries follow."""
+        return True
+
+
+def test_lost_leadership_is_given_up_at_once() -> None:
+    host = _DeposedHost()
+    runner = PlacementRunner(host)
+
+    async def scenario() -> bool:
+        task = asyncio.get_running_loop().create_task(runner.run())
+        await host.gave_up.wait()
+        await asyncio.sleep(0)
+        task.cancel()
+        return runner.is_leading
+
+    assert_that(asyncio.run(scenario()), Equals(False))
+    assert_that(host.proposals, Equals(1))
