--- a/persimmonhold/control/shell/_placement_round.py
+++ b/persimmonhold/control/shell/_placement_round.py
@@ -1,8 +1,9 @@
 """Performs the actions of one leadership.
 
 Commits are awaited, sends and reads run beside the rounds: at most one each
-for an engine and a bounded number in all. Planning takes at most a tenth of
-the loop's time, however large the system is.
+for an engine and a bounded number in all. Planning runs after changes and
+once a second, and takes at most a tenth of the loop's time, however large the
+system is.
 """
 
 import asyncio
@@ -43,6 +44,7 @@
 _MAX_EXCHANGES: Final = 64
 _MS_PER_S: Final = 1000
 _REST_PER_PLANNING: Final = 10
+_PLAN_INTERVAL_S: Final = 1.0
 _NOT_WRITTEN: Final = frozenset((
     FailureKind.connect_failed,
     FailureKind.not_leader,
@@ -65,6 +67,8 @@
         '_link',
         '_metrics',
         '_plan_at',
+        '_planned_index',
+        '_rested_at',
         '_tasks',
         'is_over',
     )
@@ -82,6 +86,8 @@
         self._metrics = metrics
         self._exchanges = asyncio.Semaphore(_MAX_EXCHANGES)
         self._plan_at: float = 0
+        self._planned_index = -1
+        self._rested_at: float = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_over = False
 
@@ -93,7 +99,7 @@
         actions = leader.poll(self._host.is_in_force, loop.time())
         await self._perform(actions)
         leader.adopt(placement_state(self._host), loop.time())
-        if loop.time() >= self._plan_at:
+        if self._is_planning_due(loop.time()):
             await self._plan()
 
     def close(self) -> None:
@@ -101,9 +107,17 @@
         for task in self._tasks:
             task.cancel()
 
+    def _is_planning_due(self, now: float) -> bool:
+        if now < self._rested_at:
+            return False
+        has_changed = self._planned_index != self._host.state.index
+        return has_changed or now >= self._plan_at
+
     async def _plan(self) -> None:
         loop = asyncio.get_running_loop()
         began_at = loop.time()
+        self._planned_index = self._host.state.index
+        self._plan_at = began_at + _PLAN_INTERVAL_S
         moves = self._leader.plan(
             self._host.demand(),
             self._host.is_in_force,
@@ -111,7 +125,7 @@
             self._host.now_ms() / _MS_PER_S,
         )
         spent_s = loop.time() - began_at
-        self._plan_at = loop.time() + spent_s * _REST_PER_PLANNING
+        self._rested_at = loop.time() + spent_s * _REST_PER_PLANNING
         await self._perform(moves)
 
     async def _perform(self, actions: Iterable[Action]) -> None:
