--- a/persimmonhold/control/shell/__init__.py
+++ b/persimmonhold/control/shell/__init__.py
@@ -3,6 +3,7 @@
 from persimmonhold.control.shell._control_applier import ControlApplier
 from persimmonhold.control.shell._control_client import ControlClient
 from persimmonhold.control.shell._control_link import ControlLink
+from persimmonhold.control.shell._control_metrics import ControlMetrics
 from persimmonhold.control.shell._control_node import ControlNode
 from persimmonhold.control.shell._leader_duties import LeaderDuties
 from persimmonhold.control.shell._local_control_link import LocalControlLink
@@ -23,6 +24,7 @@
     'ControlApplier',
     'ControlClient',
     'ControlLink',
+    'ControlMetrics',
     'ControlNode',
     'LeaderDuties',
     'LocalControlLink',
--- a/persimmonhold/system/_vm_process.py
+++ b/persimmonhold/system/_vm_process.py
@@ -12,13 +12,14 @@
 
 from persimmonhold.control.shell import (
     ControlClient,
+    ControlMetrics,
     ProposalServer,
     RemoteControlLink,
     VmShell,
 )
 from persimmonhold.entry import Entry
 from persimmonhold.messages import VmRecord
-from persimmonhold.observability import Metrics, log_event, metric
+from persimmonhold.observability import Metrics, log_event
 from persimmonhold.settings import Settings
 from persimmonhold.system._background import Background
 from persimmonhold.system._control_side import ControlSide
@@ -112,7 +113,7 @@
         self.link = RemoteControlLink(self.vm, client, node)
         self.background.run(self.vm.run(), 'membership')
         self.background.run(self.link.run(), 'registration')
-        self.background.run(self._count_bytes(), 'byte counts')
+        self.background.run(self._count(), 'control metrics')
         if settings.vm.has_entry:
             await self._start_entry(stack, self.link)
 
@@ -132,22 +133,11 @@
         )
         await stack.enter_async_context(self.entry)
 
-    async def _count_bytes(self) -> None:
-        """Keep the counters of control bytes equal to the transport's."""
-        counted = {'sent': 0, 'received': 0}
+    async def _count(self) -> None:
+        """Keep the metrics equal to the counts of agent and transport."""
+        counted = ControlMetrics(self.metrics)
         while True:
-            counts = self.transport.counts
-            totals = {
-                'sent': counts.sent_bytes,
-                'received': counts.received_bytes,
-            }
-            for direction, total in totals.items():
-                self.metrics.increment(
-                    metric.CONTROL_BYTES,
-                    total - counted[direction],
-                    direction=direction,
-                )
-            counted = totals
+            counted.update(self.vm.agent, self.transport.counts)
             await asyncio.sleep(_COUNT_INTERVAL_S)
 
 
@@ -156,8 +146,10 @@
     return VmRecord(
         name=settings.vm.name,
         failure_domain=settings.vm.failure_domain,
-        callers=settings.callers.address,
-        operators=settings.operators.address,
+        callers=settings.callers.address if settings.vm.has_entry else '',
+        operators=(
+            settings.operators.address if settings.vm.has_control else ''
+        ),
         peers=settings.peers.address,
         weight=settings.callers.weight,
     )
--- a/tests/test_control_operators.py
+++ b/tests/test_control_operators.py
@@ -31,7 +31,7 @@
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import Metrics, metric
-from persimmonhold.replication import ReplicatedLog
+from persimmonhold.replication import ReplicaStatus, ReplicatedLog
 from persimmonhold.web import (
     Address,
     ClientRequest,
@@ -97,6 +97,23 @@
         """Refuse."""
         return Failed(Failure(kind=FailureKind.not_leader, step='transfer'))
 
+    def status(self) -> ReplicaStatus:
+        """Describe the follower."""
+        return ReplicaStatus(
+            vm='vm2',
+            incarnation='',
+            role='follower',
+            term=1,
+            leader=self._leader,
+            is_verified=True,
+            lease_s=0,
+            last_index=0,
+            commit_index=0,
+            applied_index=0,
+            snapshot_index=0,
+            members=(),
+        )
+
 
 @final
 class Operators:
@@ -340,6 +357,8 @@
             '/catalogue/v1/explain/guide',
         )
         assert_that(explained['decisions'], Equals([{'decided': 'guide'}]))
+        code, _ = await operators.send('POST', '/catalogue/v1/forget/vm1')
+        assert_that((code, operators.node.state.vms), Equals((200, {})))
         code, absent = await operators.send('POST', '/catalogue/v1/drain/vm9')
         assert_that((code, absent['reason']), Equals((404, 'unknown_vm')))
         _, health = await operators.send('GET', '/healthz')
