--- a/bench/placement_baselines.py
+++ b/bench/placement_baselines.py
@@ -132,7 +132,7 @@
         elapsed_s: float,
     ) -> None:
         rate = work / _WORK_PER_REQUEST_S / max(1, len(held))
-        for place in held:
+        for place in sorted(held):
             age = self._random.expovariate(max(rate, 1e-9))
             if age <= elapsed_s:
                 self._used_at[model, place] = now - age
--- a/persimmonhold/placement/_load_balance.py
+++ b/persimmonhold/placement/_load_balance.py
@@ -2,9 +2,11 @@
 
 Work of a model is spread over its copies so that the busier ones get less,
 as routing by predicted time to first token does: each model fills its places
-up to a common level above what other models bring there.
+up to a common level above what other models bring there. Sums do not depend
+on the order of sets, so that equal input gives equal plans.
 """
 
+import math
 from collections.abc import Mapping
 from typing import Final, final
 
@@ -57,7 +59,7 @@
 
     def overload(self, target: str) -> float:
         """Return the work of a model that exceeds what its places bear."""
-        return sum(
+        return math.fsum(
             min(share, max(0, self.loads[place] - TARGET_LOAD))
             for place, share in self.shares.get(target, {}).items()
         )
@@ -70,7 +72,7 @@
         """Return the slack of all places of a model but one."""
         total = self._slack.get(target)
         if total is None:
-            total = sum(map(self.slack, self._holders.get(target, ())))
+            total = math.fsum(map(self.slack, self._holders.get(target, ())))
             self._slack[target] = total
         return max(0, total - self.slack(place))
 
