--- a/persimmonhold/deployment/_deployment_shape.py
+++ b/persimmonhold/deployment/_deployment_shape.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from persimmonhold.placement import PRESETS
+
 _GIGABYTE: Final = 1_000_000_000
 
 
@@ -55,8 +57,8 @@
     classes=('interactive', 'interactive', 'check', 'batch'),
     weights_gb=(14, 14, 26, 8),
     adapter_load_ms=7,
-    move_cost=4,
-    attainment_weight=1,
+    move_cost=PRESETS['hoogwerk'].move_cost,
+    attainment_weight=PRESETS['hoogwerk'].attainment_weight,
     loads_at_once=3,
     adapters_in_flight=25,
 )
@@ -73,8 +75,8 @@
     classes=('interactive', 'check', 'batch'),
     weights_gb=(14, 8, 16),
     adapter_load_ms=9,
-    move_cost=1,
-    attainment_weight=4,
+    move_cost=PRESETS['levy'].move_cost,
+    attainment_weight=PRESETS['levy'].attainment_weight,
     loads_at_once=4,
     adapters_in_flight=30,
 )
