Old load reports fade to the mean of others

Change: an entry knows its own part exactly; the part of others in a report returns to its mean with the time that a request takes.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -30,7 +30,7 @@
 
 _REPEATS: Final = 5
 _SECONDS: Final = 30.0
-_LAGS_S: Final = (0.0, 0.25, 0.5, 1.0, 2.0)
+_LAGS_S: Final = (0.0, 0.25, 0.5, 1.0, 2.0, 20.0)
 _LOSSES: Final = (0.0, 0.05, 0.2, 1.0)
 _FLEETS: Final = (3, 9, 33, 99, 330)
 _DECISIONS: Final = 5000
--- a/bench/routing_fakes.py
+++ b/bench/routing_fakes.py
@@ -21,7 +21,7 @@
 CACHED_BLOCKS: Final = 96
 REPORT_EVERY_S: Final = 0.05
 _MS_PER_S: Final = 1000
-_HISTORY: Final = 128
+_HISTORY: Final = 512
 _GAP_QUANTILE: Final = 0.95
 BOUNDS: Final = Bounds()
 
@@ -172,9 +172,10 @@
     def report(self, lag_s: float) -> LoadReport:
         """Return the load as it was."""
         at, running, waiting = self._history[0]
-        for sample in self._history:
+        for sample in reversed(self._history):
             if sample[0] <= self._clock.now - lag_s:
                 at, running, waiting = sample
+                break
         if not lag_s:
             at, running = self._clock.now, len(self.batch)
             waiting = len(self.queue)
--- a/persimmonhold/routing/_upstream_load.py
+++ b/persimmonhold/routing/_upstream_load.py
@@ -1,10 +1,12 @@
 """How busy an upstream is believed to be.
 
-A load report lags: it describes the moment at which it was made. The
-estimate adds the attempts that this entry has started since, takes away
-those that ended since, and never goes below what this entry has in flight.
+A load report lags: it describes the moment at which it was made. What this
+entry has in flight is known at every moment; from a report only the part of
+others is taken. The older a report, the less it tells, because requests end:
+the part of others returns to its mean with the time that a request takes.
 """
 
+import math
 from collections import deque
 from typing import Final, final
 
@@ -13,6 +15,7 @@
 
 _MS_PER_S: Final = 1000
 _SMOOTHING: Final = 0.1
+_LEAST_RESIDENCE_S: Final = 0.01
 _MAX_EVENTS: Final = 4096
 _ERROR_MEMORY_S: Final = 5.0
 
@@ -30,6 +33,8 @@
         '_correction',
         '_error_at',
         '_events',
+        '_others_deviation',
+        '_others_mean',
         '_settings',
         'error_ms',
         'in_flight',
@@ -51,6 +56,8 @@
         self.error_ms = 0.0
         self._error_at = 0.0
         self._correction = 0
+        self._others_mean = 0.0
+        self._others_deviation = 0.0
         self._events: deque[tuple[float, int]] = deque()
         self._settings = settings
 
@@ -71,6 +78,7 @@
         self.made_at = made_at
         while self._events and self._events[0][0] <= made_at:
             self._correction -= self._events.popleft()[1]
+        self._learn_others(report, is_first=known is None)
         return True
 
     def start(self, now: float, prefill_tokens: int) -> None:
@@ -95,11 +103,12 @@
 
     def occupancy(self, now: float) -> int:
         """Return the believed number of requests, waiting ones included."""
-        report = self.report
-        if report is None or self._is_stale(now):
+        if self.report is None or self._is_stale(now):
             return self.in_flight
-        believed = report.running + report.waiting + self._correction
-        return max(self.in_flight, believed)
+        age_s = max(0, now - self.made_at)
+        memory = math.exp(-age_s / max(_LEAST_RESIDENCE_S, self.residence_s))
+        others = self._others_mean + self._others_deviation * memory
+        return self.in_flight + round(others)
 
     def wait_ms(self, now: float) -> float:
         """Return the believed wait for a place in the batch."""
@@ -134,6 +143,15 @@
         """Return what first tokens have lately taken beyond predictions."""
         return max(0, self._faded_error_ms(now))
 
+    def _learn_others(self, report: LoadReport, *, is_first: bool) -> None:
+        """Split a report into the part of others and its mean."""
+        own = self.in_flight - self._correction
+        others = max(0, report.running + report.waiting - own)
+        if is_first:
+            self._others_mean = others
+        self._others_mean += _SMOOTHING * (others - self._others_mean)
+        self._others_deviation = others - self._others_mean
+
     def _faded_error_ms(self, now: float) -> float:
         age_s = max(0, now - self._error_at)
         return self.error_ms * _ERROR_MEMORY_S / (_ERROR_MEMORY_S + age_s)
