Interactive requests leave part of their time for the upstream

Cause: under overload a request waited at the entry for all of its first-token bound, was sent, and came late.

--- a/bench/routing_world.py
+++ b/bench/routing_world.py
@@ -35,7 +35,7 @@
 POLICIES: Final = ('round_robin', 'least_reported', 'persimmonhold')
 _DOMAINS: Final = ('d0', 'd1', 'd2')
 _WARM_UP_S: Final = 10.0
-_DRAIN_S: Final = 30.0
+_AFTER_S: Final = 25.0
 _COPIES: Final = 3
 _PREFIXES: Final = 24
 _OWN_TOKENS: Final = 32
@@ -108,7 +108,10 @@
 
 
 def run(scenario: Scenario) -> Outcome:
-    """Run a scenario and judge what arrived after the warm-up."""
+    """Run a scenario and judge what arrived after the warm-up.
+
+    The load goes on until the last judged request has ended.
+    """
     clock = VirtualTime()
     engines = _engines(scenario, clock)
     entries = _entries(scenario, clock, engines)
@@ -124,8 +127,8 @@
     for second in range(int(_WARM_UP_S), end):
         clock.run(second)
         work.append([len(engine.batch) for engine in engines.values()])
-    clock.run(end + _DRAIN_S)
-    judged = [job for job in jobs if job.arrived >= _WARM_UP_S]
+    clock.run(end + _AFTER_S)
+    judged = [job for job in jobs if _WARM_UP_S <= job.arrived < end]
     return _outcome(scenario, judged, engines, entries, work)
 
 
@@ -279,7 +282,7 @@
     source = random.Random(scenario.seed)
     workload = scenario.workload
     rate = scenario.load * capacity(workload, scenario.engines)
-    end = _WARM_UP_S + workload.seconds
+    end = _WARM_UP_S + workload.seconds + _AFTER_S
     jobs: list[Job] = []
     now = source.expovariate(rate)
     while now < end:
--- a/persimmonhold/admission/_batch_gaps.py
+++ b/persimmonhold/admission/_batch_gaps.py
@@ -46,8 +46,18 @@
             use.credit_at = load.made_at
             share = max(0, free) / self._uses.entries
             use.credits = int(share + self._random.random())
+        if now < use.batch_paused_until:
+            return False
         return use.credits > 0 and free > 0
 
+    def pause(self, target: str, now: float) -> None:
+        """Leave the upstreams of a target to urgent work for a while."""
+        until = now + self._settings.batch_pause_s
+        for upstream in self._router.sites_in_use(target):
+            slots = self._router.slots(upstream)
+            use = self._uses.use_of(upstream, slots)
+            use.batch_paused_until = until
+
     def fill(self, upstream: str) -> None:
         """Spend a credit."""
         self._uses.by_name[upstream].credits -= 1
--- a/persimmonhold/admission/_dispatcher.py
+++ b/persimmonhold/admission/_dispatcher.py
@@ -275,6 +275,8 @@
             reason = RefusalReason.upstream_failed
             return [self._give_up(pending, reason, now)]
         pending.expires_at = self._forecast.expires_at(pending, now)
+        if not pending.is_batch:
+            self._launcher.gaps.pause(pending.ticket.target, now)
         if self._is_hopeless(pending, now):
             reason = self._expiry_reason(pending, now)
             return [self._give_up(pending, reason, now)]
--- a/persimmonhold/admission/_dispatcher_settings.py
+++ b/persimmonhold/admission/_dispatcher_settings.py
@@ -17,6 +17,7 @@
     loading_hold_s: float = 10.0
     absent_hold_s: float = 2.0
     batch_reserve: float = 0.1
+    batch_pause_s: float = 1.0
     batch_aging_s: float = 20.0
     batch_turn: int = 16
     max_preemptions: int = 3
--- a/persimmonhold/admission/_forecast.py
+++ b/persimmonhold/admission/_forecast.py
@@ -1,7 +1,8 @@
 """How long a request may wait, and how long it is expected to.
 
 An interactive request may wait for as long as its first token can still
-come in time, any other for as long as it can still end by its deadline.
+come in time, with a share of that time left for the wait at the upstream;
+any other for as long as it can still end by its deadline.
 Where no upstream serves the target, a request may wait for a load that is
 under way, within its deadline and a bound.
 """
@@ -99,4 +100,5 @@
     def _patience_s(self, pending: Pending) -> float:
         bound_s = pending.ticket.bounds.first_token_ms / _MS_PER_S
         left_s = bound_s - self.service_s(pending)
-        return max(left_s, bound_s * _LEAST_PATIENCE)
+        here_s = left_s * (1 - self._settings.upstream_wait_share)
+        return max(here_s, bound_s * _LEAST_PATIENCE)
--- a/persimmonhold/admission/_launcher.py
+++ b/persimmonhold/admission/_launcher.py
@@ -33,7 +33,7 @@
 class Launcher:
     """The attempts under way and the limits on them."""
 
-    __slots__ = ('_gaps', '_random', '_router', '_settings', 'uses')
+    __slots__ = ('_random', '_router', '_settings', 'gaps', 'uses')
 
     def __init__(
         self,
@@ -43,7 +43,7 @@
     ) -> None:
         """Create a launcher with nothing in flight."""
         self.uses = UpstreamUses(settings)
-        self._gaps = BatchGaps(router, self.uses, settings, source)
+        self.gaps = BatchGaps(router, self.uses, settings, source)
         self._random = source
         self._router = router
         self._settings = settings
@@ -88,7 +88,7 @@
         pending.state = PendingState.running
         self.uses.add(pending, route.upstream, slots)
         if not urgent:
-            self._gaps.fill(route.upstream)
+            self.gaps.fill(route.upstream)
         rank = pending.ticket.service_class.rank
         if is_due:
             pending.is_protected = True
@@ -127,7 +127,7 @@
         elif pending.ticket.is_service:
             self.uses.judge(upstream, now, in_time=True)
         self.uses.remove(pending, upstream)
-        self._gaps.free(upstream)
+        self.gaps.free(upstream)
         return upstream
 
     def yield_places(self) -> list[DispatchAction]:
@@ -146,7 +146,7 @@
         if not pending.ticket.is_service:
             names = self._router.sites_in_use(pending.ticket.target)
             closed = {
-                name for name in names if not self._gaps.has_one(name, now)
+                name for name in names if not self.gaps.has_one(name, now)
             }
             if len(closed) == len(names):
                 return None
--- a/persimmonhold/admission/_upstream_use.py
+++ b/persimmonhold/admission/_upstream_use.py
@@ -14,11 +14,13 @@
     `urgent` counts those that are not batch; `batch` holds the batch
     requests in the order of their start. `credits` is this entry's share of
     the free places in the report made at `credit_at`; batch requests spend
-    it, and each own end earns one.
+    it, and each own end earns one. No batch request is sent before
+    `batch_paused_until`.
     """
 
     __slots__ = (
         'batch',
+        'batch_paused_until',
         'credit_at',
         'credits',
         'limit',
@@ -31,6 +33,7 @@
         self.limit = limit
         self.urgent = 0
         self.credits = 0
+        self.batch_paused_until = float('-inf')
         self.credit_at = float('-inf')
         self.batch: dict[str, Pending] = {}
         self.yielded_to = float('-inf')
