--- a/persimmonhold/admission/_dispatcher_settings.py
+++ b/persimmonhold/admission/_dispatcher_settings.py
@@ -23,12 +23,12 @@
     max_preemptions: int = 3
     retry_ratio: float = 0.1
     retry_burst: float = 10.0
-    limit_decrease: float = 0.8
-    limit_bound_share: float = 0.8
+    limit_decrease: float = 0.7
+    limit_bound_share: float = 0.4
     upstream_wait_share: float = 0.5
     preemption_wait_share: float = 0.3
     yield_wait_s: float = 0.15
-    limit_window_s: float = 1.0
+    limit_window_s: float = 0.5
     pump_interval_s: float = 0.05
     retry_after_max_s: float = 60.0
     demand_period_s: float = 5.0
