--- a/persimmonhold/control/machine/_command.py
+++ b/persimmonhold/control/machine/_command.py
@@ -4,7 +4,9 @@
 
 from persimmonhold.control.machine._claim_key import ClaimKey
 from persimmonhold.control.machine._delete_entry import DeleteEntry
+from persimmonhold.control.machine._drain_vm import DrainVm
 from persimmonhold.control.machine._end_claim import EndClaim
+from persimmonhold.control.machine._forget_vm import ForgetVm
 from persimmonhold.control.machine._put_entry import PutEntry
 from persimmonhold.control.machine._record_copy import RecordCopy
 from persimmonhold.control.machine._record_intent import RecordIntent
@@ -20,4 +22,8 @@
     | ClaimKey
     | EndClaim
     | RegisterVm
+    | DrainVm
+    | ForgetVm
 )
+
+OperatorChange: TypeAlias = PutEntry | DeleteEntry | DrainVm | ForgetVm
--- /dev/null
+++ b/persimmonhold/placement/_withdrawals.py
@@ -0,0 +1,216 @@
+"""The two phases of an unload.
+
+A copy is first committed as withdrawing. It is unloaded when every live entry
+has that in force and the engine has finished what it was sent before: either
+it reported idle afterwards, or the longest deadline of the target has passed.
+
+Invariant: a copy is withdrawn, and stays withdrawn, only while another copy
+of its target is ready in the last inventory of a reachable engine and in
+force as serving at every live entry.
+"""
+
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Final, TypeAlias, final
+
+from persimmonhold.catalogue import AdapterEntry, Catalogue, ModelEntry
+from persimmonhold.messages import Copy, CopyState, Order
+from persimmonhold.placement._copy_key import CopyKey, copy_key
+from persimmonhold.placement._engine_watch import EngineWatch
+from persimmonhold.placement._placement_state import PlacementState
+
+_MS_PER_S: Final = 1000
+_MARGIN_S: Final = 1.0
+_FRESH_S: Final = 2.0
+InForce: TypeAlias = Callable[[int], bool]
+
+
+@final
+class Withdrawals:
+    """When copies came into force, and which may be withdrawn."""
+
+    __slots__ = (
+        '_beside',
+        '_by_target',
+        '_in_force_at',
+        '_seen',
+        '_state',
+        '_watches',
+        'leaving',
+        'relied_on',
+        'withdrawing',
+    )
+
+    def __init__(self, watches: Mapping[str, EngineWatch]) -> None:
+        """Create the record of a leader that has seen no copies yet."""
+        self.leaving: frozenset[str] = frozenset()
+        self.withdrawing: tuple[Copy, ...] = ()
+        self.relied_on: frozenset[str] = frozenset()
+        self._watches = watches
+        self._state = PlacementState(0, Catalogue(), {}, {})
+        self._by_target: dict[str, list[Copy]] = {}
+        self._beside: dict[tuple[str, str, str], list[Copy | Order]] = {}
+        self._seen: dict[CopyKey, tuple[CopyState, int]] = {}
+        self._in_force_at: dict[CopyKey, float] = {}
+
+    def adopt(self, state: PlacementState) -> None:
+        """Note at which index each copy was first seen in its state."""
+        self._state = state
+        seen = self._seen
+        self._seen = {}
+        self._by_target = {}
+        for key, copy in state.copies.items():
+            known = seen.get(key)
+            if known is None or known[0] is not copy.state:
+                known = (copy.state, state.index)
+                self._in_force_at.pop(key, None)
+            self._seen[key] = known
+            self._by_target.setdefault(copy.target, []).append(copy)
+        self._beside = _adapters_beside((
+            *state.copies.values(),
+            *state.orders.values(),
+        ))
+        self.withdrawing = tuple(
+            kept
+            for kept in state.copies.values()
+            if kept.state is CopyState.withdrawing
+        )
+        self.relied_on = frozenset(
+            other.upstream
+            for withdrawn in self.withdrawing
+            for other in self.copies_of(withdrawn.target)
+        )
+        for gone in self._in_force_at.keys() - self._seen.keys():
+            self._in_force_at.pop(gone)
+
+    def copies_of(self, target: str) -> Iterable[Copy]:
+        """Return the copies of a model or adapter in any state."""
+        return self._by_target.get(target, ())
+
+    def may_withdraw(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        withdrawn: Collection[CopyKey] = (),
+    ) -> bool:
+        """Tell whether callers can do without a copy.
+
+        `withdrawn` names copies whose withdrawal is about to be committed.
+        """
+        if self._has_dependents(copy, withdrawn):
+            return False
+        return self._has_replacement(copy, is_in_force, withdrawn=withdrawn)
+
+    def may_unload(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        now: float,
+    ) -> bool:
+        """Tell whether a withdrawing copy is drained and another confirmed.
+
+        Confirmed means ready in an inventory that was just read.
+        """
+        if self._has_dependents(copy):
+            return False
+        if not self._is_drained(copy, is_in_force, now):
+            return False
+        read_after = now - _FRESH_S
+        return self._has_replacement(copy, is_in_force, read_after=read_after)
+
+    def _has_replacement(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        *,
+        withdrawn: Collection[CopyKey] = (),
+        read_after: float = 0,
+    ) -> bool:
+        if self._state.catalogue.find(copy.target) is None:
+            return True
+        key = copy_key(copy)
+        return any(
+            self._serves(other, is_in_force, read_after)
+            for other in self.copies_of(copy.target)
+            if copy_key(other) != key and copy_key(other) not in withdrawn
+        )
+
+    def _is_drained(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        now: float,
+    ) -> bool:
+        key = copy_key(copy)
+        if not is_in_force(self._seen[key][1]):
+            return False
+        in_force_at = self._in_force_at.setdefault(key, now)
+        watch = self._watches.get(copy.upstream)
+        if watch is not None and watch.idle_at > in_force_at:
+            return True
+        return now >= in_force_at + self._deadline_s(copy)
+
+    def _serves(
+        self,
+        copy: Copy,
+        is_in_force: InForce,
+        read_after: float,
+    ) -> bool:
+        if copy.state is not CopyState.serving:
+            return False
+        watch = self._watches.get(copy.upstream)
+        if watch is None or not watch.is_reachable:
+            return False
+        if copy.upstream in self.leaving or watch.read_started_at < read_after:
+            return False
+        if not watch.has_ready(copy.target, copy.version, copy.accelerator):
+            return False
+        return is_in_force(self._seen[copy_key(copy)][1])
+
+    def _has_dependents(
+        self,
+        copy: Copy,
+        withdrawn: Collection[CopyKey] | None = None,
+    ) -> bool:
+        """Tell whether adapters beside a copy have no other base there.
+
+        Given the keys in `withdrawn`, adapters that are being withdrawn do
+        not count.
+        """
+        place = (copy.upstream, copy.accelerator)
+        beside = self._beside.get((copy.target, *place), ())
+        if withdrawn is not None:
+            beside = [
+                adapter
+                for adapter in beside
+                if copy_key(adapter) not in withdrawn
+                and not _is_withdrawing(adapter)
+            ]
+        return bool(beside) and not any(
+            other.version != copy.version
+            and (other.upstream, other.accelerator) == place
+            for other in self.copies_of(copy.target)
+        )
+
+    def _deadline_s(self, copy: Copy) -> float:
+        entry = self._state.catalogue.find(copy.target)
+        if not isinstance(entry, (ModelEntry, AdapterEntry)):
+            return _MARGIN_S
+        return entry.bounds.deadline_ms / _MS_PER_S + _MARGIN_S
+
+
+def _is_withdrawing(adapter: Copy | Order) -> bool:
+    if isinstance(adapter, Order):
+        return False
+    return adapter.state is CopyState.withdrawing
+
+
+def _adapters_beside(
+    items: Iterable[Copy | Order],
+) -> dict[tuple[str, str, str], list[Copy | Order]]:
+    """Group adapters by their base and place."""
+    beside: dict[tuple[str, str, str], list[Copy | Order]] = {}
+    for adapter in items:
+        if adapter.base:
+            key = (adapter.base, adapter.upstream, adapter.accelerator)
+            beside.setdefault(key, []).append(adapter)
+    return beside
