--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -114,6 +114,14 @@
     assert_that(load.occupancy(10.5), Equals(6))
 
 
+def test_report_from_before_own_sends_does_not_hold_them() -> None:
+    router = router_over(view_of(1, {'m': (0,)}))
+    _send(router, 10)
+    _send(router, 10)
+    router.observe_load('e0', report(running=5, age_ms=700), 10.5)
+    assert_that(router.states['e0'].load.occupancy(10.5), Equals(7))
+
+
 def test_late_report_does_not_replace_a_newer_one(view: ControlView) -> None:
     router = router_over(view)
     router.observe_load('e0', report(running=3), 10)
