Membership: a VM goes on asking the control VMs of its settings

Cause: nine VMs that started at once could wait for ever. Ruled out: elections (one leader with a lease), the transport (nothing else was dropped). Change: the control VMs of the settings are always among those asked.

--- a/persimmonhold/membership/_vm_agent.py
+++ b/persimmonhold/membership/_vm_agent.py
@@ -41,6 +41,7 @@
 
     __slots__ = (
         '_control',
+        '_first_control',
         '_next_at',
         '_random',
         '_server',
@@ -73,6 +74,7 @@
         self.diverged_views = 0
         self._server = ViewServer(self.view, timings.part_bytes)
         self._control = control
+        self._first_control = control
         self._random = rng
         self._next_at = 0.0
 
@@ -280,4 +282,6 @@
         control = tuple(
             vm.name for vm in self.view.vms.values() if vm.operators
         )
-        self._control = control or self._control
+        # The VMs of the settings stay: until the leader is registered, no
+        # registered VM may have proof of control, nor hear who leads.
+        self._control = tuple(dict.fromkeys((*control, *self._first_control)))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -57,7 +57,7 @@
         self.machine = ControlMachine()
         self.acks = AckTable(_TIMINGS.lease_s)
         self.leads = ''
-        self.led_since = 0.0
+        self.met_at: dict[str, float] = {}
         self.pending: list[tuple[int, float]] = []
         self.accepted: list[tuple[int, float]] = []
         self.queue: list[tuple[float, str, str, bytes]] = []
@@ -177,7 +177,7 @@
         agent = self.agents[leader]
         if agent.leader != leader or self.leads != leader:
             self.leads = leader
-            self.led_since = self.now
+            self.met_at.clear()
             self.acks = AckTable(_TIMINGS.lease_s)
         agent.leader = leader
         agent.prove_control(self.now, self.machine.state.view.index)
@@ -200,13 +200,18 @@
                 self.accepted.append((index, self.now))
 
     def remove_dead(self, agent: VmAgent) -> None:
-        """Remove the VMs that the leader had no proof of for long."""
+        """Remove the VMs that the leader had no proof of for long.
+
+        As in `LeaderDuties`, a VM counts as seen when it is first met: one
+        that was removed and came back has no proof yet.
+        """
+        horizon = self.now - _TIMINGS.dead_after_s
         for name in tuple(self.machine.state.vms):
-            lived_at = agent.proofs.lived_at.get(name, 0)
-            horizon = self.now - _TIMINGS.dead_after_s
-            is_dead = max(lived_at, self.led_since) < horizon
-            if is_dead and name != agent.name:
+            met_at = self.met_at.setdefault(name, self.now)
+            lived_at = max(agent.proofs.lived_at.get(name, 0), met_at)
+            if lived_at < horizon and name != agent.name:
                 self.change_members(name, gone=True)
+                self.met_at.pop(name)
 
     def change_members(self, name: str, *, gone: bool) -> None:
         """Change the set of VMs by one, after the last step is accepted."""
@@ -477,3 +482,28 @@
         system.side = dict.fromkeys(names, 0)
     if kind == 'put':
         system.put()
+
+
+@pytest.mark.parametrize('registered', ['vm3', 'vm4'])
+def test_vm_asks_the_control_vms_of_its_settings_until_they_register(
+    registered: str,
+) -> None:
+    """A leader that is not registered yet has to be heard all the same.
+
+    Else nobody reports to it, and it can never have itself accepted.
+    """
+    agent = VmAgent('vm4', _CONTROL, _TIMINGS, random.Random(1), 0)
+    view = ViewState(8)
+    machine = ControlMachine()
+    for index, name in enumerate(('vm4', registered), start=1):
+        operators = '127.0.0.1:1' if name in _CONTROL else ''
+        record = VmRecord(name=name, failure_domain='a', operators=operators)
+        machine.apply(index, RegisterVm(at_ms=1, vm=record))
+    view.adopt(machine.view())
+    agent.feed(view, 0)
+    asked = {
+        send.peer
+        for second in range(30)
+        for send in agent.tick(_TIMINGS.interval_s * second)
+    }
+    assert_that(asked >= set(_CONTROL), Equals(True))
