Membership test: a readmitted VM gets its time before it is dead

The fake leader of the test removed a VM in the round after it had come back, since it counted from the start of its leadership; LeaderDuties counts from when the VM was seen to be registered. Seen in the whole suite only, where Hypothesis draws other examples (seed=100, delay_s=3.0; the log flapped for 13 s and vm2 did not serve within 8 s). The fake now counts as LeaderDuties does, and the case is an explicit example. Shrinking whole systems took ten minutes and is left out; the number of examples is the same.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan, Not
@@ -57,7 +57,7 @@
         self.machine = ControlMachine()
         self.acks = AckTable(_TIMINGS.lease_s)
         self.leads = ''
-        self.led_since = 0.0
+        self.seen_at: dict[str, float] = {}
         self.pending: list[tuple[int, float]] = []
         self.accepted: list[tuple[int, float]] = []
         self.queue: list[tuple[float, str, str, bytes]] = []
@@ -177,7 +177,7 @@
         agent = self.agents[leader]
         if agent.leader != leader or self.leads != leader:
             self.leads = leader
-            self.led_since = self.now
+            self.seen_at.clear()
             self.acks = AckTable(_TIMINGS.lease_s)
         agent.leader = leader
         agent.prove_control(self.now, self.machine.state.view.index)
@@ -202,11 +202,12 @@
     def remove_dead(self, agent: VmAgent) -> None:
         """Remove the VMs that the leader had no proof of for long."""
         for name in tuple(self.machine.state.vms):
-            lived_at = agent.proofs.lived_at.get(name, 0)
+            since = self.seen_at.setdefault(name, self.now)
+            lived_at = agent.proofs.lived_at.get(name, since)
             horizon = self.now - _TIMINGS.dead_after_s
-            is_dead = max(lived_at, self.led_since) < horizon
-            if is_dead and name != agent.name:
+            if max(lived_at, since) < horizon and name != agent.name:
                 self.change_members(name, gone=True)
+                self.seen_at.pop(name)
 
     def change_members(self, name: str, *, gone: bool) -> None:
         """Change the set of VMs by one, after the last step is accepted."""
@@ -425,7 +426,20 @@
 )
 
 
-@settings(max_examples=150)
+# A failure is shown as it was found: shrinking whole systems takes minutes.
+@settings(max_examples=150, phases=(Phase.explicit, Phase.generate))
+@example(
+    seed=100,
+    loss=0.0,
+    delay_s=3.0,
+    events=[
+        ('down', 5),
+        ('run', 260),
+        ('heal', 0),
+        ('split', 58),
+        ('run', 260),
+    ],
+)
 @given(
     seed=st.integers(min_value=0, max_value=1000),
     loss=st.sampled_from((0.0, 0.1, 0.4)),
