serve: damaged state and failed parts end with a code and one line

Cause: a replica or a poller that stopped for good left its VM running; a damaged file was reported as an unwritable folder. Change: StartError carries the failure; the replica and the entry are watched.

--- a/persimmonhold/cli/_serve_command.py
+++ b/persimmonhold/cli/_serve_command.py
@@ -12,7 +12,7 @@
     failure_output,
 )
 from persimmonhold.cli._exit_code import ExitCode
-from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.failures import Failure, FailureKind, StartError
 from persimmonhold.observability import LogLevel, LogOutput
 from persimmonhold.settings import Settings, read_ini
 from persimmonhold.system import VmProcess
@@ -83,6 +83,8 @@
 
 
 def _not_started(name: str, error: OSError) -> Failure:
+    if isinstance(error, StartError):
+        return error.failure
     detail = error.strerror or str(error)
     is_address = any(text in detail.lower() for text in _ADDRESS_ERRORS)
     kind = FailureKind.storage_unwritable
--- a/persimmonhold/failures/__init__.py
+++ b/persimmonhold/failures/__init__.py
@@ -5,6 +5,7 @@
 from persimmonhold.failures._ran import Ran
 from persimmonhold.failures._refusal import REFUSAL_STATUS, Refusal
 from persimmonhold.failures._refusal_reason import RefusalReason
+from persimmonhold.failures._start_error import StartError
 
 __all__ = (
     'REFUSAL_STATUS',
@@ -13,4 +14,5 @@
     'Ran',
     'Refusal',
     'RefusalReason',
+    'StartError',
 )
--- a/persimmonhold/replication/_replica_node.py
+++ b/persimmonhold/replication/_replica_node.py
@@ -18,7 +18,7 @@
 from returns.result import Result
 
 from persimmonhold.consensus import vm_of
-from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.failures import Failure, FailureKind, StartError
 from persimmonhold.observability import LogLevel, log_event
 from persimmonhold.replication._describe import describe_replica
 from persimmonhold.replication._log_applier import LogApplier
@@ -101,8 +101,9 @@
         opened = self._host.open(self._clock())
         if isinstance(opened, Failed):
             self._stack.close()
-            detail = opened.failure().describe()
-            raise OSError(f'{self._directory}: {detail}')
+            failure: Failure = opened.failure()
+            place = f'{self._directory}/{failure.peer}'
+            raise StartError(msgspec.structs.replace(failure, peer=place))
         self._task = asyncio.create_task(self._run())
         return self
 
--- a/persimmonhold/system/_control_side.py
+++ b/persimmonhold/system/_control_side.py
@@ -1,5 +1,6 @@
 """The control role of one VM."""
 
+import asyncio
 import random
 import time
 from contextlib import AsyncExitStack
@@ -26,6 +27,7 @@
 from persimmonhold.web import HttpBounds, HttpServer, parse_address
 
 _MS_PER_S: Final = 1000
+_WATCH_INTERVAL_S: Final = 0.5
 
 
 @final
@@ -64,6 +66,7 @@
         self._stack = AsyncExitStack()
         background.run(LeaderDuties(self.node, vm).run(), 'leader duties')
         background.run(runner.run(), 'placement')
+        background.run(self._watch_replica(), 'replica')
 
     async def __aenter__(self) -> Self:
         """Recover, join the group and listen for operators."""
@@ -88,6 +91,13 @@
             await self.replica.transfer_leadership()
         await self.operators.drain()
 
+    async def _watch_replica(self) -> None:
+        """End once the replica has stopped for good."""
+        while True:
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+            if self.replica.failure is not None:
+                return
+
 
 def replica_settings(name: str, peers: PeerSettings) -> ReplicaSettings:
     """Return the settings of the replica of a VM."""
--- a/persimmonhold/system/_vm_process.py
+++ b/persimmonhold/system/_vm_process.py
@@ -132,6 +132,7 @@
             incarnation=self.vm.record.incarnation,
         )
         await stack.enter_async_context(self.entry)
+        self.background.run(_until_set(self.entry.failed), 'entry')
 
     async def _count(self) -> None:
         """Keep the metrics equal to the counts of agent and transport."""
@@ -141,6 +142,11 @@
             await asyncio.sleep(_COUNT_INTERVAL_S)
 
 
+async def _until_set(failed: asyncio.Event) -> None:
+    """End, and with that report a failure, once `failed` is set."""
+    await failed.wait()
+
+
 def vm_record(settings: Settings) -> VmRecord:
     """Return what a VM registers about itself."""
     return VmRecord(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 """The command line: exit codes, one-line errors, JSON."""
 
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -69,3 +70,52 @@
     assert_that(run(['check', str(path)]), Equals(ExitCode.ok))
     printed = capsys.readouterr().out
     assert_that(printed, Contains('election_timeout_ms = 500'))
+
+
+def _vm_file(folder: Path, operators: str) -> str:
+    path = folder / 'vm.ini'
+    path.write_text(
+        '[vm]\nname = vm1\nfailure_domain = a\nroles = control\n'
+        f'data_directory = {folder / "data"}\n'
+        f'[operators]\naddress = {operators}\n'
+        '[peers]\naddress = 127.0.0.1:0\ncontrol = vm1@127.0.0.1:1\n',
+    )
+    return str(path)
+
+
+def test_serve_names_the_damaged_file(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    (tmp_path / 'data').mkdir()
+    (tmp_path / 'data' / 'state').write_bytes(b'damaged')
+    settings = _vm_file(tmp_path, '127.0.0.1:0')
+    assert_that(run(['serve', settings]), Equals(ExitCode.damaged_state))
+    printed = capsys.readouterr().err
+    assert_that(printed, Contains(str(tmp_path / 'data' / 'state')))
+    assert_that('Traceback' in printed, Equals(False))
+
+
+def test_serve_names_the_address_in_use(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        taken.listen()
+        address = f'127.0.0.1:{taken.getsockname()[1]}'
+        code = run(['serve', _vm_file(tmp_path, address)])
+    assert_that(code, Equals(ExitCode.unavailable_resource))
+    assert_that(capsys.readouterr().err, Contains(address.partition(':')[2]))
+
+
+def test_serve_needs_the_keys_of_its_roles(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / 'vm.ini'
+    path.write_text('[vm]\nname = vm1\nfailure_domain = a\n')
+    assert_that(run(['serve', str(path)]), Equals(ExitCode.bad_settings))
+    printed = capsys.readouterr().err
+    for key in ('[callers] address', '[peers] address', '[peers] control'):
+        assert_that(printed, Contains(key))
