--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 	$(BIN)/persimmonhold dev
 
 test: $(ENVIRONMENT) check check-binary
+	cat KNOWN-RED.txt
 	$(BIN)/python -m pytest
 
 check: $(ENVIRONMENT)
--- a/persimmonhold/cli/_catalogue_commands.py
+++ b/persimmonhold/cli/_catalogue_commands.py
@@ -37,11 +37,12 @@
         """Create the group for a session."""
         self._session = session
 
-    def apply(self, file: str) -> CommandOutput:
+    def apply(self, file: str, reason: str = '') -> CommandOutput:
         """Create or update every entry of an INI file.
 
         Args:
             file: Path of the file; see docs/operating/change-the-catalogue.md.
+            reason: Why, for the history.
         """
         try:
             text = Path(file).read_text(encoding='utf-8')
@@ -56,7 +57,7 @@
                 msgspec.to_builtins(entry)['kind'],
             ),
         )
-        return self._session.run(lambda client: _apply(client, ordered))
+        return self._session.run(lambda client: _apply(client, ordered, reason))
 
     def get(self, name: str = '') -> CommandOutput:
         """Show one entry, or all of them.
@@ -67,13 +68,16 @@
         target = f'{ENTRIES}/{name}' if name else ENTRIES
         return self._session.run(lambda client: _show(client, target))
 
-    def delete(self, name: str) -> CommandOutput:
+    def delete(self, name: str, reason: str = '') -> CommandOutput:
         """Delete an entry at the revision that is now in force.
 
         Args:
             name: Name of the entry.
+            reason: Why, for the history.
         """
-        return self._session.run(lambda client: _delete(client, name))
+        return self._session.run(
+            lambda client: _delete(client, name, reason),
+        )
 
     def history(self, since: int = 0, verify: bool = False) -> CommandOutput:
         """Show who changed what and when.
@@ -101,7 +105,9 @@
 async def _apply(
     client: OperatorClient,
     entries: list[Any],
+    reason: str,
 ) -> CommandOutput:
+    client.reason = reason
     listing = await _read(client, ENTRIES)
     if isinstance(listing, Failure):
         return failure_output(listing)
@@ -146,7 +152,12 @@
     )
 
 
-async def _delete(client: OperatorClient, name: str) -> CommandOutput:
+async def _delete(
+    client: OperatorClient,
+    name: str,
+    reason: str,
+) -> CommandOutput:
+    client.reason = reason
     target = f'{ENTRIES}/{name}'
     present = await _read(client, target)
     if isinstance(present, Failure):
--- a/persimmonhold/cli/_commands.py
+++ b/persimmonhold/cli/_commands.py
@@ -18,7 +18,8 @@
 from persimmonhold.cli._settings_text import settings_text
 from persimmonhold.cli._standin_command import run_standin
 from persimmonhold.cli._status_commands import (
-    drain_vm,
+    change_vm,
+    show_claims,
     show_explanation,
     show_status,
 )
@@ -182,10 +183,25 @@
             vm: Name of the VM.
             undo: Put it back.
         """
+        action = 'undrain' if undo else 'drain'
         return self._session.run(
-            lambda client: drain_vm(client, vm, undo=undo),
+            lambda client: change_vm(client, vm, action),
         )
 
+    def forget(self, vm: str) -> CommandOutput:
+        """Remove a VM that is lost for good from the registered ones.
+
+        Args:
+            vm: Name of the VM.
+        """
+        return self._session.run(
+            lambda client: change_vm(client, vm, 'forget'),
+        )
+
+    def claims(self) -> CommandOutput:
+        """Show the idempotency keys whose request may have run."""
+        return self._session.run(show_claims)
+
 
 def _bad_deployment(deployment: str, vms: int) -> Failure:
     names = ' or '.join(shape.name for shape in SHAPES)
--- a/persimmonhold/cli/_dev_command.py
+++ b/persimmonhold/cli/_dev_command.py
@@ -12,7 +12,7 @@
     failure_output,
 )
 from persimmonhold.cli._dev_system import DevSystem
-from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.cli._start_failure import start_failure
 from persimmonhold.observability import LogLevel, LogOutput
 from persimmonhold.web import Address
 
@@ -31,7 +31,7 @@
         with LogOutput(LogLevel.warning, ''):
             asyncio.run(_serve(system))
     except OSError as error:
-        return failure_output(_not_started(error))
+        return failure_output(start_failure(folder, error))
     return CommandOutput(text='stopped')
 
 
@@ -61,11 +61,3 @@
         f'curl http://{system.callers}/services/status/returns/7\n'
         f'curl http://{system.operators}/catalogue/v1/status\n'
     )
-
-
-def _not_started(error: OSError) -> Failure:
-    return Failure(
-        kind=FailureKind.address_in_use,
-        step='start',
-        detail=error.strerror or str(error),
-    )
--- a/persimmonhold/cli/_dev_system.py
+++ b/persimmonhold/cli/_dev_system.py
@@ -6,6 +6,8 @@
 from types import TracebackType
 from typing import Final, Self, final
 
+from returns.result import Failure as Failed
+
 from persimmonhold.cli._sample_catalogue import (
     MEMORY_BYTES,
     sample_catalogue,
@@ -18,6 +20,7 @@
     PlacementRunner,
 )
 from persimmonhold.entry import Entry
+from persimmonhold.failures import StartError
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import Metrics
 from persimmonhold.settings import (
@@ -85,7 +88,9 @@
 
     async def _start(self, stack: AsyncExitStack) -> None:
         stack.enter_context(self.node)
-        self.node.recover().unwrap()
+        recovered = self.node.recover()
+        if isinstance(recovered, Failed):
+            raise StartError(recovered.failure())
         await self._start_standins(stack)
         await self._apply_sample()
         self.link.view = self.node.view()
@@ -96,21 +101,22 @@
             self.link,
             Metrics(),
         )
+        runner = PlacementRunner(self.node)
         operators = HttpServer(
             self.operators,
-            OperatorHandler(self.node),
+            OperatorHandler(self.node, explain=runner.explain),
             HttpBounds(),
         )
         self.callers = (await stack.enter_async_context(entry)).address
         self.operators = (await stack.enter_async_context(operators)).address
         await self._register()
-        self._run_tasks()
+        self._run_tasks(runner)
 
-    def _run_tasks(self) -> None:
+    def _run_tasks(self, runner: PlacementRunner) -> None:
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self.link.run()),
-            loop.create_task(PlacementRunner(self.node).run()),
+            loop.create_task(runner.run()),
         ]
 
     async def _start_standins(self, stack: AsyncExitStack) -> None:
--- a/persimmonhold/cli/_serve_command.py
+++ b/persimmonhold/cli/_serve_command.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 from pathlib import Path
-from typing import Final
 
 from returns.result import Failure as Failed
 
@@ -12,13 +11,12 @@
     failure_output,
 )
 from persimmonhold.cli._exit_code import ExitCode
-from persimmonhold.failures import Failure, FailureKind, StartError
+from persimmonhold.cli._start_failure import start_failure
+from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.observability import LogLevel, LogOutput
 from persimmonhold.settings import Settings, read_ini
 from persimmonhold.system import VmProcess
 
-_ADDRESS_ERRORS: Final = ('address already in use', 'cannot assign requested')
-
 
 def run_vm(settings: str) -> CommandOutput:
     """Run one VM until SIGTERM or SIGINT, then drain it."""
@@ -33,7 +31,7 @@
         with LogOutput(LogLevel(effective.logs.level), effective.logs.path):
             failed = asyncio.run(_serve(effective))
     except OSError as error:
-        return failure_output(_not_started(effective.vm.name, error))
+        return failure_output(start_failure(effective.vm.name, error))
     if failed:
         return CommandOutput(
             text='persimmonhold: a part failed; see the log',
@@ -80,14 +78,3 @@
         if stopped.is_set():
             await vm.drain()
         return vm.background.failed.is_set()
-
-
-def _not_started(name: str, error: OSError) -> Failure:
-    if isinstance(error, StartError):
-        return error.failure
-    detail = error.strerror or str(error)
-    is_address = any(text in detail.lower() for text in _ADDRESS_ERRORS)
-    kind = FailureKind.storage_unwritable
-    if is_address:
-        kind = FailureKind.address_in_use
-    return Failure(kind=kind, step='start', peer=name, detail=detail)
--- a/persimmonhold/cli/_standin_command.py
+++ b/persimmonhold/cli/_standin_command.py
@@ -10,7 +10,7 @@
     CommandOutput,
     failure_output,
 )
-from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.cli._start_failure import start_failure
 from persimmonhold.observability import LogLevel, LogOutput
 from persimmonhold.settings import StandinSettings, read_ini
 from persimmonhold.standin import Standin
@@ -26,14 +26,8 @@
         with LogOutput(LogLevel(effective.logs.level), effective.logs.path):
             asyncio.run(_serve(Standin(effective.standin)))
     except OSError as error:
-        return failure_output(
-            Failure(
-                kind=FailureKind.address_in_use,
-                step='start',
-                peer=effective.standin.address,
-                detail=error.strerror or str(error),
-            ),
-        )
+        address = effective.standin.address
+        return failure_output(start_failure(address, error))
     return CommandOutput(text='stopped')
 
 
--- /dev/null
+++ b/persimmonhold/cli/_start_failure.py
@@ -0,0 +1,19 @@
+"""Why a process could not start."""
+
+from typing import Final
+
+from persimmonhold.failures import Failure, FailureKind, StartError
+
+_ADDRESS_ERRORS: Final = ('address already in use', 'cannot assign requested')
+
+
+def start_failure(peer: str, error: OSError) -> Failure:
+    """Return the failure that an owner raised on its start."""
+    if isinstance(error, StartError):
+        return error.failure
+    detail = error.strerror or str(error)
+    is_address = any(text in detail.lower() for text in _ADDRESS_ERRORS)
+    kind = FailureKind.storage_unwritable
+    if is_address:
+        kind = FailureKind.address_in_use
+    return Failure(kind=kind, step='start', peer=peer, detail=detail)
--- a/persimmonhold/cli/_status_commands.py
+++ b/persimmonhold/cli/_status_commands.py
@@ -32,14 +32,20 @@
     return _render(reply.unwrap(), f'explain {name}', _document_text)
 
 
-async def drain_vm(
+async def show_claims(client: OperatorClient) -> CommandOutput:
+    """Show the claims whose request may have run."""
+    reply = await client.read('/catalogue/v1/claims')
+    if isinstance(reply, Failed):
+        return failure_output(reply.failure())
+    return _render(reply.unwrap(), 'claims', _claims_text)
+
+
+async def change_vm(
     client: OperatorClient,
     vm: str,
-    *,
-    undo: bool,
+    action: str,
 ) -> CommandOutput:
-    """Set or clear the draining mark of a VM."""
-    action = 'undrain' if undo else 'drain'
+    """Drain, undrain or forget a VM."""
     headers = {'persimmonhold-command-id': secrets.token_hex(_ID_BYTES)}
     target = f'/catalogue/v1/{action}/{vm}'
     reply = await client.change('POST', target, headers)
@@ -85,6 +91,17 @@
     return '\n'.join(lines)
 
 
+def _claims_text(document: dict[str, Any]) -> str:
+    claims = document['claims']
+    lines = [
+        f'claim {claim["claim"]:<8} {claim["service"]:16}'
+        f' caller {claim["caller"]} key {claim["key"]} at {claim["vm"]}'
+        for claim in claims
+    ]
+    lines.append(f'{len(claims)} claims in doubt')
+    return '\n'.join(lines)
+
+
 def _memory_text(memory: dict[str, Any]) -> str:
     held, reserved, capacity = (
         memory[key] / _GIGABYTE
--- a/persimmonhold/operations/_operator_client.py
+++ b/persimmonhold/operations/_operator_client.py
@@ -31,11 +31,12 @@
     answers a resend with the first answer.
     """
 
-    __slots__ = ('_addresses', 'operator')
+    __slots__ = ('_addresses', 'operator', 'reason')
 
     def __init__(self, addresses: tuple[Address, ...], operator: str) -> None:
-        """Create a client that acts as `operator`."""
+        """Create a client that acts as `operator`; `reason` is recorded."""
         self.operator = operator
+        self.reason = ''
         self._addresses = addresses
 
     async def read(self, target: str) -> Result[OperatorReply, Failure]:
@@ -52,6 +53,8 @@
         """Send a change; `headers` carry revision and command id."""
         body = b'' if document is None else msgspec.json.encode(document)
         own = {'persimmonhold-operator': self.operator, **headers}
+        if self.reason:
+            own['persimmonhold-reason'] = self.reason
         return await self._send(
             ClientRequest(
                 method=method,
