--- a/persimmonhold/load/_planned_request.py
+++ b/persimmonhold/load/_planned_request.py
@@ -1,12 +1,19 @@
 """A request that the schedule has planned."""
 
-from typing import Any, final
+from typing import Any, Final, final
 
 import msgspec
 
 from persimmonhold.load._request_kind import RequestKind
 from persimmonhold.web import Headers, encode_headers
 
+_MS_PER_S: Final = 1000
+_GENERATIONS: Final = frozenset((
+    RequestKind.stream,
+    RequestKind.check,
+    RequestKind.batch,
+))
+
 
 @final
 class PlannedRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,11 +79,3 @@
         if self.key:
             pairs['idempotency-key'] = self.key
         return encode_headers(pairs)
-
-
-_MS_PER_S = 1000
-_GENERATIONS = frozenset((
-    RequestKind.stream,
-    RequestKind.check,
-    RequestKind.batch,
-))
--- a/persimmonhold/load/_schedule.py
+++ b/persimmonhold/load/_schedule.py
@@ -80,7 +80,7 @@
             target=self._pick_target(share.kind),
             caller=caller,
             failure_domain=self._random.choice(self._domains),
-            deadline_s=share.deadline_s,
+            deadline_s=share.kind.deadline_s,
             key=f'{self._seed}-{number}' if is_call else '',
             prompt=self._prompt(number, caller, share),
             max_tokens=share.max_tokens,
--- a/persimmonhold/load/_traffic_mix.py
+++ b/persimmonhold/load/_traffic_mix.py
@@ -8,14 +8,13 @@
 
 
 @final
-class KindShare(msgspec.Struct, frozen=True, kw_only=True):
+class KindShare(msgspec.Struct, frozen=True):
     """The share of a kind, and the size of its requests."""
 
     kind: RequestKind
     share: float
-    prompt_characters: int
-    max_tokens: int
-    deadline_s: float
+    prompt_characters: int = 0
+    max_tokens: int = 0
 
 
 @final
@@ -36,41 +35,11 @@
     name='hoogwerk',
     calls_service='bookings',
     kinds=(
-        KindShare(
-            kind=RequestKind.stream,
-            share=0.5,
-            prompt_characters=1200,
-            max_tokens=40,
-            deadline_s=30,
-        ),
-        KindShare(
-            kind=RequestKind.check,
-            share=0.15,
-            prompt_characters=400,
-            max_tokens=4,
-            deadline_s=3,
-        ),
-        KindShare(
-            kind=RequestKind.batch,
-            share=0.15,
-            prompt_characters=2000,
-            max_tokens=30,
-            deadline_s=60,
-        ),
-        KindShare(
-            kind=RequestKind.call,
-            share=0.1,
-            prompt_characters=40,
-            max_tokens=0,
-            deadline_s=10,
-        ),
-        KindShare(
-            kind=RequestKind.lookup,
-            share=0.1,
-            prompt_characters=0,
-            max_tokens=0,
-            deadline_s=3,
-        ),
+        KindShare(RequestKind.stream, 0.5, 1200, 40),
+        KindShare(RequestKind.check, 0.15, 400, 4),
+        KindShare(RequestKind.batch, 0.15, 2000, 30),
+        KindShare(RequestKind.call, 0.1, 40),
+        KindShare(RequestKind.lookup, 0.1),
     ),
     profile=(0.5, 0.8, 2.0, 1.2, 0.5),
 )
@@ -79,41 +48,11 @@
     name='levy',
     calls_service='lodgements',
     kinds=(
-        KindShare(
-            kind=RequestKind.stream,
-            share=0.4,
-            prompt_characters=1600,
-            max_tokens=48,
-            deadline_s=30,
-        ),
-        KindShare(
-            kind=RequestKind.check,
-            share=0.2,
-            prompt_characters=300,
-            max_tokens=4,
-            deadline_s=3,
-        ),
-        KindShare(
-            kind=RequestKind.batch,
-            share=0.15,
-            prompt_characters=3000,
-            max_tokens=40,
-            deadline_s=60,
-        ),
-        KindShare(
-            kind=RequestKind.call,
-            share=0.15,
-            prompt_characters=40,
-            max_tokens=0,
-            deadline_s=10,
-        ),
-        KindShare(
-            kind=RequestKind.lookup,
-            share=0.1,
-            prompt_characters=0,
-            max_tokens=0,
-            deadline_s=3,
-        ),
+        KindShare(RequestKind.stream, 0.4, 1600, 48),
+        KindShare(RequestKind.check, 0.2, 300, 4),
+        KindShare(RequestKind.batch, 0.15, 3000, 40),
+        KindShare(RequestKind.call, 0.15, 40),
+        KindShare(RequestKind.lookup, 0.1),
     ),
     profile=(0.4, 0.6, 0.9, 1.3, 1.8),
 )
