--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,5 +1,6 @@
 """The documents say what the code does."""
 
+import re
 from pathlib import Path
 
 import pytest
@@ -17,6 +18,7 @@
 
 _ROOT = Path(__file__).parent.parent
 _SAMPLES = sorted((_ROOT / 'docs/samples').glob('*.ini'))
+_PAGES = (_ROOT / 'README.md', *sorted((_ROOT / 'docs').rglob('*.md')))
 _COMMANDS_PAGE = _ROOT / 'docs/operating/commands.md'
 
 
@@ -40,3 +42,13 @@
 def test_exit_codes_are_documented(code: ExitCode) -> None:
     page = _COMMANDS_PAGE.read_text(encoding='utf-8')
     assert_that(page, Contains(f'\n| {code.value} |'))
+
+
+@pytest.mark.parametrize('page', _PAGES, ids=lambda path: path.name)
+def test_links_lead_to_files(page: Path) -> None:
+    links = re.findall(
+        r'\]\(([^)#:]+)\)',
+        page.read_text(encoding='utf-8'),
+    )
+    missing = [link for link in links if not (page.parent / link).exists()]
+    assert_that(missing, Equals([]))
