--- a/persimmonhold/load/_load_plot.py
+++ b/persimmonhold/load/_load_plot.py
@@ -7,7 +7,7 @@
 
 def draw_plot(report: RunReport, path: Path) -> None:
     """Write the plot; needs matplotlib, which only development installs."""
-    from matplotlib import pyplot  # noqa: PLC0415
+    from matplotlib import pyplot
 
     seconds = [row[0] for row in report.attainment_by_second]
     offered = [row[1] for row in report.attainment_by_second]
