--- a/bench/drills/__main__.py
+++ b/bench/drills/__main__.py
@@ -51,7 +51,8 @@
     ) as processes:
         probe = ChangeProbe(processes)
         probing = loop.create_task(probe.run())
-        loading = loop.create_task(_load(processes, arguments))
+        load_s = max(arguments.duration, drill.load_s)
+        loading = loop.create_task(_load(processes, arguments, load_s))
         start_s = arguments.duration / 4
         await asyncio.sleep(start_s)
         began_at = loop.time()
@@ -73,12 +74,13 @@
 async def _load(
     processes: Processes,
     arguments: argparse.Namespace,
+    load_s: float,
 ) -> RunReport:
     run = default_parameters(
         processes.document,
         arguments.seed,
         arguments.rate,
-        arguments.duration,
+        load_s,
     )
     return await run_load(processes.document, run, show_progress=False)
 
--- a/bench/drills/_drill.py
+++ b/bench/drills/_drill.py
@@ -23,6 +23,8 @@
     name: str
     # Whether every stop of the drill is planned, so that nothing may be cut.
     is_planned = False
+    # The least time in seconds that load has to run to cover the drill.
+    load_s = 0.0
 
     def __init__(self) -> None:
         """Create a drill that has noted nothing."""
@@ -122,6 +124,7 @@
 
     name = 'rolling restart'
     is_planned = True
+    load_s = 170.0
 
     async def act(self, processes: Processes) -> None:
         """Stop each VM gracefully and start it again."""
