--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 ENVIRONMENT := $(VENV)/.installed
+BENCHES := consensus dissemination dissemination_state placement \
+	placement_rounds admission routing entry entry_relay
 SOURCES := $(shell find persimmonhold -name '*.py')
 
 .PHONY: run test check check-binary format binary bench drills clean
@@ -44,6 +46,12 @@
 		--python '/usr/bin/env python3' --console-script persimmonhold \
 		--output-file dist/persimmonhold
 
+bench: $(ENVIRONMENT)
+	for part in $(BENCHES); do \
+		echo "== $$part"; \
+		$(BIN)/python -m bench.$$part --seed 1 || exit 1; \
+	done
+
 drills: $(ENVIRONMENT)
 	$(BIN)/python -m bench.drills
 
