Entry: an isolated entry shows no models; the probe of drills cannot end unseen

Change: an entry without the right to serve refuses /v1/models as isolated; a list that lacks the probed entry counts as a revert; a probe that ended fails the drill. Before: the test fails without the change. After: it passes.

--- a/bench/drills/__main__.py
+++ b/bench/drills/__main__.py
@@ -60,6 +60,8 @@
         end_s = start_s + loop.time() - began_at
         report = await loading
         unreachable = await _sweep(processes)
+        if probing.done():
+            probing.result()
         probing.cancel()
         await asyncio.gather(probing, return_exceptions=True)
     return DrillResult(
--- a/bench/drills/_change_probe.py
+++ b/bench/drills/_change_probe.py
@@ -127,16 +127,18 @@
         document: dict[str, Any],
         sent_at: float,
     ) -> None:
-        owner = next(
-            model['owned_by']
-            for model in document['data']
-            if model['id'] == self._entry.name
-        )
-        stem, _, number = owner.partition('-')
-        shown = int(number) if f'{stem}-' == _OWNER_STEM else 0
+        shown = self._shown(document)
         self.answered_at.setdefault(name, []).append(sent_at)
         if shown < self.highest.get(name, 0):
             self.reverts += 1
-        if shown > self.highest.get(name, -1):
+        if shown > self.highest.get(name, -2):
             self.highest[name] = shown
             self.seen_at[name, shown] = sent_at
+
+    def _shown(self, document: dict[str, Any]) -> int:
+        """Return the number in force; -1 where the entry is not shown."""
+        owners = {model['id']: model['owned_by'] for model in document['data']}
+        stem, _, number = owners.get(self._entry.name, '').partition('-')
+        if f'{stem}-' == _OWNER_STEM:
+            return int(number)
+        return 0 if stem else -1
--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -166,6 +166,10 @@
         await self._respond(context, answer)
 
     async def _show_models(self, context: RequestContext) -> None:
+        if not self._services.link.serving_allowed:
+            # The list of an isolated entry may lack what was accepted since.
+            self._refuse(context, _refusal(RefusalReason.isolated))
+            return
         catalogue = self._services.link.view.catalogue
         models = [
             {'id': name, 'object': 'model', 'owned_by': stored.entry.owner}
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -469,16 +469,18 @@
 def test_isolated_entry_refuses_and_is_not_ready() -> None:
     engine = ScriptedUpstream('engine-1', _stream())
 
-    async def scenario() -> tuple[FetchedResponse, FetchedResponse]:
+    async def scenario() -> tuple[FetchedResponse, ...]:
         async with EntryWorld(engine) as world:
             world.link.is_isolated = True
             return (
                 await world.call('POST', '/v1/completions', _ASK),
+                await world.call('GET', '/v1/models'),
                 await world.call('GET', '/readyz'),
             )
 
-    refused, ready = _run(scenario())
+    refused, models, ready = _run(scenario())
     assert_that(_reason(refused), Equals('isolated no'))
+    assert_that(_reason(models), Equals('isolated no'))
     assert_that(ready.head.status, Equals(503))
 
 
