Entry: a request that is refused before it is taken in is logged too

Cause: one line a request was promised, and refusals of unknown models or bad bodies had none. Before: the test finds no line. After: exactly one.

--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -213,6 +213,13 @@
         await context.exchange.respond_json(status, document, headers)
 
     def _refuse(self, context: RequestContext, refusal: Refusal) -> None:
+        """Refuse a request that was not taken in, and log it as such."""
+        log_event(
+            'request',
+            request_id=context.request_id,
+            attempts=0,
+            outcome=refusal.reason.value,
+        )
         refuse(
             context.exchange,
             refusal,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import Final, TypeVar
 
+import eliot
 import msgspec
 import pytest
 from returns.result import Success
@@ -704,3 +705,25 @@
         return int(noticed.is_set())
 
     assert_that(_run(scenario()), Equals(expected))
+
+
+def test_request_that_is_not_taken_in_is_logged() -> None:
+    logged: list[dict[str, object]] = []
+    eliot.add_destinations(logged.append)
+
+    async def scenario() -> FetchedResponse:
+        async with EntryWorld() as world:
+            asked = {**_ASK, 'model': 'nobody'}
+            return await world.call('POST', '/v1/completions', asked)
+
+    try:
+        refused = _run(scenario())
+    finally:
+        eliot.remove_destination(logged.append)
+    # The first destination also receives what was logged before it.
+    request_id = refused.head.header('persimmonhold-request-id')
+    outcomes = [
+        one['outcome'] for one in logged if one.get('request_id') == request_id
+    ]
+    assert_that(refused.head.status, Equals(404))
+    assert_that(outcomes, Equals(['unknown_model']))
