One request on an open connection, one policy of fixed places

Cause: placement's engine link wrote the exchange of persimmonhold.web again, and two baselines of the placement bench shared all but one method. Change: web.converse serves both fetch and the engine link; FixedPlaces is the base of the static baseline and of the bound.

--- a/bench/placement_baselines.py
+++ b/bench/placement_baselines.py
@@ -12,10 +12,8 @@
 _SATURATED = 0.85
 
 
-class StaticEven(Policy):
-    """Copies stay where they are; lost engines are filled as before."""
-
-    name = 'static even'
+class FixedPlaces(Policy):
+    """Copies stay where they are; lost engines come back as they were."""
 
     def step(
         self,
@@ -30,16 +28,26 @@
         """Serve without the lost engines."""
         self.lost = engines
 
+    def regain(self, engines: frozenset[str]) -> None:
+        """Serve with all engines again."""
+        self.lost = frozenset()
+
+
+class StaticEven(FixedPlaces):
+    """Copies stay where they are; lost engines are filled as before."""
+
+    name = 'static even'
+
     def regain(self, engines: frozenset[str]) -> None:
         """Load again what the engines held."""
         for held in self.holders.values():
             for place in held:
                 if place.upstream in engines:
                     self.count_move()
-        self.lost = frozenset()
+        super().regain(engines)
 
 
-class Everywhere(Policy):
+class Everywhere(FixedPlaces):
     """The bound: every model on every accelerator, memory set aside."""
 
     name = 'bound'
@@ -50,23 +58,6 @@
         for held in self.holders.values():
             held.update(self.places)
 
-    def step(
-        self,
-        now: float,
-        elapsed_s: float,
-        work: dict[str, float],
-        loads: dict[Place, float],
-    ) -> None:
-        """Do nothing."""
-
-    def lose(self, engines: frozenset[str]) -> None:
-        """Serve without the lost engines."""
-        self.lost = engines
-
-    def regain(self, engines: frozenset[str]) -> None:
-        """Serve with all engines again."""
-        self.lost = frozenset()
-
 
 class LoadOnMiss(Policy):
     """Loads where a request finds no copy, or only saturated ones.
--- a/persimmonhold/control/shell/_placement_engine_link.py
+++ b/persimmonhold/control/shell/_placement_engine_link.py
@@ -20,6 +20,7 @@
     Address,
     ClientConnection,
     ClientRequest,
+    converse,
     fetch,
 )
 
@@ -85,18 +86,13 @@
             target='/orders',
             body=msgspec.json.encode(order),
         )
-        sent = await connection.send(request)
-        if isinstance(sent, Failed):
-            return sent
-        head = await connection.receive_head()
-        if isinstance(head, Failed):
-            return head
-        body = await connection.receive_body()
-        if isinstance(body, Failed):
-            return body
-        if head.unwrap().status not in {_OK, _CONFLICT}:
+        answered = await converse(connection, request)
+        if isinstance(answered, Failed):
+            return answered
+        response = answered.unwrap()
+        if response.head.status not in {_OK, _CONFLICT}:
             return Failed(_failure(FailureKind.protocol_violation, peer))
-        return _decode(body.unwrap(), peer, '/orders', OrderAnswer)
+        return _decode(response.body, peer, '/orders', OrderAnswer)
 
 
 async def _read(
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -8,7 +8,7 @@
 from persimmonhold.web._client_request import ClientRequest
 from persimmonhold.web._exchange import Exchange
 from persimmonhold.web._exchange_handler import ExchangeHandler
-from persimmonhold.web._fetch import FetchedResponse, fetch
+from persimmonhold.web._fetch import FetchedResponse, converse, fetch
 from persimmonhold.web._headers import (
     CALLER,
     COMMAND_ID,
@@ -56,6 +56,7 @@
     'Rejection',
     'RequestHead',
     'ResponseHead',
+    'converse',
     'encode_headers',
     'fetch',
     'find_header',
--- a/persimmonhold/web/_fetch.py
+++ b/persimmonhold/web/_fetch.py
@@ -34,7 +34,7 @@
     connection = connected.unwrap()
     try:
         async with asyncio.timeout(timeout_s):
-            return await _exchange(connection, request)
+            return await converse(connection, request)
     except TimeoutError:
         return Failed(
             Failure(
@@ -47,10 +47,11 @@
         connection.close()
 
 
-async def _exchange(
+async def converse(
     connection: ClientConnection,
     request: ClientRequest,
 ) -> Result[FetchedResponse, Failure]:
+    """Send a request on an open connection and await the whole response."""
     sent = await connection.send(request)
     if isinstance(sent, Failed):
         return sent
