--- a/persimmonhold/cli/_serve_command.py
+++ b/persimmonhold/cli/_serve_command.py
@@ -1,7 +1,6 @@
 """The serve command."""
 
 import asyncio
-import signal
 from pathlib import Path
 
 from returns.result import Failure as Failed
@@ -15,7 +14,7 @@
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.observability import LogLevel, LogOutput
 from persimmonhold.settings import Settings, read_ini
-from persimmonhold.system import VmProcess
+from persimmonhold.system import VmProcess, run_until_stopped
 
 
 def run_vm(settings: str) -> CommandOutput:
@@ -29,7 +28,9 @@
         return failure_output(*missing)
     try:
         with LogOutput(LogLevel(effective.logs.level), effective.logs.path):
-            failed = asyncio.run(_serve(effective))
+            failed = asyncio.run(
+                run_until_stopped(lambda: VmProcess(effective)),
+            )
     except OSError as error:
         return failure_output(start_failure(effective.vm.name, error))
     if failed:
@@ -59,22 +60,3 @@
         for section, key, text in needed
         if not text
     )
-
-
-async def _serve(settings: Settings) -> bool:
-    """Run until a signal or a failure; tell whether a part failed."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
-    async with VmProcess(settings) as vm:
-        waits = [
-            loop.create_task(stopped.wait()),
-            loop.create_task(vm.background.failed.wait()),
-        ]
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
-        if stopped.is_set():
-            await vm.drain()
-        return vm.background.failed.is_set()
--- a/persimmonhold/consensus/_joining.py
+++ b/persimmonhold/consensus/_joining.py
@@ -21,7 +21,14 @@
 class Joining:
     """The part of a replica that holds no entry yet."""
 
-    __slots__ = ('_address', '_core', '_empty', '_initial', '_term')
+    __slots__ = (
+        '_address',
+        '_core',
+        '_empty',
+        '_initial',
+        '_term',
+        'may_found',
+    )
 
     def __init__(
         self,
@@ -29,7 +36,11 @@
         initial: dict[str, str],
         address: str,
     ) -> None:
-        """Create the part; `initial` holds the first VMs' addresses."""
+        """Create the part; `initial` holds the first VMs' addresses.
+
+        Without `may_found` this replica only ever joins a group.
+        """
+        self.may_found = True
         self._core = core
         self._initial = initial
         self._address = address
@@ -82,6 +93,8 @@
         core.outbox.send(msgspec.structs.replace(greeting, envelope=envelope))
 
     def _may_found(self) -> bool:
+        if not self.may_found:
+            return False
         own = vm_of(self._core.replica)
         is_first = own == min(self._initial, default='')
         return is_first and self._empty.keys() >= self._initial.keys()
--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -53,11 +53,11 @@
         '_elections',
         '_follower',
         '_identity',
-        '_initial',
-        '_joining',
         '_retry_at',
         'core',
+        'joining',
         'leadership',
+        'target_voters',
     )
 
     def __init__(
@@ -73,15 +73,16 @@
         """Create a replica from its folder and record this start.
 
         `member` is this replica and its address; `initial` holds the
-        addresses of the first members by VM name.
+        addresses of the first members by VM name. `target_voters` is the
+        number of voters that the group keeps.
         """
         self.core = Core(hard_state, log, timings, generator, now)
         self.leadership: Leadership | None = None
-        self._initial = initial
+        self.target_voters = len(initial)
         self._identity = Identity(self.core)
         self._elections = Elections(self.core)
         self._follower = Follower(self.core)
-        self._joining = Joining(self.core, initial, member.address)
+        self.joining = Joining(self.core, initial, member.address)
         self._retry_at = now
         if self.core.configuration.voters == (self.core.replica,):
             # Nobody else can answer or lead.
@@ -96,7 +97,7 @@
             return float('inf')
         if self.leadership is not None:
             return self.leadership.replicator.heartbeat_at
-        if self._joining.is_needed or not core.verification.is_done:
+        if self.joining.is_needed or not core.verification.is_done:
             return min(core.election_at, self._retry_at)
         return core.election_at
 
@@ -206,9 +207,9 @@
 
     def _retry(self, now: float) -> None:
         timings = self.core.timings
-        if self._joining.is_needed:
+        if self.joining.is_needed:
             self._retry_at = now + timings.election_timeout_s
-            self._joining.tick(now)
+            self.joining.tick(now)
         else:
             self._retry_at = now + timings.heartbeat_s
             self._identity.verify(now)
@@ -221,8 +222,7 @@
             self.leadership = None
         if self._elections.is_won():
             core.role = Role.leader
-            target = len(self._initial)
-            self.leadership = Leadership(core, target, now)
+            self.leadership = Leadership(core, self.target_voters, now)
 
     def _is_removed(self, envelope: Envelope, now: float) -> bool:
         """Tell whether the group has removed a sender that asks to act.
@@ -269,10 +269,10 @@
             case BootReport():
                 self._identity.on_report(sender, message)
             case Hello():
-                self._joining.on_hello(sender, message)
+                self.joining.on_hello(sender, message)
                 self._note_spare(sender, message, now)
             case HelloReply():
-                self._joining.on_reply(sender, message)
+                self.joining.on_reply(sender, message)
 
     def _on_boot_check(
         self,
--- a/persimmonhold/control/machine/__init__.py
+++ b/persimmonhold/control/machine/__init__.py
@@ -3,7 +3,11 @@
 from persimmonhold.control.machine._claim import Claim
 from persimmonhold.control.machine._claim_key import ClaimKey
 from persimmonhold.control.machine._claim_table import ClaimTable
-from persimmonhold.control.machine._command import Command, OperatorChange
+from persimmonhold.control.machine._command import (
+    Command,
+    OperatorChange,
+    PutRoutes,
+)
 from persimmonhold.control.machine._command_ledger import CommandLedger
 from persimmonhold.control.machine._command_result import CommandResult
 from persimmonhold.control.machine._command_status import CommandStatus
@@ -58,6 +62,7 @@
     'OperatorChange',
     'OperatorCommand',
     'PutEntry',
+    'PutRoutes',
     'RecordCopy',
     'RecordIntent',
     'RecordOrderEnd',
--- a/persimmonhold/control/machine/_command.py
+++ b/persimmonhold/control/machine/_command.py
@@ -8,13 +8,17 @@
 from persimmonhold.control.machine._end_claim import EndClaim
 from persimmonhold.control.machine._forget_vm import ForgetVm
 from persimmonhold.control.machine._put_entry import PutEntry
+from persimmonhold.control.machine._put_routes import PutRoutes
 from persimmonhold.control.machine._record_copy import RecordCopy
 from persimmonhold.control.machine._record_intent import RecordIntent
 from persimmonhold.control.machine._record_order_end import RecordOrderEnd
 from persimmonhold.control.machine._register_vm import RegisterVm
 
+__all__ = ('Command', 'OperatorChange', 'PutRoutes')
+
 Command: TypeAlias = (
     PutEntry
+    | PutRoutes
     | DeleteEntry
     | RecordIntent
     | RecordOrderEnd
--- a/persimmonhold/control/machine/_control_machine.py
+++ b/persimmonhold/control/machine/_control_machine.py
@@ -23,7 +23,11 @@
     digest_content,
 )
 from persimmonhold.control.machine._claim_key import ClaimKey
-from persimmonhold.control.machine._command import Command, OperatorChange
+from persimmonhold.control.machine._command import (
+    Command,
+    OperatorChange,
+    PutRoutes,
+)
 from persimmonhold.control.machine._command_result import CommandResult
 from persimmonhold.control.machine._command_status import CommandStatus
 from persimmonhold.control.machine._control_state import ControlState
@@ -94,6 +98,8 @@
         match command:
             case PutEntry() | DeleteEntry() | DrainVm() | ForgetVm():
                 return self._change(command)
+            case PutRoutes():
+                return self._put_routes(command)
             case ClaimKey():
                 return self._claim(index, command)
             case EndClaim():
@@ -196,6 +202,17 @@
         )
         self.state.view.apply(change)
 
+    def _put_routes(self, command: PutRoutes) -> CommandResult:
+        if command.fault:
+            return self._result(CommandStatus.bad_entry, command.fault)
+        if command.document.version > self.state.view.routes.version:
+            change = msgspec.structs.replace(
+                self._next_change(),
+                routes=command.document,
+            )
+            self.state.view.apply(change)
+        return self._result(CommandStatus.done)
+
     def _change(self, command: OperatorChange) -> CommandResult:
         ledger = self.state.commands
         digest = digest_content(command)
--- a/persimmonhold/control/machine/_view_state.py
+++ b/persimmonhold/control/machine/_view_state.py
@@ -14,14 +14,17 @@
 
 from persimmonhold.catalogue import Catalogue, StoredEntry
 from persimmonhold.messages import ControlView, Copy, ViewChange, VmRecord
+from persimmonhold.routes import RoutingDocument
 
 CopyKey: TypeAlias = tuple[str, str, str, str]
+_ViewItem: TypeAlias = StoredEntry | Copy | VmRecord | RoutingDocument
 _DIGEST_BYTES: Final = 8
+_NO_ROUTES: Final = RoutingDocument()
 
 
 @final
 class ViewState:
-    """Catalogue, copies and VMs, with the recent changes to them."""
+    """Catalogue, copies, VMs and routes, with the recent changes."""
 
     __slots__ = (
         '_changes',
@@ -30,6 +33,7 @@
         'copies',
         'digest',
         'index',
+        'routes',
         'vms',
     )
 
@@ -40,6 +44,7 @@
         self.catalogue = Catalogue()
         self.copies: dict[CopyKey, Copy] = {}
         self.vms: dict[str, VmRecord] = {}
+        self.routes = RoutingDocument()
         self._changes: deque[ViewChange] = deque(maxlen=change_log_length)
         self._view: ControlView | None = None
 
@@ -52,6 +57,7 @@
                 copies=tuple(self.copies.values()),
                 vms=tuple(self.vms.values()),
                 digest=self.digest,
+                routes=self.routes,
             )
         return self._view
 
@@ -75,6 +81,9 @@
             self._apply_copy(change.copy, gone=change.copy_gone)
         if change.vm is not None:
             self._apply_vm(change.vm, gone=change.vm_gone)
+        if change.routes is not None:
+            self._exchange(self.routes, change.routes)
+            self.routes = change.routes
         self.index = change.index
         self._changes.append(change)
         self._view = None
@@ -89,6 +98,7 @@
         self.catalogue = view.catalogue
         self.copies = {copy_key(copy): copy for copy in view.copies}
         self.vms = {vm.name: vm for vm in view.vms}
+        self.routes = view.routes
         self.digest = digest
         self._changes.clear()
         self._view = view
@@ -118,8 +128,8 @@
 
     def _exchange(
         self,
-        old: StoredEntry | Copy | VmRecord | None,
-        new: StoredEntry | Copy | VmRecord | None,
+        old: _ViewItem | None,
+        new: _ViewItem | None,
     ) -> None:
         self.digest ^= _item_digest(old) ^ _item_digest(new)
 
@@ -138,11 +148,11 @@
         digest ^= _item_digest(copy)
     for vm in view.vms:
         digest ^= _item_digest(vm)
-    return digest
+    return digest ^ _item_digest(view.routes)
 
 
-def _item_digest(item: StoredEntry | Copy | VmRecord | None) -> int:
-    if item is None:
+def _item_digest(item: _ViewItem | None) -> int:
+    if item is None or item == _NO_ROUTES:
         return 0
     encoded = msgspec.msgpack.encode(item)
     hashed = hashlib.blake2b(
--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -23,6 +23,7 @@
     ControlState,
     FitCheck,
     OperatorChange,
+    PutRoutes,
     RegisterVm,
 )
 from persimmonhold.control.shell._control_applier import ControlApplier
@@ -35,6 +36,7 @@
 from persimmonhold.messages import ControlView, Demand
 from persimmonhold.placement import check_fit
 from persimmonhold.replication import ReplicatedLog
+from persimmonhold.routes import RoutingDocument
 
 _MS_PER_S: Final = 1000
 _ACCEPT_TIMEOUT_S: Final = 4.0
@@ -178,7 +180,7 @@
 
     async def change(
         self,
-        command: OperatorChange,
+        command: OperatorChange | PutRoutes,
     ) -> Result[CommandResult, Failure]:
         """Commit a change, and wait until it is accepted for good."""
         proposed = await self._propose(command)
@@ -189,12 +191,32 @@
             return proposed
         if await self._is_accepted(min(result.index, self.state.view.index)):
             return proposed
-        return Failed(
-            Failure(
-                kind=FailureKind.no_quorum,
-                step='await acceptance',
-                detail='committed, but a majority of VMs does not hold it'
-                ' yet; resend the command to learn its answer',
+        return Failed(_unaccepted())
+
+    async def put_routes(
+        self,
+        document: RoutingDocument,
+    ) -> Result[CommandResult, Failure]:
+        """Have a routing document accepted.
+
+        A version that is not above the one held has no effect; it is
+        answered once the one held is accepted, and takes no place in the
+        log.
+        """
+        if document.version > self.state.view.routes.version:
+            command = PutRoutes(at_ms=self.now_ms(), document=document)
+            return await self.change(command)
+        barrier = await self.read_barrier()
+        if isinstance(barrier, Failed):
+            return barrier
+        index = self.state.view.index
+        if not await self._is_accepted(index):
+            return Failed(_unaccepted())
+        return Success(
+            CommandResult(
+                index=index,
+                status=CommandStatus.done,
+                revision=self.state.catalogue.revision,
             ),
         )
 
@@ -274,3 +296,12 @@
         # Commands that are applied in one turn are passed on together.
         self._feed_due = True
         asyncio.get_running_loop().call_soon(self.feed_vm)
+
+
+def _unaccepted() -> Failure:
+    return Failure(
+        kind=FailureKind.no_quorum,
+        step='await acceptance',
+        detail='committed, but a majority of VMs does not hold it'
+        ' yet; resend the command to learn its answer',
+    )
--- a/persimmonhold/entry/_attempt_runner.py
+++ b/persimmonhold/entry/_attempt_runner.py
@@ -19,7 +19,6 @@
 from persimmonhold.entry._caller_answer import CallerAnswer
 from persimmonhold.entry._entry_services import EntryServices
 from persimmonhold.entry._request_job import RequestJob
-from persimmonhold.entry._stall_watch import StallWatch
 from persimmonhold.failures import Failure
 from persimmonhold.web import (
     PRIORITY,
@@ -31,6 +30,7 @@
     ClientConnection,
     ClientRequest,
     ResponseHead,
+    StallWatch,
     encode_headers,
     parse_address,
 )
--- a/persimmonhold/entry/_caller_answer.py
+++ b/persimmonhold/entry/_caller_answer.py
@@ -15,7 +15,6 @@
     ReplayOutcome,
     SendBody,
 )
-from persimmonhold.entry._header_rules import end_to_end_headers
 from persimmonhold.entry._refusals import (
     count_refusal,
     problem_document,
@@ -28,6 +27,7 @@
     Exchange,
     ResponseHead,
     encode_headers,
+    end_to_end_headers,
 )
 
 _REPLAYED: Final = 'persimmonhold-replayed'
--- a/persimmonhold/entry/_request_reader.py
+++ b/persimmonhold/entry/_request_reader.py
@@ -26,7 +26,6 @@
     GenerationDocument,
     estimate_tokens,
 )
-from persimmonhold.entry._header_rules import end_to_end_headers
 from persimmonhold.entry._request_context import RequestContext
 from persimmonhold.entry._request_job import RequestJob
 from persimmonhold.failures import FailureKind, Ran, Refusal, RefusalReason
@@ -37,6 +36,7 @@
     IDEMPOTENCY_KEY,
     SERVICE_CLASS,
     RequestHead,
+    end_to_end_headers,
 )
 
 SERVICES: Final = '/services/'
--- /dev/null
+++ b/persimmonhold/fleet/__init__.py
@@ -0,0 +1,77 @@
+"""Decisions about opaque requests to upstreams that the platform lists.
+
+At an entry: when a request is sent, and where. At the VM that gives orders:
+which models and adapters are loaded where. All of it is free of input and
+output.
+"""
+
+from persimmonhold.fleet._attempt_end import AttemptEnd
+from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
+from persimmonhold.fleet._demand_meter import FleetDemandMeter
+from persimmonhold.fleet._fleet_facts import FleetFacts
+from persimmonhold.fleet._fleet_leader import FleetLeader
+from persimmonhold.fleet._fleet_messages import (
+    AdapterReply,
+    AdapterRequest,
+    EntryReport,
+    FleetMessage,
+    FleetUpdate,
+)
+from persimmonhold.fleet._fleet_order import (
+    FleetOrder,
+    FleetOrderKind,
+    OrderVerdict,
+)
+from persimmonhold.fleet._forward_action import (
+    ForwardAction,
+    SendTo,
+    TurnAway,
+)
+from persimmonhold.fleet._forward_dispatcher import ForwardDispatcher
+from persimmonhold.fleet._forward_ticket import ForwardTicket
+from persimmonhold.fleet._held_model import HeldModel
+from persimmonhold.fleet._listed_upstream import ListedUpstream
+from persimmonhold.fleet._model_demand import ModelDemand
+from persimmonhold.fleet._model_load import ModelLoad
+from persimmonhold.fleet._request_profile import PromptPart, RequestProfile
+from persimmonhold.fleet._retry_allowance import RetryAllowance, RetryBounds
+from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._store_pacer import StorePacer
+from persimmonhold.fleet._upstream_facts import UpstreamFacts
+from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+from persimmonhold.fleet._upstream_report import UpstreamReport
+
+__all__ = (
+    'AdapterReply',
+    'AdapterRequest',
+    'AttemptEnd',
+    'CopyPlanner',
+    'EntryReport',
+    'FleetDemandMeter',
+    'FleetFacts',
+    'FleetLeader',
+    'FleetMessage',
+    'FleetOrder',
+    'FleetOrderKind',
+    'FleetUpdate',
+    'ForwardAction',
+    'ForwardDispatcher',
+    'ForwardTicket',
+    'HeldModel',
+    'ListedUpstream',
+    'ModelDemand',
+    'ModelLoad',
+    'OrderVerdict',
+    'PlannedOrder',
+    'PromptPart',
+    'RequestProfile',
+    'RetryAllowance',
+    'RetryBounds',
+    'SendTo',
+    'SharedLoad',
+    'StorePacer',
+    'TurnAway',
+    'UpstreamFacts',
+    'UpstreamLedger',
+    'UpstreamReport',
+)
--- /dev/null
+++ b/persimmonhold/fleet/_adapter_desk.py
@@ -0,0 +1,193 @@
+"""Loads adapters by need, at the request of entries.
+
+Answers requests that name an adapter when the adapters do not all fit at
+once: one that is asked for is loaded on the way of its request, in the place
+of the one that was asked for least recently.
+"""
+
+import math
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.fleet._fleet_messages import AdapterReply, AdapterRequest
+from persimmonhold.fleet._fleet_order import (
+    FleetOrder,
+    FleetOrderKind,
+    OrderVerdict,
+)
+from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+from persimmonhold.routes import EngineSpec
+
+_BASE_S: Final = 0.006  # the small adapter of the sheets takes 5 ms
+_PER_MB_S: Final = 0.00015  # 66 MB take 9.7 to 14 ms
+_MAX_IN_TRANSIT: Final = 4  # adapters on their way to one upstream
+_WAIT_S: Final = 0.6  # an entry has given up by then
+_MAX_ASKED: Final = 512
+
+
+@final
+class _Ask(msgspec.Struct):
+    """One adapter that is waited for, and by whom."""
+
+    model: str
+    adapter: str
+    asked_at: float
+    waiting: dict[tuple[str, int], None]
+    ready_at: float = math.inf
+
+
+@final
+class AdapterDesk:
+    """The adapters that are asked for at one upstream."""
+
+    __slots__ = ('asks', 'used_at')
+
+    def __init__(self) -> None:
+        """Create a desk without requests."""
+        self.asks: dict[tuple[str, str], _Ask] = {}
+        self.used_at: dict[tuple[str, str], float] = {}
+
+    def ask(
+        self,
+        entry: str,
+        request: AdapterRequest,
+        ledger: UpstreamLedger,
+        now: float,
+    ) -> AdapterReply | None:
+        """Take a request; return the reply where it is known already."""
+        key = (request.model, request.adapter)
+        self.used_at[key] = now
+        found = self.asks.get(key)
+        if found is not None:
+            found.waiting[entry, request.request_id] = None
+            return None
+        if ledger.holds(*key):
+            return _reply(request.request_id, is_ready=True)
+        reason = self._refusal(request, ledger)
+        if reason:
+            return _reply(request.request_id, reason=reason)
+        waiting = {(entry, request.request_id): None}
+        self.asks[key] = _Ask(*key, asked_at=now, waiting=waiting)
+        return None
+
+    def next_order(
+        self,
+        ledger: UpstreamLedger,
+        spec: EngineSpec,
+        now: float,
+    ) -> FleetOrder | None:
+        """Return the next order of an adapter, or None."""
+        if not ledger.is_idle:
+            return None
+        in_transit = sum(
+            now < ask.ready_at < math.inf for ask in self.asks.values()
+        )
+        for key, ask in self.asks.items():
+            if ask.ready_at < math.inf or in_transit >= _MAX_IN_TRANSIT:
+                continue
+            if not ledger.holds(ask.model):
+                continue
+            if ledger.adapter_count < spec.adapter_slots:
+                return _order(FleetOrderKind.load, key, ledger)
+            victim = self._victim(ledger)
+            if victim is not None:
+                return _order(FleetOrderKind.evict, victim, ledger)
+        return None
+
+    def order_ended(
+        self,
+        order: FleetOrder,
+        verdict: OrderVerdict,
+        adapter_mb: float,
+        now: float,
+    ) -> None:
+        """Take what the upstream said of an order of an adapter."""
+        ask = self.asks.get((order.model, order.adapter))
+        if ask is None or order.kind is FleetOrderKind.evict:
+            return
+        if verdict is OrderVerdict.accepted:
+            ask.ready_at = now + _BASE_S + _PER_MB_S * adapter_mb
+        elif verdict is OrderVerdict.holds:
+            ask.ready_at = now
+
+    def take_replies(
+        self,
+        ledger: UpstreamLedger,
+        now: float,
+    ) -> list[tuple[str, AdapterReply]]:
+        """Return the replies that are due, with the entry of each."""
+        replies: list[tuple[str, AdapterReply]] = []
+        for key, ask in tuple(self.asks.items()):
+            reason = self._failure(ask, ledger, now)
+            if now < ask.ready_at and not reason:
+                continue
+            self.asks.pop(key)
+            replies.extend(
+                (entry, _reply(number, is_ready=not reason, reason=reason))
+                for entry, number in ask.waiting
+            )
+        return replies
+
+    def next_due(self) -> float:
+        """Return when the next reply is due."""
+        return min(
+            (ask.ready_at for ask in self.asks.values()), default=math.inf
+        )
+
+    def _refusal(
+        self,
+        request: AdapterRequest,
+        ledger: UpstreamLedger,
+    ) -> str:
+        if len(self.asks) >= _MAX_ASKED:
+            return 'too many adapters are asked for'
+        if request.model not in ledger.held:
+            return 'the model is not held'
+        if ledger.loading or ledger.evicting or ledger.retiring:
+            return 'an order of a model is being carried out'
+        return ''
+
+    def _failure(self, ask: _Ask, ledger: UpstreamLedger, now: float) -> str:
+        if ask.ready_at < math.inf:
+            return ''
+        if ledger.is_settled and not ledger.holds(ask.model):
+            return 'the model is not held any more'
+        return 'no answer in time' if now > ask.asked_at + _WAIT_S else ''
+
+    def _victim(self, ledger: UpstreamLedger) -> tuple[str, str] | None:
+        """Return the adapter that was asked for least recently."""
+        held = [
+            (model, adapter)
+            for model, adapters in ledger.held.items()
+            for adapter in adapters
+            if (model, adapter) not in self.asks
+        ]
+        return min(
+            held,
+            key=lambda key: (self.used_at.get(key, -math.inf), key),
+            default=None,
+        )
+
+
+def _order(
+    kind: FleetOrderKind,
+    key: tuple[str, str],
+    ledger: UpstreamLedger,
+) -> FleetOrder:
+    model, adapter = key
+    return FleetOrder(
+        kind=kind,
+        model=model,
+        adapter=adapter,
+        expected=ledger.accepted,
+    )
+
+
+def _reply(
+    number: int,
+    *,
+    is_ready: bool = False,
+    reason: str = '',
+) -> AdapterReply:
+    return AdapterReply(request_id=number, is_ready=is_ready, reason=reason)
--- /dev/null
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -0,0 +1,304 @@
+"""Chooses which model to load or evict where, as demand shifts.
+
+Answers days on which a few models carry most of the load, others are asked
+for now and then, and not every model fits at once. A copy of a model is
+worth the load that it takes; the next copy goes to the model whose copies
+would be loaded most, and takes the room of copies that are worth clearly
+less. A model that is asked for and is nowhere goes first.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.fleet._engine_room import free_mb, held_mb
+from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
+from persimmonhold.fleet._fleet_order import FleetOrder, FleetOrderKind
+from persimmonhold.fleet._model_load import ModelLoad
+from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+from persimmonhold.routes import EngineSpec, ModelSpec
+
+_LEAST_GAIN: Final = 0.06  # upstreams; less is not worth a load
+_SWAP_RATIO: Final = 1.4  # a copy yields only to one worth this much more
+_LAST_COPY_WORTH: Final = 0.35  # upstreams; a miss costs a wait for a load
+_LAST_COPY_RATIO: Final = 6.0  # load of a last copy counts this much more
+_RECENT_S: Final = 3.0  # a model in use lately is not evicted for another
+_LEAST_WORTH: Final = 0.001  # an eviction is never quite free
+_DEMANDED_WORTH: Final = 1000.0  # a model that is waited for goes first
+_BUSY_WEIGHT: Final = 0.1
+_SAME_DOMAIN: Final = 0.05
+_LOAD_TIME_WEIGHT: Final = 0.1
+
+
+@final
+class PlannedOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order of a model at an upstream; `makes_room_for` another one."""
+
+    upstream: str
+    order: FleetOrder
+    is_from_store: bool = False
+    makes_room_for: str = ''
+    reason: str = ''
+
+
+@final
+class _Place:
+    """Where a copy could go, what it would push out, and at what cost."""
+
+    __slots__ = ('cost', 'ledger', 'score', 'victims')
+
+    def __init__(
+        self,
+        ledger: UpstreamLedger,
+        victims: tuple[str, ...],
+        cost: float,
+        score: float,
+    ) -> None:
+        self.ledger = ledger
+        self.victims = victims
+        self.cost = cost
+        self.score = score
+
+
+@final
+class CopyPlanner:
+    """Plans one service whose upstreams hold models."""
+
+    __slots__ = (
+        '_domains',
+        '_ledgers',
+        '_loads',
+        '_now',
+        '_planned',
+        '_spec',
+        '_use',
+    )
+
+    def __init__(
+        self,
+        spec: EngineSpec,
+        ledgers: Iterable[UpstreamLedger],
+        loads: dict[str, ModelLoad],
+        domains: dict[str, str],
+        use: dict[str, float],
+        planned: frozenset[str],
+        now: float,
+    ) -> None:
+        """Create a planner of one moment.
+
+        `ledgers` are those of upstreams that may be given orders, `domains`
+        their failure domains, `use` the used share of their slots; `planned`
+        names those that have an order planned already.
+        """
+        self._spec = spec
+        self._ledgers = tuple(ledgers)
+        self._loads = loads
+        self._domains = domains
+        self._use = use
+        self._planned = planned
+        self._now = now
+
+    def plan(self, *, may_load_from_store: bool) -> PlannedOrder | None:
+        """Return the next order of a model, or None."""
+        finished = self._finish_swap(may_load_from_store=may_load_from_store)
+        if finished is not None:
+            return finished
+        for spec in self._by_need():
+            gain = self._gain(spec)
+            if gain < _LEAST_GAIN:
+                return None
+            place = self._best_place(spec, gain)
+            if place is None:
+                continue
+            order = self._order(spec, place, gain)
+            if order.is_from_store and not may_load_from_store:
+                continue
+            return order
+        return None
+
+    def copies(self, model: str) -> int:
+        """Return how many upstreams hold a model or are about to."""
+        return sum(
+            model in ledger.models or model == ledger.reserved
+            for ledger in self._ledgers
+            if model not in ledger.retiring and model != ledger.evicting
+        )
+
+    def _finish_swap(self, *, may_load_from_store: bool) -> PlannedOrder | None:
+        """Load into the room that an eviction has made."""
+        for ledger in self._ledgers:
+            spec = self._spec.find(ledger.reserved)
+            is_open = ledger.is_idle and not ledger.retiring
+            if spec is None or not is_open or ledger.name in self._planned:
+                continue
+            planned = self._fill(spec, ledger)
+            if planned is None:
+                continue
+            if not planned.is_from_store or may_load_from_store:
+                return planned
+        return None
+
+    def _fill(
+        self,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+    ) -> PlannedOrder | None:
+        """Load a model, or evict once more where there is too little room."""
+        if free_mb(self._spec, ledger) < held_mb(self._spec, spec.name):
+            return self._next_eviction(spec, ledger)
+        return self._load(spec, ledger, 'room was made')
+
+    def _next_eviction(
+        self,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+    ) -> PlannedOrder | None:
+        """Evict another copy where the last eviction made too little room."""
+        chosen = self._victims(spec, ledger)
+        if chosen is None:
+            ledger.reserved = ''
+            return None
+        victims, cost = chosen
+        return self._evict(victims[0], spec, ledger, f'cost {cost:.3f}')
+
+    def _by_need(self) -> list[ModelSpec]:
+        return sorted(self._spec.models, key=self._gain, reverse=True)
+
+    def _gain(self, spec: ModelSpec) -> float:
+        """Return the load that another copy would take over."""
+        load = self._loads.get(spec.name)
+        if load is None:
+            return 0
+        copies = self.copies(spec.name)
+        if copies == 0 and load.total_waiting:
+            urgency = load.lowest_urgency
+            return _DEMANDED_WORTH * (2 - urgency / 10) + load.total_waiting
+        needed = load.upstreams_needed(PROMPT_TOKENS_PER_S)
+        return needed / (copies + 1)
+
+    def _best_place(self, spec: ModelSpec, gain: float) -> _Place | None:
+        places = [
+            place
+            for ledger in self._ledgers
+            if (place := self._place(spec, ledger)) is not None
+            and self._is_worth(gain, place.cost)
+        ]
+        return min(places, key=lambda place: place.score, default=None)
+
+    def _is_worth(self, gain: float, cost: float) -> bool:
+        return cost == 0 or gain > cost * _SWAP_RATIO
+
+    def _place(self, spec: ModelSpec, ledger: UpstreamLedger) -> _Place | None:
+        is_taken = spec.name in ledger.models or ledger.reserved
+        if is_taken or not ledger.is_idle or ledger.retiring:
+            return None
+        chosen = self._victims(spec, ledger)
+        if chosen is None:
+            return None
+        victims, cost = chosen
+        in_domain = sum(
+            spec.name in other.models
+            for other in self._ledgers
+            if self._domains.get(other.name) == self._domains.get(ledger.name)
+        )
+        score = (
+            cost
+            + _BUSY_WEIGHT * self._use.get(ledger.name, 0)
+            + _SAME_DOMAIN * in_domain
+            + _LOAD_TIME_WEIGHT * load_time_s(spec, ledger)
+        )
+        return _Place(ledger, victims, cost, score)
+
+    def _victims(
+        self,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+    ) -> tuple[tuple[str, ...], float] | None:
+        """Return the cheapest copies to evict, and what they are worth."""
+        lacking_mb = held_mb(self._spec, spec.name)
+        lacking_mb -= free_mb(self._spec, ledger)
+        victims: list[str] = []
+        cost = 0.0
+        by_worth = sorted(ledger.held, key=self._copy_worth)
+        for model in by_worth:
+            if lacking_mb <= 0:
+                break
+            victims.append(model)
+            cost += self._copy_worth(model)
+            lacking_mb -= held_mb(self._spec, model)
+        if lacking_mb > 0 or math.isinf(cost):
+            return None
+        return tuple(victims), cost
+
+    def _copy_worth(self, model: str) -> float:
+        """Return what would be lost with one copy of a model."""
+        load = self._loads.get(model)
+        needed = load.upstreams_needed(PROMPT_TOKENS_PER_S) if load else 0
+        copies = self.copies(model)
+        if copies > 1:
+            return max(_LEAST_WORTH, needed / (copies - 1))
+        if load is not None and load.total_waiting:
+            return math.inf
+        idle_s = self._now - load.last_arrival if load else math.inf
+        if idle_s < _RECENT_S:
+            return _LAST_COPY_WORTH * 2 + needed * _LAST_COPY_RATIO
+        rate = load.arrivals_per_s if load else 0
+        return _LAST_COPY_WORTH * (0.5 + min(0.5, rate)) + needed
+
+    def _order(
+        self,
+        spec: ModelSpec,
+        place: _Place,
+        gain: float,
+    ) -> PlannedOrder:
+        reason = f'gain {gain:.3f} cost {place.cost:.3f}'
+        if not place.victims:
+            return self._load(spec, place.ledger, reason)
+        return self._evict(place.victims[0], spec, place.ledger, reason)
+
+    def _evict(
+        self,
+        victim: str,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+        reason: str,
+    ) -> PlannedOrder:
+        return PlannedOrder(
+            upstream=ledger.name,
+            order=FleetOrder(
+                kind=FleetOrderKind.evict,
+                model=victim,
+                expected=ledger.accepted,
+            ),
+            makes_room_for=spec.name,
+            reason=reason,
+        )
+
+    def _load(
+        self,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+        reason: str,
+    ) -> PlannedOrder:
+        kept = ledger.in_memory | ledger.on_disk
+        return PlannedOrder(
+            upstream=ledger.name,
+            order=FleetOrder(
+                kind=FleetOrderKind.load,
+                model=spec.name,
+                expected=ledger.accepted,
+            ),
+            is_from_store=spec.name not in kept,
+            reason=reason,
+        )
+
+
+def load_time_s(spec: ModelSpec, ledger: UpstreamLedger) -> float:
+    """Return how long a model takes to load at an upstream."""
+    if spec.name in ledger.in_memory and spec.memory_load_s:
+        return spec.memory_load_s
+    if spec.name in ledger.on_disk and spec.disk_load_s:
+        return spec.disk_load_s
+    return spec.store_load_s
--- /dev/null
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -0,0 +1,142 @@
+"""The facts about all upstreams, numbered by change.
+
+Invariant: a fact that changed has a number above all earlier ones, so an
+entry that confirmed a number lacks only what has a higher one.
+"""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.fleet._held_model import HeldModel
+from persimmonhold.fleet._listed_upstream import ListedUpstream
+from persimmonhold.fleet._upstream_facts import UpstreamFacts
+from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+
+_SILENT_AFTER: Final = 2  # failed questions in a row; one may be a lost packet
+
+
+@final
+class FleetFacts:
+    """List and reports put together, by upstream."""
+
+    __slots__ = (
+        'changed_at',
+        'facts',
+        'failures',
+        'gone',
+        'leaving',
+        'listed',
+        'listed_at',
+        'number',
+    )
+
+    def __init__(self) -> None:
+        """Create facts about nothing."""
+        self.number = 0
+        self.facts: dict[str, UpstreamFacts] = {}
+        self.changed_at: dict[str, int] = {}
+        self.gone: dict[str, int] = {}
+        self.listed: dict[str, ListedUpstream] = {}
+        self.listed_at: float | None = None
+        self.failures: dict[str, int] = {}
+        self.leaving: set[str] = set()
+
+    def take_list(
+        self,
+        listed: Iterable[ListedUpstream],
+        now: float,
+    ) -> tuple[str, ...]:
+        """Take a whole list; return the upstreams that are gone."""
+        self.listed_at = now
+        self.listed = {one.name: one for one in listed}
+        gone = tuple(name for name in self.facts if name not in self.listed)
+        for name in gone:
+            self.facts.pop(name)
+            self.changed_at.pop(name)
+            self.failures.pop(name, None)
+            self.leaving.discard(name)
+            self.number += 1
+            self.gone[name] = self.number
+        return gone
+
+    def report_failed(self, name: str) -> None:
+        """Note that an upstream did not answer a question."""
+        self.failures[name] = self.failures.get(name, 0) + 1
+
+    def report_taken(self, name: str, *, is_leaving: bool) -> None:
+        """Note that an upstream answered, and whether it leaves."""
+        self.failures.pop(name, None)
+        if is_leaving:
+            self.leaving.add(name)
+
+    def refresh(self, ledgers: dict[str, UpstreamLedger]) -> bool:
+        """Bring the facts up to date; tell whether any changed."""
+        before = self.number
+        for name, listed in self.listed.items():
+            self._set(self._describe(listed, ledgers.get(name)))
+        return self.number > before
+
+    def since(
+        self,
+        number: int,
+    ) -> tuple[tuple[UpstreamFacts, ...], tuple[str, ...]]:
+        """Return the facts and the departures after a number."""
+        changed = tuple(
+            facts
+            for name, facts in self.facts.items()
+            if self.changed_at[name] > number
+        )
+        gone = tuple(name for name, at in self.gone.items() if at > number)
+        return changed, gone
+
+    def forget_gone(self, number: int) -> None:
+        """Forget the departures that every entry has confirmed."""
+        self.gone = {name: at for name, at in self.gone.items() if at > number}
+
+    def _set(self, facts: UpstreamFacts) -> None:
+        if self.facts.get(facts.name) == facts:
+            return
+        self.number += 1
+        self.facts[facts.name] = facts
+        self.changed_at[facts.name] = self.number
+        self.gone.pop(facts.name, None)
+
+    def _describe(
+        self,
+        listed: ListedUpstream,
+        ledger: UpstreamLedger | None,
+    ) -> UpstreamFacts:
+        failures = self.failures.get(listed.name, 0)
+        facts = UpstreamFacts(
+            name=listed.name,
+            service=listed.service,
+            address=listed.address,
+            failure_domain=listed.failure_domain,
+            slots=listed.slots,
+            born_ms=listed.born_ms,
+            is_leaving=listed.is_leaving or listed.name in self.leaving,
+            is_silent=failures >= _SILENT_AFTER,
+            models=listed.models or (),
+        )
+        if ledger is None or not ledger.born_ms:
+            return facts
+        return msgspec.structs.replace(
+            facts,
+            born_ms=ledger.born_ms,
+            is_changing=not ledger.is_idle,
+            models=_held_models(ledger),
+        )
+
+
+def _held_models(ledger: UpstreamLedger) -> tuple[HeldModel, ...]:
+    return tuple(
+        HeldModel(
+            name=model,
+            adapters=tuple(sorted(ledger.held[model])),
+            is_retiring=model in ledger.retiring or model == ledger.evicting,
+        )
+        for model in sorted(ledger.held)
+        if model != ledger.loading
+    )
--- /dev/null
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -0,0 +1,396 @@
+"""The decisions of the one VM that gives orders to upstreams.
+
+It belongs to one term of control. What it knows comes from the list, from
+reports of upstreams and of entries; nothing of it has to survive, since each
+order names the count of orders that it follows on (see `UpstreamLedger`).
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Final, final
+
+from persimmonhold.fleet._adapter_desk import AdapterDesk
+from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
+from persimmonhold.fleet._engine_room import free_mb, held_mb
+from persimmonhold.fleet._fleet_facts import FleetFacts
+from persimmonhold.fleet._fleet_messages import (
+    AdapterReply,
+    AdapterRequest,
+    EntryReport,
+    FleetUpdate,
+)
+from persimmonhold.fleet._fleet_order import (
+    FleetOrder,
+    FleetOrderKind,
+    OrderVerdict,
+)
+from persimmonhold.fleet._listed_upstream import ListedUpstream
+from persimmonhold.fleet._model_load import ModelLoad
+from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._store_pacer import StorePacer
+from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+from persimmonhold.fleet._upstream_report import UpstreamReport
+from persimmonhold.routes import EngineSpec, RoutingDocument
+
+_ENTRY_SILENT_S: Final = 2.0  # several reports of an entry are lost by then
+_RETIRE_LEAD_S: Final = 0.06  # entries hear of it and stop to send
+_RESERVED_S: Final = 4.0  # longer than the runs that an eviction waits for
+_RETRY_S: Final = 0.1  # an order without an answer is given again
+
+
+@final
+class FleetLeader:
+    """Facts, ledgers, demand and orders of one term."""
+
+    __slots__ = (
+        'desks',
+        'document',
+        'entries',
+        'facts',
+        'heard_at',
+        'ledgers',
+        'loads',
+        'orders_from',
+        'pacers',
+        'planned',
+        'replies',
+        'retry_at',
+        'sequence',
+        'shared',
+        'term',
+    )
+
+    def __init__(self, term: int, orders_from: float) -> None:
+        """Begin a term; no order is given before `orders_from`."""
+        self.term = term
+        self.orders_from = orders_from
+        self.document = RoutingDocument()
+        self.facts = FleetFacts()
+        self.ledgers: dict[str, UpstreamLedger] = {}
+        self.desks: dict[str, AdapterDesk] = {}
+        self.loads: dict[str, dict[str, ModelLoad]] = {}
+        self.pacers: dict[str, StorePacer] = {}
+        self.entries: dict[str, EntryReport] = {}
+        self.heard_at: dict[str, float] = {}
+        self.shared: dict[str, dict[str, SharedLoad]] = {}
+        self.planned: dict[str, PlannedOrder] = {}
+        self.replies: list[tuple[str, AdapterReply]] = []
+        self.retry_at: dict[str, float] = {}
+        self.sequence = 0
+
+    def adopt_routes(self, document: RoutingDocument) -> None:
+        """Follow the routing document in force."""
+        self.document = document
+
+    def engine_of(self, upstream: str) -> EngineSpec | None:
+        """Return the specification of an upstream that holds models."""
+        listed = self.facts.listed.get(upstream)
+        if listed is None:
+            return None
+        service = self.document.find_service(listed.service)
+        return service.engine if service else None
+
+    def take_list(self, listed: Iterable[ListedUpstream], now: float) -> None:
+        """Take a whole list of upstreams."""
+        for gone in self.facts.take_list(listed, now):
+            self.ledgers.pop(gone, None)
+            self.desks.pop(gone, None)
+            self.planned.pop(gone, None)
+            self.retry_at.pop(gone, None)
+        for name in self.facts.listed:
+            if name not in self.ledgers and self.engine_of(name) is not None:
+                self.ledgers[name] = UpstreamLedger(name)
+                self.desks[name] = AdapterDesk()
+
+    def take_report(self, upstream: str, report: UpstreamReport) -> None:
+        """Take what an upstream says of itself."""
+        ledger = self.ledgers.get(upstream)
+        if ledger is not None:
+            ledger.take_report(report)
+            self.facts.report_taken(upstream, is_leaving=report.is_leaving)
+
+    def report_failed(self, upstream: str) -> None:
+        """Note that an upstream did not answer."""
+        self.facts.report_failed(upstream)
+
+    def take_entry_report(
+        self,
+        entry: str,
+        report: EntryReport,
+        now: float,
+    ) -> None:
+        """Take what an entry runs and is asked for."""
+        last = self.entries.get(entry)
+        is_old = last is not None and last.sequence >= report.sequence
+        if is_old and now - self.heard_at[entry] < _ENTRY_SILENT_S:
+            return
+        self.entries[entry] = report
+        self.heard_at[entry] = now
+        self.shared[entry] = {load.upstream: load for load in report.loads}
+        for demand in report.demand:
+            models = self.loads.setdefault(demand.service, {})
+            load = models.setdefault(demand.model, ModelLoad(now))
+            load.take(entry, demand, now)
+
+    def ask_adapter(
+        self,
+        entry: str,
+        request: AdapterRequest,
+        now: float,
+    ) -> None:
+        """Take the request of an entry for an adapter."""
+        ledger = self.ledgers.get(request.upstream)
+        if ledger is None or now < self.orders_from:
+            reason = 'no orders are given to this upstream now'
+            reply = AdapterReply(
+                request_id=request.request_id,
+                is_ready=False,
+                reason=reason,
+            )
+        else:
+            desk = self.desks[request.upstream]
+            asked = desk.ask(entry, request, ledger, now)
+            if asked is None:
+                return
+            reply = asked
+        self.replies.append((entry, reply))
+
+    def take_replies(self, now: float) -> list[tuple[str, AdapterReply]]:
+        """Return the replies that are due, with the entry of each."""
+        replies = self.replies
+        self.replies = []
+        for upstream, desk in self.desks.items():
+            if desk.asks:
+                replies.extend(desk.take_replies(self.ledgers[upstream], now))
+        return replies
+
+    def plan(self, now: float) -> tuple[PlannedOrder, ...]:
+        """Plan the next orders of models; return what was decided."""
+        if now < self.orders_from:
+            return ()
+        self._forget_silent(now)
+        decided: list[PlannedOrder] = []
+        for service in self.document.services:
+            if service.engine is not None:
+                decided.extend(
+                    self._plan_service(service.name, service.engine, now),
+                )
+        return tuple(decided)
+
+    def next_order(self, upstream: str, now: float) -> FleetOrder | None:
+        """Return the order to give to an upstream now, or None."""
+        ledger = self.ledgers.get(upstream)
+        spec = self.engine_of(upstream)
+        if ledger is None or spec is None or now < self.orders_from:
+            return None
+        if not ledger.is_settled or now < self.retry_at.get(upstream, 0):
+            return None
+        adapter_order = self.desks[upstream].next_order(ledger, spec, now)
+        if adapter_order is not None:
+            return adapter_order
+        planned = self.planned.get(upstream)
+        if planned is None or not ledger.is_idle:
+            return None
+        return self._ready_order(planned, ledger, now)
+
+    def order_ended(
+        self,
+        upstream: str,
+        order: FleetOrder,
+        verdict: OrderVerdict,
+        now: float,
+    ) -> None:
+        """Take the outcome of an order."""
+        ledger = self.ledgers.get(upstream)
+        spec = self.engine_of(upstream)
+        if ledger is None or spec is None:
+            return
+        ledger.order_ended(order, verdict)
+        if verdict not in {OrderVerdict.accepted, OrderVerdict.holds}:
+            self.retry_at[upstream] = now + _RETRY_S
+        if order.adapter:
+            model = spec.find(order.model)
+            adapter_mb = model.adapter_mb if model else 0
+            self.desks[upstream].order_ended(order, verdict, adapter_mb, now)
+        elif verdict not in {OrderVerdict.unanswered, OrderVerdict.not_sent}:
+            self.planned.pop(upstream, None)
+
+    def next_due(self) -> float:
+        """Return when the next reply about an adapter is due."""
+        return min(
+            (desk.next_due() for desk in self.desks.values()),
+            default=math.inf,
+        )
+
+    def update_for(self, entry: str, now: float) -> FleetUpdate | None:
+        """Return what to tell an entry; None before the first list."""
+        if self.facts.listed_at is None:
+            return None
+        report = self.entries.get(entry)
+        is_known = report is not None and report.term == self.term
+        base = report.number if report is not None and is_known else 0
+        facts, gone = self.facts.since(base)
+        self.sequence += 1
+        return FleetUpdate(
+            term=self.term,
+            sequence=self.sequence,
+            base=base,
+            number=self.facts.number,
+            list_age_s=now - self.facts.listed_at,
+            facts=facts,
+            gone=gone if base else (),
+            others=self._others(entry),
+        )
+
+    def _plan_service(
+        self,
+        service: str,
+        spec: EngineSpec,
+        now: float,
+    ) -> list[PlannedOrder]:
+        loads = self.loads.setdefault(service, {})
+        for load in loads.values():
+            load.advance(now, spec.slots)
+        pacer = self.pacers.setdefault(service, StorePacer(now))
+        ledgers = self._plannable(service)
+        for ledger in ledgers:
+            self._expire_reservation(ledger, now)
+        decided: list[PlannedOrder] = []
+        while len(decided) < len(ledgers):
+            planner = self._planner(spec, ledgers, loads, now)
+            may_load = pacer.may_begin(spec.store_loads_per_s, now)
+            planned = planner.plan(may_load_from_store=may_load)
+            if planned is None:
+                break
+            if planned.is_from_store:
+                pacer.begin()
+            self._decide(planned, now)
+            decided.append(planned)
+        return decided
+
+    def _planner(
+        self,
+        spec: EngineSpec,
+        ledgers: list[UpstreamLedger],
+        loads: dict[str, ModelLoad],
+        now: float,
+    ) -> CopyPlanner:
+        domains = {
+            name: one.failure_domain for name, one in self.facts.facts.items()
+        }
+        return CopyPlanner(
+            spec,
+            ledgers,
+            loads,
+            domains,
+            self._use(ledgers, spec),
+            frozenset(self.planned),
+            now,
+        )
+
+    def _plannable(self, service: str) -> list[UpstreamLedger]:
+        """Return the ledgers of upstreams that stay and answer."""
+        return [
+            self.ledgers[name]
+            for name, facts in self.facts.facts.items()
+            if facts.service == service
+            and name in self.ledgers
+            and not facts.is_leaving
+            and not facts.is_silent
+        ]
+
+    def _decide(self, planned: PlannedOrder, now: float) -> None:
+        ledger = self.ledgers[planned.upstream]
+        self.planned[planned.upstream] = planned
+        if planned.makes_room_for:
+            ledger.reserved = planned.makes_room_for
+            ledger.reserved_until = now + _RESERVED_S
+            ledger.retiring[planned.order.model] = now
+        else:
+            ledger.reserved = planned.order.model
+            ledger.reserved_until = now + _RESERVED_S
+
+    def _expire_reservation(self, ledger: UpstreamLedger, now: float) -> None:
+        """Give up a plan that was not carried out in time."""
+        if ledger.reserved and now > ledger.reserved_until:
+            ledger.reserved = ''
+            if not ledger.evicting:
+                ledger.retiring = {}
+            self.planned.pop(ledger.name, None)
+
+    def _ready_order(
+        self,
+        planned: PlannedOrder,
+        ledger: UpstreamLedger,
+        now: float,
+    ) -> FleetOrder | None:
+        """Return a planned order once the entries know of it."""
+        model = planned.order.model
+        is_eviction = planned.order.kind is FleetOrderKind.evict
+        if is_eviction and now < ledger.retiring.get(model, 0) + _RETIRE_LEAD_S:
+            return None
+        if not self._is_possible(planned, ledger):
+            self.planned.pop(planned.upstream, None)
+            ledger.retiring.pop(model, None)
+            return None
+        return FleetOrder(
+            kind=planned.order.kind,
+            model=model,
+            expected=ledger.accepted,
+        )
+
+    def _is_possible(
+        self,
+        planned: PlannedOrder,
+        ledger: UpstreamLedger,
+    ) -> bool:
+        """Tell whether an order still fits what the upstream holds."""
+        model = planned.order.model
+        if planned.order.kind is FleetOrderKind.evict:
+            return model in ledger.held
+        spec = self.engine_of(ledger.name)
+        if spec is None or model in ledger.held:
+            return False
+        return free_mb(spec, ledger) >= held_mb(spec, model)
+
+    def _use(
+        self,
+        ledgers: Iterable[UpstreamLedger],
+        spec: EngineSpec,
+    ) -> dict[str, float]:
+        return {
+            ledger.name: sum(
+                loads[ledger.name].running
+                for loads in self.shared.values()
+                if ledger.name in loads
+            )
+            / spec.slots
+            for ledger in ledgers
+        }
+
+    def _others(self, entry: str) -> tuple[SharedLoad, ...]:
+        """Sum what all other entries run, by upstream."""
+        running: dict[str, int] = {}
+        unread: dict[str, int] = {}
+        for other, loads in self.shared.items():
+            if other == entry:
+                continue
+            for load in loads.values():
+                key = load.upstream
+                running[key] = running.get(key, 0) + load.running
+                unread[key] = unread.get(key, 0) + load.unread_tokens
+        return tuple(
+            SharedLoad(name, count, unread[name])
+            for name, count in running.items()
+            if count
+        )
+
+    def _forget_silent(self, now: float) -> None:
+        for entry, heard_at in tuple(self.heard_at.items()):
+            if now - heard_at > _ENTRY_SILENT_S:
+                self.heard_at.pop(entry)
+                self.entries.pop(entry, None)
+                self.shared.pop(entry, None)
+                for models in self.loads.values():
+                    for load in models.values():
+                        load.forget(entry)
--- /dev/null
+++ b/persimmonhold/fleet/_forward_action.py
@@ -0,0 +1,34 @@
+"""What the dispatcher asks to do."""
+
+from typing import TypeAlias, final
+
+import msgspec
+
+from persimmonhold.fleet._upstream_facts import UpstreamFacts
+
+
+@final
+class SendTo(msgspec.Struct, frozen=True, kw_only=True):
+    """Send the request; first have the adapter loaded where it is absent.
+
+    The remaining fields say by what it was decided.
+    """
+
+    number: int
+    upstream: UpstreamFacts
+    needs_adapter: bool = False
+    expected_s: float = 0
+    waited_s: float = 0
+    running: int = 0
+
+
+@final
+class TurnAway(msgspec.Struct, frozen=True, kw_only=True):
+    """Refuse the request; it was not run by any attempt of the dispatcher."""
+
+    number: int
+    reason: str
+    retry_after_s: float
+
+
+ForwardAction: TypeAlias = SendTo | TurnAway
--- /dev/null
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -0,0 +1,324 @@
+"""Decides at one entry when a request is sent, and where, or refuses it.
+
+Answers bursts beyond what the copies of a model can take at once: requests
+wait here, where the most urgent goes first and any upstream may still be
+chosen, and not at an upstream. Who cannot be served while its caller still
+listens is refused at once, and told when to come back. Nobody is refused
+while places for it are free.
+
+Invariants: each ticket ends by `finish` or by one `TurnAway`; a request is
+never given to an upstream that is leaving.
+"""
+
+import random
+from types import MappingProxyType
+from typing import Final, TypeAlias, final
+
+from persimmonhold.fleet._attempt_end import AttemptEnd
+from persimmonhold.fleet._fleet_messages import FleetUpdate
+from persimmonhold.fleet._forward_action import (
+    ForwardAction,
+    SendTo,
+    TurnAway,
+)
+from persimmonhold.fleet._forward_ticket import ForwardTicket
+from persimmonhold.fleet._retry_allowance import RetryAllowance, RetryBounds
+from persimmonhold.fleet._upstream_chooser import UpstreamChooser
+from persimmonhold.fleet._waiting_line import PendingRequest, WaitingLine
+
+_LineKey: TypeAlias = tuple[str, str]
+_PUMP_S: Final = 0.02  # shorter than a few steps of a batch
+_LEAST_EVENT_S: Final = 0.04  # an idle upstream and a short prompt
+_MAX_WAITING: Final = 400
+_MAX_SENDS: Final = 4  # refusals by upstreams count as sends
+_EXCLUDED_S: Final = 60.0  # longer than any request lasts
+_EXCLUSION_S: Final = MappingProxyType({
+    AttemptEnd.absent: 0.0,  # the belief about the model is what changed
+    AttemptEnd.full: 0.15,  # others are tried first
+    AttemptEnd.unsent: 0.1,
+})
+_NOT_REACHED: Final = frozenset((AttemptEnd.unreachable, AttemptEnd.unsent))
+_LEAST_RETURN_S: Final = 0.1
+_MAX_RETURN_S: Final = 2.0
+_ABSENT_RETURN_S: Final = 0.8  # a load from disk takes 0.6 to 0.8 s
+_SPREAD: Final = 0.4  # so that those refused together return apart
+
+
+@final
+class ForwardDispatcher:
+    """Lines of waiting requests over the upstreams of all services."""
+
+    __slots__ = (
+        'allowances',
+        'bounds',
+        'chooser',
+        'entries',
+        'lines',
+        'list_made_at',
+        'number',
+        'pending',
+        'pumped_at',
+        'sequence',
+        'source',
+        'term',
+    )
+
+    def __init__(
+        self,
+        domain: str,
+        bounds: RetryBounds,
+        source: random.Random,
+    ) -> None:
+        """Create the dispatcher of an entry in a failure domain."""
+        self.chooser = UpstreamChooser(domain, source)
+        self.bounds = bounds
+        self.source = source
+        self.entries = 1
+        self.term = 0
+        self.number = 0
+        self.sequence = 0
+        self.list_made_at = float('-inf')
+        self.pumped_at = 0.0
+        self.lines: dict[_LineKey, WaitingLine] = {}
+        self.pending: dict[int, PendingRequest] = {}
+        self.allowances: dict[str, RetryAllowance] = {}
+
+    def adopt(
+        self,
+        update: FleetUpdate,
+        now: float,
+    ) -> tuple[ForwardAction, ...]:
+        """Take an update of the facts, and send what fits by now."""
+        if update.term < self.term:
+            return ()
+        if update.term == self.term and update.sequence <= self.sequence:
+            return ()
+        is_whole = update.base == 0
+        if not is_whole and (
+            update.term > self.term or update.base > self.number
+        ):
+            return ()
+        self.term = update.term
+        self.sequence = update.sequence
+        self.number = update.number
+        self.list_made_at = max(self.list_made_at, now - update.list_age_s)
+        self.chooser.set_facts(update.facts, update.gone, is_whole=is_whole)
+        self.chooser.take_others(update.others, now)
+        return self.pump(now)
+
+    def arrive(
+        self,
+        ticket: ForwardTicket,
+        now: float,
+    ) -> tuple[ForwardAction, ...]:
+        """Take a new request."""
+        self._allowance(ticket.service).note_request(now)
+        pending = PendingRequest(ticket)
+        self.pending[ticket.number] = pending
+        return self._queue(pending, now)
+
+    def retry(
+        self,
+        number: int,
+        outcome: AttemptEnd,
+        now: float,
+    ) -> tuple[ForwardAction, ...]:
+        """Send a request again after a failed attempt, or refuse it.
+
+        The caller of this method answers for it that a repeat is allowed.
+        """
+        pending = self.pending.get(number)
+        if pending is None:
+            return ()
+        self._release(pending, outcome, now)
+        pause_s = _EXCLUSION_S.get(outcome, _EXCLUDED_S)
+        pending.excluded[pending.upstream] = now + pause_s
+        if outcome not in _NOT_REACHED and not self._may_repeat(pending, now):
+            return (self._turn_away(pending, 'retry_budget_spent', now),)
+        return self._queue(pending, now)
+
+    def begin(self, number: int, now: float) -> None:
+        """Note the first byte of the answer to a request."""
+        pending = self.pending.get(number)
+        if pending is not None and pending.upstream in self.chooser.uses:
+            self.chooser.uses[pending.upstream].begin(number, now)
+
+    def note_adapter(self, number: int, now: float) -> None:
+        """Note that the adapter of a request was loaded where it goes."""
+        pending = self.pending.get(number)
+        if pending is not None and pending.upstream in self.chooser.uses:
+            profile = pending.ticket.profile
+            self.chooser.uses[pending.upstream].note_adapter(
+                profile.model,
+                profile.adapter,
+                now,
+            )
+
+    def finish(
+        self,
+        number: int,
+        outcome: AttemptEnd,
+        now: float,
+    ) -> tuple[ForwardAction, ...]:
+        """Forget a request; the caller has its answer or has left."""
+        pending = self.pending.pop(number, None)
+        if pending is None:
+            return ()
+        if pending.upstream:
+            self._release(pending, outcome, now)
+            return self.pump(now)
+        self._leave_line(pending)
+        return ()
+
+    def pump(self, now: float) -> tuple[ForwardAction, ...]:
+        """Send what fits, in order, and refuse what has waited too long."""
+        self.pumped_at = now
+        actions: list[ForwardAction] = []
+        waiting: list[PendingRequest] = []
+        for line in self.lines.values():
+            if line.pending:
+                line.reorder(now, _LEAST_EVENT_S)
+                waiting.extend(line.pending)
+        waiting.sort(key=lambda one: one.order)
+        blocked: set[tuple[_LineKey, str]] = set()
+        for pending in waiting:
+            key = (_line_key(pending.ticket), pending.ticket.profile.adapter)
+            if key not in blocked or pending.excluded:
+                action = self._try_send(pending, now)
+                if action is not None:
+                    actions.append(action)
+                    continue
+                blocked.add(key)
+            if now >= self._expires_at(pending):
+                reason = self._reason(pending, now)
+                actions.append(self._turn_away(pending, reason, now))
+        return tuple(actions)
+
+    def next_wakeup(self) -> float | None:
+        """Return when `pump` is due, or None while nobody waits."""
+        if any(line.pending for line in self.lines.values()):
+            return self.pumped_at + _PUMP_S
+        return None
+
+    def _queue(
+        self,
+        pending: PendingRequest,
+        now: float,
+    ) -> tuple[ForwardAction, ...]:
+        """Send a request, let it wait, or refuse it at once."""
+        pending.upstream = ''
+        pending.queued_at = now
+        pending.settle_order(now, _LEAST_EVENT_S)
+        line = self._line(pending)
+        if not line.pending:
+            sent = self._try_send(pending, now)
+            if sent is not None:
+                return (sent,)
+        line.add(pending)
+        actions = self.pump(now)
+        if pending.upstream or pending.ticket.number not in self.pending:
+            return actions
+        if self._is_hopeless(pending, now):
+            reason = self._reason(pending, now)
+            return (*actions, self._turn_away(pending, reason, now))
+        return actions
+
+    def _try_send(self, pending: PendingRequest, now: float) -> SendTo | None:
+        choice = self.chooser.choose(pending, now)
+        if choice is None:
+            return None
+        use, expected_s, needs_adapter = choice
+        line = self._line(pending)
+        if pending in line.pending:
+            line.remove(pending)
+        line.note_dispatch(now, others_wait=bool(line.pending))
+        running = use.running_total(now)
+        pending.upstream = use.facts.name
+        pending.sends += 1
+        use.start(pending.ticket, expected_s, now)
+        return SendTo(
+            number=pending.ticket.number,
+            upstream=use.facts,
+            needs_adapter=needs_adapter,
+            expected_s=expected_s,
+            waited_s=now - pending.queued_at,
+            running=running,
+        )
+
+    def _is_hopeless(self, pending: PendingRequest, now: float) -> bool:
+        line = self._line(pending)
+        if len(line) > _MAX_WAITING:
+            return True
+        expires_at = self._expires_at(pending)
+        if now >= expires_at:
+            return True
+        if not self.chooser.is_somewhere(pending, now):
+            return False
+        return now + line.wait_s(pending, now) > expires_at
+
+    def _expires_at(self, pending: PendingRequest) -> float:
+        """Return until when a request may wait for a place."""
+        ticket = pending.ticket
+        latest = min(ticket.patience_until, ticket.ends_at)
+        return latest - _LEAST_EVENT_S
+
+    def _reason(self, pending: PendingRequest, now: float) -> str:
+        if self.chooser.is_somewhere(pending, now):
+            return 'no_capacity'
+        return 'no_upstream'
+
+    def _turn_away(
+        self,
+        pending: PendingRequest,
+        reason: str,
+        now: float,
+    ) -> TurnAway:
+        """Forget a request; tell when a place is expected for it."""
+        line = self._line(pending)
+        wait_s = line.wait_s(pending, now)
+        if not self.chooser.is_somewhere(pending, now):
+            wait_s = _ABSENT_RETURN_S
+        self._leave_line(pending)
+        self.pending.pop(pending.ticket.number, None)
+        after_s = min(_MAX_RETURN_S, max(_LEAST_RETURN_S, wait_s))
+        spread = 1 + _SPREAD * self.source.random()
+        return TurnAway(
+            number=pending.ticket.number,
+            reason=reason,
+            retry_after_s=after_s * spread,
+        )
+
+    def _may_repeat(self, pending: PendingRequest, now: float) -> bool:
+        if pending.sends >= _MAX_SENDS:
+            return False
+        allowance = self._allowance(pending.ticket.service)
+        return allowance.take(self.entries, now)
+
+    def _release(
+        self,
+        pending: PendingRequest,
+        outcome: AttemptEnd,
+        now: float,
+    ) -> None:
+        use = self.chooser.uses.get(pending.upstream)
+        if use is not None:
+            use.end(pending.ticket, outcome, now)
+
+    def _allowance(self, service: str) -> RetryAllowance:
+        found = self.allowances.get(service)
+        if found is None:
+            found = RetryAllowance(self.bounds)
+            self.allowances[service] = found
+        return found
+
+    def _line(self, pending: PendingRequest) -> WaitingLine:
+        return self.lines.setdefault(_line_key(pending.ticket), WaitingLine())
+
+    def _leave_line(self, pending: PendingRequest) -> None:
+        line = self._line(pending)
+        if pending in line.pending:
+            line.remove(pending)
+
+
+def _line_key(ticket: ForwardTicket) -> _LineKey:
+    return ticket.service, ticket.profile.model
--- /dev/null
+++ b/persimmonhold/fleet/_forward_ticket.py
@@ -0,0 +1,28 @@
+"""A request that asks for an upstream."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.fleet._request_profile import RequestProfile
+from persimmonhold.routes import ForwardRoute
+
+
+@final
+class ForwardTicket(msgspec.Struct, frozen=True, kw_only=True):
+    """What the dispatcher knows of a request; times in seconds.
+
+    `number` identifies it at this entry. `due_at` is when its first event or
+    its answer is due; after `patience_until` the caller is expected to be
+    gone; at `ends_at` the answer has to be whole.
+    """
+
+    number: int
+    service: str
+    route: ForwardRoute
+    profile: RequestProfile
+    arrived_at: float
+    due_at: float
+    patience_until: float
+    ends_at: float
+    is_engine: bool = False
--- /dev/null
+++ b/persimmonhold/fleet/_model_load.py
@@ -0,0 +1,95 @@
+"""How much of the fleet one model needs.
+
+Load is counted in upstreams: the share of slots that its requests take, and
+the share of time that reading its prompts takes.
+"""
+
+import math
+from typing import Final, final
+
+from persimmonhold.fleet._model_demand import ModelDemand
+
+_FAST_S: Final = 0.8  # follows a shift of demand within a second or two
+_SLOW_S: Final = 12.0  # keeps a copy through a lull between bursts
+
+
+@final
+class ModelLoad:
+    """Demand of one model over all entries, smoothed twice."""
+
+    __slots__ = (
+        'arrivals_per_s',
+        'fast',
+        'fast_tokens_per_s',
+        'last_arrival',
+        'running',
+        'slow',
+        'slow_tokens_per_s',
+        'tokens',
+        'updated_at',
+        'urgency',
+        'waiting',
+    )
+
+    def __init__(self, now: float) -> None:
+        """Create the load of a model that nobody asked for."""
+        self.running: dict[str, int] = {}
+        self.waiting: dict[str, int] = {}
+        self.urgency: dict[str, int] = {}
+        self.tokens = 0
+        self.fast = 0.0
+        self.slow = 0.0
+        self.fast_tokens_per_s = 0.0
+        self.slow_tokens_per_s = 0.0
+        self.arrivals_per_s = 0.0
+        self.last_arrival = -math.inf
+        self.updated_at = now
+
+    @property
+    def total_waiting(self) -> int:
+        """The number of requests that wait at the entries."""
+        return sum(self.waiting.values())
+
+    @property
+    def lowest_urgency(self) -> int:
+        """The most urgent priority number among the waiting ones."""
+        return min(self.urgency.values(), default=9)
+
+    def take(self, entry: str, demand: ModelDemand, now: float) -> None:
+        """Take the report of an entry."""
+        self.running[entry] = demand.running
+        self.waiting[entry] = demand.waiting
+        self.urgency[entry] = demand.urgency
+        self.tokens += demand.tokens
+        self.arrivals_per_s += demand.arrived / _SLOW_S
+        if demand.arrived:
+            self.last_arrival = now
+
+    def forget(self, entry: str) -> None:
+        """Drop what an entry runs that does not report any more."""
+        self.running.pop(entry, None)
+        self.waiting.pop(entry, None)
+        self.urgency.pop(entry, None)
+
+    def advance(self, now: float, slots: int) -> None:
+        """Smooth what was taken since the last call."""
+        elapsed_s = now - self.updated_at
+        if elapsed_s <= 0:
+            return
+        self.updated_at = now
+        in_use = (sum(self.running.values()) + self.total_waiting) / slots
+        rate = self.tokens / elapsed_s
+        self.tokens = 0
+        fast = 1 - math.exp(-elapsed_s / _FAST_S)
+        slow = 1 - math.exp(-elapsed_s / _SLOW_S)
+        self.fast += fast * (in_use - self.fast)
+        self.slow += slow * (in_use - self.slow)
+        self.fast_tokens_per_s += fast * (rate - self.fast_tokens_per_s)
+        self.slow_tokens_per_s += slow * (rate - self.slow_tokens_per_s)
+        self.arrivals_per_s -= slow * self.arrivals_per_s
+
+    def upstreams_needed(self, prompt_tokens_per_s: float) -> float:
+        """Return the load, in upstreams that read at that speed."""
+        fast = self.fast + self.fast_tokens_per_s / prompt_tokens_per_s
+        slow = self.slow + self.slow_tokens_per_s / prompt_tokens_per_s
+        return max(fast, slow / 2)
--- /dev/null
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -0,0 +1,135 @@
+"""Chooses the upstream of a request among those that take it now.
+
+Invariant: an upstream that is leaving, is full or lacks the model is never
+chosen.
+"""
+
+import random
+from collections.abc import Iterable
+from typing import Final, TypeAlias, final
+
+from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
+from persimmonhold.fleet._first_event import predict_first_event_s
+from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._upstream_facts import UpstreamFacts
+from persimmonhold.fleet._upstream_use import UpstreamUse
+from persimmonhold.fleet._waiting_line import PendingRequest
+
+Choice: TypeAlias = tuple[UpstreamUse, float, bool]
+_UNREAD_LIMIT_S: Final = 0.25  # half of the tightest time to a first event
+_JITTER_S: Final = 0.004  # keeps entries from choosing alike
+
+
+@final
+class UpstreamChooser:
+    """What an entry believes of all upstreams, and its choices."""
+
+    __slots__ = ('by_service', 'domain', 'source', 'uses')
+
+    def __init__(self, domain: str, source: random.Random) -> None:
+        """Create the chooser of an entry that knows no upstream."""
+        self.domain = domain
+        self.source = source
+        self.uses: dict[str, UpstreamUse] = {}
+        self.by_service: dict[str, list[UpstreamUse]] = {}
+
+    def set_facts(
+        self,
+        facts: Iterable[UpstreamFacts],
+        gone: Iterable[str],
+        *,
+        is_whole: bool,
+    ) -> None:
+        """Take facts; whole ones leave out what is gone."""
+        known = {one.name: one for one in facts}
+        for name, one in known.items():
+            use = self.uses.get(name)
+            if use is None:
+                self.uses[name] = UpstreamUse(one)
+            else:
+                use.adopt(one)
+        gone_now = set(gone)
+        if is_whole:
+            gone_now |= self.uses.keys() - known.keys()
+        for name in gone_now:
+            self.uses.pop(name, None)
+        self.by_service = {}
+        for use in self.uses.values():
+            self.by_service.setdefault(use.facts.service, []).append(use)
+
+    def take_others(self, others: Iterable[SharedLoad], now: float) -> None:
+        """Take what the other entries run."""
+        loads = {load.upstream: load for load in others}
+        for name, use in self.uses.items():
+            use.take_others(loads.get(name), now)
+
+    def choose(self, pending: PendingRequest, now: float) -> Choice | None:
+        """Return the upstream with the earliest expected answer, or None.
+
+        With it come the expected seconds, and whether the adapter is absent.
+        """
+        best: Choice | None = None
+        best_score = float('inf')
+        for use in self.by_service.get(pending.ticket.service, ()):
+            if not self._takes(use, pending, now):
+                continue
+            needs_adapter = self._needs_adapter(use, pending, now)
+            if needs_adapter and use.facts.is_changing:
+                continue
+            expected_s = predict_first_event_s(
+                use,
+                pending.ticket,
+                self.domain,
+                now,
+                needs_adapter=needs_adapter,
+            )
+            score = expected_s + _JITTER_S * self.source.random()
+            score += use.failing * expected_s
+            if score < best_score:
+                best_score = score
+                best = (use, expected_s, needs_adapter)
+        return best
+
+    def is_somewhere(self, pending: PendingRequest, now: float) -> bool:
+        """Tell whether an upstream that is open could run the request."""
+        ticket = pending.ticket
+        return any(
+            use.is_open(now)
+            and not pending.excludes(use.facts.name, now)
+            and (
+                not ticket.is_engine
+                or use.find(ticket.profile.model, now) is not None
+            )
+            for use in self.by_service.get(ticket.service, ())
+        )
+
+    def _takes(
+        self,
+        use: UpstreamUse,
+        pending: PendingRequest,
+        now: float,
+    ) -> bool:
+        """Tell whether an upstream may get the request now."""
+        if pending.excludes(use.facts.name, now) or not use.is_open(now):
+            return False
+        running = use.running_total(now)
+        if now < use.full_until or running >= use.facts.slots:
+            return False
+        if not pending.ticket.is_engine:
+            return True
+        if use.find(pending.ticket.profile.model, now) is None:
+            return False
+        unread_s = use.unread_total(now) / PROMPT_TOKENS_PER_S
+        return not running or unread_s < _UNREAD_LIMIT_S
+
+    def _needs_adapter(
+        self,
+        use: UpstreamUse,
+        pending: PendingRequest,
+        now: float,
+    ) -> bool:
+        profile = pending.ticket.profile
+        if not pending.ticket.is_engine or not profile.adapter:
+            return False
+        held = use.find(profile.model, now)
+        return held is None or not use.has_adapter(held, profile.adapter, now)
--- /dev/null
+++ b/persimmonhold/fleet/_upstream_ledger.py
@@ -0,0 +1,164 @@
+"""What one upstream holds, as the VM that gives it orders knows.
+
+Every order names the number of orders accepted before it, and an upstream
+refuses any other number. So what it holds follows from the last state in
+which that number was known, and a late or doubled order changes nothing.
+Invariant: an order is given only in a settled state, in which what is held
+and what is on its way is known in full.
+"""
+
+from typing import final
+
+from persimmonhold.fleet._fleet_order import (
+    FleetOrder,
+    FleetOrderKind,
+    OrderVerdict,
+)
+from persimmonhold.fleet._upstream_report import UpstreamReport
+
+
+@final
+class UpstreamLedger:
+    """State of one upstream with models.
+
+    `held` holds the adapters by model, those on their way included.
+    `loading` and `evicting` name the model whose order is being carried
+    out. `reserved` names a model that gets the room that is being made.
+    """
+
+    __slots__ = (
+        'accepted',
+        'born_ms',
+        'evicting',
+        'held',
+        'in_memory',
+        'is_settled',
+        'loading',
+        'name',
+        'on_disk',
+        'reserved',
+        'reserved_until',
+        'retiring',
+    )
+
+    def __init__(self, name: str) -> None:
+        """Create the ledger of an upstream that was not asked yet."""
+        self.name = name
+        self.accepted = 0
+        self.born_ms = 0
+        self.held: dict[str, set[str]] = {}
+        self.loading = ''
+        self.evicting = ''
+        self.reserved = ''
+        self.reserved_until = 0.0
+        self.retiring: dict[str, float] = {}
+        self.in_memory: frozenset[str] = frozenset()
+        self.on_disk: frozenset[str] = frozenset()
+        self.is_settled = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether an order of a model may be given."""
+        return self.is_settled and not self.loading and not self.evicting
+
+    @property
+    def models(self) -> tuple[str, ...]:
+        """The models that count against the room, in no special order."""
+        if self.loading and self.loading not in self.held:
+            return (*self.held, self.loading)
+        return tuple(self.held)
+
+    @property
+    def adapter_count(self) -> int:
+        """The number of adapter places in use."""
+        return sum(len(adapters) for adapters in self.held.values())
+
+    def take_report(self, report: UpstreamReport) -> bool:
+        """Take a report; tell whether it was newer than what is known."""
+        if report.born_ms != self.born_ms:
+            if report.born_ms < self.born_ms:
+                return False
+            self._restart(report.born_ms)
+        self.in_memory = frozenset(report.in_memory)
+        self.on_disk = frozenset(report.on_disk)
+        if report.accepted_orders < self.accepted:
+            return False
+        is_known = report.accepted_orders == self.accepted and self.is_settled
+        if report.is_busy:
+            if not is_known:
+                self.is_settled = False
+            return not is_known
+        self._adopt(report)
+        return True
+
+    def order_ended(self, order: FleetOrder, verdict: OrderVerdict) -> None:
+        """Take what the upstream said of an order."""
+        if verdict is OrderVerdict.accepted:
+            self.accepted = order.expected + 1
+            self._apply(order)
+        elif verdict is OrderVerdict.holds:
+            self._note_holding(order)
+        elif verdict in {
+            OrderVerdict.conflict,
+            OrderVerdict.unknown_order,
+            OrderVerdict.other_process,
+        }:
+            self.is_settled = False
+
+    def holds(self, model: str, adapter: str = '') -> bool:
+        """Tell whether a model, or an adapter of it, is held."""
+        adapters = self.held.get(model)
+        if adapters is None or model in {self.loading, self.evicting}:
+            return False
+        return not adapter or adapter in adapters
+
+    def _apply(self, order: FleetOrder) -> None:
+        if order.adapter:
+            adapters = self.held.setdefault(order.model, set())
+            if order.kind is FleetOrderKind.load:
+                adapters.add(order.adapter)
+            else:
+                adapters.discard(order.adapter)
+        elif order.kind is FleetOrderKind.load:
+            self.loading = order.model
+        else:
+            self.evicting = order.model
+
+    def _note_holding(self, order: FleetOrder) -> None:
+        """Take that an order changed nothing.
+
+        The eviction of an adapter is carried out at once and counted.
+        """
+        if order.adapter and order.kind is FleetOrderKind.evict:
+            self.accepted = order.expected + 1
+            self._apply(order)
+        elif order.adapter:
+            self.held.setdefault(order.model, set()).add(order.adapter)
+        else:
+            self.is_settled = False
+
+    def _adopt(self, report: UpstreamReport) -> None:
+        self.accepted = report.accepted_orders
+        self.held = {held.name: set(held.adapters) for held in report.models}
+        for model, adapter in report.arriving:
+            self.held.setdefault(model, set()).add(adapter)
+        if self.reserved in self.held:
+            self.reserved = ''
+        self.retiring = {
+            name: since
+            for name, since in self.retiring.items()
+            if name in self.held
+        }
+        self.loading = ''
+        self.evicting = ''
+        self.is_settled = True
+
+    def _restart(self, born_ms: int) -> None:
+        self.born_ms = born_ms
+        self.accepted = 0
+        self.held = {}
+        self.loading = ''
+        self.evicting = ''
+        self.reserved = ''
+        self.retiring = {}
+        self.is_settled = False
--- /dev/null
+++ b/persimmonhold/fleet/_upstream_use.py
@@ -0,0 +1,208 @@
+"""What an entry believes about one upstream.
+
+The facts and the load of others come late; what this entry runs itself is
+known. A refusal because a model is absent counts for more than the facts for
+a while, since they may be older.
+"""
+
+import math
+from typing import Final, final
+
+from persimmonhold.fleet._attempt_end import AttemptEnd
+from persimmonhold.fleet._forward_ticket import ForwardTicket
+from persimmonhold.fleet._held_model import HeldModel
+from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._upstream_facts import UpstreamFacts
+
+_ABSENT_S: Final = 0.4  # reports lag by some 200 ms, and updates by 100 ms
+_FULL_S: Final = 0.05  # a place comes free about that often when busy
+_PAUSE_S: Final = 0.25  # first pause of an upstream that failed
+_MAX_PAUSE_S: Final = 2.0
+_OTHERS_STALE_S: Final = 1.0  # load of others is not believed for longer
+_FAILURE_MEMORY: Final = 0.2  # weight of the newest attempt
+_MAX_RATIO: Final = 10.0  # one hung answer does not outweigh the rest
+_LEAST_RATIO: Final = 0.1
+_SMOOTHING: Final = 0.2
+_FAILING_SHARE: Final = 0.25  # healthy upstreams fail a few of a hundred
+
+
+@final
+class RunningRequest:
+    """An attempt under way."""
+
+    __slots__ = ('expected_s', 'has_begun', 'model', 'started_at', 'unread')
+
+    def __init__(
+        self,
+        model: str,
+        unread: int,
+        started_at: float,
+        expected_s: float,
+    ) -> None:
+        """Create an attempt whose prompt is not read yet."""
+        self.model = model
+        self.unread = unread
+        self.started_at = started_at
+        self.expected_s = expected_s
+        self.has_begun = False
+
+
+@final
+class UpstreamUse:
+    """Facts, load and health of one upstream at one entry."""
+
+    __slots__ = (
+        '_absent_until',
+        '_others',
+        '_others_at',
+        'adapters',
+        'facts',
+        'failing',
+        'full_until',
+        'pauses',
+        'paused_until',
+        'residence_s',
+        'running',
+        'slowness',
+    )
+
+    def __init__(self, facts: UpstreamFacts) -> None:
+        """Create the use of an upstream that was never used."""
+        self.facts = facts
+        self.running: dict[int, RunningRequest] = {}
+        self.adapters: dict[tuple[str, str], float] = {}
+        self.failing = 0.0
+        self.full_until = -math.inf
+        self.paused_until = -math.inf
+        self.pauses = 0
+        self.residence_s = 0.1
+        self.slowness = 1.0
+        self._absent_until: dict[str, float] = {}
+        self._others = SharedLoad(facts.name, 0, 0)
+        self._others_at = -math.inf
+
+    def adopt(self, facts: UpstreamFacts) -> None:
+        """Take newer facts; another start of the process is a new one."""
+        if facts.born_ms != self.facts.born_ms:
+            self.failing = 0
+            self.pauses = 0
+            self.paused_until = -math.inf
+            self.adapters.clear()
+        self.facts = facts
+
+    def take_others(self, load: SharedLoad | None, now: float) -> None:
+        """Take what the other entries run."""
+        self._others = load or SharedLoad(self.facts.name, 0, 0)
+        self._others_at = now
+
+    def running_total(self, now: float) -> int:
+        """Return the believed number of requests at the upstream."""
+        return len(self.running) + self._fresh_others(now).running
+
+    def unread_total(self, now: float) -> int:
+        """Return the believed number of prompt tokens not read yet."""
+        own = sum(
+            one.unread for one in self.running.values() if not one.has_begun
+        )
+        return own + self._fresh_others(now).unread_tokens
+
+    def is_open(self, now: float) -> bool:
+        """Tell whether the upstream may be given new requests."""
+        if self.facts.is_leaving or now < self.paused_until:
+            return False
+        return not (self.facts.is_silent and self.pauses)
+
+    def find(self, model: str, now: float) -> HeldModel | None:
+        """Return what is believed to be held of a model, or None."""
+        if now < self._absent_until.get(model, -math.inf):
+            return None
+        held = self.facts.find(model)
+        return None if held is None or held.is_retiring else held
+
+    def has_adapter(self, held: HeldModel, adapter: str, now: float) -> bool:
+        """Tell whether an adapter is believed to be loaded."""
+        key = (held.name, adapter)
+        if now < self._absent_until.get('/'.join(key), -math.inf):
+            return False
+        return adapter in held.adapters or now < self.adapters.get(key, 0)
+
+    def note_adapter(self, model: str, adapter: str, now: float) -> None:
+        """Believe that an adapter was loaded, until the facts show it."""
+        self.adapters[model, adapter] = now + _ABSENT_S
+        self._absent_until.pop(f'{model}/{adapter}', None)
+
+    def start(
+        self,
+        ticket: ForwardTicket,
+        expected_s: float,
+        now: float,
+    ) -> None:
+        """Count an attempt that starts."""
+        profile = ticket.profile
+        self.running[ticket.number] = RunningRequest(
+            profile.model,
+            profile.prompt_tokens,
+            now,
+            expected_s,
+        )
+
+    def begin(self, number: int, now: float) -> None:
+        """Note the first byte of an answer; learn how slow it was."""
+        running = self.running.get(number)
+        if running is None or running.has_begun:
+            return
+        running.has_begun = True
+        if running.expected_s > 0:
+            ratio = (now - running.started_at) / running.expected_s
+            bounded = min(_MAX_RATIO, max(_LEAST_RATIO, ratio))
+            self.slowness += _SMOOTHING * (bounded - self.slowness)
+
+    def end(
+        self,
+        ticket: ForwardTicket,
+        outcome: AttemptEnd,
+        now: float,
+    ) -> None:
+        """Stop counting an attempt, and learn from its end."""
+        running = self.running.pop(ticket.number, None)
+        if running is None:
+            return
+        if outcome is AttemptEnd.answered:
+            taken_s = now - running.started_at
+            self.residence_s += _SMOOTHING * (taken_s - self.residence_s)
+            self.pauses = 0
+            self.failing -= _FAILURE_MEMORY * self.failing
+        elif outcome is AttemptEnd.full:
+            self.full_until = now + _FULL_S
+        elif outcome is AttemptEnd.absent:
+            self._note_absent(ticket, now)
+        elif outcome not in {AttemptEnd.cancelled, AttemptEnd.unsent}:
+            self._note_failure(outcome, now)
+
+    def _note_absent(self, ticket: ForwardTicket, now: float) -> None:
+        """Believe that what the request needs is not there.
+
+        Which of model and adapter is absent is not said.
+        """
+        profile = ticket.profile
+        held = self.facts.find(profile.model)
+        if held is not None and profile.adapter:
+            key = f'{profile.model}/{profile.adapter}'
+            if now >= self._absent_until.get(key, -math.inf):
+                self._absent_until[key] = now + _ABSENT_S
+                self.adapters.pop((profile.model, profile.adapter), None)
+                return
+        self._absent_until[profile.model] = now + _ABSENT_S
+
+    def _note_failure(self, outcome: AttemptEnd, now: float) -> None:
+        self.failing += _FAILURE_MEMORY * (1 - self.failing)
+        is_lost = outcome in {AttemptEnd.unreachable, AttemptEnd.replaced}
+        if is_lost or self.failing > _FAILING_SHARE:
+            self.pauses += 1
+            pause_s = _PAUSE_S * 2 ** min(self.pauses - 1, 4)
+            self.paused_until = now + min(_MAX_PAUSE_S, pause_s)
+
+    def _fresh_others(self, now: float) -> SharedLoad:
+        if now - self._others_at > _OTHERS_STALE_S:
+            return SharedLoad(self.facts.name, 0, 0)
+        return self._others
--- /dev/null
+++ b/persimmonhold/forwarding/_entry_status.py
@@ -0,0 +1,18 @@
+"""What others ask of an entry: readiness and the directory."""
+
+import abc
+
+from persimmonhold.directory import DirectoryAnswer
+
+
+class EntryStatus(abc.ABC):
+    """Answers about one entry and the others that it knows."""
+
+    @property
+    @abc.abstractmethod
+    def is_ready(self) -> bool:
+        """Tell whether callers should come to this entry."""
+
+    @abc.abstractmethod
+    def directory(self, failure_domain: str) -> DirectoryAnswer:
+        """Return the entries for a caller in a failure domain."""
--- /dev/null
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -0,0 +1,186 @@
+"""An entry's side of the exchange with the VM that gives orders.
+
+The entry reports what it runs and is asked for, and takes facts and replies.
+Where no update came for a while, it reads the list itself, so that an
+upstream that leaves gets no new requests.
+"""
+
+import asyncio
+import itertools
+import random
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from persimmonhold.control.shell import VmShell
+from persimmonhold.fleet import (
+    AdapterReply,
+    AdapterRequest,
+    FleetMessage,
+    FleetUpdate,
+    ListedUpstream,
+    UpstreamFacts,
+)
+from persimmonhold.forwarding._forward_hub import ForwardHub
+from persimmonhold.forwarding._upstream_source import UpstreamSource
+from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.transport import Channel, Transport
+
+_ID_BITS: Final = 32  # a restarted entry does not reuse ids
+_REPORT_S: Final = 0.1  # as often as the giver of orders plans
+_RESEND_S: Final = 0.08  # an adapter takes some 20 ms with the ways
+_ADAPTER_TIMEOUT_S: Final = 0.3
+_LIST_OLD_S: Final = 1.5  # updates come every 0.1 s, lists every 0.5 s
+_LIST_SHARE: Final = 0.25  # entries that read the list at the same time
+
+
+@final
+class FleetClient:
+    """Reports, updates and requests for adapters of one entry."""
+
+    __slots__ = (
+        'asked',
+        'decoder',
+        'hub',
+        'numbers',
+        'random',
+        'source',
+        'transport',
+        'vm',
+    )
+
+    def __init__(
+        self,
+        hub: ForwardHub,
+        vm: VmShell,
+        transport: Transport,
+        source: UpstreamSource,
+        generator: random.Random,
+    ) -> None:
+        """Subscribe to the channel."""
+        self.hub = hub
+        self.vm = vm
+        self.transport = transport
+        self.source = source
+        self.random = generator
+        self.numbers = itertools.count(generator.getrandbits(_ID_BITS))
+        self.asked: dict[int, asyncio.Future[AdapterReply]] = {}
+        self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
+        transport.subscribe(Channel.fleet, self.receive)
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            self._send(self.hub.report())
+            if self.hub.clock() - self._list_made_at > _LIST_OLD_S:
+                await self._read_list()
+            await asyncio.sleep(_REPORT_S)
+
+    async def ask_adapter(
+        self,
+        service: str,
+        upstream: str,
+        model: str,
+        adapter: str,
+    ) -> bool:
+        """Have an adapter loaded; tell whether it is there now."""
+        request = AdapterRequest(
+            request_id=next(self.numbers),
+            service=service,
+            upstream=upstream,
+            model=model,
+            adapter=adapter,
+        )
+        reply: asyncio.Future[AdapterReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.asked[request.request_id] = reply
+        try:
+            async with asyncio.timeout(_ADAPTER_TIMEOUT_S):
+                answered = await self._ask_until_answered(request, reply)
+        except TimeoutError:
+            log_event('adapter_unanswered', upstream=upstream, adapter=adapter)
+            return False
+        finally:
+            self.asked.pop(request.request_id)
+        if not answered.is_ready:
+            log_event(
+                'adapter_refused',
+                upstream=upstream,
+                model=model,
+                adapter=adapter,
+                reason=answered.reason,
+            )
+        return answered.is_ready
+
+    def receive(self, peer: str, payload: bytes) -> None:
+        """Take a message of the channel."""
+        try:
+            message = self.decoder.decode(payload)
+        except msgspec.DecodeError as error:
+            log_event('bad_message', LogLevel.warning, error=str(error))
+            return
+        if isinstance(message, FleetUpdate):
+            self.hub.adopt(message)
+        elif isinstance(message, AdapterReply):
+            waiting = self.asked.get(message.request_id)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(message)
+
+    @property
+    def _list_made_at(self) -> float:
+        return self.hub.dispatcher.list_made_at
+
+    async def _ask_until_answered(
+        self,
+        request: AdapterRequest,
+        reply: asyncio.Future[AdapterReply],
+    ) -> AdapterReply:
+        while True:
+            self._send(request)
+            done, _ = await asyncio.wait((reply,), timeout=_RESEND_S)
+            if done:
+                return reply.result()
+
+    async def _read_list(self) -> None:
+        """Read the list in the place of the giver of orders."""
+        if self.random.random() > _LIST_SHARE:
+            return
+        listed = await self.source.read_list()
+        if isinstance(listed, Failed):
+            return
+        dispatcher = self.hub.dispatcher
+        known = {
+            name: use.facts for name, use in dispatcher.chooser.uses.items()
+        }
+        facts = [_merge(one, known.get(one.name)) for one in listed.unwrap()]
+        dispatcher.chooser.set_facts(facts, (), is_whole=True)
+        dispatcher.list_made_at = self.hub.clock()
+        log_event('list_read_by_entry', upstreams=len(facts))
+
+    def _send(self, message: FleetMessage) -> None:
+        leader = self.vm.agent.leader
+        if leader and leader != self.vm.record.name:
+            encoded = msgspec.msgpack.encode(message)
+            self.transport.send(leader, Channel.fleet, encoded)
+
+
+def _merge(
+    listed: ListedUpstream,
+    known: UpstreamFacts | None,
+) -> UpstreamFacts:
+    """Keep what is known of an upstream beyond the list."""
+    if known is not None and known.born_ms >= listed.born_ms:
+        is_leaving = known.is_leaving or listed.is_leaving
+        return msgspec.structs.replace(known, is_leaving=is_leaving)
+    return UpstreamFacts(
+        name=listed.name,
+        service=listed.service,
+        address=listed.address,
+        failure_domain=listed.failure_domain,
+        slots=listed.slots,
+        born_ms=listed.born_ms,
+        is_leaving=listed.is_leaving,
+        models=listed.models or (),
+    )
--- /dev/null
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -0,0 +1,305 @@
+"""Runs the fleet's decisions on the control replica that leads.
+
+Invariants: orders leave from one VM at a time. A new leader waits until no
+order of an earlier one can count as given within the same lease; a leader
+asks right before each order whether its own lease still holds.
+"""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+
+from persimmonhold.control.shell import ControlNode
+from persimmonhold.fleet import (
+    AdapterRequest,
+    EntryReport,
+    FleetLeader,
+    FleetMessage,
+    FleetOrder,
+    OrderVerdict,
+    PlannedOrder,
+)
+from persimmonhold.forwarding._upstream_source import UpstreamSource
+from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.transport import Channel, Transport
+
+_LIST_S: Final = 0.5  # a leaving upstream is known within a lag and this
+_REPORT_S: Final = 0.4  # reports lag by 0.2 s themselves
+_PLAN_S: Final = 0.1
+_UPDATE_S: Final = 0.1
+_UPDATES_PER_S: Final = 100.0  # of all entries together
+_LEAST_WAIT_S: Final = 0.002  # timers of the platform fire a little late
+_LANE_POLL_S: Final = 0.05
+_LEASE_MARGIN_S: Final = 1.0  # an order on its way over a lossy link
+_FENCE_BITS: Final = 24  # orders of one term
+
+
+@final
+class FleetTerm:
+    """One leadership: its decisions and the tasks that carry them out."""
+
+    __slots__ = ('fences', 'lanes', 'leader', 'pushed', 'reports', 'woken')
+
+    def __init__(self, leader: FleetLeader) -> None:
+        """Create a term without tasks."""
+        self.leader = leader
+        self.fences = 0
+        self.lanes: dict[str, asyncio.Task[None]] = {}
+        self.reports: dict[str, asyncio.Task[None]] = {}
+        self.woken: dict[str, asyncio.Event] = {}
+        self.pushed = -1
+
+    def close(self) -> None:
+        """Cancel what is under way."""
+        for task in (*self.lanes.values(), *self.reports.values()):
+            task.cancel()
+
+
+@final
+class FleetRunner:
+    """Begins and ends terms; lists, reports, orders, updates and replies."""
+
+    __slots__ = (
+        'clock',
+        'decoder',
+        'lease_s',
+        'node',
+        'source',
+        'term',
+        'transport',
+        'woken',
+    )
+
+    def __init__(
+        self,
+        node: ControlNode,
+        transport: Transport,
+        source: UpstreamSource,
+        lease_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        """Create a runner; `lease_s` is that of a giver of orders."""
+        self.node = node
+        self.transport = transport
+        self.source = source
+        self.lease_s = lease_s
+        self.clock = clock
+        self.term: FleetTerm | None = None
+        self.woken = asyncio.Event()
+        self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
+        transport.subscribe(Channel.fleet, self.receive)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._read_lists())
+                group.create_task(self._read_reports())
+                group.create_task(self._update_entries())
+                await self._plan()
+        finally:
+            self._step_down()
+
+    def receive(self, peer: str, payload: bytes) -> None:
+        """Take a message of an entry."""
+        term = self.term
+        if term is None:
+            return
+        try:
+            message = self.decoder.decode(payload)
+        except msgspec.DecodeError as error:
+            log_event('bad_message', LogLevel.warning, error=str(error))
+            return
+        if isinstance(message, EntryReport):
+            term.leader.take_entry_report(peer, message, self.clock())
+        elif isinstance(message, AdapterRequest):
+            term.leader.ask_adapter(peer, message, self.clock())
+            self._wake(message.upstream)
+            self.woken.set()
+
+    async def _plan(self) -> None:
+        """Follow leadership, plan, and pass replies on as they are due."""
+        plan_at = 0.0
+        while True:
+            self._follow_leadership()
+            now = self.clock()
+            if self.term is not None and now >= plan_at:
+                plan_at = now + _PLAN_S
+                self._plan_orders(self.term, now)
+            if self.term is not None:
+                self._send_replies(self.term, now)
+            await self._wait_until(plan_at)
+
+    async def _wait_until(self, plan_at: float) -> None:
+        due = plan_at
+        if self.term is not None:
+            due = min(due, self.term.leader.next_due())
+        self.woken.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(_LEAST_WAIT_S, due - self.clock())):
+                await self.woken.wait()
+
+    def _follow_leadership(self) -> None:
+        if not self.node.leads:
+            self._step_down()
+            return
+        if self.term is not None and self.term.leader.term != self.node.term:
+            self._step_down()
+        if self.term is None:
+            orders_from = self.clock() + self.lease_s + _LEASE_MARGIN_S
+            self.term = FleetTerm(FleetLeader(self.node.term, orders_from))
+            log_event('fleet_term_begins', term=self.node.term)
+        self.term.leader.adopt_routes(self.node.state.view.routes)
+
+    def _step_down(self) -> None:
+        if self.term is not None:
+            log_event('fleet_term_ends', term=self.term.leader.term)
+            self.term.close()
+        self.term = None
+
+    def _plan_orders(self, term: FleetTerm, now: float) -> None:
+        for planned in term.leader.plan(now):
+            _log_plan(planned)
+            self._wake(planned.upstream)
+        self._keep_lanes(term)
+
+    def _keep_lanes(self, term: FleetTerm) -> None:
+        """Have one task for each upstream that takes orders."""
+        for upstream in tuple(term.lanes):
+            if upstream not in term.leader.ledgers:
+                term.lanes.pop(upstream).cancel()
+                term.woken.pop(upstream)
+        for upstream in term.leader.ledgers:
+            if upstream not in term.lanes:
+                term.woken[upstream] = asyncio.Event()
+                term.lanes[upstream] = asyncio.get_running_loop().create_task(
+                    self._run_lane(term, upstream),
+                )
+
+    def _wake(self, upstream: str) -> None:
+        if self.term is not None and upstream in self.term.woken:
+            self.term.woken[upstream].set()
+
+    async def _run_lane(self, term: FleetTerm, upstream: str) -> None:
+        """Give the orders of one upstream, one after the other."""
+        woken = term.woken[upstream]
+        while True:
+            order = term.leader.next_order(upstream, self.clock())
+            if order is not None:
+                await self._give(term, upstream, order)
+                continue
+            woken.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_LANE_POLL_S):
+                    await woken.wait()
+
+    async def _give(
+        self,
+        term: FleetTerm,
+        upstream: str,
+        order: FleetOrder,
+    ) -> None:
+        listed = term.leader.facts.listed[upstream]
+        verdict = OrderVerdict.not_sent
+        if self.node.leads and self.node.term == term.leader.term:
+            term.fences += 1
+            fence = (term.leader.term << _FENCE_BITS) + term.fences
+            verdict = await self.source.give_order(
+                upstream,
+                listed.address,
+                order,
+                fence,
+            )
+        term.leader.order_ended(upstream, order, verdict, self.clock())
+        log_event(
+            'order',
+            upstream=upstream,
+            kind=order.kind.value,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected,
+            verdict=verdict.value,
+        )
+        self.woken.set()
+
+    def _send_replies(self, term: FleetTerm, now: float) -> None:
+        for entry, reply in term.leader.take_replies(now):
+            encoded = msgspec.msgpack.encode(reply)
+            self.transport.send(entry, Channel.fleet, encoded)
+
+    async def _read_lists(self) -> None:
+        while True:
+            term = self.term
+            if term is not None:
+                listed = await self.source.read_list()
+                if isinstance(listed, Failed):
+                    log_event('list_failed', detail=listed.failure().describe())
+                else:
+                    term.leader.take_list(listed.unwrap(), self.clock())
+                    term.leader.facts.refresh(term.leader.ledgers)
+            await asyncio.sleep(_LIST_S)
+
+    async def _read_reports(self) -> None:
+        while True:
+            term = self.term
+            if term is not None:
+                for upstream in tuple(term.leader.ledgers):
+                    self._begin_report(term, upstream)
+            await asyncio.sleep(_REPORT_S)
+
+    def _begin_report(self, term: FleetTerm, upstream: str) -> None:
+        running = term.reports.get(upstream)
+        if running is not None and not running.done():
+            return
+        term.reports[upstream] = asyncio.get_running_loop().create_task(
+            self._read_report(term, upstream),
+        )
+
+    async def _read_report(self, term: FleetTerm, upstream: str) -> None:
+        listed = term.leader.facts.listed[upstream]
+        report = await self.source.read_report(upstream, listed.address)
+        if isinstance(report, Failed):
+            term.leader.report_failed(upstream)
+            log_event('report_failed', detail=report.failure().describe())
+        else:
+            term.leader.take_report(upstream, report.unwrap())
+        term.leader.facts.refresh(term.leader.ledgers)
+        self._wake(upstream)
+
+    async def _update_entries(self) -> None:
+        """Tell the entries of facts and of the load of the others."""
+        while True:
+            entries = self._entries()
+            if self.term is not None:
+                self._push(self.term, entries)
+            interval_s = max(_UPDATE_S, len(entries) / _UPDATES_PER_S)
+            await asyncio.sleep(interval_s)
+
+    def _push(self, term: FleetTerm, entries: tuple[str, ...]) -> None:
+        term.leader.facts.refresh(term.leader.ledgers)
+        for entry in entries:
+            update = term.leader.update_for(entry, self.clock())
+            if update is not None:
+                encoded = msgspec.msgpack.encode(update)
+                self.transport.send(entry, Channel.fleet, encoded)
+
+    def _entries(self) -> tuple[str, ...]:
+        return tuple(
+            vm.name for vm in self.node.state.vms.values() if vm.callers
+        )
+
+
+def _log_plan(planned: PlannedOrder) -> None:
+    log_event(
+        'placement',
+        upstream=planned.upstream,
+        kind=planned.order.kind.value,
+        model=planned.order.model,
+        makes_room_for=planned.makes_room_for,
+        from_store=planned.is_from_store,
+        reason=planned.reason,
+    )
--- /dev/null
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -0,0 +1,156 @@
+"""Takes the requests of callers that are forwarded by their route."""
+
+from types import MappingProxyType
+from typing import Final, final
+
+from returns.result import Failure as Failed
+
+from persimmonhold.failures import FailureKind
+from persimmonhold.fleet import ForwardTicket, RequestProfile
+from persimmonhold.forwarding._caller_reply import CallerReply
+from persimmonhold.forwarding._forward_request import ForwardRequest
+from persimmonhold.forwarding._forward_runner import ForwardRunner
+from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.observability import log_event
+from persimmonhold.routes import ForwardRoute, RouteKind, RouteTable
+from persimmonhold.web import Exchange, ExchangeHandler, Rejection
+
+_BAD_REQUEST: Final = 400
+_NOT_FOUND: Final = 404
+_TIMEOUT: Final = 408
+_TOO_LARGE: Final = 413
+_UNAVAILABLE: Final = 503
+_COME_BACK_S: Final = 0.5
+_MS_PER_S: Final = 1000
+_PATIENCE_S: Final = 2.0  # a caller leaves a stream after the longest of
+_PATIENCE_TARGETS: Final = 4.0  # these without an event
+_PATIENCE_GAPS: Final = 8.0
+_PATIENCE_SHARE: Final = 0.9  # the rest is for the way of the first event
+_BODY_STATUSES: Final = MappingProxyType({
+    FailureKind.timed_out: _TIMEOUT,
+    FailureKind.refused: _TOO_LARGE,
+})
+
+
+@final
+class ForwardHandler(ExchangeHandler):
+    """Matches requests with the routes in force and has them run."""
+
+    def __init__(self, services: ForwardServices) -> None:
+        """Create the handler of an entry."""
+        self.services = services
+        self.table = RouteTable(services.link.view.routes)
+        self.running = 0
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Run a request, or refuse what cannot be one."""
+        self.running += 1
+        try:
+            await self._serve(exchange)
+        finally:
+            self.running -= 1
+
+    def reject(self, status: int) -> Rejection:
+        """Return the answer to what is no request."""
+        return Rejection(status=status)
+
+    def current_table(self) -> RouteTable:
+        """Return the index of the routes in force."""
+        document = self.services.link.view.routes
+        if document is not self.table.document:
+            if document != self.table.document:
+                log_event('routes_in_force', version=document.version)
+            self.table = RouteTable(document)
+        return self.table
+
+    async def _serve(self, exchange: Exchange) -> None:
+        arrived_at = self.services.hub.clock()
+        table = self.current_table()
+        link = self.services.link
+        if not table.document.version or not link.serving_allowed:
+            self._refuse(exchange, _UNAVAILABLE, 'isolated', _COME_BACK_S)
+            return
+        head = exchange.head
+        route = table.match(
+            head.header('host'), head.raw_path.partition('?')[0]
+        )
+        if route is None:
+            self._refuse(exchange, _NOT_FOUND, 'no_route')
+            return
+        profile = self.services.dialect.read_profile(head)
+        if isinstance(profile, Failed):
+            self._refuse(exchange, _BAD_REQUEST, 'malformed_request')
+            return
+        body = await exchange.read_body()
+        if isinstance(body, Failed):
+            status = _BODY_STATUSES.get(body.failure().kind, _UNAVAILABLE)
+            self._refuse(exchange, status, 'body', _COME_BACK_S)
+            return
+        request = ForwardRequest(
+            ticket=self._ticket(route, profile.unwrap(), arrived_at),
+            head=head,
+            body=body.unwrap(),
+        )
+        await ForwardRunner(self.services, request, exchange).run()
+
+    def _ticket(
+        self,
+        route: ForwardRoute,
+        profile: RequestProfile,
+        arrived_at: float,
+    ) -> ForwardTicket:
+        hub = self.services.hub
+        service = self._choose_service(route)
+        spec = self.table.services.get(service)
+        ends_at = arrived_at + route.timeout_ms / _MS_PER_S
+        if profile.deadline_ms is not None:
+            ends_at = min(ends_at, arrived_at + profile.deadline_ms / _MS_PER_S)
+        return ForwardTicket(
+            number=next(hub.numbers),
+            service=service,
+            route=route,
+            profile=profile,
+            arrived_at=arrived_at,
+            due_at=arrived_at + route.target_ms / _MS_PER_S,
+            patience_until=min(ends_at, arrived_at + _patience_s(route)),
+            ends_at=ends_at,
+            is_engine=spec is not None and spec.engine is not None,
+        )
+
+    def _choose_service(self, route: ForwardRoute) -> str:
+        """Draw one of the services of a route by weight."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        source = self.services.hub.dispatcher.source
+        names = [target.service for target in route.targets]
+        weights = [target.weight for target in route.targets]
+        return source.choices(names, weights)[0]
+
+    def _refuse(
+        self,
+        exchange: Exchange,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        log_event(
+            'refused',
+            target=exchange.head.target,
+            status=status,
+            reason=reason,
+            version=self.table.document.version,
+        )
+        headers = self.services.dialect.refusal_headers(retry_after_s)
+        CallerReply(exchange).refuse(status, reason, headers)
+
+
+def _patience_s(route: ForwardRoute) -> float:
+    """Return how long a caller waits for a first event or an answer."""
+    if route.kind is not RouteKind.stream:
+        return route.timeout_ms / _MS_PER_S
+    waits_s = max(
+        _PATIENCE_S,
+        _PATIENCE_TARGETS * route.target_ms / _MS_PER_S,
+        _PATIENCE_GAPS * route.max_gap_ms / _MS_PER_S,
+    )
+    return waits_s * _PATIENCE_SHARE
--- /dev/null
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -0,0 +1,209 @@
+"""One forwarded request from its arrival to its end.
+
+Invariants: a request that may not be repeated is sent again only after
+evidence that it did not run; a refusal that promises this is given only on
+such evidence; what upstreams answered in full reaches the caller, unless it
+was replaced by a better answer to a repeat.
+"""
+
+import asyncio
+from typing import Final, final
+
+from persimmonhold.fleet import AttemptEnd, SendTo, TurnAway
+from persimmonhold.forwarding._attempt_result import (
+    AttemptResult,
+    WholeAnswer,
+)
+from persimmonhold.forwarding._caller_reply import CallerReply
+from persimmonhold.forwarding._event_relay import EventRelay
+from persimmonhold.forwarding._forward_attempt import ForwardAttempt
+from persimmonhold.forwarding._forward_request import ForwardRequest
+from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.observability import log_event, metric
+from persimmonhold.web import Exchange
+
+_BAD_GATEWAY: Final = 502
+_UNAVAILABLE: Final = 503
+_GATEWAY_TIMEOUT: Final = 504
+_TIMEOUT_RETURN_S: Final = 0.3
+_MS_PER_S: Final = 1000
+
+
+@final
+class ForwardRunner:
+    """Runs in the task of the caller's connection and ends with it."""
+
+    def __init__(
+        self,
+        services: ForwardServices,
+        request: ForwardRequest,
+        exchange: Exchange,
+    ) -> None:
+        """Create the runner of a request that was read."""
+        self.services = services
+        self.request = request
+        self.reply = CallerReply(exchange)
+        self.relay = EventRelay()
+        self.end = AttemptEnd.cancelled
+        self.may_have_run = False
+        self.runs = 0
+        self.failure: WholeAnswer | None = None
+
+    @property
+    def number(self) -> int:
+        """The number of the request at this entry."""
+        return self.request.ticket.number
+
+    async def run(self) -> None:
+        """Run the request to its end, within its time."""
+        hub = self.services.hub
+        left_s = self.request.ticket.ends_at - hub.clock()
+        try:
+            async with asyncio.timeout(max(0, left_s)):
+                await self._serve()
+        except TimeoutError:
+            self._expire()
+        finally:
+            hub.finish(self.number, self.end)
+            self._log_end()
+
+    async def _serve(self) -> None:
+        action = await self.services.hub.arrive(self.request.ticket)
+        while isinstance(action, SendTo):
+            result = await self._attempt(action)
+            self._log_attempt(action, result)
+            if self._settle(result):
+                return
+            self.end = AttemptEnd.cancelled
+            action = await self.services.hub.retry(self.number, result.end)
+        self._turn_away(action)
+
+    async def _attempt(self, action: SendTo) -> AttemptResult:
+        is_ready = True
+        if action.needs_adapter:
+            is_ready = await self._load_adapter(action)
+        if not is_ready:
+            return AttemptResult(end=AttemptEnd.unsent, may_have_run=False)
+        attempt = ForwardAttempt(
+            self.services,
+            self.request,
+            self.reply,
+            self.relay,
+            action,
+        )
+        # A caller that leaves ends this task within the attempt.
+        before = self.may_have_run
+        self.may_have_run = True
+        result = await attempt.run()
+        self.may_have_run = before or result.may_have_run
+        self.runs += result.may_have_run
+        return result
+
+    async def _load_adapter(self, action: SendTo) -> bool:
+        profile = self.request.ticket.profile
+        is_ready = await self.services.fleet.ask_adapter(
+            self.request.ticket.service,
+            action.upstream.name,
+            profile.model,
+            profile.adapter,
+        )
+        if is_ready:
+            self.services.hub.note_adapter(self.number)
+        return is_ready
+
+    def _settle(self, result: AttemptResult) -> bool:
+        """Take the end of an attempt; tell whether the request is over."""
+        self.end = result.end
+        if result.is_delivered:
+            return True
+        if not result.may_have_run:
+            return False
+        if result.answer is not None:
+            if result.end is AttemptEnd.answered or not self._may_run_again:
+                self.reply.give(result.answer.head, result.answer.body)
+                return True
+            self.failure = result.answer
+        if self._may_run_again:
+            self.relay.restart()
+            return False
+        self._fail(result.detail)
+        return True
+
+    @property
+    def _may_run_again(self) -> bool:
+        """Tell whether the request may go to another upstream."""
+        route = self.request.ticket.route
+        if not route.may_repeat or self.runs >= route.max_attempts:
+            return False
+        return not self.reply.has_begun or route.is_resumable
+
+    def _turn_away(self, action: TurnAway) -> None:
+        """Refuse, or pass on what an earlier attempt has answered."""
+        self.services.metrics.increment(
+            metric.REFUSALS,
+            reason=action.reason,
+            service_class=self.request.ticket.route.kind.value,
+            ran='unknown' if self.may_have_run else 'no',
+        )
+        if self.may_have_run:
+            self._fail(action.reason)
+            return
+        headers = self.services.dialect.refusal_headers(action.retry_after_s)
+        self.reply.refuse(_UNAVAILABLE, action.reason, headers)
+
+    def _fail(self, reason: str) -> None:
+        """End a request that may have run and has no good answer."""
+        if self.reply.has_begun:
+            self.reply.abort('stream_broken')
+        elif self.failure is None:
+            headers = self.services.dialect.refusal_headers(None)
+            self.reply.refuse(_BAD_GATEWAY, 'upstream_failed', headers)
+        else:
+            self.reply.give(self.failure.head, self.failure.body)
+
+    def _expire(self) -> None:
+        """End a request whose time is over."""
+        if self.reply.has_begun:
+            self.reply.abort('time_over')
+            return
+        dialect = self.services.dialect
+        if self.may_have_run:
+            headers = dialect.refusal_headers(None)
+            self.reply.refuse(_GATEWAY_TIMEOUT, 'time_over', headers)
+        else:
+            headers = dialect.refusal_headers(_TIMEOUT_RETURN_S)
+            self.reply.refuse(_UNAVAILABLE, 'time_over', headers)
+
+    def _log_attempt(self, action: SendTo, result: AttemptResult) -> None:
+        log_event(
+            'attempt',
+            request_id=self.request.ticket.profile.request_id,
+            upstream=action.upstream.name,
+            end=result.end.value,
+            detail=result.detail,
+            may_have_run=result.may_have_run,
+            waited_ms=round(action.waited_s * _MS_PER_S, 1),
+            expected_ms=round(action.expected_s * _MS_PER_S, 1),
+            running=action.running,
+            adapter_absent=action.needs_adapter,
+        )
+
+    def _log_end(self) -> None:
+        ticket = self.request.ticket
+        taken_s = self.services.hub.clock() - ticket.arrived_at
+        self.services.metrics.increment(
+            metric.REQUESTS,
+            service_class=ticket.route.kind.value,
+            outcome=self.reply.outcome,
+        )
+        log_event(
+            'request',
+            request_id=ticket.profile.request_id,
+            route=ticket.route.name,
+            model=ticket.profile.model,
+            adapter=ticket.profile.adapter,
+            outcome=self.reply.outcome,
+            status=self.reply.status,
+            runs=self.runs,
+            total_ms=round(taken_s * _MS_PER_S, 1),
+        )
--- /dev/null
+++ b/persimmonhold/forwarding/_forward_services.py
@@ -0,0 +1,33 @@
+"""What every forwarded request of an entry works with."""
+
+from typing import final
+
+from persimmonhold.control.shell import ControlLink
+from persimmonhold.forwarding._dialect import Dialect
+from persimmonhold.forwarding._fleet_client import FleetClient
+from persimmonhold.forwarding._forward_hub import ForwardHub
+from persimmonhold.observability import Metrics
+from persimmonhold.upstreams import ConnectionPool
+
+
+@final
+class ForwardServices:
+    """The parts that the forwarded requests of one entry share."""
+
+    __slots__ = ('dialect', 'fleet', 'hub', 'link', 'metrics', 'pool')
+
+    def __init__(
+        self,
+        hub: ForwardHub,
+        fleet: FleetClient,
+        link: ControlLink,
+        dialect: Dialect,
+        metrics: Metrics,
+    ) -> None:
+        """Create the shared parts."""
+        self.hub = hub
+        self.fleet = fleet
+        self.link = link
+        self.dialect = dialect
+        self.metrics = metrics
+        self.pool = ConnectionPool()
--- a/persimmonhold/messages/_control_view.py
+++ b/persimmonhold/messages/_control_view.py
@@ -7,11 +7,12 @@
 from persimmonhold.catalogue import Catalogue
 from persimmonhold.messages._copy import Copy
 from persimmonhold.messages._vm_record import VmRecord
+from persimmonhold.routes import RoutingDocument
 
 
 @final
 class ControlView(msgspec.Struct, frozen=True, kw_only=True):
-    """Catalogue, copies and VMs at one index of the control log.
+    """Catalogue, copies, VMs and routes at one index of the control log.
 
     `index` is the log index of the last command that changed the view, and
     `digest` a hash of its items whatever their order. Invariant: a reader
@@ -23,3 +24,4 @@
     copies: tuple[Copy, ...] = ()
     vms: tuple[VmRecord, ...] = ()
     digest: int = 0
+    routes: RoutingDocument = RoutingDocument()
--- a/persimmonhold/messages/_view_change.py
+++ b/persimmonhold/messages/_view_change.py
@@ -7,6 +7,7 @@
 from persimmonhold.catalogue import StoredEntry
 from persimmonhold.messages._copy import Copy
 from persimmonhold.messages._vm_record import VmRecord
+from persimmonhold.routes import RoutingDocument
 
 
 @final
@@ -19,7 +20,8 @@
     """Leads from the view at `previous` to the view at `index`.
 
     `revision` is that of the catalogue afterwards. One of `stored` (an entry
-    put), `removed` (the name of a deleted entry), `copy` and `vm` is set.
+    put), `removed` (the name of a deleted entry), `copy`, `vm` and `routes`
+    is set.
     """
 
     index: int
@@ -31,3 +33,4 @@
     copy_gone: bool = False
     vm: VmRecord | None = None
     vm_gone: bool = False
+    routes: RoutingDocument | None = None
--- /dev/null
+++ b/persimmonhold/platform/_adapter.py
@@ -0,0 +1,47 @@
+"""The adapter that the product runs with on the platform."""
+
+from typing import final
+
+from persimmonhold.control.shell import ControlNode
+from persimmonhold.forwarding import (
+    EntryStatus,
+    PlatformAdapter,
+    ServedAddress,
+)
+from persimmonhold.platform._caller_side import DirectoryHandler, ReadyHandler
+from persimmonhold.platform._dialect import PlatformDialect
+from persimmonhold.platform._operator_side import ConfigurationHandler
+from persimmonhold.platform._settings_file import PlatformSettingsFile
+from persimmonhold.platform._upstream_client import PlatformClient
+from persimmonhold.web import ExchangeHandler, parse_address
+
+
+@final
+class Adapter(PlatformAdapter):
+    """Brings the dialect, the client and the handlers of the platform."""
+
+    def __init__(self, file: PlatformSettingsFile) -> None:
+        """Create the adapter of one VM."""
+        self.file = file
+        self.bounds = file.bounds
+        self.dialect = PlatformDialect()
+        self.source = PlatformClient(
+            file.list_address,
+            file.settings.vm.name,
+        )
+
+    def entry_addresses(self, status: EntryStatus) -> tuple[ServedAddress, ...]:
+        """Return the addresses of readiness and directory."""
+        handlers: tuple[tuple[str, ExchangeHandler], ...] = (
+            (self.file.ready, ReadyHandler(status)),
+            (self.file.directory, DirectoryHandler(status)),
+        )
+        return tuple(
+            ServedAddress(parse_address(address).unwrap(), handler)
+            for address, handler in handlers
+            if address
+        )
+
+    def operator_handler(self, node: ControlNode) -> ExchangeHandler:
+        """Return what takes and shows the configuration."""
+        return ConfigurationHandler(node)
--- /dev/null
+++ b/persimmonhold/platform/_configuration.py
@@ -0,0 +1,186 @@
+"""The operator's configuration, decoded into a routing document.
+
+Unknown fields are left, since they may come with a newer platform; the
+document keeps what was sent, so that a reader gets it back whole.
+"""
+
+import zlib
+from types import MappingProxyType
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.routes import (
+    EngineSpec,
+    ForwardRoute,
+    ModelSpec,
+    RouteKind,
+    RouteTarget,
+    RoutingDocument,
+    ServiceSpec,
+    TrafficLimits,
+)
+
+_RENAME: Final = 'kebab'
+_KINDS: Final = MappingProxyType({
+    'idempotent': RouteKind.idempotent,
+    'non_idempotent': RouteKind.non_idempotent,
+    'streaming': RouteKind.stream,
+})
+
+
+@final
+class _WireTarget(msgspec.Struct, frozen=True, rename=_RENAME):
+    service: str
+    weight: float = 1.0
+
+
+@final
+class _WireRoute(msgspec.Struct, frozen=True, rename=_RENAME):
+    """`target_itl_ms` is the longest pause between events, not a mean."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    service: str = ''
+    split: tuple[_WireTarget, ...] = ()
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    max_attempts: int = 1
+    sticky: bool = False
+    resumable: bool = False
+    target_itl_ms: float = 0.0
+
+
+@final
+class _WireModel(msgspec.Struct, frozen=True, rename=_RENAME):
+    """`load_s` is from the store, `warmup_s` from memory of the upstream."""
+
+    name: str
+    weights_mb: float
+    load_s: float = 0.0
+    disk_load_s: float = 0.0
+    warmup_s: float = 0.0
+    adapters: int = 0
+    adapter_mb: float = 0.0
+
+
+@final
+class _WireEngine(msgspec.Struct, frozen=True, rename=_RENAME):
+    """`stride` is the number of tokens in one event of a stream."""
+
+    slots: int
+    weights_mb: float
+    kv_capacity: int = 0
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+    stride: int = 1
+    models: tuple[_WireModel, ...] = ()
+
+
+@final
+class _WireService(msgspec.Struct, frozen=True, rename=_RENAME):
+    name: str
+    health_path: str = '/healthz'
+    max_conns: int = 100
+    engine: _WireEngine | None = None
+
+
+@final
+class _WireLimits(msgspec.Struct, frozen=True, rename=_RENAME):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 75_000.0
+
+
+@final
+class _WireConfiguration(msgspec.Struct, frozen=True, rename=_RENAME):
+    version: int
+    routes: tuple[_WireRoute, ...]
+    services: tuple[_WireService, ...]
+    limits: _WireLimits = _WireLimits()
+
+
+def decode_configuration(body: bytes) -> Result[RoutingDocument, str]:
+    """Return the document of a configuration, or why it cannot be read."""
+    try:
+        wire = msgspec.json.decode(body, type=_WireConfiguration)
+    except msgspec.DecodeError as error:
+        return Failed(str(error))
+    unknown = [one.name for one in wire.routes if one.kind not in _KINDS]
+    if unknown:
+        return Failed(f'route {unknown[0]}: unknown kind')
+    return Success(
+        RoutingDocument(
+            version=wire.version,
+            routes=tuple(_route(route) for route in wire.routes),
+            services=tuple(_service(service) for service in wire.services),
+            limits=TrafficLimits(
+                max_head_bytes=wire.limits.max_header_bytes,
+                max_body_bytes=wire.limits.max_body_bytes,
+                head_timeout_ms=wire.limits.header_timeout_ms,
+                idle_timeout_ms=wire.limits.idle_timeout_ms,
+            ),
+            source=zlib.compress(body),
+        ),
+    )
+
+
+def encode_configuration(document: RoutingDocument) -> bytes:
+    """Return the configuration as the operator sent it."""
+    return zlib.decompress(document.source)
+
+
+def _route(wire: _WireRoute) -> ForwardRoute:
+    targets = wire.split or (_WireTarget(wire.service),)
+    return ForwardRoute(
+        name=wire.name,
+        host=wire.host,
+        path_prefix=wire.path_prefix,
+        kind=_KINDS[wire.kind],
+        timeout_ms=wire.timeout_ms,
+        targets=tuple(RouteTarget(one.service, one.weight) for one in targets),
+        target_ms=wire.target_latency_ms,
+        priority=wire.priority,
+        max_attempts=wire.max_attempts,
+        is_sticky=wire.sticky,
+        is_resumable=wire.resumable,
+        max_gap_ms=wire.target_itl_ms,
+    )
+
+
+def _service(wire: _WireService) -> ServiceSpec:
+    return ServiceSpec(
+        name=wire.name,
+        health_path=wire.health_path,
+        max_connections=wire.max_conns,
+        engine=None if wire.engine is None else _engine(wire.engine),
+    )
+
+
+def _engine(wire: _WireEngine) -> EngineSpec:
+    return EngineSpec(
+        slots=wire.slots,
+        cache_tokens=wire.kv_capacity,
+        weights_mb=wire.weights_mb,
+        adapter_slots=wire.adapter_slots,
+        store_loads_per_s=wire.loads_per_s,
+        tokens_per_event=wire.stride,
+        models=tuple(
+            ModelSpec(
+                name=model.name,
+                weights_mb=model.weights_mb,
+                store_load_s=model.load_s,
+                disk_load_s=model.disk_load_s,
+                memory_load_s=model.warmup_s,
+                adapters=model.adapters,
+                adapter_mb=model.adapter_mb,
+            )
+            for model in wire.models
+        ),
+    )
--- /dev/null
+++ b/persimmonhold/platform/_listing.py
@@ -0,0 +1,132 @@
+"""The platform's list and the reports of upstreams, decoded."""
+
+from typing import Any, Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.fleet import HeldModel, ListedUpstream, UpstreamReport
+
+_STATES: Final = frozenset(('ready', 'draining'))
+_LEAVING: Final = 'draining'
+
+
+@final
+class _WireHeld(msgspec.Struct, frozen=True):
+    name: str
+    version: int = 0
+    adapters: tuple[str, ...] = ()
+
+
+@final
+class _WireEntry(msgspec.Struct, frozen=True, rename='kebab'):
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    born: int = 0
+    models: tuple[_WireHeld, ...] | None = None
+
+
+@final
+class _WirePage(msgspec.Struct, frozen=True, rename='kebab'):
+    """`next_token` is the next page of the list; null after the last."""
+
+    instances: tuple[msgspec.Raw, ...]
+    next_token: str | None = None
+
+
+@final
+class _WireResident(msgspec.Struct, frozen=True, rename='kebab'):
+    in_memory: tuple[str, ...] = ()
+    on_disk: tuple[str, ...] = ()
+
+
+@final
+class _WireReport(msgspec.Struct, frozen=True, rename='kebab'):
+    """`seq` counts the orders accepted, `pending` adapters on their way."""
+
+    seq: int
+    busy: bool
+    models: tuple[_WireHeld, ...]
+    born: int = 0
+    state: str = 'ready'
+    running: int = 0
+    waiting: int = 0
+    pending: tuple[str, ...] = ()
+    resident: _WireResident = _WireResident()
+
+
+@final
+class ListPage(msgspec.Struct, frozen=True):
+    """Upstreams of one page, and the name of the next page."""
+
+    upstreams: tuple[ListedUpstream, ...]
+    unreadable: int
+    next_page: str | None
+
+
+def decode_page(body: bytes) -> Result[ListPage, str]:
+    """Return a page; entries that cannot be read are counted and left."""
+    try:
+        page = msgspec.json.decode(body, type=_WirePage)
+    except msgspec.DecodeError as error:
+        return Failed(str(error))
+    listed = [_decode_entry(raw) for raw in page.instances]
+    readable = tuple(one for one in listed if one is not None)
+    unreadable = len(listed) - len(readable)
+    return Success(ListPage(readable, unreadable, page.next_token))
+
+
+def decode_report(body: bytes) -> Result[UpstreamReport, str]:
+    """Return the report of an upstream."""
+    try:
+        wire = msgspec.json.decode(body, type=_WireReport)
+    except msgspec.DecodeError as error:
+        return Failed(str(error))
+    return Success(
+        UpstreamReport(
+            born_ms=wire.born,
+            accepted_orders=wire.seq,
+            is_busy=wire.busy,
+            models=_held(wire.models),
+            arriving=tuple(_split_adapter(text) for text in wire.pending),
+            in_memory=wire.resident.in_memory,
+            on_disk=wire.resident.on_disk,
+            is_leaving=wire.state == _LEAVING,
+            running=wire.running,
+            waiting=wire.waiting,
+        ),
+    )
+
+
+def _decode_entry(raw: msgspec.Raw) -> ListedUpstream | None:
+    try:
+        wire = msgspec.json.decode(raw, type=_WireEntry)
+    except msgspec.DecodeError:
+        return None
+    if wire.state not in _STATES or not wire.id:
+        return None
+    return ListedUpstream(
+        name=wire.id,
+        service=wire.service,
+        address=wire.address,
+        failure_domain=wire.zone,
+        slots=wire.slots,
+        is_leaving=wire.state == _LEAVING,
+        born_ms=wire.born,
+        models=None if wire.models is None else _held(wire.models),
+    )
+
+
+def _held(wire: tuple[Any, ...]) -> tuple[HeldModel, ...]:
+    return tuple(HeldModel(one.name, one.version, one.adapters) for one in wire)
+
+
+def _split_adapter(text: str) -> tuple[str, str]:
+    """Split MODEL/NAME@VERSION."""
+    model, _, adapter = text.partition('/')
+    return model, adapter.partition('@')[0]
--- /dev/null
+++ b/persimmonhold/platform/_names.py
@@ -0,0 +1,36 @@
+"""Header names and paths on the wire of the platform."""
+
+from typing import Final
+
+REQUEST_ID: Final = 'attempt-id'  # one for each try of a caller
+DEADLINE_MS: Final = 'deadline-ms'  # time left, not a point in time
+EXPECTED_PROCESS: Final = 'expect-instance'
+ANSWERING_PROCESS: Final = 'instance-id'
+SIGNATURE: Final = 'server-signature'
+NOT_RUN: Final = 'not-executed'
+MODEL: Final = 'model'  # an adapter follows after a slash
+TOKEN_COUNTS: Final = 'token-count'  # prompt tokens, most output tokens
+PROMPT_PARTS: Final = 'prefix-hash'  # ID:TOKENS, the first part first
+URGENCY: Final = 'request-urgency'  # 0 is first
+RESUME_AFTER: Final = 'last-event-id'
+RETRY_AFTER: Final = 'retry-after'
+
+SET_BY_SYSTEM: Final = frozenset((
+    b'deadline-ms',
+    b'expect-instance',
+    b'expect-version',
+    b'hold',
+    b'kv-backup',
+    b'kv-fetch',
+    b'kv-from',
+    b'last-event-id',
+    b'pin-ms',
+    b'request-urgency',
+))
+
+CONFIGURATION_PATH: Final = '/config'
+DIRECTORY_PATH: Final = '/resolve'
+READY_PATH: Final = '/readyz'
+LIST_PATH: Final = '/instances'
+REPORT_PATH: Final = '/report'
+ORDER_PATH: Final = '/order'
--- /dev/null
+++ b/persimmonhold/platform/_operator_side.py
@@ -0,0 +1,103 @@
+"""The operators' interface of the platform: one whole configuration."""
+
+from typing import Final, final
+
+from returns.result import Failure as Failed
+
+from persimmonhold.control.machine import CommandStatus
+from persimmonhold.control.shell import ControlNode
+from persimmonhold.observability import log_event
+from persimmonhold.platform import _names as names
+from persimmonhold.platform._configuration import (
+    decode_configuration,
+    encode_configuration,
+)
+from persimmonhold.web import Exchange, ExchangeHandler, encode_headers
+
+_OK: Final = 200
+_REDIRECT: Final = 307
+_BAD_REQUEST: Final = 400
+_NOT_FOUND: Final = 404
+_BAD_METHOD: Final = 405
+_UNAVAILABLE: Final = 503
+
+
+@final
+class ConfigurationHandler(ExchangeHandler):
+    """Takes and shows the configuration; only the leader answers."""
+
+    def __init__(self, node: ControlNode) -> None:
+        """Create the handler in front of a replica."""
+        self.node = node
+        self.methods = {'GET': self._get, 'PUT': self._put}
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer, or send the operator to the leader."""
+        if exchange.head.path == names.CONFIGURATION_PATH:
+            await self._serve_configuration(exchange)
+        else:
+            await exchange.respond_json(_NOT_FOUND, {})
+
+    async def _serve_configuration(self, exchange: Exchange) -> None:
+        method = exchange.head.method
+        serve = self.methods.get(method)
+        if serve is None:
+            await exchange.respond_json(_BAD_METHOD, {})
+        elif self.node.leads:
+            await serve(exchange)
+        else:
+            await self._redirect(exchange)
+
+    async def _redirect(self, exchange: Exchange) -> None:
+        leader = self.node.leader_operators
+        own = self.node.vm.record.operators if self.node.vm else ''
+        if leader in {'', own}:
+            await self._refuse(exchange, _UNAVAILABLE, 'no leader is known')
+            return
+        location = f'http://{leader}{names.CONFIGURATION_PATH}'
+        headers = encode_headers({'location': location})
+        await exchange.respond_json(_REDIRECT, {}, headers)
+
+    async def _put(self, exchange: Exchange) -> None:
+        body = await exchange.read_body()
+        if isinstance(body, Failed):
+            detail = body.failure().describe()
+            await self._refuse(exchange, _UNAVAILABLE, detail)
+            return
+        document = decode_configuration(body.unwrap())
+        if isinstance(document, Failed):
+            await self._refuse(exchange, _BAD_REQUEST, document.failure())
+            return
+        version = document.unwrap().version
+        changed = await self.node.put_routes(document.unwrap())
+        if isinstance(changed, Failed):
+            detail = changed.failure().describe()
+            await self._refuse(exchange, _UNAVAILABLE, detail)
+        elif changed.unwrap().status is CommandStatus.done:
+            log_event('configuration_accepted', version=version)
+            await exchange.respond_json(_OK, {'version': version})
+        else:
+            detail = changed.unwrap().detail
+            await self._refuse(exchange, _BAD_REQUEST, detail)
+
+    async def _get(self, exchange: Exchange) -> None:
+        barrier = await self.node.read_barrier()
+        document = self.node.state.view.routes
+        if isinstance(barrier, Failed) or not document.version:
+            await self._refuse(exchange, _UNAVAILABLE, 'not sure what is held')
+            return
+        await exchange.respond(_OK, encode_configuration(document))
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        status: int,
+        detail: str,
+    ) -> None:
+        log_event(
+            'configuration_refused',
+            method=exchange.head.method,
+            status=status,
+            detail=detail,
+        )
+        await exchange.respond_json(status, {'error': detail})
--- /dev/null
+++ b/persimmonhold/platform/_run.py
@@ -0,0 +1,37 @@
+"""Runs one VM on the platform until it is stopped."""
+
+import asyncio
+import os
+from pathlib import Path
+from typing import Final
+
+from returns.result import Failure as Failed
+
+from persimmonhold.failures import Failure
+from persimmonhold.observability import LogLevel, LogOutput
+from persimmonhold.platform._adapter import Adapter
+from persimmonhold.platform._settings_file import read_settings_file
+from persimmonhold.system import ForwardingVm, run_until_stopped
+
+_SETTINGS_VARIABLE: Final = 'PERSIMMONHOLD_CONFIG'
+
+
+def run_on_platform(settings: str = '') -> str:
+    """Run the VM of a settings file; return what went wrong, or nothing."""
+    path = settings or os.environ.get(_SETTINGS_VARIABLE, '')
+    read = read_settings_file(Path(path))
+    if isinstance(read, Failed):
+        failure: Failure = read.failure()
+        return failure.describe()
+    file = read.unwrap()
+    logs = file.settings.logs
+    try:
+        with LogOutput(LogLevel(logs.level), logs.path):
+            failed = asyncio.run(
+                run_until_stopped(
+                    lambda: ForwardingVm(file.settings, Adapter(file)),
+                ),
+            )
+    except OSError as error:
+        return f'start: {error}'
+    return 'a part failed; see the log' if failed else ''
--- /dev/null
+++ b/persimmonhold/platform/_settings_file.py
@@ -0,0 +1,171 @@
+"""The settings file that the platform writes, as settings of the product."""
+
+import ipaddress
+from pathlib import Path
+from typing import Final, final
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.fleet import RetryBounds
+from persimmonhold.forwarding import FleetBounds
+from persimmonhold.settings import (
+    CallerSettings,
+    LogSettings,
+    OperatorSettings,
+    PeerSettings,
+    Settings,
+    VmSettings,
+)
+from persimmonhold.web import Address, parse_address
+
+_REPLACEMENT_MS: Final = 1500  # a lost VM has a successor within seconds
+_HEARTBEAT_MS: Final = 100
+_ELECTION_MS: Final = 600  # a packet that is sent again takes 200 ms
+_DIRECTORY_TTL_S: Final = 1.0
+
+
+@final
+class _Listen(msgspec.Struct, frozen=True, rename='kebab'):
+    """`frontend` is for requests of callers, `control` for operators."""
+
+    frontend: str = ''
+    ready: str = ''
+    control: str = ''
+    directory: str = ''
+
+
+@final
+class _Tolerance(msgspec.Struct, frozen=True, rename='kebab'):
+    machines: int = 0
+
+
+@final
+class _Bounds(msgspec.Struct, frozen=True, rename='kebab'):
+    grace_s: float = 8
+    lease_ms: float = 3000
+    retry_budget_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 50
+
+
+@final
+class _Cloud(msgspec.Struct, frozen=True, rename='kebab'):
+    address: str = ''
+
+
+@final
+class _File(msgspec.Struct, frozen=True, rename='kebab'):
+    """`bootstrap` is true only while the whole system starts anew."""
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    seeds: tuple[str, ...]
+    listen: _Listen
+    cloud: _Cloud
+    bootstrap: bool = False
+    data_dir: str = ''
+    fault_tolerance: _Tolerance = _Tolerance()
+    bounds: _Bounds = _Bounds()
+
+
+@final
+class PlatformSettingsFile(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of the product and the addresses of the platform."""
+
+    settings: Settings
+    bounds: FleetBounds
+    list_address: Address
+    ready: str
+    directory: str
+
+
+def read_settings_file(path: Path) -> Result[PlatformSettingsFile, Failure]:
+    """Read and check the file."""
+    try:
+        wire = msgspec.toml.decode(path.read_bytes(), type=_File)
+    except (OSError, msgspec.DecodeError) as error:
+        return Failed(_failure(path, str(error)))
+    list_address = parse_address(wire.cloud.address)
+    if isinstance(list_address, Failed):
+        return Failed(_failure(path, list_address.failure().detail))
+    return Success(
+        PlatformSettingsFile(
+            settings=_settings(wire),
+            bounds=_fleet_bounds(wire.bounds),
+            list_address=list_address.unwrap(),
+            ready=wire.listen.ready,
+            directory=wire.listen.directory,
+        ),
+    )
+
+
+def _settings(wire: _File) -> Settings:
+    roles = [
+        role
+        for role, address in (
+            ('entry', wire.listen.frontend),
+            ('control', wire.listen.control),
+        )
+        if address
+    ]
+    return Settings(
+        vm=VmSettings(
+            name=_vm_name(wire.ip),
+            failure_domain=wire.zone,
+            roles=','.join(roles),
+            data_directory=wire.data_dir,
+        ),
+        callers=CallerSettings(address=wire.listen.frontend),
+        operators=OperatorSettings(address=wire.listen.control),
+        peers=_peers(wire),
+        logs=LogSettings(),
+    )
+
+
+def _peers(wire: _File) -> PeerSettings:
+    """Derive names and ports of the control VMs from their addresses."""
+    port = wire.internal_ports[0]
+    hosts = [seed.rpartition(':')[0] for seed in wire.seeds]
+    return PeerSettings(
+        address=f'{wire.ip}:{port}',
+        control=', '.join(f'{_vm_name(host)}@{host}:{port}' for host in hosts),
+        voters=2 * wire.fault_tolerance.machines + 1,
+        first_start=wire.bootstrap,
+        replacement_ms=_REPLACEMENT_MS,
+        heartbeat_ms=_HEARTBEAT_MS,
+        election_timeout_ms=_ELECTION_MS,
+        plain_outside_loopback=True,
+    )
+
+
+def _fleet_bounds(wire: _Bounds) -> FleetBounds:
+    return FleetBounds(
+        order_lease_s=wire.lease_ms / 1000,
+        grace_s=wire.grace_s,
+        directory_ttl_s=_DIRECTORY_TTL_S,
+        retries=RetryBounds(
+            ratio=wire.retry_budget_ratio,
+            window_s=wire.retry_window_s,
+            slack=wire.retry_slack,
+        ),
+    )
+
+
+def _vm_name(host: str) -> str:
+    """Name a VM by its address, which is all that is known of a seed."""
+    number = int(ipaddress.ip_address(host))
+    return f'vm-{number:x}'
+
+
+def _failure(path: Path, detail: str) -> Failure:
+    return Failure(
+        kind=FailureKind.bad_settings,
+        step='read settings',
+        peer=str(path),
+        detail=detail,
+    )
--- /dev/null
+++ b/persimmonhold/platform/_upstream_client.py
@@ -0,0 +1,236 @@
+"""The one client of the platform: its list, and reports and orders."""
+
+import asyncio
+from types import MappingProxyType
+from typing import Final, final
+from urllib.parse import quote
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.fleet import (
+    FleetOrder,
+    ListedUpstream,
+    OrderVerdict,
+    UpstreamReport,
+)
+from persimmonhold.forwarding import UpstreamSource
+from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.platform import _names as names
+from persimmonhold.platform._listing import decode_page, decode_report
+from persimmonhold.upstreams import ConnectionPool
+from persimmonhold.web import (
+    Address,
+    ClientConnection,
+    ClientRequest,
+    FetchedResponse,
+    converse,
+    encode_headers,
+    parse_address,
+)
+
+_READ_TIMEOUT_S: Final = 0.5  # some round trips beyond two lost packets
+_ORDER_TIMEOUT_S: Final = 0.25  # an order is answered before it is done
+_MAX_PAGES: Final = 200  # of fifty entries each
+_OK: Final = 200
+_VERDICTS: Final = MappingProxyType({
+    200: OrderVerdict.holds,
+    202: OrderVerdict.accepted,
+    400: OrderVerdict.unknown_order,
+    409: OrderVerdict.conflict,
+    412: OrderVerdict.conflict,
+    421: OrderVerdict.other_process,
+})
+
+
+@final
+class PlatformClient(UpstreamSource):
+    """Reads over connections that are kept; each order has its own."""
+
+    __slots__ = ('holder', 'list_address', 'pool')
+
+    def __init__(self, list_address: Address, holder: str) -> None:
+        """Create a client; `holder` names this VM in orders."""
+        self.list_address = list_address
+        self.holder = holder
+        self.pool = ConnectionPool()
+
+    async def read_list(self) -> Result[tuple[ListedUpstream, ...], Failure]:
+        """Read all pages of the list."""
+        listed: list[ListedUpstream] = []
+        token = ''
+        for _ in range(_MAX_PAGES):
+            target = names.LIST_PATH
+            if token:
+                target = f'{target}?page-token={quote(token)}'
+            body = await self._read(self.list_address, target)
+            if isinstance(body, Failed):
+                return body
+            page = decode_page(body.unwrap())
+            if isinstance(page, Failed):
+                return Failed(
+                    _bad_answer(self.list_address, target, page.failure()),
+                )
+            listed.extend(page.unwrap().upstreams)
+            if page.unwrap().unreadable:
+                count = page.unwrap().unreadable
+                log_event('list_unreadable', LogLevel.warning, entries=count)
+            token = page.unwrap().next_page or ''
+            if not token:
+                break
+        return Success(tuple(listed))
+
+    async def read_report(
+        self,
+        upstream: str,
+        address: str,
+    ) -> Result[UpstreamReport, Failure]:
+        """Read the report of an upstream."""
+        peer = parse_address(address)
+        if isinstance(peer, Failed):
+            return peer
+        body = await self._read(peer.unwrap(), names.REPORT_PATH)
+        if isinstance(body, Failed):
+            return body
+        report = decode_report(body.unwrap())
+        if isinstance(report, Failed):
+            return Failed(
+                _bad_answer(
+                    peer.unwrap(),
+                    names.REPORT_PATH,
+                    report.failure(),
+                ),
+            )
+        return Success(report.unwrap())
+
+    async def give_order(
+        self,
+        upstream: str,
+        address: str,
+        order: FleetOrder,
+        fence: int,
+    ) -> OrderVerdict:
+        """Give an order on a connection of its own."""
+        peer = parse_address(address)
+        if isinstance(peer, Failed):
+            return OrderVerdict.not_sent
+        connected = await ClientConnection.connect(
+            peer.unwrap(),
+            _ORDER_TIMEOUT_S,
+        )
+        if isinstance(connected, Failed):
+            return OrderVerdict.not_sent
+        connection = connected.unwrap()
+        try:
+            async with asyncio.timeout(_ORDER_TIMEOUT_S):
+                answered = await converse(
+                    connection,
+                    self._order_request(upstream, order, fence),
+                )
+        except TimeoutError:
+            return OrderVerdict.unanswered
+        finally:
+            connection.close()
+        if isinstance(answered, Failed):
+            return OrderVerdict.unanswered
+        status = answered.unwrap().head.status
+        return _VERDICTS.get(status, OrderVerdict.unanswered)
+
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        self.pool.close()
+
+    def _order_request(
+        self,
+        upstream: str,
+        order: FleetOrder,
+        fence: int,
+    ) -> ClientRequest:
+        document: dict[str, object] = {
+            'op': order.kind.value,
+            'model': order.model,
+            'expect': order.expected,
+            'holder': self.holder,
+            'fencing-token': fence,
+        }
+        if order.adapter:
+            document['adapter'] = order.adapter
+        return ClientRequest(
+            method='POST',
+            target=names.ORDER_PATH,
+            headers=encode_headers({
+                'content-type': 'application/json',
+                names.EXPECTED_PROCESS: upstream,
+            }),
+            body=msgspec.json.encode(document),
+        )
+
+    async def _read(
+        self,
+        peer: Address,
+        target: str,
+    ) -> Result[bytes, Failure]:
+        """Return the body of a 200, over a kept connection if there is one."""
+        request = ClientRequest(method='GET', target=target)
+        try:
+            async with asyncio.timeout(_READ_TIMEOUT_S):
+                fetched = await self._fetch(peer, request)
+        except TimeoutError:
+            return Failed(
+                Failure(
+                    kind=FailureKind.timed_out,
+                    step=f'GET {target}',
+                    peer=str(peer),
+                ),
+            )
+        if isinstance(fetched, Failed):
+            return fetched
+        answer = fetched.unwrap()
+        if answer.head.status != _OK:
+            detail = f'status {answer.head.status}'
+            return Failed(_bad_answer(peer, target, detail))
+        return Success(answer.body)
+
+    async def _fetch(
+        self,
+        peer: Address,
+        request: ClientRequest,
+    ) -> Result[FetchedResponse, Failure]:
+        loop = asyncio.get_running_loop()
+        pooled = self.pool.take(peer, loop.time())
+        if pooled is not None:
+            fetched = await self._converse(pooled, request)
+            if not isinstance(fetched, Failed):
+                return fetched
+        connected = await ClientConnection.connect(peer, _READ_TIMEOUT_S)
+        if isinstance(connected, Failed):
+            return connected
+        return await self._converse(connected.unwrap(), request)
+
+    async def _converse(
+        self,
+        connection: ClientConnection,
+        request: ClientRequest,
+    ) -> Result[FetchedResponse, Failure]:
+        done = False
+        try:
+            fetched = await converse(connection, request)
+            done = True
+        finally:
+            if done:
+                now = asyncio.get_running_loop().time()
+                self.pool.put(connection, now)
+            else:
+                connection.close()
+        return fetched
+
+
+def _bad_answer(peer: Address, target: str, detail: str) -> Failure:
+    return Failure(
+        kind=FailureKind.protocol_violation,
+        step=f'GET {target}',
+        peer=str(peer),
+        detail=detail,
+    )
--- a/persimmonhold/replication/_replica_host.py
+++ b/persimmonhold/replication/_replica_host.py
@@ -166,6 +166,9 @@
             self._generator,
             now,
         )
+        self.replica.joining.may_found = settings.may_found
+        if settings.voters:
+            self.replica.target_voters = settings.voters
         # Listeners of the applier ask for the leader, so the replica is first.
         self._restore(log.snapshot)
 
--- a/persimmonhold/replication/_replica_settings.py
+++ b/persimmonhold/replication/_replica_settings.py
@@ -11,13 +11,16 @@
 class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Name and address of this VM, the first members, and bounds.
 
-    `initial` holds `ip:port` by VM name. Its size is the number of voters
-    that the group keeps; a VM with a disk that is not in it is a spare.
+    `initial` holds `ip:port` by VM name. The group keeps `voters` voters, as
+    many as there are in `initial` by default; further VMs with a disk are
+    spares. Without `may_found` a VM with an empty disk waits to be taken in.
     """
 
     name: str
     address: str
     initial: dict[str, str]
+    voters: int = 0
+    may_found: bool = True
     timings: Timings = Timings()
     proposal_timeout_s: float = 5.0
     max_queued_proposals: int = 4096
--- /dev/null
+++ b/persimmonhold/routes/__init__.py
@@ -0,0 +1,25 @@
+"""Routes of opaque requests: documents, their rules and look-ups."""
+
+from persimmonhold.routes._check_document import check_document
+from persimmonhold.routes._engine_spec import EngineSpec
+from persimmonhold.routes._forward_route import ForwardRoute
+from persimmonhold.routes._model_spec import ModelSpec
+from persimmonhold.routes._route_kind import RouteKind
+from persimmonhold.routes._route_table import RouteTable
+from persimmonhold.routes._route_target import RouteTarget
+from persimmonhold.routes._routing_document import RoutingDocument
+from persimmonhold.routes._service_spec import ServiceSpec
+from persimmonhold.routes._traffic_limits import TrafficLimits
+
+__all__ = (
+    'EngineSpec',
+    'ForwardRoute',
+    'ModelSpec',
+    'RouteKind',
+    'RouteTable',
+    'RouteTarget',
+    'RoutingDocument',
+    'ServiceSpec',
+    'TrafficLimits',
+    'check_document',
+)
--- /dev/null
+++ b/persimmonhold/routes/_check_document.py
@@ -0,0 +1,42 @@
+"""The rules that a routing document has to meet before it is accepted."""
+
+from collections.abc import Iterator
+
+from persimmonhold.routes._forward_route import ForwardRoute
+from persimmonhold.routes._routing_document import RoutingDocument
+
+
+def check_document(document: RoutingDocument) -> str:
+    """Return the first thing that is wrong, or an empty string."""
+    return next(_faults(document), '')
+
+
+def _faults(document: RoutingDocument) -> Iterator[str]:
+    if document.version < 1:
+        yield f'version {document.version}: expected 1 or more'
+    names = [service.name for service in document.services]
+    if len(set(names)) != len(names):
+        yield 'two services have the same name'
+    places: set[tuple[str, str]] = set()
+    for route in document.routes:
+        yield from _route_faults(route, frozenset(names))
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            yield f'route {route.name}: host and path prefix are taken'
+        places.add(place)
+
+
+def _route_faults(
+    route: ForwardRoute,
+    services: frozenset[str],
+) -> Iterator[str]:
+    if route.timeout_ms <= 0:
+        yield f'route {route.name}: timeout has to be above 0'
+    if not (route.path_prefix.startswith('/') and route.path_prefix[-1] == '/'):
+        yield f'route {route.name}: prefix has to begin and end with a slash'
+    weights = [target.weight for target in route.targets]
+    if min(weights, default=0) < 0 or sum(weights) <= 0:
+        yield f'route {route.name}: weights have to add up to more than 0'
+    for target in route.targets:
+        if target.service not in services:
+            yield f'route {route.name}: unknown service {target.service}'
--- /dev/null
+++ b/persimmonhold/routes/_engine_spec.py
@@ -0,0 +1,33 @@
+"""The engines of a service."""
+
+from typing import final
+
+import msgspec
+
+from persimmonhold.routes._model_spec import ModelSpec
+
+
+@final
+class EngineSpec(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """What each engine holds and runs at once, and the models it may hold.
+
+    `weights_mb` counts weights and adapters together. `store_loads_per_s`
+    bounds loads from the weight store over all engines of the service.
+    """
+
+    slots: int
+    cache_tokens: int
+    weights_mb: float
+    adapter_slots: int
+    store_loads_per_s: float
+    tokens_per_event: int = 1
+    models: tuple[ModelSpec, ...] = ()
+
+    def find(self, name: str) -> ModelSpec | None:
+        """Return the model of that name, or None."""
+        return next((spec for spec in self.models if spec.name == name), None)
--- /dev/null
+++ b/persimmonhold/routes/_traffic_limits.py
@@ -0,0 +1,20 @@
+"""What callers may send, and how slowly."""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class TrafficLimits(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Sizes in bytes, times in milliseconds."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    head_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 75_000.0
--- a/persimmonhold/settings/_peer_settings.py
+++ b/persimmonhold/settings/_peer_settings.py
@@ -23,6 +23,22 @@
             description='Control VMs at the first start; name@ip:port, ...',
         ),
     ] = ''
+    voters: Annotated[
+        int,
+        Meta(ge=0, le=9, description='Control VMs that vote; 0: as listed.'),
+    ] = 0
+    first_start: Annotated[
+        bool,
+        Meta(description='An empty data folder may found the group.'),
+    ] = True
+    replacement_ms: Annotated[
+        int,
+        Meta(
+            ge=500,
+            le=3_600_000,
+            description='Silence before a spare replaces a control VM.',
+        ),
+    ] = 30_000
     heartbeat_ms: Annotated[
         int,
         Meta(ge=10, le=10_000, description='Time between heartbeats.'),
--- a/persimmonhold/system/_control_side.py
+++ b/persimmonhold/system/_control_side.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import TracebackType
@@ -14,15 +13,14 @@
     ControlApplier,
     ControlNode,
     LeaderDuties,
-    OperatorHandler,
-    PlacementRunner,
     VmShell,
 )
-from persimmonhold.observability import Metrics
 from persimmonhold.placement import check_fit
 from persimmonhold.replication import ReplicaNode, ReplicaSettings
 from persimmonhold.settings import PeerSettings, Settings
 from persimmonhold.system._background import Background
+from persimmonhold.system._boot_clock import boot_time
+from persimmonhold.system._control_work import ControlWork
 from persimmonhold.transport import Transport
 from persimmonhold.web import HttpBounds, HttpServer, parse_address
 
@@ -32,7 +30,7 @@
 
 @final
 class ControlSide:
-    """Owns the replica, placement and the operators' server."""
+    """Owns the replica, the leader's work and the operators' server."""
 
     __slots__ = ('_background', '_stack', 'node', 'operators', 'replica')
 
@@ -41,10 +39,13 @@
         settings: Settings,
         vm: VmShell,
         transport: Transport,
-        metrics: Metrics,
+        work: ControlWork,
         background: Background,
     ) -> None:
-        """Create the control role; entering the context starts it."""
+        """Create the control role; entering the context starts it.
+
+        `work` is what the leader does besides keeping the state.
+        """
         applier = ControlApplier(ControlMachine(check_fit))
         self.replica = ReplicaNode(
             replica_settings(settings.vm.name, settings.peers),
@@ -52,11 +53,10 @@
             transport,
             applier,
             random.Random(),
-            time.monotonic,
+            boot_time,
         )
         self.node = ControlNode(applier, self.replica, vm)
-        runner = PlacementRunner(self.node, settings.placement, metrics)
-        handler = OperatorHandler(self.node, metrics, runner.explain)
+        handler = work.begin(self.node)
         self.operators = HttpServer(
             parse_address(settings.operators.address).unwrap(),
             handler,
@@ -65,7 +65,7 @@
         self._background = background
         self._stack = AsyncExitStack()
         background.run(LeaderDuties(self.node, vm).run(), 'leader duties')
-        background.run(runner.run(), 'placement')
+        background.run(work.run(), 'leader work')
         background.run(self._watch_replica(), 'replica')
 
     async def __aenter__(self) -> Self:
@@ -105,8 +105,11 @@
         name=name,
         address=peers.address,
         initial=peers.control_addresses,
+        voters=peers.voters,
+        may_found=peers.first_start,
         timings=Timings(
             heartbeat_s=peers.heartbeat_ms / _MS_PER_S,
             election_timeout_s=peers.election_timeout_ms / _MS_PER_S,
+            replacement_timeout_s=peers.replacement_ms / _MS_PER_S,
         ),
     )
--- a/persimmonhold/system/_vm_process.py
+++ b/persimmonhold/system/_vm_process.py
@@ -18,11 +18,13 @@
     VmShell,
 )
 from persimmonhold.entry import Entry
-from persimmonhold.messages import VmRecord
 from persimmonhold.observability import Metrics, log_event
 from persimmonhold.settings import Settings
 from persimmonhold.system._background import Background
+from persimmonhold.system._boot_clock import boot_time
 from persimmonhold.system._control_side import ControlSide
+from persimmonhold.system._control_work import PlacementWork
+from persimmonhold.system._vm_record import vm_record
 from persimmonhold.transport import NngTransport
 
 _COUNT_INTERVAL_S: Final = 1.0
@@ -63,6 +65,7 @@
             vm_record(settings),
             settings.peers.control_addresses,
             self.transport,
+            clock=boot_time,
         )
         self.control: ControlSide | None = None
         self.entry: Entry | None = None
@@ -102,7 +105,7 @@
                 settings,
                 self.vm,
                 self.transport,
-                self.metrics,
+                PlacementWork(settings.placement, self.metrics),
                 self.background,
             )
             await stack.enter_async_context(self.control)
@@ -145,17 +148,3 @@
 async def _until_set(failed: asyncio.Event) -> None:
     """End, and with that report a failure, once `failed` is set."""
     await failed.wait()
-
-
-def vm_record(settings: Settings) -> VmRecord:
-    """Return what a VM registers about itself."""
-    return VmRecord(
-        name=settings.vm.name,
-        failure_domain=settings.vm.failure_domain,
-        callers=settings.callers.address if settings.vm.has_entry else '',
-        operators=(
-            settings.operators.address if settings.vm.has_control else ''
-        ),
-        peers=settings.peers.address,
-        weight=settings.callers.weight,
-    )
--- /dev/null
+++ b/persimmonhold/system/_vm_record.py
@@ -0,0 +1,18 @@
+"""What a VM registers about itself."""
+
+from persimmonhold.messages import VmRecord
+from persimmonhold.settings import Settings
+
+
+def vm_record(settings: Settings) -> VmRecord:
+    """Return what a VM registers about itself."""
+    return VmRecord(
+        name=settings.vm.name,
+        failure_domain=settings.vm.failure_domain,
+        callers=settings.callers.address if settings.vm.has_entry else '',
+        operators=(
+            settings.operators.address if settings.vm.has_control else ''
+        ),
+        peers=settings.peers.address,
+        weight=settings.callers.weight,
+    )
--- a/persimmonhold/transport/_channel.py
+++ b/persimmonhold/transport/_channel.py
@@ -13,3 +13,5 @@
     control = 2
     membership = 3
     dissemination = 4
+    fleet = 5
+    probe = 6
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -6,6 +6,7 @@
 from persimmonhold.web._bounds import HttpBounds
 from persimmonhold.web._client_connection import ClientConnection
 from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._end_to_end import end_to_end_headers
 from persimmonhold.web._exchange import Exchange
 from persimmonhold.web._exchange_handler import ExchangeHandler
 from persimmonhold.web._fetch import FetchedResponse, converse, fetch
@@ -29,6 +30,7 @@
 from persimmonhold.web._request_head import RequestHead
 from persimmonhold.web._response_head import ResponseHead
 from persimmonhold.web._server import HttpServer
+from persimmonhold.web._stall_watch import StallWatch
 
 __all__ = (
     'CALLER',
@@ -56,8 +58,10 @@
     'Rejection',
     'RequestHead',
     'ResponseHead',
+    'StallWatch',
     'converse',
     'encode_headers',
+    'end_to_end_headers',
     'fetch',
     'find_header',
     'parse_address',
--- a/persimmonhold/web/_bounds.py
+++ b/persimmonhold/web/_bounds.py
@@ -7,7 +7,7 @@
 
 @final
 class HttpBounds(msgspec.Struct, frozen=True, kw_only=True):
-    """Sizes in bytes and times in seconds."""
+    """Sizes in bytes and times in seconds; statuses of what breaks them."""
 
     max_head_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
@@ -17,3 +17,5 @@
     idle_timeout_s: float = 75
     send_timeout_s: float = 30
     max_connections: int = 4096
+    large_head_status: int = 413
+    slow_head_status: int = 400
--- a/persimmonhold/web/_client_parser.py
+++ b/persimmonhold/web/_client_parser.py
@@ -99,7 +99,7 @@
         return self._unparsed <= _CHUNK_END_BYTES
 
     def _encode(self, request: ClientRequest, host: str) -> bytes:
-        own = [(b'host', host.encode('ascii'))]
+        own = [(b'host', (request.host or host).encode('latin-1'))]
         if request.body or request.method not in _BODILESS_METHODS:
             length = str(len(request.body)).encode('ascii')
             own.append((b'content-length', length))
--- a/persimmonhold/web/_client_request.py
+++ b/persimmonhold/web/_client_request.py
@@ -9,9 +9,13 @@
 
 @final
 class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """Method, target, headers and body of a request to send."""
+    """Method, target, headers and body of a request to send.
+
+    An empty `host` stands for the address of the peer.
+    """
 
     method: str
     target: str
     headers: Headers = ()
     body: bytes = b''
+    host: str = ''
--- a/persimmonhold/entry/_header_rules.py
+++ b/persimmonhold/web/_end_to_end.py
@@ -1,8 +1,8 @@
-"""Which headers pass through an entry."""
+"""Which headers pass through the system."""
 
 from typing import Final
 
-from persimmonhold.web import (
+from persimmonhold.web._headers import (
     CALLER,
     DEADLINE_MS,
     PRIORITY,
--- a/persimmonhold/web/_server.py
+++ b/persimmonhold/web/_server.py
@@ -91,6 +91,12 @@
         for connection in self._connections:
             connection.closing = True
 
+    def change_bounds(self, bounds: HttpBounds) -> None:
+        """Hold open and later connections to other bounds."""
+        self.bounds = bounds
+        for connection in self._connections:
+            connection.bounds = bounds
+
     async def drain(self) -> None:
         """Stop listening, end requests under way, close connections."""
         self._stop_listening()
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -21,7 +21,6 @@
 from persimmonhold.web._request_head import RequestHead
 
 _BAD_REQUEST: Final = 400
-_TOO_LARGE: Final = 413
 _HEAD_TOO_LARGE: Final = 431
 _INTERNAL_ERROR: Final = 500
 _LINGER_S: Final = 1.0
@@ -82,7 +81,7 @@
         if self._exchange is None and self._is_idle:
             # One timer for the whole head: a slow sender cannot extend it.
             self._is_idle = False
-            self.timer.start(self.bounds.head_timeout_s, self._reject)
+            self.timer.start(self.bounds.head_timeout_s, self._reject_slow)
         self._parser.receive_data(data)
         self._advance()
 
@@ -237,15 +236,19 @@
         self.timer.start(self.bounds.idle_timeout_s, self._close)
         if self._parser.trailing_data[0]:
             self._is_idle = False
-            self.timer.start(self.bounds.head_timeout_s, self._reject)
+            self.timer.start(self.bounds.head_timeout_s, self._reject_slow)
             self._advance()
 
+    def _reject_slow(self) -> None:
+        self._reject(self.bounds.slow_head_status)
+
     def _reject(self, status: int = _BAD_REQUEST) -> None:
         """Answer a request that cannot be served and close."""
         if self._transport is None:
             return
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            refused = _TOO_LARGE if status == _HEAD_TOO_LARGE else status
+            is_large = status == _HEAD_TOO_LARGE
+            refused = self.bounds.large_head_status if is_large else status
             self._write_rejection(refused)
         elif self._exchange is not None:
             # The body under way is malformed; its response has begun.
--- a/persimmonhold/entry/_stall_watch.py
+++ b/persimmonhold/web/_stall_watch.py
@@ -5,7 +5,7 @@
 from types import TracebackType
 from typing import Final, Self, final
 
-from persimmonhold.web import ClientConnection
+from persimmonhold.web._client_connection import ClientConnection
 
 _CHECKS: Final = 4
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -19,7 +19,6 @@
     Not,
 )
 
-from persimmonhold.entry._stall_watch import StallWatch
 from persimmonhold.observability import metric
 from persimmonhold.settings import CallerSettings
 from persimmonhold.web import (
@@ -27,6 +26,7 @@
     ClientRequest,
     Exchange,
     FetchedResponse,
+    StallWatch,
     encode_headers,
 )
 from tests.entry_builders import (
