--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -237,7 +237,7 @@
         if self.vm is None:
             return
         timings = self.vm.timings
-        fanout = timings.push_fanout
+        fanout = timings.push_fanout_for(len(self.state.vms))
         if self.log.leader == self.vm.record.name:
             fanout = timings.leader_push_fanout
         self.vm.feed(self.state.view, fanout)
--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -2,9 +2,10 @@
 
 Answers days on which a few models carry most of the load, others are asked
 for now and then, and not every model fits at once. A copy of a model is
-worth the load that it takes; the next copy goes to the model whose copies
-would be loaded most, and takes the room of copies that are worth clearly
-less. A model that is asked for and is nowhere goes first.
+worth the requests that would come late without it: many where its copies are
+full, one miss now and then for the last copy of a model that is seldom asked
+for. The next copy goes where it is worth most, in the room of copies that are
+worth clearly less.
 """
 
 import math
@@ -20,16 +21,20 @@
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.routes import EngineSpec, ModelSpec
 
-_LEAST_GAIN: Final = 0.06  # upstreams; less is not worth a load
+_LEAST_GAIN: Final = 0.1  # requests a second; less is not worth a load
 _SWAP_RATIO: Final = 1.4  # a copy yields only to one worth this much more
-_LAST_COPY_WORTH: Final = 0.35  # upstreams; a miss costs a wait for a load
-_LAST_COPY_RATIO: Final = 6.0  # load of a last copy counts this much more
-_RECENT_S: Final = 3.0  # a model in use lately is not evicted for another
-_LEAST_WORTH: Final = 0.001  # an eviction is never quite free
-_DEMANDED_WORTH: Final = 1000.0  # a model that is waited for goes first
-_BUSY_WEIGHT: Final = 0.1
+_FULL_FROM: Final = 0.5  # use of a copy from which requests come late
+_USE_SLOPE: Final = 0.05  # a copy that is used less answers a bit sooner
+_MISS_LOSS: Final = 0.8  # of a request that waits for a load
+_MISS_HORIZON_S: Final = 5.0  # an eviction costs one miss in that time
+_RUNNING_COST: Final = 0.1  # an eviction waits for each running request
+_MAX_RUNNING_COST: Final = 0.6
+_DEMANDED_WORTH: Final = 0.3  # so that a first request is served in the end
+_WAIT_HORIZON_S: Final = 2.0  # requests that wait are saved once, not again
+_BUSY_WEIGHT: Final = 0.3
 _SAME_DOMAIN: Final = 0.05
-_LOAD_TIME_WEIGHT: Final = 0.1
+_LOAD_TIME_WEIGHT: Final = 1.0  # a second of load
+_STORE_COST: Final = 0.6  # loads from the store are few and slow
 
 
 @final
@@ -72,6 +77,7 @@
         '_loads',
         '_now',
         '_planned',
+        '_running',
         '_spec',
         '_use',
     )
@@ -83,20 +89,23 @@
         loads: dict[str, ModelLoad],
         domains: dict[str, str],
         use: dict[str, float],
+        running: dict[tuple[str, str], int],
         planned: frozenset[str],
         now: float,
     ) -> None:
         """Create a planner of one moment.
 
         `ledgers` are those of upstreams that may be given orders, `domains`
-        their failure domains, `use` the used share of their slots; `planned`
-        names those that have an order planned already.
+        their failure domains, `use` the used share of their slots, `running`
+        the requests by upstream and model; `planned` names those that have
+        an order planned already.
         """
         self._spec = spec
         self._ledgers = tuple(ledgers)
         self._loads = loads
         self._domains = domains
         self._use = use
+        self._running = running
         self._planned = planned
         self._now = now
 
@@ -108,14 +117,13 @@
         for spec in self._by_need():
             gain = self._gain(spec)
             if gain < _LEAST_GAIN:
-                return None
+                continue
             place = self._best_place(spec, gain)
             if place is None:
                 continue
             order = self._order(spec, place, gain)
-            if order.is_from_store and not may_load_from_store:
-                continue
-            return order
+            if may_load_from_store or not order.is_from_store:
+                return order
         return None
 
     def copies(self, model: str) -> int:
@@ -155,10 +163,13 @@
         spec: ModelSpec,
         ledger: UpstreamLedger,
     ) -> PlannedOrder | None:
-        """Evict another copy where the last eviction made too little room."""
+        """Evict another copy where the last eviction made too little room.
+
+        What was worth it then may not be any more.
+        """
         chosen = self._victims(spec, ledger)
-        if chosen is None:
-            ledger.reserved = ''
+        ledger.reserved = ''
+        if chosen is None or not self._is_worth(self._gain(spec), chosen[1]):
             return None
         victims, cost = chosen
         return self._evict(victims[0], spec, ledger, f'cost {cost:.3f}')
@@ -167,16 +178,15 @@
         return sorted(self._spec.models, key=self._gain, reverse=True)
 
     def _gain(self, spec: ModelSpec) -> float:
-        """Return the load that another copy would take over."""
+        """Return the requests a second that another copy would save."""
         load = self._loads.get(spec.name)
         if load is None:
             return 0
         copies = self.copies(spec.name)
         if copies == 0 and load.total_waiting:
-            urgency = load.lowest_urgency
-            return _DEMANDED_WORTH * (2 - urgency / 10) + load.total_waiting
-        needed = load.upstreams_needed(PROMPT_TOKENS_PER_S)
-        return needed / (copies + 1)
+            waiting = load.total_waiting / _WAIT_HORIZON_S
+            return _DEMANDED_WORTH + waiting + load.requests_per_s
+        return _lost_per_s(load, copies) - _lost_per_s(load, copies + 1)
 
     def _best_place(self, spec: ModelSpec, gain: float) -> _Place | None:
         places = [
@@ -208,6 +218,7 @@
             + _BUSY_WEIGHT * self._use.get(ledger.name, 0)
             + _SAME_DOMAIN * in_domain
             + _LOAD_TIME_WEIGHT * load_time_s(spec, ledger)
+            + _STORE_COST * (spec.name not in ledger.in_memory | ledger.on_disk)
         )
         return _Place(ledger, victims, cost, score)
 
@@ -221,31 +232,35 @@
         lacking_mb -= free_mb(self._spec, ledger)
         victims: list[str] = []
         cost = 0.0
-        by_worth = sorted(ledger.held, key=self._copy_worth)
+        by_worth = sorted(
+            ledger.held,
+            key=lambda model: self._copy_worth(model, ledger),
+        )
         for model in by_worth:
             if lacking_mb <= 0:
                 break
             victims.append(model)
-            cost += self._copy_worth(model)
+            cost += self._copy_worth(model, ledger)
             lacking_mb -= held_mb(self._spec, model)
         if lacking_mb > 0 or math.isinf(cost):
             return None
         return tuple(victims), cost
 
-    def _copy_worth(self, model: str) -> float:
-        """Return what would be lost with one copy of a model."""
+    def _copy_worth(self, model: str, ledger: UpstreamLedger) -> float:
+        """Return the requests a second that are lost with a copy."""
         load = self._loads.get(model)
-        needed = load.upstreams_needed(PROMPT_TOKENS_PER_S) if load else 0
+        running = self._running.get((ledger.name, model), 0)
+        cost = min(_MAX_RUNNING_COST, _RUNNING_COST * running)
+        if load is None:
+            return cost
         copies = self.copies(model)
         if copies > 1:
-            return max(_LEAST_WORTH, needed / (copies - 1))
-        if load is not None and load.total_waiting:
+            lost = _lost_per_s(load, copies - 1) - _lost_per_s(load, copies)
+            return cost + lost
+        if load.total_waiting:
             return math.inf
-        idle_s = self._now - load.last_arrival if load else math.inf
-        if idle_s < _RECENT_S:
-            return _LAST_COPY_WORTH * 2 + needed * _LAST_COPY_RATIO
-        rate = load.arrivals_per_s if load else 0
-        return _LAST_COPY_WORTH * (0.5 + min(0.5, rate)) + needed
+        rate = min(load.requests_per_s, 1 / _MISS_HORIZON_S)
+        return cost + _MISS_LOSS * rate
 
     def _order(
         self,
@@ -295,6 +310,15 @@
         )
 
 
+def _lost_per_s(load: ModelLoad, copies: int) -> float:
+    """Return the requests a second that come late with that many copies."""
+    if copies < 1:
+        return load.requests_per_s
+    use = load.upstreams_needed(PROMPT_TOKENS_PER_S) / copies
+    late = max(0.0, 1 - _FULL_FROM / use) if use else 0.0
+    return load.requests_per_s * (late + _USE_SLOPE * min(1.0, use))
+
+
 def load_time_s(spec: ModelSpec, ledger: UpstreamLedger) -> float:
     """Return how long a model takes to load at an upstream."""
     if spec.name in ledger.in_memory and spec.memory_load_s:
--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -88,9 +88,8 @@
         SharedLoad(
             name,
             len(use.running),
-            sum(
-                one.unread for one in use.running.values() if not one.has_begun
-            ),
+            use.own_unread,
+            use.running_by_model,
         )
         for name, use in dispatcher.chooser.uses.items()
         if use.running
--- /dev/null
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -0,0 +1,99 @@
+"""What the entries run and are asked for, as they report it."""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from persimmonhold.fleet._fleet_messages import EntryReport
+from persimmonhold.fleet._model_load import ModelLoad
+from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+from persimmonhold.routes import EngineSpec
+
+_ENTRY_SILENT_S: Final = 2.0  # several reports of an entry are lost by then
+
+
+@final
+class FleetDemand:
+    """The newest report of each entry, and the load of each model."""
+
+    __slots__ = ('entries', 'heard_at', 'loads', 'shared')
+
+    def __init__(self) -> None:
+        """Create the demand before the first report."""
+        self.entries: dict[str, EntryReport] = {}
+        self.heard_at: dict[str, float] = {}
+        self.loads: dict[str, dict[str, ModelLoad]] = {}
+        self.shared: dict[str, dict[str, SharedLoad]] = {}
+
+    def take_entry_report(
+        self,
+        entry: str,
+        report: EntryReport,
+        now: float,
+    ) -> None:
+        """Take what an entry runs and is asked for."""
+        last = self.entries.get(entry)
+        is_old = last is not None and last.sequence >= report.sequence
+        if is_old and now - self.heard_at[entry] < _ENTRY_SILENT_S:
+            return
+        self.entries[entry] = report
+        self.heard_at[entry] = now
+        self.shared[entry] = {load.upstream: load for load in report.loads}
+        for demand in report.demand:
+            models = self.loads.setdefault(demand.service, {})
+            load = models.setdefault(demand.model, ModelLoad(now))
+            load.take(entry, demand, now)
+
+    def use(
+        self,
+        ledgers: Iterable[UpstreamLedger],
+        spec: EngineSpec,
+    ) -> dict[str, float]:
+        """Return the used share of the slots of upstreams."""
+        return {
+            ledger.name: sum(
+                loads[ledger.name].running
+                for loads in self.shared.values()
+                if ledger.name in loads
+            )
+            / spec.slots
+            for ledger in ledgers
+        }
+
+    def running_by_model(self) -> dict[tuple[str, str], int]:
+        """Return the requests by upstream and model."""
+        running: dict[tuple[str, str], int] = {}
+        for loads in self.shared.values():
+            for load in loads.values():
+                for model, count in load.models:
+                    key = (load.upstream, model)
+                    running[key] = running.get(key, 0) + count
+        return running
+
+    def others(self, entry: str) -> tuple[SharedLoad, ...]:
+        """Sum what all other entries run, by upstream."""
+        running: dict[str, int] = {}
+        unread: dict[str, int] = {}
+        for other, loads in self.shared.items():
+            if other == entry:
+                continue
+            for load in loads.values():
+                key = load.upstream
+                running[key] = running.get(key, 0) + load.running
+                unread[key] = unread.get(key, 0) + load.unread_tokens
+        return tuple(
+            SharedLoad(name, count, unread[name])
+            for name, count in running.items()
+            if count
+        )
+
+    def forget_silent(self, now: float) -> None:
+        """Drop what entries reported that are silent now."""
+        for entry, heard_at in tuple(self.heard_at.items()):
+            if now - heard_at > _ENTRY_SILENT_S:
+                self.heard_at.pop(entry)
+                self.entries.pop(entry, None)
+                self.shared.pop(entry, None)
+                for models in self.loads.values():
+                    for load in models.values():
+                        load.forget(entry)
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -125,6 +125,7 @@
         return msgspec.structs.replace(
             facts,
             born_ms=ledger.born_ms,
+            is_silent=facts.is_silent or ledger.is_lost,
             is_changing=not ledger.is_idle,
             models=_held_models(ledger),
         )
--- a/persimmonhold/fleet/_fleet_leader.py
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -10,8 +10,13 @@
 from typing import Final, final
 
 from persimmonhold.fleet._adapter_desk import AdapterDesk
-from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
+from persimmonhold.fleet._copy_planner import (
+    CopyPlanner,
+    PlannedOrder,
+    load_time_s,
+)
 from persimmonhold.fleet._engine_room import free_mb, held_mb
+from persimmonhold.fleet._fleet_demand import FleetDemand
 from persimmonhold.fleet._fleet_facts import FleetFacts
 from persimmonhold.fleet._fleet_messages import (
     AdapterReply,
@@ -26,15 +31,17 @@
 )
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_load import ModelLoad
-from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._store_pacer import StorePacer
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.fleet._upstream_report import UpstreamReport
 from persimmonhold.routes import EngineSpec, RoutingDocument
 
-_ENTRY_SILENT_S: Final = 2.0  # several reports of an entry are lost by then
 _RETIRE_LEAD_S: Final = 0.06  # entries hear of it and stop to send
 _RESERVED_S: Final = 4.0  # longer than the runs that an eviction waits for
+_EVICTED_S: Final = 0.03  # where nothing runs that it would wait for
+_LOAD_SLACK: Final = 1.05  # of the load time that is configured
+_LOAD_SLACK_S: Final = 0.03
+_SOLE_LOADS: Final = 2  # more at once take longer
 _RETRY_S: Final = 0.1  # an order without an answer is given again
 
 
@@ -43,20 +50,17 @@
     """Facts, ledgers, demand and orders of one term."""
 
     __slots__ = (
+        'demand',
         'desks',
         'document',
-        'entries',
         'facts',
-        'heard_at',
         'ledgers',
-        'loads',
         'orders_from',
         'pacers',
         'planned',
         'replies',
         'retry_at',
         'sequence',
-        'shared',
         'term',
     )
 
@@ -66,13 +70,10 @@
         self.orders_from = orders_from
         self.document = RoutingDocument()
         self.facts = FleetFacts()
+        self.demand = FleetDemand()
         self.ledgers: dict[str, UpstreamLedger] = {}
         self.desks: dict[str, AdapterDesk] = {}
-        self.loads: dict[str, dict[str, ModelLoad]] = {}
         self.pacers: dict[str, StorePacer] = {}
-        self.entries: dict[str, EntryReport] = {}
-        self.heard_at: dict[str, float] = {}
-        self.shared: dict[str, dict[str, SharedLoad]] = {}
         self.planned: dict[str, PlannedOrder] = {}
         self.replies: list[tuple[str, AdapterReply]] = []
         self.retry_at: dict[str, float] = {}
@@ -113,24 +114,17 @@
         """Note that an upstream did not answer."""
         self.facts.report_failed(upstream)
 
-    def take_entry_report(
-        self,
-        entry: str,
-        report: EntryReport,
-        now: float,
-    ) -> None:
-        """Take what an entry runs and is asked for."""
-        last = self.entries.get(entry)
-        is_old = last is not None and last.sequence >= report.sequence
-        if is_old and now - self.heard_at[entry] < _ENTRY_SILENT_S:
-            return
-        self.entries[entry] = report
-        self.heard_at[entry] = now
-        self.shared[entry] = {load.upstream: load for load in report.loads}
-        for demand in report.demand:
-            models = self.loads.setdefault(demand.service, {})
-            load = models.setdefault(demand.model, ModelLoad(now))
-            load.take(entry, demand, now)
+    def is_wanted(self, report: EntryReport) -> bool:
+        """Tell whether an entry waits for a model that is nowhere."""
+        held = {
+            model
+            for ledger in self.ledgers.values()
+            for model in (*ledger.models, ledger.reserved)
+        }
+        return any(
+            demand.waiting and demand.model not in held
+            for demand in report.demand
+        )
 
     def ask_adapter(
         self,
@@ -166,9 +160,11 @@
 
     def plan(self, now: float) -> tuple[PlannedOrder, ...]:
         """Plan the next orders of models; return what was decided."""
+        for ledger in self.ledgers.values():
+            ledger.advance(now)
         if now < self.orders_from:
             return ()
-        self._forget_silent(now)
+        self.demand.forget_silent(now)
         decided: list[PlannedOrder] = []
         for service in self.document.services:
             if service.engine is not None:
@@ -183,7 +179,9 @@
         spec = self.engine_of(upstream)
         if ledger is None or spec is None or now < self.orders_from:
             return None
-        if not ledger.is_settled or now < self.retry_at.get(upstream, 0):
+        ledger.advance(now)
+        is_known = ledger.is_settled and not ledger.is_lost
+        if not is_known or now < self.retry_at.get(upstream, 0):
             return None
         adapter_order = self.desks[upstream].next_order(ledger, spec, now)
         if adapter_order is not None:
@@ -206,6 +204,8 @@
         if ledger is None or spec is None:
             return
         ledger.order_ended(order, verdict)
+        if verdict is OrderVerdict.accepted and not order.adapter:
+            self._expect_done(ledger, order, spec, now)
         if verdict not in {OrderVerdict.accepted, OrderVerdict.holds}:
             self.retry_at[upstream] = now + _RETRY_S
         if order.adapter:
@@ -216,17 +216,16 @@
             self.planned.pop(upstream, None)
 
     def next_due(self) -> float:
-        """Return when the next reply about an adapter is due."""
-        return min(
-            (desk.next_due() for desk in self.desks.values()),
-            default=math.inf,
-        )
+        """Return when an adapter or a model is expected to be there."""
+        dues = [desk.next_due() for desk in self.desks.values()]
+        dues.extend(ledger.done_at for ledger in self.ledgers.values())
+        return min(dues, default=math.inf)
 
     def update_for(self, entry: str, now: float) -> FleetUpdate | None:
         """Return what to tell an entry; None before the first list."""
         if self.facts.listed_at is None:
             return None
-        report = self.entries.get(entry)
+        report = self.demand.entries.get(entry)
         is_known = report is not None and report.term == self.term
         base = report.number if report is not None and is_known else 0
         facts, gone = self.facts.since(base)
@@ -239,7 +238,8 @@
             list_age_s=now - self.facts.listed_at,
             facts=facts,
             gone=gone if base else (),
-            others=self._others(entry),
+            others=self.demand.others(entry),
+            takes_orders=now >= self.orders_from,
         )
 
     def _plan_service(
@@ -248,7 +248,7 @@
         spec: EngineSpec,
         now: float,
     ) -> list[PlannedOrder]:
-        loads = self.loads.setdefault(service, {})
+        loads = self.demand.loads.setdefault(service, {})
         for load in loads.values():
             load.advance(now, spec.slots)
         pacer = self.pacers.setdefault(service, StorePacer(now))
@@ -283,7 +283,8 @@
             ledgers,
             loads,
             domains,
-            self._use(ledgers, spec),
+            self.demand.use(ledgers, spec),
+            self.demand.running_by_model(),
             frozenset(self.planned),
             now,
         )
@@ -297,6 +298,7 @@
             and name in self.ledgers
             and not facts.is_leaving
             and not facts.is_silent
+            and not self.ledgers[name].is_lost
         ]
 
     def _decide(self, planned: PlannedOrder, now: float) -> None:
@@ -310,6 +312,25 @@
             ledger.reserved = planned.order.model
             ledger.reserved_until = now + _RESERVED_S
 
+    def _expect_done(
+        self,
+        ledger: UpstreamLedger,
+        order: FleetOrder,
+        spec: EngineSpec,
+        now: float,
+    ) -> None:
+        """Expect the end of an order where it can be foretold."""
+        if order.kind is FleetOrderKind.evict:
+            running = self.demand.running_by_model()
+            if not running.get((ledger.name, order.model)):
+                ledger.expect_done(now + _EVICTED_S)
+            return
+        loading = sum(bool(one.loading) for one in self.ledgers.values())
+        model = spec.find(order.model)
+        if model is not None and loading <= _SOLE_LOADS:
+            taken_s = load_time_s(model, ledger) * _LOAD_SLACK
+            ledger.expect_done(now + taken_s + _LOAD_SLACK_S)
+
     def _expire_reservation(self, ledger: UpstreamLedger, now: float) -> None:
         """Give up a plan that was not carried out in time."""
         if ledger.reserved and now > ledger.reserved_until:
@@ -352,45 +373,3 @@
         if spec is None or model in ledger.held:
             return False
         return free_mb(spec, ledger) >= held_mb(spec, model)
-
-    def _use(
-        self,
-        ledgers: Iterable[UpstreamLedger],
-        spec: EngineSpec,
-    ) -> dict[str, float]:
-        return {
-            ledger.name: sum(
-                loads[ledger.name].running
-                for loads in self.shared.values()
-                if ledger.name in loads
-            )
-            / spec.slots
-            for ledger in ledgers
-        }
-
-    def _others(self, entry: str) -> tuple[SharedLoad, ...]:
-        """Sum what all other entries run, by upstream."""
-        running: dict[str, int] = {}
-        unread: dict[str, int] = {}
-        for other, loads in self.shared.items():
-            if other == entry:
-                continue
-            for load in loads.values():
-                key = load.upstream
-                running[key] = running.get(key, 0) + load.running
-                unread[key] = unread.get(key, 0) + load.unread_tokens
-        return tuple(
-            SharedLoad(name, count, unread[name])
-            for name, count in running.items()
-            if count
-        )
-
-    def _forget_silent(self, now: float) -> None:
-        for entry, heard_at in tuple(self.heard_at.items()):
-            if now - heard_at > _ENTRY_SILENT_S:
-                self.heard_at.pop(entry)
-                self.entries.pop(entry, None)
-                self.shared.pop(entry, None)
-                for models in self.loads.values():
-                    for load in models.values():
-                        load.forget(entry)
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -25,7 +25,8 @@
     """Facts of one term of control up to `number`, from `base` on.
 
     With `base` 0 the facts are complete. `sequence` numbers the updates to
-    one entry; `list_age_s` is the age of the newest list.
+    one entry; `list_age_s` is the age of the newest list. `takes_orders` is
+    False while a new giver of orders waits for its turn.
     """
 
     term: int
@@ -36,6 +37,7 @@
     facts: tuple[UpstreamFacts, ...] = ()
     gone: tuple[str, ...] = ()
     others: tuple[SharedLoad, ...] = ()
+    takes_orders: bool = True
 
 
 @final
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -15,6 +15,7 @@
 from typing import Final, TypeAlias, final
 
 from persimmonhold.fleet._attempt_end import AttemptEnd
+from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
 from persimmonhold.fleet._fleet_messages import FleetUpdate
 from persimmonhold.fleet._forward_action import (
     ForwardAction,
@@ -36,6 +37,7 @@
     AttemptEnd.absent: 0.0,  # the belief about the model is what changed
     AttemptEnd.full: 0.15,  # others are tried first
     AttemptEnd.unsent: 0.1,
+    AttemptEnd.unreachable: 0.3,  # a crashed upstream is back in seconds
 })
 _NOT_REACHED: Final = frozenset((AttemptEnd.unreachable, AttemptEnd.unsent))
 _LEAST_RETURN_S: Final = 0.1
@@ -104,6 +106,7 @@
         self.list_made_at = max(self.list_made_at, now - update.list_age_s)
         self.chooser.set_facts(update.facts, update.gone, is_whole=is_whole)
         self.chooser.take_others(update.others, now)
+        self.chooser.takes_orders = update.takes_orders
         return self.pump(now)
 
     def arrive(
@@ -132,7 +135,9 @@
             return ()
         self._release(pending, outcome, now)
         pause_s = _EXCLUSION_S.get(outcome, _EXCLUDED_S)
-        pending.excluded[pending.upstream] = now + pause_s
+        use = self.chooser.uses.get(pending.upstream)
+        if use is not None:
+            pending.excluded[use.facts.process] = now + pause_s
         if outcome not in _NOT_REACHED and not self._may_repeat(pending, now):
             return (self._turn_away(pending, 'retry_budget_spent', now),)
         return self._queue(pending, now)
@@ -260,7 +265,8 @@
         """Return until when a request may wait for a place."""
         ticket = pending.ticket
         latest = min(ticket.patience_until, ticket.ends_at)
-        return latest - _LEAST_EVENT_S
+        read_s = ticket.profile.prompt_tokens / PROMPT_TOKENS_PER_S
+        return latest - _LEAST_EVENT_S - 2 * read_s
 
     def _reason(self, pending: PendingRequest, now: float) -> str:
         if self.chooser.is_somewhere(pending, now):
--- a/persimmonhold/fleet/_model_load.py
+++ b/persimmonhold/fleet/_model_load.py
@@ -20,6 +20,7 @@
     __slots__ = (
         'arrivals_per_s',
         'fast',
+        'fast_arrivals_per_s',
         'fast_tokens_per_s',
         'last_arrival',
         'running',
@@ -42,9 +43,15 @@
         self.fast_tokens_per_s = 0.0
         self.slow_tokens_per_s = 0.0
         self.arrivals_per_s = 0.0
+        self.fast_arrivals_per_s = 0.0
         self.last_arrival = -math.inf
         self.updated_at = now
 
+    @property
+    def requests_per_s(self) -> float:
+        """The rate of arrivals; it falls more slowly than it rises."""
+        return max(self.fast_arrivals_per_s, self.arrivals_per_s / 2)
+
     @property
     def total_waiting(self) -> int:
         """The number of requests that wait at the entries."""
@@ -62,6 +69,7 @@
         self.urgency[entry] = demand.urgency
         self.tokens += demand.tokens
         self.arrivals_per_s += demand.arrived / _SLOW_S
+        self.fast_arrivals_per_s += demand.arrived / _FAST_S
         if demand.arrived:
             self.last_arrival = now
 
@@ -87,6 +95,7 @@
         self.fast_tokens_per_s += fast * (rate - self.fast_tokens_per_s)
         self.slow_tokens_per_s += slow * (rate - self.slow_tokens_per_s)
         self.arrivals_per_s -= slow * self.arrivals_per_s
+        self.fast_arrivals_per_s -= fast * self.fast_arrivals_per_s
 
     def upstreams_needed(self, prompt_tokens_per_s: float) -> float:
         """Return the load, in upstreams that read at that speed."""
--- a/persimmonhold/fleet/_shared_load.py
+++ b/persimmonhold/fleet/_shared_load.py
@@ -7,7 +7,7 @@
 
 @final
 class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Requests and unread prompt tokens at an upstream.
+    """Requests and unread prompt tokens at an upstream, and by model.
 
     In a report of an entry they are its own; in an update to an entry they
     are those of all the others.
@@ -16,3 +16,4 @@
     upstream: str
     running: int
     unread_tokens: int
+    models: tuple[tuple[str, int], ...] = ()
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -16,7 +16,7 @@
 from persimmonhold.fleet._waiting_line import PendingRequest
 
 Choice: TypeAlias = tuple[UpstreamUse, float, bool]
-_UNREAD_LIMIT_S: Final = 0.25  # half of the tightest time to a first event
+_UNREAD_LIMIT_S: Final = 0.12  # reading holds up the events of all others
 _JITTER_S: Final = 0.004  # keeps entries from choosing alike
 
 
@@ -24,12 +24,13 @@
 class UpstreamChooser:
     """What an entry believes of all upstreams, and its choices."""
 
-    __slots__ = ('by_service', 'domain', 'source', 'uses')
+    __slots__ = ('by_service', 'domain', 'source', 'takes_orders', 'uses')
 
     def __init__(self, domain: str, source: random.Random) -> None:
         """Create the chooser of an entry that knows no upstream."""
         self.domain = domain
         self.source = source
+        self.takes_orders = True
         self.uses: dict[str, UpstreamUse] = {}
         self.by_service: dict[str, list[UpstreamUse]] = {}
 
@@ -74,7 +75,8 @@
             if not self._takes(use, pending, now):
                 continue
             needs_adapter = self._needs_adapter(use, pending, now)
-            if needs_adapter and use.facts.is_changing:
+            is_closed = use.facts.is_changing or not self.takes_orders
+            if needs_adapter and is_closed:
                 continue
             expected_s = predict_first_event_s(
                 use,
@@ -95,7 +97,7 @@
         ticket = pending.ticket
         return any(
             use.is_open(now)
-            and not pending.excludes(use.facts.name, now)
+            and not pending.excludes(use.facts.process, now)
             and (
                 not ticket.is_engine
                 or use.find(ticket.profile.model, now) is not None
@@ -110,7 +112,7 @@
         now: float,
     ) -> bool:
         """Tell whether an upstream may get the request now."""
-        if pending.excludes(use.facts.name, now) or not use.is_open(now):
+        if pending.excludes(use.facts.process, now) or not use.is_open(now):
             return False
         running = use.running_total(now)
         if now < use.full_until or running >= use.facts.slots:
--- a/persimmonhold/fleet/_upstream_facts.py
+++ b/persimmonhold/fleet/_upstream_facts.py
@@ -26,6 +26,11 @@
     is_changing: bool = False
     models: tuple[HeldModel, ...] = ()
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Identifies one start of the upstream."""
+        return self.name, self.born_ms
+
     def find(self, model: str) -> HeldModel | None:
         """Return what is held of a model, or None."""
         return next((held for held in self.models if held.name == model), None)
--- a/persimmonhold/fleet/_upstream_ledger.py
+++ b/persimmonhold/fleet/_upstream_ledger.py
@@ -7,6 +7,7 @@
 and what is on its way is known in full.
 """
 
+import math
 from typing import final
 
 from persimmonhold.fleet._fleet_order import (
@@ -23,15 +24,19 @@
 
     `held` holds the adapters by model, those on their way included.
     `loading` and `evicting` name the model whose order is being carried
-    out. `reserved` names a model that gets the room that is being made.
+    out, and `done_at` when it is expected to be done. `reserved` names a
+    model that gets the room that is being made. `is_lost` tells that another
+    process answers at the address.
     """
 
     __slots__ = (
         'accepted',
         'born_ms',
+        'done_at',
         'evicting',
         'held',
         'in_memory',
+        'is_lost',
         'is_settled',
         'loading',
         'name',
@@ -54,12 +59,15 @@
         self.retiring: dict[str, float] = {}
         self.in_memory: frozenset[str] = frozenset()
         self.on_disk: frozenset[str] = frozenset()
+        self.done_at = math.inf
+        self.is_lost = False
         self.is_settled = False
 
     @property
     def is_idle(self) -> bool:
         """Tell whether an order of a model may be given."""
-        return self.is_settled and not self.loading and not self.evicting
+        is_free = not self.loading and not self.evicting
+        return self.is_settled and is_free and not self.is_lost
 
     @property
     def models(self) -> tuple[str, ...]:
@@ -98,13 +106,32 @@
             self._apply(order)
         elif verdict is OrderVerdict.holds:
             self._note_holding(order)
-        elif verdict in {
-            OrderVerdict.conflict,
-            OrderVerdict.unknown_order,
-            OrderVerdict.other_process,
-        }:
+        elif verdict is OrderVerdict.other_process:
+            self.is_lost = True
+        elif verdict in {OrderVerdict.conflict, OrderVerdict.unknown_order}:
             self.is_settled = False
 
+    def expect_done(self, at: float) -> None:
+        """Expect the order of a model that was accepted to be done by then."""
+        self.done_at = at
+
+    def advance(self, now: float) -> None:
+        """Take an order as done at its time, before a report shows it.
+
+        A wrong guess is refused as a conflict, or answered as not run.
+        """
+        if now < self.done_at:
+            return
+        if self.loading:
+            self.held.setdefault(self.loading, set())
+            self.loading = ''
+            self._end_reservation()
+        if self.evicting:
+            self.held.pop(self.evicting, None)
+            self.retiring.pop(self.evicting, None)
+            self.evicting = ''
+        self.done_at = math.inf
+
     def holds(self, model: str, adapter: str = '') -> bool:
         """Tell whether a model, or an adapter of it, is held."""
         adapters = self.held.get(model)
@@ -137,13 +164,16 @@
         else:
             self.is_settled = False
 
+    def _end_reservation(self) -> None:
+        if self.reserved in self.held:
+            self.reserved = ''
+
     def _adopt(self, report: UpstreamReport) -> None:
         self.accepted = report.accepted_orders
         self.held = {held.name: set(held.adapters) for held in report.models}
         for model, adapter in report.arriving:
             self.held.setdefault(model, set()).add(adapter)
-        if self.reserved in self.held:
-            self.reserved = ''
+        self._end_reservation()
         self.retiring = {
             name: since
             for name, since in self.retiring.items()
@@ -151,6 +181,7 @@
         }
         self.loading = ''
         self.evicting = ''
+        self.done_at = math.inf
         self.is_settled = True
 
     def _restart(self, born_ms: int) -> None:
@@ -161,4 +192,5 @@
         self.evicting = ''
         self.reserved = ''
         self.retiring = {}
+        self.done_at = math.inf
         self.is_settled = False
--- a/persimmonhold/fleet/_upstream_use.py
+++ b/persimmonhold/fleet/_upstream_use.py
@@ -81,6 +81,21 @@
         self._others = SharedLoad(facts.name, 0, 0)
         self._others_at = -math.inf
 
+    @property
+    def own_unread(self) -> int:
+        """The prompt tokens of this entry that are not read yet."""
+        return sum(
+            one.unread for one in self.running.values() if not one.has_begun
+        )
+
+    @property
+    def running_by_model(self) -> tuple[tuple[str, int], ...]:
+        """The requests of this entry by model."""
+        counted: dict[str, int] = {}
+        for one in self.running.values():
+            counted[one.model] = counted.get(one.model, 0) + 1
+        return tuple(counted.items())
+
     def adopt(self, facts: UpstreamFacts) -> None:
         """Take newer facts; another start of the process is a new one."""
         if facts.born_ms != self.facts.born_ms:
@@ -101,10 +116,7 @@
 
     def unread_total(self, now: float) -> int:
         """Return the believed number of prompt tokens not read yet."""
-        own = sum(
-            one.unread for one in self.running.values() if not one.has_begun
-        )
-        return own + self._fresh_others(now).unread_tokens
+        return self.own_unread + self._fresh_others(now).unread_tokens
 
     def is_open(self, now: float) -> bool:
         """Tell whether the upstream may be given new requests."""
--- a/persimmonhold/fleet/_waiting_line.py
+++ b/persimmonhold/fleet/_waiting_line.py
@@ -31,16 +31,16 @@
     def __init__(self, ticket: ForwardTicket) -> None:
         """Create a request that was not sent yet."""
         self.ticket = ticket
-        self.excluded: dict[str, float] = {}
+        self.excluded: dict[tuple[str, int], float] = {}
         self.is_late = False
         self.order = (0, 0, 0.0, 0)
         self.queued_at = ticket.arrived_at
         self.sends = 0
         self.upstream = ''
 
-    def excludes(self, upstream: str, now: float) -> bool:
-        """Tell whether an upstream is not to be tried now."""
-        return now < self.excluded.get(upstream, 0)
+    def excludes(self, process: tuple[str, int], now: float) -> bool:
+        """Tell whether a start of an upstream is not to be tried now."""
+        return now < self.excluded.get(process, 0)
 
     def settle_order(self, now: float, least_s: float) -> None:
         """Set the place in the order; `least_s` is the best case."""
--- a/persimmonhold/forwarding/_caller_reply.py
+++ b/persimmonhold/forwarding/_caller_reply.py
@@ -22,11 +22,27 @@
 class CallerReply:
     """Writes an answer of an upstream, or one of the system's own."""
 
-    __slots__ = ('exchange', 'outcome', 'status')
-
-    def __init__(self, exchange: Exchange) -> None:
+    __slots__ = (
+        'clock',
+        'exchange',
+        'first_at',
+        'last_at',
+        'longest_gap_s',
+        'outcome',
+        'status',
+    )
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        clock: Callable[[], float],
+    ) -> None:
         """Create a reply that has not begun."""
         self.exchange = exchange
+        self.clock = clock
+        self.first_at = 0.0
+        self.last_at = 0.0
+        self.longest_gap_s = 0.0
         self.outcome = 'abandoned'
         self.status = 0
 
@@ -46,6 +62,7 @@
 
     def write(self, chunk: bytes, on_writable: Callable[[], None]) -> bool:
         """Send a part of the body; False asks to wait for `on_writable`."""
+        self._note_time()
         self.exchange.on_writable = on_writable
         return self.exchange.write(chunk)
 
@@ -56,6 +73,7 @@
 
     def give(self, head: ResponseHead, body: bytes) -> None:
         """Send a whole answer of an upstream."""
+        self._note_time()
         self.start(head, len(body))
         if body and self.exchange.head.method != 'HEAD':
             self.exchange.write(body)
@@ -73,6 +91,15 @@
         self.outcome = reason
         self.exchange.abort()
 
+    def _note_time(self) -> None:
+        now = self.clock()
+        if self.first_at:
+            gap_s = now - self.last_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        else:
+            self.first_at = now
+        self.last_at = now
+
     def _announced(self, head: ResponseHead, body_bytes: int) -> str:
         if self.exchange.head.method == 'HEAD':
             return head.header('content-length') or '0'
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import random
+from contextlib import suppress
 from typing import Final, final
 
 import msgspec
@@ -29,6 +30,7 @@
 
 _ID_BITS: Final = 32  # a restarted entry does not reuse ids
 _REPORT_S: Final = 0.1  # as often as the giver of orders plans
+_LEAST_REPORT_S: Final = 0.02  # between reports of requests that wait
 _RESEND_S: Final = 0.08  # an adapter takes some 20 ms with the ways
 _ADAPTER_TIMEOUT_S: Final = 0.3
 _LIST_OLD_S: Final = 1.5  # updates come every 0.1 s, lists every 0.5 s
@@ -75,7 +77,11 @@
             self._send(self.hub.report())
             if self.hub.clock() - self._list_made_at > _LIST_OLD_S:
                 await self._read_list()
-            await asyncio.sleep(_REPORT_S)
+            self.hub.has_waiting.clear()
+            await asyncio.sleep(_LEAST_REPORT_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_REPORT_S - _LEAST_REPORT_S):
+                    await self.hub.has_waiting.wait()
 
     async def ask_adapter(
         self,
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -29,12 +29,13 @@
 
 _LIST_S: Final = 0.5  # a leaving upstream is known within a lag and this
 _REPORT_S: Final = 0.4  # reports lag by 0.2 s themselves
+_TICK_S: Final = 0.1  # reports while an order is being carried out
 _PLAN_S: Final = 0.1
 _UPDATE_S: Final = 0.1
 _UPDATES_PER_S: Final = 100.0  # of all entries together
 _LEAST_WAIT_S: Final = 0.002  # timers of the platform fire a little late
 _LANE_POLL_S: Final = 0.05
-_LEASE_MARGIN_S: Final = 1.0  # an order on its way over a lossy link
+_LEASE_MARGIN_S: Final = 0.4  # an order is given up after 0.25 s
 _FENCE_BITS: Final = 24  # orders of one term
 
 
@@ -42,7 +43,7 @@
 class FleetTerm:
     """One leadership: its decisions and the tasks that carry them out."""
 
-    __slots__ = ('fences', 'lanes', 'leader', 'pushed', 'reports', 'woken')
+    __slots__ = ('asked_at', 'fences', 'lanes', 'leader', 'reports', 'woken')
 
     def __init__(self, leader: FleetLeader) -> None:
         """Create a term without tasks."""
@@ -51,7 +52,7 @@
         self.lanes: dict[str, asyncio.Task[None]] = {}
         self.reports: dict[str, asyncio.Task[None]] = {}
         self.woken: dict[str, asyncio.Event] = {}
-        self.pushed = -1
+        self.asked_at: dict[str, float] = {}
 
     def close(self) -> None:
         """Cancel what is under way."""
@@ -68,6 +69,7 @@
         'decoder',
         'lease_s',
         'node',
+        'plan_at',
         'source',
         'term',
         'transport',
@@ -88,6 +90,7 @@
         self.source = source
         self.lease_s = lease_s
         self.clock = clock
+        self.plan_at = 0.0
         self.term: FleetTerm | None = None
         self.woken = asyncio.Event()
         self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
@@ -115,7 +118,10 @@
             log_event('bad_message', LogLevel.warning, error=str(error))
             return
         if isinstance(message, EntryReport):
-            term.leader.take_entry_report(peer, message, self.clock())
+            term.leader.demand.take_entry_report(peer, message, self.clock())
+            if term.leader.is_wanted(message):
+                self.plan_at = 0.0
+                self.woken.set()
         elif isinstance(message, AdapterRequest):
             term.leader.ask_adapter(peer, message, self.clock())
             self._wake(message.upstream)
@@ -123,19 +129,18 @@
 
     async def _plan(self) -> None:
         """Follow leadership, plan, and pass replies on as they are due."""
-        plan_at = 0.0
         while True:
             self._follow_leadership()
             now = self.clock()
-            if self.term is not None and now >= plan_at:
-                plan_at = now + _PLAN_S
+            if self.term is not None and now >= self.plan_at:
+                self.plan_at = now + _PLAN_S
                 self._plan_orders(self.term, now)
             if self.term is not None:
                 self._send_replies(self.term, now)
-            await self._wait_until(plan_at)
+            await self._wait()
 
-    async def _wait_until(self, plan_at: float) -> None:
-        due = plan_at
+    async def _wait(self) -> None:
+        due = self.plan_at
         if self.term is not None:
             due = min(due, self.term.leader.next_due())
         self.woken.clear()
@@ -162,9 +167,14 @@
         self.term = None
 
     def _plan_orders(self, term: FleetTerm, now: float) -> None:
+        is_announced = False
         for planned in term.leader.plan(now):
             _log_plan(planned)
             self._wake(planned.upstream)
+            is_announced = is_announced or bool(planned.makes_room_for)
+        if is_announced:
+            # Entries stop to send before the eviction begins.
+            self._push(term, self._entries())
         self._keep_lanes(term)
 
     def _keep_lanes(self, term: FleetTerm) -> None:
@@ -225,6 +235,8 @@
             verdict=verdict.value,
         )
         self.woken.set()
+        if not order.adapter:
+            self._push(term, self._entries())
 
     def _send_replies(self, term: FleetTerm, now: float) -> None:
         for entry, reply in term.leader.take_replies(now):
@@ -247,14 +259,24 @@
         while True:
             term = self.term
             if term is not None:
-                for upstream in tuple(term.leader.ledgers):
-                    self._begin_report(term, upstream)
-            await asyncio.sleep(_REPORT_S)
+                for upstream, ledger in tuple(term.leader.ledgers.items()):
+                    interval_s = _REPORT_S if ledger.is_idle else _TICK_S
+                    self._begin_report(term, upstream, interval_s)
+            await asyncio.sleep(_TICK_S)
 
-    def _begin_report(self, term: FleetTerm, upstream: str) -> None:
+    def _begin_report(
+        self,
+        term: FleetTerm,
+        upstream: str,
+        interval_s: float,
+    ) -> None:
         running = term.reports.get(upstream)
         if running is not None and not running.done():
             return
+        now = self.clock()
+        if now < term.asked_at.get(upstream, 0) + interval_s:
+            return
+        term.asked_at[upstream] = now
         term.reports[upstream] = asyncio.get_running_loop().create_task(
             self._read_report(term, upstream),
         )
--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -21,6 +21,8 @@
 _TOO_LARGE: Final = 413
 _UNAVAILABLE: Final = 503
 _COME_BACK_S: Final = 0.5
+_ISOLATED_RETURN_S: Final = 1.5  # control leads again 1 to 2 s after a start
+_SPREAD: Final = 0.5  # so that those refused together return apart
 _MS_PER_S: Final = 1000
 _PATIENCE_S: Final = 2.0  # a caller leaves a stream after the longest of
 _PATIENCE_TARGETS: Final = 4.0  # these without an event
@@ -66,33 +68,49 @@
     async def _serve(self, exchange: Exchange) -> None:
         arrived_at = self.services.hub.clock()
         table = self.current_table()
-        link = self.services.link
-        if not table.document.version or not link.serving_allowed:
-            self._refuse(exchange, _UNAVAILABLE, 'isolated', _COME_BACK_S)
+        is_allowed = self.services.link.serving_allowed
+        if not table.document.version or not is_allowed:
+            return_s = _ISOLATED_RETURN_S * self._spread()
+            self._refuse(exchange, _UNAVAILABLE, 'isolated', return_s)
             return
         head = exchange.head
-        route = table.match(
-            head.header('host'), head.raw_path.partition('?')[0]
-        )
+        path = head.target.partition('?')[0]
+        route = table.match(head.header('host'), path)
+        profile = self.services.dialect.read_profile(head)
         if route is None:
             self._refuse(exchange, _NOT_FOUND, 'no_route')
-            return
-        profile = self.services.dialect.read_profile(head)
-        if isinstance(profile, Failed):
+        elif isinstance(profile, Failed):
             self._refuse(exchange, _BAD_REQUEST, 'malformed_request')
-            return
+        else:
+            ticket = self._ticket(route, profile.unwrap(), arrived_at)
+            await self._forward(exchange, ticket)
+
+    async def _forward(
+        self,
+        exchange: Exchange,
+        ticket: ForwardTicket,
+    ) -> None:
         body = await exchange.read_body()
         if isinstance(body, Failed):
             status = _BODY_STATUSES.get(body.failure().kind, _UNAVAILABLE)
             self._refuse(exchange, status, 'body', _COME_BACK_S)
             return
         request = ForwardRequest(
-            ticket=self._ticket(route, profile.unwrap(), arrived_at),
-            head=head,
+            ticket=ticket,
+            head=exchange.head,
             body=body.unwrap(),
         )
         await ForwardRunner(self.services, request, exchange).run()
 
+    def _spread(self) -> float:
+        return 1 + _SPREAD * self.services.hub.dispatcher.source.random()
+
+    def _request_id(self, exchange: Exchange) -> str:
+        profile = self.services.dialect.read_profile(exchange.head)
+        if isinstance(profile, Failed):
+            return ''
+        return profile.unwrap().request_id
+
     def _ticket(
         self,
         route: ForwardRoute,
@@ -133,15 +151,21 @@
         reason: str,
         retry_after_s: float | None = None,
     ) -> None:
-        log_event(
-            'refused',
-            target=exchange.head.target,
-            status=status,
-            reason=reason,
-            version=self.table.document.version,
-        )
+        now = self.services.hub.clock()
+        left_out = self.services.sampler.admit(reason, now)
+        if left_out is not None:
+            log_event(
+                'refused',
+                request_id=self._request_id(exchange),
+                target=exchange.head.target,
+                status=status,
+                reason=reason,
+                version=self.table.document.version,
+                left_out=left_out,
+            )
         headers = self.services.dialect.refusal_headers(retry_after_s)
-        CallerReply(exchange).refuse(status, reason, headers)
+        reply = CallerReply(exchange, self.services.hub.clock)
+        reply.refuse(status, reason, headers)
 
 
 def _patience_s(route: ForwardRoute) -> float:
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -24,10 +24,19 @@
 class ForwardHub:
     """Owns the dispatcher, who waits for it, and its timer.
 
-    `clock` counts the time in which the VM was suspended.
+    `clock` counts the time in which the VM was suspended. `has_waiting` is
+    set when a request begins to wait.
     """
 
-    __slots__ = ('clock', 'dispatcher', 'meter', 'numbers', 'timer', 'waiters')
+    __slots__ = (
+        'clock',
+        'dispatcher',
+        'has_waiting',
+        'meter',
+        'numbers',
+        'timer',
+        'waiters',
+    )
 
     def __init__(
         self,
@@ -38,6 +47,7 @@
         self.dispatcher = dispatcher
         self.clock = clock
         self.meter = FleetDemandMeter()
+        self.has_waiting = asyncio.Event()
         self.numbers = itertools.count(1)
         self.waiters: dict[int, asyncio.Future[ForwardAction]] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -47,6 +57,8 @@
         self.meter.note(ticket)
         waiter = self._wait(ticket.number)
         self._deliver(self.dispatcher.arrive(ticket, self.clock()))
+        if not waiter.done():
+            self.has_waiting.set()
         return waiter
 
     def retry(
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -42,7 +42,7 @@
         """Create the runner of a request that was read."""
         self.services = services
         self.request = request
-        self.reply = CallerReply(exchange)
+        self.reply = CallerReply(exchange, services.hub.clock)
         self.relay = EventRelay()
         self.end = AttemptEnd.cancelled
         self.may_have_run = False
@@ -191,6 +191,7 @@
     def _log_end(self) -> None:
         ticket = self.request.ticket
         taken_s = self.services.hub.clock() - ticket.arrived_at
+        first_s = max(0, self.reply.first_at - ticket.arrived_at)
         self.services.metrics.increment(
             metric.REQUESTS,
             service_class=ticket.route.kind.value,
@@ -205,5 +206,20 @@
             outcome=self.reply.outcome,
             status=self.reply.status,
             runs=self.runs,
+            first_ms=round(first_s * _MS_PER_S, 1),
+            longest_gap_ms=round(self.reply.longest_gap_s * _MS_PER_S, 1),
             total_ms=round(taken_s * _MS_PER_S, 1),
         )
+        service_class = ticket.route.kind.value
+        if first_s:
+            self.services.metrics.observe(
+                metric.FIRST_TOKEN,
+                first_s,
+                service_class=service_class,
+            )
+        if self.reply.longest_gap_s:
+            self.services.metrics.observe(
+                metric.TOKEN_GAP,
+                self.reply.longest_gap_s,
+                service_class=service_class,
+            )
--- a/persimmonhold/forwarding/_forward_services.py
+++ b/persimmonhold/forwarding/_forward_services.py
@@ -6,7 +6,7 @@
 from persimmonhold.forwarding._dialect import Dialect
 from persimmonhold.forwarding._fleet_client import FleetClient
 from persimmonhold.forwarding._forward_hub import ForwardHub
-from persimmonhold.observability import Metrics
+from persimmonhold.observability import BurstSampler, Metrics
 from persimmonhold.upstreams import ConnectionPool
 
 
@@ -14,7 +14,15 @@
 class ForwardServices:
     """The parts that the forwarded requests of one entry share."""
 
-    __slots__ = ('dialect', 'fleet', 'hub', 'link', 'metrics', 'pool')
+    __slots__ = (
+        'dialect',
+        'fleet',
+        'hub',
+        'link',
+        'metrics',
+        'pool',
+        'sampler',
+    )
 
     def __init__(
         self,
@@ -31,3 +39,4 @@
         self.dialect = dialect
         self.metrics = metrics
         self.pool = ConnectionPool()
+        self.sampler = BurstSampler()
--- a/persimmonhold/membership/_membership_timings.py
+++ b/persimmonhold/membership/_membership_timings.py
@@ -32,6 +32,14 @@
             return self.interval_s
         return 2 * self.interval_s
 
+    def push_fanout_for(self, vm_count: int) -> int:
+        """Return how many VMs a change is passed on to.
+
+        Where the leader pushes to all, one more is enough: heartbeats mend
+        what was lost.
+        """
+        return 1 if vm_count <= self.leader_push_fanout else self.push_fanout
+
     def fanout_for(self, vm_count: int) -> int:
         """Return how many VMs besides control a heartbeat goes to."""
         return self.fanout if vm_count <= _SMALL_SYSTEM else 1
--- a/persimmonhold/membership/_vm_agent.py
+++ b/persimmonhold/membership/_vm_agent.py
@@ -250,7 +250,7 @@
         )
         return self._push(
             ViewChanges(changes=fresh),
-            self.timings.push_fanout,
+            self.timings.push_fanout_for(len(self.names)),
             peer,
         )
 
--- a/persimmonhold/observability/_log.py
+++ b/persimmonhold/observability/_log.py
@@ -1,33 +1,49 @@
 """JSON lines by eliot.
 
-Bodies, credentials and idempotency keys are never passed to the log.
+A reader that stops reading holds up nothing: lines beyond a bound are left
+out and counted. Bodies, credentials and idempotency keys are never passed to the log.
 """
 
 import sys
 from pathlib import Path
 from types import TracebackType
-from typing import IO, Self, final
+from typing import IO, Final, Self, final
 
 import eliot
+import msgspec
 
+from persimmonhold.observability._line_writer import LineWriter
 from persimmonhold.observability._log_level import LogLevel
 
+STANDARD_OUTPUT: Final = '-'
+_LIBRARY_FIELDS: Final = frozenset((
+    'message_type',
+    'task_level',
+    'task_uuid',
+    'timestamp',
+))
+
 
 @final
 class LogOutput:
     """Owns the destination of log lines at or above a level."""
 
-    __slots__ = ('_destination', '_file', '_level', '_path')
+    __slots__ = ('_destination', '_file', '_level', '_path', '_writer')
 
     def __init__(self, level: LogLevel, path: str) -> None:
-        """Create an output; an empty path means the error stream."""
+        """Create an output; empty is the error stream, `-` standard output."""
         self._level = level
         self._path = path
         self._file: IO[str] | None = None
         self._destination: eliot.FileDestination | None = None
+        self._writer: LineWriter | None = None
 
     def __enter__(self) -> Self:
         """Open the destination; raises OSError where it cannot be had."""
+        if self._path == STANDARD_OUTPUT:
+            self._writer = LineWriter(sys.stdout.fileno())
+            eliot.add_destinations(self._write_line)
+            return self
         if self._path:
             self._file = Path(self._path).open('a', encoding='utf-8')
         stream = self._file or sys.stderr
@@ -42,6 +58,9 @@
         traceback: TracebackType | None,
     ) -> None:
         """Close the destination."""
+        if self._writer is not None:
+            eliot.remove_destination(self._write_line)
+            return
         eliot.remove_destination(self._write)
         if self._file is not None:
             self._file.close()
@@ -51,6 +70,25 @@
         if self._destination and level.rank >= self._level.rank:
             self._destination(message)
 
+    def _write_line(self, message: dict[str, object]) -> None:
+        level = LogLevel(str(message.get('level', LogLevel.info)))
+        if self._writer is not None and level.rank >= self._level.rank:
+            self._writer.write(_encode(message))
+
+
+def _encode(message: dict[str, object]) -> bytes:
+    """Return one line; the ids of the library's actions are left out."""
+    line = {
+        'at': message['timestamp'],
+        'event': message.get('message_type', ''),
+        **{
+            name: text
+            for name, text in message.items()
+            if name not in _LIBRARY_FIELDS
+        },
+    }
+    return msgspec.json.encode(line, enc_hook=str) + b'\n'
+
 
 def log_event(
     event: str,
--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -11,6 +11,7 @@
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.fleet import RetryBounds
 from persimmonhold.forwarding import FleetBounds
+from persimmonhold.observability import STANDARD_OUTPUT
 from persimmonhold.settings import (
     CallerSettings,
     LogSettings,
@@ -22,8 +23,9 @@
 from persimmonhold.web import Address, parse_address
 
 _REPLACEMENT_MS: Final = 1500  # a lost VM has a successor within seconds
-_HEARTBEAT_MS: Final = 100
-_ELECTION_MS: Final = 600  # a packet that is sent again takes 200 ms
+_VERIFICATION_MS: Final = 500  # disks here are whole or empty, never old
+_HEARTBEAT_MS: Final = 80
+_ELECTION_MS: Final = 450  # a packet that is sent again takes 200 ms
 _DIRECTORY_TTL_S: Final = 1.0
 
 
@@ -123,7 +125,7 @@
         callers=CallerSettings(address=wire.listen.frontend),
         operators=OperatorSettings(address=wire.listen.control),
         peers=_peers(wire),
-        logs=LogSettings(),
+        logs=LogSettings(path=STANDARD_OUTPUT),
     )
 
 
@@ -137,6 +139,7 @@
         voters=2 * wire.fault_tolerance.machines + 1,
         first_start=wire.bootstrap,
         replacement_ms=_REPLACEMENT_MS,
+        verification_ms=_VERIFICATION_MS,
         heartbeat_ms=_HEARTBEAT_MS,
         election_timeout_ms=_ELECTION_MS,
         plain_outside_loopback=True,
--- a/persimmonhold/settings/_log_settings.py
+++ b/persimmonhold/settings/_log_settings.py
@@ -16,5 +16,5 @@
     ] = 'info'
     path: Annotated[
         str,
-        Meta(description='File to append to; empty: the error stream.'),
+        Meta(description='File; empty: error stream; -: standard output.'),
     ] = ''
--- a/persimmonhold/settings/_peer_settings.py
+++ b/persimmonhold/settings/_peer_settings.py
@@ -39,6 +39,14 @@
             description='Silence before a spare replaces a control VM.',
         ),
     ] = 30_000
+    verification_ms: Annotated[
+        int,
+        Meta(
+            ge=100,
+            le=60_000,
+            description='Wait for all control VMs before a vote at a start.',
+        ),
+    ] = 5000
     heartbeat_ms: Annotated[
         int,
         Meta(ge=10, le=10_000, description='Time between heartbeats.'),
--- a/persimmonhold/system/_control_side.py
+++ b/persimmonhold/system/_control_side.py
@@ -110,6 +110,7 @@
         timings=Timings(
             heartbeat_s=peers.heartbeat_ms / _MS_PER_S,
             election_timeout_s=peers.election_timeout_ms / _MS_PER_S,
+            verification_timeout_s=peers.verification_ms / _MS_PER_S,
             replacement_timeout_s=peers.replacement_ms / _MS_PER_S,
         ),
     )
--- a/persimmonhold/transport/_byte_counts.py
+++ b/persimmonhold/transport/_byte_counts.py
@@ -5,12 +5,13 @@
 
 @final
 class ByteCounts:
-    """Messages and bytes by direction, and messages that were dropped."""
+    """Messages and bytes by direction, drops, and connections renewed."""
 
     __slots__ = (
         'dropped',
         'received_bytes',
         'received_messages',
+        'renewed',
         'sent_bytes',
         'sent_messages',
     )
@@ -22,6 +23,7 @@
         self.received_messages = 0
         self.received_bytes = 0
         self.dropped = 0
+        self.renewed = 0
 
     def count_sent(self, size: int) -> None:
         """Count a message that was queued."""
--- a/persimmonhold/transport/_nng_transport.py
+++ b/persimmonhold/transport/_nng_transport.py
@@ -3,8 +3,8 @@
 One socket receives for the whole process, and one socket sends to each
 peer. Push and pull never resend and never wait for an answer. Invariants:
 no call blocks; a peer that does not read loses messages once its queue is
-full, and delays nobody else; a peer that falls silent is found by
-heartbeats, not here.
+full, and delays nobody else; a connection that carries nothing any more is
+found by probes and made anew.
 """
 
 import asyncio
@@ -16,9 +16,14 @@
 from persimmonhold.settings import PeerSettings, TlsSettings
 from persimmonhold.transport._byte_counts import ByteCounts
 from persimmonhold.transport._channel import Channel
-from persimmonhold.transport._envelope import decode_envelope, encode_head
+from persimmonhold.transport._envelope import (
+    Envelope,
+    decode_envelope,
+    encode_head,
+)
 from persimmonhold.transport._native_threads import limit_native_threads
 from persimmonhold.transport._peer_socket import PeerSocket
+from persimmonhold.transport._peer_watch import PROBE_INTERVAL_S
 from persimmonhold.transport._tls_files import TlsFiles
 from persimmonhold.transport._transport import Receiver, Transport
 from persimmonhold.web import parse_address
@@ -28,6 +33,8 @@
 _BATCH: Final = 128
 _LEARNED_PEERS: Final = 4096
 _RELOAD_INTERVAL_S: Final = 2.0
+_PROBE: Final = b'?'
+_ANSWER: Final = b'!'
 
 
 @final
@@ -62,6 +69,7 @@
         self._socket: pynng.Pull0 | None = None
         self._listener: pynng.Listener | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._probe_timer: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> Self:
         """Start to listen."""
@@ -82,6 +90,7 @@
         loop.add_reader(self._socket.recv_fd, self._receive)
         if self._tls is not None:
             self._schedule_reload()
+        self._schedule_probes()
         return self
 
     async def __aexit__(
@@ -91,8 +100,9 @@
         traceback: TracebackType | None,
     ) -> None:
         """Close every socket; queued messages are lost."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._probe_timer):
+            if timer is not None:
+                timer.cancel()
         if self._socket is not None:
             asyncio.get_running_loop().remove_reader(self._socket.recv_fd)
             self._socket.close()
@@ -184,6 +194,9 @@
             self.counts.dropped += 1
             return
         self._learn(envelope.sender, envelope.address)
+        if envelope.channel is Channel.probe:
+            self._take_probe(envelope)
+            return
         receiver = self._receivers.get(envelope.channel)
         if receiver is not None:
             receiver(envelope.sender, envelope.payload)
@@ -204,10 +217,34 @@
             opened = None
         if opened is None:
             tls = None if self._tls is None else self._tls.client(peer)
-            opened = PeerSocket(address, tls)
+            opened = PeerSocket(address, tls, _now())
             self._sockets[peer] = opened
         return opened
 
+    def _take_probe(self, envelope: Envelope) -> None:
+        """Answer a probe, or take the answer to one."""
+        if envelope.payload == _PROBE:
+            self.send(envelope.sender, Channel.probe, _ANSWER)
+            return
+        opened = self._sockets.get(envelope.sender)
+        if opened is not None:
+            opened.watch.note_answer(_now())
+
+    def _schedule_probes(self) -> None:
+        now = _now()
+        for peer, opened in tuple(self._sockets.items()):
+            if opened.watch.is_silent(now):
+                # The next message opens a new connection.
+                self._sockets.pop(peer).close()
+                self.counts.renewed += 1
+            elif opened.watch.is_probe_due(now):
+                self.send(peer, Channel.probe, _PROBE)
+        loop = asyncio.get_running_loop()
+        self._probe_timer = loop.call_later(
+            PROBE_INTERVAL_S,
+            self._schedule_probes,
+        )
+
     def _is_allowed(self, address: str) -> bool:
         parsed = parse_address(address).value_or(None)
         if parsed is None:
@@ -230,3 +267,7 @@
             self._reload_interval_s,
             self._schedule_reload,
         )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/persimmonhold/transport/_peer_socket.py
+++ b/persimmonhold/transport/_peer_socket.py
@@ -4,6 +4,8 @@
 
 import pynng
 
+from persimmonhold.transport._peer_watch import PeerWatch
+
 _SEND_QUEUE: Final = 128
 _RECONNECT_MIN_MS: Final = 50
 _RECONNECT_MAX_MS: Final = 1000
@@ -13,11 +15,17 @@
 class PeerSocket:
     """Connects by itself, again and again, and queues a bounded number."""
 
-    __slots__ = ('_socket', 'address')
+    __slots__ = ('_socket', 'address', 'watch')
 
-    def __init__(self, address: str, tls: pynng.TLSConfig | None) -> None:
+    def __init__(
+        self,
+        address: str,
+        tls: pynng.TLSConfig | None,
+        now: float,
+    ) -> None:
         """Start to connect to `address`."""
         self.address = address
+        self.watch = PeerWatch(now)
         self._socket = pynng.Push0(
             send_buffer_size=_SEND_QUEUE,
             reconnect_time_min=_RECONNECT_MIN_MS,
--- /dev/null
+++ b/tests/test_fleet_dispatch.py
@@ -0,0 +1,276 @@
+"""When an entry sends a request, and where, or refuses it."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    Equals,
+    GreaterThan,
+    HasLength,
+    IsInstance,
+    LessThan,
+    MatchesListwise,
+)
+
+from persimmonhold.fleet import (
+    AttemptEnd,
+    RetryAllowance,
+    RetryBounds,
+    SendTo,
+    TurnAway,
+)
+from persimmonhold.routes import RouteKind
+from tests.fleet_builders import (
+    make_dispatcher,
+    make_facts,
+    make_route,
+    make_ticket,
+    make_update,
+    only,
+)
+
+
+def test_request_goes_where_its_model_is() -> None:
+    dispatcher = make_dispatcher(
+        make_facts('u1', ('m2',)),
+        make_facts('u2', ('m1',)),
+    )
+    action = only(dispatcher.arrive(make_ticket(1), 0))
+    assert isinstance(action, SendTo)
+    assert_that(action.upstream.name, Equals('u2'))
+
+
+def test_leaving_upstream_gets_nothing() -> None:
+    dispatcher = make_dispatcher(make_facts('u1', leaving=True))
+    assert_that(dispatcher.arrive(make_ticket(1), 0), Equals(()))
+
+
+def test_leaving_upstream_gets_nothing_after_an_update() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'))
+    dispatcher.adopt(make_update(make_facts('u1', leaving=True), sequence=2), 1)
+    assert_that(dispatcher.arrive(make_ticket(1, 1), 1), Equals(()))
+
+
+def test_older_update_is_not_taken() -> None:
+    dispatcher = make_dispatcher(make_facts('u1', leaving=True))
+    dispatcher.adopt(make_update(make_facts('u1'), sequence=1), 1)
+    assert_that(dispatcher.arrive(make_ticket(1, 1), 1), Equals(()))
+
+
+def test_nobody_is_refused_while_places_are_free() -> None:
+    """A slow past does not shut a target out."""
+    dispatcher = make_dispatcher(make_facts('u1'))
+    for number in range(1, 6):
+        now = number * 30.0
+        dispatcher.arrive(make_ticket(number, now), now)
+        dispatcher.finish(number, AttemptEnd.answered, now + 20)
+    action = only(dispatcher.arrive(make_ticket(9, 300), 300))
+    assert_that(action, IsInstance(SendTo))
+
+
+def test_more_urgent_requests_go_first() -> None:
+    dispatcher = make_dispatcher(make_facts('u1', slots=1))
+    dispatcher.arrive(make_ticket(1), 0)
+    dispatcher.arrive(make_ticket(2, route=make_route(priority=2)), 0)
+    dispatcher.arrive(make_ticket(3, route=make_route(priority=0)), 0)
+    action = only(dispatcher.finish(1, AttemptEnd.answered, 0.1))
+    assert_that(action.number, Equals(3))
+
+
+def test_late_request_gives_way_to_one_that_may_be_in_time() -> None:
+    dispatcher = make_dispatcher(make_facts('u1', slots=1))
+    dispatcher.arrive(make_ticket(1), 0)
+    dispatcher.arrive(make_ticket(2, 0, route=make_route(priority=0)), 0)
+    dispatcher.arrive(make_ticket(3, 0.8), 0.8)
+    action = only(dispatcher.finish(1, AttemptEnd.answered, 0.9))
+    assert_that(action.number, Equals(3))
+
+
+def test_request_for_an_absent_model_waits_and_then_is_sent() -> None:
+    dispatcher = make_dispatcher(make_facts('u1', ('m2',)))
+    dispatcher.arrive(make_ticket(1), 0)
+    actions = dispatcher.adopt(
+        make_update(make_facts('u1', ('m1',)), sequence=2),
+        0.9,
+    )
+    assert_that(actions, MatchesListwise([IsInstance(SendTo)]))
+
+
+def test_request_that_waits_in_vain_is_refused_before_its_caller_leaves() -> (
+    None
+):
+    dispatcher = make_dispatcher(make_facts('u1', ('m2',)))
+    dispatcher.arrive(make_ticket(1), 0)
+    assert_that(dispatcher.pump(1.0), Equals(()))
+    action = only(dispatcher.pump(1.79))
+    assert isinstance(action, TurnAway)
+    assert_that(action.retry_after_s, GreaterThan(0))
+
+
+def test_adapter_is_asked_for_where_it_is_absent() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'))
+    action = only(dispatcher.arrive(make_ticket(1, adapter='a1'), 0))
+    assert isinstance(action, SendTo)
+    assert_that(action.needs_adapter, Equals(True))
+
+
+def test_upstream_with_the_adapter_is_preferred() -> None:
+    dispatcher = make_dispatcher(
+        make_facts('u1'),
+        make_facts('u2', adapters=('a1',)),
+    )
+    action = only(dispatcher.arrive(make_ticket(1, adapter='a1'), 0))
+    assert isinstance(action, SendTo)
+    assert_that(
+        (action.upstream.name, action.needs_adapter),
+        Equals(('u2', False)),
+    )
+
+
+def test_no_adapter_is_asked_for_while_no_orders_are_given() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'))
+    dispatcher.adopt(
+        make_update(make_facts('u1'), sequence=2, takes_orders=False),
+        0,
+    )
+    assert_that(
+        dispatcher.arrive(make_ticket(1, adapter='a1'), 0),
+        Equals(()),
+    )
+
+
+def test_absent_model_is_believed_for_a_while() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'), make_facts('u2'))
+    first = only(dispatcher.arrive(make_ticket(1), 0))
+    second = only(dispatcher.retry(1, AttemptEnd.absent, 0.01))
+    assert isinstance(first, SendTo)
+    assert isinstance(second, SendTo)
+    names = {first.upstream.name, second.upstream.name}
+    assert_that(names, Equals({'u1', 'u2'}))
+
+
+def test_unreachable_upstream_is_left_alone_for_a_while() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'))
+    dispatcher.arrive(make_ticket(1), 0)
+    dispatcher.retry(1, AttemptEnd.unreachable, 0.1)
+    assert_that(dispatcher.arrive(make_ticket(2, 0.2), 0.2), Equals(()))
+    sent = dispatcher.pump(0.5)
+    assert_that(sent, HasLength(2))
+
+
+def test_restarted_upstream_is_tried_at_once() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'))
+    dispatcher.arrive(make_ticket(1), 0)
+    dispatcher.retry(1, AttemptEnd.unreachable, 0.1)
+    anew = msgspec.structs.replace(make_facts('u1'), born_ms=2)
+    sent = dispatcher.adopt(make_update(anew, sequence=2), 0.2)
+    assert_that(sent, HasLength(1))
+
+
+def test_repeats_end_with_the_allowance() -> None:
+    dispatcher = make_dispatcher(
+        *(make_facts(f'u{number}') for number in range(30)),
+    )
+    dispatcher.bounds = RetryBounds(slack=2)
+    refused = 0
+    for number in range(1, 20):
+        dispatcher.arrive(make_ticket(number), 0)
+        action = only(dispatcher.retry(number, AttemptEnd.full, 0.001))
+        refused += isinstance(action, TurnAway)
+    assert_that(refused, GreaterThan(10))
+
+
+@pytest.mark.parametrize('entries', [1, 3, 9])
+@given(
+    arrivals=st.lists(
+        st.tuples(st.floats(0, 1), st.booleans(), st.integers(0, 8)),
+        max_size=200,
+    ),
+)
+def test_repeats_keep_to_the_bound_over_entries_that_hear_nobody(
+    entries: int,
+    arrivals: list[tuple[float, bool, int]],
+) -> None:
+    bounds = RetryBounds(ratio=0.2, window_s=10, slack=18)
+    allowances = [RetryAllowance(bounds) for _ in range(entries)]
+    now = 0.0
+    requests: list[float] = []
+    repeats: list[float] = []
+    for elapsed_s, is_repeat, entry in arrivals:
+        now += elapsed_s
+        allowance = allowances[entry % entries]
+        if not is_repeat:
+            allowance.note_request(now)
+            requests.append(now)
+        elif allowance.take(entries, now):
+            repeats.append(now)
+        started = now - bounds.window_s
+        in_window = sum(at > started for at in repeats)
+        asked = sum(at > started for at in requests)
+        assert_that(in_window, LessThan(0.2 * asked + 18 + 0.001))
+
+
+class DispatchWalk:
+    """Drives a dispatcher by random steps and checks what it asks for."""
+
+    def __init__(self) -> None:
+        self.dispatcher = make_dispatcher(make_facts('u1'), make_facts('u2'))
+        self.now = 0.0
+        self.numbers = 0
+        self.sent: set[int] = set()
+        self.ended: set[int] = set()
+
+    def step(self, step: str, choice: int) -> None:
+        """Perform a step."""
+        running = sorted(self.sent)
+        number = running[choice % len(running)] if running else 0
+        if step == 'arrive':
+            self._arrive(choice)
+        elif step == 'pump':
+            self._take(self.dispatcher.pump(self.now))
+        elif number and step == 'fail':
+            self.sent.discard(number)
+            outcome = AttemptEnd.full
+            self._take(self.dispatcher.retry(number, outcome, self.now))
+        elif number:
+            self.sent.discard(number)
+            self.ended.add(number)
+            outcome = AttemptEnd.answered
+            self._take(self.dispatcher.finish(number, outcome, self.now))
+
+    def _arrive(self, choice: int) -> None:
+        self.numbers += 1
+        route = make_route(RouteKind.stream, priority=choice % 3)
+        ticket = make_ticket(self.numbers, self.now, route=route)
+        self._take(self.dispatcher.arrive(ticket, self.now))
+
+    def _take(self, actions: tuple[SendTo | TurnAway, ...]) -> None:
+        for action in actions:
+            assert_that(action.number in self.ended, Equals(False))
+            assert_that(action.number in self.sent, Equals(False))
+            kept = self.ended if isinstance(action, TurnAway) else self.sent
+            kept.add(action.number)
+
+
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(('arrive', 'end', 'fail', 'pump')),
+            st.integers(0, 30),
+            st.floats(0, 0.5),
+        ),
+        max_size=120,
+    ),
+)
+def test_each_request_ends_once_and_slots_are_kept(
+    steps: list[tuple[str, int, float]],
+) -> None:
+    walk = DispatchWalk()
+    for step, choice, elapsed_s in steps:
+        walk.now += elapsed_s
+        walk.step(step, choice)
+        for use in walk.dispatcher.chooser.uses.values():
+            assert_that(len(use.running), LessThan(use.facts.slots + 1))
+    assert_that(set(walk.dispatcher.pending) >= walk.sent, Equals(True))
--- /dev/null
+++ b/tests/test_fleet_placement.py
@@ -0,0 +1,410 @@
+"""Copies, adapters and orders of the VM that gives orders.
+
+The upstream of these tests keeps to the platform's contract: an order that
+names another count of orders is refused, one may be carried out seconds
+after it was given up, and more weights than fit end the process.
+"""
+
+import math
+import random
+from types import MappingProxyType
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Is, LessThan, Not
+
+from persimmonhold.fleet import (
+    AdapterRequest,
+    EntryReport,
+    FleetLeader,
+    FleetOrder,
+    FleetOrderKind,
+    HeldModel,
+    ListedUpstream,
+    ModelDemand,
+    OrderVerdict,
+    StorePacer,
+    UpstreamLedger,
+    UpstreamReport,
+)
+from tests.fleet_builders import ENGINE, make_document
+
+_WEIGHTS = MappingProxyType({
+    spec.name: spec.weights_mb for spec in ENGINE.models
+})
+
+
+class EngineModel:
+    """An upstream that carries orders out as the platform says."""
+
+    def __init__(self, name: str, models: tuple[str, ...]) -> None:
+        self.name = name
+        self.held: dict[str, set[str]] = {model: set() for model in models}
+        self.accepted = 0
+        self.busy_until = -math.inf
+        self.pending: FleetOrder | None = None
+        self.late: list[tuple[float, FleetOrder]] = []
+        self.crashed = False
+
+    def take(self, order: FleetOrder, now: float) -> OrderVerdict:
+        """Carry an order out."""
+        self.advance(now)
+        if order.expected != self.accepted or self.pending:
+            return OrderVerdict.conflict
+        if not order.adapter and order.kind is FleetOrderKind.load:
+            if order.model in self.held:
+                return OrderVerdict.holds
+        elif order.model not in self.held:
+            return OrderVerdict.unknown_order
+        self.accepted += 1
+        if order.adapter:
+            self._adapter(order)
+        else:
+            self.pending = order
+            self.busy_until = now + 1.0
+        self._check(order)
+        return OrderVerdict.accepted
+
+    def advance(self, now: float) -> None:
+        """Let time pass."""
+        if self.pending and now >= self.busy_until:
+            order = self.pending
+            self.pending = None
+            if order.kind is FleetOrderKind.load:
+                self.held[order.model] = set()
+            else:
+                self.held.pop(order.model)
+        due = [one for at, one in self.late if at <= now]
+        self.late = [(at, one) for at, one in self.late if at > now]
+        for order in due:
+            self.take(order, now)
+
+    def report(self, now: float) -> UpstreamReport:
+        """Describe the state."""
+        self.advance(now)
+        return UpstreamReport(
+            born_ms=1,
+            accepted_orders=self.accepted,
+            is_busy=self.pending is not None,
+            models=tuple(
+                HeldModel(model, 1, tuple(sorted(adapters)))
+                for model, adapters in self.held.items()
+            ),
+        )
+
+    def _adapter(self, order: FleetOrder) -> None:
+        adapters = self.held[order.model]
+        if order.kind is FleetOrderKind.load:
+            adapters.add(order.adapter)
+        else:
+            adapters.discard(order.adapter)
+
+    def _check(self, order: FleetOrder) -> None:
+        weights = sum(_WEIGHTS[model] for model in self.held)
+        if self.pending and order.kind is FleetOrderKind.load:
+            weights += _WEIGHTS[order.model]
+        adapters = sum(len(one) for one in self.held.values())
+        if weights > ENGINE.weights_mb or adapters > ENGINE.adapter_slots:
+            self.crashed = True
+
+
+class Fleet:
+    """Engines, and the leader that gives them orders."""
+
+    def __init__(self, *engines: EngineModel) -> None:
+        self.engines = {engine.name: engine for engine in engines}
+        self.now = 100.0
+        self.ready: list[bool] = []
+        self.leader = self.new_leader()
+
+    def new_leader(self) -> FleetLeader:
+        """Begin another term."""
+        leader = FleetLeader(1, self.now)
+        leader.adopt_routes(make_document())
+        leader.take_list(
+            [
+                ListedUpstream(
+                    name=engine.name,
+                    service='models',
+                    address='127.0.0.1:1',
+                    failure_domain='d1',
+                    slots=4,
+                    born_ms=1,
+                    models=(),
+                )
+                for engine in self.engines.values()
+            ],
+            self.now,
+        )
+        return leader
+
+    def step(self, elapsed_s: float = 0.1, loss: float = 0.0) -> None:
+        """Report, plan and give the orders that are ready."""
+        self.now += elapsed_s
+        for name, engine in self.engines.items():
+            self.leader.take_report(name, engine.report(self.now))
+        self.leader.facts.refresh(self.leader.ledgers)
+        self.leader.plan(self.now)
+        self.ready.extend(
+            reply.is_ready for _, reply in self.leader.take_replies(self.now)
+        )
+        for name, engine in self.engines.items():
+            order = self.leader.next_order(name, self.now)
+            if order is None:
+                continue
+            if loss and random.Random(self.now).random() < loss:
+                engine.late.append((self.now + 3, order))
+                verdict = OrderVerdict.unanswered
+            else:
+                verdict = engine.take(order, self.now)
+            self.leader.order_ended(name, order, verdict, self.now)
+
+    def ask(self, model: str, waiting: int, running: int = 0) -> None:
+        """Report the demand of an entry."""
+        last = self.leader.demand.entries.get('e1')
+        self.leader.demand.take_entry_report(
+            'e1',
+            EntryReport(
+                term=1,
+                number=0,
+                sequence=last.sequence + 1 if last else 1,
+                demand=(
+                    ModelDemand(
+                        'models',
+                        model,
+                        arrived=waiting + running,
+                        tokens=600,
+                        running=running,
+                        waiting=waiting,
+                        urgency=1,
+                    ),
+                ),
+            ),
+            self.now,
+        )
+
+    def copies(self, model: str) -> int:
+        """Count the copies of a model."""
+        return sum(model in one.held for one in self.engines.values())
+
+
+def test_model_that_is_waited_for_is_loaded() -> None:
+    fleet = Fleet(EngineModel('u1', ('m1',)))
+    for _ in range(30):
+        fleet.ask('m3', waiting=1)
+        fleet.step()
+    assert_that(fleet.copies('m3'), Equals(1))
+
+
+def test_model_that_is_waited_for_takes_the_room_of_an_idle_one() -> None:
+    fleet = Fleet(EngineModel('u1', ('m1', 'm2')))
+    for _ in range(60):
+        fleet.ask('m3', waiting=1)
+        fleet.step()
+    assert_that(fleet.copies('m3'), Equals(1))
+
+
+def test_last_copy_stays_while_requests_wait_for_it() -> None:
+    fleet = Fleet(EngineModel('u1', ('m1', 'm2')))
+    seen: set[str] = set()
+    for _ in range(40):
+        fleet.ask('m1', waiting=2)
+        fleet.ask('m2', waiting=2)
+        fleet.ask('m3', waiting=1)
+        fleet.step()
+        seen |= {'m1', 'm2'} - fleet.engines['u1'].held.keys()
+    assert_that(seen, Equals(set()))
+
+
+def test_copies_follow_demand_within_seconds() -> None:
+    engines = [EngineModel(f'u{one}', ('m1',)) for one in range(4)]
+    fleet = Fleet(*engines, EngineModel('u9', ('m2',)))
+    for _ in range(40):
+        fleet.ask('m2', waiting=4, running=8)
+        fleet.step()
+    assert_that(fleet.copies('m2') > 2, Is(True))
+    assert_that(fleet.copies('m1') > 0, Is(True))
+
+
+@settings(max_examples=40)
+@given(
+    seed=st.integers(0, 10_000),
+    loss=st.sampled_from((0.0, 0.3, 0.7)),
+)
+def test_weights_are_never_overcommitted(seed: int, loss: float) -> None:
+    """Also with orders carried out late and with changes of the giver."""
+    source = random.Random(seed)
+    fleet = Fleet(
+        EngineModel('u1', ('m1', 'm2')),
+        EngineModel('u2', ('m3',)),
+        EngineModel('u3', ()),
+    )
+    for _ in range(120):
+        model = source.choice(('m1', 'm2', 'm3', 'm4'))
+        fleet.ask(model, source.randint(0, 3), source.randint(0, 6))
+        if source.randrange(20) == 0:
+            fleet.leader = fleet.new_leader()
+        upstream = source.choice(('u1', 'u2', 'u3'))
+        request = AdapterRequest(
+            request_id=1,
+            service='models',
+            upstream=upstream,
+            model=model,
+            adapter=f'a{source.randint(1, 4)}',
+        )
+        fleet.leader.ask_adapter('e1', request, fleet.now)
+        fleet.step(source.choice((0.05, 0.1, 0.4)), loss)
+        for engine in fleet.engines.values():
+            assert_that(engine.crashed, Equals(False))
+
+
+def test_no_order_is_given_before_its_time() -> None:
+    fleet = Fleet(EngineModel('u1', ('m1',)))
+    fleet.leader = FleetLeader(2, fleet.now + 3)
+    fleet.leader.adopt_routes(make_document())
+    fleet.leader.take_list(
+        [
+            ListedUpstream(
+                name='u1',
+                service='models',
+                address='127.0.0.1:1',
+                failure_domain='d1',
+                slots=4,
+            ),
+        ],
+        fleet.now,
+    )
+    for _ in range(28):
+        fleet.ask('m3', waiting=1)
+        fleet.step()
+        assert_that(fleet.engines['u1'].accepted, Equals(0))
+
+
+def test_adapter_takes_the_place_of_the_one_used_least_recently() -> None:
+    fleet = Fleet(EngineModel('u1', ('m1',)))
+    for number, adapter in enumerate(('a1', 'a2', 'a1', 'a3')):
+        fleet.step()
+        request = AdapterRequest(
+            request_id=number,
+            service='models',
+            upstream='u1',
+            model='m1',
+            adapter=adapter,
+        )
+        fleet.leader.ask_adapter('e1', request, fleet.now)
+        for _ in range(5):
+            fleet.step(0.05)
+    assert_that(fleet.engines['u1'].held['m1'], Equals({'a1', 'a3'}))
+    assert_that(fleet.ready, Equals([True, True, True, True]))
+
+
+def test_stale_report_does_not_undo_an_accepted_order() -> None:
+    ledger = UpstreamLedger('u1')
+    report = UpstreamReport(
+        born_ms=1,
+        accepted_orders=4,
+        is_busy=False,
+        models=(HeldModel('m1'),),
+    )
+    ledger.take_report(report)
+    order = FleetOrder(kind=FleetOrderKind.load, model='m2', expected=4)
+    ledger.order_ended(order, OrderVerdict.accepted)
+    ledger.take_report(report)
+    assert_that(ledger.models, Contains('m2'))
+
+
+def test_restart_under_the_same_name_is_empty() -> None:
+    ledger = UpstreamLedger('u1')
+    ledger.take_report(
+        UpstreamReport(
+            born_ms=1,
+            accepted_orders=9,
+            is_busy=False,
+            models=(HeldModel('m1'),),
+        ),
+    )
+    ledger.take_report(
+        UpstreamReport(
+            born_ms=2,
+            accepted_orders=0,
+            is_busy=False,
+            models=(),
+        ),
+    )
+    assert_that(ledger.models, Not(Contains('m1')))
+    assert_that(ledger.accepted, Equals(0))
+
+
+def test_other_process_at_the_address_gets_no_more_orders() -> None:
+    fleet = Fleet(EngineModel('u1', ('m1',)))
+    fleet.step()
+    order = FleetOrder(kind=FleetOrderKind.load, model='m2', expected=0)
+    fleet.leader.order_ended('u1', order, OrderVerdict.other_process, fleet.now)
+    for _ in range(30):
+        fleet.ask('m3', waiting=1)
+        fleet.step()
+    assert_that(fleet.engines['u1'].accepted, Equals(0))
+
+
+@pytest.mark.parametrize('rate', [2.9, 9.5, 16.0])
+@given(steps=st.lists(st.floats(0, 0.6), min_size=1, max_size=200))
+def test_loads_keep_to_the_ceiling_over_any_window(
+    rate: float,
+    steps: list[float],
+) -> None:
+    pacer = StorePacer(0.0)
+    began: list[float] = []
+    now = 0.0
+    for elapsed_s in steps:
+        now += elapsed_s
+        while pacer.may_begin(rate, now):
+            pacer.begin()
+            began.append(now)
+        in_window = sum(at > now - 5 for at in began)
+        assert_that(in_window, LessThan(rate * 5 * 1.1 + 3))
+
+
+def test_foretold_load_ends_the_reservation_of_its_room() -> None:
+    ledger = UpstreamLedger('u1')
+    report = UpstreamReport(
+        born_ms=1,
+        accepted_orders=0,
+        is_busy=False,
+        models=(),
+    )
+    ledger.take_report(report)
+    ledger.reserved = 'm1'
+    order = FleetOrder(kind=FleetOrderKind.load, model='m1', expected=0)
+    ledger.order_ended(order, OrderVerdict.accepted)
+    ledger.expect_done(5.0)
+    ledger.advance(5.0)
+    assert_that((ledger.reserved, ledger.is_idle), Equals(('', True)))
+
+
+def test_second_eviction_is_weighed_anew() -> None:
+    """A model in demand is not evicted to finish a swap that began earlier."""
+    fleet = Fleet(EngineModel('u1', ('m1', 'm2')))
+    fleet.step()
+    ledger = fleet.leader.ledgers['u1']
+    ledger.reserved = 'm3'
+    ledger.reserved_until = fleet.now + 60
+    for _ in range(30):
+        fleet.ask('m1', waiting=0, running=12)
+        fleet.ask('m2', waiting=0, running=12)
+        fleet.step()
+    assert_that(fleet.engines['u1'].held.keys(), Equals({'m1', 'm2'}))
+
+
+def test_crowded_model_goes_before_single_requests_for_others() -> None:
+    """Swaps for models that are seldom asked for leave room for it."""
+    fleet = Fleet(
+        *(EngineModel(f'u{one}', ('m2', 'm3')) for one in range(3)),
+        EngineModel('u9', ('m1',)),
+    )
+    for turn in range(60):
+        fleet.ask('m1', waiting=4, running=4 * fleet.copies('m1'))
+        fleet.ask('m4', waiting=1 if turn % 5 == 0 else 0)
+        fleet.step()
+    assert_that(fleet.copies('m1') > 2, Is(True))
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,333 @@
+"""The path of a request through an entry, over the platform's dialect."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Result
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Is, Not
+
+from persimmonhold.failures import Failure
+from persimmonhold.forwarding import EventRelay
+from persimmonhold.platform._names import (
+    EXPECTED_PROCESS,
+    NOT_RUN,
+    REQUEST_ID,
+    SIGNATURE,
+)
+from persimmonhold.routes import RouteKind
+from persimmonhold.web import Exchange, FetchedResponse, encode_headers
+from tests.forwarding_world import ForwardingWorld
+
+Answered = Result[FetchedResponse, Failure]
+
+
+def _run(scenario: Callable[[ForwardingWorld], Awaitable[None]]) -> None:
+    async def play() -> None:
+        async with ForwardingWorld() as world:
+            await scenario(world)
+
+    asyncio.run(play())
+
+
+async def _answer(
+    exchange: Exchange,
+    status: int,
+    body: bytes = b'done',
+    headers: dict[str, str] | None = None,
+) -> None:
+    own = {
+        REQUEST_ID: exchange.head.header(REQUEST_ID),
+        SIGNATURE: 's1',
+        **(headers or {}),
+    }
+    await exchange.read_body()
+    await exchange.respond(status, body, 'text/plain', encode_headers(own))
+
+
+def _events(first: int, last: int) -> bytes:
+    return b''.join(
+        b'id: %d\ndata: x%d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
+async def _stream(exchange: Exchange, first: int, last: int) -> None:
+    await exchange.read_body()
+    own = {
+        REQUEST_ID: exchange.head.header(REQUEST_ID),
+        SIGNATURE: 's1',
+        'content-type': 'text/event-stream',
+    }
+    await exchange.start(200, encode_headers(own))
+    await exchange.send(_events(first, last))
+
+
+def test_body_and_signature_pass_unchanged() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        async def script(exchange: Exchange) -> None:
+            body = (await exchange.read_body()).unwrap()
+            await _answer(exchange, 200, body)
+
+        upstream = await world.upstream(script)
+        answer = (await world.ask(b'\x00opaque\xff')).unwrap()
+        assert_that(answer.body, Equals(b'\x00opaque\xff'))
+        assert_that(answer.head.header(SIGNATURE), Equals('s1'))
+        assert_that(
+            upstream.heads[0].header(EXPECTED_PROCESS),
+            Equals(upstream.name),
+        )
+
+    _run(scenario)
+
+
+def test_deadline_passed_on_is_what_is_left() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        async def script(exchange: Exchange) -> None:
+            await _answer(exchange, 200)
+
+        upstream = await world.upstream(script)
+        await world.ask(deadline_ms=900)
+        left_ms = int(upstream.heads[0].header('deadline-ms'))
+        assert_that(0 < left_ms <= 900, Is(True))
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'sent'),
+    [(RouteKind.idempotent, 2), (RouteKind.non_idempotent, 1)],
+)
+def test_only_what_may_repeat_is_sent_again_after_a_broken_answer(
+    kind: RouteKind,
+    sent: int,
+) -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(kind, attempts=2)
+        heads: list[str] = []
+
+        async def broken(exchange: Exchange) -> None:
+            await exchange.read_body()
+            heads.append(exchange.head.header(REQUEST_ID))
+            exchange.abort()
+
+        await world.upstream(broken)
+        await world.upstream(broken)
+        answer = (await world.ask()).unwrap()
+        assert_that(len(heads), Equals(sent))
+        assert_that(answer.head.status, Equals(502))
+
+    _run(scenario)
+
+
+def test_refusal_by_the_upstream_is_no_run() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.non_idempotent)
+
+        async def full(exchange: Exchange) -> None:
+            await _answer(exchange, 503, b'', {NOT_RUN: '1'})
+
+        async def sound(exchange: Exchange) -> None:
+            await _answer(exchange, 200)
+
+        await world.upstream(full)
+        await world.upstream(sound)
+        for _ in range(6):
+            answer = (await world.ask()).unwrap()
+            assert_that(answer.head.status, Equals(200))
+
+    _run(scenario)
+
+
+def test_answer_to_another_request_reaches_nobody() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.non_idempotent)
+
+        async def stray(exchange: Exchange) -> None:
+            await _answer(exchange, 200, headers={REQUEST_ID: 'other'})
+
+        await world.upstream(stray)
+        answer = (await world.ask()).unwrap()
+        assert_that(answer.head.status, Equals(502))
+        assert_that(answer.body, Not(Contains(b'done')))
+
+    _run(scenario)
+
+
+def test_success_without_a_signature_is_no_success() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.non_idempotent)
+
+        async def unsigned(exchange: Exchange) -> None:
+            await _answer(exchange, 200, headers={SIGNATURE: ''})
+
+        await world.upstream(unsigned)
+        answer = (await world.ask()).unwrap()
+        assert_that(answer.head.status, Equals(502))
+
+    _run(scenario)
+
+
+def test_failure_of_the_upstream_keeps_its_status() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.idempotent, attempts=2)
+
+        async def failing(exchange: Exchange) -> None:
+            await _answer(exchange, 500, b'why')
+
+        upstream = await world.upstream(failing)
+        answer = (await world.ask()).unwrap()
+        assert_that(answer.head.status, Equals(500))
+        assert_that(answer.body, Equals(b'why'))
+        assert_that(len(upstream.heads), Equals(1))
+
+    _run(scenario)
+
+
+def test_broken_stream_goes_on_elsewhere_with_each_event_once() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.stream, attempts=2, resumable=True)
+
+        async def script(exchange: Exchange) -> None:
+            after = int(exchange.head.header('last-event-id') or 0)
+            if after:
+                await _stream(exchange, after + 1, 9)
+                await exchange.finish()
+                return
+            await _stream(exchange, 1, 4)
+            await exchange.send(b'id: 5\nda')
+            exchange.abort()
+
+        await world.upstream(script)
+        await world.upstream(script)
+        answer = (await world.ask()).unwrap()
+        assert_that(answer.body, Equals(_events(1, 9)))
+
+    _run(scenario)
+
+
+def test_broken_stream_that_may_not_repeat_never_looks_whole() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.stream)
+
+        async def script(exchange: Exchange) -> None:
+            await _stream(exchange, 1, 4)
+            exchange.abort()
+
+        await world.upstream(script)
+        await world.upstream(script)
+        answered = await world.ask()
+        assert_that(answered.value_or(None), Is(None))
+        sent = sum(len(one.heads) for one in world.upstreams)
+        assert_that(sent, Equals(1))
+
+    _run(scenario)
+
+
+def test_request_is_ended_at_the_time_of_its_route() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.non_idempotent, timeout_ms=100)
+
+        async def hang(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await asyncio.Event().wait()
+
+        await world.upstream(hang)
+        answer = (await world.ask()).unwrap()
+        assert_that(answer.head.status, Equals(504))
+
+    _run(scenario)
+
+
+def test_caller_that_leaves_frees_its_upstream() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.non_idempotent)
+        begun = asyncio.Event()
+        left = asyncio.Event()
+
+        async def hang(exchange: Exchange) -> None:
+            begun.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                left.set()
+
+        await world.upstream(hang)
+        asking = asyncio.create_task(world.ask())
+        await begun.wait()
+        asking.cancel()
+        async with asyncio.timeout(5):
+            await left.wait()
+
+    _run(scenario)
+
+
+def test_leaving_upstream_gets_no_new_work() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        async def sound(exchange: Exchange) -> None:
+            await _answer(exchange, 200)
+
+        leaving = await world.upstream(sound)
+        staying = await world.upstream(sound)
+        world.leave(leaving)
+        for _ in range(8):
+            await world.ask()
+        assert_that(len(leaving.heads), Equals(0))
+        assert_that(len(staying.heads), Equals(8))
+
+    _run(scenario)
+
+
+def test_entry_without_routes_does_not_say_not_found() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.forget_routes()
+        answer = (await world.ask()).unwrap()
+        assert_that(answer.head.status, Equals(503))
+        assert_that(answer.head.header('retry-after'), Not(Equals('')))
+
+    _run(scenario)
+
+
+def test_unknown_route_is_not_found() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        answer = (await world.ask(target='/none/x')).unwrap()
+        assert_that(answer.head.status, Equals(404))
+
+    _run(scenario)
+
+
+def test_headers_of_the_system_are_not_taken_from_callers() -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        async def sound(exchange: Exchange) -> None:
+            await _answer(exchange, 200)
+
+        upstream = await world.upstream(sound)
+        await world.ask(headers={'hold': 'h1', 'x-kept': 'yes'})
+        assert_that(upstream.heads[0].header('hold'), Equals(''))
+        assert_that(upstream.heads[0].header('x-kept'), Equals('yes'))
+
+    _run(scenario)
+
+
+@given(
+    cuts=st.lists(st.integers(0, 200), max_size=12),
+    count=st.integers(1, 9),
+)
+def test_relay_returns_whole_events_whatever_the_reads(
+    cuts: list[int],
+    count: int,
+) -> None:
+    whole = _events(1, count)
+    relay = EventRelay()
+    places = sorted({min(cut, len(whole)) for cut in cuts} | {len(whole)})
+    start = 0
+    returned = b''
+    for place in places:
+        returned += relay.feed(whole[start:place])
+        start = place
+        assert_that(returned == b'' or returned.endswith(b'\n\n'), Is(True))
+    assert_that(returned, Equals(whole))
+    assert_that(relay.last_id, Equals(str(count)))
