--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -15,6 +15,7 @@
 from persimmonhold.settings import (
     CallerSettings,
     LogSettings,
+    MetricsSettings,
     OperatorSettings,
     PeerSettings,
     Settings,
@@ -26,6 +27,7 @@
 _VERIFICATION_MS: Final = 500  # disks here are whole or empty, never old
 _HEARTBEAT_MS: Final = 80
 _ELECTION_MS: Final = 450  # a packet that is sent again takes 200 ms
+_METRICS_PORT: Final = 9464  # that of deploy/system.toml
 _DIRECTORY_TTL_S: Final = 1.0
 
 
@@ -126,6 +128,7 @@
         operators=OperatorSettings(address=wire.listen.control),
         peers=_peers(wire),
         logs=LogSettings(path=STANDARD_OUTPUT),
+        metrics=MetricsSettings(address=f'{wire.ip}:{_METRICS_PORT}'),
     )
 
 
--- a/persimmonhold/settings/__init__.py
+++ b/persimmonhold/settings/__init__.py
@@ -3,6 +3,7 @@
 from persimmonhold.settings._caller_settings import CallerSettings
 from persimmonhold.settings._ini_reader import parse_ini, read_ini
 from persimmonhold.settings._log_settings import LogSettings
+from persimmonhold.settings._metrics_settings import MetricsSettings
 from persimmonhold.settings._operator_settings import OperatorSettings
 from persimmonhold.settings._peer_settings import PeerSettings
 from persimmonhold.settings._placement_settings import PlacementSettings
@@ -18,6 +19,7 @@
 __all__ = (
     'CallerSettings',
     'LogSettings',
+    'MetricsSettings',
     'OperatorSettings',
     'PeerSettings',
     'PlacementSettings',
--- /dev/null
+++ b/persimmonhold/settings/_metrics_settings.py
@@ -0,0 +1,18 @@
+"""The section `[metrics]`."""
+
+from typing import Annotated, final
+
+import msgspec
+from msgspec import Meta
+
+from persimmonhold.settings._address_text import AddressText
+
+
+@final
+class MetricsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a VM shows its metrics besides the roles' own addresses."""
+
+    address: Annotated[
+        AddressText,
+        Meta(description='Address of `GET /metrics`; ip:port, empty: none.'),
+    ] = ''
--- a/persimmonhold/settings/_settings.py
+++ b/persimmonhold/settings/_settings.py
@@ -6,6 +6,7 @@
 
 from persimmonhold.settings._caller_settings import CallerSettings
 from persimmonhold.settings._log_settings import LogSettings
+from persimmonhold.settings._metrics_settings import MetricsSettings
 from persimmonhold.settings._operator_settings import OperatorSettings
 from persimmonhold.settings._peer_settings import PeerSettings
 from persimmonhold.settings._placement_settings import PlacementSettings
@@ -24,5 +25,6 @@
     peers: PeerSettings = PeerSettings()
     placement: PlacementSettings = PlacementSettings()
     logs: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
     tls: TlsSettings = TlsSettings()
     platform: PlatformSettings = PlatformSettings()
--- a/persimmonhold/system/_forwarding_vm.py
+++ b/persimmonhold/system/_forwarding_vm.py
@@ -7,10 +7,11 @@
 import asyncio
 from contextlib import AsyncExitStack
 from types import TracebackType
-from typing import Self, final
+from typing import Final, Self, final
 
 from persimmonhold.control.shell import (
     ControlClient,
+    ControlMetrics,
     ControlNode,
     ProposalServer,
     RemoteControlLink,
@@ -27,9 +28,17 @@
 from persimmonhold.system._boot_clock import boot_time
 from persimmonhold.system._control_side import ControlSide
 from persimmonhold.system._control_work import ControlWork
+from persimmonhold.system._metrics_handler import MetricsHandler
 from persimmonhold.system._vm_record import vm_record
 from persimmonhold.transport import NngTransport, Transport
-from persimmonhold.web import ExchangeHandler
+from persimmonhold.web import (
+    ExchangeHandler,
+    HttpBounds,
+    HttpServer,
+    parse_address,
+)
+
+_COUNT_INTERVAL_S: Final = 1.0
 
 
 @final
@@ -108,6 +117,7 @@
             await stack.enter_async_context(self.transport)
             await stack.enter_async_context(self.background)
             stack.callback(self.adapter.source.close)
+            await self._show_metrics(stack)
             await self._start(stack)
             self.stack = stack.pop_all()
         log_event(
@@ -135,6 +145,24 @@
         if self.control is not None:
             await self.control.drain()
 
+    async def _show_metrics(self, stack: AsyncExitStack) -> None:
+        address = self.settings.metrics.address
+        if address:
+            server = HttpServer(
+                parse_address(address).unwrap(),
+                MetricsHandler(self.metrics),
+                HttpBounds(),
+            )
+            await stack.enter_async_context(server)
+            self.background.run(self._count(), 'control metrics')
+
+    async def _count(self) -> None:
+        """Keep the metrics equal to the counts of agent and transport."""
+        counted = ControlMetrics(self.metrics)
+        while True:
+            counted.update(self.vm.agent, self.transport.counts)
+            await asyncio.sleep(_COUNT_INTERVAL_S)
+
     async def _start(self, stack: AsyncExitStack) -> None:
         if self.settings.vm.has_control:
             self.control = ControlSide(
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -165,6 +165,21 @@
     _play(tmp_path, scenario)
 
 
+def test_metrics_are_shown(tmp_path: Path) -> None:
+    async def scenario(platform: PlayedPlatform) -> None:
+        await platform.worker('app')
+        await _start(platform)
+        await platform.ask(platform.address('e1', 1), 'POST', '/app/x', b'1')
+        shown = await platform.ask('127.77.2.1:9464', 'GET', '/metrics')
+        assert shown is not None
+        assert_that(
+            shown.body,
+            Contains(b'persimmonhold_first_token_seconds'),
+        )
+
+    _play(tmp_path, scenario)
+
+
 def test_stopped_entry_leaves_the_directory_and_serves_on(
     tmp_path: Path,
 ) -> None:
