--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -21,10 +21,10 @@
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.routes import EngineSpec, ModelSpec
 
-_LEAST_GAIN: Final = 0.1  # requests a second; less is not worth a load
+_LEAST_GAIN: Final = 0.2  # requests a second; less is not worth a load
 _SWAP_RATIO: Final = 1.4  # a copy yields only to one worth this much more
-_FULL_FROM: Final = 0.5  # use of a copy from which requests come late
-_USE_SLOPE: Final = 0.05  # a copy that is used less answers a bit sooner
+_FULL_FROM: Final = 0.45  # use of a copy from which requests come late
+_USE_SLOPE: Final = 0.01  # a copy that is used less answers a bit sooner
 _MISS_LOSS: Final = 0.8  # of a request that waits for a load
 _MISS_HORIZON_S: Final = 5.0  # an eviction costs one miss in that time
 _RUNNING_COST: Final = 0.1  # an eviction waits for each running request
