--- a/persimmonhold/control/machine/_view_state.py
+++ b/persimmonhold/control/machine/_view_state.py
@@ -19,6 +19,7 @@
 CopyKey: TypeAlias = tuple[str, str, str, str]
 _ViewItem: TypeAlias = StoredEntry | Copy | VmRecord | RoutingDocument
 _DIGEST_BYTES: Final = 8
+_KEPT_DOCUMENTS: Final = 16  # a document may have hundreds of kilobytes
 _NO_ROUTES: Final = RoutingDocument()
 
 
@@ -28,6 +29,7 @@
 
     __slots__ = (
         '_changes',
+        '_documents',
         '_view',
         'catalogue',
         'copies',
@@ -46,6 +48,7 @@
         self.vms: dict[str, VmRecord] = {}
         self.routes = RoutingDocument()
         self._changes: deque[ViewChange] = deque(maxlen=change_log_length)
+        self._documents = 0
         self._view: ControlView | None = None
 
     def view(self) -> ControlView:
@@ -85,7 +88,7 @@
             self._exchange(self.routes, change.routes)
             self.routes = change.routes
         self.index = change.index
-        self._changes.append(change)
+        self._remember(change)
         self._view = None
         return True
 
@@ -101,9 +104,24 @@
         self.routes = view.routes
         self.digest = digest
         self._changes.clear()
+        self._documents = 0
         self._view = view
         return True
 
+    def _remember(self, change: ViewChange) -> None:
+        """Keep a change, with few routing documents among the kept ones."""
+        if not self._changes.maxlen:
+            return
+        if len(self._changes) == self._changes.maxlen:
+            self._forget_oldest()
+        self._changes.append(change)
+        self._documents += change.routes is not None
+        while self._documents > _KEPT_DOCUMENTS:
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        self._documents -= self._changes.popleft().routes is not None
+
     def _apply_entry(self, change: ViewChange) -> None:
         stored = change.stored
         name = change.removed if stored is None else stored.entry.name
--- a/persimmonhold/explanation/_request_story.py
+++ b/persimmonhold/explanation/_request_story.py
@@ -27,6 +27,7 @@
     'retry_budget_spent': 'upstreams refused it and the repeats allowed to'
     ' this entry were used up',
     'isolated': 'the entry had no proof that its routes were current',
+    'unknown_model': 'no configured service holds its model',
     'no_route': 'no route of the version in force took its host and path',
     'malformed_request': 'its headers could not be read',
     'upstream_failed': 'the upstream failed after it may have run the request,'
--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -33,7 +33,7 @@
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_demand import ModelDemand
 from persimmonhold.fleet._model_load import ModelLoad
-from persimmonhold.fleet._request_profile import PromptPart, RequestProfile
+from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._retry_allowance import RetryAllowance, RetryBounds
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._store_pacer import StorePacer
@@ -63,7 +63,6 @@
     'ModelLoad',
     'OrderVerdict',
     'PlannedOrder',
-    'PromptPart',
     'RequestProfile',
     'RetryAllowance',
     'RetryBounds',
--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -50,7 +50,6 @@
                 tokens=self.tokens.get(key, 0),
                 running=running.get(key, 0),
                 waiting=len(waiting[key]) if key in waiting else 0,
-                urgency=_urgency(dispatcher, key),
             )
             for key in sorted(keys)
             if key[1]
@@ -76,13 +75,6 @@
     return running
 
 
-def _urgency(dispatcher: ForwardDispatcher, key: tuple[str, str]) -> int:
-    line = dispatcher.lines.get(key)
-    if line is None:
-        return 9
-    return min((one.ticket.route.priority for one in line.pending), default=9)
-
-
 def _loads(dispatcher: ForwardDispatcher) -> tuple[SharedLoad, ...]:
     return tuple(
         SharedLoad(
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -87,6 +87,13 @@
             if count
         )
 
+    def confirmed(self, term: int) -> int:
+        """Return the number of facts that every entry has confirmed."""
+        reports = self.entries.values()
+        if any(report.term != term for report in reports):
+            return 0
+        return min((report.number for report in reports), default=0)
+
     def forget_silent(self, now: float) -> None:
         """Drop what entries reported that are silent now."""
         for entry, heard_at in tuple(self.heard_at.items()):
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -25,6 +25,7 @@
         'changed_at',
         'facts',
         'failures',
+        'forgotten',
         'gone',
         'leaving',
         'listed',
@@ -38,6 +39,7 @@
         self.facts: dict[str, UpstreamFacts] = {}
         self.changed_at: dict[str, int] = {}
         self.gone: dict[str, int] = {}
+        self.forgotten = 0
         self.listed: dict[str, ListedUpstream] = {}
         self.listed_at: float | None = None
         self.failures: dict[str, int] = {}
@@ -92,7 +94,11 @@
         return changed, gone
 
     def forget_gone(self, number: int) -> None:
-        """Forget the departures that every entry has confirmed."""
+        """Forget departures up to a number that every entry has confirmed.
+
+        An entry that confirmed less gets all facts anew.
+        """
+        self.forgotten = max(self.forgotten, number)
         self.gone = {name: at for name, at in self.gone.items() if at > number}
 
     def _set(self, facts: UpstreamFacts) -> None:
--- a/persimmonhold/fleet/_fleet_leader.py
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -165,6 +165,7 @@
         if now < self.orders_from:
             return ()
         self.demand.forget_silent(now)
+        self.facts.forget_gone(self.demand.confirmed(self.term))
         decided: list[PlannedOrder] = []
         for service in self.document.services:
             if service.engine is not None:
@@ -232,6 +233,8 @@
         report = self.demand.entries.get(entry)
         is_known = report is not None and report.term == self.term
         base = report.number if report is not None and is_known else 0
+        if base < self.facts.forgotten:
+            base = 0
         facts, gone = self.facts.since(base)
         self.sequence += 1
         return FleetUpdate(
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -40,6 +40,7 @@
     AttemptEnd.unreachable: 0.3,  # a crashed upstream is back in seconds
 })
 _NOT_REACHED: Final = frozenset((AttemptEnd.unreachable, AttemptEnd.unsent))
+_RESUME_S: Final = 1.6  # callers leave after two seconds without an event
 _LEAST_RETURN_S: Final = 0.1
 _MAX_RETURN_S: Final = 4.0  # a new giver of orders waits some 3.4 s
 _LEAST_LOAD_S: Final = 0.6  # from memory; from disk 0.6 to 0.8 s
@@ -134,6 +135,8 @@
         if pending is None:
             return ()
         self._release(pending, outcome, now)
+        if pending.has_begun:
+            pending.patience_until = now + _RESUME_S
         pause_s = _EXCLUSION_S.get(outcome, _EXCLUDED_S)
         use = self.chooser.uses.get(pending.upstream)
         if use is not None:
@@ -145,8 +148,12 @@
     def begin(self, number: int, now: float) -> None:
         """Note the first byte of the answer to a request."""
         pending = self.pending.get(number)
-        if pending is not None and pending.upstream in self.chooser.uses:
-            self.chooser.uses[pending.upstream].begin(number, now)
+        if pending is None:
+            return
+        pending.has_begun = True
+        use = self.chooser.uses.get(pending.upstream)
+        if use is not None:
+            use.begin(number, now)
 
     def note_adapter(self, number: int, now: float) -> None:
         """Note that the adapter of a request was loaded where it goes."""
@@ -271,7 +278,7 @@
     def _expires_at(self, pending: PendingRequest) -> float:
         """Return until when a request may wait for a place."""
         ticket = pending.ticket
-        latest = min(ticket.patience_until, ticket.ends_at)
+        latest = min(pending.patience_until, ticket.ends_at)
         read_s = ticket.profile.prompt_tokens / PROMPT_TOKENS_PER_S
         return latest - _LEAST_EVENT_S - 2 * read_s
 
--- a/persimmonhold/fleet/_model_demand.py
+++ b/persimmonhold/fleet/_model_demand.py
@@ -7,10 +7,7 @@
 
 @final
 class ModelDemand(msgspec.Struct, frozen=True, array_like=True):
-    """Counts since the last report; `running` and `waiting` are of now.
-
-    `urgency` is the lowest priority number among the waiting ones.
-    """
+    """Counts since the last report; `running` and `waiting` are of now."""
 
     service: str
     model: str
@@ -18,4 +15,3 @@
     tokens: int = 0
     running: int = 0
     waiting: int = 0
-    urgency: int = 9
--- a/persimmonhold/fleet/_model_load.py
+++ b/persimmonhold/fleet/_model_load.py
@@ -28,7 +28,6 @@
         'slow_tokens_per_s',
         'tokens',
         'updated_at',
-        'urgency',
         'waiting',
     )
 
@@ -36,7 +35,6 @@
         """Create the load of a model that nobody asked for."""
         self.running: dict[str, int] = {}
         self.waiting: dict[str, int] = {}
-        self.urgency: dict[str, int] = {}
         self.tokens = 0
         self.fast = 0.0
         self.slow = 0.0
@@ -57,16 +55,10 @@
         """The number of requests that wait at the entries."""
         return sum(self.waiting.values())
 
-    @property
-    def lowest_urgency(self) -> int:
-        """The most urgent priority number among the waiting ones."""
-        return min(self.urgency.values(), default=9)
-
     def take(self, entry: str, demand: ModelDemand, now: float) -> None:
         """Take the report of an entry."""
         self.running[entry] = demand.running
         self.waiting[entry] = demand.waiting
-        self.urgency[entry] = demand.urgency
         self.tokens += demand.tokens
         self.arrivals_per_s += demand.arrived / _SLOW_S
         self.fast_arrivals_per_s += demand.arrived / _FAST_S
@@ -77,7 +69,6 @@
         """Drop what an entry runs that does not report any more."""
         self.running.pop(entry, None)
         self.waiting.pop(entry, None)
-        self.urgency.pop(entry, None)
 
     def advance(self, now: float, slots: int) -> None:
         """Smooth what was taken since the last call."""
--- a/persimmonhold/fleet/_upstream_report.py
+++ b/persimmonhold/fleet/_upstream_report.py
@@ -25,5 +25,3 @@
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
     is_leaving: bool = False
-    running: int = 0
-    waiting: int = 0
--- a/persimmonhold/fleet/_waiting_line.py
+++ b/persimmonhold/fleet/_waiting_line.py
@@ -20,8 +20,10 @@
 
     __slots__ = (
         'excluded',
+        'has_begun',
         'is_late',
         'order',
+        'patience_until',
         'queued_at',
         'sends',
         'ticket',
@@ -32,6 +34,8 @@
         """Create a request that was not sent yet."""
         self.ticket = ticket
         self.excluded: dict[tuple[str, int], float] = {}
+        self.has_begun = False
+        self.patience_until = ticket.patience_until
         self.is_late = False
         self.order = (0, 0, 0.0, 0)
         self.queued_at = ticket.arrived_at
@@ -43,9 +47,12 @@
         return now < self.excluded.get(process, 0)
 
     def settle_order(self, now: float, least_s: float) -> None:
-        """Set the place in the order; `least_s` is the best case."""
+        """Set the place in the order; `least_s` is the best case.
+
+        A stream that broke off is in time while its caller still waits.
+        """
         ticket = self.ticket
-        self.is_late = now + least_s > ticket.due_at
+        self.is_late = not self.has_begun and now + least_s > ticket.due_at
         self.order = (
             int(self.is_late),
             ticket.route.priority,
--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -83,7 +83,16 @@
             self._refuse(exchange, _BAD_REQUEST, 'malformed_request')
         else:
             ticket = self._ticket(route, profile.unwrap(), arrived_at)
+            await self._admit(exchange, ticket)
+
+    async def _admit(self, exchange: Exchange, ticket: ForwardTicket) -> None:
+        """Forward a request unless no configured model could serve it."""
+        spec = self.table.services.get(ticket.service)
+        engine = spec.engine if spec else None
+        if engine is None or engine.find(ticket.profile.model) is not None:
             await self._forward(exchange, ticket)
+        else:
+            self._refuse(exchange, _UNAVAILABLE, 'unknown_model', _COME_BACK_S)
 
     async def _forward(
         self,
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -6,7 +6,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from persimmonhold.fleet import PromptPart, RequestProfile
+from persimmonhold.fleet import RequestProfile
 from persimmonhold.forwarding import Dialect, ForwardTerms, UpstreamAnswer
 from persimmonhold.platform import _names as names
 from persimmonhold.web import (
@@ -32,8 +32,7 @@
             return Failed(f'the header {names.REQUEST_ID} is missing')
         model, _, adapter = head.header(names.MODEL).partition('/')
         try:
-            prompt, output = _read_counts(head.header(names.TOKEN_COUNTS))
-            parts = _read_parts(head.header(names.PROMPT_PARTS))
+            prompt = _read_prompt_tokens(head.header(names.TOKEN_COUNTS))
             deadline_ms = _read_deadline(head.header(names.DEADLINE_MS))
         except ValueError as error:
             return Failed(f'malformed header: {error}')
@@ -43,10 +42,7 @@
                 model=model,
                 adapter=adapter,
                 prompt_tokens=prompt,
-                output_tokens=output,
-                parts=parts,
                 deadline_ms=deadline_ms,
-                resumes_after=head.header(names.RESUME_AFTER),
             ),
         )
 
@@ -98,20 +94,9 @@
         return encode_headers({names.RETRY_AFTER: f'{retry_after_s:.2f}'})
 
 
-def _read_counts(text: str) -> tuple[int, int]:
-    if not text:
-        return 0, 0
-    prompt, _, output = text.partition(',')
-    return int(prompt), int(output or 0)
-
-
-def _read_parts(text: str) -> tuple[PromptPart, ...]:
-    parts: list[PromptPart] = []
-    for piece in text.split(','):
-        if piece:
-            part, _, tokens = piece.strip().partition(':')
-            parts.append(PromptPart(part, int(tokens)))
-    return tuple(parts)
+def _read_prompt_tokens(text: str) -> int:
+    """Return the first of the two counts; none where they are missing."""
+    return int(text.partition(',')[0] or 0)
 
 
 def _read_deadline(text: str) -> float | None:
--- a/persimmonhold/platform/_listing.py
+++ b/persimmonhold/platform/_listing.py
@@ -54,8 +54,6 @@
     models: tuple[_WireHeld, ...]
     born: int = 0
     state: str = 'ready'
-    running: int = 0
-    waiting: int = 0
     pending: tuple[str, ...] = ()
     resident: _WireResident = _WireResident()
 
@@ -97,8 +95,6 @@
             in_memory=wire.resident.in_memory,
             on_disk=wire.resident.on_disk,
             is_leaving=wire.state == _LEAVING,
-            running=wire.running,
-            waiting=wire.waiting,
         ),
     )
 
--- a/persimmonhold/platform/_names.py
+++ b/persimmonhold/platform/_names.py
@@ -10,7 +10,6 @@
 NOT_RUN: Final = 'not-executed'
 MODEL: Final = 'model'  # an adapter follows after a slash
 TOKEN_COUNTS: Final = 'token-count'  # prompt tokens, most output tokens
-PROMPT_PARTS: Final = 'prefix-hash'  # ID:TOKENS, the first part first
 URGENCY: Final = 'request-urgency'  # 0 is first
 RESUME_AFTER: Final = 'last-event-id'
 RETRY_AFTER: Final = 'retry-after'
--- a/persimmonhold/system/_run.py
+++ b/persimmonhold/system/_run.py
@@ -3,16 +3,12 @@
 import asyncio
 import signal
 from collections.abc import Callable
-from typing import TypeAlias
 
 from persimmonhold.observability import log_event
-from persimmonhold.system._forwarding_vm import ForwardingVm
-from persimmonhold.system._vm_process import VmProcess
+from persimmonhold.system._base_vm import BaseVm
 
-AnyVm: TypeAlias = VmProcess | ForwardingVm
 
-
-async def run_until_stopped(create: Callable[[], AnyVm]) -> bool:
+async def run_until_stopped(create: Callable[[], BaseVm]) -> bool:
     """Run until SIGTERM, SIGINT or a failure; tell whether a part failed.
 
     SIGHUP changes nothing that runs. Raises `OSError` where a part cannot
--- a/tests/test_fleet_dispatch.py
+++ b/tests/test_fleet_dispatch.py
@@ -140,6 +140,18 @@
     assert_that(dispatcher.pump(1.01), MatchesListwise([IsInstance(SendTo)]))
 
 
+def test_broken_stream_waits_for_another_copy() -> None:
+    """Its caller waits from the last event on, not from its arrival."""
+    dispatcher = make_dispatcher(make_facts('u1'))
+    dispatcher.arrive(make_ticket(1), 0)
+    dispatcher.begin(1, 0.1)
+    assert_that(dispatcher.retry(1, AttemptEnd.failed, 5.0), Equals(()))
+    other = make_update(make_facts('u1'), make_facts('u2'), sequence=2)
+    sent = only(dispatcher.adopt(other, 6.0))
+    assert isinstance(sent, SendTo)
+    assert_that(sent.upstream.name, Equals('u2'))
+
+
 @pytest.mark.parametrize(('model', 'adapter'), [('m2', ''), ('m1', 'a1')])
 def test_what_cannot_be_loaded_in_time_is_refused_at_once(
     model: str,
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -178,7 +178,6 @@
                         tokens=600,
                         running=running,
                         waiting=waiting,
-                        urgency=1,
                     ),
                 ),
             ),
@@ -408,3 +407,32 @@
         fleet.ask('m4', waiting=1 if turn % 5 == 0 else 0)
         fleet.step()
     assert_that(fleet.copies('m1') > 2, Is(True))
+
+
+def _confirm(leader: FleetLeader, entry: str, number: int, now: float) -> None:
+    last = leader.demand.entries.get(entry)
+    sequence = last.sequence + 1 if last else 1
+    report = EntryReport(term=leader.term, number=number, sequence=sequence)
+    leader.demand.take_entry_report(entry, report, now)
+
+
+def test_entry_that_missed_a_departure_gets_all_facts_anew() -> None:
+    """Departures are forgotten once all that report have confirmed them."""
+    fleet = Fleet(EngineModel('u1', ('m1',)), EngineModel('u2', ('m1',)))
+    leader = fleet.leader
+    fleet.step()
+    seen = leader.facts.number
+    for entry in ('e1', 'e2'):
+        _confirm(leader, entry, seen, fleet.now)
+    fleet.engines.pop('u2')
+    leader.take_list([leader.facts.listed['u1']], fleet.now)
+    assert_that(leader.facts.gone.keys(), Equals({'u2'}))
+    _confirm(leader, 'e1', leader.facts.number, fleet.now + 3)
+    fleet.now += 3
+    leader.plan(fleet.now)
+    assert_that(leader.facts.gone, Equals({}))
+    _confirm(leader, 'e2', seen, fleet.now)
+    update = leader.update_for('e2', fleet.now)
+    assert update is not None
+    assert_that(update.base, Equals(0))
+    assert_that([one.name for one in update.facts], Equals(['u1']))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """The path of a request through an entry, over the platform's dialect."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -331,3 +332,55 @@
         assert_that(returned == b'' or returned.endswith(b'\n\n'), Is(True))
     assert_that(returned, Equals(whole))
     assert_that(relay.last_id, Equals(str(count)))
+
+
+class RandomUpstream:
+    """Answers as the faulty workers of the platform do, drawn by a seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.source = random.Random(seed)
+        self.runs: dict[str, int] = {}
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Run a request, or not, and answer truly, falsely or never."""
+        request_id = exchange.head.header(REQUEST_ID)
+        fate = self.source.choice(
+            ('sound', 'sound', 'full', 'early', 'lost', 'stray', 'failed'),
+        )
+        if fate == 'early':
+            exchange.abort()
+            return
+        await exchange.read_body()
+        if fate == 'full':
+            await _answer(exchange, 503, b'', {NOT_RUN: '1'})
+            return
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        if fate == 'lost':
+            exchange.abort()
+        elif fate == 'stray':
+            await _answer(exchange, 200, headers={REQUEST_ID: 'other'})
+        else:
+            await _answer(exchange, 200 if fate == 'sound' else 500)
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_calls_run_at_most_once_and_refusals_are_true(seed: int) -> None:
+    """Whatever upstreams do to calls that may not be repeated."""
+
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.non_idempotent, attempts=3)
+        upstream = RandomUpstream(seed)
+        for _ in range(3):
+            await world.upstream(upstream.serve)
+        for _ in range(25):
+            before = next(world.numbers)
+            answered = await world.ask()
+            runs = upstream.runs.get(f'r{before + 1}', 0)
+            assert_that(runs <= 1, Is(True))
+            answer = answered.value_or(None)
+            if answer is not None and answer.head.status in {429, 503}:
+                assert_that(runs, Equals(0))
+            if answer is not None and answer.head.status == 200:
+                assert_that(runs, Equals(1))
+
+    _run(scenario)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -134,3 +134,13 @@
     restored.restore(machine.snapshot())
     assert_that(restored.state.view.routes, Equals(make_document(7)))
     assert_that(restored.state.view.digest, Equals(machine.state.view.digest))
+
+
+def test_kept_changes_hold_few_documents() -> None:
+    """A reader that is far behind gets a snapshot, not every document."""
+    machine = ControlMachine()
+    for version in range(1, 301):
+        _put(machine, version, make_document(version))
+    view = machine.state.view
+    assert_that(view.changes_since(290) is None, Is(False))
+    assert_that(view.changes_since(200), Is(None))
