A whole answer never goes behind the events of a broken stream

Ruled out: the relay of events (the second run sent none). Change: a resumption goes on only by events; a whole answer is passed on only where none has begun. Before: the test fails for 200 and 500.

--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -174,6 +174,10 @@
             connection.fail('answer without a signature')
             return _failed(AttemptEnd.failed, 'answer without a signature')
         self.streams = answer.has_events and answer.status < _FIRST_ERROR
+        if self.reply.has_begun and not self.streams:
+            # Only events can go on where a stream broke off.
+            connection.fail('no events')
+            return _failed(AttemptEnd.failed, f'status {answer.status}')
         with StallWatch(connection, self._stall_s(), self._stalled):
             pumped = await connection.pump(self)
         return self._ended(pumped)
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -118,7 +118,8 @@
             return True
         if not result.may_have_run:
             return False
-        if result.answer is not None:
+        # A whole answer cannot go on where a stream has begun.
+        if result.answer is not None and not self.reply.has_begun:
             if result.end is AttemptEnd.answered or not self._may_run_again:
                 self.reply.give(result.answer.head, result.answer.body)
                 return True
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -384,3 +384,25 @@
                 assert_that(runs, Equals(1))
 
     _run(scenario)
+
+
+@pytest.mark.parametrize('status', [200, 500])
+def test_plain_answer_to_a_resumption_never_completes_the_stream(
+    status: int,
+) -> None:
+    async def scenario(world: ForwardingWorld) -> None:
+        world.set_route(RouteKind.stream, attempts=2, resumable=True)
+
+        async def script(exchange: Exchange) -> None:
+            if exchange.head.header('last-event-id'):
+                await _answer(exchange, status, b'no events')
+                return
+            await _stream(exchange, 1, 4)
+            exchange.abort()
+
+        await world.upstream(script)
+        await world.upstream(script)
+        answered = await world.ask()
+        assert_that(answered.value_or(None), Is(None))
+
+    _run(scenario)
