--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -72,14 +72,14 @@
     """Plans one service whose upstreams hold models."""
 
     __slots__ = (
-        '_domains',
-        '_ledgers',
-        '_loads',
-        '_now',
-        '_planned',
-        '_running',
-        '_spec',
-        '_use',
+        'domains',
+        'ledgers',
+        'loads',
+        'now',
+        'planned',
+        'running',
+        'spec',
+        'use',
     )
 
     def __init__(
@@ -100,14 +100,14 @@
         the requests by upstream and model; `planned` names those that have
         an order planned already.
         """
-        self._spec = spec
-        self._ledgers = tuple(ledgers)
-        self._loads = loads
-        self._domains = domains
-        self._use = use
-        self._running = running
-        self._planned = planned
-        self._now = now
+        self.spec = spec
+        self.ledgers = tuple(ledgers)
+        self.loads = loads
+        self.domains = domains
+        self.use = use
+        self.running = running
+        self.planned = planned
+        self.now = now
 
     def plan(self, *, may_load_from_store: bool) -> PlannedOrder | None:
         """Return the next order of a model, or None."""
@@ -130,16 +130,16 @@
         """Return how many upstreams hold a model or are about to."""
         return sum(
             model in ledger.models or model == ledger.reserved
-            for ledger in self._ledgers
+            for ledger in self.ledgers
             if model not in ledger.retiring and model != ledger.evicting
         )
 
     def _finish_swap(self, *, may_load_from_store: bool) -> PlannedOrder | None:
         """Load into the room that an eviction has made."""
-        for ledger in self._ledgers:
-            spec = self._spec.find(ledger.reserved)
+        for ledger in self.ledgers:
+            spec = self.spec.find(ledger.reserved)
             is_open = ledger.is_idle and not ledger.retiring
-            if spec is None or not is_open or ledger.name in self._planned:
+            if spec is None or not is_open or ledger.name in self.planned:
                 continue
             planned = self._fill(spec, ledger)
             if planned is None:
@@ -154,7 +154,7 @@
         ledger: UpstreamLedger,
     ) -> PlannedOrder | None:
         """Load a model, or evict once more where there is too little room."""
-        if free_mb(self._spec, ledger) < held_mb(self._spec, spec.name):
+        if free_mb(self.spec, ledger) < held_mb(self.spec, spec.name):
             return self._next_eviction(spec, ledger)
         return self._load(spec, ledger, 'room was made')
 
@@ -175,11 +175,11 @@
         return self._evict(victims[0], spec, ledger, f'cost {cost:.3f}')
 
     def _by_need(self) -> list[ModelSpec]:
-        return sorted(self._spec.models, key=self._gain, reverse=True)
+        return sorted(self.spec.models, key=self._gain, reverse=True)
 
     def _gain(self, spec: ModelSpec) -> float:
         """Return the requests a second that another copy would save."""
-        load = self._loads.get(spec.name)
+        load = self.loads.get(spec.name)
         if load is None:
             return 0
         copies = self.copies(spec.name)
@@ -191,7 +191,7 @@
     def _best_place(self, spec: ModelSpec, gain: float) -> _Place | None:
         places = [
             place
-            for ledger in self._ledgers
+            for ledger in self.ledgers
             if (place := self._place(spec, ledger)) is not None
             and self._is_worth(gain, place.cost)
         ]
@@ -210,12 +210,12 @@
         victims, cost = chosen
         in_domain = sum(
             spec.name in other.models
-            for other in self._ledgers
-            if self._domains.get(other.name) == self._domains.get(ledger.name)
+            for other in self.ledgers
+            if self.domains.get(other.name) == self.domains.get(ledger.name)
         )
         score = (
             cost
-            + _BUSY_WEIGHT * self._use.get(ledger.name, 0)
+            + _BUSY_WEIGHT * self.use.get(ledger.name, 0)
             + _SAME_DOMAIN * in_domain
             + _LOAD_TIME_WEIGHT * load_time_s(spec, ledger)
             + _STORE_COST * (spec.name not in ledger.in_memory | ledger.on_disk)
@@ -228,8 +228,8 @@
         ledger: UpstreamLedger,
     ) -> tuple[tuple[str, ...], float] | None:
         """Return the cheapest copies to evict, and what they are worth."""
-        lacking_mb = held_mb(self._spec, spec.name)
-        lacking_mb -= free_mb(self._spec, ledger)
+        lacking_mb = held_mb(self.spec, spec.name)
+        lacking_mb -= free_mb(self.spec, ledger)
         victims: list[str] = []
         cost = 0.0
         by_worth = sorted(
@@ -241,15 +241,15 @@
                 break
             victims.append(model)
             cost += self._copy_worth(model, ledger)
-            lacking_mb -= held_mb(self._spec, model)
+            lacking_mb -= held_mb(self.spec, model)
         if lacking_mb > 0 or math.isinf(cost):
             return None
         return tuple(victims), cost
 
     def _copy_worth(self, model: str, ledger: UpstreamLedger) -> float:
         """Return the requests a second that are lost with a copy."""
-        load = self._loads.get(model)
-        running = self._running.get((ledger.name, model), 0)
+        load = self.loads.get(model)
+        running = self.running.get((ledger.name, model), 0)
         cost = min(_MAX_RUNNING_COST, _RUNNING_COST * running)
         if load is None:
             return cost
--- a/persimmonhold/fleet/_upstream_use.py
+++ b/persimmonhold/fleet/_upstream_use.py
@@ -52,9 +52,9 @@
     """Facts, load and health of one upstream at one entry."""
 
     __slots__ = (
-        '_absent_until',
-        '_others',
-        '_others_at',
+        'absent_until',
+        'others',
+        'others_at',
         'adapters',
         'facts',
         'failing',
@@ -77,9 +77,9 @@
         self.pauses = 0
         self.residence_s = 0.1
         self.slowness = 1.0
-        self._absent_until: dict[str, float] = {}
-        self._others = SharedLoad(facts.name, 0, 0)
-        self._others_at = -math.inf
+        self.absent_until: dict[str, float] = {}
+        self.others = SharedLoad(facts.name, 0, 0)
+        self.others_at = -math.inf
 
     @property
     def own_unread(self) -> int:
@@ -107,8 +107,8 @@
 
     def take_others(self, load: SharedLoad | None, now: float) -> None:
         """Take what the other entries run."""
-        self._others = load or SharedLoad(self.facts.name, 0, 0)
-        self._others_at = now
+        self.others = load or SharedLoad(self.facts.name, 0, 0)
+        self.others_at = now
 
     def running_total(self, now: float) -> int:
         """Return the believed number of requests at the upstream."""
@@ -126,7 +126,7 @@
 
     def find(self, model: str, now: float) -> HeldModel | None:
         """Return what is believed to be held of a model, or None."""
-        if now < self._absent_until.get(model, -math.inf):
+        if now < self.absent_until.get(model, -math.inf):
             return None
         held = self.facts.find(model)
         return None if held is None or held.is_retiring else held
@@ -134,14 +134,14 @@
     def has_adapter(self, held: HeldModel, adapter: str, now: float) -> bool:
         """Tell whether an adapter is believed to be loaded."""
         key = (held.name, adapter)
-        if now < self._absent_until.get('/'.join(key), -math.inf):
+        if now < self.absent_until.get('/'.join(key), -math.inf):
             return False
         return adapter in held.adapters or now < self.adapters.get(key, 0)
 
     def note_adapter(self, model: str, adapter: str, now: float) -> None:
         """Believe that an adapter was loaded, until the facts show it."""
         self.adapters[model, adapter] = now + _ABSENT_S
-        self._absent_until.pop(f'{model}/{adapter}', None)
+        self.absent_until.pop(f'{model}/{adapter}', None)
 
     def start(
         self,
@@ -200,11 +200,11 @@
         held = self.facts.find(profile.model)
         if held is not None and profile.adapter:
             key = f'{profile.model}/{profile.adapter}'
-            if now >= self._absent_until.get(key, -math.inf):
-                self._absent_until[key] = now + _ABSENT_S
+            if now >= self.absent_until.get(key, -math.inf):
+                self.absent_until[key] = now + _ABSENT_S
                 self.adapters.pop((profile.model, profile.adapter), None)
                 return
-        self._absent_until[profile.model] = now + _ABSENT_S
+        self.absent_until[profile.model] = now + _ABSENT_S
 
     def _note_failure(self, outcome: AttemptEnd, now: float) -> None:
         self.failing += _FAILURE_MEMORY * (1 - self.failing)
@@ -215,6 +215,6 @@
             self.paused_until = now + min(_MAX_PAUSE_S, pause_s)
 
     def _fresh_others(self, now: float) -> SharedLoad:
-        if now - self._others_at > _OTHERS_STALE_S:
+        if now - self.others_at > _OTHERS_STALE_S:
             return SharedLoad(self.facts.name, 0, 0)
-        return self._others
+        return self.others
