Reads and orders go through the one exchange of web

The pollers spelled out sending, head and body again, and an order of the platform's client connected, timed out and closed by itself. They call `converse` and `fetch`. A kept connection needs no flag: the pool closes one whose answer is not whole. The names that the system sets are taken from the constants beside them. Behaviour is the same.

--- a/persimmonhold/platform/_names.py
+++ b/persimmonhold/platform/_names.py
@@ -14,18 +14,21 @@
 RESUME_AFTER: Final = 'last-event-id'
 RETRY_AFTER: Final = 'retry-after'
 
-SET_BY_SYSTEM: Final = frozenset((
-    b'deadline-ms',
-    b'expect-instance',
-    b'expect-version',
-    b'hold',
-    b'kv-backup',
-    b'kv-fetch',
-    b'kv-from',
-    b'last-event-id',
-    b'pin-ms',
-    b'request-urgency',
-))
+SET_BY_SYSTEM: Final = frozenset(
+    name.encode('ascii')
+    for name in (
+        DEADLINE_MS,
+        EXPECTED_PROCESS,
+        RESUME_AFTER,
+        URGENCY,
+        'expect-version',
+        'hold',
+        'kv-backup',
+        'kv-fetch',
+        'kv-from',
+        'pin-ms',
+    )
+)
 
 CONFIGURATION_PATH: Final = '/config'
 DIRECTORY_PATH: Final = '/resolve'
--- a/persimmonhold/platform/_upstream_client.py
+++ b/persimmonhold/platform/_upstream_client.py
@@ -28,6 +28,7 @@
     FetchedResponse,
     converse,
     encode_headers,
+    fetch,
     parse_address,
 )
 
@@ -116,24 +117,11 @@
         peer = parse_address(address)
         if isinstance(peer, Failed):
             return OrderVerdict.not_sent
-        connected = await ClientConnection.connect(
-            peer.unwrap(),
-            _ORDER_TIMEOUT_S,
-        )
-        if isinstance(connected, Failed):
-            return OrderVerdict.not_sent
-        connection = connected.unwrap()
-        try:
-            async with asyncio.timeout(_ORDER_TIMEOUT_S):
-                answered = await converse(
-                    connection,
-                    self._order_request(upstream, order, fence),
-                )
-        except TimeoutError:
-            return OrderVerdict.unanswered
-        finally:
-            connection.close()
+        request = self._order_request(upstream, order, fence)
+        answered = await fetch(peer.unwrap(), request, _ORDER_TIMEOUT_S)
         if isinstance(answered, Failed):
+            if answered.failure().kind is FailureKind.connect_failed:
+                return OrderVerdict.not_sent
             return OrderVerdict.unanswered
         status = answered.unwrap().head.status
         return _VERDICTS.get(status, OrderVerdict.unanswered)
@@ -214,17 +202,11 @@
         connection: ClientConnection,
         request: ClientRequest,
     ) -> Result[FetchedResponse, Failure]:
-        done = False
         try:
-            fetched = await converse(connection, request)
-            done = True
+            return await converse(connection, request)
         finally:
-            if done:
-                now = asyncio.get_running_loop().time()
-                self.pool.put(connection, now)
-            else:
-                connection.close()
-        return fetched
+            # The pool closes one whose answer is not whole.
+            self.pool.put(connection, asyncio.get_running_loop().time())
 
 
 def _bad_answer(peer: Address, target: str, detail: str) -> Failure:
--- a/persimmonhold/upstreams/_upstream_pollers.py
+++ b/persimmonhold/upstreams/_upstream_pollers.py
@@ -27,6 +27,7 @@
     Address,
     ClientConnection,
     ClientRequest,
+    converse,
     parse_address,
 )
 
@@ -236,15 +237,13 @@
     connection: ClientConnection,
     target: str,
 ) -> Result[bytes, Failure]:
-    sent = await connection.send(ClientRequest(method='GET', target=target))
-    if isinstance(sent, Failed):
-        return sent
-    head = await connection.receive_head()
-    if isinstance(head, Failed):
-        return head
-    body = await connection.receive_body()
-    if isinstance(body, Failed) or head.unwrap().status == _OK:
-        return body
+    request = ClientRequest(method='GET', target=target)
+    fetched = await converse(connection, request)
+    if isinstance(fetched, Failed):
+        return fetched
+    answer = fetched.unwrap()
+    if answer.head.status == _OK:
+        return Success(answer.body)
     return Failed(_failure(FailureKind.refused, connection.peer, target))
 
 
