--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -198,6 +198,15 @@
             self.leader.plan(demand, self.is_in_force, self.now, self.now),
         )
 
+    def play_round(self, elapsed_s: float, *, lag: bool = False) -> None:
+        """Run one round; all messages arrive, and all orders are done."""
+        self.step(elapsed_s, lag=lag)
+        while self.network:
+            self.deliver(0)
+        for each in self.engines.values():
+            self.begin(each)
+            self.complete(each)
+
     def perform(self, actions: tuple[Action, ...]) -> None:
         """Do what the leader asked for."""
         for action in actions:
@@ -361,12 +370,7 @@
         for engine in self.engines.values():
             engine.is_up = True
         for _ in range(rounds):
-            self.step(1.0)
-            while self.network:
-                self.deliver(0)
-            for engine in self.engines.values():
-                self.begin(engine)
-                self.complete(engine)
+            self.play_round(1.0)
             if self.is_settled():
                 return True
         return False
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -21,7 +21,7 @@
 )
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import Exchange, FetchedResponse, encode_headers
-from tests.forwarding_world import ForwardingWorld
+from tests.forwarding_world import ForwardingWorld, Script
 
 Answered = Result[FetchedResponse, Failure]
 
@@ -49,6 +49,17 @@
     await exchange.respond(status, body, 'text/plain', encode_headers(own))
 
 
+def _answers(
+    status: int,
+    body: bytes = b'done',
+    headers: dict[str, str] | None = None,
+) -> Script:
+    async def script(exchange: Exchange) -> None:
+        await _answer(exchange, status, body, headers)
+
+    return script
+
+
 def _events(first: int, last: int) -> bytes:
     return b''.join(
         b'id: %d\ndata: x%d\n\n' % (number, number)
@@ -87,10 +98,7 @@
 
 def test_deadline_passed_on_is_what_is_left() -> None:
     async def scenario(world: ForwardingWorld) -> None:
-        async def script(exchange: Exchange) -> None:
-            await _answer(exchange, 200)
-
-        upstream = await world.upstream(script)
+        upstream = await world.upstream(_answers(200))
         await world.ask(deadline_ms=900)
         left_ms = int(upstream.heads[0].header('deadline-ms'))
         assert_that(0 < left_ms <= 900, Is(True))
@@ -128,14 +136,8 @@
     async def scenario(world: ForwardingWorld) -> None:
         world.set_route(RouteKind.non_idempotent)
 
-        async def full(exchange: Exchange) -> None:
-            await _answer(exchange, 503, b'', {NOT_RUN: '1'})
-
-        async def sound(exchange: Exchange) -> None:
-            await _answer(exchange, 200)
-
-        await world.upstream(full)
-        await world.upstream(sound)
+        await world.upstream(_answers(503, b'', {NOT_RUN: '1'}))
+        await world.upstream(_answers(200))
         for _ in range(6):
             answer = (await world.ask()).unwrap()
             assert_that(answer.head.status, Equals(200))
@@ -147,10 +149,7 @@
     async def scenario(world: ForwardingWorld) -> None:
         world.set_route(RouteKind.non_idempotent)
 
-        async def stray(exchange: Exchange) -> None:
-            await _answer(exchange, 200, headers={REQUEST_ID: 'other'})
-
-        await world.upstream(stray)
+        await world.upstream(_answers(200, headers={REQUEST_ID: 'other'}))
         answer = (await world.ask()).unwrap()
         assert_that(answer.head.status, Equals(502))
         assert_that(answer.body, Not(Contains(b'done')))
@@ -162,10 +161,7 @@
     async def scenario(world: ForwardingWorld) -> None:
         world.set_route(RouteKind.non_idempotent)
 
-        async def unsigned(exchange: Exchange) -> None:
-            await _answer(exchange, 200, headers={SIGNATURE: ''})
-
-        await world.upstream(unsigned)
+        await world.upstream(_answers(200, headers={SIGNATURE: ''}))
         answer = (await world.ask()).unwrap()
         assert_that(answer.head.status, Equals(502))
 
@@ -176,10 +172,7 @@
     async def scenario(world: ForwardingWorld) -> None:
         world.set_route(RouteKind.idempotent, attempts=2)
 
-        async def failing(exchange: Exchange) -> None:
-            await _answer(exchange, 500, b'why')
-
-        upstream = await world.upstream(failing)
+        upstream = await world.upstream(_answers(500, b'why'))
         answer = (await world.ask()).unwrap()
         assert_that(answer.head.status, Equals(500))
         assert_that(answer.body, Equals(b'why'))
@@ -268,11 +261,8 @@
 
 def test_leaving_upstream_gets_no_new_work() -> None:
     async def scenario(world: ForwardingWorld) -> None:
-        async def sound(exchange: Exchange) -> None:
-            await _answer(exchange, 200)
-
-        leaving = await world.upstream(sound)
-        staying = await world.upstream(sound)
+        leaving = await world.upstream(_answers(200))
+        staying = await world.upstream(_answers(200))
         world.leave(leaving)
         for _ in range(8):
             await world.ask()
@@ -302,10 +292,7 @@
 
 def test_headers_of_the_system_are_not_taken_from_callers() -> None:
     async def scenario(world: ForwardingWorld) -> None:
-        async def sound(exchange: Exchange) -> None:
-            await _answer(exchange, 200)
-
-        upstream = await world.upstream(sound)
+        upstream = await world.upstream(_answers(200))
         await world.ask(headers={'hold': 'h1', 'x-kept': 'yes'})
         assert_that(upstream.heads[0].header('hold'), Equals(''))
         assert_that(upstream.heads[0].header('x-kept'), Equals('yes'))
--- a/tests/test_placement_hazards.py
+++ b/tests/test_placement_hazards.py
@@ -156,22 +156,12 @@
         *(model(f'm{index}', 60) for index in range(4)),
     ))
     while len(world.load_sends) < 2:
-        world.step(0.1)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(0.1)
     world.elect()
     elected_at = world.now
     known = len(world.load_sends)
     while world.now < elected_at + 0.9:
-        world.step(0.1)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(0.1)
         assert_that(world.load_sends, HasLength(known))
     assert_that(world.heal(rounds=100), Equals(True))
 
@@ -179,12 +169,7 @@
 def test_unload_waits_until_every_entry_has_the_withdrawal() -> None:
     world = _settled(copies=2)
     for _ in range(20):
-        world.step(1.0)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(1.0)
     both = [CopyState.serving, CopyState.serving]
     assert_that(_states(world, 'a'), Equals(both))
     issuer = world.leader.issuer
@@ -205,12 +190,7 @@
     world = _settled()
     world.put(model('a', 50, '2'))
     while len(_states(world, 'a')) < 2:
-        world.step(0.5, lag=True)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(0.5, lag=True)
     for _ in range(20):
         world.step(1.0, lag=True)
     both = [CopyState.serving, CopyState.serving]
@@ -224,12 +204,7 @@
 def test_withdrawn_copy_serves_again_when_the_other_is_lost() -> None:
     world = _settled(copies=2)
     for _ in range(20):
-        world.step(1.0)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(1.0)
     issuer = world.leader.issuer
     move = _withdraw('a', _ENGINE)
     ledger = issuer.ledger()
@@ -257,12 +232,7 @@
     world.elect()
     assert_that(world.heal(rounds=200), Equals(True))
     for _ in range(80):
-        world.step(1.0)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(1.0)
         assert world.serves('a')
     versions = {key[1] for key in world.machine.state.copies if key[0] == 'a'}
     assert_that(versions, Equals({'2'}))
--- a/tests/test_placement_orders.py
+++ b/tests/test_placement_orders.py
@@ -52,12 +52,7 @@
     def run_calmly(self, rounds: int) -> None:
         """Run rounds without faults."""
         for _ in range(rounds):
-            self.world.step(0.5)
-            while self.world.network:
-                self.world.deliver(0)
-            for each in self.world.engines.values():
-                self.world.begin(each)
-                self.world.complete(each)
+            self.world.play_round(0.5)
 
     @precondition(lambda machine: machine.world.network)
     @rule(position=st.integers(0, 9), answers=st.booleans())
--- a/tests/test_placement_planner.py
+++ b/tests/test_placement_planner.py
@@ -18,12 +18,7 @@
 
 def _run(world: World, rounds: int) -> None:
     for _ in range(rounds):
-        world.step(1.0)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(1.0)
 
 
 def _places(world: World, target: str) -> set[str]:
@@ -101,12 +96,7 @@
     )
     for _ in range(30):
         world.leader.load_read(holder, report, world.now)
-        world.step(0.1)
-        while world.network:
-            world.deliver(0)
-        for each in world.engines.values():
-            world.begin(each)
-            world.complete(each)
+        world.play_round(0.1)
     assert_that(len(_places(world, 'a') - {holder}), Equals(1))
 
 
