One owner of tasks, one bounded wait; the leader keeps its facts fresh itself

- Three classes watched their tasks in three ways (the forwarding entry logged a failed one without a level).
- What an entry makes of a list that it reads itself was decided beside the network and by reaching into the chooser.
It is `adopt_list` of the dispatcher now, with tests that need no network; the facts of a listed upstream are built in one place.
- After each report the facts of all upstreams were built again; only those of the upstream that reported are.
The leader does it, not its runner.
- The planner of a service is built once for a plan, not once for each order; the gain of a model and the worth of a copy are computed once, not twice.
- Results that nobody reads are gone.

Decisions are the same.

--- a/persimmonhold/entry/_entry.py
+++ b/persimmonhold/entry/_entry.py
@@ -18,13 +18,14 @@
 from persimmonhold.entry._dispatch_hub import DispatchHub
 from persimmonhold.entry._entry_handler import EntryHandler
 from persimmonhold.entry._entry_services import EntryServices
-from persimmonhold.observability import LogLevel, Metrics, log_event
+from persimmonhold.observability import Metrics, log_event
 from persimmonhold.routing import Router, RouterSettings
 from persimmonhold.settings import (
     CallerSettings,
     PlatformSettings,
     VmSettings,
 )
+from persimmonhold.tasks import Background
 from persimmonhold.upstreams import UpstreamPollers
 from persimmonhold.web import Address, HttpBounds, HttpServer, parse_address
 
@@ -47,15 +48,11 @@
         incarnation: str = '',
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        """Create the entry of a VM from its sections of the settings.
-
-        `failed` is set when a task that must run on has ended.
-        """
-        self.failed = asyncio.Event()
+        """Create the entry of a VM from its sections of the settings."""
         self._callers = callers
         self._link = link
         self._stack = AsyncExitStack()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
         source = random.Random(seed)
         router = Router(vm.failure_domain, vm.name, RouterSettings(), source)
         self._settings = DispatcherSettings()
@@ -99,6 +96,7 @@
             stack.callback(self._services.pool.close)
             await stack.enter_async_context(self._server)
             await stack.enter_async_context(self._pollers)
+            await stack.enter_async_context(self._background)
             self._start_tasks()
             self._stack = stack.pop_all()
         return self
@@ -110,11 +108,14 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stop at once; what runs is cut off unless `drain` came first."""
-        for task in self._tasks:
-            task.cancel()
         await self._stack.aclose()
         await self._services.settler.close(0)
 
+    @property
+    def failed(self) -> asyncio.Event:
+        """It is set when a task that must run on has ended."""
+        return self._background.failed
+
     @property
     def address(self) -> Address:
         """Where callers reach this entry."""
@@ -152,20 +153,11 @@
             log_event('drain_timed_out', running=self.running)
 
     def _start_tasks(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(self._follow_views()),
-            loop.create_task(self._report_demand()),
-            loop.create_task(self._measure_load()),
-        ]
-        for task in (*self._tasks, *self._pollers.tasks):
-            task.add_done_callback(self._task_ended)
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled():
-            error = repr(task.exception())
-            log_event('task_failed', LogLevel.error, error=error)
-            self.failed.set()
+        self._background.run(self._follow_views(), 'views')
+        self._background.run(self._report_demand(), 'demand')
+        self._background.run(self._measure_load(), 'load')
+        for task in self._pollers.tasks:
+            self._background.watch(task)
 
     async def _follow_views(self) -> None:
         while True:
--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final, final
 
 import msgspec
@@ -90,7 +90,7 @@
         domains: dict[str, str],
         use: dict[str, float],
         running: dict[tuple[str, str], int],
-        planned: frozenset[str],
+        planned: Collection[str],
         now: float,
     ) -> None:
         """Create a planner of one moment.
@@ -98,7 +98,7 @@
         `ledgers` are those of upstreams that may be given orders, `domains`
         their failure domains, `use` the used share of their slots, `running`
         the requests by upstream and model; `planned` names those that have
-        an order planned already.
+        an order planned already, and grows with what is planned next.
         """
         self.spec = spec
         self.ledgers = tuple(ledgers)
@@ -114,10 +114,9 @@
         finished = self._finish_swap(may_load_from_store=may_load_from_store)
         if finished is not None:
             return finished
-        for spec in self._by_need():
-            gain = self._gain(spec)
+        for gain, spec in self._by_need():
             if gain < _LEAST_GAIN:
-                continue
+                break
             place = self._best_place(spec, gain)
             if place is None:
                 continue
@@ -174,8 +173,9 @@
         victims, cost = chosen
         return self._evict(victims[0], spec, ledger, f'cost {cost:.3f}')
 
-    def _by_need(self) -> list[ModelSpec]:
-        return sorted(self.spec.models, key=self._gain, reverse=True)
+    def _by_need(self) -> list[tuple[float, ModelSpec]]:
+        gains = [(self._gain(spec), spec) for spec in self.spec.models]
+        return sorted(gains, key=lambda pair: pair[0], reverse=True)
 
     def _gain(self, spec: ModelSpec) -> float:
         """Return the requests a second that another copy would save."""
@@ -218,7 +218,7 @@
             + _BUSY_WEIGHT * self.use.get(ledger.name, 0)
             + _SAME_DOMAIN * in_domain
             + _LOAD_TIME_WEIGHT * load_time_s(spec, ledger)
-            + _STORE_COST * (spec.name not in ledger.in_memory | ledger.on_disk)
+            + _STORE_COST * (spec.name not in ledger.kept)
         )
         return _Place(ledger, victims, cost, score)
 
@@ -232,15 +232,14 @@
         lacking_mb -= free_mb(self.spec, ledger)
         victims: list[str] = []
         cost = 0.0
-        by_worth = sorted(
-            ledger.held,
-            key=lambda model: self._copy_worth(model, ledger),
-        )
-        for model in by_worth:
+        worths = {
+            model: self._copy_worth(model, ledger) for model in ledger.held
+        }
+        for model in sorted(worths, key=worths.__getitem__):
             if lacking_mb <= 0:
                 break
             victims.append(model)
-            cost += self._copy_worth(model, ledger)
+            cost += worths[model]
             lacking_mb -= held_mb(self.spec, model)
         if lacking_mb > 0 or math.isinf(cost):
             return None
@@ -297,7 +296,6 @@
         ledger: UpstreamLedger,
         reason: str,
     ) -> PlannedOrder:
-        kept = ledger.in_memory | ledger.on_disk
         return PlannedOrder(
             upstream=ledger.name,
             order=FleetOrder(
@@ -305,7 +303,7 @@
                 model=spec.name,
                 expected=ledger.accepted,
             ),
-            is_from_store=spec.name not in kept,
+            is_from_store=spec.name not in ledger.kept,
             reason=reason,
         )
 
--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -69,9 +69,9 @@
 def _running(dispatcher: ForwardDispatcher) -> dict[tuple[str, str], int]:
     running: dict[tuple[str, str], int] = {}
     for use in dispatcher.chooser.uses.values():
-        for one in use.running.values():
-            key = (use.facts.service, one.model)
-            running[key] = running.get(key, 0) + 1
+        for model, count in use.running_by_model:
+            key = (use.facts.service, model)
+            running[key] = running.get(key, 0) + count
     return running
 
 
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -73,12 +73,16 @@
         if is_leaving:
             self.leaving.add(name)
 
-    def refresh(self, ledgers: dict[str, UpstreamLedger]) -> bool:
-        """Bring the facts up to date; tell whether any changed."""
-        before = self.number
-        for name, listed in self.listed.items():
-            self._set(self._describe(listed, ledgers.get(name)))
-        return self.number > before
+    def refresh(self, ledgers: dict[str, UpstreamLedger]) -> None:
+        """Bring the facts up to date."""
+        for name in self.listed:
+            self.refresh_one(name, ledgers.get(name))
+
+    def refresh_one(self, name: str, ledger: UpstreamLedger | None) -> None:
+        """Bring the facts about a listed upstream up to date."""
+        listed = self.listed.get(name)
+        if listed is not None:
+            self._set(self._describe(listed, ledger))
 
     def since(
         self,
@@ -115,16 +119,10 @@
         ledger: UpstreamLedger | None,
     ) -> UpstreamFacts:
         failures = self.failures.get(listed.name, 0)
-        facts = UpstreamFacts(
-            name=listed.name,
-            service=listed.service,
-            address=listed.address,
-            failure_domain=listed.failure_domain,
-            slots=listed.slots,
-            born_ms=listed.born_ms,
+        facts = msgspec.structs.replace(
+            UpstreamFacts.of_listed(listed),
             is_leaving=listed.is_leaving or listed.name in self.leaving,
             is_silent=failures >= _SILENT_AFTER,
-            models=listed.models or (),
         )
         if ledger is None or not ledger.born_ms:
             return facts
--- a/persimmonhold/fleet/_fleet_leader.py
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -102,6 +102,7 @@
             if name not in self.ledgers and self.engine_of(name) is not None:
                 self.ledgers[name] = UpstreamLedger(name)
                 self.desks[name] = AdapterDesk()
+        self.facts.refresh(self.ledgers)
 
     def take_report(self, upstream: str, report: UpstreamReport) -> None:
         """Take what an upstream says of itself."""
@@ -109,10 +110,12 @@
         if ledger is not None:
             ledger.take_report(report)
             self.facts.report_taken(upstream, is_leaving=report.is_leaving)
+            self.facts.refresh_one(upstream, ledger)
 
     def report_failed(self, upstream: str) -> None:
         """Note that an upstream did not answer."""
         self.facts.report_failed(upstream)
+        self.facts.refresh_one(upstream, self.ledgers.get(upstream))
 
     def is_wanted(self, report: EntryReport) -> bool:
         """Tell whether an entry waits for a model that is nowhere."""
@@ -262,9 +265,9 @@
         ledgers = self._plannable(service)
         for ledger in ledgers:
             self._expire_reservation(ledger, now)
+        planner = self._planner(spec, ledgers, loads, now)
         decided: list[PlannedOrder] = []
         while len(decided) < len(ledgers):
-            planner = self._planner(spec, ledgers, loads, now)
             may_load = pacer.may_begin(spec.store_loads_per_s, now)
             planned = planner.plan(may_load_from_store=may_load)
             if planned is None:
@@ -292,7 +295,7 @@
             domains,
             self.demand.use(ledgers, spec),
             self.demand.running_by_model(),
-            frozenset(self.planned),
+            self.planned.keys(),
             now,
         )
 
@@ -311,13 +314,10 @@
     def _decide(self, planned: PlannedOrder, now: float) -> None:
         ledger = self.ledgers[planned.upstream]
         self.planned[planned.upstream] = planned
+        ledger.reserved = planned.makes_room_for or planned.order.model
+        ledger.reserved_until = now + _RESERVED_S
         if planned.makes_room_for:
-            ledger.reserved = planned.makes_room_for
-            ledger.reserved_until = now + _RESERVED_S
             ledger.retiring[planned.order.model] = now
-        else:
-            ledger.reserved = planned.order.model
-            ledger.reserved_until = now + _RESERVED_S
 
     def _expect_done(
         self,
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -11,6 +11,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from types import MappingProxyType
 from typing import Final, TypeAlias, final
 
@@ -23,6 +24,7 @@
     TurnAway,
 )
 from persimmonhold.fleet._forward_ticket import ForwardTicket
+from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._retry_allowance import RetryAllowance, RetryBounds
 from persimmonhold.fleet._upstream_chooser import UpstreamChooser
 from persimmonhold.fleet._waiting_line import PendingRequest, WaitingLine
@@ -110,6 +112,15 @@
         self.chooser.orders_from = now + update.orders_in_s
         return self.pump(now)
 
+    def adopt_list(
+        self,
+        listed: Iterable[ListedUpstream],
+        now: float,
+    ) -> None:
+        """Take a list that this entry read in the place of an update."""
+        self.chooser.take_list(listed)
+        self.list_made_at = now
+
     def arrive(
         self,
         ticket: ForwardTicket,
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -8,8 +8,11 @@
 from collections.abc import Iterable
 from typing import Final, TypeAlias, final
 
+import msgspec
+
 from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
 from persimmonhold.fleet._first_event import predict_first_event_s
+from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_use import UpstreamUse
@@ -59,6 +62,11 @@
         for use in self.uses.values():
             self.by_service.setdefault(use.facts.service, []).append(use)
 
+    def take_list(self, listed: Iterable[ListedUpstream]) -> None:
+        """Take a list; keep what is known of an upstream beyond it."""
+        facts = [self._facts_of(one) for one in listed]
+        self.set_facts(facts, (), is_whole=True)
+
     def take_others(self, others: Iterable[SharedLoad], now: float) -> None:
         """Take what the other entries run."""
         loads = {load.upstream: load for load in others}
@@ -121,6 +129,13 @@
             for use in self.by_service.get(ticket.service, ())
         )
 
+    def _facts_of(self, listed: ListedUpstream) -> UpstreamFacts:
+        use = self.uses.get(listed.name)
+        if use is None or use.facts.born_ms < listed.born_ms:
+            return UpstreamFacts.of_listed(listed)
+        is_leaving = use.facts.is_leaving or listed.is_leaving
+        return msgspec.structs.replace(use.facts, is_leaving=is_leaving)
+
     def _takes(
         self,
         use: UpstreamUse,
--- a/persimmonhold/fleet/_upstream_facts.py
+++ b/persimmonhold/fleet/_upstream_facts.py
@@ -1,10 +1,11 @@
 """What the entries are told of an upstream."""
 
-from typing import final
+from typing import Self, final
 
 import msgspec
 
 from persimmonhold.fleet._held_model import HeldModel
+from persimmonhold.fleet._listed_upstream import ListedUpstream
 
 
 @final
@@ -26,6 +27,20 @@
     is_changing: bool = False
     models: tuple[HeldModel, ...] = ()
 
+    @classmethod
+    def of_listed(cls, listed: ListedUpstream) -> Self:
+        """Return what the list alone tells."""
+        return cls(
+            name=listed.name,
+            service=listed.service,
+            address=listed.address,
+            failure_domain=listed.failure_domain,
+            slots=listed.slots,
+            born_ms=listed.born_ms,
+            is_leaving=listed.is_leaving,
+            models=listed.models or (),
+        )
+
     @property
     def process(self) -> tuple[str, int]:
         """Identifies one start of the upstream."""
--- a/persimmonhold/fleet/_upstream_ledger.py
+++ b/persimmonhold/fleet/_upstream_ledger.py
@@ -76,28 +76,30 @@
             return (*self.held, self.loading)
         return tuple(self.held)
 
+    @property
+    def kept(self) -> frozenset[str]:
+        """The models that need not come from the store."""
+        return self.in_memory | self.on_disk
+
     @property
     def adapter_count(self) -> int:
         """The number of adapter places in use."""
         return sum(len(adapters) for adapters in self.held.values())
 
-    def take_report(self, report: UpstreamReport) -> bool:
-        """Take a report; tell whether it was newer than what is known."""
+    def take_report(self, report: UpstreamReport) -> None:
+        """Take a report; an older one than what is known changes nothing."""
         if report.born_ms != self.born_ms:
             if report.born_ms < self.born_ms:
-                return False
+                return
             self._restart(report.born_ms)
         self.in_memory = frozenset(report.in_memory)
         self.on_disk = frozenset(report.on_disk)
         if report.accepted_orders < self.accepted:
-            return False
-        is_known = report.accepted_orders == self.accepted and self.is_settled
-        if report.is_busy:
-            if not is_known:
-                self.is_settled = False
-            return not is_known
-        self._adopt(report)
-        return True
+            return
+        if not report.is_busy:
+            self._adopt(report)
+        elif report.accepted_orders > self.accepted:
+            self.is_settled = False
 
     def order_ended(self, order: FleetOrder, verdict: OrderVerdict) -> None:
         """Take what the upstream said of an order."""
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -8,7 +8,6 @@
 import asyncio
 import itertools
 import random
-from contextlib import suppress
 from typing import Final, final
 
 import msgspec
@@ -20,12 +19,11 @@
     AdapterRequest,
     FleetMessage,
     FleetUpdate,
-    ListedUpstream,
-    UpstreamFacts,
 )
 from persimmonhold.forwarding._forward_hub import ForwardHub
 from persimmonhold.forwarding._upstream_source import UpstreamSource
 from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.tasks import wait_at_most
 from persimmonhold.transport import Channel, Transport
 
 _ID_BITS: Final = 32  # a restarted entry does not reuse ids
@@ -79,9 +77,10 @@
                 await self._read_list()
             self.hub.has_waiting.clear()
             await asyncio.sleep(_LEAST_REPORT_S)
-            with suppress(TimeoutError):
-                async with asyncio.timeout(_REPORT_S - _LEAST_REPORT_S):
-                    await self.hub.has_waiting.wait()
+            await wait_at_most(
+                self.hub.has_waiting,
+                _REPORT_S - _LEAST_REPORT_S,
+            )
 
     async def ask_adapter(
         self,
@@ -156,37 +155,12 @@
         listed = await self.source.read_list()
         if isinstance(listed, Failed):
             return
-        dispatcher = self.hub.dispatcher
-        known = {
-            name: use.facts for name, use in dispatcher.chooser.uses.items()
-        }
-        facts = [_merge(one, known.get(one.name)) for one in listed.unwrap()]
-        dispatcher.chooser.set_facts(facts, (), is_whole=True)
-        dispatcher.list_made_at = self.hub.clock()
-        log_event('list_read_by_entry', upstreams=len(facts))
+        upstreams = listed.unwrap()
+        self.hub.dispatcher.adopt_list(upstreams, self.hub.clock())
+        log_event('list_read_by_entry', upstreams=len(upstreams))
 
     def _send(self, message: FleetMessage) -> None:
         leader = self.vm.agent.leader
         if leader and leader != self.vm.record.name:
             encoded = msgspec.msgpack.encode(message)
             self.transport.send(leader, Channel.fleet, encoded)
-
-
-def _merge(
-    listed: ListedUpstream,
-    known: UpstreamFacts | None,
-) -> UpstreamFacts:
-    """Keep what is known of an upstream beyond the list."""
-    if known is not None and known.born_ms >= listed.born_ms:
-        is_leaving = known.is_leaving or listed.is_leaving
-        return msgspec.structs.replace(known, is_leaving=is_leaving)
-    return UpstreamFacts(
-        name=listed.name,
-        service=listed.service,
-        address=listed.address,
-        failure_domain=listed.failure_domain,
-        slots=listed.slots,
-        born_ms=listed.born_ms,
-        is_leaving=listed.is_leaving,
-        models=listed.models or (),
-    )
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Final, final
 
 import msgspec
@@ -25,6 +24,7 @@
 )
 from persimmonhold.forwarding._upstream_source import UpstreamSource
 from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.tasks import wait_at_most
 from persimmonhold.transport import Channel, Transport
 
 _LIST_S: Final = 0.5  # a leaving upstream is known within a lag and this
@@ -151,9 +151,7 @@
         if self.term is not None:
             due = min(due, self.term.leader.next_due())
         self.woken.clear()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(max(_LEAST_WAIT_S, due - self.clock())):
-                await self.woken.wait()
+        await wait_at_most(self.woken, max(_LEAST_WAIT_S, due - self.clock()))
 
     def _follow_leadership(self) -> None:
         if not self.node.leads:
@@ -211,9 +209,7 @@
                 await self._give(term, upstream, order)
                 continue
             woken.clear()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(_LANE_POLL_S):
-                    await woken.wait()
+            await wait_at_most(woken, _LANE_POLL_S)
 
     async def _give(
         self,
@@ -260,11 +256,8 @@
                     log_event('list_failed', detail=listed.failure().describe())
                 else:
                     term.leader.take_list(listed.unwrap(), self.clock())
-                    term.leader.facts.refresh(term.leader.ledgers)
             self.began.clear()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(_LIST_S):
-                    await self.began.wait()
+            await wait_at_most(self.began, _LIST_S)
 
     async def _read_reports(self) -> None:
         while True:
@@ -300,7 +293,6 @@
             log_event('report_failed', detail=report.failure().describe())
         else:
             term.leader.take_report(upstream, report.unwrap())
-        term.leader.facts.refresh(term.leader.ledgers)
         self._wake(upstream)
 
     async def _update_entries(self) -> None:
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -24,6 +24,7 @@
 from persimmonhold.observability import Metrics, log_event
 from persimmonhold.routes import TrafficLimits
 from persimmonhold.settings import Settings
+from persimmonhold.tasks import Background
 from persimmonhold.transport import Transport
 from persimmonhold.web import HttpBounds, HttpServer, parse_address
 
@@ -54,10 +55,9 @@
         """Create the entry of a VM on a platform."""
         self.adapter = adapter
         self.link = link
-        self.failed = asyncio.Event()
         self.is_draining = False
         self.stack = AsyncExitStack()
-        self.tasks: list[asyncio.Task[None]] = []
+        self.background = Background()
         generator = random.Random()
         domain = settings.vm.failure_domain
         dispatcher = ForwardDispatcher(
@@ -106,6 +106,7 @@
                     HttpBounds(),
                 )
                 await stack.enter_async_context(server)
+            await stack.enter_async_context(self.background)
             self._start_tasks()
             self.stack = stack.pop_all()
         return self
@@ -117,10 +118,13 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stop at once; what runs is cut off unless `drain` came first."""
-        for task in self.tasks:
-            task.cancel()
         await self.stack.aclose()
 
+    @property
+    def failed(self) -> asyncio.Event:
+        """It is set when a task that must run on has ended."""
+        return self.background.failed
+
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should come: in touch, and with routes."""
@@ -164,19 +168,9 @@
         await asyncio.sleep(max(0, began_at + after_s - self.hub.clock()))
 
     def _start_tasks(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.tasks = [
-            loop.create_task(self._follow_views()),
-            loop.create_task(self.fleet.run()),
-            loop.create_task(self._prune_pool()),
-        ]
-        for task in self.tasks:
-            task.add_done_callback(self._task_ended)
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled():
-            log_event('task_failed', error=repr(task.exception()))
-            self.failed.set()
+        self.background.run(self._follow_views(), 'views')
+        self.background.run(self.fleet.run(), 'fleet')
+        self.background.run(self._prune_pool(), 'connections')
 
     async def _follow_views(self) -> None:
         """Follow the limits in force and the number of entries."""
--- a/persimmonhold/system/_base_vm.py
+++ b/persimmonhold/system/_base_vm.py
@@ -22,12 +22,12 @@
 )
 from persimmonhold.observability import Metrics, log_event
 from persimmonhold.settings import Settings
-from persimmonhold.system._background import Background
 from persimmonhold.system._boot_clock import boot_time
 from persimmonhold.system._control_side import ControlSide
 from persimmonhold.system._control_work import ControlWork
 from persimmonhold.system._metrics_handler import MetricsHandler
 from persimmonhold.system._vm_record import vm_record
+from persimmonhold.tasks import Background
 from persimmonhold.transport import NngTransport
 from persimmonhold.web import HttpBounds, HttpServer, parse_address
 
--- a/persimmonhold/system/_control_side.py
+++ b/persimmonhold/system/_control_side.py
@@ -18,9 +18,9 @@
 from persimmonhold.placement import check_fit
 from persimmonhold.replication import ReplicaNode, ReplicaSettings
 from persimmonhold.settings import PeerSettings, Settings
-from persimmonhold.system._background import Background
 from persimmonhold.system._boot_clock import boot_time
 from persimmonhold.system._control_work import ControlWork
+from persimmonhold.tasks import Background
 from persimmonhold.transport import Transport
 from persimmonhold.web import HttpBounds, HttpServer, parse_address
 
--- a/persimmonhold/system/_background.py
+++ b/persimmonhold/tasks/_background.py
@@ -12,12 +12,12 @@
 class Background:
     """Owns tasks; the first one that fails sets `failed`."""
 
-    __slots__ = ('_tasks', 'failed')
+    __slots__ = ('failed', 'tasks')
 
     def __init__(self) -> None:
         """Create an owner without tasks."""
         self.failed = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Self:
         """Begin to own tasks."""
@@ -30,15 +30,19 @@
         traceback: TracebackType | None,
     ) -> None:
         """Cancel the tasks and wait for their end."""
-        for task in self._tasks:
+        for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
     def run(self, work: Coroutine[None, None, None], name: str) -> None:
         """Start a task that is expected to run until it is cancelled."""
         task = asyncio.get_running_loop().create_task(work, name=name)
+        self.tasks.append(task)
+        self.watch(task)
+
+    def watch(self, task: asyncio.Task[None]) -> None:
+        """Take the end of a task that another owns as a failure."""
         task.add_done_callback(self._ended)
-        self._tasks.append(task)
 
     def _ended(self, task: asyncio.Task[None]) -> None:
         if task.cancelled():
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -11,6 +11,7 @@
     ForwardDispatcher,
     ForwardTicket,
     HeldModel,
+    ListedUpstream,
     RequestProfile,
     RetryBounds,
     UpstreamFacts,
@@ -94,6 +95,22 @@
     )
 
 
+def make_listed(
+    name: str,
+    leaving: bool = False,
+    born_ms: int = 1,
+) -> ListedUpstream:
+    return ListedUpstream(
+        name=name,
+        service='models',
+        address='127.0.0.1:1',
+        failure_domain='d1',
+        slots=4,
+        is_leaving=leaving,
+        born_ms=born_ms,
+    )
+
+
 def make_ticket(
     number: int,
     now: float = 0.0,
--- a/tests/test_fleet_dispatch.py
+++ b/tests/test_fleet_dispatch.py
@@ -25,6 +25,7 @@
 from tests.fleet_builders import (
     make_dispatcher,
     make_facts,
+    make_listed,
     make_route,
     make_ticket,
     make_update,
@@ -59,6 +60,33 @@
     assert_that(dispatcher.arrive(make_ticket(1, 1), 1), Equals(()))
 
 
+@pytest.mark.parametrize(('leaving', 'born_ms'), [(True, 1), (False, 2)])
+def test_list_read_by_the_entry_closes_what_leaves_or_began_anew(
+    leaving: bool,
+    born_ms: int,
+) -> None:
+    dispatcher = make_dispatcher(make_facts('u1'), make_facts('u2'))
+    listed = [
+        make_listed('u1', leaving=leaving, born_ms=born_ms),
+        make_listed('u2'),
+    ]
+    dispatcher.adopt_list(listed, 2.0)
+    sent = [
+        only(dispatcher.arrive(make_ticket(number, 2.0), 2.0))
+        for number in (1, 2)
+    ]
+    assert_that(
+        [one.upstream.name for one in sent if isinstance(one, SendTo)],
+        Equals(['u2', 'u2']),
+    )
+
+
+def test_list_read_by_the_entry_forgets_what_is_gone() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'), make_facts('u2'))
+    dispatcher.adopt_list([make_listed('u2')], 2.0)
+    assert_that(tuple(dispatcher.chooser.uses), Equals(('u2',)))
+
+
 def test_nobody_is_refused_while_places_are_free() -> None:
     """A slow past does not shut a target out."""
     dispatcher = make_dispatcher(make_facts('u1'))
