The last giver of orders goes on at once, and gets leadership back

Cause: each change of leadership stopped all orders for 3.4 s, also where the same VM led again, and after all control VMs were killed.

Ruled out: slow recovery of the entries (they answer 0.5 s after their start); an election that takes long (0.5 s).

Change: the log names the VM that gave the newest orders. That VM goes on at once; another one waits out the lease as before, is named, and then orders. While it waits it hands leadership back to a VM that has returned.

Tests: a giver that starts again, and all control VMs killed, order again within the lease; both fail with the wait as it was.

--- a/bench/shared_log.py
+++ b/bench/shared_log.py
@@ -120,11 +120,11 @@
         self.catch_up()
         return Success(self._applied)
 
-    async def transfer_leadership(self) -> Result[str, Failure]:
-        """Hand over to the next replica."""
+    async def transfer_leadership(self, vm: str = '') -> Result[str, Failure]:
+        """Hand over to a VM or the next replica."""
         names = list(self._group.replicas)
         position = names.index(self._name) + 1
-        self._group.leader = names[position % len(names)]
+        self._group.leader = vm or names[position % len(names)]
         return Success(self._group.leader)
 
     def status(self) -> ReplicaStatus:
--- a/persimmonhold/consensus/_leadership.py
+++ b/persimmonhold/consensus/_leadership.py
@@ -15,7 +15,7 @@
 from persimmonhold.consensus._core import Core
 from persimmonhold.consensus._group_health import GroupHealth
 from persimmonhold.consensus._log_entry import EntryKind, LogEntry
-from persimmonhold.consensus._member import ReplicaId
+from persimmonhold.consensus._member import ReplicaId, vm_of
 from persimmonhold.consensus._messages import (
     AppendReply,
     ChunkReply,
@@ -168,13 +168,18 @@
             self.replicator.broadcast(now)
             self.settle()
 
-    def transfer(self, now: float) -> ReplicaId:
-        """Choose the most up-to-date live voter; return it or nothing."""
+    def transfer(self, now: float, vm: str = '') -> ReplicaId:
+        """Choose the most up-to-date live voter; return it or nothing.
+
+        With `vm` only a replica of that VM is chosen.
+        """
         core = self._core
         live = [
             voter
             for voter in core.configuration.voters
-            if voter in self.replicator.progress and self._is_live(voter, now)
+            if voter in self.replicator.progress
+            and self._is_live(voter, now)
+            and vm in {'', vm_of(voter)}
         ]
         if not live or not self.is_established:
             return ''
--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -171,11 +171,14 @@
         self.leadership.read(tokens, now)
         return True
 
-    def transfer(self, now: float) -> ReplicaId:
-        """Hand leadership to another voter; return it, or nothing."""
+    def transfer(self, now: float, vm: str = '') -> ReplicaId:
+        """Hand leadership to another voter; return it, or nothing.
+
+        With `vm` only a replica of that VM is chosen.
+        """
         if self.leadership is None:
             return ''
-        return self.leadership.transfer(now)
+        return self.leadership.transfer(now, vm)
 
     def snapshot_at(self, index: int, state: bytes) -> Snapshot:
         """Describe the applied state after an index that is committed."""
--- a/persimmonhold/control/machine/__init__.py
+++ b/persimmonhold/control/machine/__init__.py
@@ -7,6 +7,7 @@
     Command,
     OperatorChange,
     PutRoutes,
+    RecordOrderGiver,
 )
 from persimmonhold.control.machine._command_ledger import CommandLedger
 from persimmonhold.control.machine._command_result import CommandResult
@@ -66,6 +67,7 @@
     'RecordCopy',
     'RecordIntent',
     'RecordOrderEnd',
+    'RecordOrderGiver',
     'RegisterVm',
     'ViewState',
     'copy_key',
--- a/persimmonhold/control/machine/_command.py
+++ b/persimmonhold/control/machine/_command.py
@@ -12,9 +12,10 @@
 from persimmonhold.control.machine._record_copy import RecordCopy
 from persimmonhold.control.machine._record_intent import RecordIntent
 from persimmonhold.control.machine._record_order_end import RecordOrderEnd
+from persimmonhold.control.machine._record_order_giver import RecordOrderGiver
 from persimmonhold.control.machine._register_vm import RegisterVm
 
-__all__ = ('Command', 'OperatorChange', 'PutRoutes')
+__all__ = ('Command', 'OperatorChange', 'PutRoutes', 'RecordOrderGiver')
 
 Command: TypeAlias = (
     PutEntry
@@ -22,6 +23,7 @@
     | DeleteEntry
     | RecordIntent
     | RecordOrderEnd
+    | RecordOrderGiver
     | RecordCopy
     | ClaimKey
     | EndClaim
--- a/persimmonhold/control/machine/_control_machine.py
+++ b/persimmonhold/control/machine/_control_machine.py
@@ -27,6 +27,7 @@
     Command,
     OperatorChange,
     PutRoutes,
+    RecordOrderGiver,
 )
 from persimmonhold.control.machine._command_result import CommandResult
 from persimmonhold.control.machine._command_status import CommandStatus
@@ -151,9 +152,15 @@
     def _record(
         self,
         index: int,
-        command: RecordIntent | RecordOrderEnd | RecordCopy | RegisterVm,
+        command: RecordIntent
+        | RecordOrderEnd
+        | RecordOrderGiver
+        | RecordCopy
+        | RegisterVm,
     ) -> None:
         match command:
+            case RecordOrderGiver():
+                self.state.order_giver = command.vm
             case RecordIntent():
                 order = msgspec.structs.replace(command.order, fence=index)
                 self.state.orders[index] = order
--- a/persimmonhold/control/machine/_control_state.py
+++ b/persimmonhold/control/machine/_control_state.py
@@ -19,7 +19,8 @@
     """Catalogue, history, command results, orders, copies, claims, VMs.
 
     `clock_ms` is the latest time of any command applied; retention is
-    counted by it, so that each replica expires alike.
+    counted by it, so that each replica expires alike. `order_giver` is the
+    VM that gave the newest orders to upstreams, or empty.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         'commands',
         'history',
         'index',
+        'order_giver',
         'orders',
         'view',
     )
@@ -36,6 +38,7 @@
         """Create the state before the first command."""
         self.index = 0
         self.clock_ms = 0
+        self.order_giver = ''
         self.view = ViewState(limits.change_log_length)
         self.history: list[HistoryRecord] = []
         self.commands = CommandLedger(limits)
--- a/persimmonhold/control/machine/_state_image.py
+++ b/persimmonhold/control/machine/_state_image.py
@@ -28,6 +28,7 @@
     expired: bytes
     orders: tuple[Order, ...]
     claims: tuple[Claim, ...]
+    order_giver: str = ''
 
 
 def take_image(state: ControlState) -> StateImage:
@@ -46,6 +47,7 @@
         expired=state.commands.expired.encode(),
         orders=tuple(state.orders.values()),
         claims=tuple(claims),
+        order_giver=state.order_giver,
     )
 
 
@@ -54,6 +56,7 @@
     state = ControlState(limits)
     state.index = image.index
     state.clock_ms = image.clock_ms
+    state.order_giver = image.order_giver
     state.view.adopt(image.view)
     state.history.extend(image.history)
     state.commands.expired = DigestSet(image.expired)
--- a/persimmonhold/control/shell/_single_replica_log.py
+++ b/persimmonhold/control/shell/_single_replica_log.py
@@ -81,7 +81,7 @@
         """Return at once, since all that is synced is applied."""
         return Success(self._applied)
 
-    async def transfer_leadership(self) -> Result[str, Failure]:
+    async def transfer_leadership(self, vm: str = '') -> Result[str, Failure]:
         """Fail: there is no other replica."""
         return Failed(
             Failure(kind=FailureKind.refused, step='transfer leadership'),
--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -75,6 +75,7 @@
         'domains',
         'ledgers',
         'loads',
+        'may_evict',
         'now',
         'planned',
         'running',
@@ -99,7 +100,10 @@
         their failure domains, `use` the used share of their slots, `running`
         the requests by upstream and model; `planned` names those that have
         an order planned already, and grows with what is planned next.
+        Without `may_evict` only free room is used: what is held may be in
+        demand.
         """
+        self.may_evict = True
         self.spec = spec
         self.ledgers = tuple(ledgers)
         self.loads = loads
@@ -208,6 +212,8 @@
         if chosen is None:
             return None
         victims, cost = chosen
+        if victims and not self.may_evict:
+            return None
         in_domain = sum(
             spec.name in other.models
             for other in self.ledgers
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -1,5 +1,6 @@
 """What the entries run and are asked for, as they report it."""
 
+import math
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -9,6 +10,7 @@
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.routes import EngineSpec
 
+_LEARNING_S: Final = 0.8  # the rates of arrivals are smoothed that long
 _ENTRY_SILENT_S: Final = 2.0  # several reports of an entry are lost by then
 
 
@@ -16,10 +18,11 @@
 class FleetDemand:
     """The newest report of each entry, and the load of each model."""
 
-    __slots__ = ('entries', 'heard_at', 'loads', 'shared')
+    __slots__ = ('began_at', 'entries', 'heard_at', 'loads', 'shared')
 
     def __init__(self) -> None:
         """Create the demand before the first report."""
+        self.began_at = math.inf
         self.entries: dict[str, EntryReport] = {}
         self.heard_at: dict[str, float] = {}
         self.loads: dict[str, dict[str, ModelLoad]] = {}
@@ -36,6 +39,7 @@
         is_old = last is not None and last.sequence >= report.sequence
         if is_old and now - self.heard_at[entry] < _ENTRY_SILENT_S:
             return
+        self.began_at = min(self.began_at, now)
         self.entries[entry] = report
         self.heard_at[entry] = now
         self.shared[entry] = {load.upstream: load for load in report.loads}
@@ -44,6 +48,10 @@
             load = models.setdefault(demand.model, ModelLoad(now))
             load.take(entry, demand, now)
 
+    def is_learned(self, now: float) -> bool:
+        """Tell whether little demand is a fact rather than a late report."""
+        return now >= self.began_at + _LEARNING_S
+
     def use(
         self,
         ledgers: Iterable[UpstreamLedger],
--- a/persimmonhold/fleet/_fleet_leader.py
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -54,6 +54,7 @@
         'desks',
         'document',
         'facts',
+        'has_turn',
         'ledgers',
         'orders_from',
         'pacers',
@@ -65,9 +66,13 @@
     )
 
     def __init__(self, term: int, orders_from: float) -> None:
-        """Begin a term; no order is given before `orders_from`."""
+        """Begin a term, with the time at which orders are expected to begin.
+
+        None is given before `take_turn`.
+        """
         self.term = term
         self.orders_from = orders_from
+        self.has_turn = False
         self.document = RoutingDocument()
         self.facts = FleetFacts()
         self.demand = FleetDemand()
@@ -79,6 +84,11 @@
         self.retry_at: dict[str, float] = {}
         self.sequence = 0
 
+    def take_turn(self, now: float) -> None:
+        """Begin to give orders: no other VM does from here on."""
+        self.has_turn = True
+        self.orders_from = now
+
     def adopt_routes(self, document: RoutingDocument) -> None:
         """Follow the routing document in force."""
         self.document = document
@@ -137,7 +147,7 @@
     ) -> None:
         """Take the request of an entry for an adapter."""
         ledger = self.ledgers.get(request.upstream)
-        if ledger is None or now < self.orders_from:
+        if ledger is None or not self.has_turn:
             reason = 'no orders are given to this upstream now'
             reply = AdapterReply(
                 request_id=request.request_id,
@@ -165,7 +175,7 @@
         """Plan the next orders of models; return what was decided."""
         for ledger in self.ledgers.values():
             ledger.advance(now)
-        if now < self.orders_from:
+        if not self.has_turn:
             return ()
         self.demand.forget_silent(now)
         self.facts.forget_gone(self.demand.confirmed(self.term))
@@ -181,7 +191,7 @@
         """Return the order to give to an upstream now, or None."""
         ledger = self.ledgers.get(upstream)
         spec = self.engine_of(upstream)
-        if ledger is None or spec is None or now < self.orders_from:
+        if ledger is None or spec is None or not self.has_turn:
             return None
         ledger.advance(now)
         is_known = ledger.is_settled and not ledger.is_lost
@@ -266,6 +276,7 @@
         for ledger in ledgers:
             self._expire_reservation(ledger, now)
         planner = self._planner(spec, ledgers, loads, now)
+        planner.may_evict = self.demand.is_learned(now)
         decided: list[PlannedOrder] = []
         while len(decided) < len(ledgers):
             may_load = pacer.may_begin(spec.store_loads_per_s, now)
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -1,8 +1,8 @@
 """Runs the fleet's decisions on the control replica that leads.
 
-Invariants: orders leave from one VM at a time. A new leader waits until no
-order of an earlier one can count as given within the same lease; a leader
-asks right before each order whether its own lease still holds.
+Invariants: orders leave from one VM at a time. A new leader waits for its
+turn (see `OrderTurn`); a leader asks right before each order whether its own
+lease still holds.
 """
 
 import asyncio
@@ -22,6 +22,7 @@
     OrderVerdict,
     PlannedOrder,
 )
+from persimmonhold.forwarding._order_turn import OrderTurn
 from persimmonhold.forwarding._upstream_source import UpstreamSource
 from persimmonhold.observability import LogLevel, log_event
 from persimmonhold.tasks import wait_at_most
@@ -35,7 +36,6 @@
 _UPDATES_PER_S: Final = 100.0  # of all entries together
 _LEAST_WAIT_S: Final = 0.002  # timers of the platform fire a little late
 _LANE_POLL_S: Final = 0.05
-_LEASE_MARGIN_S: Final = 0.4  # an order is given up after 0.25 s
 _FENCE_BITS: Final = 24  # orders of one term
 
 
@@ -43,7 +43,15 @@
 class FleetTerm:
     """One leadership: its decisions and the tasks that carry them out."""
 
-    __slots__ = ('asked_at', 'fences', 'lanes', 'leader', 'reports', 'woken')
+    __slots__ = (
+        'asked_at',
+        'fences',
+        'lanes',
+        'leader',
+        'reports',
+        'turn',
+        'woken',
+    )
 
     def __init__(self, leader: FleetLeader) -> None:
         """Create a term without tasks."""
@@ -53,11 +61,14 @@
         self.reports: dict[str, asyncio.Task[None]] = {}
         self.woken: dict[str, asyncio.Event] = {}
         self.asked_at: dict[str, float] = {}
+        self.turn: asyncio.Task[None] | None = None
 
     def close(self) -> None:
         """Cancel what is under way."""
         for task in (*self.lanes.values(), *self.reports.values()):
             task.cancel()
+        if self.turn is not None:
+            self.turn.cancel()
 
 
 @final
@@ -68,12 +79,12 @@
         'began',
         'clock',
         'decoder',
-        'lease_s',
         'node',
         'plan_at',
         'source',
         'term',
         'transport',
+        'turns',
         'woken',
     )
 
@@ -89,7 +100,7 @@
         self.node = node
         self.transport = transport
         self.source = source
-        self.lease_s = lease_s
+        self.turns = OrderTurn(node, lease_s, clock)
         self.clock = clock
         self.plan_at = 0.0
         self.term: FleetTerm | None = None
@@ -160,12 +171,22 @@
         if self.term is not None and self.term.leader.term != self.node.term:
             self._step_down()
         if self.term is None:
-            orders_from = self.clock() + self.lease_s + _LEASE_MARGIN_S
-            self.term = FleetTerm(FleetLeader(self.node.term, orders_from))
+            leader = FleetLeader(self.node.term, self.turns.expected_at())
+            self.term = FleetTerm(leader)
+            self.term.turn = asyncio.get_running_loop().create_task(
+                self._take_turn(leader),
+            )
             log_event('fleet_term_begins', term=self.node.term)
             self.began.set()
         self.term.leader.adopt_routes(self.node.state.view.routes)
 
+    async def _take_turn(self, leader: FleetLeader) -> None:
+        """Let a term give orders as soon as no other VM can."""
+        if await self.turns.wait(leader.term):
+            leader.take_turn(self.clock())
+            self.plan_at = 0.0
+            self.woken.set()
+
     def _step_down(self) -> None:
         if self.term is not None:
             log_event('fleet_term_ends', term=self.term.leader.term)
--- a/persimmonhold/replication/_replica_node.py
+++ b/persimmonhold/replication/_replica_node.py
@@ -190,9 +190,9 @@
         confirmed = await self._await(answer, _READ)
         return confirmed.map(lambda _: self._host.applied_index)
 
-    async def transfer_leadership(self) -> Result[str, Failure]:
-        """Hand leadership to the best follower; return its name."""
-        successor = vm_of(self._host.replica.transfer(self._clock()))
+    async def transfer_leadership(self, vm: str = '') -> Result[str, Failure]:
+        """Hand leadership to a VM or the best follower; return its name."""
+        successor = vm_of(self._host.replica.transfer(self._clock(), vm))
         if not successor:
             return _failed(FailureKind.not_leader, _TRANSFER)
         answer: AnswerFuture = asyncio.get_running_loop().create_future()
--- a/persimmonhold/replication/_replicated_log.py
+++ b/persimmonhold/replication/_replicated_log.py
@@ -39,8 +39,11 @@
         """Wait until a read of the applied state is linearizable."""
 
     @abc.abstractmethod
-    async def transfer_leadership(self) -> Result[str, Failure]:
-        """Hand leadership to the best follower; return its name."""
+    async def transfer_leadership(self, vm: str = '') -> Result[str, Failure]:
+        """Hand leadership to a VM or the best follower; return its name.
+
+        Fails where no such follower has been heard of lately.
+        """
 
     @abc.abstractmethod
     def status(self) -> ReplicaStatus:
--- a/tests/test_control_operators.py
+++ b/tests/test_control_operators.py
@@ -93,7 +93,7 @@
         """Refuse."""
         return Failed(Failure(kind=FailureKind.not_leader, step='read'))
 
-    async def transfer_leadership(self) -> Result[str, Failure]:
+    async def transfer_leadership(self, vm: str = '') -> Result[str, Failure]:
         """Refuse."""
         return Failed(Failure(kind=FailureKind.not_leader, step='transfer'))
 
--- a/tests/test_fleet_givers.py
+++ b/tests/test_fleet_givers.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import random
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import TypeAlias
 
 import msgspec
 import pytest
 from returns.result import Result, Success
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
-from bench.memory_system import MemorySystem
+from bench.memory_system import MemorySystem, until
 from bench.virtual_loop import run_virtual
+from persimmonhold.control.machine import ControlMachine, RecordOrderGiver
 from persimmonhold.failures import Failure
 from persimmonhold.fleet import (
     EntryReport,
@@ -26,6 +30,8 @@
 from persimmonhold.transport import Channel
 from tests.fleet_builders import make_document
 
+Orders: TypeAlias = list[tuple[float, str, int]]
+
 _LEASE_S = 3.0
 _SLACK_S = 0.001
 
@@ -33,7 +39,7 @@
 class RecordingSource:
     """One upstream that swaps its models at each order; keeps the orders."""
 
-    def __init__(self, orders: list[tuple[float, str, int]]) -> None:
+    def __init__(self, orders: Orders) -> None:
         self.orders = orders
         self.accepted = 0
         self.models: list[str] = ['m1', 'm2']
@@ -144,40 +150,147 @@
         system.network.cut.clear()
 
 
+@asynccontextmanager
+async def _ordering_system(
+    directory: Path,
+    seed: int,
+    orders: Orders,
+) -> AsyncGenerator['GivingSystem']:
+    """Start VMs whose leader gives orders all the time."""
+    system = GivingSystem(directory, seed, orders)
+    async with system.memory:
+        await system.memory.await_leader()
+        asks = asyncio.create_task(_ask(system.memory))
+        for name in system.memory.control:
+            system.run(name)
+        put = await system.memory.leader.put_routes(make_document())
+        put.unwrap()
+        yield system
+        asks.cancel()
+        for name in system.memory.control:
+            await system.end(name)
+        await asyncio.gather(asks, return_exceptions=True)
+
+
+class GivingSystem:
+    """Five VMs; the three with control run the fleet's decisions."""
+
+    def __init__(self, directory: Path, seed: int, orders: Orders) -> None:
+        self.memory = MemorySystem(5, 3, seed, directory)
+        self.shared = RecordingSource(orders)
+        self.orders = orders
+        self.runners: dict[str, asyncio.Task[None]] = {}
+
+    def run(self, name: str) -> None:
+        """Run the fleet on a control VM that has started."""
+        vm = self.memory.vms[name]
+        assert vm.node is not None
+        runner = FleetRunner(
+            vm.node,
+            self.memory.network.transports[name],
+            self.shared.of(name),
+            _LEASE_S,
+            asyncio.get_running_loop().time,
+        )
+        self.runners[name] = asyncio.create_task(runner.run())
+
+    async def end(self, name: str) -> None:
+        """Stop the fleet on a control VM at once."""
+        task = self.runners.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def kill(self, *names: str) -> None:
+        """Let control VMs vanish together."""
+        for name in names:
+            await self.end(name)
+            await self.memory.kill(name)
+
+    async def restart(self, *names: str) -> None:
+        """Start control VMs anew with their disks."""
+        for name in names:
+            await self.memory.restart(name)
+            self.run(name)
+
+    async def await_orders(self, count: int) -> None:
+        """Wait until that many more orders were given."""
+        wanted = len(self.orders) + count
+        await until(lambda: len(self.orders) >= wanted)
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_orders_of_two_givers_keep_the_lease_apart(
     tmp_path: Path,
     seed: int,
 ) -> None:
-    orders: list[tuple[float, str, int]] = []
+    orders: Orders = []
 
     async def scenario() -> None:
-        system = MemorySystem(5, 3, seed, tmp_path)
-        shared = RecordingSource(orders)
-        async with system:
-            await system.await_leader()
-            tasks = [asyncio.create_task(_ask(system))]
-            for name in system.control:
-                vm = system.vms[name]
-                assert vm.node is not None
-                runner = FleetRunner(
-                    vm.node,
-                    system.network.transports[name],
-                    shared.of(name),
-                    _LEASE_S,
-                    asyncio.get_running_loop().time,
-                )
-                tasks.append(asyncio.create_task(runner.run()))
-            put = await system.leader.put_routes(make_document())
-            put.unwrap()
-            await _disturb(system, random.Random(seed))
+        async with _ordering_system(tmp_path, seed, orders) as system:
+            await _disturb(system.memory, random.Random(seed))
             await asyncio.sleep(8)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
 
     run_virtual(scenario())
     assert_that(len(orders), GreaterThan(10))
+    _check_apart(orders)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_giver_that_starts_again_goes_on_before_the_lease_ends(
+    tmp_path: Path,
+    seed: int,
+) -> None:
+    orders: Orders = []
+
+    async def scenario() -> None:
+        async with _ordering_system(tmp_path, seed, orders) as system:
+            await system.await_orders(3)
+            giver = orders[-1][1]
+            await system.kill(giver)
+            await asyncio.sleep(0.5)
+            await system.restart(giver)
+            before = orders[-1][0]
+            await system.await_orders(1)
+            assert_that(orders[-1][1], Equals(giver))
+            assert_that(orders[-1][0] - before, LessThan(_LEASE_S))
+            await system.await_orders(3)
+
+    run_virtual(scenario())
+    _check_apart(orders)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_orders_go_on_soon_after_all_control_vms_were_killed(
+    tmp_path: Path,
+    seed: int,
+) -> None:
+    orders: Orders = []
+
+    async def scenario() -> None:
+        async with _ordering_system(tmp_path, seed, orders) as system:
+            await system.await_orders(3)
+            names = system.memory.control
+            await system.kill(*names)
+            await asyncio.sleep(0.5)
+            await system.restart(*names)
+            before = orders[-1][0]
+            await system.await_orders(1)
+            assert_that(orders[-1][0] - before, LessThan(_LEASE_S))
+
+    run_virtual(scenario())
+    _check_apart(orders)
+
+
+def test_the_last_giver_outlives_a_snapshot() -> None:
+    machine = ControlMachine()
+    machine.apply(1, RecordOrderGiver(at_ms=1, vm='vm2'))
+    restored = ControlMachine()
+    restored.restore(machine.snapshot())
+    assert_that(restored.state.order_giver, Equals('vm2'))
+
+
+def _check_apart(orders: Orders) -> None:
+    """Check that fences rise and that givers keep the lease apart."""
     fences = [fence for _, _, fence in orders]
     assert_that(fences, Equals(sorted(set(fences))))
     for (before, one, _), (after, other, _) in zip(
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -122,6 +122,7 @@
     def new_leader(self) -> FleetLeader:
         """Begin another term."""
         leader = FleetLeader(1, self.now)
+        leader.take_turn(self.now)
         leader.adopt_routes(make_document())
         leader.take_list(
             [
@@ -205,6 +206,16 @@
     assert_that(fleet.copies('m3'), Equals(1))
 
 
+def test_new_leader_evicts_nothing_before_it_knows_the_demand() -> None:
+    fleet = Fleet(EngineModel('u1', ('m1', 'm2')), EngineModel('u2', ()))
+    for _ in range(7):
+        fleet.ask('m3', waiting=1)
+        fleet.ask('m4', waiting=1)
+        fleet.step()
+        assert_that(fleet.engines['u1'].accepted, Equals(0))
+    assert_that(fleet.engines['u2'].accepted, Equals(1))
+
+
 def test_last_copy_stays_while_requests_wait_for_it() -> None:
     fleet = Fleet(EngineModel('u1', ('m1', 'm2')))
     seen: set[str] = set()
