Copies that nothing runs on make room; ends of evictions foretold from entries

Ruled out: the limit of loads from the store; the lead of 60 ms before an eviction.

Change: what a swap delays is weighed with its gain, over the life of a copy; the end of an eviction is foretold once entries report nothing running, and one foretold too early is waited for again after 0.1 s. Adapters of a model count against the places until its eviction is confirmed.

Tests: an idle copy makes room before one with a stream; a load waits on after a conflict. Both fail on the code before.

--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -27,13 +27,14 @@
 _USE_SLOPE: Final = 0.01  # a copy that is used less answers a bit sooner
 _MISS_LOSS: Final = 0.8  # of a request that waits for a load
 _MISS_HORIZON_S: Final = 5.0  # an eviction costs one miss in that time
-_RUNNING_COST: Final = 0.1  # an eviction waits for each running request
-_MAX_RUNNING_COST: Final = 0.6
+_RUNS_END_S: Final = 1.2  # an eviction waits for the streams under way
+_EVICTION_S: Final = 0.15  # of a copy that nothing runs on
+_COPY_LIFE_S: Final = 6.0  # demand shifts about every ten seconds
+_LEAST_HASTE: Final = 1.0  # so that small gains choose short loads too
 _DEMANDED_WORTH: Final = 0.3  # so that a first request is served in the end
 _WAIT_HORIZON_S: Final = 2.0  # requests that wait are saved once, not again
 _BUSY_WEIGHT: Final = 0.3
 _SAME_DOMAIN: Final = 0.05
-_LOAD_TIME_WEIGHT: Final = 1.0  # a second of load
 _STORE_COST: Final = 0.6  # loads from the store are few and slow
 
 
@@ -170,9 +171,10 @@
 
         What was worth it then may not be any more.
         """
-        chosen = self._victims(spec, ledger)
+        gain = self._gain(spec)
+        chosen = self._victims(spec, ledger, gain)
         ledger.reserved = ''
-        if chosen is None or not self._is_worth(self._gain(spec), chosen[1]):
+        if chosen is None or not self._is_worth(gain, chosen[1]):
             return None
         victims, cost = chosen
         return self._evict(victims[0], spec, ledger, f'cost {cost:.3f}')
@@ -196,7 +198,7 @@
         places = [
             place
             for ledger in self.ledgers
-            if (place := self._place(spec, ledger)) is not None
+            if (place := self._place(spec, ledger, gain)) is not None
             and self._is_worth(gain, place.cost)
         ]
         return min(places, key=lambda place: place.score, default=None)
@@ -204,44 +206,78 @@
     def _is_worth(self, gain: float, cost: float) -> bool:
         return cost == 0 or gain > cost * _SWAP_RATIO
 
-    def _place(self, spec: ModelSpec, ledger: UpstreamLedger) -> _Place | None:
+    def _place(
+        self,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+        gain: float,
+    ) -> _Place | None:
         is_taken = spec.name in ledger.models or ledger.reserved
         if is_taken or not ledger.is_idle or ledger.retiring:
             return None
-        chosen = self._victims(spec, ledger)
+        chosen = self._victims(spec, ledger, gain)
         if chosen is None:
             return None
         victims, cost = chosen
         if victims and not self.may_evict:
             return None
-        in_domain = sum(
-            spec.name in other.models
-            for other in self.ledgers
-            if self.domains.get(other.name) == self.domains.get(ledger.name)
-        )
         score = (
             cost
+            + _haste(gain) * self._delay_s(spec, ledger, victims)
             + _BUSY_WEIGHT * self.use.get(ledger.name, 0)
-            + _SAME_DOMAIN * in_domain
-            + _LOAD_TIME_WEIGHT * load_time_s(spec, ledger)
+            + _SAME_DOMAIN * self._copies_in_domain(spec, ledger)
             + _STORE_COST * (spec.name not in ledger.kept)
         )
         return _Place(ledger, victims, cost, score)
 
+    def _copies_in_domain(
+        self,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+    ) -> int:
+        domain = self.domains.get(ledger.name)
+        return sum(
+            spec.name in other.models
+            for other in self.ledgers
+            if self.domains.get(other.name) == domain
+        )
+
+    def _delay_s(
+        self,
+        spec: ModelSpec,
+        ledger: UpstreamLedger,
+        victims: tuple[str, ...],
+    ) -> float:
+        """Return how long it takes until a copy is there."""
+        evictions_s = sum(self._eviction_s(model, ledger) for model in victims)
+        return evictions_s + load_time_s(spec, ledger)
+
+    def _eviction_s(self, model: str, ledger: UpstreamLedger) -> float:
+        if self.running.get((ledger.name, model)):
+            return _RUNS_END_S
+        return _EVICTION_S
+
     def _victims(
         self,
         spec: ModelSpec,
         ledger: UpstreamLedger,
+        gain: float,
     ) -> tuple[tuple[str, ...], float] | None:
-        """Return the cheapest copies to evict, and what they are worth."""
+        """Return the cheapest copies to evict, and what they are worth.
+
+        Among copies of like worth those go that nothing runs on.
+        """
         lacking_mb = held_mb(self.spec, spec.name)
         lacking_mb -= free_mb(self.spec, ledger)
         victims: list[str] = []
         cost = 0.0
-        worths = {
-            model: self._copy_worth(model, ledger) for model in ledger.held
+        worths = {model: self._copy_worth(model) for model in ledger.held}
+        haste = _haste(gain)
+        prices = {
+            model: worth + haste * self._eviction_s(model, ledger)
+            for model, worth in worths.items()
         }
-        for model in sorted(worths, key=worths.__getitem__):
+        for model in sorted(prices, key=prices.__getitem__):
             if lacking_mb <= 0:
                 break
             victims.append(model)
@@ -251,21 +287,17 @@
             return None
         return tuple(victims), cost
 
-    def _copy_worth(self, model: str, ledger: UpstreamLedger) -> float:
+    def _copy_worth(self, model: str) -> float:
         """Return the requests a second that are lost with a copy."""
         load = self.loads.get(model)
-        running = self.running.get((ledger.name, model), 0)
-        cost = min(_MAX_RUNNING_COST, _RUNNING_COST * running)
         if load is None:
-            return cost
+            return 0
         copies = self.copies(model)
         if copies > 1:
-            lost = _lost_per_s(load, copies - 1) - _lost_per_s(load, copies)
-            return cost + lost
+            return _lost_per_s(load, copies - 1) - _lost_per_s(load, copies)
         if load.total_waiting:
             return math.inf
-        rate = min(load.requests_per_s, 1 / _MISS_HORIZON_S)
-        return cost + _MISS_LOSS * rate
+        return _MISS_LOSS * min(load.requests_per_s, 1 / _MISS_HORIZON_S)
 
     def _order(
         self,
@@ -323,6 +355,11 @@
     return load.requests_per_s * (late + _USE_SLOPE * min(1.0, use))
 
 
+def _haste(gain: float) -> float:
+    """Return what a second's delay costs, spread over the life of a copy."""
+    return max(gain, _LEAST_HASTE) / _COPY_LIFE_S
+
+
 def load_time_s(spec: ModelSpec, ledger: UpstreamLedger) -> float:
     """Return how long a model takes to load at an upstream."""
     if spec.name in ledger.in_memory and spec.memory_load_s:
--- a/persimmonhold/fleet/_fleet_leader.py
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -173,7 +173,10 @@
 
     def plan(self, now: float) -> tuple[PlannedOrder, ...]:
         """Plan the next orders of models; return what was decided."""
+        running = self.demand.running_by_model()
         for ledger in self.ledgers.values():
+            is_running = (ledger.name, ledger.evicting) in running
+            ledger.foretell_eviction(now, is_running=is_running)
             ledger.advance(now)
         if not self.has_turn:
             return ()
@@ -222,6 +225,7 @@
             self._expect_done(ledger, order, spec, now)
         if verdict not in {OrderVerdict.accepted, OrderVerdict.holds}:
             self.retry_at[upstream] = now + _RETRY_S
+            ledger.evicted_from = now + _RETRY_S
         if order.adapter:
             model = spec.find(order.model)
             adapter_mb = model.adapter_mb if model else 0
@@ -339,9 +343,7 @@
     ) -> None:
         """Expect the end of an order where it can be foretold."""
         if order.kind is FleetOrderKind.evict:
-            running = self.demand.running_by_model()
-            if not running.get((ledger.name, order.model)):
-                ledger.expect_done(now + _EVICTED_S)
+            ledger.evicted_from = now + _EVICTED_S
             return
         loading = sum(bool(one.loading) for one in self.ledgers.values())
         model = spec.find(order.model)
--- a/persimmonhold/fleet/_upstream_ledger.py
+++ b/persimmonhold/fleet/_upstream_ledger.py
@@ -26,13 +26,16 @@
     `loading` and `evicting` name the model whose order is being carried
     out, and `done_at` when it is expected to be done. `reserved` names a
     model that gets the room that is being made. `is_lost` tells that another
-    process answers at the address.
+    process answers at the address. `departed` holds the adapters of a model
+    that is taken as evicted before anything confirms it.
     """
 
     __slots__ = (
         'accepted',
         'born_ms',
+        'departed',
         'done_at',
+        'evicted_from',
         'evicting',
         'held',
         'in_memory',
@@ -52,6 +55,7 @@
         self.accepted = 0
         self.born_ms = 0
         self.held: dict[str, set[str]] = {}
+        self.departed: dict[str, set[str]] = {}
         self.loading = ''
         self.evicting = ''
         self.reserved = ''
@@ -60,6 +64,7 @@
         self.in_memory: frozenset[str] = frozenset()
         self.on_disk: frozenset[str] = frozenset()
         self.done_at = math.inf
+        self.evicted_from = 0.0
         self.is_lost = False
         self.is_settled = False
 
@@ -83,8 +88,9 @@
 
     @property
     def adapter_count(self) -> int:
-        """The number of adapter places in use."""
-        return sum(len(adapters) for adapters in self.held.values())
+        """The number of adapter places that may be in use."""
+        held = (*self.held.values(), *self.departed.values())
+        return sum(len(adapters) for adapters in held)
 
     def take_report(self, report: UpstreamReport) -> None:
         """Take a report; an older one than what is known changes nothing."""
@@ -103,20 +109,31 @@
 
     def order_ended(self, order: FleetOrder, verdict: OrderVerdict) -> None:
         """Take what the upstream said of an order."""
-        if verdict is OrderVerdict.accepted:
-            self.accepted = order.expected + 1
-            self._apply(order)
-        elif verdict is OrderVerdict.holds:
-            self._note_holding(order)
-        elif verdict is OrderVerdict.other_process:
-            self.is_lost = True
-        elif verdict in {OrderVerdict.conflict, OrderVerdict.unknown_order}:
-            self.is_settled = False
+        match verdict:
+            case OrderVerdict.accepted:
+                self.accepted = order.expected + 1
+                self._apply(order)
+            case OrderVerdict.holds:
+                self._note_holding(order)
+            case OrderVerdict.other_process:
+                self.is_lost = True
+            case OrderVerdict.conflict:
+                self._note_conflict()
+            case OrderVerdict.unknown_order:
+                self.is_settled = False
 
     def expect_done(self, at: float) -> None:
         """Expect the order of a model that was accepted to be done by then."""
         self.done_at = at
 
+    def foretell_eviction(self, now: float, *, is_running: bool) -> None:
+        """Expect an eviction to be done once nothing runs on the model.
+
+        Entries tell so earlier than reports of the upstream.
+        """
+        if self.evicting and math.isinf(self.done_at) and not is_running:
+            self.done_at = max(now, self.evicted_from)
+
     def advance(self, now: float) -> None:
         """Take an order as done at its time, before a report shows it.
 
@@ -129,7 +146,7 @@
             self.loading = ''
             self._end_reservation()
         if self.evicting:
-            self.held.pop(self.evicting, None)
+            self.departed[self.evicting] = self.held.pop(self.evicting, set())
             self.retiring.pop(self.evicting, None)
             self.evicting = ''
         self.done_at = math.inf
@@ -150,6 +167,7 @@
                 adapters.discard(order.adapter)
         elif order.kind is FleetOrderKind.load:
             self.loading = order.model
+            self.departed = {}
         else:
             self.evicting = order.model
 
@@ -166,6 +184,14 @@
         else:
             self.is_settled = False
 
+    def _note_conflict(self) -> None:
+        """Ask for a report, or wait on for an eviction foretold too early."""
+        self.is_settled = bool(self.departed)
+        for model, adapters in self.departed.items():
+            self.held[model] = adapters
+            self.evicting = model
+        self.departed = {}
+
     def _end_reservation(self) -> None:
         if self.reserved in self.held:
             self.reserved = ''
@@ -181,6 +207,7 @@
             for name, since in self.retiring.items()
             if name in self.held
         }
+        self.departed = {}
         self.loading = ''
         self.evicting = ''
         self.done_at = math.inf
@@ -190,6 +217,7 @@
         self.born_ms = born_ms
         self.accepted = 0
         self.held = {}
+        self.departed = {}
         self.loading = ''
         self.evicting = ''
         self.reserved = ''
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -25,6 +25,7 @@
     ListedUpstream,
     ModelDemand,
     OrderVerdict,
+    SharedLoad,
     StorePacer,
     UpstreamLedger,
     UpstreamReport,
@@ -185,6 +186,21 @@
             self.now,
         )
 
+    def run(self, upstream: str, model: str, count: int) -> None:
+        """Report what another entry runs at an upstream."""
+        name = f'{upstream}-{model}'
+        last = self.leader.demand.entries.get(name)
+        self.leader.demand.take_entry_report(
+            name,
+            EntryReport(
+                term=1,
+                number=0,
+                sequence=last.sequence + 1 if last else 1,
+                loads=(SharedLoad(upstream, count, 0, ((model, count),)),),
+            ),
+            self.now,
+        )
+
     def copies(self, model: str) -> int:
         """Count the copies of a model."""
         return sum(model in one.held for one in self.engines.values())
@@ -216,6 +232,49 @@
     assert_that(fleet.engines['u2'].accepted, Equals(1))
 
 
+def test_copy_that_nothing_runs_on_makes_room() -> None:
+    """A stream under way holds an eviction up for more than a second."""
+    fleet = Fleet(EngineModel('u1', ('m1', 'm2')))
+    for step in range(25):
+        fleet.run('u1', 'm1', 1)
+        fleet.ask('m2', waiting=0, running=int(step % 5 == 0))
+        fleet.ask('m3', waiting=10)
+        fleet.step()
+    assert_that(fleet.engines['u1'].held.keys(), Contains('m1'))
+    assert_that(fleet.engines['u1'].held.keys(), Not(Contains('m2')))
+
+
+def test_load_waits_on_where_an_eviction_was_foretold_too_early() -> None:
+    ledger = UpstreamLedger('u1')
+    held = (HeldModel('m1', 1, ('a1',)), HeldModel('m2', 1))
+    ledger.take_report(
+        UpstreamReport(
+            born_ms=1,
+            accepted_orders=0,
+            is_busy=False,
+            models=held,
+        ),
+    )
+    evict = FleetOrder(kind=FleetOrderKind.evict, model='m1', expected=0)
+    ledger.order_ended(evict, OrderVerdict.accepted)
+    ledger.foretell_eviction(1.0, is_running=True)
+    ledger.advance(1.0)
+    assert_that(ledger.is_idle, Equals(False))
+    ledger.foretell_eviction(1.1, is_running=False)
+    ledger.advance(1.1)
+    assert_that(ledger.is_idle, Equals(True))
+    assert_that(ledger.adapter_count, Equals(1))
+    load = FleetOrder(kind=FleetOrderKind.load, model='m3', expected=1)
+    ledger.order_ended(load, OrderVerdict.conflict)
+    assert_that(ledger.is_settled, Equals(True))
+    assert_that(ledger.is_idle, Equals(False))
+    ledger.foretell_eviction(1.2, is_running=False)
+    ledger.advance(1.2)
+    ledger.order_ended(load, OrderVerdict.accepted)
+    assert_that(ledger.adapter_count, Equals(0))
+    assert_that(set(ledger.models), Equals({'m2', 'm3'}))
+
+
 def test_last_copy_stays_while_requests_wait_for_it() -> None:
     fleet = Fleet(EngineModel('u1', ('m1', 'm2')))
     seen: set[str] = set()
