--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -8,6 +8,7 @@
 from persimmonhold.fleet._attempt_end import AttemptEnd
 from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
 from persimmonhold.fleet._demand_meter import FleetDemandMeter
+from persimmonhold.fleet._fleet_demand import FleetDemand
 from persimmonhold.fleet._fleet_facts import FleetFacts
 from persimmonhold.fleet._fleet_leader import FleetLeader
 from persimmonhold.fleet._fleet_messages import (
@@ -47,6 +48,7 @@
     'AttemptEnd',
     'CopyPlanner',
     'EntryReport',
+    'FleetDemand',
     'FleetDemandMeter',
     'FleetFacts',
     'FleetLeader',
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -82,6 +82,7 @@
         """Sum what all other entries run, by upstream."""
         running: dict[str, int] = {}
         unread: dict[str, int] = {}
+        recent: dict[str, int] = {}
         for other, loads in self.shared.items():
             if other == entry:
                 continue
@@ -89,10 +90,11 @@
                 key = load.upstream
                 running[key] = running.get(key, 0) + load.running
                 unread[key] = unread.get(key, 0) + load.unread_tokens
+                recent[key] = recent.get(key, 0) + load.recent_tokens
         return tuple(
-            SharedLoad(name, count, unread[name])
+            SharedLoad(name, count, unread[name], recent_tokens=recent[name])
             for name, count in running.items()
-            if count
+            if count or recent[name]
         )
 
     def confirmed(self, term: int) -> int:
--- a/persimmonhold/fleet/_shared_load.py
+++ b/persimmonhold/fleet/_shared_load.py
@@ -7,9 +7,10 @@
 
 @final
 class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Requests and unread prompt tokens at an upstream, and by model.
+    """Requests and prompt tokens at an upstream, and requests by model.
 
-    In a report of an entry they are its own; in an update to an entry they
+    `unread_tokens` are of prompts that are not read yet; `recent_tokens` were
+    sent within a while (see `UpstreamUse.recent_tokens`). In a report of an entry they are its own; in an update to an entry they
     are those of all the others.
     """
 
@@ -17,3 +18,4 @@
     running: int
     unread_tokens: int
     models: tuple[tuple[str, int], ...] = ()
+    recent_tokens: int = 0
