Adapters that requests run with are not evicted

The desk evicted the adapter asked for least recently, and only requests that lacked an adapter ask for it.

Ruled out: a wrong count of orders (the next one was accepted with the count that had been refused).

Change: entries report the adapters that their requests run with; those, and what was asked for in the last 0.25 s, stay.

Test: fails on the code before (the adapter in use goes first).

--- a/persimmonhold/fleet/_adapter_desk.py
+++ b/persimmonhold/fleet/_adapter_desk.py
@@ -2,10 +2,12 @@
 
 Answers requests that name an adapter when the adapters do not all fit at
 once: one that is asked for is loaded on the way of its request, in the place
-of the one that was asked for least recently.
+of the one that was used least recently. One that requests run with stays: its
+eviction would wait for them, and hold up all other orders of the upstream.
 """
 
 import math
+from collections.abc import Collection
 from typing import Final, final
 
 import msgspec
@@ -24,6 +26,7 @@
 _MAX_IN_TRANSIT: Final = 4  # adapters on their way to one upstream
 _WAIT_S: Final = 0.6  # an entry has given up by then
 _MAX_ASKED: Final = 512
+_UNREPORTED_S: Final = 0.25  # a request may run that no entry has reported
 
 
 @final
@@ -75,9 +78,14 @@
         self,
         ledger: UpstreamLedger,
         spec: EngineSpec,
+        in_use: Collection[tuple[str, str]],
         now: float,
     ) -> FleetOrder | None:
-        """Return the next order of an adapter, or None."""
+        """Return the next order of an adapter, or None.
+
+        `in_use` names the adapters that requests run with.
+        """
+        self.used_at.update(dict.fromkeys(in_use, now))
         if not ledger.is_idle:
             return None
         in_transit = sum(
@@ -90,7 +98,7 @@
                 continue
             if ledger.adapter_count < spec.adapter_slots:
                 return _order(FleetOrderKind.load, key, ledger)
-            victim = self._victim(ledger)
+            victim = self._victim(ledger, now)
             if victim is not None:
                 return _order(FleetOrderKind.evict, victim, ledger)
         return None
@@ -155,13 +163,19 @@
             return 'the model is not held any more'
         return 'no answer in time' if now > ask.asked_at + _WAIT_S else ''
 
-    def _victim(self, ledger: UpstreamLedger) -> tuple[str, str] | None:
-        """Return the adapter that was asked for least recently."""
+    def _victim(
+        self,
+        ledger: UpstreamLedger,
+        now: float,
+    ) -> tuple[str, str] | None:
+        """Return the adapter that was used least recently, if not just now."""
+        used_before = now - _UNREPORTED_S
         held = [
             (model, adapter)
             for model, adapters in ledger.held.items()
             for adapter in adapters
             if (model, adapter) not in self.asks
+            and self.used_at.get((model, adapter), -math.inf) <= used_before
         ]
         return min(
             held,
--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -87,6 +87,7 @@
             use.own_unread,
             use.running_by_model,
             recent,
+            use.running_adapters,
         )
         for name, use in dispatcher.chooser.uses.items()
         if (recent := use.own_recent_tokens(now)) or use.running
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -78,6 +78,15 @@
                     running[key] = running.get(key, 0) + count
         return running
 
+    def adapters_in_use(self, upstream: str) -> set[tuple[str, str]]:
+        """Return the adapters that requests run with, with their models."""
+        return {
+            key
+            for loads in self.shared.values()
+            if upstream in loads
+            for key in loads[upstream].adapters
+        }
+
     def others(self, entry: str) -> tuple[SharedLoad, ...]:
         """Sum what all other entries run, by upstream."""
         running: dict[str, int] = {}
--- a/persimmonhold/fleet/_fleet_leader.py
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -200,7 +200,12 @@
         is_known = ledger.is_settled and not ledger.is_lost
         if not is_known or now < self.retry_at.get(upstream, 0):
             return None
-        adapter_order = self.desks[upstream].next_order(ledger, spec, now)
+        adapter_order = self.desks[upstream].next_order(
+            ledger,
+            spec,
+            self.demand.adapters_in_use(upstream),
+            now,
+        )
         if adapter_order is not None:
             return adapter_order
         planned = self.planned.get(upstream)
--- a/persimmonhold/fleet/_shared_load.py
+++ b/persimmonhold/fleet/_shared_load.py
@@ -10,7 +10,8 @@
     """Requests and prompt tokens at an upstream, and requests by model.
 
     `unread_tokens` are of prompts that are not read yet; `recent_tokens` were
-    sent within a while (see `UpstreamUse.recent_tokens`). In a report of an entry they are its own; in an update to an entry they
+    sent within a while (see `UpstreamUse.recent_tokens`); `adapters` are those
+    that run there, each with its model. In a report of an entry they are its own; in an update to an entry they
     are those of all the others.
     """
 
@@ -19,3 +20,4 @@
     unread_tokens: int
     models: tuple[tuple[str, int], ...] = ()
     recent_tokens: int = 0
+    adapters: tuple[tuple[str, str], ...] = ()
--- a/persimmonhold/fleet/_upstream_use.py
+++ b/persimmonhold/fleet/_upstream_use.py
@@ -12,6 +12,7 @@
 from persimmonhold.fleet._attempt_end import AttemptEnd
 from persimmonhold.fleet._forward_ticket import ForwardTicket
 from persimmonhold.fleet._held_model import HeldModel
+from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 
@@ -32,18 +33,25 @@
 class RunningRequest:
     """An attempt under way."""
 
-    __slots__ = ('expected_s', 'has_begun', 'model', 'started_at', 'unread')
+    __slots__ = (
+        'adapter',
+        'expected_s',
+        'has_begun',
+        'model',
+        'started_at',
+        'unread',
+    )
 
     def __init__(
         self,
-        model: str,
-        unread: int,
+        profile: RequestProfile,
         started_at: float,
         expected_s: float,
     ) -> None:
         """Create an attempt whose prompt is not read yet."""
-        self.model = model
-        self.unread = unread
+        self.model = profile.model
+        self.adapter = profile.adapter
+        self.unread = profile.prompt_tokens
         self.started_at = started_at
         self.expected_s = expected_s
         self.has_begun = False
@@ -100,6 +108,16 @@
             counted[one.model] = counted.get(one.model, 0) + 1
         return tuple(counted.items())
 
+    @property
+    def running_adapters(self) -> tuple[tuple[str, str], ...]:
+        """The adapters that requests of this entry run with, with models."""
+        used = {
+            (one.model, one.adapter)
+            for one in self.running.values()
+            if one.adapter
+        }
+        return tuple(sorted(used))
+
     def adopt(self, facts: UpstreamFacts) -> None:
         """Take newer facts; another start of the process is a new one."""
         if facts.born_ms != self.facts.born_ms:
@@ -172,8 +190,7 @@
         profile = ticket.profile
         self.sent.append((now, profile.prompt_tokens))
         self.running[ticket.number] = RunningRequest(
-            profile.model,
-            profile.prompt_tokens,
+            profile,
             now,
             expected_s,
         )
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -186,7 +186,13 @@
             self.now,
         )
 
-    def run(self, upstream: str, model: str, count: int) -> None:
+    def run(
+        self,
+        upstream: str,
+        model: str,
+        count: int,
+        adapters: tuple[str, ...] = (),
+    ) -> None:
         """Report what another entry runs at an upstream."""
         name = f'{upstream}-{model}'
         last = self.leader.demand.entries.get(name)
@@ -196,7 +202,15 @@
                 term=1,
                 number=0,
                 sequence=last.sequence + 1 if last else 1,
-                loads=(SharedLoad(upstream, count, 0, ((model, count),)),),
+                loads=(
+                    SharedLoad(
+                        upstream,
+                        count,
+                        0,
+                        ((model, count),),
+                        adapters=tuple((model, one) for one in adapters),
+                    ),
+                ),
             ),
             self.now,
         )
@@ -369,6 +383,28 @@
     assert_that(fleet.ready, Equals([True, True, True, True]))
 
 
+def test_adapter_that_requests_run_with_is_not_evicted() -> None:
+    """Its eviction would hold up all other orders until they end."""
+    fleet = Fleet(EngineModel('u1', ('m1',)))
+    for number, adapter in enumerate(('a1', 'a2', 'a3')):
+        fleet.step()
+        fleet.leader.ask_adapter(
+            'e1',
+            AdapterRequest(
+                request_id=number,
+                service='models',
+                upstream='u1',
+                model='m1',
+                adapter=adapter,
+            ),
+            fleet.now,
+        )
+        for _ in range(6):
+            fleet.run('u1', 'm1', 1, ('a1',))
+            fleet.step(0.05)
+    assert_that(fleet.engines['u1'].held['m1'], Equals({'a1', 'a3'}))
+
+
 def test_stale_report_does_not_undo_an_accepted_order() -> None:
     ledger = UpstreamLedger('u1')
     report = UpstreamReport(
