A group that starts again elects its leader at once

Each replica waits an election timeout after its start, since it may have promised a lease that it forgot; and one whose check of its disk ended late began another whole timeout.

Ruled out: starts of the entries (0.18 s after control); a shorter election timeout (a lost packet costs 0.2 s, and leases would end in lossy times).

Change: the answer to the check of a start tells whether the member leads. Once every other voter of each known configuration says that it does not, no lease can rest on a forgotten promise, and the replica votes and stands at once. A voter whose check is under way looks again after a heartbeat. Answers of an earlier version count as from a leader.

Tests: groups of 3 and 5 lead within an election timeout of their start (not before this change); with a lost disk soon after the check; a start beside a leader that cannot be heard waits for its lease.

--- a/persimmonhold/consensus/_core.py
+++ b/persimmonhold/consensus/_core.py
@@ -22,6 +22,7 @@
 # After a start of the whole group nobody leads, and a tie costs little: no
 # vote is given for a timeout after a start anyhow.
 _START_SPREAD: Final = 0.3
+_RACE_S: Final = 0.1  # seconds over which candidates spread that may begin
 
 
 @final
@@ -43,6 +44,7 @@
         'outbox',
         'random',
         'role',
+        'started_at',
         'timings',
         'verification',
     )
@@ -64,6 +66,7 @@
         self.role = Role.follower
         self.leader: ReplicaId = ''
         self.commit_index = log.snapshot.index
+        self.started_at = now
         self.heard_at = now
         self.election_at = now
         self.contacts: dict[str, str] = {}
@@ -168,6 +171,23 @@
             or silent_s < self.timings.election_timeout_s
         )
 
+    def is_bound_by_start(self, now: float) -> bool:
+        """Tell whether only what was forgotten at the start forbids votes."""
+        return self.heard_at == self.started_at and self.is_led(now)
+
+    def forget_promise(self, now: float) -> None:
+        """Vote, and ask for votes, at once: no leader can have a lease.
+
+        Nothing changes once a leader was heard since the start.
+        """
+        if self.heard_at > self.started_at:
+            return
+        self.heard_at = float('-inf')
+        self.election_at = min(
+            self.election_at,
+            now + _RACE_S * self.random.random(),
+        )
+
     def new_boot(self) -> Boot:
         """Return a record for a start after the last known one."""
         known = self.hard_state.boots.get(self.replica, Boot())
--- a/persimmonhold/consensus/_identity.py
+++ b/persimmonhold/consensus/_identity.py
@@ -14,6 +14,7 @@
 from persimmonhold.consensus._leadership import Leadership
 from persimmonhold.consensus._member import ReplicaId
 from persimmonhold.consensus._messages import BootCheck, BootReport
+from persimmonhold.consensus._role import Role
 
 
 @final
@@ -53,15 +54,24 @@
         """Tell a replica that the group has removed it."""
         self._report(sender, Boot(), is_void=True)
 
-    def on_report(self, sender: ReplicaId, report: BootReport) -> None:
+    def on_report(
+        self,
+        sender: ReplicaId,
+        report: BootReport,
+        now: float,
+    ) -> None:
         """Take the answer to this start."""
         core = self._core
         if report.is_void and report.boot in {core.boot, Boot()}:
             self.is_abandoned = True
             core.outbox.emit(Abandon(f'identity refused by {sender}'))
-        elif report.boot == core.boot and not core.verification.is_done:
-            core.verification.add(sender, report)
-            self.conclude(is_overdue=False)
+        elif report.boot == core.boot:
+            core.verification.hear(sender, report)
+            if not core.verification.is_done:
+                core.verification.add(sender, report)
+                self.conclude(is_overdue=False)
+            if core.verification.is_unled(core.replica):
+                core.forget_promise(now)
 
     def verify(self, now: float) -> None:
         """Ask the other members again while votes are not allowed."""
@@ -73,6 +83,8 @@
             limit_s = core.timings.verification_timeout_s
             self.conclude(is_overdue=waited_s >= limit_s)
             core.announce_boot()
+        elif core.is_bound_by_start(now):
+            core.announce_boot()
 
     def conclude(self, *, is_overdue: bool) -> None:
         """End the verification where enough members answered."""
@@ -126,5 +138,6 @@
             configuration=core.configuration,
             configuration_index=core.log.configuration_index,
             is_void=is_void,
+            may_lead=core.role is Role.leader,
         )
         core.send(sender, report)
--- a/persimmonhold/consensus/_messages.py
+++ b/persimmonhold/consensus/_messages.py
@@ -108,7 +108,10 @@
 
 @final
 class BootReport(msgspec.Struct, frozen=True, array_like=True, tag='g'):
-    """What a member knows; `is_void` ends the identity of the asker."""
+    """What a member knows; `is_void` ends the identity of the asker.
+
+    `may_lead` tells that the member leads, or does not say.
+    """
 
     boot: Boot
     term: int
@@ -117,6 +120,7 @@
     configuration: Configuration
     configuration_index: int
     is_void: bool
+    may_lead: bool = True
 
 
 @final
--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -203,10 +203,12 @@
             return
         if self._elections.may_start():
             self._elections.start(now)
+        elif core.is_voter():
+            # Answers to the start are awaited, and then nobody else is.
+            core.election_at = now + core.timings.heartbeat_s
         else:
             core.reset_election_timer(now)
-            if not core.is_voter():
-                core.announce_boot()
+            core.announce_boot()
 
     def _retry(self, now: float) -> None:
         timings = self.core.timings
@@ -270,7 +272,7 @@
             case BootCheck():
                 self._on_boot_check(sender, message, now)
             case BootReport():
-                self._identity.on_report(sender, message)
+                self._identity.on_report(sender, message, now)
             case Hello():
                 self.joining.on_hello(sender, message)
                 self._note_spare(sender, message, now)
--- a/persimmonhold/consensus/_verification.py
+++ b/persimmonhold/consensus/_verification.py
@@ -33,10 +33,12 @@
         'configuration_index',
         'earlier_floor',
         'floor',
+        'followers',
         'is_done',
         'reports',
         'since',
         'term',
+        'voters',
     )
 
     def __init__(self, since: float, *, is_done: bool) -> None:
@@ -44,6 +46,8 @@
         self.since = since
         self.is_done = is_done
         self.reports: set[ReplicaId] = set()
+        self.followers: set[ReplicaId] = set()
+        self.voters: set[ReplicaId] = set()
         self.floor = (0, 0)
         self.earlier_floor: tuple[float, float] = _NO_LOG
         self.term = 0
@@ -59,6 +63,12 @@
         renewed.configuration_index = self.configuration_index
         return renewed
 
+    def hear(self, sender: ReplicaId, report: BootReport) -> None:
+        """Note whether a voter leads, from any answer to this start."""
+        self.voters.update(report.configuration.voters)
+        if not report.may_lead:
+            self.followers.add(sender)
+
     def add(self, sender: ReplicaId, report: BootReport) -> None:
         """Take an answer."""
         self.reports.add(sender)
@@ -82,12 +92,22 @@
         if answered >= min(needed, len(others)):
             self.is_done = True
 
+    def is_unled(self, replica: ReplicaId) -> bool:
+        """Tell whether every other voter answered that it does not lead.
+
+        Then no lease rests on what this replica promised before its start: a
+        leader that comes later needs a new promise. Voters of every
+        configuration that was heard of count, since one of them may lead.
+        """
+        return self.is_done and self.voters - {replica} <= self.followers
+
     def allows(self, last: tuple[int, int], term: int) -> bool:
         """Tell whether a vote for such a log in such a term is safe."""
         is_newer = self.is_done and last >= self.floor
         return term > self.term and (is_newer or last >= self.earlier_floor)
 
     def _learn(self, configuration: Configuration, index: int) -> None:
+        self.voters.update(configuration.voters)
         if index >= self.configuration_index:
             self.configuration = configuration
             self.configuration_index = index
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -239,6 +239,62 @@
     )
 
 
+@pytest.mark.parametrize('voters', [3, 5])
+def test_group_that_starts_again_is_led_before_an_election_timeout(
+    voters: int,
+) -> None:
+    """Nobody leads who could rely on what was promised before."""
+    group = _formed(voters)
+    for name in group.nodes:
+        group.crash(name)
+    group.run(0.2)
+    for name in group.nodes:
+        group.start(name)
+        group.run(0.01)
+    started = group.now
+    _leader(group)
+    assert_that(group.now - started, LessThan(TIMINGS.election_timeout_s))
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_group_with_a_lost_disk_is_led_soon_after_its_check_ends(
+    seed: int,
+) -> None:
+    timings = msgspec.structs.replace(TIMINGS, verification_timeout_s=0.5)
+    group = Group(3, 0, timings, seed)
+    group.run(5, until=lambda: group.leader is not None)
+    group.propose(b'1')
+    group.run(1)
+    lost = _leader(group).vm
+    group.wipe(lost)
+    for name in group.nodes:
+        group.crash(name)
+    group.run(0.2)
+    started = group.now
+    for name in group.nodes:
+        group.start(name)
+    _leader(group)
+    limit_s = timings.verification_timeout_s + 4 * timings.heartbeat_s
+    assert_that(group.now - started, LessThan(limit_s))
+
+
+def test_start_beside_an_unheard_leader_waits_for_its_lease() -> None:
+    """`Group` checks that there are never two leases."""
+    group = _formed(3)
+    leader = _leader(group)
+    late, other = _followers(group)
+    group.cuts = {(leader.vm, late.vm), (late.vm, leader.vm)}
+    group.crash(late.vm)
+    group.start(late.vm)
+    started = group.now
+    group.cuts |= {(leader.vm, other.vm), (other.vm, leader.vm)}
+    group.run(10, until=lambda: group.leader not in {None, leader})
+    assert_that(
+        group.now - started,
+        Not(LessThan(TIMINGS.election_timeout_s * TIMINGS.lease_fraction)),
+    )
+
+
 def test_doubled_refusals_do_not_multiply_messages() -> None:
     group = _formed(3)
     late = _followers(group)[0]
