--- a/persimmonhold/consensus/_core.py
+++ b/persimmonhold/consensus/_core.py
@@ -19,8 +19,8 @@
 
 _NONCE_BITS: Final = 48
 
-# After a start of the whole group nobody leads, and a tie costs little: no
-# vote is given for a timeout after a start anyhow.
+# After a start of the whole group nobody leads, and a tie costs little: where
+# not every voter answers, no vote is given for a timeout after a start anyhow.
 _START_SPREAD: Final = 0.3
 _RACE_S: Final = 0.1  # seconds over which candidates spread that may begin
 
--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -70,7 +70,10 @@
 
 @final
 class CopyPlanner:
-    """Plans one service whose upstreams hold models."""
+    """Plans one service whose upstreams hold models.
+
+    Without `may_evict` only free room is used: what is held may be in demand.
+    """
 
     __slots__ = (
         'domains',
@@ -101,8 +104,6 @@
         their failure domains, `use` the used share of their slots, `running`
         the requests by upstream and model; `planned` names those that have
         an order planned already, and grows with what is planned next.
-        Without `may_evict` only free room is used: what is held may be in
-        demand.
         """
         self.may_evict = True
         self.spec = spec
--- a/persimmonhold/fleet/_fleet_leader.py
+++ b/persimmonhold/fleet/_fleet_leader.py
@@ -230,7 +230,7 @@
             self._expect_done(ledger, order, spec, now)
         if verdict not in {OrderVerdict.accepted, OrderVerdict.holds}:
             self.retry_at[upstream] = now + _RETRY_S
-            ledger.evicted_from = now + _RETRY_S
+            ledger.eviction_due_at = now + _RETRY_S
         if order.adapter:
             model = spec.find(order.model)
             adapter_mb = model.adapter_mb if model else 0
@@ -348,7 +348,7 @@
     ) -> None:
         """Expect the end of an order where it can be foretold."""
         if order.kind is FleetOrderKind.evict:
-            ledger.evicted_from = now + _EVICTED_S
+            ledger.eviction_due_at = now + _EVICTED_S
             return
         loading = sum(bool(one.loading) for one in self.ledgers.values())
         model = spec.find(order.model)
--- a/persimmonhold/fleet/_upstream_ledger.py
+++ b/persimmonhold/fleet/_upstream_ledger.py
@@ -27,7 +27,8 @@
     out, and `done_at` when it is expected to be done. `reserved` names a
     model that gets the room that is being made. `is_lost` tells that another
     process answers at the address. `departed` holds the adapters of a model
-    that is taken as evicted before anything confirms it.
+    that is taken as evicted before anything confirms it, which is not done
+    before `eviction_due_at`.
     """
 
     __slots__ = (
@@ -35,7 +36,7 @@
         'born_ms',
         'departed',
         'done_at',
-        'evicted_from',
+        'eviction_due_at',
         'evicting',
         'held',
         'in_memory',
@@ -64,7 +65,7 @@
         self.in_memory: frozenset[str] = frozenset()
         self.on_disk: frozenset[str] = frozenset()
         self.done_at = math.inf
-        self.evicted_from = 0.0
+        self.eviction_due_at = 0.0
         self.is_lost = False
         self.is_settled = False
 
@@ -132,7 +133,7 @@
         Entries tell so earlier than reports of the upstream.
         """
         if self.evicting and math.isinf(self.done_at) and not is_running:
-            self.done_at = max(now, self.evicted_from)
+            self.done_at = max(now, self.eviction_due_at)
 
     def advance(self, now: float) -> None:
         """Take an order as done at its time, before a report shows it.
@@ -165,11 +166,13 @@
                 adapters.add(order.adapter)
             else:
                 adapters.discard(order.adapter)
-        elif order.kind is FleetOrderKind.load:
-            self.loading = order.model
-            self.departed = {}
         else:
-            self.evicting = order.model
+            # No order of a model is accepted while another is carried out.
+            self.departed = {}
+            if order.kind is FleetOrderKind.load:
+                self.loading = order.model
+            else:
+                self.evicting = order.model
 
     def _note_holding(self, order: FleetOrder) -> None:
         """Take that an order changed nothing.
--- a/persimmonhold/fleet/_upstream_use.py
+++ b/persimmonhold/fleet/_upstream_use.py
@@ -21,7 +21,7 @@
 _PAUSE_S: Final = 0.25  # first pause of an upstream that failed
 _MAX_PAUSE_S: Final = 2.0
 _OTHERS_STALE_S: Final = 1.0  # load of others is not believed for longer
-RECENT_S: Final = 0.25  # the longest pause that the sheets allow
+_RECENT_S: Final = 0.25  # the longest pause that the sheets allow
 _FAILURE_MEMORY: Final = 0.2  # weight of the newest attempt
 _MAX_RATIO: Final = 10.0  # one hung answer does not outweigh the rest
 _LEAST_RATIO: Final = 0.1
@@ -141,18 +141,18 @@
         return self.own_unread + self._fresh_others(now).unread_tokens
 
     def own_recent_tokens(self, now: float) -> int:
-        """Return the prompt tokens that this entry sent within `RECENT_S`."""
-        while self.sent and self.sent[0][0] <= now - RECENT_S:
+        """Return the prompt tokens that this entry sent a moment ago."""
+        while self.sent and self.sent[0][0] <= now - _RECENT_S:
             self.sent.popleft()
         return sum(tokens for _, tokens in self.sent)
 
     def recent_tokens(self, now: float) -> float:
-        """Return the prompt tokens that all entries sent within `RECENT_S`.
+        """Return the prompt tokens that all entries sent a moment ago.
 
         Those of the others are known from a while ago, and expire evenly.
         """
         age_s = now - self.others_at
-        fresh = max(0.0, 1 - age_s / RECENT_S)
+        fresh = max(0.0, 1 - age_s / _RECENT_S)
         return self.own_recent_tokens(now) + fresh * self.others.recent_tokens
 
     def is_open(self, now: float) -> bool:
--- a/tests/test_fleet_givers.py
+++ b/tests/test_fleet_givers.py
@@ -235,6 +235,36 @@
     _check_apart(orders)
 
 
+async def _restart_some(system: GivingSystem, source: random.Random) -> None:
+    """Kill control VMs, the last giver most of all, and start them again."""
+    control = system.memory.control
+    for _ in range(6):
+        await asyncio.sleep(source.uniform(0.5, 6))
+        chosen = set(source.sample(control, source.randint(0, 3)))
+        if system.orders and source.randrange(5):
+            chosen.add(system.orders[-1][1])
+        await system.kill(*chosen)
+        await asyncio.sleep(source.uniform(0.1, 4))
+        await system.restart(*source.sample(sorted(chosen), len(chosen)))
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_orders_of_givers_that_restart_keep_the_lease_apart(
+    tmp_path: Path,
+    seed: int,
+) -> None:
+    orders: Orders = []
+
+    async def scenario() -> None:
+        async with _ordering_system(tmp_path, seed, orders) as system:
+            await _restart_some(system, random.Random(seed))
+            await system.await_orders(1)
+
+    run_virtual(scenario())
+    assert_that(len(orders), GreaterThan(5))
+    _check_apart(orders)
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_a_giver_that_starts_again_goes_on_before_the_lease_ends(
     tmp_path: Path,
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -289,6 +289,31 @@
     assert_that(set(ledger.models), Equals({'m2', 'm3'}))
 
 
+def test_second_eviction_confirms_the_first() -> None:
+    ledger = UpstreamLedger('u1')
+    ledger.take_report(
+        UpstreamReport(
+            born_ms=1,
+            accepted_orders=0,
+            is_busy=False,
+            models=(HeldModel('m1', 1), HeldModel('m2', 1)),
+        ),
+    )
+    for expected, model in enumerate(('m1', 'm2')):
+        order = FleetOrder(
+            kind=FleetOrderKind.evict,
+            model=model,
+            expected=expected,
+        )
+        ledger.order_ended(order, OrderVerdict.accepted)
+        ledger.foretell_eviction(1.0, is_running=False)
+        ledger.advance(1.0)
+    load = FleetOrder(kind=FleetOrderKind.load, model='m3', expected=2)
+    ledger.order_ended(load, OrderVerdict.conflict)
+    assert_that(set(ledger.held), Equals({'m2'}))
+    assert_that(ledger.evicting, Equals('m2'))
+
+
 def test_last_copy_stays_while_requests_wait_for_it() -> None:
     fleet = Fleet(EngineModel('u1', ('m1', 'm2')))
     seen: set[str] = set()
