--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -29,11 +29,7 @@
         self.arrived[key] = self.arrived.get(key, 0) + 1
         self.tokens[key] = self.tokens.get(key, 0) + prompt
 
-    def report(
-        self,
-        dispatcher: ForwardDispatcher,
-        now: float,
-    ) -> EntryReport:
+    def report(self, dispatcher: ForwardDispatcher) -> EntryReport:
         """Return the report since the last one.
 
         A model is reported until a report has told that nothing of it runs
@@ -65,7 +61,7 @@
             term=dispatcher.term,
             number=dispatcher.number,
             sequence=self.sequence,
-            loads=_loads(dispatcher, now),
+            loads=_loads(dispatcher),
             demand=demand,
         )
 
@@ -79,16 +75,15 @@
     return running
 
 
-def _loads(dispatcher: ForwardDispatcher, now: float) -> tuple[SharedLoad, ...]:
+def _loads(dispatcher: ForwardDispatcher) -> tuple[SharedLoad, ...]:
     return tuple(
         SharedLoad(
             name,
             len(use.running),
             use.own_unread,
             use.running_by_model,
-            recent,
             use.running_adapters,
         )
         for name, use in dispatcher.chooser.uses.items()
-        if (recent := use.own_recent_tokens(now)) or use.running
+        if use.running
     )
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -91,7 +91,6 @@
         """Sum what all other entries run, by upstream."""
         running: dict[str, int] = {}
         unread: dict[str, int] = {}
-        recent: dict[str, int] = {}
         for other, loads in self.shared.items():
             if other == entry:
                 continue
@@ -99,11 +98,10 @@
                 key = load.upstream
                 running[key] = running.get(key, 0) + load.running
                 unread[key] = unread.get(key, 0) + load.unread_tokens
-                recent[key] = recent.get(key, 0) + load.recent_tokens
         return tuple(
-            SharedLoad(name, count, unread[name], recent_tokens=recent[name])
+            SharedLoad(name, count, unread[name])
             for name, count in running.items()
-            if count or recent[name]
+            if count
         )
 
     def confirmed(self, term: int) -> int:
--- a/persimmonhold/fleet/_shared_load.py
+++ b/persimmonhold/fleet/_shared_load.py
@@ -7,11 +7,10 @@
 
 @final
 class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Requests and prompt tokens at an upstream, and requests by model.
+    """Requests and unread prompt tokens at an upstream, and by model.
 
-    `unread_tokens` are of prompts that are not read yet; `recent_tokens` were
-    sent within a while (see `UpstreamUse.recent_tokens`); `adapters` are those
-    that run there, each with its model. In a report of an entry they are its own; in an update to an entry they
+    `adapters` are those that requests run with there, each with its model.
+    In a report of an entry they are its own; in an update to an entry they
     are those of all the others.
     """
 
@@ -19,5 +18,4 @@
     running: int
     unread_tokens: int
     models: tuple[tuple[str, int], ...] = ()
-    recent_tokens: int = 0
     adapters: tuple[tuple[str, str], ...] = ()
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -1,10 +1,5 @@
 """Chooses the upstream of a request among those that take it now.
 
-Answers bursts of prompts for one model: an upstream that reads prompt after
-prompt delays the events of every stream that it runs. So an entry bounds what
-is sent there to read within the longest pause that callers accept; the rest
-waits here or goes elsewhere.
-
 Invariant: an upstream that is leaving, is full or lacks the model is never
 chosen.
 """
@@ -24,11 +19,6 @@
 from persimmonhold.fleet._waiting_line import PendingRequest
 
 Choice: TypeAlias = tuple[UpstreamUse, float, bool]
-# Of the longest pause between events, for reading prompts; the rest is for the
-# steps between, and for what other entries send unseen. tests/test_fleet_load.py
-_READ_SHARE: Final = 0.64
-_MOST_COUNTED: Final = 0.4  # so that a long prompt finds an upstream too
-_MS_PER_S: Final = 1000
 _UNREAD_LIMIT_S: Final = 0.12  # reading holds up the events of all others
 _ORDER_S: Final = 0.08  # an adapter that is there saves an order
 _JITTER_S: Final = 0.04  # entries see loads of the same age and choose apart
@@ -38,21 +28,13 @@
 class UpstreamChooser:
     """What an entry believes of all upstreams, and its choices."""
 
-    __slots__ = (
-        'by_service',
-        'domain',
-        'orders_from',
-        'read_share',
-        'source',
-        'uses',
-    )
+    __slots__ = ('by_service', 'domain', 'orders_from', 'source', 'uses')
 
     def __init__(self, domain: str, source: random.Random) -> None:
         """Create the chooser of an entry that knows no upstream."""
         self.domain = domain
         self.source = source
         self.orders_from = float('-inf')
-        self.read_share = _READ_SHARE
         self.uses: dict[str, UpstreamUse] = {}
         self.by_service: dict[str, list[UpstreamUse]] = {}
 
@@ -171,25 +153,7 @@
         if use.find(pending.ticket.profile.model, now) is None:
             return False
         unread_s = use.unread_total(now) / PROMPT_TOKENS_PER_S
-        return not running or (
-            unread_s < _UNREAD_LIMIT_S
-            and self._leaves_pauses(use, pending, now)
-        )
-
-    def _leaves_pauses(
-        self,
-        use: UpstreamUse,
-        pending: PendingRequest,
-        now: float,
-    ) -> bool:
-        """Tell whether reading the prompt lets the streams there go on."""
-        pause_s = pending.ticket.route.max_gap_ms / _MS_PER_S
-        if not pause_s:
-            return True
-        recent_s = use.recent_tokens(now) / PROMPT_TOKENS_PER_S
-        read_s = pending.ticket.profile.prompt_tokens / PROMPT_TOKENS_PER_S
-        counted_s = min(_MOST_COUNTED * pause_s, read_s)
-        return recent_s + counted_s <= self.read_share * pause_s
+        return not running or unread_s < _UNREAD_LIMIT_S
 
     def _needs_adapter(
         self,
--- a/persimmonhold/fleet/_upstream_use.py
+++ b/persimmonhold/fleet/_upstream_use.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections import deque
 from typing import Final, final
 
 from persimmonhold.fleet._attempt_end import AttemptEnd
@@ -21,7 +20,6 @@
 _PAUSE_S: Final = 0.25  # first pause of an upstream that failed
 _MAX_PAUSE_S: Final = 2.0
 _OTHERS_STALE_S: Final = 1.0  # load of others is not believed for longer
-_RECENT_S: Final = 0.25  # the longest pause that the sheets allow
 _FAILURE_MEMORY: Final = 0.2  # weight of the newest attempt
 _MAX_RATIO: Final = 10.0  # one hung answer does not outweigh the rest
 _LEAST_RATIO: Final = 0.1
@@ -73,7 +71,6 @@
         'paused_until',
         'residence_s',
         'running',
-        'sent',
         'slowness',
     )
 
@@ -81,7 +78,6 @@
         """Create the use of an upstream that was never used."""
         self.facts = facts
         self.running: dict[int, RunningRequest] = {}
-        self.sent: deque[tuple[float, int]] = deque()
         self.adapters: dict[tuple[str, str], float] = {}
         self.failing = 0.0
         self.full_until = -math.inf
@@ -140,21 +136,6 @@
         """Return the believed number of prompt tokens not read yet."""
         return self.own_unread + self._fresh_others(now).unread_tokens
 
-    def own_recent_tokens(self, now: float) -> int:
-        """Return the prompt tokens that this entry sent a moment ago."""
-        while self.sent and self.sent[0][0] <= now - _RECENT_S:
-            self.sent.popleft()
-        return sum(tokens for _, tokens in self.sent)
-
-    def recent_tokens(self, now: float) -> float:
-        """Return the prompt tokens that all entries sent a moment ago.
-
-        Those of the others are known from a while ago, and expire evenly.
-        """
-        age_s = now - self.others_at
-        fresh = max(0.0, 1 - age_s / _RECENT_S)
-        return self.own_recent_tokens(now) + fresh * self.others.recent_tokens
-
     def is_open(self, now: float) -> bool:
         """Tell whether the upstream may be given new requests."""
         if self.facts.is_leaving or now < self.paused_until:
@@ -188,7 +169,6 @@
     ) -> None:
         """Count an attempt that starts."""
         profile = ticket.profile
-        self.sent.append((now, profile.prompt_tokens))
         self.running[ticket.number] = RunningRequest(
             profile,
             now,
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -92,7 +92,7 @@
 
     def report(self) -> EntryReport:
         """Return what to report since the last call."""
-        return self.meter.report(self.dispatcher, self.clock())
+        return self.meter.report(self.dispatcher)
 
     def close(self) -> None:
         """Stop the timer."""
--- a/tests/engine_load.py
+++ b/tests/engine_load.py
@@ -143,7 +143,7 @@
     def _share(self, now: float) -> None:
         self.updates += 1
         for number, entry in enumerate(self.entries):
-            report = self.meters[number].report(entry, now)
+            report = self.meters[number].report(entry)
             self.demand.take_entry_report(f'e{number}', report, now)
         facts = [make_facts(name, slots=24) for name in self.engines]
         for number, entry in enumerate(self.entries):
