--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -24,6 +24,7 @@
     MachineLimits,
     PutEntry,
     RecordCopy,
+    RecordOrderGiver,
     RegisterVm,
     ViewState,
     verify_history,
@@ -422,6 +423,12 @@
         command = RecordCopy(at_ms=self.now_ms, copy=copy, gone=gone)
         self._apply(command)
 
+    @rule(vm=_VMS)
+    def give_orders(self, vm: str) -> None:
+        """Name the VM that gives orders."""
+        self._apply(RecordOrderGiver(at_ms=self.now_ms, vm=vm))
+        assert_that(self.steady.machine.state.order_giver, Equals(vm))
+
     @rule(request=_KEYS, key=_KEYS, vm=_VMS, incarnation=_KEYS)
     def claim(
         self,
