--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -496,6 +496,27 @@
         assert_that(in_window, LessThan(rate * 5 * 1.1 + 3))
 
 
+@pytest.mark.parametrize('rate', [2.9, 16.0])
+@given(steps=st.lists(st.tuples(st.floats(0, 0.6), st.integers(0, 9))))
+def test_loads_keep_to_the_ceiling_over_changes_of_the_giver(
+    rate: float,
+    steps: list[tuple[float, int]],
+) -> None:
+    """Also where the next one begins at once."""
+    pacer = StorePacer(0.0)
+    began: list[float] = []
+    now = 0.0
+    for elapsed_s, luck in steps:
+        now += elapsed_s
+        if luck == 0:
+            pacer = StorePacer(now)
+        while pacer.may_begin(rate, now):
+            pacer.begin()
+            began.append(now)
+        in_window = sum(at > now - 5 for at in began)
+        assert_that(in_window, LessThan(rate * 5 * 1.1 + 3))
+
+
 def test_foretold_load_ends_the_reservation_of_its_room() -> None:
     ledger = UpstreamLedger('u1')
     report = UpstreamReport(
