One loop for the steps of a turn; a check that stood twice; a counter nobody read

Found on reading the whole change. OrderTurn repeated a loop for the read of the log and for the record, and computed the end of the lease a second time; EventRelay counted events for nobody; Core.forget_promise had a check of its own beside is_bound_by_start, which let a late answer to the start shorten an election that was under way. Orders, elections and logs are as before otherwise.

Checked: linters, types, tests of the fleet, consensus and its faulty group.

--- a/persimmonhold/consensus/_core.py
+++ b/persimmonhold/consensus/_core.py
@@ -178,9 +178,9 @@
     def forget_promise(self, now: float) -> None:
         """Vote, and ask for votes, at once: no leader can have a lease.
 
-        Nothing changes once a leader was heard since the start.
+        Nothing changes where something else than the start forbids it.
         """
-        if self.heard_at > self.started_at:
+        if not self.is_bound_by_start(now):
             return
         self.heard_at = float('-inf')
         self.election_at = min(
--- a/persimmonhold/forwarding/_event_relay.py
+++ b/persimmonhold/forwarding/_event_relay.py
@@ -17,13 +17,12 @@
     `last_id` is the id of the last event that was returned.
     """
 
-    __slots__ = ('events', 'last_id', 'partial')
+    __slots__ = ('last_id', 'partial')
 
     def __init__(self) -> None:
         """Create a relay at the start of a stream."""
         self.partial = b''
         self.last_id = ''
-        self.events = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole events that a read has completed."""
@@ -34,7 +33,6 @@
             return b''
         whole = received[: end + len(_END)]
         self.partial = received[end + len(_END) :]
-        self.events += whole.count(_END)
         self._note_last(whole)
         return whole
 
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -182,7 +182,7 @@
 
     async def _take_turn(self, leader: FleetLeader) -> None:
         """Let a term give orders as soon as no other VM can."""
-        if await self.turns.wait(leader.term):
+        if await self.turns.wait(leader.term, leader.orders_from):
             leader.take_turn(self.clock())
             self.plan_at = 0.0
             self.woken.set()
--- a/persimmonhold/forwarding/_order_turn.py
+++ b/persimmonhold/forwarding/_order_turn.py
@@ -8,15 +8,18 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, final
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeAlias, final
 
 from returns.result import Failure as Failed
+from returns.result import Result
 
-from persimmonhold.control.machine import RecordOrderGiver
+from persimmonhold.control.machine import CommandResult, RecordOrderGiver
 from persimmonhold.control.shell import ControlNode
+from persimmonhold.failures import Failure
 from persimmonhold.observability import log_event
 
+_Step: TypeAlias = Callable[[], Awaitable[Result[Any, Failure]]]
 _LEASE_MARGIN_S: Final = 0.4  # an order is given up after 0.25 s
 _RETRY_S: Final = 0.05  # a commit takes a few ms
 _POLL_S: Final = 0.1  # a VM that starts is heard of within a heartbeat
@@ -52,20 +55,19 @@
         """Return by when a term that begins now gives orders at the latest."""
         return self.clock() + self.lease_s + _LEASE_MARGIN_S
 
-    async def wait(self, term: int) -> bool:
+    async def wait(self, term: int, latest: float) -> bool:
         """Return True once orders of this VM may begin in a term.
 
-        Returns False where the term is over: another VM may have given
-        orders since.
+        `latest` is what `expected_at` told when the term began. Returns False
+        where the term is over: another VM may have given orders since.
         """
         began_at = self.clock()
-        latest = self.expected_at()
-        if not await self._read_log(term):
+        if not await self._until_done(term, self.node.read_barrier):
             return False
         giver = self.node.state.order_giver
         if giver != self.name:
             await self._wait_for_lease(giver, began_at, latest)
-            if not await self._record(term):
+            if not await self._until_done(term, self._record):
                 return False
         log_event(
             'order_turn',
@@ -75,25 +77,18 @@
         )
         return True
 
-    async def _read_log(self, term: int) -> bool:
-        """Wait until all that earlier terms committed is applied."""
+    async def _until_done(self, term: int, step: _Step) -> bool:
+        """Repeat a step of the log until it is done, or the term is over."""
         while self.node.term == term:
-            if not isinstance(await self.node.read_barrier(), Failed):
+            if not isinstance(await step(), Failed):
                 return True
             await asyncio.sleep(_RETRY_S)
         return False
 
-    async def _record(self, term: int) -> bool:
-        """Have this VM named in the log, within its term."""
-        while self.node.term == term:
-            command = RecordOrderGiver(
-                at_ms=self.node.now_ms(),
-                vm=self.name,
-            )
-            if not isinstance(await self.node.propose(command), Failed):
-                return True
-            await asyncio.sleep(_RETRY_S)
-        return False
+    async def _record(self) -> Result[CommandResult, Failure]:
+        """Have this VM named in the log."""
+        command = RecordOrderGiver(at_ms=self.node.now_ms(), vm=self.name)
+        return await self.node.propose(command)
 
     async def _wait_for_lease(
         self,
