--- a/tests/test_fleet_givers.py
+++ b/tests/test_fleet_givers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import TypeAlias
@@ -218,21 +218,34 @@
         await asyncio.gather(asks, return_exceptions=True)
 
 
+def _play(
+    directory: Path,
+    seed: int,
+    scenario: Callable[[GivingSystem], Awaitable[None]],
+) -> Orders:
+    """Play a scenario; return the orders, whose givers kept the lease apart."""
+    orders: Orders = []
+
+    async def play() -> None:
+        async with _ordering_system(directory, seed, orders) as system:
+            await scenario(system)
+
+    run_virtual(play())
+    _check_apart(orders)
+    return orders
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_orders_of_two_givers_keep_the_lease_apart(
     tmp_path: Path,
     seed: int,
 ) -> None:
-    orders: Orders = []
+    async def scenario(system: GivingSystem) -> None:
+        await _disturb(system.memory, random.Random(seed))
+        await asyncio.sleep(8)
 
-    async def scenario() -> None:
-        async with _ordering_system(tmp_path, seed, orders) as system:
-            await _disturb(system.memory, random.Random(seed))
-            await asyncio.sleep(8)
-
-    run_virtual(scenario())
+    orders = _play(tmp_path, seed, scenario)
     assert_that(len(orders), GreaterThan(10))
-    _check_apart(orders)
 
 
 async def _restart_some(system: GivingSystem, source: random.Random) -> None:
@@ -253,16 +266,12 @@
     tmp_path: Path,
     seed: int,
 ) -> None:
-    orders: Orders = []
-
-    async def scenario() -> None:
-        async with _ordering_system(tmp_path, seed, orders) as system:
-            await _restart_some(system, random.Random(seed))
-            await system.await_orders(1)
+    async def scenario(system: GivingSystem) -> None:
+        await _restart_some(system, random.Random(seed))
+        await system.await_orders(1)
 
-    run_virtual(scenario())
+    orders = _play(tmp_path, seed, scenario)
     assert_that(len(orders), GreaterThan(5))
-    _check_apart(orders)
 
 
 @pytest.mark.parametrize('kills_all', [False, True])
@@ -272,23 +281,19 @@
     seed: int,
     kills_all: bool,
 ) -> None:
-    orders: Orders = []
-
-    async def scenario() -> None:
-        async with _ordering_system(tmp_path, seed, orders) as system:
-            await system.await_orders(3)
-            killed_at, giver, _ = orders[-1]
-            killed = system.memory.control if kills_all else (giver,)
-            await system.kill(*killed)
-            await asyncio.sleep(0.5)
-            await system.restart(*killed)
-            await system.await_orders(1)
-            assert_that(orders[-1][1], Equals(giver))
-            assert_that(orders[-1][0] - killed_at, LessThan(_LEASE_S))
-            await system.await_orders(3)
-
-    run_virtual(scenario())
-    _check_apart(orders)
+    async def scenario(system: GivingSystem) -> None:
+        await system.await_orders(3)
+        killed_at, giver, _ = system.orders[-1]
+        killed = system.memory.control if kills_all else (giver,)
+        await system.kill(*killed)
+        await asyncio.sleep(0.5)
+        await system.restart(*killed)
+        await system.await_orders(1)
+        assert_that(system.orders[-1][1], Equals(giver))
+        assert_that(system.orders[-1][0] - killed_at, LessThan(_LEASE_S))
+        await system.await_orders(3)
+
+    _play(tmp_path, seed, scenario)
 
 
 def test_the_last_giver_outlives_a_snapshot() -> None:
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -186,6 +186,23 @@
             self.now,
         )
 
+    def ask_adapter(
+        self,
+        number: int,
+        adapter: str,
+        model: str = 'm1',
+        upstream: str = 'u1',
+    ) -> None:
+        """Ask for an adapter in the name of an entry."""
+        request = AdapterRequest(
+            request_id=number,
+            service='models',
+            upstream=upstream,
+            model=model,
+            adapter=adapter,
+        )
+        self.leader.ask_adapter('e1', request, self.now)
+
     def run(
         self,
         upstream: str,
@@ -355,14 +372,8 @@
         if source.randrange(20) == 0:
             fleet.leader = fleet.new_leader()
         upstream = source.choice(('u1', 'u2', 'u3'))
-        request = AdapterRequest(
-            request_id=1,
-            service='models',
-            upstream=upstream,
-            model=model,
-            adapter=f'a{source.randint(1, 4)}',
-        )
-        fleet.leader.ask_adapter('e1', request, fleet.now)
+        adapter = f'a{source.randint(1, 4)}'
+        fleet.ask_adapter(1, adapter, model, upstream)
         fleet.step(source.choice((0.05, 0.1, 0.4)), loss)
         for engine in fleet.engines.values():
             assert_that(engine.crashed, Equals(False))
@@ -394,14 +405,7 @@
     fleet = Fleet(EngineModel('u1', ('m1',)))
     for number, adapter in enumerate(('a1', 'a2', 'a1', 'a3')):
         fleet.step()
-        request = AdapterRequest(
-            request_id=number,
-            service='models',
-            upstream='u1',
-            model='m1',
-            adapter=adapter,
-        )
-        fleet.leader.ask_adapter('e1', request, fleet.now)
+        fleet.ask_adapter(number, adapter)
         for _ in range(5):
             fleet.step(0.05)
     assert_that(fleet.engines['u1'].held['m1'], Equals({'a1', 'a3'}))
@@ -413,17 +417,7 @@
     fleet = Fleet(EngineModel('u1', ('m1',)))
     for number, adapter in enumerate(('a1', 'a2', 'a3')):
         fleet.step()
-        fleet.leader.ask_adapter(
-            'e1',
-            AdapterRequest(
-                request_id=number,
-                service='models',
-                upstream='u1',
-                model='m1',
-                adapter=adapter,
-            ),
-            fleet.now,
-        )
+        fleet.ask_adapter(number, adapter)
         for _ in range(6):
             fleet.run('u1', 'm1', 1, ('a1',))
             fleet.step(0.05)
@@ -484,16 +478,7 @@
     rate: float,
     steps: list[float],
 ) -> None:
-    pacer = StorePacer(0.0)
-    began: list[float] = []
-    now = 0.0
-    for elapsed_s in steps:
-        now += elapsed_s
-        while pacer.may_begin(rate, now):
-            pacer.begin()
-            began.append(now)
-        in_window = sum(at > now - 5 for at in began)
-        assert_that(in_window, LessThan(rate * 5 * 1.1 + 3))
+    _check_ceiling(rate, [(elapsed_s, False) for elapsed_s in steps])
 
 
 @pytest.mark.parametrize('rate', [2.9, 16.0])
@@ -503,12 +488,17 @@
     steps: list[tuple[float, int]],
 ) -> None:
     """Also where the next one begins at once."""
+    _check_ceiling(rate, [(elapsed_s, luck == 0) for elapsed_s, luck in steps])
+
+
+def _check_ceiling(rate: float, steps: list[tuple[float, bool]]) -> None:
+    """Begin all loads that may; each step tells whether the giver changes."""
     pacer = StorePacer(0.0)
     began: list[float] = []
     now = 0.0
-    for elapsed_s, luck in steps:
+    for elapsed_s, changes in steps:
         now += elapsed_s
-        if luck == 0:
+        if changes:
             pacer = StorePacer(now)
         while pacer.may_begin(rate, now):
             pacer.begin()
