Log bytes by channel, controller work and the age of an entry's view

The logs could not tell whether links, the controller's loop or late views were behind it.

Added, with no change of a decision: a line `usage` of every VM every 2 s (bytes by channel, processor time, delay of the loop), `fleet_work` of the fleet controller (planning, updates, reports), `fleet_view` of each entry (updates applied, longest gap, queue); persimmonhold_control_bytes_total by channel.

--- a/bench/memory_network.py
+++ b/bench/memory_network.py
@@ -27,7 +27,7 @@
 
     def send(self, peer: str, channel: Channel, payload: bytes) -> None:
         """Count a message and send it over the network."""
-        self.counts.count_sent(len(payload) + _HEADER_BYTES)
+        self.counts.count_sent(channel, len(payload) + _HEADER_BYTES)
         self._network.send(self.name, peer, channel, payload)
 
     def set_receiver(self, channel: Channel, receiver: Receiver) -> None:
@@ -106,7 +106,7 @@
         transport = self.transports.get(peer)
         if transport is None or not self.can_reach(source, peer):
             return
-        transport.counts.count_received(len(payload) + _HEADER_BYTES)
+        transport.counts.count_received(channel, len(payload) + _HEADER_BYTES)
         receiver = transport.receivers.get(channel)
         if receiver is not None:
             receiver(source, payload)
--- a/persimmonhold/control/shell/_control_metrics.py
+++ b/persimmonhold/control/shell/_control_metrics.py
@@ -4,7 +4,7 @@
 
 from persimmonhold.membership import VmAgent
 from persimmonhold.observability import Metrics, MetricSpec, metric
-from persimmonhold.transport import TrafficCounters
+from persimmonhold.transport import Channel, TrafficCounters
 
 
 @final
@@ -25,16 +25,17 @@
         self._add_increase(metric.STALE_VIEWS, agent.updater.stale_view_count)
         self._add_increase(metric.DIVERGED_VIEWS, agent.diverged_view_count)
         self._add_increase(metric.DROPPED_MESSAGES, counts.dropped_messages)
-        self._add_increase(
-            metric.CONTROL_BYTES,
-            counts.sent_bytes,
-            direction='sent',
-        )
-        self._add_increase(
-            metric.CONTROL_BYTES,
-            counts.received_bytes,
-            direction='received',
-        )
+        self._add_bytes(counts.sent_bytes_by_channel, 'sent')
+        self._add_bytes(counts.received_bytes_by_channel, 'received')
+
+    def _add_bytes(self, totals: dict[Channel, int], direction: str) -> None:
+        for channel, total in totals.items():
+            self._add_increase(
+                metric.CONTROL_BYTES,
+                total,
+                direction=direction,
+                channel=channel.name,
+            )
 
     def _add_increase(
         self, spec: MetricSpec, total: int, **labels: str
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -22,6 +22,7 @@
     OrderVerdict,
     PlannedOrder,
 )
+from persimmonhold.forwarding._fleet_work_log import FleetWorkLog
 from persimmonhold.forwarding._order_lease import OrderLease
 from persimmonhold.forwarding._upstream_client import UpstreamClient
 from persimmonhold.observability import LogLevel, log_event
@@ -99,6 +100,7 @@
         'term_started',
         'transport',
         'upstream_client',
+        'work_log',
     )
 
     def __init__(
@@ -123,6 +125,7 @@
         self.plan_wakeup = asyncio.Event()
         self.term_started = asyncio.Event()
         self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
+        self.work_log = FleetWorkLog(clock())
         transport.set_receiver(Channel.fleet, self.handle_message)
 
     async def run(self) -> None:
@@ -154,6 +157,7 @@
             log_event('bad_message', LogLevel.warning, error=str(error))
             return
         if isinstance(message, EntryReport):
+            self.work_log.report_count += 1
             term.controller.demand.record_report(peer, message, self.clock())
             if term.controller.has_unmet_demand(message):
                 self.next_plan_at = 0.0
@@ -175,6 +179,8 @@
             if self.term is not None and is_due:
                 self.next_plan_at = now + _PLAN_INTERVAL_S
                 self._plan_orders(self.term, now)
+                self.work_log.record_plan(self.clock() - now)
+                self.work_log.log_if_due(now)
             if self.term is not None:
                 self._send_due_replies(self.term, now)
             await self._wait_until_due()
@@ -401,6 +407,7 @@
             if update is not None:
                 encoded = msgspec.msgpack.encode(update)
                 self.transport.send(entry, Channel.fleet, encoded)
+                self.work_log.record_update(len(encoded))
 
     def _list_entries(self) -> tuple[str, ...]:
         """Return the names of the VMs that serve callers."""
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -18,6 +18,7 @@
     ForwardAction,
     ForwardDispatcher,
 )
+from persimmonhold.forwarding._fleet_view_log import FleetViewLog
 
 
 @final
@@ -35,6 +36,7 @@
         'request_numbers',
         'request_waiting',
         'timer',
+        'view_log',
         'waiters',
     )
 
@@ -51,6 +53,7 @@
         self.request_numbers = itertools.count(1)
         self.waiters: dict[int, asyncio.Future[ForwardAction]] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.view_log = FleetViewLog(clock())
 
     def submit_request(
         self, dispatch_request: DispatchRequest
@@ -102,10 +105,14 @@
 
     def apply_update(self, update: FleetUpdate) -> None:
         """Apply new facts about the upstreams and dispatch requests."""
-        self._deliver(self.dispatcher.apply_update(update, self.clock()))
+        now = self.clock()
+        self._deliver(self.dispatcher.apply_update(update, now))
+        is_applied = self.dispatcher.sequence == update.sequence
+        self.view_log.record_update(now, is_applied=is_applied)
 
     def build_report(self) -> EntryReport:
         """Return a report of the load, and the demand since the last call."""
+        self.view_log.log_if_due(self.dispatcher, self.clock())
         return self.demand_meter.build_report(self.dispatcher)
 
     def close(self) -> None:
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -73,8 +73,8 @@
 CONTROL_BYTES: Final = MetricSpec(
     name='persimmonhold_control_bytes_total',
     kind=MetricKind.counter,
-    help_text='Bytes of control messages by direction.',
-    labels=('direction',),
+    help_text='Bytes of messages between VMs by direction and channel.',
+    labels=('direction', 'channel'),
 )
 PROCESS_CPU: Final = MetricSpec(
     name='persimmonhold_process_cpu_seconds',
--- a/persimmonhold/system/_base_vm.py
+++ b/persimmonhold/system/_base_vm.py
@@ -27,6 +27,7 @@
 from persimmonhold.system._control_role import ControlRole
 from persimmonhold.system._leader_work import LeaderWork
 from persimmonhold.system._metrics_handler import MetricsHandler
+from persimmonhold.system._usage_log import UsageLog
 from persimmonhold.system._vm_record import create_vm_record
 from persimmonhold.tasks import BackgroundTasks
 from persimmonhold.transport import NngTransport
@@ -146,13 +147,17 @@
             await stack.enter_async_context(server)
 
     async def _update_metrics(self) -> None:
-        """Copy the counters of agent and transport to the metrics, forever."""
+        """Copy counters to the metrics and the log until cancelled."""
+        counters = self.transport.traffic_counters
         control_metrics = ControlMetrics(self.metrics)
+        usage_log = UsageLog(counters, boot_clock())
         while True:
-            control_metrics.update(
-                self.vm.agent, self.transport.traffic_counters
-            )
+            control_metrics.update(self.vm.agent, counters)
+            slept_at = boot_clock()
             await asyncio.sleep(_METRICS_INTERVAL_S)
+            now = boot_clock()
+            usage_log.record_loop_delay(now - slept_at - _METRICS_INTERVAL_S)
+            usage_log.log_if_due(now)
 
 
 async def wait_for_failure(failed: asyncio.Event) -> None:
--- a/persimmonhold/transport/_nng_transport.py
+++ b/persimmonhold/transport/_nng_transport.py
@@ -126,7 +126,7 @@
             return
         message = self._envelope_heads[channel] + payload
         if self._get_or_open_socket(peer, address).send(message):
-            self.traffic_counters.count_sent(len(message))
+            self.traffic_counters.count_sent(channel, len(message))
         else:
             self.traffic_counters.dropped_messages += 1
 
@@ -209,11 +209,11 @@
             self._dispatch_message(received)
 
     def _dispatch_message(self, received: bytes) -> None:
-        self.traffic_counters.count_received(len(received))
         envelope = decode_envelope(received)
         if envelope is None:
             self.traffic_counters.dropped_messages += 1
             return
+        self.traffic_counters.count_received(envelope.channel, len(received))
         self._learn_address(envelope.sender, envelope.sender_address)
         if envelope.channel is Channel.probe:
             self._handle_probe(envelope)
--- a/tests/test_control_vms.py
+++ b/tests/test_control_vms.py
@@ -143,6 +143,7 @@
         counted = vms['vm4'].metrics.counter_value(
             metric.CONTROL_BYTES,
             direction='sent',
+            channel='dissemination',
         )
         assert_that(counted > 0, Equals(True))
         for stack in stacks.values():
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -187,6 +187,11 @@
             assert_that(inbox.received, Equals([('vm2', b'question')]))
             assert_that(one.traffic_counters.sent_messages, Equals(2))
             assert_that(two.traffic_counters.received_messages, Equals(2))
+            for channel in (Channel.consensus, Channel.control):
+                sent = one.traffic_counters.sent_bytes_by_channel[channel]
+                received = two.traffic_counters.received_bytes_by_channel
+                assert_that(sent, GreaterThan(0))
+                assert_that(received[channel], Equals(sent))
 
     _run(scenario)
 
