Announce routing documents; each VM pulls one once

Cause: a change was pushed whole to five VMs by every VM, and again to each VM whose heartbeat showed an older view. A document of 78 kB reached an entry five times and more; an entry's link carries 625 kB a second. Bytes per change grew with the size of the document times the fanout.

Evidence: `usage` shows 212 to 446 kB/s of dissemination received by the average entry over two seconds, 778 kB/s by the worst one, and next to none without a change. Ruled out: the updates of the fleet controller (25 to 63 kB/s there).

Documents that a later change of the same answer replaces are left out.

A second test loses both announcers.

--- a/persimmonhold/membership/__init__.py
+++ b/persimmonhold/membership/__init__.py
@@ -9,6 +9,7 @@
     Pull,
     Send,
     SnapshotPart,
+    ViewAnnouncement,
     ViewChanges,
 )
 from persimmonhold.membership._proof_table import ProofTable, majority_size
@@ -25,6 +26,7 @@
     'Pull',
     'Send',
     'SnapshotPart',
+    'ViewAnnouncement',
     'ViewChanges',
     'ViewUpdater',
     'VmAgent',
--- a/persimmonhold/membership/_messages.py
+++ b/persimmonhold/membership/_messages.py
@@ -81,11 +81,27 @@
     tag='view_changes',
     array_like=True,
 ):
-    """Consecutive changes of the view, pushed or in answer to a pull."""
+    """Consecutive changes of the view, pushed or in answer to a pull.
+
+    A routing document that a later change of the message replaces is left out.
+    """
 
     changes: tuple[ViewChange, ...]
 
 
+@final
+class ViewAnnouncement(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='view_announcement',
+    array_like=True,
+):
+    """States that the sender's view is at `index`, so that others pull it."""
+
+    index: int
+
+
 @final
 class SnapshotPart(
     msgspec.Struct,
@@ -103,7 +119,12 @@
 
 
 AgentMessage: TypeAlias = (
-    Heartbeat | HeartbeatAnswer | Pull | ViewChanges | SnapshotPart
+    Heartbeat
+    | HeartbeatAnswer
+    | Pull
+    | ViewChanges
+    | ViewAnnouncement
+    | SnapshotPart
 )
 
 
--- a/persimmonhold/membership/_view_server.py
+++ b/persimmonhold/membership/_view_server.py
@@ -10,6 +10,7 @@
     SnapshotPart,
     ViewChanges,
 )
+from persimmonhold.messages import ViewChange
 
 # Up to this many changes are sent as changes, not as a snapshot, however
 # small the view is.
@@ -41,7 +42,7 @@
             if changes is not None and self._is_cheaper_than_snapshot(
                 len(changes)
             ):
-                return ViewChanges(changes=changes)
+                return ViewChanges(changes=_drop_replaced_documents(changes))
         return self._build_snapshot_part(pull)
 
     def _is_cheaper_than_snapshot(self, change_count: int) -> bool:
@@ -70,3 +71,19 @@
             part_count=-(-len(self._encoded_snapshot) // self._part_bytes),
             payload=self._encoded_snapshot[start : start + self._part_bytes],
         )
+
+
+def _drop_replaced_documents(
+    changes: tuple[ViewChange, ...],
+) -> tuple[ViewChange, ...]:
+    """Return the changes with only the last of their routing documents."""
+    newest = max(
+        (change.index for change in changes if change.routes is not None),
+        default=0,
+    )
+    return tuple(
+        change
+        if change.index >= newest
+        else msgspec.structs.replace(change, routes=None)
+        for change in changes
+    )
--- a/persimmonhold/membership/_vm_agent.py
+++ b/persimmonhold/membership/_vm_agent.py
@@ -5,7 +5,9 @@
 that the sender has. From a VM that turns out to have a newer view, the VM
 pulls the changes that it lacks. New changes are pushed to a few random VMs,
 so a change reaches all VMs in about as many steps as the logarithm of their
-number; heartbeats detect and repair lost pushes.
+number; heartbeats detect and repair lost pushes. A routing document is too
+large to be received from several VMs: it is announced, and each VM pulls it
+from one of those that announced it.
 
 Invariant: proofs of a VM with a newer view are accepted only after that view.
 """
@@ -22,6 +24,7 @@
     Pull,
     Send,
     SnapshotPart,
+    ViewAnnouncement,
     ViewChanges,
 )
 from persimmonhold.membership._proof_table import (
@@ -32,6 +35,7 @@
 )
 from persimmonhold.membership._view_server import ViewServer
 from persimmonhold.membership._view_updater import ViewUpdater
+from persimmonhold.messages import ViewChange
 
 # Number of changes kept for VMs that lag behind. A VM that lags further
 # pulls a whole snapshot.
@@ -42,6 +46,7 @@
 class VmAgent:
     """The state machine of membership and dissemination at one VM.
 
+    `announced` maps VMs that have a newer view to its index.
     `view` is the newest control view that this VM has, `registered_names` are
     the VMs registered in it, in order. `leader` names the last known control
     leader. `diverged_view_count` counts answers whose view has the index of
@@ -54,6 +59,7 @@
         '_next_heartbeat_at',
         '_rng',
         '_view_server',
+        'announced',
         'diverged_view_count',
         'leader',
         'name',
@@ -81,6 +87,7 @@
         self.registered_names: tuple[str, ...] = ()
         self.leader = ''
         self.diverged_view_count = 0
+        self.announced: dict[str, int] = {}
         self._view_server = ViewServer(self.view, timings.snapshot_part_bytes)
         self._control_vms = control_vms
         self._configured_control_vms = control_vms
@@ -96,9 +103,10 @@
         return self.proofs.live_vms(now, self.view.vms)
 
     def tick(self, now: float) -> tuple[Send, ...]:
-        """Return the heartbeats to send, or none before the next is due."""
+        """Return the heartbeats and the repeated pull that are due."""
+        pull = self._pull_announced(now)
         if now < self._next_heartbeat_at:
-            return ()
+            return pull
         interval_s = self.timings.heartbeat_interval_s_for(
             len(self.registered_names)
         )
@@ -106,9 +114,8 @@
             interval_s = self.timings.joining_interval_s
         self._next_heartbeat_at = now + interval_s
         heartbeat = Heartbeat(sent_at=now, index=self.view.index)
-        return tuple(
-            Send(peer, heartbeat) for peer in self._choose_heartbeat_peers()
-        )
+        peers = self._choose_heartbeat_peers()
+        return (*pull, *(Send(peer, heartbeat) for peer in peers))
 
     def receive(
         self,
@@ -132,6 +139,8 @@
                 return () if response is None else (Send(peer, response),)
             case ViewChanges():
                 return self._handle_changes(now, peer, message)
+            case ViewAnnouncement():
+                return self._pull_if_behind(now, peer, message)
             case SnapshotPart():
                 return self._handle_snapshot_part(now, peer, message)
 
@@ -140,7 +149,8 @@
     ) -> tuple[Send, ...]:
         """Apply the view of the control replica of this process, if newer.
 
-        Returns the messages that push the new changes to up to `fanout` VMs.
+        Returns the messages that push or announce the new changes to up to
+        `fanout` VMs.
         """
         if control_view.index <= self.view.index:
             return ()
@@ -156,7 +166,7 @@
             # A starting replica replays its log; the other VMs mostly hold
             # these changes and pull what they lack.
             return ()
-        return self._push_changes(ViewChanges(changes=changes), fanout)
+        return self._push_changes(changes, fanout)
 
     def record_control_proof(self, proven_at: float, index: int) -> bool:
         """Record that control had no view newer than `index` at `proven_at`.
@@ -245,25 +255,40 @@
     ) -> tuple[Send, ...]:
         """Push the changes that `peer` lacks, or pull if its view is newer.
 
-        Nothing is pushed if it lacks too many.
+        Nothing is pushed if it lacks too many, or a routing document; the
+        answer to its heartbeat makes it pull them.
         """
         if heartbeat.index >= self.view.index:
             return self._pull_if_behind(now, peer, heartbeat)
         changes = self.view.changes_since(heartbeat.index)
         if changes is None or len(changes) > self.timings.max_pushed_changes:
             return ()
+        if _has_document(changes):
+            return ()
         return (Send(peer, ViewChanges(changes=changes)),)
 
     def _pull_if_behind(
         self,
         now: float,
         peer: str,
-        message: Heartbeat | HeartbeatAnswer,
+        message: Heartbeat | HeartbeatAnswer | ViewAnnouncement,
     ) -> tuple[Send, ...]:
         if message.index <= self.view.index:
             return ()
+        self.announced[peer] = message.index
         return self._start_pull(now, peer)
 
+    def _pull_announced(self, now: float) -> tuple[Send, ...]:
+        """Pull from a random VM that has a newer view, if one is known."""
+        self.announced = {
+            peer: index
+            for peer, index in self.announced.items()
+            if index > self.view.index
+        }
+        if not self.announced:
+            return ()
+        return self._start_pull(now, self._rng.choice(list(self.announced)))
+
     def _start_pull(self, now: float, peer: str) -> tuple[Send, ...]:
         pull = self.updater.start_pull(now, peer)
         return () if pull is None else (Send(peer, pull),)
@@ -274,7 +299,7 @@
         peer: str,
         message: ViewChanges,
     ) -> tuple[Send, ...]:
-        """Apply changes; push the new ones on, or pull if some are missing."""
+        """Apply changes and pass them on; pull those that are missing."""
         before = self.view.index
         has_gap = self.updater.apply_changes(message)
         if has_gap:
@@ -285,11 +310,9 @@
         new_changes = tuple(
             change for change in message.changes if change.index > before
         )
-        return self._push_changes(
-            ViewChanges(changes=new_changes),
-            self.timings.push_fanout_for(len(self.registered_names)),
-            peer,
-        )
+        fanout = self.timings.push_fanout_for(len(self.registered_names))
+        pushes = self._push_changes(new_changes, fanout, peer)
+        return (*self._pull_announced(now), *pushes)
 
     def _handle_snapshot_part(
         self,
@@ -299,14 +322,20 @@
     ) -> tuple[Send, ...]:
         pull = self.updater.add_snapshot_part(now, peer, message)
         self._update_registered_names()
-        return () if pull is None else (Send(peer, pull),)
+        if pull is None:
+            return self._pull_announced(now)
+        return (Send(peer, pull),)
 
     def _push_changes(
         self,
-        message: ViewChanges,
+        changes: tuple[ViewChange, ...],
         fanout: int,
         excluded_peer: str = '',
     ) -> tuple[Send, ...]:
+        """Push changes to random VMs; announce those with a document."""
+        message: ViewChanges | ViewAnnouncement = ViewChanges(changes=changes)
+        if _has_document(changes):
+            message = ViewAnnouncement(index=self.view.index)
         excluded = (self.name, excluded_peer)
         others = [
             name for name in self.registered_names if name not in excluded
@@ -328,3 +357,8 @@
         self._control_vms = tuple(
             dict.fromkeys((*control, *self._configured_control_vms))
         )
+
+
+def _has_document(changes: tuple[ViewChange, ...]) -> bool:
+    """Tell whether one of the changes carries a routing document."""
+    return any(change.routes is not None for change in changes)
--- a/persimmonhold/messages/_view_change.py
+++ b/persimmonhold/messages/_view_change.py
@@ -21,7 +21,7 @@
 
     `revision` is that of the catalogue at `index`. One of `stored` (an entry
     put), `removed` (the name of a deleted entry), `copy`, `vm` and `routes`
-    is set.
+    is set, or none, where a later change replaces the routing document.
     """
 
     index: int
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 import bisect
 import math
 import random
+from collections import Counter
 from typing import Any
 
 import msgspec
@@ -20,6 +21,7 @@
     Command,
     ControlStateMachine,
     PutEntry,
+    PutRoutes,
     RegisterVm,
     ViewState,
 )
@@ -31,11 +33,14 @@
     Pull,
     Send,
     SnapshotPart,
+    ViewAnnouncement,
     ViewUpdater,
     VmAgent,
     majority_size,
 )
 from persimmonhold.messages import VmRecord
+from persimmonhold.routes import RoutingDocument
+from tests.fleet_builders import make_document, make_route
 
 _TIMINGS = MembershipTimings(snapshot_part_bytes=1000)
 _STEP_S = 0.05
@@ -163,9 +168,13 @@
         self.queue = [item for item in self.queue if item[0] > self.now]
         for _, source, peer, encoded in due:
             if self.can_communicate(source, peer):
-                message = _CODEC.decode(encoded)
-                sent = self.agents[peer].receive(self.now, source, message)
-                self.send_messages(peer, sent)
+                self.deliver(source, peer, encoded)
+
+    def deliver(self, source: str, peer: str, encoded: bytes) -> None:
+        """Pass a message to its receiver, and send what that replies."""
+        message = _CODEC.decode(encoded)
+        sent = self.agents[peer].receive(self.now, source, message)
+        self.send_messages(peer, sent)
 
     def run_control(self) -> None:
         """Perform the steps of control."""
@@ -287,6 +296,20 @@
         }
 
 
+class MeteredSystem(SimulatedSystem):
+    """Counts the bytes that each VM receives."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        """Create a system with empty counters."""
+        self.received_bytes: Counter[str] = Counter()
+        super().__init__(count, seed)
+
+    def deliver(self, source: str, peer: str, encoded: bytes) -> None:
+        """Count a message before it is delivered."""
+        self.received_bytes[peer] += len(encoded)
+        super().deliver(source, peer, encoded)
+
+
 @pytest.fixture
 def system() -> SimulatedSystem:
     return SimulatedSystem(7, 1)
@@ -305,6 +328,51 @@
     assert_that(system.serving(), Equals(set(system.partitions)))
 
 
+def _create_large_document(version: int) -> RoutingDocument:
+    """Return a document of 250 routes, about 60 kB encoded."""
+    routes = tuple(
+        msgspec.structs.replace(
+            make_route(),
+            name=f'route-{number}-of-{version}',
+            path_prefix=f'/prefix-{number}/',
+        )
+        for number in range(250)
+    )
+    return msgspec.structs.replace(make_document(version), routes=routes)
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_routing_documents_do_not_fill_the_links_of_entries(seed: int) -> None:
+    system = MeteredSystem(91, seed)
+    documents = [_create_large_document(version) for version in range(1, 9)]
+    total_bytes = sum(len(msgspec.msgpack.encode(one)) for one in documents)
+    system.received_bytes.clear()
+    index = 0
+    for document in documents:
+        index = system.commit(PutRoutes(at_ms=1, document=document))
+        system.run(0.25)
+    system.run(1)
+    assert_that(system.holding(index), Equals(set(system.partitions)))
+    # Once each, and a fifth of that for all other messages.
+    busiest = max(system.received_bytes.values())
+    assert_that(busiest, LessThan(1.2 * total_bytes))
+
+
+def test_document_is_pulled_from_another_vm_if_its_announcer_is_lost(
+    system: SimulatedSystem,
+) -> None:
+    document = _create_large_document(1)
+    index = system.commit(PutRoutes(at_ms=1, document=document))
+    system.run_control()
+    agent = system.agents['vm7']
+    for peer in ('vm5', 'vm6'):
+        agent.receive(system.now, peer, ViewAnnouncement(index=index))
+    for peer in ('vm5', 'vm6'):
+        system.partitions[peer] = _DOWN
+    system.run(1.5)
+    assert_that(system.holding(index), Contains('vm7'))
+
+
 def test_cut_from_control_alone_loses_nothing(system: SimulatedSystem) -> None:
     for name in _CONTROL:
         system.cut_pairs.add(frozenset((name, 'vm7')))
