Bound the updates to entries, and send them regularly

Cause: each order, and each end of one, sent an update to every entry, outside the limit of 100 updates a second; without orders an entry got one only every 0.65 s (65 entries) or 0.86 s (86), while the load of the others counts as zero after 1 s. Cost grew with orders times entries, and with nothing to change the entries did not know each other's load.

Evidence (`fleet_work`, `fleet_view`): 9,685 updates and 20.8 MB in 2 s, 26.7 MB at most, 264 kB/s to each entry whose link carries 625 kB/s; planning rounds fell to a quarter; longest gaps of 652 and 863 ms in calm seconds. Ruled out as the main cost: planning (0.5 to 0.7 of 2 s), reports of entries (700 a second).

Now a round is sent every 0.1 s, or 400 updates a second for more entries, and sooner for a changed fact, at most 1,000 a second; the notice before an eviction is counted from the next round. Sums of the loads are kept as reports come in, not formed for each update. Unmet demand plans at most every 20 ms. The load of others counts for 2 s, over a change of the controller.

--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -38,6 +38,7 @@
 from persimmonhold.fleet._retry_budget import RetryBounds, RetryBudget
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._store_load_limiter import StoreLoadLimiter
+from persimmonhold.fleet._update_schedule import UpdateSchedule
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.fleet._upstream_report import UpstreamReport
@@ -72,6 +73,7 @@
     'SharedLoad',
     'StoreLoadLimiter',
     'RefuseRequest',
+    'UpdateSchedule',
     'UpstreamFacts',
     'UpstreamLedger',
     'UpstreamReport',
--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -32,14 +32,18 @@
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_load import ModelLoad
 from persimmonhold.fleet._store_load_limiter import StoreLoadLimiter
+from persimmonhold.fleet._update_schedule import (
+    UpdateSchedule,
+    shortest_interval_s,
+)
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.fleet._upstream_report import UpstreamReport
 from persimmonhold.fleet._weights_memory import free_memory_mb, model_memory_mb
 from persimmonhold.routes import EngineSpec, RoutingDocument
 
-# Time from the decision to evict a model to its eviction order, in which the
-# entries are told and stop sending requests for the model there.
-_RETIRE_NOTICE_S: Final = 0.06
+# Time for the entries to be told, and to stop sending requests for a model,
+# before its eviction is ordered; added to the time to the next updates.
+_RETIRE_NOTICE_S: Final = 0.05
 # Time after which a planned order is cancelled. Requests that an eviction waits
 # for end sooner.
 _RESERVATION_S: Final = 4.0
@@ -64,6 +68,7 @@
     __slots__ = (
         'adapter_schedulers',
         'demand',
+        'entry_count',
         'document',
         'facts',
         'is_active',
@@ -75,6 +80,7 @@
         'retry_at',
         'sequence',
         'term',
+        'update_schedule',
     )
 
     def __init__(self, term: int, orders_start_at: float) -> None:
@@ -96,6 +102,8 @@
         self.replies: list[tuple[str, AdapterLoadReply]] = []
         self.retry_at: dict[str, float] = {}
         self.sequence = 0
+        self.entry_count = 0
+        self.update_schedule = UpdateSchedule()
 
     def activate(self, now: float) -> None:
         """Start issuing orders; the caller ensures that no other VM does."""
@@ -148,15 +156,15 @@
 
         A model is available if an upstream holds it or reserves memory for it.
         """
+        waiting = [one.model for one in report.demand if one.waiting]
+        if not waiting:
+            return False
         held = {
             model
             for ledger in self.ledgers.values()
             for model in (*ledger.models, ledger.reserved_model)
         }
-        return any(
-            demand.waiting and demand.model not in held
-            for demand in report.demand
-        )
+        return not held.issuperset(waiting)
 
     def request_adapter(
         self,
@@ -203,7 +211,7 @@
         Also marks orders in progress as done when they are due. Plans nothing
         while the controller is inactive.
         """
-        running = self.demand.running_by_model()
+        running = self.demand.running_models
         for ledger in self.ledgers.values():
             is_running = (ledger.name, ledger.evicting) in running
             ledger.predict_eviction_end(now, is_running=is_running)
@@ -362,7 +370,7 @@
             loads,
             domains,
             self.demand.slot_utilization(ledgers, spec),
-            self.demand.running_by_model(),
+            self.demand.running_models,
             self.planned.keys(),
             now,
         )
@@ -430,10 +438,8 @@
         """
         model = planned.order.model
         is_eviction = planned.order.kind is FleetOrderKind.evict
-        if (
-            is_eviction
-            and now < ledger.retiring.get(model, 0) + _RETIRE_NOTICE_S
-        ):
+        notice_s = shortest_interval_s(self.entry_count) + _RETIRE_NOTICE_S
+        if is_eviction and now < ledger.retiring.get(model, 0) + notice_s:
             return None
         if not self._is_feasible(planned, ledger):
             self.planned.pop(planned.upstream, None)
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -1,6 +1,7 @@
 """Load and demand of all entries, as they report it."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -23,7 +24,9 @@
 
     `model_loads` has the load of each model of a service, and `loads_by_entry`
     the load that an entry puts on each upstream. `last_reports` and
-    `reported_at` are keyed by entry.
+    `reported_at` are keyed by entry. `running` and `unread_tokens` are the
+    sums of `loads_by_entry` by upstream, and `running_models` those of running
+    requests by (upstream, model).
     """
 
     __slots__ = (
@@ -32,6 +35,9 @@
         'loads_by_entry',
         'model_loads',
         'reported_at',
+        'running',
+        'running_models',
+        'unread_tokens',
     )
 
     def __init__(self) -> None:
@@ -41,6 +47,9 @@
         self.reported_at: dict[str, float] = {}
         self.model_loads: dict[str, dict[str, ModelLoad]] = {}
         self.loads_by_entry: dict[str, dict[str, SharedLoad]] = {}
+        self.running: Counter[str] = Counter()
+        self.unread_tokens: Counter[str] = Counter()
+        self.running_models: Counter[tuple[str, str]] = Counter()
 
     def record_report(
         self,
@@ -60,9 +69,7 @@
         self.first_report_at = min(self.first_report_at, now)
         self.last_reports[entry] = report
         self.reported_at[entry] = now
-        self.loads_by_entry[entry] = {
-            load.upstream: load for load in report.loads
-        }
+        self._replace_loads(entry, report.loads)
         for demand in report.demand:
             models = self.model_loads.setdefault(demand.service, {})
             load = models.setdefault(demand.model, ModelLoad(now))
@@ -83,25 +90,10 @@
     ) -> dict[str, float]:
         """Return the share of slots in use by all entries, by upstream."""
         return {
-            ledger.name: sum(
-                loads[ledger.name].running
-                for loads in self.loads_by_entry.values()
-                if ledger.name in loads
-            )
-            / spec.slots
+            ledger.name: self.running[ledger.name] / spec.slots
             for ledger in ledgers
         }
 
-    def running_by_model(self) -> dict[tuple[str, str], int]:
-        """Return the number of running requests by upstream and model."""
-        running: dict[tuple[str, str], int] = {}
-        for loads in self.loads_by_entry.values():
-            for load in loads.values():
-                for model, count in load.models:
-                    key = (load.upstream, model)
-                    running[key] = running.get(key, 0) + count
-        return running
-
     def adapters_in_use(self, upstream: str) -> set[tuple[str, str]]:
         """Return the adapters of running requests, by (model, adapter)."""
         return {
@@ -113,20 +105,17 @@
 
     def sum_other_loads(self, entry: str) -> tuple[SharedLoad, ...]:
         """Return the load of all other entries, summed by upstream."""
-        running: dict[str, int] = {}
-        unread: dict[str, int] = {}
-        for other, loads in self.loads_by_entry.items():
-            if other == entry:
-                continue
-            for load in loads.values():
-                key = load.upstream
-                running[key] = running.get(key, 0) + load.running
-                unread[key] = unread.get(key, 0) + load.unread_tokens
-        return tuple(
-            SharedLoad(name, count, unread[name])
-            for name, count in running.items()
-            if count
-        )
+        own = self.loads_by_entry.get(entry, {})
+        others: list[SharedLoad] = []
+        for name, total in self.running.items():
+            running, unread = total, self.unread_tokens[name]
+            own_load = own.get(name)
+            if own_load is not None:
+                running -= own_load.running
+                unread -= own_load.unread_tokens
+            if running:
+                others.append(SharedLoad(name, running, unread))
+        return tuple(others)
 
     def lowest_confirmed_number(self, term: int) -> int:
         """Return the change number up to which all entries have all changes.
@@ -144,7 +133,37 @@
             if now - reported_at > _ENTRY_SILENT_S:
                 self.reported_at.pop(entry)
                 self.last_reports.pop(entry, None)
-                self.loads_by_entry.pop(entry, None)
+                self._replace_loads(entry, ())
+                self.loads_by_entry.pop(entry)
                 for models in self.model_loads.values():
                     for load in models.values():
                         load.drop_entry(entry)
+
+    def _replace_loads(
+        self,
+        entry: str,
+        loads: Iterable[SharedLoad],
+    ) -> None:
+        """Replace the loads of an entry, and update the sums."""
+        replaced = self.loads_by_entry.get(entry, {})
+        self.loads_by_entry[entry] = {one.upstream: one for one in loads}
+        for old_load in replaced.values():
+            self._add_to_sums(old_load, -1)
+        for new_load in self.loads_by_entry[entry].values():
+            self._add_to_sums(new_load, 1)
+
+    def _add_to_sums(self, load: SharedLoad, factor: int) -> None:
+        """Add a load `factor` times; drop the sums that become zero."""
+        changes = (
+            (self.running, load.upstream, load.running),
+            (self.unread_tokens, load.upstream, load.unread_tokens),
+        )
+        for sums, key, amount in changes:
+            sums[key] += factor * amount
+            if not sums[key]:
+                sums.pop(key)
+        for model, count in load.models:
+            pair = (load.upstream, model)
+            self.running_models[pair] += factor * count
+            if not self.running_models[pair]:
+                self.running_models.pop(pair)
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -22,8 +22,9 @@
 _FULL_PAUSE_S: Final = 0.05  # typical time until a busy upstream frees a slot
 _FIRST_PAUSE_S: Final = 0.25  # first pause after a failure
 _MAX_PAUSE_S: Final = 2.0
-# The load of other entries is ignored when older than this.
-_OTHER_LOAD_STALE_S: Final = 1.0
+# The load of other entries is ignored when older than this. A new control
+# leader sends it within a second.
+_OTHER_LOAD_STALE_S: Final = 2.0
 _FAILURE_SMOOTHING: Final = 0.2  # weight of the latest attempt
 # Bounds of the ratio of measured to expected time to a first byte; they keep
 # one stalled response from dominating the average.
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -35,8 +35,9 @@
 # Interval between report requests while the upstream executes an order.
 _BUSY_REPORT_INTERVAL_S: Final = 0.1
 _PLAN_INTERVAL_S: Final = 0.1
-_MIN_UPDATE_INTERVAL_S: Final = 0.1
-_MAX_UPDATES_PER_S: Final = 100.0  # to all entries together
+_MAX_UPDATE_WAIT_S: Final = 0.1
+# Unmet demand starts planning at most this often.
+_MIN_PLAN_INTERVAL_S: Final = 0.02
 # Shortest wait between planning steps; timers fire slightly late.
 _MIN_WAIT_S: Final = 0.002
 _ORDER_POLL_INTERVAL_S: Final = 0.05
@@ -96,9 +97,11 @@
         'node',
         'order_lease',
         'plan_wakeup',
+        'planned_at',
         'term',
         'term_started',
         'transport',
+        'update_wakeup',
         'upstream_client',
         'work_log',
     )
@@ -121,8 +124,10 @@
         self.order_lease = OrderLease(node, lease_s, clock)
         self.clock = clock
         self.next_plan_at = 0.0
+        self.planned_at = 0.0
         self.term: FleetTerm | None = None
         self.plan_wakeup = asyncio.Event()
+        self.update_wakeup = asyncio.Event()
         self.term_started = asyncio.Event()
         self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
         self.work_log = FleetWorkLog(clock())
@@ -145,8 +150,8 @@
     def handle_message(self, peer: str, payload: bytes) -> None:
         """Pass a report or an adapter request of an entry to the controller.
 
-        Ignored while this VM does not lead. Unmet demand starts planning at
-        once; an adapter request wakes the order task of its upstream.
+        Ignored while this VM does not lead. Unmet demand starts planning
+        soon; an adapter request wakes the order task of its upstream.
         """
         term = self.term
         if term is None:
@@ -160,7 +165,9 @@
             self.work_log.report_count += 1
             term.controller.demand.record_report(peer, message, self.clock())
             if term.controller.has_unmet_demand(message):
-                self.next_plan_at = 0.0
+                self.next_plan_at = min(
+                    self.next_plan_at, self.planned_at + _MIN_PLAN_INTERVAL_S
+                )
                 self.plan_wakeup.set()
         elif isinstance(message, AdapterLoadRequest):
             term.controller.request_adapter(peer, message, self.clock())
@@ -178,6 +185,7 @@
             is_due = now >= self.next_plan_at or self._has_order_due(now)
             if self.term is not None and is_due:
                 self.next_plan_at = now + _PLAN_INTERVAL_S
+                self.planned_at = now
                 self._plan_orders(self.term, now)
                 self.work_log.record_plan(self.clock() - now)
                 self.work_log.log_if_due(now)
@@ -246,9 +254,9 @@
             self._wake_order_task(planned.upstream)
             is_update_due = is_update_due or bool(planned.makes_room_for)
         if is_update_due:
-            # Lets entries use a new copy at once, and stop using one that is
+            # Lets entries use a new copy soon, and stop using one that is
             # about to be evicted.
-            self._send_updates(term, self._list_entries())
+            self._request_updates(term)
         self._update_order_tasks(term)
 
     def _update_order_tasks(self, term: FleetTerm) -> None:
@@ -315,7 +323,7 @@
         )
         self.plan_wakeup.set()
         if not order.adapter:
-            self._send_updates(term, self._list_entries())
+            self._request_updates(term)
 
     def _send_due_replies(self, term: FleetTerm, now: float) -> None:
         for entry, reply in term.controller.pop_due_replies(now):
@@ -389,15 +397,29 @@
         self._wake_order_task(upstream)
 
     async def _run_entry_updates(self) -> None:
-        """Send updates to all entries at intervals, while a term runs."""
+        """Send a round of updates to all entries when due, until cancelled."""
         while True:
-            entries = self._list_entries()
+            wait_s = _MAX_UPDATE_WAIT_S
             if self.term is not None:
-                self._send_updates(self.term, entries)
-            interval_s = max(
-                _MIN_UPDATE_INTERVAL_S, len(entries) / _MAX_UPDATES_PER_S
-            )
-            await asyncio.sleep(interval_s)
+                wait_s = self._send_updates_if_due(self.term)
+            self.update_wakeup.clear()
+            await wait_with_timeout(self.update_wakeup, wait_s)
+
+    def _request_updates(self, term: FleetTerm) -> None:
+        """Have a round of updates sent before the next regular one."""
+        term.controller.update_schedule.request_round()
+        self.update_wakeup.set()
+
+    def _send_updates_if_due(self, term: FleetTerm) -> float:
+        """Send a round of updates if due; return the seconds to the next."""
+        entries = self._list_entries()
+        term.controller.entry_count = len(entries)
+        schedule = term.controller.update_schedule
+        if self.clock() >= schedule.due_at(len(entries)):
+            self._send_updates(term, entries)
+            schedule.record_round(self.clock())
+        due_in_s = schedule.due_at(len(entries)) - self.clock()
+        return min(_MAX_UPDATE_WAIT_S, max(_MIN_WAIT_S, due_in_s))
 
     def _send_updates(self, term: FleetTerm, entries: tuple[str, ...]) -> None:
         """Send the given entries the facts and loads that they lack."""
