Entries share the free slots of an upstream instead of all using them

Cause: all entries learn of a new copy or a freed slot at the same time, and each sent all that waited there; the more entries, the more requests for one slot.

Evidence: 791 of 1,201 refusals as full had no order at that upstream in the two seconds before, so evictions and loads explain only a part. 65 entries with two waiting requests each sent 130 to a copy of 12 slots.

Now an update tells each entry how many requests wait elsewhere by model, and where some do, an entry uses its share of the slots that were free at the update, rounded by chance, so that all shares make up the free slots on average. Without waiting requests elsewhere nothing changes.

Test: 65 entries, one copy of 12 slots: 130 sent before (bound 24), 7 to 17 now.

--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -34,6 +34,7 @@
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_demand import ModelDemand
 from persimmonhold.fleet._model_load import ModelLoad
+from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._retry_budget import RetryBounds, RetryBudget
 from persimmonhold.fleet._shared_load import SharedLoad
@@ -64,6 +65,7 @@
     'ListedUpstream',
     'ModelDemand',
     'ModelLoad',
+    'ModelWaiting',
     'OrderVerdict',
     'PlannedOrder',
     'RequestProfile',
--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -323,6 +323,7 @@
             gone=gone if base else (),
             others=self.demand.sum_other_loads(entry),
             orders_in_s=max(0, self.orders_start_at - now),
+            waiting=self.demand.sum_other_waiting(entry),
         )
 
     def _plan_service(
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -2,15 +2,17 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
-from typing import Final, final
+from collections.abc import Hashable, Iterable
+from typing import Final, TypeVar, final
 
 from persimmonhold.fleet._fleet_messages import EntryReport
 from persimmonhold.fleet._model_load import ModelLoad
+from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.routes import EngineSpec
 
+_Key = TypeVar('_Key', bound=Hashable)
 # For this time after the first report, low demand may only mean that reports of
 # other entries are missing. It equals the averaging time of the fast averages.
 _WARM_UP_S: Final = 0.8
@@ -25,8 +27,9 @@
     `model_loads` has the load of each model of a service, and `loads_by_entry`
     the load that an entry puts on each upstream. `last_reports` and
     `reported_at` are keyed by entry. `running` and `unread_tokens` are the
-    sums of `loads_by_entry` by upstream, and `running_models` those of running
-    requests by (upstream, model).
+    sums of `loads_by_entry` by upstream, `running_models` those of running
+    requests by (upstream, model), and `waiting` those of waiting requests by
+    (service, model).
     """
 
     __slots__ = (
@@ -38,6 +41,7 @@
         'running',
         'running_models',
         'unread_tokens',
+        'waiting',
     )
 
     def __init__(self) -> None:
@@ -50,6 +54,7 @@
         self.running: Counter[str] = Counter()
         self.unread_tokens: Counter[str] = Counter()
         self.running_models: Counter[tuple[str, str]] = Counter()
+        self.waiting: Counter[tuple[str, str]] = Counter()
 
     def record_report(
         self,
@@ -73,6 +78,8 @@
         for demand in report.demand:
             models = self.model_loads.setdefault(demand.service, {})
             load = models.setdefault(demand.model, ModelLoad(now))
+            change = demand.waiting - load.waiting.get(entry, 0)
+            _add_count(self.waiting, (demand.service, demand.model), change)
             load.add_report(entry, demand, now)
 
     def is_warmed_up(self, now: float) -> bool:
@@ -117,6 +124,15 @@
                 others.append(SharedLoad(name, running, unread))
         return tuple(others)
 
+    def sum_other_waiting(self, entry: str) -> tuple[ModelWaiting, ...]:
+        """Return the requests that wait at all other entries, by model."""
+        others: list[ModelWaiting] = []
+        for (service, model), total in self.waiting.items():
+            own = self.model_loads[service][model].waiting.get(entry, 0)
+            if total > own:
+                others.append(ModelWaiting(service, model, total - own))
+        return tuple(others)
+
     def lowest_confirmed_number(self, term: int) -> int:
         """Return the change number up to which all entries have all changes.
 
@@ -135,8 +151,10 @@
                 self.last_reports.pop(entry, None)
                 self._replace_loads(entry, ())
                 self.loads_by_entry.pop(entry)
-                for models in self.model_loads.values():
-                    for load in models.values():
+                for service, models in self.model_loads.items():
+                    for model, load in models.items():
+                        waiting = load.waiting.get(entry, 0)
+                        _add_count(self.waiting, (service, model), -waiting)
                         load.drop_entry(entry)
 
     def _replace_loads(
@@ -153,17 +171,16 @@
             self._add_to_sums(new_load, 1)
 
     def _add_to_sums(self, load: SharedLoad, factor: int) -> None:
-        """Add a load `factor` times; drop the sums that become zero."""
-        changes = (
-            (self.running, load.upstream, load.running),
-            (self.unread_tokens, load.upstream, load.unread_tokens),
-        )
-        for sums, key, amount in changes:
-            sums[key] += factor * amount
-            if not sums[key]:
-                sums.pop(key)
+        """Add a load `factor` times."""
+        name = load.upstream
+        _add_count(self.running, name, factor * load.running)
+        _add_count(self.unread_tokens, name, factor * load.unread_tokens)
         for model, count in load.models:
-            pair = (load.upstream, model)
-            self.running_models[pair] += factor * count
-            if not self.running_models[pair]:
-                self.running_models.pop(pair)
+            _add_count(self.running_models, (name, model), factor * count)
+
+
+def _add_count(sums: Counter[_Key], key: _Key, amount: int) -> None:
+    """Add to a sum; drop it if it becomes zero."""
+    sums[key] += amount
+    if not sums[key]:
+        sums.pop(key)
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from persimmonhold.fleet._model_demand import ModelDemand
+from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 
@@ -27,7 +28,8 @@
     Covers the changes after change number `base`, up to `number`. If `base` is
     0, the facts are complete. `term` is the leadership term of the controller,
     in which `sequence` increases with each update. `gone` names the upstreams
-    that left the list. `others` is the load of the other entries. `list_age_s`
+    that left the list. `others` is the load of the other entries, and
+    `waiting` has the models that requests wait for there. `list_age_s`
     is the age of the latest upstream list. `orders_in_s` is how long a new
     fleet controller still waits before it issues orders.
     """
@@ -41,6 +43,7 @@
     gone: tuple[str, ...] = ()
     others: tuple[SharedLoad, ...] = ()
     orders_in_s: float = 0
+    waiting: tuple[ModelWaiting, ...] = ()
 
 
 @final
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -129,7 +129,7 @@
         self.chooser.apply_facts(
             update.facts, update.gone, is_complete=is_complete
         )
-        self.chooser.apply_other_loads(update.others, now)
+        self.chooser.apply_other_loads(update.others, update.waiting, now)
         self.chooser.orders_start_at = now + update.orders_in_s
         return self.dispatch_waiting(now)
 
@@ -289,11 +289,12 @@
         self, pending: PendingRequest, now: float
     ) -> SendRequest | None:
         """Assign a request to an upstream; None if none can accept it now."""
-        choice = self.chooser.choose_upstream(pending, now)
+        queue = self._queue_of(pending)
+        own_waiting = max(1, len(queue))
+        choice = self.chooser.choose_upstream(pending, own_waiting, now)
         if choice is None:
             return None
         tracker, expected_s, needs_adapter = choice
-        queue = self._queue_of(pending)
         if pending in queue.pending:
             queue.remove_request(pending)
         queue.record_dispatch(now, others_wait=bool(queue.pending))
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -13,6 +13,7 @@
 from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
 from persimmonhold.fleet._first_event import predict_first_event_s
 from persimmonhold.fleet._listed_upstream import ListedUpstream
+from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._request_queue import PendingRequest
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
@@ -44,6 +45,7 @@
         'orders_start_at',
         'rng',
         'trackers',
+        'waiting_elsewhere',
     )
 
     def __init__(self, failure_domain: str, rng: random.Random) -> None:
@@ -53,6 +55,7 @@
         self.orders_start_at = float('-inf')
         self.trackers: dict[str, UpstreamTracker] = {}
         self.by_service: dict[str, list[UpstreamTracker]] = {}
+        self.waiting_elsewhere: dict[tuple[str, str], int] = {}
 
     def apply_facts(
         self,
@@ -89,25 +92,36 @@
         self.apply_facts(facts, (), is_complete=True)
 
     def apply_other_loads(
-        self, others: Iterable[SharedLoad], now: float
+        self,
+        others: Iterable[SharedLoad],
+        waiting: Iterable[ModelWaiting],
+        now: float,
     ) -> None:
-        """Apply the load that the other entries put on each upstream."""
+        """Apply the load of the other entries, and what waits there."""
         loads = {load.upstream: load for load in others}
         for name, tracker in self.trackers.items():
-            tracker.apply_other_load(loads.get(name), now)
+            tracker.apply_other_load(loads.get(name), self.rng.random(), now)
+        self.waiting_elsewhere = {
+            (one.service, one.model): one.count for one in waiting
+        }
 
     def choose_upstream(
-        self, pending: PendingRequest, now: float
+        self,
+        pending: PendingRequest,
+        own_waiting: int,
+        now: float,
     ) -> Choice | None:
         """Return the upstream with the earliest expected first event.
 
+        `own_waiting` requests for the model wait at this entry, this one
+        included.
         Upstreams whose attempts failed lately are less likely to be chosen.
         Returns None if no upstream can accept the request now.
         """
         best: Choice | None = None
         best_score = float('inf')
         for tracker in self.by_service.get(pending.request.service, ()):
-            if not self._can_accept(tracker, pending, now):
+            if not self._has_place(tracker, pending, own_waiting, now):
                 continue
             needs_adapter = self._needs_adapter(tracker, pending, now)
             is_closed = tracker.facts.is_changing or now < self.orders_start_at
@@ -195,6 +209,31 @@
         unread_s = tracker.total_unread_tokens(now) / PROMPT_TOKENS_PER_S
         return not running or unread_s < _MAX_UNREAD_S
 
+    def _has_place(
+        self,
+        tracker: UpstreamTracker,
+        pending: PendingRequest,
+        own_waiting: int,
+        now: float,
+    ) -> bool:
+        """Tell whether an upstream has a slot left in this entry's share.
+
+        All entries learn of a free slot at the same time. Where requests wait
+        for it at several of them, each uses only its share.
+        """
+        if not self._can_accept(tracker, pending, now):
+            return False
+        request = pending.request
+        key = (request.service, request.profile.model)
+        if not request.is_engine or key not in self.waiting_elsewhere:
+            return True
+        elsewhere = sum(
+            self.waiting_elsewhere.get((request.service, held.name), 0)
+            for held in tracker.facts.models
+        )
+        share = own_waiting / (own_waiting + elsewhere)
+        return tracker.round.allows_another(len(tracker.running), share)
+
     def _needs_adapter(
         self,
         tracker: UpstreamTracker,
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -64,6 +64,32 @@
         self.has_response_begun = False
 
 
+@final
+class FreePlaces:
+    """The free slots of an upstream at an update, which all entries share.
+
+    `own` is the number of running requests of this entry then. `draw`, from 0
+    to 1, rounds this entry's share up or down, so that the shares of all
+    entries together make up the free slots on average.
+    """
+
+    __slots__ = ('draw', 'free', 'own')
+
+    def __init__(self, free: int, own: int, draw: float) -> None:
+        """Create the state at an update."""
+        self.free = free
+        self.own = own
+        self.draw = draw
+
+    def allows_another(self, running: int, share: float) -> bool:
+        """Tell whether this entry may send one more request.
+
+        `running` is the number of its running requests, and `share` its part
+        of all waiting requests.
+        """
+        return running < self.own + int(self.free * share + self.draw)
+
+
 @final
 class UpstreamTracker:
     """Facts, load and health of one upstream, as seen by one entry.
@@ -89,6 +115,7 @@
         'pause_count',
         'paused_until',
         'average_attempt_s',
+        'round',
         'running',
         'slowdown',
     )
@@ -107,6 +134,7 @@
         self.absent_until: dict[str, float] = {}
         self.other_load = SharedLoad(facts.name, 0, 0)
         self.other_load_at = -math.inf
+        self.round = FreePlaces(0, 0, 0)
 
     @property
     def own_unread_tokens(self) -> int:
@@ -144,10 +172,21 @@
             self.adapters_assumed_until.clear()
         self.facts = facts
 
-    def apply_other_load(self, load: SharedLoad | None, now: float) -> None:
-        """Apply the load of the other entries; None means no load."""
+    def apply_other_load(
+        self,
+        load: SharedLoad | None,
+        draw: float,
+        now: float,
+    ) -> None:
+        """Apply the load of the other entries; None means no load.
+
+        `draw` is a random number from 0 to 1, see `FreePlaces`.
+        """
         self.other_load = load or SharedLoad(self.facts.name, 0, 0)
         self.other_load_at = now
+        own = len(self.running)
+        free = max(0, self.facts.slots - self.other_load.running - own)
+        self.round = FreePlaces(free, own, draw)
 
     def total_running(self, now: float) -> int:
         """Return the estimated number of requests at the upstream."""
--- a/tests/engine_load.py
+++ b/tests/engine_load.py
@@ -150,6 +150,7 @@
             update = msgspec.structs.replace(
                 make_update(*facts, sequence=self.updates),
                 others=self.demand.sum_other_loads(f'e{number}'),
+                waiting=self.demand.sum_other_waiting(f'e{number}'),
             )
             self._perform(entry.apply_update(update, now), now)
 
