Refuse adapter loads at once that a model order holds up

Cause: an adapter that was asked for before a model order waited behind it until the entry gave up; a refusal kept only the refused request away, so the next one tried the same upstream; and adapters were refused while another model was about to go, although the upstream accepts them then.

Now the controller refuses as soon as a model order is in progress, loads adapters while a different model waits for its eviction, and an entry loads no adapter for 0.2 s at an upstream where a load failed. The three tests failed before.

--- a/persimmonhold/fleet/_adapter_scheduler.py
+++ b/persimmonhold/fleet/_adapter_scheduler.py
@@ -185,7 +185,9 @@
             return 'too many adapter requests are pending'
         if request.model not in ledger.held:
             return 'the upstream does not hold the model'
-        if ledger.loading or ledger.evicting or ledger.retiring:
+        if request.model in ledger.retiring:
+            return 'the model is about to be evicted'
+        if ledger.loading or ledger.evicting:
             return 'a model order is in progress'
         return ''
 
@@ -197,6 +199,8 @@
             return ''
         if ledger.is_content_known and not ledger.is_held(pending.model):
             return 'the upstream no longer holds the model'
+        if ledger.loading or ledger.evicting:
+            return 'a model order is in progress'
         return (
             'adapter load timed out'
             if now > pending.requested_at + _REPLY_TIMEOUT_S
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -124,8 +124,7 @@
             if not self._has_place(tracker, pending, own_waiting, now):
                 continue
             needs_adapter = self._needs_adapter(tracker, pending, now)
-            is_closed = tracker.facts.is_changing or now < self.orders_start_at
-            if needs_adapter and is_closed:
+            if needs_adapter and not self._can_load_adapter(tracker, now):
                 continue
             expected_s = predict_first_event_s(
                 tracker,
@@ -234,6 +233,10 @@
         share = own_waiting / (own_waiting + elsewhere)
         return tracker.round.allows_another(len(tracker.running), share)
 
+    def _can_load_adapter(self, tracker: UpstreamTracker, now: float) -> bool:
+        """Tell whether an adapter can be loaded at an upstream now."""
+        return now >= self.orders_start_at and tracker.can_load_adapter(now)
+
     def _needs_adapter(
         self,
         tracker: UpstreamTracker,
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -19,6 +19,8 @@
 # How long the facts are overridden after a model or adapter was found absent,
 # or an adapter was loaded: reports lag by about 200 ms, and updates by 100 ms.
 _ASSUMPTION_S: Final = 0.4
+# How long no adapter is loaded at an upstream after a load there failed.
+_ADAPTER_PAUSE_S: Final = 0.2
 _FULL_PAUSE_S: Final = 0.05  # typical time until a busy upstream frees a slot
 _FIRST_PAUSE_S: Final = 0.25  # first pause after a failure
 _MAX_PAUSE_S: Final = 2.0
@@ -99,13 +101,15 @@
     `absent_until` maps `MODEL` or `MODEL/ADAPTER` to the time until which it is
     assumed to be absent. `adapters_assumed_until` maps (model, adapter) to the
     time until which the adapter is assumed to be loaded. `failure_rate` is a
-    moving average of the share of failed attempts. The upstream gets no
+    moving average of the share of failed attempts. No adapter is loaded there
+    before `adapter_loads_paused_until`. The upstream gets no
     requests before `paused_until`, nor before `full_until` after it refused a
     request as full.
     """
 
     __slots__ = (
         'absent_until',
+        'adapter_loads_paused_until',
         'adapters_assumed_until',
         'facts',
         'failure_rate',
@@ -125,6 +129,7 @@
         self.facts = facts
         self.running: dict[int, RunningRequest] = {}
         self.adapters_assumed_until: dict[tuple[str, str], float] = {}
+        self.adapter_loads_paused_until = -math.inf
         self.failure_rate = 0.0
         self.full_until = -math.inf
         self.paused_until = -math.inf
@@ -225,6 +230,13 @@
             or now < self.adapters_assumed_until.get(key, 0)
         )
 
+    def can_load_adapter(self, now: float) -> bool:
+        """Tell whether an adapter load is expected to be accepted."""
+        return (
+            not self.facts.is_changing
+            and now >= self.adapter_loads_paused_until
+        )
+
     def record_adapter_loaded(
         self, model: str, adapter: str, now: float
     ) -> None:
@@ -270,6 +282,8 @@
         running = self.running.pop(request.number, None)
         if running is None:
             return
+        if outcome is AttemptEnd.unsent:
+            self.adapter_loads_paused_until = now + _ADAPTER_PAUSE_S
         if outcome is AttemptEnd.answered:
             taken_s = now - running.started_at
             self.average_attempt_s += _RESPONSE_SMOOTHING * (
--- a/tests/test_fleet_dispatch.py
+++ b/tests/test_fleet_dispatch.py
@@ -12,6 +12,7 @@
     IsInstance,
     LessThan,
     MatchesListwise,
+    Not,
 )
 
 from persimmonhold.fleet import (
@@ -161,6 +162,20 @@
     )
 
 
+def test_failed_adapter_load_keeps_others_from_trying_it_there() -> None:
+    dispatcher = make_dispatcher(make_facts('u1'), make_facts('u2'))
+    first = only(dispatcher.submit_request(make_request(1, adapter='a1'), 0.0))
+    assert isinstance(first, SendRequest)
+    failed_at = first.upstream.name
+    dispatcher.retry_request(1, AttemptEnd.unsent, 0.1)
+    for number in range(2, 5):
+        request = make_request(number, 0.15, adapter=f'a{number}')
+        sent = only(dispatcher.submit_request(request, 0.15))
+        assert isinstance(sent, SendRequest)
+        assert_that(sent.upstream.name, Not(Equals(failed_at)))
+        dispatcher.finish_request(number, AttemptEnd.answered, 0.15)
+
+
 def test_no_adapter_is_asked_for_while_no_orders_are_given() -> None:
     dispatcher = make_dispatcher(make_facts('u1'))
     dispatcher.apply_update(
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -417,6 +417,34 @@
     assert_that(fleet.adapter_results, Equals([True, True, True, True]))
 
 
+def test_adapter_request_is_refused_when_a_model_order_comes_first() -> None:
+    fleet = Fleet(SimulatedUpstream('u1', ('m1',)))
+    fleet.step()
+    ledger = fleet.controller.ledgers['u1']
+    fleet.request_adapter(1, 'a1')
+    # The order that the planner issued was accepted before the adapter's.
+    ledger.record_order_outcome(
+        FleetOrder(
+            kind=FleetOrderKind.load,
+            model='m2',
+            expected=ledger.accepted_orders,
+        ),
+        OrderVerdict.accepted,
+    )
+    replies = fleet.controller.pop_due_replies(fleet.now + 0.01)
+    assert_that([reply.is_ready for _, reply in replies], Equals([False]))
+
+
+def test_adapter_is_loaded_while_another_model_is_about_to_go() -> None:
+    fleet = Fleet(SimulatedUpstream('u1', ('m1', 'm2')))
+    fleet.step()
+    fleet.controller.ledgers['u1'].retiring['m2'] = fleet.now
+    fleet.request_adapter(1, 'a1')
+    fleet.step(0.02)
+    fleet.step(0.02)
+    assert_that(fleet.adapter_results, Equals([True]))
+
+
 def test_adapter_that_requests_run_with_is_not_evicted() -> None:
     """Its eviction would delay all other orders until the requests end."""
     fleet = Fleet(SimulatedUpstream('u1', ('m1',)))
