Send no request that cannot be complete by its caller's deadline

Cause: the latest time to send a request allowed for its first event only.

The most output tokens that the caller names are decoded now; a request is refused, as not run, when even 250 tokens a second would not suffice.

Test: 300 output tokens, 1.2 s left: sent before, refused now.

--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -17,7 +17,10 @@
 
 from persimmonhold.fleet._attempt_end import AttemptEnd
 from persimmonhold.fleet._dispatch_request import DispatchRequest
-from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
+from persimmonhold.fleet._engine_speed import (
+    MAX_OUTPUT_TOKENS_PER_S,
+    PROMPT_TOKENS_PER_S,
+)
 from persimmonhold.fleet._fleet_messages import FleetUpdate
 from persimmonhold.fleet._forward_action import (
     ForwardAction,
@@ -335,11 +338,16 @@
     def _latest_send_at(self, pending: PendingRequest) -> float:
         """Return the time until which a request may stay queued.
 
-        Sent later, it would get its first event after the caller gave up.
+        Sent later, it would get its first event after the caller gave up, or
+        could not be complete by the deadline.
         """
         request = pending.request
-        latest = min(pending.caller_waits_until, request.ends_at)
-        read_s = request.profile.prompt_tokens / PROMPT_TOKENS_PER_S
+        profile = request.profile
+        output_s = profile.output_tokens / MAX_OUTPUT_TOKENS_PER_S
+        if pending.has_response_begun:
+            output_s = 0  # how much is left is not known
+        latest = min(pending.caller_waits_until, request.ends_at - output_s)
+        read_s = profile.prompt_tokens / PROMPT_TOKENS_PER_S
         return latest - _MIN_FIRST_EVENT_S - 2 * read_s
 
     def _refusal_reason(self, pending: PendingRequest, now: float) -> str:
--- a/persimmonhold/fleet/_request_profile.py
+++ b/persimmonhold/fleet/_request_profile.py
@@ -9,7 +9,8 @@
 class RequestProfile(msgspec.Struct, frozen=True, kw_only=True):
     """What the dispatcher needs to know of a request, from its headers.
 
-    `request_id` is chosen by the caller. `deadline_ms` is the time from arrival
+    `request_id` is chosen by the caller. `output_tokens` is the most that the
+    response may have, or 0 if unknown. `deadline_ms` is the time from arrival
     within which the caller wants the response; None if it set no limit.
     """
 
@@ -17,4 +18,5 @@
     model: str = ''
     adapter: str = ''
     prompt_tokens: int = 0
+    output_tokens: int = 0
     deadline_ms: float | None = None
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -36,7 +36,9 @@
             return Failed(f'the header {names.REQUEST_ID} is missing')
         model, _, adapter = head.header(names.MODEL).partition('/')
         try:
-            prompt = _parse_prompt_tokens(head.header(names.TOKEN_COUNTS))
+            prompt, output = _parse_token_counts(
+                head.header(names.TOKEN_COUNTS)
+            )
             deadline_ms = _parse_deadline_ms(head.header(names.DEADLINE_MS))
         except ValueError as error:
             return Failed(f'malformed header: {error}')
@@ -46,6 +48,7 @@
                 model=model,
                 adapter=adapter,
                 prompt_tokens=prompt,
+                output_tokens=output,
                 deadline_ms=deadline_ms,
             ),
         )
@@ -104,12 +107,13 @@
         return encode_headers({names.RETRY_AFTER: f'{retry_after_s:.2f}'})
 
 
-def _parse_prompt_tokens(text: str) -> int:
-    """Return the first of the two counts; 0 if the header is missing.
+def _parse_token_counts(text: str) -> tuple[int, int]:
+    """Return the tokens of the prompt, and the most that the response may have.
 
-    Raises `ValueError` if it is not a number.
+    A count that is missing is 0. Raises `ValueError` if one is not a number.
     """
-    return int(text.partition(',')[0] or 0)
+    prompt, _, output = text.partition(',')
+    return int(prompt or 0), int(output or 0)
 
 
 def _parse_deadline_ms(text: str) -> float | None:
--- a/tests/test_fleet_dispatch.py
+++ b/tests/test_fleet_dispatch.py
@@ -142,6 +142,19 @@
     assert_that(action.retry_after_s, GreaterThan(0))
 
 
+def test_request_that_cannot_be_complete_by_its_deadline_is_not_sent() -> None:
+    dispatcher = make_dispatcher(make_facts('u1', models=('m2',)))
+    request = make_request(1)
+    profile = msgspec.structs.replace(request.profile, output_tokens=300)
+    request = msgspec.structs.replace(
+        request, profile=profile, caller_waits_until=2.0, ends_at=2.0
+    )
+    dispatcher.submit_request(request, 0.0)
+    # 300 tokens take 1.2 s at least.
+    refused = only(dispatcher.dispatch_waiting(0.8))
+    assert_that(refused, IsInstance(RefuseRequest))
+
+
 def test_adapter_is_asked_for_where_it_is_absent() -> None:
     dispatcher = make_dispatcher(make_facts('u1'))
     action = only(dispatcher.submit_request(make_request(1, adapter='a1'), 0))
