Shares of free slots and limits of output tokens shut nobody out

Found on reading the change, before any caller met it: an entry that gets no updates kept its last share of the free slots, so requests for a model that waited elsewhere at that moment would never be sent while control is away; and a caller that states a far larger limit of output tokens than it uses would be refused wherever its request has to wait.

At most a quarter of the time until the deadline is kept for the output.

--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -36,6 +36,9 @@
 _DISPATCH_INTERVAL_S: Final = 0.02  # shorter than a few batch steps
 # Time to the first event at an idle upstream with a short prompt.
 _MIN_FIRST_EVENT_S: Final = 0.04
+# The part of the time until the deadline that is kept for the output at most;
+# a response may be far shorter than the limit that its caller states.
+_MAX_OUTPUT_SHARE: Final = 0.25
 _MAX_QUEUE_LENGTH: Final = 400  # requests for one model at this entry
 _MAX_SENDS: Final = 4  # of one request, including those that were refused
 _DEFAULT_EXCLUSION_S: Final = 60.0  # longer than any request lasts
@@ -343,7 +346,10 @@
         """
         request = pending.request
         profile = request.profile
-        output_s = profile.output_tokens / MAX_OUTPUT_TOKENS_PER_S
+        output_s = min(
+            profile.output_tokens / MAX_OUTPUT_TOKENS_PER_S,
+            _MAX_OUTPUT_SHARE * (request.ends_at - request.arrived_at),
+        )
         if pending.has_response_begun:
             output_s = 0  # how much is left is not known
         latest = min(pending.caller_waits_until, request.ends_at - output_s)
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -231,7 +231,7 @@
             for held in tracker.facts.models
         )
         share = own_waiting / (own_waiting + elsewhere)
-        return tracker.round.allows_another(len(tracker.running), share)
+        return tracker.has_free_place(share, now)
 
     def _can_load_adapter(self, tracker: UpstreamTracker, now: float) -> bool:
         """Tell whether an adapter can be loaded at an upstream now."""
