--- a/persimmonhold/attempts/__init__.py
+++ b/persimmonhold/attempts/__init__.py
@@ -15,6 +15,7 @@
 from persimmonhold.attempts._connect import Connect
 from persimmonhold.attempts._end_key_claim import EndKeyClaim
 from persimmonhold.attempts._enqueue import Enqueue
+from persimmonhold.attempts._event_boundary import EventBoundary
 from persimmonhold.attempts._event_framer import EventFramer
 from persimmonhold.attempts._finish_response import FinishResponse
 from persimmonhold.attempts._refuse import (
@@ -47,6 +48,7 @@
     'EndKeyClaim',
     'EndStreamWithError',
     'Enqueue',
+    'EventBoundary',
     'EventFramer',
     'FinishResponse',
     'RequestPhase',
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -4,9 +4,11 @@
 import math
 from typing import Final, final
 
+import msgspec
 from returns.result import Failure as Failed
 from returns.result import Result
 
+from persimmonhold.attempts import EventBoundary
 from persimmonhold.failures import Failure
 from persimmonhold.fleet import AttemptEnd, SendRequest
 from persimmonhold.forwarding._attempt_result import (
@@ -81,28 +83,19 @@
         self.connection: ClientConnection | None = None
         self.head = ResponseHead(status=0, headers=())
         self.buffered = bytearray()
+        self.event_boundary = EventBoundary()
+        self.is_event_stream = False
         self.is_streaming = False
         self.has_written = False
 
     async def run(self) -> AttemptResult:
-        """Run the attempt; reconnect if a pooled connection was closed."""
-        pooled = self._take_pooled_connection()
-        if pooled is not None:
-            result = await self._run_on_connection(pooled)
-            if result is not None:
-                return result
-        address = parse_address(self.action.upstream.address)
-        if isinstance(address, Failed):
-            return _unreachable_result('invalid upstream address')
-        opened = await ClientConnection.connect(
-            address.unwrap(),
-            _CONNECT_TIMEOUT_S,
-        )
-        if isinstance(opened, Failed):
-            return _unreachable_result(opened.failure().detail)
-        result = await self._run_on_connection(opened.unwrap())
-        return result or _failed_result(
-            AttemptEnd.failed, 'connection closed without a response'
+        """Run the attempt, and tell how its response ended."""
+        result = await self._run_on_any_connection()
+        has_head = self.head.status > 0
+        return msgspec.structs.replace(
+            result,
+            body_end=self.head.body_end.value if has_head else '',
+            is_within_event=self.event_boundary.is_within_event,
         )
 
     def handle_response_chunk(self, chunk: bytes) -> bool:
@@ -110,6 +103,8 @@
         self.services.hub.record_first_byte(
             self.request.dispatch_request.number
         )
+        if self.is_event_stream:
+            self.event_boundary.feed(chunk)
         if not self.is_streaming:
             self.buffered += chunk
             if len(self.buffered) <= _MAX_BUFFERED_BYTES:
@@ -140,6 +135,27 @@
             chunk, connection.resume_reading
         )
 
+    async def _run_on_any_connection(self) -> AttemptResult:
+        """Run the attempt; reconnect if a pooled connection was closed."""
+        pooled = self._take_pooled_connection()
+        if pooled is not None:
+            result = await self._run_on_connection(pooled)
+            if result is not None:
+                return result
+        address = parse_address(self.action.upstream.address)
+        if isinstance(address, Failed):
+            return _unreachable_result('invalid upstream address')
+        opened = await ClientConnection.connect(
+            address.unwrap(),
+            _CONNECT_TIMEOUT_S,
+        )
+        if isinstance(opened, Failed):
+            return _unreachable_result(opened.failure().detail)
+        result = await self._run_on_connection(opened.unwrap())
+        return result or _failed_result(
+            AttemptEnd.failed, 'connection closed without a response'
+        )
+
     def _take_pooled_connection(self) -> ClientConnection | None:
         """Return an idle connection if the request may be repeated, else None.
 
@@ -255,10 +271,11 @@
             return _failed_result(
                 AttemptEnd.failed, 'response without a signature'
             )
-        self.is_streaming = (
+        self.is_event_stream = (
             decoded_head.is_event_stream
             and decoded_head.status < _FIRST_NON_SUCCESS_STATUS
         )
+        self.is_streaming = self.is_event_stream
         if self.response_writer.has_begun and not self.is_streaming:
             # A broken event stream can only be resumed by more events.
             connection.mark_failed('not an event stream')
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -267,6 +267,8 @@
             expected_ms=round(action.expected_s * _MS_PER_S, 1),
             running=action.running,
             adapter_absent=action.needs_adapter,
+            body_end=result.body_end,
+            within_event=result.is_within_event,
         )
 
     def _record_end(self) -> None:
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -2,6 +2,7 @@
 
 from persimmonhold.web._address import Address, parse_address
 from persimmonhold.web._body_budget import BodyBudget
+from persimmonhold.web._body_end import BodyEnd
 from persimmonhold.web._bounds import HttpBounds
 from persimmonhold.web._client_connection import ClientConnection
 from persimmonhold.web._client_request import ClientRequest
@@ -46,6 +47,7 @@
     'SERVICE_CLASS_HEADER',
     'Address',
     'BodyBudget',
+    'BodyEnd',
     'ResponseBodySink',
     'ClientConnection',
     'ClientRequest',
--- a/persimmonhold/web/_response_head.py
+++ b/persimmonhold/web/_response_head.py
@@ -1,11 +1,14 @@
 """Head of a received response."""
 
-from typing import final
+from typing import Final, final
 
 import msgspec
 
+from persimmonhold.web._body_end import BodyEnd
 from persimmonhold.web._headers import Headers, find_header
 
+_BODILESS_STATUSES: Final = frozenset((204, 304))
+
 
 @final
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True):
@@ -17,3 +20,12 @@
     def header(self, name: str) -> str:
         """Return the value of the header `name` (lower case), or ''."""
         return find_header(self.headers, name)
+
+    @property
+    def body_end(self) -> BodyEnd:
+        """What marks the end of the body, unless the request was a HEAD."""
+        if self.header('transfer-encoding'):
+            return BodyEnd.chunks
+        if self.header('content-length') or self.status in _BODILESS_STATUSES:
+            return BodyEnd.length
+        return BodyEnd.connection
