--- a/tests/forwarding_harness.py
+++ b/tests/forwarding_harness.py
@@ -50,6 +50,7 @@
 )
 from tests.entry_builders import ANY_PORT, TIMEOUT_S, FakeControlLink
 from tests.fleet_builders import make_route, make_update
+from tests.raw_upstream import RawScript, RawUpstream
 
 Script = Callable[[Exchange], Awaitable[None]]
 _NO_LIST = Failure(kind=FailureKind.timed_out, step='list')
@@ -105,6 +106,7 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.stack = AsyncExitStack()
         self.upstreams: list[ScriptedUpstream] = []
+        self.raw_upstreams: list[RawUpstream] = []
         self.leaving: set[str] = set()
         self.request_numbers = itertools.count(1)
         self.control = FakeControlLink(ControlStateMachine())
@@ -180,6 +182,15 @@
         self._send_update()
         return upstream
 
+    async def start_raw_upstream(self, script: RawScript) -> RawUpstream:
+        """Start an upstream that writes bytes, and send the entry an update."""
+        upstream = RawUpstream(f'r{len(self.raw_upstreams)}', script)
+        server = await upstream.start()
+        await self.stack.enter_async_context(server)
+        self.raw_upstreams.append(upstream)
+        self._send_update()
+        return upstream
+
     def mark_leaving(self, upstream: ScriptedUpstream) -> None:
         """Mark an upstream as leaving in the facts of the entry."""
         self.leaving.add(upstream.name)
@@ -212,6 +223,10 @@
         self.control.view = view
 
     def _send_update(self) -> None:
+        running: list[ScriptedUpstream | RawUpstream] = [
+            *self.upstreams,
+            *self.raw_upstreams,
+        ]
         facts = [
             UpstreamFacts(
                 name=upstream.name,
@@ -221,7 +236,7 @@
                 slots=8,
                 is_leaving=upstream.name in self.leaving,
             )
-            for upstream in self.upstreams
+            for upstream in running
         ]
         sequence = self.hub.dispatcher.sequence + 1
         self.hub.apply_update(make_update(*facts, sequence=sequence))
--- /dev/null
+++ b/tests/test_response_framing.py
@@ -0,0 +1,272 @@
+"""Responses of every framing: broken ones never reach a caller as complete."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, Not
+
+from persimmonhold.attempts import EventBoundary
+from persimmonhold.routes import RouteKind
+from tests.forwarding_harness import ForwardingHarness
+from tests.raw_upstream import (
+    EVENT_STREAM,
+    FRAMINGS,
+    PLAIN,
+    RawConnection,
+    RawScript,
+)
+
+_EVENTS: Final = b''.join(
+    b'id: %d\ndata: x%d\n\n' % (number, number) for number in range(1, 6)
+)
+_WITHIN_FIRST: Final = _EVENTS[:9]
+_WITHIN_LATER: Final = _EVENTS[:-5]
+_AFTER_LINE: Final = _EVENTS[:-1]
+_ROUTES: Final = (
+    pytest.param(RouteKind.stream, False, id='stream'),
+    pytest.param(RouteKind.stream, True, id='resumable'),
+    pytest.param(RouteKind.non_idempotent, False, id='non_idempotent'),
+    pytest.param(RouteKind.idempotent, False, id='idempotent'),
+)
+_LARGE_EVENT: Final = _EVENTS + b'data: ' + b'x' * 200_000 + b'\n\n'
+Scenario = Callable[[ForwardingHarness], Awaitable[None]]
+
+
+def _run(scenario: Scenario) -> None:
+    async def run_scenario() -> None:
+        async with ForwardingHarness() as harness:
+            await scenario(harness)
+
+    asyncio.run(run_scenario())
+
+
+async def _receive(harness: ForwardingHarness) -> tuple[int, bytes]:
+    """Return what a caller takes for a complete response, or (0, b'')."""
+    answered = await harness.send_request()
+    answer = answered.value_or(None)
+    return (answer.head.status, answer.body) if answer else (0, b'')
+
+
+def _relay(
+    kind: RouteKind, resumable: bool, script: RawScript
+) -> tuple[int, bytes]:
+    """Return what a caller gets of one response of an upstream."""
+    received: list[tuple[int, bytes]] = []
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(kind, resumable=resumable)
+        upstream = await harness.start_raw_upstream(script)
+        received.append(await _receive(harness))
+        assert_that(len(upstream.requests), Equals(1))
+
+    _run(scenario)
+    return received[0]
+
+
+@pytest.mark.parametrize(('kind', 'resumable'), _ROUTES)
+def test_stream_that_ends_within_an_event_is_not_framed_as_complete(
+    kind: RouteKind, resumable: bool
+) -> None:
+    bodies = (_WITHIN_FIRST, _WITHIN_LATER, _AFTER_LINE, _EVENTS + b'id: 6')
+
+    async def script(connection: RawConnection) -> None:
+        await connection.respond(EVENT_STREAM, *case)
+
+    taken_for_complete = []
+    for case in itertools.product(FRAMINGS, bodies):
+        status, _ = _relay(kind, resumable, script)
+        if status == 200:
+            taken_for_complete.append(case)
+    assert_that(taken_for_complete, Equals([]))
+
+
+@pytest.mark.parametrize(('kind', 'resumable'), _ROUTES)
+def test_stream_that_ends_with_its_connection_before_an_event_is_a_failure(
+    kind: RouteKind, resumable: bool
+) -> None:
+    async def script(connection: RawConnection) -> None:
+        await connection.respond(EVENT_STREAM, 'connection', b'')
+
+    status, _ = _relay(kind, resumable, script)
+    assert_that(status, Equals(502))
+
+
+@pytest.mark.parametrize('content_type', [EVENT_STREAM, PLAIN])
+@pytest.mark.parametrize(('kind', 'resumable'), _ROUTES)
+def test_response_whose_connection_is_reset_is_not_framed_as_complete(
+    content_type: str, kind: RouteKind, resumable: bool
+) -> None:
+    async def script(connection: RawConnection) -> None:
+        framing, body = case
+        await connection.write_head(content_type, framing, len(body) + 1)
+        await connection.write_body(body, framing)
+        connection.reset()
+
+    for case in itertools.product(FRAMINGS, (b'', _WITHIN_FIRST, _EVENTS)):
+        status, _ = _relay(kind, resumable, script)
+        assert_that(status, Not(Equals(200)), f'{case}')
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+@pytest.mark.parametrize('content_type', [EVENT_STREAM, PLAIN])
+@pytest.mark.parametrize(('kind', 'resumable'), _ROUTES)
+def test_response_shorter_than_its_framing_states_is_not_complete(
+    framing: str, content_type: str, kind: RouteKind, resumable: bool
+) -> None:
+    async def script(connection: RawConnection) -> None:
+        await connection.write_head(content_type, framing, len(_EVENTS) + 1)
+        await connection.write_body(_EVENTS, framing)
+
+    status, _ = _relay(kind, resumable, script)
+    assert_that(status, Not(Equals(200)))
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    ('content_type', 'body'),
+    [
+        pytest.param(EVENT_STREAM, _EVENTS, id='events'),
+        pytest.param(EVENT_STREAM, _LARGE_EVENT, id='large-event'),
+        pytest.param(PLAIN, b'{"whole":true}', id='plain'),
+        pytest.param(PLAIN, b'', id='empty'),
+    ],
+)
+@pytest.mark.parametrize(('kind', 'resumable'), _ROUTES)
+def test_complete_response_of_any_framing_reaches_the_caller_whole(
+    framing: str,
+    content_type: str,
+    body: bytes,
+    kind: RouteKind,
+    resumable: bool,
+) -> None:
+    async def script(connection: RawConnection) -> None:
+        await connection.respond(content_type, framing, body)
+
+    assert_that(_relay(kind, resumable, script), Equals((200, body)))
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    'received',
+    [
+        pytest.param(b'', id='before-event'),
+        pytest.param(_WITHIN_FIRST, id='in-first-event'),
+        pytest.param(_WITHIN_LATER, id='in-later-event'),
+    ],
+)
+def test_resumable_stream_that_breaks_off_goes_on_at_another_upstream(
+    framing: str, received: bytes
+) -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.stream, attempts=2, resumable=True)
+        number_sent = received.count(b'\n\n')
+
+        async def script(connection: RawConnection) -> None:
+            if len(first.requests) + len(second.requests) == 1:
+                size = len(received) if received else 1
+                await connection.write_head(EVENT_STREAM, framing, size)
+                await connection.write_body(received, framing)
+                return
+            after = connection.headers.get('last-event-id', '0')
+            assert_that(after, Equals(str(number_sent)))
+            rest = b''.join(
+                event + b'\n\n'
+                for event in _EVENTS.split(b'\n\n')[number_sent:-1]
+            )
+            await connection.respond(EVENT_STREAM, framing, rest)
+
+        first = await harness.start_raw_upstream(script)
+        second = await harness.start_raw_upstream(script)
+        assert_that(await _receive(harness), Equals((200, _EVENTS)))
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('resumable', [False, True])
+def test_events_reach_the_caller_before_the_stream_ends(
+    framing: str, resumable: bool
+) -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.stream, resumable=resumable)
+        is_seen = asyncio.Event()
+
+        async def script(connection: RawConnection) -> None:
+            half = len(_EVENTS) // 2
+            size = len(_EVENTS)
+            await connection.write_head(EVENT_STREAM, framing, size)
+            await connection.write_body(_EVENTS[:half], framing)
+            await is_seen.wait()
+            await connection.write_body(_EVENTS[half:], framing)
+            if framing == 'chunks':
+                await connection.write(b'0\r\n\r\n')
+
+        await harness.start_raw_upstream(script)
+        address = harness.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(
+            b'GET /chat/x HTTP/1.1\r\nHost: a.example\r\n'
+            b'Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n\r\n'
+        )
+        async with asyncio.timeout(4):
+            await reader.readuntil(_EVENTS.partition(b'\n\n')[0] + b'\n\n')
+            is_seen.set()
+            await reader.readuntil(b'0\r\n\r\n')
+        writer.close()
+
+    _run(scenario)
+
+
+@given(
+    line_end=st.sampled_from([b'\n', b'\r\n', b'\r']),
+    cut=st.integers(0, 60),
+    reads=st.lists(st.integers(0, 60), max_size=8),
+)
+def test_boundary_tells_a_cut_event_whatever_the_reads(
+    line_end: bytes, cut: int, reads: list[int]
+) -> None:
+    whole = b''.join(
+        line_end.join((b'id: %d' % number, b'data: x', b'', b''))
+        for number in range(3)
+    )
+    received = whole[:cut]
+    boundary = EventBoundary()
+    places = sorted({min(read, len(received)) for read in reads})
+    start = 0
+    for place in (*places, len(received)):
+        boundary.feed(received[start:place])
+        start = place
+    ends = {0}
+    for number in range(1, 4):
+        event_end = len(whole) // 3 * number
+        ends.add(event_end)
+        if line_end == b'\r\n':
+            # The final LF of an empty line adds nothing.
+            ends.add(event_end - 1)
+    assert_that(boundary.is_within_event, Equals(len(received) not in ends))
+
+
+def test_stream_that_ends_within_an_event_is_logged_and_counted_as_broken(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.stream)
+
+        async def script(connection: RawConnection) -> None:
+            await connection.respond(EVENT_STREAM, 'connection', _WITHIN_LATER)
+
+        await harness.start_raw_upstream(script)
+        await _receive(harness)
+
+    _run(scenario)
+    logged = capsys.readouterr().out
+    assert_that('"outcome":"stream_broken"' in logged, Is(True))
+    assert_that('"detail":"stream ended within an event"' in logged, Is(True))
