--- a/tests/test_response_framing.py
+++ b/tests/test_response_framing.py
@@ -3,15 +3,17 @@
 import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Any, Final
 
+import eliot
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is, Not
+from testtools.matchers import Contains, Equals, Not
 
 from persimmonhold.attempts import EventBoundary
+from persimmonhold.explanation import LogLine, RequestExplanation
 from persimmonhold.routes import RouteKind
 from tests.forwarding_harness import ForwardingHarness
 from tests.raw_upstream import (
@@ -254,19 +256,41 @@
     assert_that(boundary.is_within_event, Equals(len(received) not in ends))
 
 
-def test_stream_that_ends_within_an_event_is_logged_and_counted_as_broken(
-    capsys: pytest.CaptureFixture[str],
-) -> None:
+def test_log_and_explanation_say_that_the_stream_broke_off() -> None:
+    lines: list[LogLine] = []
+
+    def record(message: dict[str, Any]) -> None:
+        event = message['message_type']
+        lines.append(LogLine(message['timestamp'], 'vm1', event, message))
+
+    async def script(connection: RawConnection) -> None:
+        await connection.respond(EVENT_STREAM, 'connection', _WITHIN_LATER)
+
+    eliot.add_destinations(record)
+    try:
+        status, _ = _relay(RouteKind.stream, resumable=False, script=script)
+    finally:
+        eliot.remove_destination(record)
+    assert_that(status, Equals(0))
+    cause = RequestExplanation('r1', lines).cause
+    assert_that(cause, Contains('broke off its stream'))
+    assert_that(cause, Contains('stream ended within an event'))
+
+
+def test_resumption_that_ends_before_an_event_does_not_complete_the_stream() -> (
+    None
+):
     async def scenario(harness: ForwardingHarness) -> None:
-        harness.set_route(RouteKind.stream)
+        harness.set_route(RouteKind.stream, attempts=2, resumable=True)
 
         async def script(connection: RawConnection) -> None:
-            await connection.respond(EVENT_STREAM, 'connection', _WITHIN_LATER)
+            is_resumed = 'last-event-id' in connection.headers
+            body = b'' if is_resumed else _WITHIN_LATER
+            await connection.respond(EVENT_STREAM, 'connection', body)
 
         await harness.start_raw_upstream(script)
-        await _receive(harness)
+        await harness.start_raw_upstream(script)
+        status, _ = await _receive(harness)
+        assert_that(status, Equals(0))
 
     _run(scenario)
-    logged = capsys.readouterr().out
-    assert_that('"outcome":"stream_broken"' in logged, Is(True))
-    assert_that('"detail":"stream ended within an event"' in logged, Is(True))
