--- a/persimmonhold/attempts/_attempt_fault.py
+++ b/persimmonhold/attempts/_attempt_fault.py
@@ -11,7 +11,8 @@
 
     After `connect_failed` and `not_run` the attempt was certainly not
     executed; after the others it may have been. `stalled` means that a timeout
-    passed; `stream_incomplete` that a stream ended without `[DONE]`.
+    passed; `stream_incomplete` that a stream ended without `[DONE]`,
+    or, for one of a service, within an event or before the first one.
     """
 
     connect_failed = 'connect_failed'
--- a/persimmonhold/attempts/_event_boundary.py
+++ b/persimmonhold/attempts/_event_boundary.py
@@ -27,6 +27,16 @@
         tail = self._tail.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
         return not tail.endswith(_EMPTY_LINE)
 
+    def is_broken_off(self, *, ends_with_connection: bool) -> bool:
+        """Tell whether a body that has ended is an incomplete stream.
+
+        If only the end of the connection marked the end of the body, a stream
+        without any event is incomplete, too.
+        """
+        return self.is_within_event or (
+            ends_with_connection and not self.has_bytes
+        )
+
     def feed(self, chunk: bytes) -> None:
         """Add received bytes."""
         if chunk:
--- a/persimmonhold/attempts/_relayed_response.py
+++ b/persimmonhold/attempts/_relayed_response.py
@@ -2,6 +2,7 @@
 
 from typing import Final, final
 
+from persimmonhold.attempts._event_boundary import EventBoundary
 from persimmonhold.attempts._event_framer import EventFramer
 from persimmonhold.attempts._request_properties import RequestProperties
 from persimmonhold.attempts._upstream_response_head import UpstreamResponseHead
@@ -26,6 +27,7 @@
     __slots__ = (
         '_properties',
         'buffered_body',
+        'event_boundary',
         'event_framer',
         'head',
         'is_started',
@@ -36,6 +38,7 @@
         self.is_started = False
         self.head = UpstreamResponseHead(status=0)
         self.buffered_body = bytearray()
+        self.event_boundary = EventBoundary()
         self.event_framer = EventFramer()
         self._properties = properties
 
@@ -47,6 +50,18 @@
         """
         return self._properties.is_streamed and self.head.is_event_stream
 
+    @property
+    def is_broken_off(self) -> bool:
+        """Tell whether a body that has ended is an incomplete event stream.
+
+        A stream that can be resumed ends with an event of its own instead.
+        """
+        if self.is_event_stream or not self.head.is_event_stream:
+            return False
+        return self.event_boundary.is_broken_off(
+            ends_with_connection=self.head.ends_with_connection
+        )
+
     @property
     def is_over_buffer_limit(self) -> bool:
         """Tell whether the buffered body exceeds its limit."""
@@ -108,4 +123,5 @@
     def discard_undelivered(self) -> None:
         """Discard the received bytes that were not sent to the caller."""
         self.buffered_body.clear()
+        self.event_boundary = EventBoundary()
         self.event_framer.discard_partial()
--- a/persimmonhold/attempts/_request_state_machine.py
+++ b/persimmonhold/attempts/_request_state_machine.py
@@ -48,12 +48,11 @@
 from persimmonhold.control.machine import CommandResult, CommandStatus
 from persimmonhold.failures import Refusal
 
-_ATTEMPT_PHASES: Final = frozenset((
+_BODY_PHASES: Final = frozenset((RequestPhase.holding, RequestPhase.streaming))
+_ATTEMPT_PHASES: Final = _BODY_PHASES | {
     RequestPhase.connecting,
     RequestPhase.sent,
-    RequestPhase.holding,
-    RequestPhase.streaming,
-))
+}
 
 
 @final
@@ -193,6 +192,7 @@
             return b''
         if self.response.is_event_stream:
             return self.response.event_framer.feed(chunk)
+        self.response.event_boundary.feed(chunk)
         return chunk
 
     def buffer_chunk(self, attempt_number: int, chunk: bytes) -> AttemptActions:
@@ -206,6 +206,7 @@
         ):
             return ()
         self.response.buffered_body += chunk
+        self.response.event_boundary.feed(chunk)
         if not self.response.is_over_buffer_limit:
             return ()
         self.phase = RequestPhase.streaming
@@ -222,6 +223,8 @@
         """
         if attempt_number != self.attempt_number:
             return ()
+        if self.phase in _BODY_PHASES and self.response.is_broken_off:
+            return self._fail_attempt(AttemptFault.stream_incomplete)
         if self.phase is RequestPhase.streaming:
             return self._end_relayed_body(AttemptFault.stream_incomplete)
         if self.phase is not RequestPhase.holding:
--- a/persimmonhold/attempts/_upstream_response_head.py
+++ b/persimmonhold/attempts/_upstream_response_head.py
@@ -14,12 +14,15 @@
 
     `is_not_run` is set where the upstream states explicitly that it did not
     execute the request. `content_length` is None where no length is announced.
+    `ends_with_connection` is set if only the end of the connection marks the
+    end of the body.
     """
 
     status: int
     media_type: str = ''
     is_not_run: bool = False
     content_length: int | None = None
+    ends_with_connection: bool = False
 
     @property
     def is_event_stream(self) -> bool:
--- a/persimmonhold/entry/_attempt_runner.py
+++ b/persimmonhold/entry/_attempt_runner.py
@@ -26,6 +26,7 @@
     REQUEST_ID_HEADER,
     RESUME_OFFSET_HEADER,
     Address,
+    BodyEnd,
     ClientConnection,
     ClientRequest,
     ResponseBodySink,
@@ -263,6 +264,7 @@
         content_length=int(content_length)
         if content_length.isdecimal()
         else None,
+        ends_with_connection=head.body_end is BodyEnd.connection,
     )
 
 
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -125,15 +125,6 @@
         """Tell whether only complete events are relayed to the caller."""
         return self.request.dispatch_request.route.is_resumable
 
-    @property
-    def _has_ended_without_event(self) -> bool:
-        """Tell whether only the end of the connection ended an empty stream."""
-        return (
-            self.is_event_stream
-            and self.head.body_end is BodyEnd.connection
-            and not self.event_boundary.has_bytes
-        )
-
     def _write_to_caller(self, chunk: bytes) -> bool:
         """Send a part of the body; return whether to read on at once."""
         connection = self.connection
@@ -318,14 +309,16 @@
 
     def _finish_stream(self) -> AttemptResult:
         """End the caller's response, unless its stream was broken off."""
-        if self.event_boundary.is_within_event:
-            return _failed_result(
-                AttemptEnd.failed, 'stream ended within an event'
-            )
-        if self._has_ended_without_event:
-            return _failed_result(
-                AttemptEnd.failed, 'stream ended before its first event'
+        ends_with_connection = self.head.body_end is BodyEnd.connection
+        if self.is_event_stream and self.event_boundary.is_broken_off(
+            ends_with_connection=ends_with_connection
+        ):
+            place = (
+                'within an event'
+                if self.event_boundary.is_within_event
+                else 'before its first event'
             )
+            return _failed_result(AttemptEnd.failed, f'stream ended {place}')
         if not self.response_writer.has_begun:
             self.response_writer.write_head(self.head, None)
         self.response_writer.finish_response()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,6 +10,7 @@
 from testtools.matchers import Contains, Equals, LessThan
 
 from persimmonhold.attempts import (
+    AbortCallerConnection,
     AttemptActions,
     AttemptFault,
     ClaimIdempotencyKey,
@@ -446,3 +447,32 @@
     refused = machine.refused(_FULL)[0]
     assert isinstance(refused, Refuse)
     assert_that(refused.refusal.ran, Equals(Ran.unknown))
+
+
+@pytest.mark.parametrize('has_length', [True, False])
+@pytest.mark.parametrize('received', [b'data: x\n\ndata', b'data: x\n', b''])
+def test_service_stream_that_breaks_off_is_not_finished(
+    received: bytes, has_length: bool
+) -> None:
+    machine = RequestStateMachine(
+        RequestProperties(
+            is_idempotent=False, is_generation=False, is_streamed=False
+        )
+    )
+    machine.start()
+    machine.dispatched('service', 'address')
+    machine.request_sent(1)
+    head = UpstreamResponseHead(
+        status=200,
+        media_type='text/event-stream',
+        content_length=len(received) if has_length and received else None,
+        ends_with_connection=not has_length or not received,
+    )
+    machine.head_received(1, head)
+    machine.buffer_chunk(1, received)
+    machine.relay_chunk(1, received)
+    actions = machine.body_ended(1)
+    endings = [type(action) for action in actions]
+    assert_that(FinishResponse in endings, Equals(False))
+    is_ended = {Refuse, AbortCallerConnection} & set(endings)
+    assert_that(len(is_ended), Equals(1))
