--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -123,7 +123,8 @@
     @property
     def _is_framing_events(self) -> bool:
         """Tell whether only complete events are relayed to the caller."""
-        return self.request.dispatch_request.route.is_resumable
+        route = self.request.dispatch_request.route
+        return self.is_event_stream and route.is_resumable
 
     def _write_to_caller(self, chunk: bytes) -> bool:
         """Send a part of the body; return whether to read on at once."""
--- a/tests/test_response_framing.py
+++ b/tests/test_response_framing.py
@@ -294,3 +294,13 @@
         assert_that(status, Equals(0))
 
     _run(scenario)
+
+
+def test_large_plain_response_on_a_resumable_route_arrives_whole() -> None:
+    body = b'{' + b'x' * 400_000
+
+    async def script(connection: RawConnection) -> None:
+        await connection.respond(PLAIN, 'length', body)
+
+    received = _relay(RouteKind.stream, resumable=True, script=script)
+    assert_that(received, Equals((200, body)))
