--- a/persimmonhold/forwarding/_resumable_event_framer.py
+++ b/persimmonhold/forwarding/_resumable_event_framer.py
@@ -4,9 +4,12 @@
 once and in order, also where a second upstream resumes a broken stream.
 """
 
+import re
 from typing import Final, final
 
 _SEPARATOR: Final = b'\n\n'
+# The last empty line, where lines end with LF, CRLF or CR.
+_LAST_SEPARATOR: Final = re.compile(rb'.*(?:\r\n|\n|\r(?!\n)){2}', re.DOTALL)
 _ID_FIELD: Final = b'id:'
 _MAX_EVENT_BYTES: Final = 262_144  # usual events have some hundred bytes
 
@@ -28,14 +31,10 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add received bytes; return the events that are now complete."""
         received = self.partial + chunk
-        end = received.rfind(_SEPARATOR)
-        if end < 0:
-            self.partial = received
-            return b''
-        complete = received[: end + len(_SEPARATOR)]
-        self.partial = received[end + len(_SEPARATOR) :]
-        self._record_last_id(complete)
-        return complete
+        end = _find_last_end(received)
+        self.partial = received[end:]
+        self._record_last_id(received[:end])
+        return received[:end]
 
     @property
     def is_event_too_long(self) -> bool:
@@ -47,9 +46,17 @@
         self.partial = b''
 
     def _record_last_id(self, events: bytes) -> None:
-        start = events.rfind(_SEPARATOR, 0, -len(_SEPARATOR))
-        event = events[start + len(_SEPARATOR) :] if start >= 0 else events
-        for line in event.split(b'\n'):
+        for line in reversed(events.splitlines()):
             if line.startswith(_ID_FIELD):
                 text = line[len(_ID_FIELD) :].strip()
                 self.last_id = text.decode('ascii', 'replace')
+                return
+
+
+def _find_last_end(received: bytes) -> int:
+    """Return the index after the last complete event; 0 without one."""
+    if b'\r' not in received:
+        found = received.rfind(_SEPARATOR)
+        return 0 if found < 0 else found + len(_SEPARATOR)
+    matched = _LAST_SEPARATOR.match(received)
+    return 0 if matched is None else matched.end()
--- a/tests/test_response_framing.py
+++ b/tests/test_response_framing.py
@@ -14,6 +14,7 @@
 
 from persimmonhold.attempts import EventBoundary
 from persimmonhold.explanation import LogLine, RequestExplanation
+from persimmonhold.forwarding import ResumableEventFramer
 from persimmonhold.routes import RouteKind
 from tests.forwarding_harness import ForwardingHarness
 from tests.raw_upstream import (
@@ -304,3 +305,39 @@
 
     received = _relay(RouteKind.stream, resumable=True, script=script)
     assert_that(received, Equals((200, body)))
+
+
+@pytest.mark.parametrize('line_end', [b'\r\n', b'\r'])
+@pytest.mark.parametrize(('kind', 'resumable'), _ROUTES)
+def test_stream_with_other_line_ends_arrives_whole(
+    line_end: bytes, kind: RouteKind, resumable: bool
+) -> None:
+    body = _EVENTS.replace(b'\n', line_end)
+
+    async def script(connection: RawConnection) -> None:
+        await connection.respond(EVENT_STREAM, 'chunks', body)
+
+    assert_that(_relay(kind, resumable, script), Equals((200, body)))
+
+
+@given(
+    line_end=st.sampled_from([b'\n', b'\r\n', b'\r']),
+    reads=st.lists(st.integers(0, 80), max_size=8),
+)
+def test_events_to_resume_after_are_whole_whatever_the_line_ends(
+    line_end: bytes, reads: list[int]
+) -> None:
+    whole = _EVENTS.replace(b'\n', line_end)
+    framer = ResumableEventFramer()
+    places = sorted({min(read, len(whole)) for read in reads} | {len(whole)})
+    start = 0
+    returned = b''
+    for place in places:
+        returned += framer.feed(whole[start:place])
+        start = place
+        boundary = EventBoundary()
+        boundary.feed(returned)
+        assert_that(boundary.is_within_event, Equals(False))
+        last = returned.count(b'data') or ''
+        assert_that(framer.last_id, Equals(str(last)))
+    assert_that(returned, Equals(whole))
