--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -23,6 +23,7 @@
     StartsWith,
 )
 
+from bench.virtual_loop import run_in_virtual_time
 from persimmonhold.failures import FailureKind
 from persimmonhold.web import (
     Address,
@@ -175,7 +176,7 @@
         left = driven.connection.timer.is_running, driven.budget.reserved_bytes
         return driven, len(asyncio.all_tasks()) - 1 + sum(left)
 
-    return asyncio.run(scenario())
+    return run_in_virtual_time(scenario())
 
 
 def _request(index: int, body: bytes, chunked: bool) -> bytes:
@@ -345,7 +346,7 @@
         await driven.disconnect()
         return driven.transport.written
 
-    written = asyncio.run(scenario())
+    written = run_in_virtual_time(scenario())
     assert_that(written.count(b'HTTP/1.1'), Equals(1 if sent else 0))
 
 
@@ -360,7 +361,7 @@
         await second.disconnect()
         return second.transport.written, budget.reserved_bytes
 
-    written, kept = asyncio.run(scenario())
+    written, kept = run_in_virtual_time(scenario())
     assert_that(written, StartsWith(b'HTTP/1.1 503'))
     assert_that(kept, Equals(0))
 
