--- a/persimmonhold/fleet/_request_profile.py
+++ b/persimmonhold/fleet/_request_profile.py
@@ -12,6 +12,8 @@
     `request_id` is chosen by the caller. `output_tokens` is the most that the
     response may have, or 0 if unknown. `deadline_ms` is the time from arrival
     within which the caller wants the response; None if it set no limit.
+    `prompt_parts` are the ids of the parts of its prompt in order; other
+    requests may share all of them but the last.
     """
 
     request_id: str
@@ -20,3 +22,9 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     deadline_ms: float | None = None
+    prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts that other requests may share."""
+        return self.prompt_parts[:-1]
--- a/persimmonhold/forwarding/_attempt_result.py
+++ b/persimmonhold/forwarding/_attempt_result.py
@@ -23,8 +23,10 @@
     `may_have_run` is False only where nothing was sent or the upstream stated
     that it did not run the request. `response` is a complete response that
     has not been sent to the caller; `is_delivered` means that the caller has
-    already received a streamed response in full. For the log: `body_end` is
-    what marked the end of the body, or '' without a response head;
+    already received a streamed response in full. `is_cut` means that the
+    upstream closed or reset the connection before the response was complete.
+    `streamed_s` is how long ago its first event arrived, or None without one.
+    For the log: `body_end` is what marked the end of the body, or '' without a response head;
     `is_within_event` means that the last event received was incomplete.
     """
 
@@ -33,5 +35,7 @@
     response: CompleteResponse | None = None
     is_delivered: bool = False
     detail: str = ''
+    is_cut: bool = False
+    streamed_s: float | None = None
     body_end: str = ''
     is_within_event: bool = False
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -85,6 +85,8 @@
         self.head = ResponseHead(status=0, headers=())
         self.buffered = bytearray()
         self.event_boundary = EventBoundary()
+        self.first_event_at = 0.0
+        self.is_cut = False
         self.is_event_stream = False
         self.is_streaming = False
         self.has_written = False
@@ -93,8 +95,11 @@
         """Run the attempt, and tell how its response ended."""
         result = await self._run_on_any_connection()
         has_head = self.head.status > 0
+        is_incomplete = result.response is None and not result.is_delivered
         return msgspec.structs.replace(
             result,
+            is_cut=result.may_have_run and is_incomplete and self.is_cut,
+            streamed_s=self._streamed_s(),
             body_end=self.head.body_end.value if has_head else '',
             is_within_event=self.event_boundary.is_within_event,
         )
@@ -105,6 +110,9 @@
             self.request.dispatch_request.number
         )
         if self.is_event_stream:
+            self.first_event_at = (
+                self.first_event_at or self.services.hub.clock()
+            )
             self.event_boundary.feed(chunk)
         if not self.is_streaming:
             self.buffered += chunk
@@ -126,6 +134,12 @@
         route = self.request.dispatch_request.route
         return self.is_event_stream and route.is_resumable
 
+    def _streamed_s(self) -> float | None:
+        """Return how long ago the first event arrived, or None without one."""
+        if not self.first_event_at:
+            return None
+        return self.services.hub.clock() - self.first_event_at
+
     def _write_to_caller(self, chunk: bytes) -> bool:
         """Send a part of the body; return whether to read on at once."""
         connection = self.connection
@@ -187,10 +201,15 @@
             connection.mark_failed('no response in time')
             result = _failed_result(AttemptEnd.silent, 'no response in time')
         finally:
-            self.connection = None
-            self.services.pool.release(connection, _now())
+            self._release(connection)
         return result
 
+    def _release(self, connection: ClientConnection) -> None:
+        """Return the connection to the pool, which closes a broken one."""
+        self.connection = None
+        self.is_cut = connection.has_peer_closed
+        self.services.pool.release(connection, _now())
+
     async def _send_and_receive(
         self,
         connection: ClientConnection,
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -270,6 +270,19 @@
             body_end=result.body_end,
             within_event=result.is_within_event,
         )
+        if result.is_cut:
+            self._log_cut(action, result)
+
+    def _log_cut(self, action: SendRequest, result: AttemptResult) -> None:
+        """Log what an upstream was working on when it cut the connection."""
+        profile = self.request.dispatch_request.profile
+        log_event(
+            'attempt_cut',
+            request_id=profile.request_id,
+            upstream=action.upstream.name,
+            streamed_s=result.streamed_s,
+            prompt_parts=profile.prompt_parts,
+        )
 
     def _record_end(self) -> None:
         """Log the end of the request, and count it in the metrics."""
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -23,6 +23,8 @@
 
 _MISDIRECTED_STATUS: Final = 421
 _EVENT_STREAM: Final = 'text/event-stream'
+_MAX_PROMPT_PARTS: Final = 64  # usual prompts have three or four
+_MAX_PART_ID_CHARS: Final = 64
 
 
 @final
@@ -50,6 +52,9 @@
                 prompt_tokens=prompt,
                 output_tokens=output,
                 deadline_ms=deadline_ms,
+                prompt_parts=_parse_prompt_parts(
+                    head.header(names.PROMPT_PARTS)
+                ),
             ),
         )
 
@@ -130,6 +135,20 @@
     return deadline_ms
 
 
+def _parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt, at most a maximum number.
+
+    Of too many parts, the last one is kept, as it is the request's own.
+    """
+    ids = [
+        part.partition(':')[0].strip().lower()[:_MAX_PART_ID_CHARS]
+        for part in text.split(',')
+    ]
+    if len(ids) > _MAX_PROMPT_PARTS:
+        ids = [*ids[: _MAX_PROMPT_PARTS - 1], ids[-1]]
+    return tuple(filter(None, ids))
+
+
 def _parse_limit_per_s(text: str) -> float | None:
     """Return the requests a second, or None if there is no valid number."""
     try:
--- a/persimmonhold/platform/_names.py
+++ b/persimmonhold/platform/_names.py
@@ -10,6 +10,7 @@
 NOT_RUN: Final = 'not-executed'  # the upstream did not run the request
 MODEL: Final = 'model'  # an adapter follows after a slash
 TOKEN_COUNTS: Final = 'token-count'  # prompt tokens, maximum output tokens
+PROMPT_PARTS: Final = 'prefix-hash'  # ID:TOKENS, comma-separated, in order
 URGENCY: Final = 'request-urgency'  # 0 is the most urgent
 RESUME_AFTER: Final = 'last-event-id'
 RETRY_AFTER: Final = 'retry-after'
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -1,7 +1,8 @@
 """A connection of an HTTP client.
 
 Invariants: `bytes_written` is zero only while no byte of a request has been
-handed to the operating system, so zero proves that the peer did not run it.
+handed to the operating system, so zero proves that the peer did not run it;
+`has_peer_closed` is set once the peer closed or reset the connection.
 Data that arrives while no task waits for it is buffered, and reading is then
 paused, so that at most one read is buffered.
 """
@@ -36,6 +37,7 @@
         '_waiter',
         '_writable',
         'bytes_written',
+        'has_peer_closed',
         'is_reading_paused',
         'last_read_at',
         'peer',
@@ -45,6 +47,7 @@
         """Create a connection to `peer` that is not open yet."""
         self.peer = peer
         self.bytes_written = 0
+        self.has_peer_closed = False
         self.last_read_at = 0.0
         self.is_reading_paused = False
         self._failure: Failure | None = None
@@ -114,6 +117,7 @@
 
     def eof_received(self) -> bool:
         """Deliver what was received, then fail: the peer ended its stream."""
+        self.has_peer_closed = True
         self._parser.add_received_bytes(b'')
         if self._sink is not None:
             self._deliver_body(self._sink)
@@ -123,6 +127,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the connection, which wakes every waiting task."""
         self._transport = None
+        self.has_peer_closed = self.has_peer_closed or exc is not None
         self.mark_failed(str(exc) if exc else 'closed')
 
     def pause_writing(self) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from typing import Any
 
+import eliot
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,6 +16,7 @@
 
 from persimmonhold.failures import Failure
 from persimmonhold.forwarding import ResumableEventFramer
+from persimmonhold.platform._dialect import PlatformDialect
 from persimmonhold.platform._names import (
     EXPECTED_PROCESS,
     NOT_RUN,
@@ -21,7 +24,12 @@
     SIGNATURE,
 )
 from persimmonhold.routes import RouteKind
-from persimmonhold.web import Exchange, FetchedResponse, encode_headers
+from persimmonhold.web import (
+    Exchange,
+    FetchedResponse,
+    RequestHead,
+    encode_headers,
+)
 from tests.forwarding_harness import ForwardingHarness, Script
 
 Answered = Result[FetchedResponse, Failure]
@@ -427,3 +435,48 @@
         assert_that(len(sent_chunks), LessThan(300))
 
     _run(scenario)
+
+
+@pytest.mark.parametrize('events', [0, 3])
+def test_attempt_that_its_upstream_cut_is_logged_with_the_prompt_parts(
+    events: int,
+) -> None:
+    messages: list[dict[str, Any]] = []
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.stream)
+
+        async def script(exchange: Exchange) -> None:
+            if events:
+                await _stream(exchange, 1, events)
+            exchange.abort_connection()
+
+        await harness.start_upstream(script)
+        headers = {'prefix-hash': 'A1:800, b2:10,c3:250'}
+        await harness.send_request(headers=headers)
+
+    # Without a destination, eliot keeps messages for the first one.
+    eliot.add_destinations(messages.append)
+    messages.clear()
+    try:
+        _run(scenario)
+    finally:
+        eliot.remove_destination(messages.append)
+    attempt = next(
+        one for one in messages if one['message_type'] == 'attempt_cut'
+    )
+    assert_that(attempt['prompt_parts'], Equals(('a1', 'b2', 'c3')))
+    assert_that(attempt['streamed_s'] is None, Equals(not events))
+
+
+def test_prompt_parts_of_a_request_are_bounded() -> None:
+    parts = ','.join(f'{number:x}:10' for number in range(2000))
+    head = RequestHead(
+        method='POST',
+        target='/chat',
+        headers=encode_headers({'attempt-id': 'r1', 'prefix-hash': parts}),
+        peer='',
+    )
+    profile = PlatformDialect().decode_profile(head).unwrap()
+    assert_that(len(profile.prompt_parts), Equals(64))
+    assert_that(profile.prompt_parts[-1], Equals(f'{1999:x}'))
--- a/tests/test_response_framing.py
+++ b/tests/test_response_framing.py
@@ -267,7 +267,9 @@
     async def script(connection: RawConnection) -> None:
         await connection.respond(EVENT_STREAM, 'connection', _WITHIN_LATER)
 
+    # Without a destination, eliot keeps messages for the first one.
     eliot.add_destinations(record)
+    lines.clear()
     try:
         status, _ = _relay(RouteKind.stream, resumable=False, script=script)
     finally:
