--- /dev/null
+++ b/tests/crashing_fleet.py
@@ -0,0 +1,242 @@
+"""Entries and control in virtual time, with upstreams that requests crash."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import pytest
+
+from persimmonhold.fleet import AttemptEnd, SendRequest
+from persimmonhold.forwarding import ForwardServices
+from persimmonhold.forwarding._attempt_result import (
+    AttemptResult,
+    CompleteResponse,
+)
+from persimmonhold.forwarding._forward_request import ForwardRequest
+from persimmonhold.forwarding._forward_response_writer import (
+    ForwardResponseWriter,
+)
+from persimmonhold.routes import RouteKind
+from persimmonhold.web import ResponseHead
+from tests.fleet_builders import make_route
+from tests.limited_fleet import (
+    LimitedFleet,
+    LimitedUpstream,
+    ListClient,
+    RecordedExchange,
+    SimulatedAttempt,
+)
+
+SOUND_PARTS: Final = tuple(f'a{number}' for number in range(6))
+FIRST_PART: Final = 'f0'
+CONTACT_S: Final = 3.0
+_RESTART_S: Final = 5.0
+_LINK_S: Final = 0.001
+_PROMPT_S: Final = 0.08  # until an upstream begins to write
+_STREAM_S: Final = 1.2
+_HEAD: Final = ResponseHead(status=200, headers=())
+
+
+class CrashingUpstream(LimitedUpstream):
+    """A process that a request may crash; it returns after a while.
+
+    `running` are the attempts that wait for the end of the process.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.ended = asyncio.Event()
+        self.is_up = True
+
+    def crash(self) -> None:
+        """End the process, and start another one later."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.ended.set()
+        asyncio.get_running_loop().call_later(_RESTART_S, self._restart)
+
+    def _restart(self) -> None:
+        self.born_ms += 1
+        self.ended = asyncio.Event()
+        self.is_up = True
+
+
+class CrashingFleet(LimitedFleet):
+    """A fleet whose upstreams end when they begin to write on some parts.
+
+    `bad_arrivals` are the times at which requests with such a part reached an
+    upstream, and `crashes` the times at which upstreams ended under them.
+    `bad` are the exchanges of their callers and `sound` those of all others,
+    each with the time at which the request was sent.
+    """
+
+    def __init__(
+        self,
+        entry_count: int,
+        upstream_count: int,
+        directory: Path,
+        patch: pytest.MonkeyPatch,
+    ) -> None:
+        super().__init__(entry_count, directory, patch)
+        self.engines = {
+            f'e{number}': CrashingUpstream(f'e{number}')
+            for number in range(upstream_count)
+        }
+        self.client = ListClient(list(self.engines.values()))
+        self.bad_parts: set[str] = set()
+        self.bad_arrivals: list[tuple[float, str]] = []
+        self.crashes: dict[str, list[float]] = {}
+        self.sound_begun: list[float] = []
+        self.sound: list[tuple[float, RecordedExchange]] = []
+        self.bad: list[tuple[float, RecordedExchange]] = []
+        self.route = make_route(RouteKind.stream)
+
+    def build_attempt(
+        self,
+        services: ForwardServices,
+        request: ForwardRequest,
+        response_writer: ForwardResponseWriter,
+        event_framer: object,
+        action: SendRequest,
+        usable_until: float,
+    ) -> SimulatedAttempt:
+        """Return an attempt at an upstream that the request may crash."""
+        return _CrashingAttempt(self, request, response_writer, action)
+
+    def send_sound_requests(self, per_s: float) -> None:
+        """Start callers whose requests share the first part and others."""
+        self._start_callers(per_s, self._draw_sound_parts)
+
+    def send_bad_requests(
+        self, part: str, per_s: float, place: int = 1
+    ) -> None:
+        """Start callers whose requests have a part that crashes upstreams."""
+        self.bad_parts.add(part)
+
+        def draw_parts() -> tuple[str, ...]:
+            parts = list(self._draw_sound_parts())
+            parts.insert(place, part)
+            return tuple(parts)
+
+        self._start_callers(per_s, draw_parts)
+
+    def find_bad_part(self, parts: tuple[str, ...]) -> str:
+        """Return the part that crashes an upstream, or ''."""
+        return next((part for part in parts if part in self.bad_parts), '')
+
+    def count_late_arrivals(self, part: str) -> int:
+        """Count requests that arrived `CONTACT_S` after the fifth crash."""
+        crashes = self.crashes.get(part, [])
+        if len(crashes) < 5:
+            return 0
+        since = crashes[4] + CONTACT_S
+        return sum(at > since for at, one in self.bad_arrivals if one == part)
+
+    def count_begun(self, since: float, until: float) -> int:
+        """Count sound requests that an upstream began to answer."""
+        return sum(since < at <= until for at in self.sound_begun)
+
+    def crash_all(self) -> None:
+        """End all upstreams at once."""
+        for engine in self.engines.values():
+            engine.crash()
+
+    async def restart_entry(self, name: str) -> None:
+        """Restart an entry, which then knows nothing."""
+        hub = self.services[name].hub
+        self.services.pop(name)
+        for task in [one for one in self.tasks if one.get_name() == name]:
+            task.cancel()
+        hub.close()
+        self.start_entry(name)
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry, and name its task after it."""
+        super().start_entry(name)
+        self.tasks[-1].set_name(name)
+
+    def _draw_sound_parts(self) -> tuple[str, ...]:
+        own_part = f'{self.rng.getrandbits(48):x}'
+        return FIRST_PART, self.rng.choice(SOUND_PARTS), own_part
+
+    def _start_callers(
+        self, per_s: float, draw_parts: Callable[[], tuple[str, ...]]
+    ) -> None:
+        self.tasks.append(asyncio.create_task(self._send(per_s, draw_parts)))
+
+    async def _send(
+        self, per_s: float, draw_parts: Callable[[], tuple[str, ...]]
+    ) -> None:
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(self.rng.expovariate(per_s))
+                group.create_task(self._send_one(draw_parts()))
+
+    async def _send_one(self, parts: tuple[str, ...]) -> None:
+        entry = self.rng.choice(tuple(self.services))
+        sent_at = self.now
+        exchange = await self.run_request(entry, self.route, parts)
+        if self.find_bad_part(parts):
+            self.bad.append((sent_at, exchange))
+        else:
+            self.sound.append((sent_at, exchange))
+
+
+class _CrashingAttempt(SimulatedAttempt):
+    """An attempt that ends with its upstream, or streams an answer."""
+
+    def __init__(
+        self,
+        world: CrashingFleet,
+        request: ForwardRequest,
+        response_writer: ForwardResponseWriter,
+        action: SendRequest,
+    ) -> None:
+        self.world = world
+        self.parts = request.dispatch_request.profile.prompt_parts
+        self.response_writer = response_writer
+        self.engine = world.engines[action.upstream.name]
+        self.first_event_at = 0.0
+
+    async def run(self) -> AttemptResult:
+        """Arrive at the upstream, and stream unless the process ends."""
+        await asyncio.sleep(_LINK_S)
+        if not self.engine.is_up:
+            return AttemptResult(end=AttemptEnd.unreachable, may_have_run=False)
+        bad_part = self.world.find_bad_part(self.parts)
+        if bad_part:
+            self.world.bad_arrivals.append((self.world.now, bad_part))
+        streaming = asyncio.create_task(self._stream(bad_part))
+        ending = asyncio.create_task(self.engine.ended.wait())
+        await asyncio.wait(
+            (streaming, ending), return_when=asyncio.FIRST_COMPLETED
+        )
+        is_cut = not streaming.done()
+        streaming.cancel()
+        ending.cancel()
+        streamed_s = self.world.now - self.first_event_at
+        return AttemptResult(
+            end=AttemptEnd.failed if is_cut else AttemptEnd.answered,
+            may_have_run=True,
+            response=None if is_cut else CompleteResponse(_HEAD, b''),
+            is_delivered=not is_cut,
+            is_cut=is_cut,
+            streamed_s=streamed_s if self.first_event_at else None,
+        )
+
+    async def _stream(self, bad_part: str) -> None:
+        await asyncio.sleep(_PROMPT_S * (0.5 + self.world.rng.random()))
+        if bad_part:
+            if self.engine.is_up:
+                crashes = self.world.crashes.setdefault(bad_part, [])
+                crashes.append(self.world.now)
+            self.engine.crash()
+            await asyncio.Event().wait()
+        self.first_event_at = self.world.now
+        self.world.sound_begun.append(self.world.now)
+        if not self.response_writer.has_begun:
+            self.response_writer.write_head(_HEAD, None)
+        await asyncio.sleep(_STREAM_S)
+        self.response_writer.finish_response()
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -1,7 +1,7 @@
 """Entries and control in virtual time, with upstreams that state limits."""
 
+import abc
 import asyncio
-import functools
 import random
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -34,11 +34,14 @@
     CompleteResponse,
 )
 from persimmonhold.forwarding._forward_request import ForwardRequest
+from persimmonhold.forwarding._forward_response_writer import (
+    ForwardResponseWriter,
+)
 from persimmonhold.forwarding._forward_runner import ForwardRunner
 from persimmonhold.observability import Metrics
 from persimmonhold.platform._dialect import PlatformDialect
-from persimmonhold.routes import RouteKind
-from persimmonhold.web import Exchange, RequestHead, ResponseHead
+from persimmonhold.routes import ForwardRoute, RouteKind
+from persimmonhold.web import Exchange, Headers, RequestHead, ResponseHead
 from tests.entry_builders import FakeControlLink
 from tests.fleet_builders import make_route
 from tests.forwarding_harness import UnavailableUpstreamClient
@@ -120,17 +123,24 @@
         )
         self.has_response_started = False
         self.status = 0
+        self.headers: Headers = ()
+        self.is_aborted = False
         self.waited_s = 0.0
 
-    def start_response_nowait(self, status: int, headers: object) -> None:
-        """Record the status."""
+    def abort_connection(self) -> None:
+        """Record that the response was broken off."""
+        self.is_aborted = True
+
+    def start_response_nowait(self, status: int, headers: Headers) -> None:
+        """Record the head."""
         self.has_response_started = True
         self.status = status
+        self.headers = headers
 
     def respond_nowait(
-        self, status: int, body: bytes, headers: object = ()
+        self, status: int, body: bytes, headers: Headers = ()
     ) -> None:
-        """Record the status of a refusal."""
+        """Record the head of a refusal."""
         self.start_response_nowait(status, headers)
 
     def write_body_chunk(self, chunk: bytes) -> bool:
@@ -141,6 +151,14 @@
         """Do nothing at the end of a response."""
 
 
+class SimulatedAttempt(abc.ABC):
+    """Stands for the connection of an attempt; the rest is the real code."""
+
+    @abc.abstractmethod
+    async def run(self) -> AttemptResult:
+        """Run the request at the upstream."""
+
+
 class LimitedFleet:
     """Entries that share upstreams, and the group of control VMs.
 
@@ -174,8 +192,7 @@
         return asyncio.get_running_loop().time()
 
     async def __aenter__(self) -> Self:
-        attempt = functools.partial(_SimulatedAttempt, self)
-        self.patch.setattr(runner_module, 'ForwardAttempt', attempt)
+        self.patch.setattr(runner_module, 'ForwardAttempt', self.build_attempt)
         await self.stack.enter_async_context(self.system)
         await self.system.wait_for_leader()
         for name in self.system.control_names:
@@ -204,6 +221,24 @@
             if isinstance(outcome, Exception):
                 raise outcome
 
+    def build_attempt(
+        self,
+        services: ForwardServices,
+        request: ForwardRequest,
+        response_writer: ForwardResponseWriter,
+        event_framer: object,
+        action: SendRequest,
+        usable_until: float,
+    ) -> SimulatedAttempt:
+        """Return what stands for an attempt at an upstream."""
+        return _LimitedAttempt(self, services, action)
+
+    def find_entry(self, services: ForwardServices) -> str:
+        """Return the name of the entry that owns the services."""
+        return next(
+            name for name, one in self.services.items() if one is services
+        )
+
     def start_controller(self, name: str) -> None:
         """Start the fleet controller of a VM with control."""
         node = self.system.vms[name].node
@@ -281,14 +316,25 @@
                 group.create_task(self._run_request(entry))
 
     async def _run_request(self, entry: str) -> None:
+        route = make_route(RouteKind.idempotent)
+        await self.run_request(entry, route)
+
+    async def run_request(
+        self,
+        entry: str,
+        route: ForwardRoute,
+        prompt_parts: tuple[str, ...] = (),
+    ) -> RecordedExchange:
+        """Have an entry serve a request; return what its caller got."""
         self.numbers += 1
         now = self.now
-        route = make_route(RouteKind.idempotent)
         request = DispatchRequest(
             number=self.numbers,
             service='models',
             route=route,
-            profile=RequestProfile(request_id=f'r{self.numbers}'),
+            profile=RequestProfile(
+                request_id=f'r{self.numbers}', prompt_parts=prompt_parts
+            ),
             arrived_at=now,
             due_at=now + 0.4,
             caller_waits_until=now + 1.8,
@@ -304,20 +350,17 @@
         await runner.run()
         exchange.waited_s = self.now - now
         self.exchanges.append(exchange)
+        return exchange
 
 
-class _SimulatedAttempt:
-    """Stands for the connection of an attempt; the rest is the real code."""
+class _LimitedAttempt(SimulatedAttempt):
+    """An attempt at an upstream that may state a request limit."""
 
     def __init__(
         self,
         world: LimitedFleet,
         services: ForwardServices,
-        request: ForwardRequest,
-        response_writer: object,
-        event_framer: object,
         action: SendRequest,
-        usable_until: float,
     ) -> None:
         self.world = world
         self.services = services
@@ -327,11 +370,7 @@
         """Arrive at the upstream, and return with its response."""
         hub = self.services.hub
         upstream = self.world.upstreams[self.action.upstream.name]
-        entry = next(
-            name
-            for name, services in self.world.services.items()
-            if services is self.services
-        )
+        entry = self.world.find_entry(self.services)
         sent_at = hub.clock()
         await asyncio.sleep(_LINK_DELAY_S)
         upstream.arrivals.append((self.world.now, entry))
