--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -16,6 +16,8 @@
     'list_read_by_entry',
     'order',
     'placement',
+    'prompt_quarantined',
+    'quarantine_in_force',
     'report_failed',
     'routes_in_force',
     'started',
@@ -28,6 +30,8 @@
     ' its caller would have left',
     'request_limit': 'every upstream that could run it had stated a request'
     ' limit, and no permit was expected in time',
+    'quarantined_prompt': 'upstreams had ended when they began to answer'
+    ' requests with a part of its prompt',
     'no_upstream': 'no upstream had the model loaded in time',
     'retry_budget_spent': 'upstreams refused it and the retry budget of'
     ' this entry was spent',
--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -39,6 +39,7 @@
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.fleet._upstream_report import UpstreamReport
 from persimmonhold.fleet._weights_memory import free_memory_mb, model_memory_mb
+from persimmonhold.quarantine import PromptQuarantine
 from persimmonhold.routes import EngineSpec, ModelSpec, RoutingDocument
 
 # Time for the entries to be told, and to stop sending requests for a model,
@@ -75,6 +76,7 @@
         'load_limiters',
         'orders_start_at',
         'planned',
+        'quarantine',
         'replies',
         'retry_at',
         'sequence',
@@ -98,6 +100,7 @@
         self.adapter_schedulers: dict[str, AdapterScheduler] = {}
         self.load_limiters: dict[str, StoreLoadLimiter] = {}
         self.planned: dict[str, PlannedOrder] = {}
+        self.quarantine = PromptQuarantine()
         self.replies: list[tuple[str, AdapterLoadReply]] = []
         self.retry_at: dict[str, float] = {}
         self.sequence = 0
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -14,6 +14,7 @@
 from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
+from persimmonhold.quarantine import PromptEvidence, QuarantineUpdate
 
 
 @final
@@ -104,6 +105,7 @@
     `term` and `number` confirm the last update that the entry applied.
     `sequence` increases with each report. `limits` are the request limits of
     upstreams that the facts sent to this entry may not include yet.
+    `quarantine_version` is that of the last `QuarantineUpdate` of the term.
     """
 
     term: int
@@ -112,6 +114,7 @@
     loads: tuple[SharedLoad, ...] = ()
     demand: tuple[ModelDemand, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
+    quarantine_version: int = 0
 
 
 @final
@@ -191,4 +194,6 @@
     | AdapterLoadReply
     | PermitRequest
     | PermitReply
+    | PromptEvidence
+    | QuarantineUpdate
 )
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -26,6 +26,7 @@
 from persimmonhold.forwarding._forward_hub import ForwardHub
 from persimmonhold.forwarding._upstream_client import UpstreamClient
 from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.quarantine import QuarantineUpdate
 from persimmonhold.tasks import wait_with_timeout
 from persimmonhold.transport import Channel, Transport
 
@@ -97,6 +98,9 @@
         """
         while True:
             self._send_to_controller(self.hub.build_report())
+            evidence = self.hub.build_evidence()
+            if evidence is not None:
+                self._send_to_controller(evidence)
             if self._is_list_read_due():
                 await self._read_list()
             self.hub.request_waiting.clear()
@@ -179,6 +183,8 @@
             return
         if isinstance(message, FleetUpdate):
             self.hub.apply_update(message)
+        elif isinstance(message, QuarantineUpdate):
+            self.hub.apply_quarantine(message)
         elif isinstance(message, AdapterLoadReply):
             _set_reply(self.pending_replies, message)
         elif isinstance(message, PermitReply):
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -26,8 +26,10 @@
 from persimmonhold.forwarding._fleet_work_log import FleetWorkLog
 from persimmonhold.forwarding._order_lease import OrderLease
 from persimmonhold.forwarding._permit_server import PermitServer
+from persimmonhold.forwarding._quarantine_server import QuarantineServer
 from persimmonhold.forwarding._upstream_client import UpstreamClient
 from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.quarantine import PromptEvidence
 from persimmonhold.tasks import wait_with_timeout
 from persimmonhold.transport import Channel, Transport
 
@@ -102,6 +104,7 @@
         'permit_server',
         'plan_wakeup',
         'planned_at',
+        'quarantine_server',
         'term',
         'term_started',
         'transport',
@@ -127,6 +130,7 @@
         self.upstream_client = upstream_client
         self.order_lease = OrderLease(node, lease_s, clock)
         self.permit_server = PermitServer(node, transport, clock)
+        self.quarantine_server = QuarantineServer(transport, clock)
         self.clock = clock
         self.next_plan_at = 0.0
         self.planned_at = 0.0
@@ -170,6 +174,7 @@
         if isinstance(message, EntryReport):
             self.work_log.report_count += 1
             term.controller.demand.record_report(peer, message, self.clock())
+            self.quarantine_server.check_report(term.controller, peer, message)
             if self.permit_server.record_limits(
                 term.controller, peer, message.limits
             ):
@@ -185,6 +190,11 @@
             self.plan_wakeup.set()
         elif isinstance(message, PermitRequest):
             self.permit_server.answer_request(term.controller, peer, message)
+        elif isinstance(message, PromptEvidence):
+            self.quarantine_server.record_evidence(
+                term.controller, peer, message
+            )
+            self.plan_wakeup.set()
 
     async def _run_planning(self) -> None:
         """Start and end terms, plan orders when due, and send adapter replies.
@@ -203,6 +213,9 @@
                 self.work_log.log_if_due(now)
             if self.term is not None:
                 self._send_due_replies(self.term, now)
+                self.quarantine_server.decide_and_send(
+                    self.term.controller, self._list_entries
+                )
             await self._wait_until_due()
 
     def _has_order_due(self, now: float) -> bool:
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterable
 from typing import final
 
+import msgspec
+
 from persimmonhold.fleet import (
     AttemptEnd,
     DispatchRequest,
@@ -17,10 +19,17 @@
     FleetUpdate,
     ForwardAction,
     ForwardDispatcher,
+    RequestProfile,
     StatedLimit,
 )
+from persimmonhold.forwarding._attempt_result import AttemptResult
 from persimmonhold.forwarding._fleet_view_log import FleetViewLog
 from persimmonhold.observability import log_event
+from persimmonhold.quarantine import (
+    PromptEvidence,
+    QuarantineUpdate,
+    QuarantineView,
+)
 
 
 @final
@@ -35,6 +44,7 @@
         'clock',
         'demand_meter',
         'dispatcher',
+        'quarantine',
         'request_numbers',
         'request_waiting',
         'timer',
@@ -51,6 +61,7 @@
         self.dispatcher = dispatcher
         self.clock = clock
         self.demand_meter = FleetDemandMeter()
+        self.quarantine = QuarantineView()
         self.request_waiting = asyncio.Event()
         self.request_numbers = itertools.count(1)
         self.waiters: dict[int, asyncio.Future[ForwardAction]] = {}
@@ -134,6 +145,7 @@
         """Apply new facts about the upstreams and dispatch requests."""
         now = self.clock()
         self._deliver(self.dispatcher.apply_update(update, now))
+        self.quarantine.begin_term(self.dispatcher.term)
         is_applied = self.dispatcher.sequence == update.sequence
         self.view_log.record_update(now, is_applied=is_applied)
 
@@ -141,7 +153,46 @@
         """Return a report of the load, and the demand since the last call."""
         now = self.clock()
         self.view_log.log_if_due(self.dispatcher, now)
-        return self.demand_meter.build_report(self.dispatcher, now)
+        report = self.demand_meter.build_report(self.dispatcher, now)
+        return msgspec.structs.replace(
+            report, quarantine_version=self.quarantine.version
+        )
+
+    def build_evidence(self) -> PromptEvidence | None:
+        """Return what the controller has to know of prompts, or None."""
+        return self.quarantine.build_evidence(self.clock())
+
+    def apply_quarantine(self, update: QuarantineUpdate) -> None:
+        """Apply an update of the quarantined prompts, and log new ones."""
+        for prompt in self.quarantine.apply_update(update, self.clock()):
+            log_event(
+                'quarantine_in_force',
+                prompt_parts=prompt.parts,
+                left_s=round(prompt.left_s, 1),
+                term=update.term,
+                version=update.version,
+            )
+
+    def find_quarantine_left_s(self, profile: RequestProfile) -> float:
+        """Return for how many seconds a prompt is refused; 0 if it is not."""
+        return self.quarantine.find_left_s(profile.prompt_parts, self.clock())
+
+    def record_prompt_outcome(
+        self,
+        process: tuple[str, int],
+        profile: RequestProfile,
+        result: AttemptResult,
+    ) -> None:
+        """Record whether an upstream ended when it was to answer a prompt."""
+        now = self.clock()
+        parts = profile.shared_parts
+        if result.is_cut:
+            self.quarantine.record_cut(
+                process, profile.request_id, parts, result.streamed_s, now
+            )
+        elif result.end is AttemptEnd.answered:
+            began_at = now - (result.streamed_s or 0)
+            self.quarantine.record_answered(parts, began_at)
 
     def close(self) -> None:
         """Stop the timer that dispatches waiting requests."""
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -91,10 +91,15 @@
 
     async def _run_attempts(self) -> None:
         """Run attempts until one ends the request or it is refused."""
+        if self._refuse_if_quarantined():
+            return
         action = await self.services.hub.submit_request(
             self.request.dispatch_request
         )
         while isinstance(action, SendRequest):
+            # It may have been quarantined while the request waited.
+            if self._refuse_if_quarantined():
+                return
             result = await self._run_attempt(action)
             self._log_attempt(action, result)
             if self._handle_attempt_result(result):
@@ -105,6 +110,24 @@
             )
         self._refuse(action)
 
+    def _refuse_if_quarantined(self) -> bool:
+        """Refuse the request if its prompt is quarantined; tell whether."""
+        dispatch_request = self.request.dispatch_request
+        left_s = self.services.hub.find_quarantine_left_s(
+            dispatch_request.profile
+        )
+        if left_s:
+            now = self.services.hub.clock()
+            self._refuse(
+                RefuseRequest(
+                    number=self.request_number,
+                    reason='quarantined_prompt',
+                    retry_after_s=left_s,
+                    waited_s=now - dispatch_request.arrived_at,
+                )
+            )
+        return left_s > 0
+
     async def _run_attempt(self, action: SendRequest) -> AttemptResult:
         """Load the adapter if needed, then run one attempt."""
         is_ready = True
@@ -134,6 +157,11 @@
         result = await attempt.run()
         self.may_have_run = may_have_run_before or result.may_have_run
         self.run_count += result.may_have_run
+        self.services.hub.record_prompt_outcome(
+            action.upstream.process_key,
+            self.request.dispatch_request.profile,
+            result,
+        )
         return result
 
     async def _request_permit(self, limit: StatedLimit) -> float:
--- /dev/null
+++ b/persimmonhold/quarantine/_messages.py
@@ -0,0 +1,82 @@
+"""Messages about requests under which upstreams end.
+
+Any of them may be lost, delayed or duplicated. Times are ages or remaining
+times in seconds, as VMs share no clock.
+"""
+
+from typing import final
+
+import msgspec
+
+
+@final
+class ObservedCrash(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that ended when it was about to answer a request.
+
+    `upstream` and `born_ms` identify the process. `parts` are those parts of
+    the request's prompt that other requests may share.
+    """
+
+    upstream: str
+    born_ms: int
+    request_id: str
+    parts: tuple[str, ...]
+    age_s: float
+
+
+@final
+class AnsweredPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a prompt that an upstream began to answer, and survived."""
+
+    part: str
+    age_s: float
+
+
+@final
+class QuarantinedPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """Parts of a prompt; requests with all of them are refused for a time."""
+
+    parts: tuple[str, ...]
+    left_s: float
+
+
+@final
+class PromptEvidence(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='prompt_evidence',
+    array_like=True,
+):
+    """Tells the fleet controller what an entry observed of prompt parts.
+
+    It is repeated until the controller confirms `number`. After a change of
+    the controller, it also has what the entry knows from the last one.
+    """
+
+    number: int
+    crashes: tuple[ObservedCrash, ...] = ()
+    answered: tuple[AnsweredPart, ...] = ()
+    quarantined: tuple[QuarantinedPrompt, ...] = ()
+
+
+@final
+class QuarantineUpdate(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='quarantine',
+    array_like=True,
+):
+    """Tells an entry which prompts to refuse, and which parts are suspected.
+
+    `version` increases within the leadership term. `confirmed` is the number of
+    the entry's last evidence that the controller has recorded. The entry
+    reports if a part in `watched` is answered.
+    """
+
+    term: int
+    version: int
+    confirmed: int
+    watched: tuple[str, ...] = ()
+    quarantined: tuple[QuarantinedPrompt, ...] = ()
--- /dev/null
+++ b/persimmonhold/quarantine/_quarantine_view.py
@@ -0,0 +1,171 @@
+"""What one entry knows and observes of requests that crash upstreams."""
+
+from collections import deque
+from typing import Final, final
+
+from persimmonhold.quarantine._messages import (
+    AnsweredPart,
+    ObservedCrash,
+    PromptEvidence,
+    QuarantinedPrompt,
+    QuarantineUpdate,
+)
+
+# An upstream that a request crashes ends when it begins to answer; one that
+# has written for this long was not crashed by the request.
+_PROOF_S: Final = 0.25
+# What an entry keeps for a new fleet controller.
+_MAX_CRASHES: Final = 32
+_MAX_PARTS: Final = 16  # of one prompt; usual prompts have three or four
+_MAX_ANSWERED: Final = 64
+_MAX_QUARANTINES: Final = 256
+
+
+@final
+class QuarantineView:
+    """Refuses quarantined prompts, and collects evidence for the controller.
+
+    `ends` has the end of each quarantine. It is never shortened, so that
+    neither a new controller nor a lost message ends one. `crashes` and
+    `answered` hold the number of each observation and its time; `number` is
+    the last one, and the controller has recorded them up to `confirmed`.
+    """
+
+    __slots__ = (
+        'answered',
+        'confirmed',
+        'crashes',
+        'ends',
+        'number',
+        'term',
+        'version',
+        'watched',
+    )
+
+    def __init__(self) -> None:
+        """Create the view of an entry that has just started."""
+        self.term = 0
+        self.version = 0
+        self.number = 0
+        self.confirmed = 0
+        self.watched: frozenset[str] = frozenset()
+        self.ends: dict[tuple[str, ...], float] = {}
+        self.crashes: deque[tuple[int, float, ObservedCrash]] = deque(
+            maxlen=_MAX_CRASHES
+        )
+        self.answered: dict[str, tuple[int, float]] = {}
+
+    def find_left_s(self, parts: tuple[str, ...], now: float) -> float:
+        """Return for how many seconds a prompt is refused; 0 if it is not."""
+        left_s = [
+            end - now
+            for quarantined, end in self.ends.items()
+            if end > now and set(quarantined).issubset(parts)
+        ]
+        return max(left_s, default=0)
+
+    def record_cut(
+        self,
+        process: tuple[str, int],
+        request_id: str,
+        parts: tuple[str, ...],
+        streamed_s: float | None,
+        now: float,
+    ) -> None:
+        """Record that an upstream cut the attempt at a request.
+
+        Only a request that the upstream had hardly begun to answer may have
+        crashed it.
+        """
+        if streamed_s is not None and streamed_s >= _PROOF_S:
+            self.record_answered(parts, now - streamed_s)
+        elif parts:
+            crash = ObservedCrash(*process, request_id, parts[:_MAX_PARTS], 0)
+            self.number += 1
+            self.crashes.append((self.number, now, crash))
+
+    def record_answered(self, parts: tuple[str, ...], began_at: float) -> None:
+        """Record that an upstream began to answer a prompt, and went on."""
+        for part in self.watched.intersection(parts):
+            _, known_at = self.answered.get(part, (0, began_at - 1))
+            if began_at > known_at:
+                self.number += 1
+                self.answered[part] = (self.number, began_at)
+
+    def begin_term(self, term: int) -> None:
+        """Report all that is known to a new fleet controller."""
+        if term <= self.term:
+            return
+        self.term = term
+        self.version = 0
+        self.confirmed = 0
+        self.answered.clear()
+        if self.crashes or self.ends:
+            self.number += 1
+
+    def apply_update(
+        self, update: QuarantineUpdate, now: float
+    ) -> tuple[QuarantinedPrompt, ...]:
+        """Apply an update of the fleet controller; return what is new."""
+        if update.term < self.term:
+            return ()
+        self.begin_term(update.term)
+        if update.confirmed <= self.number:
+            # A higher number was confirmed to this entry before its restart.
+            self.confirmed = max(self.confirmed, update.confirmed)
+        if update.version >= self.version:
+            self.version = update.version
+            self.watched = frozenset(update.watched)
+        self._drop_reported()
+        begun = [
+            prompt
+            for prompt in update.quarantined
+            if self.ends.get(prompt.parts, now) <= now
+        ]
+        for prompt in update.quarantined:
+            end = now + prompt.left_s
+            self.ends[prompt.parts] = max(end, self.ends.get(prompt.parts, end))
+        self._drop_ended(now)
+        return tuple(begun)
+
+    def build_evidence(self, now: float) -> PromptEvidence | None:
+        """Return what the controller has not recorded yet, or None."""
+        if self.number <= self.confirmed:
+            return None
+        is_new_term = not self.confirmed
+        return PromptEvidence(
+            number=self.number,
+            crashes=tuple(
+                ObservedCrash(
+                    crash.upstream,
+                    crash.born_ms,
+                    crash.request_id,
+                    crash.parts,
+                    now - at,
+                )
+                for number, at, crash in self.crashes
+                if number > self.confirmed
+            ),
+            answered=tuple(
+                AnsweredPart(part, now - began_at)
+                for part, (_, began_at) in self.answered.items()
+            ),
+            quarantined=tuple(
+                QuarantinedPrompt(parts, end - now)
+                for parts, end in self.ends.items()
+                if is_new_term and end > now
+            ),
+        )
+
+    def _drop_reported(self) -> None:
+        """Drop the answered parts that the controller knows of."""
+        for part, (number, _) in tuple(self.answered.items()):
+            if number <= self.confirmed or part not in self.watched:
+                self.answered.pop(part)
+
+    def _drop_ended(self, now: float) -> None:
+        """Drop quarantines that ended, and the first to end beyond the bound."""
+        ranked = sorted(self.ends, key=self.ends.__getitem__, reverse=True)
+        for place, parts in enumerate(ranked):
+            if place >= _MAX_QUARANTINES or self.ends[parts] <= now:
+                self.ends.pop(parts)
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -309,16 +309,6 @@
         for name in names:
             network.resume(name)
 
-    async def _call(self, entry: str, per_s: float) -> None:
-        async with asyncio.TaskGroup() as group:
-            while True:
-                await asyncio.sleep(self.rng.expovariate(per_s))
-                group.create_task(self._run_request(entry))
-
-    async def _run_request(self, entry: str) -> None:
-        route = make_route(RouteKind.idempotent)
-        await self.run_request(entry, route)
-
     async def run_request(
         self,
         entry: str,
@@ -352,6 +342,16 @@
         self.exchanges.append(exchange)
         return exchange
 
+    async def _call(self, entry: str, per_s: float) -> None:
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(self.rng.expovariate(per_s))
+                group.create_task(self._run_request(entry))
+
+    async def _run_request(self, entry: str) -> None:
+        route = make_route(RouteKind.idempotent)
+        await self.run_request(entry, route)
+
 
 class _LimitedAttempt(SimulatedAttempt):
     """An attempt at an upstream that may state a request limit."""
