--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -28,6 +28,7 @@
     ResumableEventFramer,
 )
 from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.quarantine import PROOF_S
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import (
     BodyEnd,
@@ -87,6 +88,7 @@
         self.event_boundary = EventBoundary()
         self.first_event_at = 0.0
         self.is_cut = False
+        self.is_proven = False
         self.is_event_stream = False
         self.is_streaming = False
         self.has_written = False
@@ -110,10 +112,7 @@
             self.request.dispatch_request.number
         )
         if self.is_event_stream:
-            self.first_event_at = (
-                self.first_event_at or self.services.hub.clock()
-            )
-            self.event_boundary.feed(chunk)
+            self._record_events(chunk)
         if not self.is_streaming:
             self.buffered += chunk
             if len(self.buffered) <= _MAX_BUFFERED_BYTES:
@@ -134,6 +133,19 @@
         route = self.request.dispatch_request.route
         return self.is_event_stream and route.is_resumable
 
+    def _record_events(self, chunk: bytes) -> None:
+        """Follow the stream; tell once that the upstream goes on with it."""
+        self.event_boundary.feed(chunk)
+        hub = self.services.hub
+        now = hub.clock()
+        if not self.first_event_at:
+            self.first_event_at = now
+        elif not self.is_proven and now - self.first_event_at >= PROOF_S:
+            self.is_proven = True
+            hub.record_prompt_answered(
+                self.request.dispatch_request.profile, self.first_event_at
+            )
+
     def _streamed_s(self) -> float | None:
         """Return how long ago the first event arrived, or None without one."""
         if not self.first_event_at:
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -177,6 +177,12 @@
         """Return for how many seconds a prompt is refused; 0 if it is not."""
         return self.quarantine.find_left_s(profile.prompt_parts, self.clock())
 
+    def record_prompt_answered(
+        self, profile: RequestProfile, began_at: float
+    ) -> None:
+        """Record that an upstream began to answer a prompt, and went on."""
+        self.quarantine.record_answered(profile.shared_parts, began_at)
+
     def record_prompt_outcome(
         self,
         process: tuple[str, int],
@@ -191,8 +197,7 @@
                 process, profile.request_id, parts, result.streamed_s, now
             )
         elif result.end is AttemptEnd.answered:
-            began_at = now - (result.streamed_s or 0)
-            self.quarantine.record_answered(parts, began_at)
+            self.record_prompt_answered(profile, now - (result.streamed_s or 0))
 
     def close(self) -> None:
         """Stop the timer that dispatches waiting requests."""
--- a/persimmonhold/quarantine/__init__.py
+++ b/persimmonhold/quarantine/__init__.py
@@ -12,9 +12,13 @@
     QuarantineUpdate,
 )
 from persimmonhold.quarantine._prompt_quarantine import PromptQuarantine
-from persimmonhold.quarantine._quarantine_view import QuarantineView
+from persimmonhold.quarantine._quarantine_view import (
+    PROOF_S,
+    QuarantineView,
+)
 
 __all__ = (
+    'PROOF_S',
     'AnsweredPart',
     'ObservedCrash',
     'PromptEvidence',
--- a/persimmonhold/quarantine/_prompt_quarantine.py
+++ b/persimmonhold/quarantine/_prompt_quarantine.py
@@ -6,6 +6,7 @@
 requests that have it. Invariant: the state is bounded whatever entries report.
 """
 
+import math
 from typing import Final, TypeAlias, final
 
 from persimmonhold.quarantine._messages import (
@@ -14,12 +15,14 @@
     QuarantinedPrompt,
     QuarantineUpdate,
 )
-from persimmonhold.quarantine._suspected_part import SuspectedPart
+from persimmonhold.quarantine._suspected_part import WATCH_S, SuspectedPart
 
 PartSet: TypeAlias = tuple[str, ...]
 _MAX_SUSPECTS: Final = 256
 _MAX_WATCHED: Final = 64
 _MAX_QUARANTINES: Final = 256
+# All that a crash leads to is decided within this time.
+_DECISION_S: Final = WATCH_S + 0.5
 _FIRST_QUARANTINE_S: Final = 600.0
 # The quarantine of a prompt that crashes upstreams again is twice as long.
 _MAX_QUARANTINE_S: Final = 86_400.0
@@ -39,6 +42,7 @@
         'durations',
         'ends',
         'suspects',
+        'undecided_until',
         'version',
         'watched',
     )
@@ -49,6 +53,7 @@
         self.ends: dict[PartSet, float] = {}
         self.durations: dict[PartSet, float] = {}
         self.confirmed: dict[str, int] = {}
+        self.undecided_until = -math.inf
         self.version = 0
         self.watched: tuple[str, ...] = ()
 
@@ -58,6 +63,7 @@
         """Record what an entry observed; evidence may be repeated."""
         for crash in evidence.crashes:
             self._record_crash(crash, now)
+            self.undecided_until = now + _DECISION_S
         for answered in evidence.answered:
             suspect = self.suspects.get(answered.part)
             if suspect is not None:
@@ -73,12 +79,13 @@
 
     def decide(self, now: float) -> tuple[QuarantinedPrompt, ...]:
         """Quarantine what the evidence is sufficient for; return what is new."""
+        if now > self.undecided_until:
+            return ()
         begun: list[QuarantinedPrompt] = []
-        for part, suspect in tuple(self.suspects.items()):
+        for part in self.watched:
+            suspect = self.suspects[part]
             parts = self._find_common_parts(part, suspect)
-            if self._is_refused(parts, now):
-                continue
-            if suspect.is_convicted(now, self.ends.get(parts)):
+            if suspect.is_convicted(now, self._find_last_end(parts)):
                 begun.append(self._begin_quarantine(parts, now))
         return tuple(begun)
 
@@ -98,16 +105,18 @@
             ),
         )
 
-    def _is_refused(self, parts: PartSet, now: float) -> bool:
-        """Tell whether prompts with all of these parts are refused now."""
-        return any(
-            end > now and set(quarantined).issubset(parts)
+    def _find_last_end(self, parts: PartSet) -> float | None:
+        """Return when the last quarantine of such prompts ends, or None."""
+        ends = [
+            end
             for quarantined, end in self.ends.items()
-        )
+            if set(quarantined).issubset(parts)
+        ]
+        return max(ends, default=None)
 
     def _record_crash(self, crash: ObservedCrash, now: float) -> None:
         for part in crash.parts:
-            suspect = self.suspects.setdefault(part, SuspectedPart(now))
+            suspect = self.suspects.setdefault(part, SuspectedPart())
             suspect.add_crash(crash, now - crash.age_s)
 
     def _find_common_parts(self, part: str, suspect: SuspectedPart) -> PartSet:
@@ -154,7 +163,12 @@
 
     def _list_watched(self) -> tuple[str, ...]:
         """Return the parts to watch: those with the most crashes."""
-        return tuple(sorted(self._rank_suspects()[:_MAX_WATCHED]))
+        watched = [
+            part
+            for part in self._rank_suspects()[:_MAX_WATCHED]
+            if self.suspects[part].valid_crashes
+        ]
+        return tuple(sorted(watched))
 
     def _rank_suspects(self) -> list[str]:
         """Return the suspected parts, those with the most crashes first."""
--- a/persimmonhold/quarantine/_quarantine_view.py
+++ b/persimmonhold/quarantine/_quarantine_view.py
@@ -13,7 +13,7 @@
 
 # An upstream that a request crashes ends when it begins to answer; one that
 # has written for this long was not crashed by the request.
-_PROOF_S: Final = 0.25
+PROOF_S: Final = 0.25
 # What an entry keeps for a new fleet controller.
 _MAX_CRASHES: Final = 32
 _MAX_PARTS: Final = 16  # of one prompt; usual prompts have three or four
@@ -77,7 +77,7 @@
         Only a request that the upstream had hardly begun to answer may have
         crashed it.
         """
-        if streamed_s is not None and streamed_s >= _PROOF_S:
+        if streamed_s is not None and streamed_s >= PROOF_S:
             self.record_answered(parts, now - streamed_s)
         elif parts:
             crash = ObservedCrash(*process, request_id, parts[:_MAX_PARTS], 0)
--- a/persimmonhold/quarantine/_suspected_part.py
+++ b/persimmonhold/quarantine/_suspected_part.py
@@ -11,9 +11,9 @@
 _MAX_CRASHES: Final = 16  # more add nothing to the evidence
 _MIN_CRASHES: Final = 3
 _MIN_REQUESTS: Final = 2
-# Time for entries to learn that a part is suspected, and to report that it is
-# answered.
-_WATCH_S: Final = 1.0
+# Time for entries to learn that a part is suspected, and to report that an
+# upstream has begun to answer it since and has gone on for `PROOF_S`.
+WATCH_S: Final = 1.0
 _SUSPICION_S: Final = 600.0
 
 
@@ -23,16 +23,15 @@
 
     `crashes` maps a process to when it ended, and to the request. Those before
     `answered_at`, when an upstream last began to answer the part and went on,
-    do not count. The part is watched from `watched_since`.
+    do not count.
     """
 
-    __slots__ = ('answered_at', 'crashes', 'watched_since')
+    __slots__ = ('answered_at', 'crashes')
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         """Create a part without evidence."""
         self.answered_at = -math.inf
         self.crashes: dict[tuple[str, int], tuple[float, ObservedCrash]] = {}
-        self.watched_since = now
 
     @property
     def valid_crashes(self) -> list[tuple[float, ObservedCrash]]:
@@ -50,6 +49,9 @@
 
     def add_crash(self, crash: ObservedCrash, at: float) -> None:
         """Add the end of a process; entries may report the same one."""
+        for known, (ended_at, _) in tuple(self.crashes.items()):
+            if ended_at <= self.answered_at:
+                self.crashes.pop(known)
         process = (crash.upstream, crash.born_ms)
         if len(self.crashes) < _MAX_CRASHES:
             self.crashes.setdefault(process, (at, crash))
@@ -59,8 +61,8 @@
         self.answered_at = max(self.answered_at, at)
 
     def is_stale(self, now: float) -> bool:
-        """Tell whether nothing is left to suspect the part of."""
-        return now - self.last_crash_at > _SUSPICION_S
+        """Tell whether all that is known of the part is too old to count."""
+        return now - max(self.last_crash_at, self.answered_at) > _SUSPICION_S
 
     def is_convicted(self, now: float, last_end: float | None) -> bool:
         """Tell whether the evidence is sufficient for a quarantine.
@@ -79,5 +81,5 @@
         return (
             min(len(crashes), moments) >= _MIN_CRASHES
             and len(requests) >= _MIN_REQUESTS
-            and now - self.watched_since >= _WATCH_S
+            and now - times[0] >= WATCH_S
         )
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -8,7 +8,7 @@
 import pytest
 
 from persimmonhold.fleet import AttemptEnd, SendRequest
-from persimmonhold.forwarding import ForwardServices
+from persimmonhold.forwarding import ForwardHub, ForwardServices
 from persimmonhold.forwarding._attempt_result import (
     AttemptResult,
     CompleteResponse,
@@ -17,6 +17,7 @@
 from persimmonhold.forwarding._forward_response_writer import (
     ForwardResponseWriter,
 )
+from persimmonhold.quarantine import PROOF_S
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import ResponseHead
 from tests.fleet_builders import make_route
@@ -67,7 +68,9 @@
     """A fleet whose upstreams end when they begin to write on some parts.
 
     `bad_arrivals` are the times at which requests with such a part reached an
-    upstream, and `crashes` the times at which upstreams ended under them.
+    upstream, with the part and the entry; `arrived_ids` are the requests that
+    reached one; `crashes` are the times at which
+    upstreams ended under them.
     `bad` are the exchanges of their callers and `sound` those of all others,
     each with the time at which the request was sent.
     """
@@ -86,7 +89,8 @@
         }
         self.client = ListClient(list(self.engines.values()))
         self.bad_parts: set[str] = set()
-        self.bad_arrivals: list[tuple[float, str]] = []
+        self.bad_arrivals: list[tuple[float, str, str]] = []
+        self.arrived_ids: set[str] = set()
         self.crashes: dict[str, list[float]] = {}
         self.sound_begun: list[float] = []
         self.sound: list[tuple[float, RecordedExchange]] = []
@@ -103,20 +107,27 @@
         usable_until: float,
     ) -> SimulatedAttempt:
         """Return an attempt at an upstream that the request may crash."""
-        return _CrashingAttempt(self, request, response_writer, action)
+        entry = self.find_entry(services)
+        return _CrashingAttempt(
+            self, entry, services.hub, request, response_writer, action
+        )
 
     def send_sound_requests(self, per_s: float) -> None:
         """Start callers whose requests share the first part and others."""
         self._start_callers(per_s, self._draw_sound_parts)
 
     def send_bad_requests(
-        self, part: str, per_s: float, place: int = 1
+        self, part: str, per_s: float, place: int = 1, shared_part: str = ''
     ) -> None:
-        """Start callers whose requests have a part that crashes upstreams."""
+        """Start callers whose requests have a part that crashes upstreams.
+
+        All of them have `shared_part`, too, if it is given.
+        """
         self.bad_parts.add(part)
 
         def draw_parts() -> tuple[str, ...]:
             parts = list(self._draw_sound_parts())
+            parts[1] = shared_part or parts[1]
             parts.insert(place, part)
             return tuple(parts)
 
@@ -126,13 +137,18 @@
         """Return the part that crashes an upstream, or ''."""
         return next((part for part in parts if part in self.bad_parts), '')
 
-    def count_late_arrivals(self, part: str) -> int:
-        """Count requests that arrived `CONTACT_S` after the fifth crash."""
+    def count_late_arrivals(self, part: str, settled_at: float = 0) -> int:
+        """Count requests that arrived `CONTACT_S` after the fifth crash.
+
+        Those before `settled_at`, when a fault has ended, do not count.
+        """
         crashes = self.crashes.get(part, [])
         if len(crashes) < 5:
             return 0
-        since = crashes[4] + CONTACT_S
-        return sum(at > since for at, one in self.bad_arrivals if one == part)
+        since = max(crashes[4], settled_at) + CONTACT_S
+        return sum(
+            at > since for at, one, _ in self.bad_arrivals if one == part
+        )
 
     def count_begun(self, since: float, until: float) -> int:
         """Count sound requests that an upstream began to answer."""
@@ -143,6 +159,17 @@
         for engine in self.engines.values():
             engine.crash()
 
+    def has_quarantine(self) -> bool:
+        """Tell whether any entry refuses a prompt."""
+        return any(
+            services.hub.quarantine.ends for services in self.services.values()
+        )
+
+    def is_refused(self, entry: str, parts: tuple[str, ...]) -> bool:
+        """Tell whether an entry refuses a prompt."""
+        quarantine = self.services[entry].hub.quarantine
+        return quarantine.find_left_s(parts, self.now) > 0
+
     async def restart_entry(self, name: str) -> None:
         """Restart an entry, which then knows nothing."""
         hub = self.services[name].hub
@@ -191,12 +218,16 @@
     def __init__(
         self,
         world: CrashingFleet,
+        entry: str,
+        hub: ForwardHub,
         request: ForwardRequest,
         response_writer: ForwardResponseWriter,
         action: SendRequest,
     ) -> None:
         self.world = world
-        self.parts = request.dispatch_request.profile.prompt_parts
+        self.entry = entry
+        self.hub = hub
+        self.profile = request.dispatch_request.profile
         self.response_writer = response_writer
         self.engine = world.engines[action.upstream.name]
         self.first_event_at = 0.0
@@ -206,9 +237,11 @@
         await asyncio.sleep(_LINK_S)
         if not self.engine.is_up:
             return AttemptResult(end=AttemptEnd.unreachable, may_have_run=False)
-        bad_part = self.world.find_bad_part(self.parts)
+        self.world.arrived_ids.add(self.profile.request_id)
+        bad_part = self.world.find_bad_part(self.profile.prompt_parts)
         if bad_part:
-            self.world.bad_arrivals.append((self.world.now, bad_part))
+            arrival = (self.world.now, bad_part, self.entry)
+            self.world.bad_arrivals.append(arrival)
         streaming = asyncio.create_task(self._stream(bad_part))
         ending = asyncio.create_task(self.engine.ended.wait())
         await asyncio.wait(
@@ -239,5 +272,7 @@
         self.world.sound_begun.append(self.world.now)
         if not self.response_writer.has_begun:
             self.response_writer.write_head(_HEAD, None)
-        await asyncio.sleep(_STREAM_S)
+        await asyncio.sleep(PROOF_S)
+        self.hub.record_prompt_answered(self.profile, self.first_event_at)
+        await asyncio.sleep(_STREAM_S - PROOF_S)
         self.response_writer.finish_response()
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -122,6 +122,7 @@
             method='POST', target='/chat/x', headers=(), peer=''
         )
         self.has_response_started = False
+        self.request_id = ''
         self.status = 0
         self.headers: Headers = ()
         self.is_aborted = False
@@ -331,6 +332,7 @@
             ends_at=now + 3,
         )
         exchange = RecordedExchange()
+        exchange.request_id = request.profile.request_id
         forwarded = ForwardRequest(
             dispatch_request=request, head=exchange.head, body=b''
         )
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,222 @@
+"""Decisions on prompts under which upstreams end, without a network."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, LessThan
+
+from persimmonhold.fleet import FleetMessage
+from persimmonhold.quarantine import (
+    AnsweredPart,
+    ObservedCrash,
+    PromptEvidence,
+    PromptQuarantine,
+    QuarantinedPrompt,
+    QuarantineUpdate,
+    QuarantineView,
+)
+
+_START = 1000.0
+_BAD = ('bad',)
+_DrawnCrash = tuple[int, list[int], bool]
+
+
+def _crash(number: int, *parts: str, request: str = '') -> ObservedCrash:
+    return ObservedCrash(f'u{number}', 1, request or f'r{number}', parts, 0)
+
+
+def _record(
+    quarantine: PromptQuarantine, now: float, *crashes: ObservedCrash
+) -> None:
+    evidence = PromptEvidence(number=1, crashes=crashes)
+    quarantine.record_evidence('vm1', evidence, now)
+
+
+def _record_answered(
+    quarantine: PromptQuarantine, now: float, *parts: str
+) -> None:
+    answered = tuple(AnsweredPart(part, 0) for part in parts)
+    evidence = PromptEvidence(number=1, answered=answered)
+    quarantine.record_evidence('vm1', evidence, now)
+
+
+def _convicted() -> PromptQuarantine:
+    quarantine = PromptQuarantine()
+    for number in range(3):
+        _record(quarantine, _START + number, _crash(number, 'f0', 'bad'))
+        _record_answered(quarantine, _START + number + 0.1, 'f0')
+    begun = quarantine.decide(_START + 3)
+    assert_that([one.parts for one in begun], Equals([_BAD]))
+    return quarantine
+
+
+def test_part_that_is_answered_after_a_crash_is_not_quarantined() -> None:
+    quarantine = PromptQuarantine()
+    for number in range(8):
+        _record(quarantine, _START + number, _crash(number, 'f0'))
+        _record_answered(quarantine, _START + number + 0.5, 'f0')
+    assert_that(quarantine.decide(_START + 20), Equals(()))
+
+
+def test_upstreams_that_end_together_are_one_crash() -> None:
+    quarantine = PromptQuarantine()
+    _record(quarantine, _START, *(_crash(number, 'f0') for number in range(9)))
+    assert_that(quarantine.decide(_START + 5), Equals(()))
+
+
+def test_repeats_of_one_request_do_not_quarantine_its_parts() -> None:
+    quarantine = PromptQuarantine()
+    for number in range(5):
+        _record(quarantine, _START + number, _crash(number, 'f0', request='r1'))
+    assert_that(quarantine.decide(_START + 9), Equals(()))
+
+
+def test_crash_that_several_entries_report_counts_once() -> None:
+    quarantine = PromptQuarantine()
+    for number in range(5):
+        same = _crash(1, 'f0', request=f'r{number}')
+        _record(quarantine, _START + number, same)
+    assert_that(quarantine.decide(_START + 9), Equals(()))
+
+
+def test_part_is_not_quarantined_before_an_answer_could_be_reported() -> None:
+    quarantine = PromptQuarantine()
+    for number in range(3):
+        _record(quarantine, _START + number * 0.35, _crash(number, 'bad'))
+    assert_that(quarantine.decide(_START + 0.9), Equals(()))
+    assert_that(quarantine.watched, Equals(_BAD))
+    assert_that(quarantine.decide(_START + 1.1), HasLength(1))
+
+
+def test_quarantine_ends_and_a_single_crash_renews_it_for_longer() -> None:
+    quarantine = _convicted()
+    # Reports of the crashes before may arrive late.
+    _record(quarantine, _START + 10, _crash(7, 'f0', 'bad'))
+    ended_at = _START + 3 + 600
+    assert_that(quarantine.decide(ended_at + 1), Equals(()))
+    update = quarantine.build_update('vm1', 1, ended_at + 1)
+    assert_that(update.quarantined, Equals(()))
+    _record(quarantine, ended_at + 5, _crash(8, 'bad'))
+    renewed = quarantine.decide(ended_at + 5)
+    assert_that(renewed, Equals((QuarantinedPrompt(_BAD, 1200),)))
+
+
+def test_new_controller_keeps_the_quarantines_that_entries_know() -> None:
+    view = QuarantineView()
+    view.begin_term(1)
+    update = _convicted().build_update('vm1', 1, _START + 3)
+    view.apply_update(update, 50)
+    view.begin_term(2)
+    evidence = view.build_evidence(60)
+    assert evidence is not None
+    quarantine = PromptQuarantine()
+    quarantine.record_evidence('vm1', evidence, 5000)
+    kept = quarantine.build_update('vm2', 2, 5000).quarantined
+    assert_that(kept, Equals((QuarantinedPrompt(_BAD, 590),)))
+
+
+def test_neither_a_new_controller_nor_an_old_update_ends_a_quarantine() -> None:
+    view = QuarantineView()
+    update = _convicted().build_update('vm1', 3, _START + 3)
+    view.apply_update(update, 0)
+    view.apply_update(QuarantineUpdate(term=4, version=9, confirmed=0), 1)
+    view.apply_update(QuarantineUpdate(term=2, version=1, confirmed=0), 2)
+    left_s = view.find_left_s(('f0', 'bad', 'own'), 100)
+    assert_that(left_s, Equals(500))
+    assert_that(view.find_left_s(('f0', 'own'), 100), Equals(0))
+    assert_that(view.find_left_s(('f0', 'bad', 'own'), 601), Equals(0))
+
+
+def test_only_requests_without_a_written_answer_are_evidence() -> None:
+    view = QuarantineView()
+    view.begin_term(1)
+    view.apply_update(
+        QuarantineUpdate(term=1, version=1, confirmed=0, watched=('m1',)), 0
+    )
+    view.record_cut(('u1', 1), 'r1', ('f0', 'm1'), 0.4, 10)
+    view.record_cut(('u1', 1), 'r2', ('f0', 'm2'), None, 10)
+    view.record_cut(('u1', 1), 'r3', ('f0', 'm3'), 0.1, 10)
+    evidence = view.build_evidence(10)
+    assert evidence is not None
+    requests = [crash.request_id for crash in evidence.crashes]
+    assert_that(requests, Equals(['r2', 'r3']))
+    answered = [(one.part, round(one.age_s, 3)) for one in evidence.answered]
+    assert_that(answered, Equals([('m1', 0.4)]))
+
+
+def test_evidence_is_repeated_until_it_is_confirmed() -> None:
+    view = QuarantineView()
+    view.record_cut(('u1', 1), 'r1', ('bad',), None, 0)
+    assert view.build_evidence(1) is not None
+    # The number was confirmed to this entry before it was restarted.
+    view.apply_update(QuarantineUpdate(term=1, version=1, confirmed=57), 1)
+    evidence = view.build_evidence(2)
+    assert evidence is not None
+    confirmed = evidence.number
+    view.apply_update(
+        QuarantineUpdate(term=1, version=1, confirmed=confirmed), 3
+    )
+    assert_that(view.build_evidence(4), Equals(None))
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        PromptEvidence(number=3, crashes=(_crash(1, 'bad'),)),
+        QuarantineUpdate(
+            term=1,
+            version=2,
+            confirmed=3,
+            quarantined=(QuarantinedPrompt(_BAD, 9.5),),
+        ),
+    ],
+)
+def test_messages_can_be_decoded(message: FleetMessage) -> None:
+    encoded = msgspec.msgpack.encode(message)
+    decoded = msgspec.msgpack.decode(encoded, type=FleetMessage)
+    assert_that(decoded, Equals(message))
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 400),
+            st.lists(st.integers(0, 2000), max_size=70),
+            st.booleans(),
+        ),
+        max_size=60,
+    )
+)
+def test_memory_is_bounded_whatever_callers_send(
+    crashes: list[_DrawnCrash],
+) -> None:
+    view, quarantine = QuarantineView(), PromptQuarantine()
+    view.begin_term(1)
+    now = _START
+    for number, drawn, is_answered in crashes:
+        now += 0.5
+        parts = tuple(f'{part:x}' for part in drawn)
+        view.record_cut((f'u{number}', 1), f'r{now}', parts, None, now)
+        if is_answered:
+            view.record_answered(parts, now)
+        quarantined = (QuarantinedPrompt(parts, 1e9),)
+        evidence = view.build_evidence(now) or PromptEvidence(number=0)
+        quarantine.record_evidence(
+            'vm1',
+            msgspec.structs.replace(evidence, quarantined=quarantined),
+            now,
+        )
+        quarantine.decide(now)
+        view.apply_update(quarantine.build_update('vm1', 1, now), now)
+        sizes = (
+            len(quarantine.suspects),
+            len(quarantine.ends),
+            len(quarantine.durations),
+            len(view.ends),
+            4 * len(view.answered),
+            8 * len(view.crashes),
+            4 * len(view.watched),
+        )
+        assert_that(max(sizes), LessThan(257))
