--- a/persimmonhold/quarantine/_messages.py
+++ b/persimmonhold/quarantine/_messages.py
@@ -23,6 +23,11 @@
     parts: tuple[str, ...]
     age_s: float
 
+    @property
+    def process_key(self) -> tuple[str, int]:
+        """The name and the start time, which together identify a process."""
+        return self.upstream, self.born_ms
+
 
 @final
 class AnsweredPart(msgspec.Struct, frozen=True, array_like=True):
@@ -52,11 +57,14 @@
 
     It is repeated until the controller confirms `number`. After a change of
     the controller, it also has what the entry knows from the last one.
+    `answered_age_s` is since when an upstream has been answering a prompt, the
+    latest one of any parts; None if there was none.
     """
 
     number: int
     crashes: tuple[ObservedCrash, ...] = ()
     answered: tuple[AnsweredPart, ...] = ()
+    answered_age_s: float | None = None
     quarantined: tuple[QuarantinedPrompt, ...] = ()
 
 
--- a/persimmonhold/quarantine/_prompt_quarantine.py
+++ b/persimmonhold/quarantine/_prompt_quarantine.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Iterable
 from typing import Final, TypeAlias, final
 
 from persimmonhold.quarantine._messages import (
@@ -15,13 +16,19 @@
     QuarantinedPrompt,
     QuarantineUpdate,
 )
-from persimmonhold.quarantine._suspected_part import WATCH_S, SuspectedPart
+from persimmonhold.quarantine._suspected_part import (
+    WATCH_S,
+    DatedCrash,
+    SuspectedPart,
+)
 
 PartSet: TypeAlias = tuple[str, ...]
+ProcessKey: TypeAlias = tuple[str, int]
 _MAX_SUSPECTS: Final = 256
 _MAX_WATCHED: Final = 64
 _MAX_QUARANTINES: Final = 256
-# All that a crash leads to is decided within this time.
+_MAX_EXPLAINED: Final = 256
+# All that a piece of evidence leads to is decided within this time.
 _DECISION_S: Final = WATCH_S + 0.5
 _FIRST_QUARANTINE_S: Final = 600.0
 # The quarantine of a prompt that crashes upstreams again is twice as long.
@@ -33,18 +40,22 @@
     """The suspected parts, and the prompts that entries refuse.
 
     `ends` has the end of each quarantine and `durations` its length, also of
-    one that has ended. `watched` has the parts with the most crashes. `confirmed` has the number of the last evidence of each
+    one that has ended. `watched` has the parts with the most crashes, up to
+    `watched_until`. `confirmed` has the number of the last evidence of each
     entry, and `version` increases when an update changes.
     """
 
     __slots__ = (
+        'answered_at',
         'confirmed',
         'durations',
         'ends',
+        'explained',
         'suspects',
         'undecided_until',
         'version',
         'watched',
+        'watched_until',
     )
 
     def __init__(self) -> None:
@@ -53,9 +64,12 @@
         self.ends: dict[PartSet, float] = {}
         self.durations: dict[PartSet, float] = {}
         self.confirmed: dict[str, int] = {}
+        self.explained: dict[ProcessKey, PartSet] = {}
+        self.answered_at = -math.inf
         self.undecided_until = -math.inf
         self.version = 0
         self.watched: tuple[str, ...] = ()
+        self.watched_until = math.inf
 
     def record_evidence(
         self, entry: str, evidence: PromptEvidence, now: float
@@ -63,7 +77,10 @@
         """Record what an entry observed; evidence may be repeated."""
         for crash in evidence.crashes:
             self._record_crash(crash, now)
-            self.undecided_until = now + _DECISION_S
+        self.undecided_until = now + _DECISION_S
+        if evidence.answered_age_s is not None:
+            began_at = now - evidence.answered_age_s
+            self.answered_at = max(self.answered_at, began_at)
         for answered in evidence.answered:
             suspect = self.suspects.get(answered.part)
             if suspect is not None:
@@ -72,21 +89,24 @@
             self._merge_quarantine(prompt, now)
         self.confirmed[entry] = evidence.number
         self._drop_excess(now)
-        watched = self._list_watched()
-        if watched != self.watched:
-            self.watched = watched
-            self.version += 1
+        self._refresh_watched(now)
 
     def decide(self, now: float) -> tuple[QuarantinedPrompt, ...]:
         """Quarantine what the evidence is sufficient for; return what is new."""
+        if now > self.watched_until:
+            self._refresh_watched(now)
         if now > self.undecided_until:
             return ()
         begun: list[QuarantinedPrompt] = []
-        for part in self.watched:
-            suspect = self.suspects[part]
-            parts = self._find_common_parts(part, suspect)
-            if suspect.is_convicted(now, self._find_last_end(parts)):
-                begun.append(self._begin_quarantine(parts, now))
+        for part in self._rank_suspects():
+            if part in self.watched:
+                crashes = self._list_unexplained(part)
+                parts = self._find_common_parts(crashes)
+                if crashes and self._is_convicted(part, parts, crashes, now):
+                    begun.append(self._begin_quarantine(parts, now))
+                    self._explain_crashes(crashes, parts)
+        if begun:
+            self._refresh_watched(now)
         return tuple(begun)
 
     def build_update(
@@ -115,19 +135,63 @@
         return max(ends, default=None)
 
     def _record_crash(self, crash: ObservedCrash, now: float) -> None:
+        if crash.process_key in self.explained:
+            return
+        at = now - crash.age_s
+        for quarantined, end in self.ends.items():
+            if end > now and set(quarantined).issubset(crash.parts):
+                self._explain_crashes(((at, crash),), quarantined)
+                return
         for part in crash.parts:
-            suspect = self.suspects.setdefault(part, SuspectedPart())
-            suspect.add_crash(crash, now - crash.age_s)
+            suspect = self.suspects.setdefault(part, SuspectedPart(now))
+            suspect.add_crash(crash, at, now)
+
+    def _explain_crashes(
+        self, crashes: Iterable[DatedCrash], parts: PartSet
+    ) -> None:
+        """Void crashes as evidence against any other part."""
+        for _, crash in crashes:
+            self.explained[crash.process_key] = parts
+        while len(self.explained) > _MAX_EXPLAINED:
+            self.explained.pop(next(iter(self.explained)))
+
+    def _list_unexplained(self, part: str) -> list[DatedCrash]:
+        """Return the crashes that count against a part, by time.
+
+        Those under a quarantined prompt count only against its own parts, and
+        only beside one that has no such explanation yet.
+        """
+        crashes = [
+            one
+            for one in self.suspects[part].valid_crashes
+            if part in self.explained.get(one[1].process_key, (part,))
+        ]
+        has_new = any(
+            crash.process_key not in self.explained for _, crash in crashes
+        )
+        return crashes if has_new else []
+
+    def _is_convicted(
+        self, part: str, parts: PartSet, crashes: list[DatedCrash], now: float
+    ) -> bool:
+        """Tell whether prompts with these parts are to be quarantined now.
 
-    def _find_common_parts(self, part: str, suspect: SuspectedPart) -> PartSet:
+        A single crash is sufficient after the end of an earlier quarantine.
+        """
+        last_end = self._find_last_end(parts)
+        if last_end is not None:
+            return crashes[-1][0] > last_end
+        suspect = self.suspects[part]
+        return suspect.is_convicted(crashes, self.answered_at, now)
+
+    def _find_common_parts(self, crashes: list[DatedCrash]) -> PartSet:
         """Return the suspected parts that all requests of the crashes share.
 
         If a sound part came with every one of these requests, requests that
         have it alone are not refused.
         """
-        crashes = suspect.valid_crashes
         if not crashes:
-            return (part,)
+            return ()
         common = set(crashes[0][1].parts)
         for _, crash in crashes[1:]:
             common.intersection_update(crash.parts)
@@ -161,22 +225,40 @@
         self.ends[prompt.parts] = max(end, self.ends.get(prompt.parts, end))
         self.durations.setdefault(prompt.parts, _FIRST_QUARANTINE_S)
 
-    def _list_watched(self) -> tuple[str, ...]:
-        """Return the parts to watch: those with the most crashes."""
-        watched = [
-            part
-            for part in self._rank_suspects()[:_MAX_WATCHED]
-            if self.suspects[part].valid_crashes
-        ]
-        return tuple(sorted(watched))
+    def _refresh_watched(self, now: float) -> None:
+        """Watch the parts with the most crashes that are not quarantined."""
+        watched = tuple(
+            sorted(
+                part
+                for part in self._rank_suspects()[:_MAX_WATCHED]
+                if self.suspects[part].watched_until > now
+                and self.ends.get((part,), now) <= now
+            )
+        )
+        self.watched_until = min(
+            (self.suspects[part].watched_until for part in watched),
+            default=math.inf,
+        )
+        if watched != self.watched:
+            self.watched = watched
+            self.version += 1
 
     def _rank_suspects(self) -> list[str]:
-        """Return the suspected parts, those with the most crashes first."""
+        """Return the suspected parts, the most suspected first.
+
+        Of parts with as many crashes, the one of fewer requests comes first: a
+        part that sound requests share, too, is in more of those that were cut.
+        """
         ranks = {
-            part: (len(one.valid_crashes), one.last_crash_at, part)
+            part: (
+                -len(one.valid_crashes),
+                len(one.request_ids),
+                -one.last_crash_at,
+                part,
+            )
             for part, one in self.suspects.items()
         }
-        return sorted(ranks, key=ranks.__getitem__, reverse=True)
+        return sorted(ranks, key=ranks.__getitem__)
 
     def _drop_excess(self, now: float) -> None:
         """Drop what is no longer suspected, and the oldest beyond the bounds."""
--- a/persimmonhold/quarantine/_quarantine_view.py
+++ b/persimmonhold/quarantine/_quarantine_view.py
@@ -3,6 +3,8 @@
 from collections import deque
 from typing import Final, final
 
+import msgspec
+
 from persimmonhold.quarantine._messages import (
     AnsweredPart,
     ObservedCrash,
@@ -19,6 +21,9 @@
 _MAX_PARTS: Final = 16  # of one prompt; usual prompts have three or four
 _MAX_ANSWERED: Final = 64
 _MAX_QUARANTINES: Final = 256
+# While parts are suspected, the controller is told so often that prompts are
+# answered.
+_ANSWERED_INTERVAL_S: Final = 0.1
 
 
 @final
@@ -29,10 +34,13 @@
     neither a new controller nor a lost message ends one. `crashes` and
     `answered` hold the number of each observation and its time; `number` is
     the last one, and the controller has recorded them up to `confirmed`.
+    `answered_at` is when the last prompt began to be answered, of those that
+    are reported.
     """
 
     __slots__ = (
         'answered',
+        'answered_at',
         'confirmed',
         'crashes',
         'ends',
@@ -54,6 +62,7 @@
             maxlen=_MAX_CRASHES
         )
         self.answered: dict[str, tuple[int, float]] = {}
+        self.answered_at: float | None = None
 
     def find_left_s(self, parts: tuple[str, ...], now: float) -> float:
         """Return for how many seconds a prompt is refused; 0 if it is not."""
@@ -86,6 +95,12 @@
 
     def record_answered(self, parts: tuple[str, ...], began_at: float) -> None:
         """Record that an upstream began to answer a prompt, and went on."""
+        if not self.watched:
+            return
+        last_at = self.answered_at
+        if last_at is None or began_at - last_at >= _ANSWERED_INTERVAL_S:
+            self.number += 1
+            self.answered_at = began_at
         for part in self.watched.intersection(parts):
             _, known_at = self.answered.get(part, (0, began_at - 1))
             if began_at > known_at:
@@ -117,6 +132,7 @@
             self.version = update.version
             self.watched = frozenset(update.watched)
         self._drop_reported()
+        self._drop_void_crashes()
         begun = [
             prompt
             for prompt in update.quarantined
@@ -150,6 +166,9 @@
                 AnsweredPart(part, now - began_at)
                 for part, (_, began_at) in self.answered.items()
             ),
+            answered_age_s=(
+                None if self.answered_at is None else now - self.answered_at
+            ),
             quarantined=tuple(
                 QuarantinedPrompt(parts, end - now)
                 for parts, end in self.ends.items()
@@ -163,6 +182,20 @@
             if number <= self.confirmed or part not in self.watched:
                 self.answered.pop(part)
 
+    def _drop_void_crashes(self) -> None:
+        """Keep of confirmed crashes what the controller still suspects.
+
+        A new controller, which knows of no answers, is told only that.
+        """
+        kept = []
+        for number, at, crash in self.crashes:
+            if number <= self.confirmed:
+                parts = tuple(filter(self.watched.__contains__, crash.parts))
+                crash = msgspec.structs.replace(crash, parts=parts)
+            if crash.parts:
+                kept.append((number, at, crash))
+        self.crashes = deque(kept, maxlen=_MAX_CRASHES)
+
     def _drop_ended(self, now: float) -> None:
         """Drop quarantines that ended, and the first to end beyond the bound."""
         ranked = sorted(self.ends, key=self.ends.__getitem__, reverse=True)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -30,7 +30,7 @@
 def _record(
     quarantine: PromptQuarantine, now: float, *crashes: ObservedCrash
 ) -> None:
-    evidence = PromptEvidence(number=1, crashes=crashes)
+    evidence = PromptEvidence(number=1, crashes=crashes, answered_age_s=0)
     quarantine.record_evidence('vm1', evidence, now)
 
 
@@ -220,3 +220,57 @@
             4 * len(view.watched),
         )
         assert_that(max(sizes), LessThan(257))
+
+
+def test_new_controller_is_told_only_of_parts_that_are_still_suspected() -> (
+    None
+):
+    view = QuarantineView()
+    view.begin_term(1)
+    view.record_cut(('u1', 1), 'r1', ('f0', 'bad'), None, 0)
+    view.record_cut(('u2', 1), 'r2', ('f0', 'a1'), None, 1)
+    view.apply_update(
+        QuarantineUpdate(term=1, version=3, confirmed=2, watched=_BAD), 2
+    )
+    view.begin_term(2)
+    evidence = view.build_evidence(10)
+    assert evidence is not None
+    told = [(crash.request_id, crash.parts) for crash in evidence.crashes]
+    assert_that(told, Equals([('r1', _BAD)]))
+
+
+def test_crashes_reported_late_leave_time_to_report_answers() -> None:
+    quarantine = PromptQuarantine()
+    crashes = tuple(
+        ObservedCrash(f'u{number}', 1, f'r{number}', ('f0',), 9 - number)
+        for number in range(4)
+    )
+    _record(quarantine, _START, *crashes)
+    assert_that(quarantine.decide(_START), Equals(()))
+    _record_answered(quarantine, _START + 0.5, 'f0')
+    assert_that(quarantine.decide(_START + 1.2), Equals(()))
+
+
+def test_crashes_under_a_quarantined_part_are_no_evidence_against_others() -> (
+    None
+):
+    quarantine = PromptQuarantine()
+    for number in range(4):
+        bad = _crash(number, 'f0', 'bad', request=f'b{number}')
+        part = 'a1' if number else 'a2'
+        beside = _crash(number, 'f0', part, request=f's{number}')
+        _record(quarantine, _START + number, beside, bad)
+    begun = quarantine.decide(_START + 3.1)
+    refused = {part for one in begun for part in one.parts}
+    assert_that('bad' in refused, Equals(True))
+    assert_that([one for one in begun if 'bad' not in one.parts], Equals([]))
+    _record(quarantine, _START + 4, _crash(3, 'a1', request='s9'))
+    assert_that(quarantine.decide(_START + 5), Equals(()))
+
+
+def test_nothing_is_quarantined_while_no_upstream_answers_any_prompt() -> None:
+    quarantine = PromptQuarantine()
+    for number in range(5):
+        evidence = PromptEvidence(number=1, crashes=(_crash(number, 'f0'),))
+        quarantine.record_evidence('vm1', evidence, _START + number)
+    assert_that(quarantine.decide(_START + 6), Equals(()))
