--- a/persimmonhold/quarantine/_prompt_quarantine.py
+++ b/persimmonhold/quarantine/_prompt_quarantine.py
@@ -28,6 +28,8 @@
 _MAX_WATCHED: Final = 64
 _MAX_QUARANTINES: Final = 256
 _MAX_EXPLAINED: Final = 256
+# Within this time, all entries have reported the end of an upstream.
+_REPORT_S: Final = 0.25
 # All that a piece of evidence leads to is decided within this time.
 _DECISION_S: Final = WATCH_S + 0.5
 _FIRST_QUARANTINE_S: Final = 600.0
@@ -100,11 +102,13 @@
         begun: list[QuarantinedPrompt] = []
         for part in self._rank_suspects():
             if part in self.watched:
-                crashes = self._list_unexplained(part)
+                crashes = self._list_unexplained(part, now - _REPORT_S)
                 parts = self._find_common_parts(crashes)
                 if crashes and self._is_convicted(part, parts, crashes, now):
                     begun.append(self._begin_quarantine(parts, now))
-                    self._explain_crashes(crashes, parts)
+                    self._explain_crashes(
+                        self.suspects[part].valid_crashes, parts
+                    )
         if begun:
             self._refresh_watched(now)
         return tuple(begun)
@@ -149,14 +153,15 @@
     def _explain_crashes(
         self, crashes: Iterable[DatedCrash], parts: PartSet
     ) -> None:
-        """Void crashes as evidence against any other part."""
+        """Void crashes under these parts as evidence against any other."""
         for _, crash in crashes:
-            self.explained[crash.process_key] = parts
+            if set(parts).issubset(crash.parts):
+                self.explained[crash.process_key] = parts
         while len(self.explained) > _MAX_EXPLAINED:
             self.explained.pop(next(iter(self.explained)))
 
-    def _list_unexplained(self, part: str) -> list[DatedCrash]:
-        """Return the crashes that count against a part, by time.
+    def _list_unexplained(self, part: str, until: float) -> list[DatedCrash]:
+        """Return the crashes up to a time that count against a part.
 
         Those under a quarantined prompt count only against its own parts, and
         only beside one that has no such explanation yet.
@@ -164,7 +169,8 @@
         crashes = [
             one
             for one in self.suspects[part].valid_crashes
-            if part in self.explained.get(one[1].process_key, (part,))
+            if one[0] <= until
+            and part in self.explained.get(one[1].process_key, (part,))
         ]
         has_new = any(
             crash.process_key not in self.explained for _, crash in crashes
