--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -19,6 +19,7 @@
     FleetUpdate,
     ForwardAction,
     ForwardDispatcher,
+    RefuseRequest,
     RequestProfile,
     StatedLimit,
 )
@@ -163,8 +164,12 @@
         return self.quarantine.build_evidence(self.clock())
 
     def apply_quarantine(self, update: QuarantineUpdate) -> None:
-        """Apply an update of the quarantined prompts, and log new ones."""
-        for prompt in self.quarantine.apply_update(update, self.clock()):
+        """Apply an update of the quarantined prompts, and log new ones.
+
+        Waiting requests that have such a prompt are refused.
+        """
+        begun = self.quarantine.apply_update(update, self.clock())
+        for prompt in begun:
             log_event(
                 'quarantine_in_force',
                 prompt_parts=prompt.parts,
@@ -172,10 +177,28 @@
                 term=update.term,
                 version=update.version,
             )
+        if begun:
+            self._refuse_waiting()
 
-    def find_quarantine_left_s(self, profile: RequestProfile) -> float:
-        """Return for how many seconds a prompt is refused; 0 if it is not."""
-        return self.quarantine.find_left_s(profile.prompt_parts, self.clock())
+    def build_quarantine_refusal(
+        self, dispatch_request: DispatchRequest
+    ) -> RefuseRequest | None:
+        """Return the refusal of a request whose prompt is quarantined, or None.
+
+        It tells the caller how long the quarantine lasts.
+        """
+        now = self.clock()
+        left_s = self.quarantine.find_left_s(
+            dispatch_request.profile.prompt_parts, now
+        )
+        if not left_s:
+            return None
+        return RefuseRequest(
+            number=dispatch_request.number,
+            reason='quarantined_prompt',
+            retry_after_s=left_s,
+            waited_s=now - dispatch_request.arrived_at,
+        )
 
     def record_prompt_answered(
         self, profile: RequestProfile, began_at: float
@@ -205,6 +228,15 @@
             self.timer.cancel()
             self.timer = None
 
+    def _refuse_waiting(self) -> None:
+        """Refuse the waiting requests whose prompt is quarantined."""
+        for number in tuple(self.waiters):
+            pending = self.dispatcher.pending.get(number)
+            if pending is not None:
+                refusal = self.build_quarantine_refusal(pending.request)
+                if refusal is not None:
+                    self._deliver((refusal,))
+
     def _create_waiter(
         self, request_number: int
     ) -> asyncio.Future[ForwardAction]:
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -97,7 +97,6 @@
             self.request.dispatch_request
         )
         while isinstance(action, SendRequest):
-            # It may have been quarantined while the request waited.
             if self._refuse_if_quarantined():
                 return
             result = await self._run_attempt(action)
@@ -112,21 +111,12 @@
 
     def _refuse_if_quarantined(self) -> bool:
         """Refuse the request if its prompt is quarantined; tell whether."""
-        dispatch_request = self.request.dispatch_request
-        left_s = self.services.hub.find_quarantine_left_s(
-            dispatch_request.profile
+        refusal = self.services.hub.build_quarantine_refusal(
+            self.request.dispatch_request
         )
-        if left_s:
-            now = self.services.hub.clock()
-            self._refuse(
-                RefuseRequest(
-                    number=self.request_number,
-                    reason='quarantined_prompt',
-                    retry_after_s=left_s,
-                    waited_s=now - dispatch_request.arrived_at,
-                )
-            )
-        return left_s > 0
+        if refusal is not None:
+            self._refuse(refusal)
+        return refusal is not None
 
     async def _run_attempt(self, action: SendRequest) -> AttemptResult:
         """Load the adapter if needed, then run one attempt."""
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -142,3 +142,23 @@
             assert_that(parts, Equals(['bad']))
 
     asyncio.run(scenario())
+
+
+def test_waiting_request_is_refused_when_its_prompt_is_quarantined() -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        sent = asyncio.create_task(harness.send_request(headers=dict(_PROMPT)))
+        async with asyncio.timeout(5):
+            await harness.hub.request_waiting.wait()
+        quarantined = (QuarantinedPrompt(('bad',), 300),)
+        _update(
+            harness,
+            QuarantineUpdate(
+                term=1, version=1, confirmed=0, quarantined=quarantined
+            ),
+        )
+        refused = (await sent).unwrap()
+        assert_that(refused.head.status, Equals(503))
+        assert_that(refused.body, Equals(b'{"error":"quarantined_prompt"}'))
+        assert_that(harness.hub.dispatcher.pending, Equals({}))
+
+    _run(scenario)
