--- a/persimmonhold/attempts/_execution_evidence.py
+++ b/persimmonhold/attempts/_execution_evidence.py
@@ -17,15 +17,23 @@
     """Records whether the attempts of one request may have run.
 
     `attempt_may_have_run` is set for the current attempt,
-    `earlier_may_have_run` for those before it.
+    `earlier_may_have_run` for those before it. `lost_count` counts the attempts
+    in a row whose upstream was lost before it delivered anything.
     """
 
-    __slots__ = ('attempt_may_have_run', 'earlier_may_have_run')
+    __slots__ = (
+        '_delivered_tokens',
+        'attempt_may_have_run',
+        'earlier_may_have_run',
+        'lost_count',
+    )
 
     def __init__(self) -> None:
         """Create the evidence for a request that was never sent."""
         self.attempt_may_have_run = False
         self.earlier_may_have_run = False
+        self.lost_count = 0
+        self._delivered_tokens = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -37,6 +45,19 @@
         self.earlier_may_have_run = self.may_have_run
         self.attempt_may_have_run = False
 
+    def count_lost_attempt(
+        self, delivered_tokens: int, *, is_lost: bool
+    ) -> None:
+        """Count a failed attempt if its upstream was lost.
+
+        `delivered_tokens` are those of all attempts.
+        """
+        if delivered_tokens > self._delivered_tokens:
+            self.lost_count = 0
+        elif is_lost and self.attempt_may_have_run:
+            self.lost_count += 1
+        self._delivered_tokens = delivered_tokens
+
     def apply_to_refusal(self, refusal: Refusal) -> Refusal:
         """Return the refusal with its `ran` field set from the evidence."""
         ran = Ran.unknown if self.may_have_run else Ran.no
--- a/persimmonhold/attempts/_request_state_machine.py
+++ b/persimmonhold/attempts/_request_state_machine.py
@@ -48,6 +48,8 @@
 from persimmonhold.control.machine import CommandResult, CommandStatus
 from persimmonhold.failures import Refusal
 
+# A request under which so many upstreams in a row were lost is not sent again.
+_MAX_LOST_ATTEMPTS: Final = 3
 _BODY_PHASES: Final = frozenset((RequestPhase.holding, RequestPhase.streaming))
 _ATTEMPT_PHASES: Final = _BODY_PHASES | {
     RequestPhase.connecting,
@@ -385,8 +387,14 @@
         """Close the attempt; ask for a retry if safe, else end the request.
 
         A retry is safe unless the request may have run and is not idempotent,
-        or its response has begun and cannot be resumed.
+        its response has begun and cannot be resumed, or it may be the reason
+        why upstreams are lost.
         """
+        self.evidence.count_lost_attempt(
+            self.response.event_framer.token_count,
+            is_lost=fault is AttemptFault.connection_lost,
+        )
+        is_spent = self.evidence.lost_count >= _MAX_LOST_ATTEMPTS
         close = CloseAttempt(attempt_number=self.attempt_number, fault=fault)
         in_doubt = (
             self.evidence.may_have_run and not self.properties.is_idempotent
@@ -394,7 +402,7 @@
         is_truncated = (
             self.response.is_started and not self.response.is_event_stream
         )
-        if in_doubt or is_truncated or not self.is_caller_connected:
+        if in_doubt or is_truncated or is_spent or not self.is_caller_connected:
             refusal = failure_refusal(fault, in_doubt=in_doubt)
             return (close, *self._end_with_refusal(refusal))
         self._return_to_queue()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -476,3 +476,28 @@
     assert_that(FinishResponse in endings, Equals(False))
     is_ended = {Refuse, AbortCallerConnection} & set(endings)
     assert_that(len(is_ended), Equals(1))
+
+
+def _lose_attempt(machine: RequestStateMachine, delivered: bytes) -> object:
+    machine.dispatched('engine', 'address')
+    number = machine.attempt_number
+    machine.request_sent(number)
+    if delivered:
+        machine.head_received(number, _STREAM)
+        machine.relay_chunk(number, delivered)
+    actions = machine.attempt_failed(number, AttemptFault.connection_lost)
+    return type(actions[-1])
+
+
+def test_request_under_which_upstreams_are_lost_is_not_sent_on_and_on() -> None:
+    machine = RequestStateMachine(_GENERATION)
+    machine.start()
+    endings = [_lose_attempt(machine, b'') for _ in range(3)]
+    assert_that(endings, Equals([RequestRetry, RequestRetry, Refuse]))
+
+
+def test_stream_that_goes_on_survives_the_loss_of_many_upstreams() -> None:
+    machine = RequestStateMachine(_GENERATION)
+    machine.start()
+    endings = [_lose_attempt(machine, _event(index)) for index in range(6)]
+    assert_that(set(endings), Equals({RequestRetry}))
