--- a/persimmonhold/quarantine/_prompt_quarantine.py
+++ b/persimmonhold/quarantine/_prompt_quarantine.py
@@ -224,7 +224,12 @@
         return QuarantinedPrompt(parts, duration_s)
 
     def _merge_quarantine(self, prompt: QuarantinedPrompt, now: float) -> None:
-        """Keep what the last controller had quarantined."""
+        """Keep what the last controller had quarantined.
+
+        Without parts, it would refuse every request.
+        """
+        if not prompt.parts:
+            return
         end = now + min(prompt.left_s, _MAX_QUARANTINE_S)
         if prompt.parts not in self.ends:
             self.version += 1
--- a/persimmonhold/quarantine/_quarantine_view.py
+++ b/persimmonhold/quarantine/_quarantine_view.py
@@ -69,7 +69,7 @@
         left_s = [
             end - now
             for quarantined, end in self.ends.items()
-            if end > now and set(quarantined).issubset(parts)
+            if quarantined and end > now and set(quarantined).issubset(parts)
         ]
         return max(left_s, default=0)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -47,6 +47,13 @@
         assert_that(fleet.is_refused(entry, (part, 'own')), Equals(True))
 
 
+async def _start_load(fleet: CrashingFleet) -> None:
+    """Start sound requests, and later those that crash upstreams."""
+    fleet.send_sound_requests(40)
+    await asyncio.sleep(10)
+    fleet.send_bad_requests(_BAD, 1)
+
+
 async def _check_sound_requests_begin(
     fleet: CrashingFleet, usual_per_s: float
 ) -> None:
@@ -110,9 +117,7 @@
 ) -> None:
     async def scenario(fleet: CrashingFleet) -> None:
         fleet.route = make_route(RouteKind.stream, resumable=True, attempts=2)
-        fleet.send_sound_requests(40)
-        await asyncio.sleep(10)
-        fleet.send_bad_requests(_BAD, 1)
+        await _start_load(fleet)
         await asyncio.sleep(12)
         await _check_sound_requests_begin(fleet, 35)
         _check_few_arrivals(fleet)
@@ -152,9 +157,7 @@
     run_fleet: Runner, fault: str
 ) -> None:
     async def scenario(fleet: CrashingFleet) -> None:
-        fleet.send_sound_requests(40)
-        await asyncio.sleep(10)
-        fleet.send_bad_requests(_BAD, 1)
+        await _start_load(fleet)
         await wait_until(lambda: len(fleet.crashes.get(_BAD, [])) > 1)
         await fleet.disturb_leader(fault)
         settled_at = fleet.now
@@ -170,9 +173,7 @@
     run_fleet: Runner, fault: str
 ) -> None:
     async def scenario(fleet: CrashingFleet) -> None:
-        fleet.send_sound_requests(40)
-        await asyncio.sleep(10)
-        fleet.send_bad_requests(_BAD, 1)
+        await _start_load(fleet)
         await wait_until(fleet.has_quarantine)
         await asyncio.sleep(1)
         arrived = len(fleet.bad_arrivals)
@@ -190,9 +191,7 @@
     run_fleet: Runner, fault: str
 ) -> None:
     async def scenario(fleet: CrashingFleet) -> None:
-        fleet.send_sound_requests(40)
-        await asyncio.sleep(10)
-        fleet.send_bad_requests(_BAD, 1)
+        await _start_load(fleet)
         await wait_until(lambda: len(fleet.crashes.get(_BAD, [])) > 1)
         entry = fleet.bad_arrivals[0][2]
         if fault == 'restart':
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -274,3 +274,18 @@
         evidence = PromptEvidence(number=1, crashes=(_crash(number, 'f0'),))
         quarantine.record_evidence('vm1', evidence, _START + number)
     assert_that(quarantine.decide(_START + 6), Equals(()))
+
+
+def test_quarantine_without_parts_refuses_nobody() -> None:
+    everything = (QuarantinedPrompt((), 500),)
+    view = QuarantineView()
+    update = QuarantineUpdate(
+        term=1, version=1, confirmed=0, quarantined=everything
+    )
+    view.apply_update(update, 0)
+    assert_that(view.find_left_s(('f0', 'own'), 1), Equals(0))
+    quarantine = PromptQuarantine()
+    evidence = PromptEvidence(number=1, quarantined=everything)
+    quarantine.record_evidence('vm1', evidence, 0)
+    told = quarantine.build_update('vm2', 1, 1).quarantined
+    assert_that(told, Equals(()))
