End waiting requests with an answer in a planned stop

Cause: the stop was known to the listening socket and the directory only. A request may wait for 0.9 of its time, up to 18 s, and the process ends after 7.3 s; nothing that could end the request knew that. Ruled out: late loops (drains ended 7.300 to 7.307 s after the signal), callers that left.

Now the stop has a schedule (`StopSchedule`, shares of the grace period, in this order: leave the directory, announce the close, close, answer, end). The dispatcher gets the time until which responses have to end: a waiting request that is not expected to be served by then is refused at once, others as soon as that is known, at the latest a second, or the time of their output, before. What still has no response head at that time is answered 503 or 504 by its own runner, whatever it waits for; streams that have begun go on until shortly before the process is killed, and are then logged as `stopping`. A stop of 3 s closes after 1.5 s instead of 4.

Why it works: each wait of a request is inside the task that has the time limit, and that limit now includes the stop. A loop that is late by a second still answers (test), since waiting requests end seconds before the process.

--- a/persimmonhold/directory/__init__.py
+++ b/persimmonhold/directory/__init__.py
@@ -7,6 +7,7 @@
 )
 from persimmonhold.directory._drain import Drain
 from persimmonhold.directory._drain_phase import DrainPhase
+from persimmonhold.directory._stop_schedule import StopSchedule
 
 __all__ = (
     'Directory',
@@ -14,4 +15,5 @@
     'DirectoryEntry',
     'Drain',
     'DrainPhase',
+    'StopSchedule',
 )
--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -43,6 +43,7 @@
     ' which may not be repeated, or no further attempt was left',
     'stream_broken': 'the upstream broke off its stream, which could not be'
     ' resumed',
+    'stopping': 'the entry was told to stop, and could not finish it in time',
     'time_over': 'the deadline of its route or caller had passed',
     'abandoned': 'its caller disconnected',
 })
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -7,7 +7,8 @@
 is refused while an upstream can accept it.
 
 Invariants: each request ends by `finish_request` or a `RefuseRequest`; a request
-is never sent to an upstream that is leaving.
+is never sent to an upstream that is leaving, nor so late in a planned stop that
+its response is expected to be cut.
 """
 
 import random
@@ -17,10 +18,6 @@
 
 from persimmonhold.fleet._attempt_end import AttemptEnd
 from persimmonhold.fleet._dispatch_request import DispatchRequest
-from persimmonhold.fleet._engine_speed import (
-    MAX_OUTPUT_TOKENS_PER_S,
-    PROMPT_TOKENS_PER_S,
-)
 from persimmonhold.fleet._fleet_messages import FleetUpdate, StatedLimit
 from persimmonhold.fleet._forward_action import (
     ForwardAction,
@@ -30,15 +27,15 @@
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._request_queue import PendingRequest, RequestQueue
 from persimmonhold.fleet._retry_budget import RetryBounds, RetryBudget
+from persimmonhold.fleet._send_deadline import (
+    MIN_FIRST_EVENT_S,
+    SendDeadline,
+)
 from persimmonhold.fleet._upstream_chooser import UpstreamChooser
 
 _QueueKey: TypeAlias = tuple[str, str]
+_STOPPING: Final = 'stopping'  # reason of refusals in a planned stop
 _DISPATCH_INTERVAL_S: Final = 0.02  # shorter than a few batch steps
-# Time to the first event at an idle upstream with a short prompt.
-_MIN_FIRST_EVENT_S: Final = 0.04
-# The part of the time until the deadline that is kept for the output at most;
-# a response may be far shorter than the limit that its caller states.
-_MAX_OUTPUT_SHARE: Final = 0.25
 _MAX_QUEUE_LENGTH: Final = 400  # requests for one model at this entry
 _MAX_SENDS: Final = 4  # of one request, including those that were refused
 _DEFAULT_EXCLUSION_S: Final = 60.0  # longer than any request lasts
@@ -90,6 +87,7 @@
         'queues',
         'retry_budgets',
         'rng',
+        'send_deadline',
         'sequence',
         'term',
     )
@@ -108,6 +106,7 @@
         self.term = 0
         self.applied_change_number = 0
         self.sequence = 0
+        self.send_deadline = SendDeadline()
         self.listed_at = float('-inf')
         self.last_dispatch_at = 0.0
         self.queues: dict[_QueueKey, RequestQueue] = {}
@@ -161,6 +160,23 @@
         self.chooser.apply_list(listed, now)
         self.listed_at = now
 
+    def plan_stop(
+        self, stops_at: float, now: float
+    ) -> tuple[ForwardAction, ...]:
+        """Have all responses end by `stops_at`.
+
+        Waiting requests that cannot be served by then are refused now.
+        """
+        self.send_deadline.stops_at = stops_at
+        refused = [
+            self._refuse(pending, _STOPPING, now)
+            for pending in _list_waiting(self.queues.values(), now)
+            if self.send_deadline.is_stop_before(
+                self._expected_service_at(pending, now), pending
+            )
+        ]
+        return (*refused, *self.dispatch_waiting(now))
+
     def submit_request(
         self,
         request: DispatchRequest,
@@ -280,14 +296,8 @@
         """
         self.last_dispatch_at = now
         actions: list[ForwardAction] = []
-        waiting: list[PendingRequest] = []
-        for queue in self.queues.values():
-            if queue.pending:
-                queue.reorder(now, _MIN_FIRST_EVENT_S)
-                waiting.extend(queue.pending)
-        waiting.sort(key=lambda one: one.sort_key)
         blocked: set[tuple[_QueueKey, str]] = set()
-        for pending in waiting:
+        for pending in _list_waiting(self.queues.values(), now):
             key = (_queue_key(pending.request), pending.request.profile.adapter)
             if key not in blocked or pending.excluded_until:
                 action = self._try_send(pending, now)
@@ -295,7 +305,7 @@
                     actions.append(action)
                     continue
                 blocked.add(key)
-            if now >= self._latest_send_at(pending):
+            if now >= self.send_deadline.find(pending):
                 reason = self._refusal_reason(pending, now)
                 actions.append(self._refuse(pending, reason, now))
         return tuple(actions)
@@ -314,7 +324,7 @@
         """Send or enqueue a request, or refuse it if it cannot be served."""
         pending.upstream = ''
         pending.queued_at = now
-        pending.update_sort_key(now, _MIN_FIRST_EVENT_S)
+        pending.update_sort_key(now, MIN_FIRST_EVENT_S)
         queue = self._queue_of(pending)
         if not queue.pending:
             sent = self._try_send(pending, now)
@@ -333,6 +343,8 @@
         self, pending: PendingRequest, now: float
     ) -> SendRequest | None:
         """Assign a request to an upstream; None if none can accept it now."""
+        if now > self.send_deadline.find_before_stop(pending):
+            return None
         queue = self._queue_of(pending)
         own_waiting = max(1, len(queue))
         choice = self.chooser.choose_upstream(pending, own_waiting, now)
@@ -360,7 +372,7 @@
         queue = self._queue_of(pending)
         if len(queue) > _MAX_QUEUE_LENGTH:
             return True
-        expires_at = self._latest_send_at(pending)
+        expires_at = self.send_deadline.find(pending)
         if now >= expires_at:
             return True
         return self._expected_service_at(pending, now) > expires_at
@@ -384,31 +396,16 @@
             return waited
         return max(waited, self.chooser.orders_start_at)
 
-    def _latest_send_at(self, pending: PendingRequest) -> float:
-        """Return the time until which a request may stay queued.
-
-        Sent later, it would get its first event after the caller gave up, or
-        could not be complete by the deadline.
-        """
-        request = pending.request
-        profile = request.profile
-        output_s = min(
-            profile.output_tokens / MAX_OUTPUT_TOKENS_PER_S,
-            _MAX_OUTPUT_SHARE * (request.ends_at - request.arrived_at),
-        )
-        if pending.has_response_begun:
-            output_s = 0  # how much is left is not known
-        latest = min(pending.caller_waits_until, request.ends_at - output_s)
-        read_s = profile.prompt_tokens / PROMPT_TOKENS_PER_S
-        return latest - _MIN_FIRST_EVENT_S - 2 * read_s
-
     def _refusal_reason(self, pending: PendingRequest, now: float) -> str:
         """Return `no_upstream` if no available upstream holds the model.
 
         Otherwise an upstream holds it but cannot serve the request in time:
         `request_limit` if all that hold it have a request limit, or
-        `no_capacity`.
+        `no_capacity`. It is `stopping` if only the planned stop prevents it.
         """
+        service_at = self._expected_service_at(pending, now)
+        if self.send_deadline.is_stop_before(service_at, pending):
+            return _STOPPING
         if not self.chooser.has_holder(pending, now):
             return 'no_upstream'
         if self.chooser.next_permit_at(pending, 0, now) is not None:
@@ -423,7 +420,9 @@
     ) -> RefuseRequest:
         """Remove a request; return its refusal with a time to retry after."""
         queue = self._queue_of(pending)
-        wait_s = self._expected_service_at(pending, now) - now
+        wait_s = 0.0  # other entries can accept the request at once
+        if reason != _STOPPING:
+            wait_s = self._expected_service_at(pending, now) - now
         self._dequeue(pending)
         self.pending.pop(pending.request.number, None)
         after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
@@ -481,5 +480,18 @@
             queue.remove_request(pending)
 
 
+def _list_waiting(
+    queues: Iterable[RequestQueue], now: float
+) -> list[PendingRequest]:
+    """Return the requests of all queues in the order of their urgency."""
+    waiting: list[PendingRequest] = []
+    for queue in queues:
+        if queue.pending:
+            queue.reorder(now, MIN_FIRST_EVENT_S)
+            waiting.extend(queue.pending)
+    waiting.sort(key=lambda one: one.sort_key)
+    return waiting
+
+
 def _queue_key(request: DispatchRequest) -> _QueueKey:
     return request.service, request.profile.model
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -14,7 +14,11 @@
 from typing import Final, Self, final
 
 from persimmonhold.control.shell import ControlLink, VmAgentRunner
-from persimmonhold.directory import Directory, DirectoryResponse
+from persimmonhold.directory import (
+    Directory,
+    DirectoryResponse,
+    StopSchedule,
+)
 from persimmonhold.fleet import ForwardDispatcher
 from persimmonhold.forwarding._entry_status import EntryStatus
 from persimmonhold.forwarding._fleet_client import FleetClient
@@ -35,12 +39,8 @@
 # Limit on the buffered bodies of all requests: a tenth of the memory of a small
 # VM.
 _MAX_BUFFERED_BODY_BYTES: Final = 33_554_432
-# After this many directory TTLs, responses ask to close the connection.
-_CLOSE_ANNOUNCEMENT_TTLS: Final = 1.0
-# For this many directory TTLs the entry accepts connections after it has left
-# the directory, since some callers cache addresses for three TTLs.
-_SERVE_ON_TTLS: Final = 3.0
-_DRAIN_MARGIN_S: Final = 0.7  # ends the drain before the process is killed
+# Time for the transmission of the last responses after all requests were ended.
+_FLUSH_S: Final = 0.2
 _PRUNE_INTERVAL_S: Final = 2.0
 
 
@@ -147,36 +147,55 @@
             failure_domain,
         )
 
-    async def drain(self) -> None:
+    async def drain(self, *, at_once: bool = False) -> None:
         """Leave the directory, keep serving, then finish running requests.
 
-        Returns at the latest shortly before the grace period ends.
+        Returns at the latest shortly before the grace period ends. `at_once`
+        accepts no more connections, as a part of the process has failed.
         """
-        began_at = self.hub.clock()
+        now = self.hub.clock()
+        bounds = self.adapter.bounds
+        schedule = StopSchedule.within_grace(
+            now, bounds.grace_s, bounds.directory_ttl_s
+        )
+        if at_once:
+            schedule = schedule.without_new_connections(now)
         self.is_draining = True
         self.directory.is_leaving = True
-        bounds = self.adapter.bounds
         self._log_drain('leaving')
         announcement = asyncio.get_running_loop().create_task(
             self.link.announce_draining(),
         )
-        await self._sleep_until(
-            began_at, bounds.directory_ttl_s * _CLOSE_ANNOUNCEMENT_TTLS
-        )
+        self.hub.plan_stop(schedule.answers_at)
+        await self._sleep_until(schedule.announces_close_at)
         self.server.announce_close()
-        await self._sleep_until(
-            began_at, bounds.directory_ttl_s * _SERVE_ON_TTLS + 1
-        )
+        await self._sleep_until(schedule.closes_at)
         self._log_drain('closing')
-        drain_until = began_at + bounds.grace_s - _DRAIN_MARGIN_S
-        try:
-            async with asyncio.timeout(drain_until - self.hub.clock()):
-                await self.server.drain()
-        except TimeoutError:
-            self._log_drain('timed_out')
+        await self._finish_requests(schedule)
         announcement.cancel()
         self._log_drain('drained')
 
+    async def _finish_requests(self, schedule: StopSchedule) -> None:
+        """Close idle connections, and the others after their responses.
+
+        Requests that are not finished in time are ended, first those whose
+        response has not begun.
+        """
+        closing = asyncio.get_running_loop().create_task(self.server.drain())
+        try:
+            for ends_at, has_begun in (
+                (schedule.answers_at, False),
+                (schedule.ends_at, True),
+            ):
+                left_s = max(0, ends_at - self.hub.clock())
+                await asyncio.wait((closing,), timeout=left_s)
+                if not closing.done():
+                    self._log_drain('ending')
+                    self.handler.end_requests(has_begun=has_begun)
+            await asyncio.wait((closing,), timeout=_FLUSH_S)
+        finally:
+            closing.cancel()
+
     def _log_drain(self, phase: str) -> None:
         """Log a phase of the drain, and the requests in progress."""
         log_event(
@@ -186,9 +205,9 @@
             waiting=len(self.hub.waiters),
         )
 
-    async def _sleep_until(self, began_at: float, after_s: float) -> None:
-        """Sleep until `after_s` have passed since `began_at`."""
-        await asyncio.sleep(max(0, began_at + after_s - self.hub.clock()))
+    async def _sleep_until(self, at: float) -> None:
+        """Sleep until the clock of the entry shows `at`."""
+        await asyncio.sleep(max(0, at - self.hub.clock()))
 
     def _start_tasks(self) -> None:
         self.background.start_task(self._apply_views(), 'views')
--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -51,6 +51,7 @@
         self.services = services
         self.route_table = RouteTable(services.link.view.routes)
         self.running_count = 0
+        self.runners: set[ForwardRunner] = set()
 
     async def serve(self, exchange: Exchange) -> None:
         """Run a request, or refuse one that cannot be forwarded."""
@@ -60,6 +61,14 @@
         finally:
             self.running_count -= 1
 
+    def end_requests(self, *, has_begun: bool) -> None:
+        """End all requests as the process stops.
+
+        Unless `has_begun`, those whose response has begun go on.
+        """
+        for runner in tuple(self.runners):
+            runner.end_for_stop(has_begun=has_begun)
+
     def build_rejection(self, status: int) -> Rejection:
         """Return the response to a request that cannot be parsed."""
         return Rejection(status=status)
@@ -130,7 +139,12 @@
             head=exchange.head,
             body=body.unwrap(),
         )
-        await ForwardRunner(self.services, request, exchange).run()
+        runner = ForwardRunner(self.services, request, exchange)
+        self.runners.add(runner)
+        try:
+            await runner.run()
+        finally:
+            self.runners.discard(runner)
 
     def _retry_jitter(self) -> float:
         """Return a random factor that spreads the retries of callers."""
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -222,6 +222,10 @@
         elif result.end is AttemptEnd.answered:
             self.record_prompt_answered(profile, now - (result.streamed_s or 0))
 
+    def plan_stop(self, stops_at: float) -> None:
+        """Have all responses end by `stops_at`; refuse what cannot."""
+        self._deliver(self.dispatcher.plan_stop(stops_at, self.clock()))
+
     def close(self) -> None:
         """Stop the timer that dispatches waiting requests."""
         if self.timer is not None:
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -48,6 +48,8 @@
     It runs in the task of the caller's connection, which is cancelled when the
     caller disconnects. `error_response` is the last complete error response of
     an upstream. `run_count` counts the attempts that may have run the request.
+    `time_limit` cancels the attempts when it expires, and `time_over_reason`
+    tells why.
     """
 
     def __init__(
@@ -67,6 +69,8 @@
         self.may_have_run = False
         self.run_count = 0
         self.error_response: CompleteResponse | None = None
+        self.time_limit = asyncio.timeout(None)
+        self.time_over_reason = 'time_over'
 
     @property
     def request_number(self) -> int:
@@ -80,8 +84,9 @@
         """
         hub = self.services.hub
         left_s = self.request.dispatch_request.ends_at - hub.clock()
+        self.time_limit = asyncio.timeout(max(0, left_s))
         try:
-            async with asyncio.timeout(max(0, left_s)):
+            async with self.time_limit:
                 await self._run_attempts()
         except TimeoutError:
             self._end_timed_out()
@@ -89,6 +94,17 @@
             hub.finish_request(self.request_number, self.last_attempt_end)
             self._record_end()
 
+    def end_for_stop(self, *, has_begun: bool) -> None:
+        """End the request now, as the process stops.
+
+        Unless `has_begun`, one whose response has begun goes on.
+        """
+        if self.time_limit.when() is None or self.time_limit.expired():
+            return
+        if has_begun or not self.response_writer.has_begun:
+            self.time_over_reason = 'stopping'
+            self.time_limit.reschedule(asyncio.get_running_loop().time())
+
     async def _run_attempts(self) -> None:
         """Run attempts until one ends the request or it is refused."""
         if self._refuse_if_quarantined():
@@ -255,21 +271,20 @@
             )
 
     def _end_timed_out(self) -> None:
-        """End a request whose deadline has passed."""
+        """End a request whose time limit has expired."""
+        reason = self.time_over_reason
         if self.response_writer.has_begun:
-            self.response_writer.abort_response('time_over')
+            self.response_writer.abort_response(reason)
             return
         dialect = self.services.dialect
         if self.may_have_run:
             headers = dialect.build_refusal_headers(None)
             self.response_writer.write_refusal(
-                _GATEWAY_TIMEOUT, 'time_over', headers
+                _GATEWAY_TIMEOUT, reason, headers
             )
         else:
             headers = dialect.build_refusal_headers(_TIMEOUT_RETRY_AFTER_S)
-            self.response_writer.write_refusal(
-                _UNAVAILABLE, 'time_over', headers
-            )
+            self.response_writer.write_refusal(_UNAVAILABLE, reason, headers)
 
     def _log_refusal(self, action: RefuseRequest) -> None:
         """Log a refusal; bursts of requests that did not run are sampled."""
