Answer pipelined requests that were read before the close was announced

What callers saw: of requests that arrived together on one connection, only the first was answered once the entry had announced its close; the others had been read and got a closed connection (a test: one of three).

Cause: the first response behind the announcement asked to close the connection, whatever had been read behind its request. Now the close is asked for with the last response, and a drain ends the connection after it. Rejections ask to close as before. Requests that were not read are closed without an answer, as before.

--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -58,6 +58,7 @@
         self.timer = ConnectionTimer()
         self._is_idle = True
         self._is_lingering = False
+        self._is_rejecting = False
         self._is_draining = False
         self._peer = ''
 
@@ -120,7 +121,7 @@
         """
         if self._transport is None:
             return False
-        if self.is_close_announced and isinstance(event, h11.Response):
+        if self._asks_to_close and isinstance(event, h11.Response):
             event = _add_close_header(event)
         encoded = self._parser.send(event)
         if encoded:
@@ -147,6 +148,16 @@
         if self._exchange is None and self._is_idle:
             self._close()
 
+    @property
+    def _asks_to_close(self) -> bool:
+        """Tell whether the next response asks the peer to close.
+
+        Requests that were received behind it are answered first.
+        """
+        if self._is_rejecting:
+            return True
+        return self.is_close_announced and not self._parser.trailing_data[0]
+
     def _close(self) -> None:
         if self._transport is not None:
             self._transport.close()
@@ -235,14 +246,15 @@
         done = (h11.DONE, h11.DONE)
         states = (self._parser.our_state, self._parser.their_state)
         # After `connection: close` the parser does not reach DONE.
-        if self._is_draining or states != done:
+        has_next = bool(self._parser.trailing_data[0])
+        if states != done or (self._is_draining and not has_next):
             self._linger()
             return
         self._parser.start_next_cycle()
         self._is_idle = True
         self._transport.resume_reading()
         self.timer.start(self.bounds.idle_timeout_s, self._close)
-        if self._parser.trailing_data[0]:
+        if has_next:
             self._is_idle = False
             self.timer.start(self.bounds.head_timeout_s, self._reject_slow_head)
             self._process_events()
@@ -284,7 +296,7 @@
         self.timer.start(_LINGER_S, self.abort)
 
     def _write_rejection(self, status: int) -> None:
-        self.is_close_announced = True
+        self._is_rejecting = True
         rejection = self._handler.build_rejection(status)
         headers = [
             (b'content-type', b'application/problem+json'),
