--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -27,6 +27,7 @@
 from tests.stopping_entry import BROKEN, CLOSED, CallerOutcome, StoppingEntry
 
 _ResultT = TypeVar('_ResultT')
+_Lines: TypeAlias = list[dict[str, Any]]
 _Call: TypeAlias = asyncio.Task[CallerOutcome]
 _Wait: TypeAlias = Callable[[StoppingEntry], Awaitable[_Call]]
 _GRACES_S: Final = (3.0, 8.0, 30.0)
@@ -44,9 +45,9 @@
 
 
 @pytest.fixture
-def lines() -> Iterator[list[dict[str, Any]]]:
+def lines() -> Iterator[_Lines]:
     """Return the log lines that a test causes."""
-    logged: list[dict[str, Any]] = []
+    logged: _Lines = []
     # Without a destination, eliot keeps messages for the first one.
     eliot.add_destinations(logged.append)
     logged.clear()
@@ -383,7 +384,7 @@
 
 
 def test_refusal_in_a_planned_stop_is_logged_as_the_caller_got_it(
-    lines: list[dict[str, Any]],
+    lines: _Lines,
 ) -> None:
     async def scenario(harness: StoppingEntry) -> CallerOutcome:
         call = await _wait_for_slot(harness)
@@ -400,7 +401,7 @@
 
 
 def test_stream_that_outlives_the_grace_period_is_logged_as_broken_off(
-    lines: list[dict[str, Any]],
+    lines: _Lines,
 ) -> None:
     async def scenario(harness: StoppingEntry) -> CallerOutcome:
         harness.set_route(RouteKind.stream)
