Exit with status 0 after a clean stop on the platform

What operators saw: `python -m persimmonhold.platform` that had stopped cleanly after SIGTERM ended with status 1 and an empty line as its error output.

Cause: `run_on_platform` returns an error text that is empty without an error, and `sys.exit` prints any text, also an empty one, and exits with 1. Now only a text that is not empty is passed on; None means status 0. A failed part or an unreadable settings file still exits with 1 and its text.

--- a/persimmonhold/platform/__main__.py
+++ b/persimmonhold/platform/__main__.py
@@ -4,4 +4,5 @@
 
 from persimmonhold.platform import run_on_platform
 
-sys.exit(run_on_platform())
+# An empty text would be printed, with status 1.
+sys.exit(run_on_platform() or None)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -180,15 +180,18 @@
         """Start VMs: `c...` are control VMs and seeds, `e...` are entries."""
         seeds = [name for name in vm_names if name.startswith('c')]
         for name in vm_names:
-            path = self.directory / f'{name}.toml'
-            path.write_text(
-                self._format_settings(name, seeds), encoding='utf-8'
-            )
+            path = self.write_settings(name, seeds)
             file = read_settings_file(path).unwrap()
             vm = ForwardingVm(file.settings, HttpPlatformAdapter(file))
             await vm.__aenter__()
             self.vms[name] = vm
 
+    def write_settings(self, name: str, seeds: list[str]) -> Path:
+        """Write the settings file of a VM; return its path."""
+        path = self.directory / f'{name}.toml'
+        path.write_text(self._format_settings(name, seeds), encoding='utf-8')
+        return path
+
     async def send_request(
         self,
         peer: str,
