Review of planned stops: doubts that tests refute

Each doubt about the planned stop is a test in virtual time: an announcement that hangs or fails, a clock that jumps ahead by 2 or 20 s, a process that is frozen for 1.5 or 3 s and thawed within its stop, an upstream that accepts a connection and reads nothing, a second SIGTERM and a SIGHUP, a pipelined request behind one that the stop ends, the directory and readiness, and 40 seeds of random requests, upstreams and late loops. With the seeds, requests that may not be repeated ran at most once, none that was answered 503 ran, and nothing stayed in the waiters, the pending requests and the runners.

--- /dev/null
+++ b/tests/test_planned_stop_review.py
@@ -0,0 +1,361 @@
+"""Doubts about planned stops, each as a test; virtual time."""
+
+import asyncio
+import os
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeVar
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    AllMatch,
+    Equals,
+    GreaterThan,
+    HasLength,
+    LessThan,
+    MatchesAny,
+)
+
+from bench.virtual_loop import VirtualTimeLoop, run_in_virtual_time
+from persimmonhold.routes import RouteKind
+from persimmonhold.system import run_until_stopped
+from persimmonhold.tasks import BackgroundTasks
+from persimmonhold.web import Exchange, encode_headers
+from tests.raw_upstream import RawConnection, RawUpstream
+from tests.stopping_entry import CallerOutcome, StoppingEntry
+
+_ResultT = TypeVar('_ResultT')
+_LONG_S: Final = 600.0
+_EVENT_GAP_S: Final = 0.1
+_FATES: Final = ('refuse', 'abort', 'fail', 'hang', 'answer', 'answer')
+_HEAD: Final = (
+    b'POST /chat/x HTTP/1.1\r\nhost: a.example\r\nattempt-id: %b\r\n'
+    b'deadline-ms: 20000\r\ncontent-length: 1\r\n\r\nx'
+)
+
+
+def _run(
+    scenario: Callable[[StoppingEntry], Awaitable[_ResultT]],
+    grace_s: float = 8.0,
+    slots: int = 8,
+) -> _ResultT:
+    async def run_scenario() -> _ResultT:
+        async with StoppingEntry(grace_s, slots) as harness:
+            return await scenario(harness)
+
+    return run_in_virtual_time(run_scenario())
+
+
+def _signed(exchange: Exchange) -> dict[str, str]:
+    return {
+        'attempt-id': exchange.head.header('attempt-id'),
+        'server-signature': 'signed',
+    }
+
+
+async def _hang(exchange: Exchange) -> None:
+    await asyncio.sleep(_LONG_S)
+
+
+def _answer_after(
+    wait_s: float, status: int = 200
+) -> Callable[[Exchange], Awaitable[None]]:
+    async def script(exchange: Exchange) -> None:
+        await exchange.read_body()
+        await asyncio.sleep(wait_s)
+        headers = encode_headers(_signed(exchange))
+        await exchange.respond(status, b'answer', headers=headers)
+
+    return script
+
+
+def _stream_for(duration_s: float) -> Callable[[Exchange], Awaitable[None]]:
+    async def script(exchange: Exchange) -> None:
+        await exchange.read_body()
+        own = {**_signed(exchange), 'content-type': 'text/event-stream'}
+        await exchange.start_response(200, encode_headers(own))
+        for number in range(round(duration_s / _EVENT_GAP_S)):
+            await exchange.send_body_chunk(b'id: %d\ndata: x\n\n' % number)
+            await asyncio.sleep(_EVENT_GAP_S)
+        await exchange.finish_response()
+
+    return script
+
+
+def _be_late(late_s: float) -> None:
+    """Have the loop miss its timers by `late_s`."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualTimeLoop)
+    loop.now += late_s
+
+
+async def _hang_raw(connection: RawConnection) -> None:
+    await asyncio.sleep(_LONG_S)
+
+
+async def _start_waiting(harness: StoppingEntry) -> asyncio.Task[CallerOutcome]:
+    harness.set_route(RouteKind.stream)
+    await harness.start_upstream(_stream_for(_LONG_S))
+    harness.start_call({'deadline-ms': '60000'})
+    await asyncio.sleep(0.05)
+    return harness.start_call()
+
+
+def test_announcement_that_hangs_or_fails_delays_no_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def hang() -> bool:
+        await asyncio.sleep(_LONG_S)
+        return True
+
+    async def fail() -> bool:
+        raise OSError('unreachable')
+
+    async def scenario(harness: StoppingEntry) -> tuple[CallerOutcome, float]:
+        call = await _start_waiting(harness)
+        harness.begin_stop()
+        took_s = await harness.finish_stop()
+        return await call, took_s
+
+    for announce in (hang, fail):
+
+        async def announced(
+            harness: StoppingEntry,
+            announce: Callable[[], Awaitable[bool]] = announce,
+        ) -> tuple[CallerOutcome, float]:
+            monkeypatch.setattr(harness.link, 'announce_draining', announce)
+            return await scenario(harness)
+
+        outcome, took_s = _run(announced, slots=1)
+        assert_that(outcome.status, Equals(503))
+        assert_that(took_s, LessThan(8.0))
+
+
+def test_entry_leaves_the_directory_and_readiness_at_once() -> None:
+    async def scenario(harness: StoppingEntry) -> bool:
+        await harness.start_upstream(_hang)
+        assert_that(harness.entry.is_ready, Equals(True))
+        harness.begin_stop()
+        await asyncio.sleep(0)
+        assert_that(harness.entry.directory.is_leaving, Equals(True))
+        return harness.entry.is_ready
+
+    assert_that(_run(scenario), Equals(False))
+
+
+@pytest.mark.parametrize('jump_s', [2.0, 20.0])
+def test_stop_ends_in_time_if_the_clock_jumps(jump_s: float) -> None:
+    async def scenario(harness: StoppingEntry) -> tuple[CallerOutcome, float]:
+        call = await _start_waiting(harness)
+        offset = 0.0
+        hub = harness.entry.hub
+        hub.clock = lambda: harness.now + offset
+        harness.begin_stop()
+        await asyncio.sleep(2.0)
+        offset = jump_s
+        took_s = await harness.finish_stop()
+        return await call, took_s
+
+    outcome, took_s = _run(scenario, slots=1)
+    assert_that(took_s, LessThan(8.0))
+    assert_that(outcome.status, Equals(503))
+
+
+class _RandomUpstream:
+    """Answers, fails, refuses or hangs by chance; records what ran."""
+
+    def __init__(self, rng: random.Random, longest_s: float) -> None:
+        self.rng = rng
+        self.longest_s = longest_s
+        self.ran: list[str] = []
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve one request."""
+        await exchange.read_body()
+        fate = self.rng.choice(_FATES)
+        if fate == 'refuse':
+            headers = {**_signed(exchange), 'not-executed': '1'}
+            await exchange.respond(503, b'', headers=encode_headers(headers))
+            return
+        self.ran.append(exchange.head.header('attempt-id'))
+        if fate == 'abort':
+            exchange.abort_connection()
+        elif fate == 'fail':
+            await _answer_after(0.1, 500)(exchange)
+        elif fate == 'hang':
+            await asyncio.sleep(_LONG_S)
+        else:
+            await _answer_after(self.rng.random() * self.longest_s)(exchange)
+
+
+async def _call_at_random(
+    harness: StoppingEntry,
+    rng: random.Random,
+    calls: dict[str, asyncio.Task[CallerOutcome]],
+) -> None:
+    """Start callers until soon before the entry closes its socket."""
+    for number in range(30):
+        await asyncio.sleep(rng.random() * harness.grace_s / 60)
+        name = f'q{number}'
+        calls[name] = harness.start_call({'attempt-id': name})
+
+
+async def _be_late_at(late_at_s: float, late_s: float) -> None:
+    await asyncio.sleep(late_at_s)
+    _be_late(late_s)
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_random_requests_of_a_stop_get_answers_that_are_true(seed: int) -> None:
+    rng = random.Random(seed)
+    grace_s = rng.choice([3.0, 8.0, 30.0])
+    kind = rng.choice([RouteKind.idempotent, RouteKind.non_idempotent])
+    upstream = _RandomUpstream(rng, grace_s)
+
+    async def scenario(harness: StoppingEntry) -> dict[str, int]:
+        harness.set_route(kind, attempts=rng.choice([1, 2, 3]))
+        harness.limit_per_s = rng.choice([None, None, 3.0])
+        for _ in range(2):
+            await harness.start_upstream(upstream.serve)
+        calls: dict[str, asyncio.Task[CallerOutcome]] = {}
+        tasks = [asyncio.create_task(_call_at_random(harness, rng, calls))]
+        await asyncio.sleep(rng.uniform(0.2, 0.4) * grace_s)
+        harness.begin_stop()
+        tasks += [
+            asyncio.create_task(
+                _be_late_at(rng.random() * grace_s, grace_s / 16)
+            )
+            for _ in range(2)
+        ]
+        assert_that(await harness.finish_stop(), LessThan(grace_s))
+        for task in tasks:
+            task.cancel()
+        hub = harness.entry.hub
+        left = (
+            hub.waiters,
+            hub.dispatcher.pending,
+            harness.entry.handler.runners,
+        )
+        assert_that([len(one) for one in left], Equals([0, 0, 0]))
+        return {name: (await call).status for name, call in calls.items()}
+
+    statuses = _run(scenario, grace_s, slots=2)
+    answers = [Equals(one) for one in (200, 500, 502, 503, 504)]
+    assert_that(statuses.values(), AllMatch(MatchesAny(*answers)))
+    assert_that(len(statuses), GreaterThan(5))
+    if kind is RouteKind.non_idempotent:
+        assert_that(upstream.ran, HasLength(len(set(upstream.ran))))
+        refused = {name for name, one in statuses.items() if one == 503}
+        assert_that(refused & set(upstream.ran), Equals(set()))
+
+
+def test_request_that_an_upstream_leaves_unread_is_not_refused_as_not_run() -> (
+    None
+):
+    async def scenario(harness: StoppingEntry) -> CallerOutcome:
+        harness.set_route(RouteKind.non_idempotent)
+
+        async def ignore(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await asyncio.sleep(_LONG_S)
+
+        server = await asyncio.start_server(ignore, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        upstream = RawUpstream('u0', _hang_raw)
+        upstream.address = f'{host}:{port}'
+        harness.upstreams.append(upstream)  # type: ignore[arg-type]
+        harness.send_update()
+        connection = await harness.connect()
+        call = harness.start_call(None, connection)
+        await asyncio.sleep(0.1)
+        harness.begin_stop()
+        await harness.finish_stop()
+        server.close()
+        return await call
+
+    assert_that(_run(scenario, grace_s=3.0).status, Equals(504))
+
+
+def test_request_behind_one_that_the_stop_ends_is_answered() -> None:
+    async def scenario(harness: StoppingEntry) -> bytes:
+        await harness.start_upstream(_hang)
+        address = harness.entry.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(_HEAD % b'r1' + _HEAD % b'r2')
+        await asyncio.sleep(0.1)
+        harness.begin_stop()
+        received = await reader.read()
+        writer.close()
+        await harness.finish_stop()
+        return received
+
+    received = _run(scenario)
+    assert_that(received.count(b'HTTP/1.1 50'), Equals(2))
+
+
+class _FailedVm:
+    """A VM of which a background task has failed."""
+
+    def __init__(self) -> None:
+        self.background = BackgroundTasks()
+        self.background.failed.set()
+        self.drains = 0
+
+    async def __aenter__(self) -> '_FailedVm':
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Do nothing."""
+
+    async def drain(self, **_: object) -> None:
+        """Record the drain."""
+        self.drains += 1
+
+
+def test_second_signal_does_not_shorten_a_stop() -> None:
+    vm = _FailedVm()
+    vm.background.failed.clear()
+
+    async def drain() -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.sleep(0.05)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.05)
+        vm.drains += 1
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, os.kill, os.getpid(), signal.SIGTERM)
+        await run_until_stopped(lambda: vm)  # type: ignore[arg-type,return-value]
+
+    vm.drain = drain  # type: ignore[method-assign,assignment]
+    asyncio.run(run())
+    assert_that(vm.drains, Equals(1))
+
+
+@pytest.mark.parametrize('thaw_s', [2.0, 4.0, 6.0, 7.0])
+@pytest.mark.parametrize('frozen_s', [1.5, 3.0])
+def test_thawed_process_answers_what_it_holds(
+    frozen_s: float, thaw_s: float
+) -> None:
+    async def scenario(harness: StoppingEntry) -> list[int]:
+        waiting = await _start_waiting(harness)
+        harness.set_route(RouteKind.non_idempotent)
+        await harness.start_upstream(_hang)
+        running = harness.start_call()
+        await asyncio.sleep(0.1)
+        harness.begin_stop()
+        await asyncio.sleep(max(0, thaw_s - frozen_s))
+        _be_late(frozen_s)
+        await harness.finish_stop()
+        return [(await waiting).status, (await running).status]
+
+    statuses = _run(scenario, slots=1)
+    answers = [Equals(one) for one in (502, 503, 504)]
+    assert_that(statuses, AllMatch(MatchesAny(*answers)))
