Keep the idle timer of a connection whose peer read slowly

Callers that read the end of a large response slowly kept their connection open for as long as they liked: when the send buffer had room again, resume_writing stopped the connection's only timer, which by then was that of the idle or closing connection, not the send time-out. Now it stops the timer only while an exchange is in progress, whose only timer is the send time-out. The test failed before in its case without a drain (no close within 5 s after an idle time of 1 s).

--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -109,9 +109,11 @@
     def resume_writing(self) -> None:
         """Unblock senders."""
         self._writable.set()
-        self.timer.stop()
         exchange = self._exchange
-        if exchange is not None and exchange.on_writable is not None:
+        if exchange is None:
+            return  # the timer is that of an idle or closing connection
+        self.timer.stop()
+        if exchange.on_writable is not None:
             exchange.on_writable()
 
     def write_event(self, event: h11.Event) -> bool:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -17,6 +17,7 @@
 from testtools.matchers import (
     Contains,
     Equals,
+    GreaterThan,
     HasLength,
     LessThan,
     Not,
@@ -51,6 +52,9 @@
     FailureKind.overloaded: 503,
 })
 _DRAIN_TIMEOUT_S: Final = 5.0
+_IDLE_S: Final = 1.0
+# More than the socket buffers hold.
+_LARGE_BYTES: Final = 20_000_000
 _HOST: Final = b'Host: a\r\n'
 
 
@@ -409,3 +413,38 @@
             return server.connection_count
 
     assert_that(asyncio.run(scenario()), Equals(0))
+
+
+@final
+class _Large(ExchangeHandler):
+    """Responds with more than the socket buffers hold."""
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Respond without waiting until the peer has read."""
+        exchange.respond_nowait(200, bytes(_LARGE_BYTES))
+
+
+@pytest.mark.parametrize('is_draining', [False, True])
+def test_connection_whose_peer_reads_slowly_is_closed_when_idle(
+    is_draining: bool,
+) -> None:
+    async def scenario() -> bytes:
+        bounds = HttpBounds(idle_timeout_s=_IDLE_S)
+        server = HttpServer(Address('127.0.0.1', 0), _Large(), bounds)
+        async with server:
+            reader, writer = await asyncio.open_connection(
+                server.address.host, server.address.port, limit=2**10
+            )
+            writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            await asyncio.sleep(_IDLE_S / 2)
+            draining = asyncio.create_task(server.drain())
+            if not is_draining:
+                draining.cancel()
+            async with asyncio.timeout(_DRAIN_TIMEOUT_S):
+                received = await reader.read()
+            writer.close()
+            if is_draining:
+                await draining
+            return received
+
+    assert_that(len(run_in_virtual_time(scenario())), GreaterThan(_LARGE_BYTES))
