Serve requests that a late loop had not read when an entry closes

With a loop that was late by 0.3 or 1 s when the entry stopped accepting connections, callers that had connected and sent a request in that time got their connection reset, in a planned stop: a connection that registered during the drain was refused, and one that was open and idle was closed before its first read, with the request in the socket's buffer. Now both are closed 0.1 s later unless a request arrives, and a request that does is answered with the close announced.

--- a/persimmonhold/web/_server.py
+++ b/persimmonhold/web/_server.py
@@ -100,11 +100,11 @@
     async def drain(self) -> None:
         """Stop listening and wait until every connection has closed.
 
-        Idle ones close at once, others after the response in progress.
+        Idle ones close after a short time, others after the response in
+        progress.
         """
         self._stop_listening()
-        # A connection that the socket accepted before is refused when it
-        # registers.
+        # Connections that the socket accepted before may register later.
         self._is_draining = True
         for connection in tuple(self._connections):
             connection.close_when_idle()
@@ -131,7 +131,9 @@
         connection.is_close_announced = self._is_closing
         self._connections.add(connection)
         is_full = len(self._connections) > self.bounds.max_connections
-        connection.is_refused = is_full or self._is_draining
+        connection.is_refused = is_full
+        if self._is_draining:
+            connection.close_when_idle()
 
     def _unregister(self, connection: ServerConnection) -> None:
         self._connections.discard(connection)
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -25,6 +25,9 @@
 _HEAD_TOO_LARGE: Final = 431
 _INTERNAL_ERROR: Final = 500
 _LINGER_S: Final = 1.0
+# Time in which an idle connection that is to be closed reads what its peer had
+# sent before.
+_LAST_READ_S: Final = 0.1
 _CLOSE_HEADER: Final = (b'connection', b'close')
 
 
@@ -74,7 +77,10 @@
             return
         peer = transport.get_extra_info('peername')
         self._peer = f'{peer[0]}:{peer[1]}' if peer else ''
-        self.timer.start(self.bounds.head_timeout_s, self._close)
+        timeout_s = self.bounds.head_timeout_s
+        if self._is_draining:
+            timeout_s = _LAST_READ_S
+        self.timer.start(timeout_s, self._close)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and act on them."""
@@ -144,11 +150,14 @@
             self._transport.abort()
 
     def close_when_idle(self) -> None:
-        """Close now if no request is in progress, else after its response."""
+        """Close soon if no request is in progress, else after its response.
+
+        A request that the peer has sent before is served.
+        """
         self.is_close_announced = True
         self._is_draining = True
         if self._exchange is None and self._is_idle:
-            self._close()
+            self.timer.start(_LAST_READ_S, self._close)
 
     @property
     def _asks_to_close(self) -> bool:
--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
@@ -91,6 +92,36 @@
     loop.now += late_s
 
 
+@pytest.mark.parametrize('late_s', [0.3, 1.0])
+@pytest.mark.parametrize('is_new', [False, True])
+@pytest.mark.parametrize('closes_s', [3.9, 3.99])
+def test_request_that_a_late_loop_has_not_read_is_answered(
+    closes_s: float, is_new: bool, late_s: float
+) -> None:
+    async def scenario(harness: StoppingEntry) -> bytes:
+        await harness.start_upstream(_answer_after(0.01))
+        address = harness.entry.server.address
+        caller = socket.socket()
+        caller.setblocking(True)
+        if not is_new:
+            caller.connect((address.host, address.port))
+        harness.begin_stop()
+        await asyncio.sleep(closes_s)
+        if is_new:
+            caller.connect((address.host, address.port))
+        caller.sendall(_HEAD % b'r1')
+        _be_late(late_s)
+        await harness.finish_stop()
+        try:
+            return caller.recv(12)
+        except ConnectionError:
+            return b'reset'
+        finally:
+            caller.close()
+
+    assert_that(_run(scenario), Equals(b'HTTP/1.1 200'))
+
+
 async def _hang_raw(connection: RawConnection) -> None:
     await asyncio.sleep(_LONG_S)
 
