Announce the close with the refusal of a body in a planned stop

Callers whose body was refused during a planned stop got an answer that did not announce the close of the connection, since: the rest of their own body counted as a pipelined request behind it. Now only bytes behind a complete request do. The test failed before: no connection header in the 413; it passes on.

--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -167,7 +167,7 @@
         """
         if self._is_rejecting:
             return True
-        return self.is_close_announced and not self._parser.trailing_data[0]
+        return self.is_close_announced and not _has_next_request(self._parser)
 
     def _close(self) -> None:
         if self._transport is not None:
@@ -257,7 +257,7 @@
         done = (h11.DONE, h11.DONE)
         states = (self._parser.our_state, self._parser.their_state)
         # After `connection: close` the parser does not reach DONE.
-        has_next = bool(self._parser.trailing_data[0])
+        has_next = _has_next_request(self._parser)
         if states != done or (self._is_draining and not has_next):
             self._linger()
             return
@@ -337,6 +337,11 @@
     )
 
 
+def _has_next_request(parser: h11.Connection) -> bool:
+    """Tell whether bytes were received behind a complete request."""
+    return parser.their_state is h11.DONE and bool(parser.trailing_data[0])
+
+
 def _count_head_bytes(request: h11.Request) -> int:
     fields = sum(len(name) + len(text) for name, text in request.headers)
     return len(request.target) + fields
--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -370,6 +370,28 @@
     assert_that(vm.drains, Equals(1))
 
 
+def test_refused_body_is_answered_with_the_announced_close() -> None:
+    async def scenario(harness: StoppingEntry) -> bytes:
+        address = harness.entry.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        harness.begin_stop()
+        await asyncio.sleep(2.0)
+        writer.write(
+            b'POST /chat/x HTTP/1.1\r\nhost: a.example\r\nattempt-id: r1\r\n'
+            b'content-length: 5000000\r\n\r\nxxxx'
+        )
+        received = await reader.read()
+        writer.close()
+        await harness.finish_stop()
+        return received
+
+    received = _run(scenario)
+    assert_that(received.count(b'HTTP/1.1 413'), Equals(1))
+    assert_that(received.count(b'connection: close'), Equals(1))
+
+
 @pytest.mark.parametrize('thaw_s', [2.0, 4.0, 6.0, 7.0])
 @pytest.mark.parametrize('frozen_s', [1.5, 3.0])
 def test_thawed_process_answers_what_it_holds(
