Refuse late streams that a planned stop could cut

Callers whose stream reached a stopping entry 3.1 or 3.9 s after the signal got it broken off at the end of the stop, 7.3 s of 8 s: the dispatcher sent every stream for which a second, or its tokens at 100 a second, were left. Streams of unknown length and those of slower upstreams last longer. A stream that arrives later than 2 s after the stop began is now sent only if its deadline lies within the stop or its tokens at 25 a second do; others are refused at once, with the short time to retry after of a stop, so that another entry serves them whole. Streams that arrived before are treated as before. The test failed before at a grace period of 8 s, 4 of 8 cases: broken off.

--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -167,7 +167,7 @@
 
         Waiting requests that cannot be served by then are refused now.
         """
-        self.send_deadline.stops_at = stops_at
+        self.send_deadline.plan_stop(stops_at, now)
         refused = [
             self._refuse(pending, _STOPPING, now)
             for pending in _list_waiting(self.queues.values(), now)
--- a/persimmonhold/fleet/_send_deadline.py
+++ b/persimmonhold/fleet/_send_deadline.py
@@ -3,12 +3,15 @@
 import math
 from typing import Final, final
 
+from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._engine_speed import (
     BUSY_OUTPUT_TOKENS_PER_S,
     MAX_OUTPUT_TOKENS_PER_S,
     PROMPT_TOKENS_PER_S,
+    SLOW_OUTPUT_TOKENS_PER_S,
 )
 from persimmonhold.fleet._request_queue import PendingRequest
+from persimmonhold.routes import RouteKind
 
 # Time to the first event at an idle upstream with a short prompt.
 MIN_FIRST_EVENT_S: Final = 0.04
@@ -17,6 +20,8 @@
 _MAX_OUTPUT_SHARE: Final = 0.25
 # Time that a planned stop leaves for each response at least.
 _STOP_RESERVE_S: Final = 1.0
+# Streams that arrive later than this in a planned stop must not be cut by it.
+_LATE_ARRIVAL_S: Final = 2.0
 
 
 @final
@@ -24,15 +29,22 @@
     """The latest time at which each request may be sent.
 
     Responses have to end by `stops_at`, which is infinite unless a stop of the
-    entry is planned.
+    entry is planned. Streams that arrived after `late_from` are sent only if
+    they end by then at a slow upstream as well.
     """
 
-    __slots__ = ('stops_at',)
+    __slots__ = ('late_from', 'stops_at')
 
     def __init__(self) -> None:
         """Create the deadlines of an entry that is not told to stop."""
+        self.late_from = math.inf
         self.stops_at = math.inf
 
+    def plan_stop(self, stops_at: float, now: float) -> None:
+        """Have responses end by `stops_at`, in a stop that begins now."""
+        self.late_from = now + _LATE_ARRIVAL_S
+        self.stops_at = stops_at
+
     def find(self, pending: PendingRequest) -> float:
         """Return the time until which a request may stay queued.
 
@@ -62,8 +74,7 @@
         """
         output_s = 0.0
         if not pending.has_response_begun:
-            tokens = pending.request.profile.output_tokens
-            output_s = tokens / BUSY_OUTPUT_TOKENS_PER_S
+            output_s = self._output_s(pending.request)
         return self.stops_at - max(_STOP_RESERVE_S, output_s)
 
     def is_stop_before(
@@ -71,3 +82,18 @@
     ) -> bool:
         """Tell whether the stop prevents that a request is sent so late."""
         return service_at > self.find_before_stop(pending)
+
+    def _output_s(self, request: DispatchRequest) -> float:
+        """Return the time for the response that the planned stop leaves.
+
+        It is infinite for a late stream whose length is not known.
+        """
+        tokens = request.profile.output_tokens
+        is_late_stream = (
+            request.route.kind is RouteKind.stream
+            and request.arrived_at > self.late_from
+            and request.ends_at > self.stops_at
+        )
+        if not is_late_stream:
+            return tokens / BUSY_OUTPUT_TOKENS_PER_S
+        return tokens / SLOW_OUTPUT_TOKENS_PER_S if tokens else math.inf
--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -20,6 +20,7 @@
 )
 
 from bench.virtual_loop import VirtualTimeLoop, run_in_virtual_time
+from persimmonhold.fleet import HeldModel
 from persimmonhold.routes import RouteKind
 from persimmonhold.system import run_until_stopped
 from persimmonhold.tasks import BackgroundTasks
@@ -92,6 +93,28 @@
     loop.now += late_s
 
 
+@pytest.mark.parametrize('grace_s', [8.0, 30.0])
+@pytest.mark.parametrize('sent_at_s', [3.1, 3.9])
+@pytest.mark.parametrize('tokens', ['', '9,100'])
+def test_late_stream_is_refused_or_completed(
+    tokens: str, sent_at_s: float, grace_s: float
+) -> None:
+    async def scenario(harness: StoppingEntry) -> CallerOutcome:
+        harness.set_route(RouteKind.stream, is_engine=bool(tokens))
+        harness.models = (HeldModel('m1', 1, ()),)
+        await harness.start_upstream(_stream_for(5.0))
+        harness.begin_stop()
+        await asyncio.sleep(sent_at_s)
+        own = {'model': 'm1', 'token-count': tokens} if tokens else {}
+        call = harness.start_call(own)
+        await harness.finish_stop()
+        return await call
+
+    assert_that(
+        _run(scenario, grace_s).status, MatchesAny(Equals(200), Equals(503))
+    )
+
+
 @pytest.mark.parametrize('late_s', [0.3, 1.0])
 @pytest.mark.parametrize('is_new', [False, True])
 @pytest.mark.parametrize('closes_s', [3.9, 3.99])
