State that a request did not run only if no connection was cut with it

A caller whose repeatable request was written to a pooled connection, which the upstream then closed without an answer, got a 503 where the upstream could not be reached again: the attempt reported only its second connection, and the request counted as not sent. The result now tells that the first send got no answer, and the final refusal is a 502. The request is still repeated as before, and the attempt counts no run.

--- a/persimmonhold/forwarding/_attempt_result.py
+++ b/persimmonhold/forwarding/_attempt_result.py
@@ -25,6 +25,8 @@
     has not been sent to the caller; `is_delivered` means that the caller has
     already received a streamed response in full. `is_cut` means that the
     upstream closed or reset the connection before the response was complete.
+    `is_unanswered` means that a pooled connection was closed after the request
+    was written to it, before the attempt that the other fields describe.
     `streamed_s` is how long ago its first event arrived, or None without one.
     For the log: `body_end` is what marked the end of the body, or '' without a response head;
     `is_within_event` means that the last event received was incomplete.
@@ -36,6 +38,7 @@
     is_delivered: bool = False
     detail: str = ''
     is_cut: bool = False
+    is_unanswered: bool = False
     streamed_s: float | None = None
     body_end: str = ''
     is_within_event: bool = False
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -177,6 +177,10 @@
             result = await self._run_on_connection(pooled)
             if result is not None:
                 return result
+        result = await self._run_on_new_connection()
+        return msgspec.structs.replace(result, is_unanswered=pooled is not None)
+
+    async def _run_on_new_connection(self) -> AttemptResult:
         address = parse_address(self.action.upstream.address)
         if isinstance(address, Failed):
             return _unreachable_result('invalid upstream address')
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -164,6 +164,7 @@
             self._record_cancelled(action, attempt)
             raise
         self._count_run(may_have_run=result.may_have_run)
+        self.may_have_run = self.may_have_run or result.is_unanswered
         self.services.hub.record_prompt_outcome(
             action.upstream.process_key,
             self.request.dispatch_request.profile,
--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -145,6 +145,42 @@
     assert_that(_run(scenario), Equals(b'HTTP/1.1 200'))
 
 
+def test_request_on_a_cut_pooled_connection_is_not_refused_as_not_run() -> None:
+    async def scenario(harness: StoppingEntry) -> tuple[CallerOutcome, int]:
+        upstream = RawUpstream('u0', _hang_raw)
+        heads = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await reader.readexactly(8)
+                heads.append(head)
+                if len(heads) == 2:
+                    server.close()
+                    writer.transport.abort()
+                    return
+                connection = RawConnection(head.decode('ascii'), writer)
+                await connection.respond('application/json', 'length', b'ok')
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        upstream.address = f'{host}:{port}'
+        harness.upstreams.append(upstream)  # type: ignore[arg-type]
+        harness.send_update()
+        first = await harness.call()
+        assert_that(first.status, Equals(200))
+        harness.begin_stop()
+        second = harness.start_call()
+        await harness.finish_stop()
+        return await second, len(heads)
+
+    outcome, heads = _run(scenario)
+    assert_that(heads, Equals(2))
+    assert_that(outcome.status, MatchesAny(Equals(502), Equals(504)))
+
+
 async def _hang_raw(connection: RawConnection) -> None:
     await asyncio.sleep(_LONG_S)
 
