Pass on an upstream's error if the time ends during the retry

A caller whose request had got a complete error of an upstream, and was tried once more when its deadline or a planned stop ended it, got a 504 of the entry. The runner's invariant is that a complete response reaches the caller unless a repeated attempt got a better one, which only the refusal kept. The test failed before: 504 instead of the upstream's 500.

--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -277,6 +277,12 @@
         if self.response_writer.has_begun:
             self.response_writer.abort_response(reason)
             return
+        if self.error_response is None:
+            self._refuse_timed_out(reason)
+        else:
+            self._end_failed(reason)
+
+    def _refuse_timed_out(self, reason: str) -> None:
         dialect = self.services.dialect
         if self.may_have_run:
             headers = dialect.build_refusal_headers(None)
--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -1,6 +1,7 @@
 """Doubts about planned stops, each as a test; virtual time."""
 
 import asyncio
+import itertools
 import os
 import random
 import signal
@@ -185,6 +186,27 @@
     await asyncio.sleep(_LONG_S)
 
 
+def test_error_of_an_upstream_is_passed_on_if_the_stop_ends_the_retry() -> None:
+    async def scenario(harness: StoppingEntry) -> CallerOutcome:
+        harness.set_route(RouteKind.idempotent, attempts=2)
+        calls = itertools.count(1)
+        fail = _answer_after(0.01, 500)
+
+        async def script(exchange: Exchange) -> None:
+            await (fail if next(calls) == 1 else _hang)(exchange)
+
+        await harness.start_upstream(script)
+        await harness.start_upstream(script)
+        call = harness.start_call()
+        await asyncio.sleep(0.1)
+        assert_that(next(calls), Equals(3))
+        harness.begin_stop()
+        await harness.finish_stop()
+        return await call
+
+    assert_that(_run(scenario, grace_s=3.0).status, Equals(500))
+
+
 async def _start_waiting(harness: StoppingEntry) -> asyncio.Task[CallerOutcome]:
     harness.set_route(RouteKind.stream)
     await harness.start_upstream(_stream_for(_LONG_S))
