Answer the requests of a planned stop if one of its steps fails

An exception in the plan of a stop ended the process at once, and one in the close of the server counted as the end of all requests: in both cases every waiting request was cut, without a log line for the second. The requests are now ended by their count instead of the close of the server, also after a failed step, whose error goes on to the process, and the failure of the close is logged. The tests failed before: closed without a response; no answer within 1 s of the failed plan.

--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -26,7 +26,7 @@
 from persimmonhold.forwarding._forward_hub import ForwardHub
 from persimmonhold.forwarding._forward_services import ForwardServices
 from persimmonhold.forwarding._platform_adapter import PlatformAdapter
-from persimmonhold.observability import Metrics, log_event
+from persimmonhold.observability import LogLevel, Metrics, log_event
 from persimmonhold.routes import TrafficLimits
 from persimmonhold.settings import Settings
 from persimmonhold.tasks import BackgroundTasks
@@ -166,14 +166,20 @@
         announcement = asyncio.get_running_loop().create_task(
             self.link.announce_draining(),
         )
+        try:
+            await self._serve_until_closed(schedule)
+        finally:
+            await self._finish_requests(schedule)
+            announcement.cancel()
+        self._log_drain('drained')
+
+    async def _serve_until_closed(self, schedule: StopSchedule) -> None:
+        """Serve on until the entry accepts no more connections."""
         self.hub.plan_stop(schedule.answers_at)
         await self._sleep_until(schedule.announces_close_at)
         self.server.announce_close()
         await self._sleep_until(schedule.closes_at)
         self._log_drain('closing')
-        await self._finish_requests(schedule)
-        announcement.cancel()
-        self._log_drain('drained')
 
     async def _finish_requests(self, schedule: StopSchedule) -> None:
         """Close idle connections, and the others after their responses.
@@ -182,6 +188,7 @@
         response has not begun.
         """
         closing = asyncio.get_running_loop().create_task(self.server.drain())
+        closing.add_done_callback(_log_failure)
         try:
             for ends_at, has_begun in (
                 (schedule.answers_at, False),
@@ -189,7 +196,7 @@
             ):
                 left_s = max(0, ends_at - self.hub.clock())
                 await asyncio.wait((closing,), timeout=left_s)
-                if not closing.done():
+                if self.handler.running_count:
                     self._log_drain('ending')
                     self.handler.end_requests(has_begun=has_begun)
             await asyncio.wait((closing,), timeout=_FLUSH_S)
@@ -234,6 +241,14 @@
             self.services.pool.close_unusable(asyncio.get_running_loop().time())
 
 
+def _log_failure(closing: asyncio.Task[None]) -> None:
+    if closing.cancelled():
+        return
+    error = closing.exception()
+    if error is not None:
+        log_event('drain_failed', LogLevel.error, error=repr(error))
+
+
 def _http_bounds(limits: TrafficLimits) -> HttpBounds:
     return HttpBounds(
         max_head_bytes=limits.max_head_bytes,
--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Final, TypeVar
 
 import pytest
@@ -215,6 +216,25 @@
     return harness.start_call()
 
 
+def test_failed_close_of_the_server_cuts_no_waiting_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(harness: StoppingEntry) -> CallerOutcome:
+        call = await _start_waiting(harness)
+
+        async def fail() -> None:
+            raise OSError('close failed')
+
+        monkeypatch.setattr(
+            type(harness.entry.server), 'drain', lambda _: fail()
+        )
+        harness.begin_stop()
+        await harness.finish_stop()
+        return await call
+
+    assert_that(_run(scenario, slots=1).status, Equals(503))
+
+
 def test_announcement_that_hangs_or_fails_delays_no_stop(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -392,6 +412,27 @@
     assert_that(_run(scenario, grace_s=3.0).status, Equals(504))
 
 
+def test_exception_of_a_dispatch_cuts_no_waiting_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(harness: StoppingEntry) -> CallerOutcome:
+        call = await _start_waiting(harness)
+        await asyncio.sleep(0.1)
+        dispatcher = harness.entry.hub.dispatcher
+
+        def fail(*_: object) -> None:
+            raise ValueError('choice')
+
+        monkeypatch.setattr(type(dispatcher.chooser), 'choose_upstream', fail)
+        harness.begin_stop()
+        with suppress(ValueError):
+            await harness.finish_stop()
+        async with asyncio.timeout(1.0):
+            return await call
+
+    assert_that(_run(scenario, slots=1).status, Equals(503))
+
+
 def test_request_behind_one_that_the_stop_ends_is_answered() -> None:
     async def scenario(harness: StoppingEntry) -> bytes:
         await harness.start_upstream(_hang)
