Try upstreams of plain services again that were not used lately

Cause: an entry chooses by the response time that it learned itself, and learns only from the upstreams that it chooses. One without attempts keeps the initial 0.1 s. Where others answer within less, by more than the random part of a score (40 ms), it is never chosen; and one that was slow keeps its old figure for ever, as nothing corrects it. Ruled out: shares of free slots (engines only), lagging loads of other entries (the same with one entry, where one upstream of four got every request).

Now a learned response time counts for 4 s after the last attempt. Later, or before any attempt, the upstream is expected to need what the fastest of its service needs, so it is tried; the first response of such a trial replaces the old figure, and until then the old one keeps further requests away. A restarted process starts anew. Engines are predicted as before: their code is only no longer shared with plain services.

--- a/persimmonhold/fleet/_first_event.py
+++ b/persimmonhold/fleet/_first_event.py
@@ -1,4 +1,4 @@
-"""Predicts the time to the first event of a request at an upstream."""
+"""Predicts the time to the first event or response at an upstream."""
 
 from typing import Final
 
@@ -21,7 +21,7 @@
     *,
     needs_adapter: bool,
 ) -> float:
-    """Return the expected seconds to the first event or plain response.
+    """Return the expected seconds to the first event of an engine.
 
     Includes the wait for a slot and, if `needs_adapter`, the adapter load.
     """
@@ -29,11 +29,6 @@
     wait_s = (
         max(0, excess) * tracker.average_attempt_s / max(1, tracker.facts.slots)
     )
-    if not request.is_engine:
-        return (
-            tracker.average_attempt_s * _clamp_slowdown(tracker.slowdown)
-            + wait_s
-        )
     unread = tracker.total_unread_tokens(now) + request.profile.prompt_tokens
     read_s = unread / PROMPT_TOKENS_PER_S
     domain_hop_s = (
@@ -46,5 +41,23 @@
     return processing_s + wait_s + domain_hop_s + adapter_s
 
 
+def predict_response_s(
+    tracker: UpstreamTracker, usual_s: float, now: float
+) -> float:
+    """Return the expected seconds to the response of a plain service.
+
+    An upstream that was not tried lately is expected to need `usual_s`, like
+    the others of its service.
+    """
+    if tracker.is_untried(now):
+        return usual_s
+    return learned_response_s(tracker)
+
+
+def learned_response_s(tracker: UpstreamTracker) -> float:
+    """Return the seconds to a response as learned, however long ago."""
+    return tracker.average_attempt_s * _clamp_slowdown(tracker.slowdown)
+
+
 def _clamp_slowdown(slowdown: float) -> float:
     return max(_MIN_SLOWDOWN, slowdown)
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -12,14 +12,21 @@
 
 from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
-from persimmonhold.fleet._first_event import predict_first_event_s
+from persimmonhold.fleet._first_event import (
+    learned_response_s,
+    predict_first_event_s,
+    predict_response_s,
+)
 from persimmonhold.fleet._limit_observation import LimitObservation
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._request_queue import PendingRequest
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
-from persimmonhold.fleet._upstream_tracker import UpstreamTracker
+from persimmonhold.fleet._upstream_tracker import (
+    INITIAL_ATTEMPT_S,
+    UpstreamTracker,
+)
 
 # The upstream, the expected seconds to the first event, and whether the adapter
 # has to be loaded first.
@@ -156,18 +163,23 @@
         """
         best: Choice | None = None
         best_score = float('inf')
+        usual_s = self._usual_response_s(pending.request)
         for tracker in self._candidates(pending.request):
             if not self._has_place(tracker, pending, own_waiting, now):
                 continue
             needs_adapter = self._needs_adapter(tracker, pending, now)
             if needs_adapter and not self._can_load_adapter(tracker, now):
                 continue
-            expected_s = predict_first_event_s(
-                tracker,
-                pending.request,
-                self.failure_domain,
-                now,
-                needs_adapter=needs_adapter,
+            expected_s = (
+                predict_first_event_s(
+                    tracker,
+                    pending.request,
+                    self.failure_domain,
+                    now,
+                    needs_adapter=needs_adapter,
+                )
+                if pending.request.is_engine
+                else predict_response_s(tracker, usual_s, now)
             )
             score = expected_s + _JITTER_S * self.rng.random()
             score += (
@@ -273,6 +285,17 @@
             )
         return self.by_service.get(request.service, ())
 
+    def _usual_response_s(self, request: DispatchRequest) -> float:
+        """Return the least response time learned of a plain service."""
+        if request.is_engine:
+            return 0
+        learned = (
+            learned_response_s(tracker)
+            for tracker in self._candidates(request)
+            if tracker.has_been_tried
+        )
+        return min(learned, default=INITIAL_ATTEMPT_S)
+
     def _merge_listed_upstream(self, listed: ListedUpstream) -> UpstreamFacts:
         """Return the facts about a listed upstream.
 
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -35,6 +35,10 @@
 _MAX_RATIO: Final = 10.0
 _MIN_RATIO: Final = 0.1
 _RESPONSE_SMOOTHING: Final = 0.2  # weight of the latest response
+INITIAL_ATTEMPT_S: Final = 0.1  # expected duration before any response
+# How long response times count after the last attempt. Without attempts there
+# is no other way to learn that an upstream is no longer slow.
+_RESPONSE_MEMORY_S: Final = 4.0
 # These outcomes say nothing about the health of the upstream.
 _NO_FAILURE: Final = frozenset((
     AttemptEnd.cancelled,
@@ -48,12 +52,16 @@
 
 @final
 class RunningRequest:
-    """An attempt in progress at an upstream."""
+    """An attempt in progress at an upstream.
+
+    `is_trial` tells that it is the first after `_RESPONSE_MEMORY_S`.
+    """
 
     __slots__ = (
         'adapter',
         'expected_s',
         'has_response_begun',
+        'is_trial',
         'model',
         'started_at',
         'unread_tokens',
@@ -64,6 +72,8 @@
         profile: RequestProfile,
         started_at: float,
         expected_s: float,
+        *,
+        is_trial: bool,
     ) -> None:
         """Create an attempt whose prompt has not been read."""
         self.model = profile.model
@@ -72,6 +82,7 @@
         self.started_at = started_at
         self.expected_s = expected_s
         self.has_response_begun = False
+        self.is_trial = is_trial
 
 
 @final
@@ -85,7 +96,8 @@
     time until which the adapter is assumed to be loaded. `failure_rate` is a
     moving average of the share of failed attempts. `limit` is its request
     limit. No adapter is loaded there
-    before `adapter_loads_paused_until`. The upstream gets no
+    before `adapter_loads_paused_until`. The last attempt of a plain request
+    was at `last_attempt_at`. The upstream gets no
     requests before `paused_until`, nor before `full_until` after it refused a
     request as full.
     """
@@ -98,6 +110,7 @@
         'failure_rate',
         'free_places',
         'full_until',
+        'last_attempt_at',
         'limit',
         'other_load',
         'other_load_at',
@@ -118,7 +131,8 @@
         self.full_until = -math.inf
         self.paused_until = -math.inf
         self.pause_count = 0
-        self.average_attempt_s = 0.1
+        self.average_attempt_s = INITIAL_ATTEMPT_S
+        self.last_attempt_at = -math.inf
         self.slowdown = 1.0
         self.absent_until: dict[str, float] = {}
         self.other_load = SharedLoad(facts.name, 0, 0)
@@ -126,6 +140,11 @@
         self.free_places = FreePlaces(0, 0, 0)
         self.limit = RequestLimitView()
 
+    @property
+    def has_been_tried(self) -> bool:
+        """Whether the process was sent a plain request by this entry."""
+        return math.isfinite(self.last_attempt_at)
+
     @property
     def own_unread_tokens(self) -> int:
         """The prompt tokens of this entry that the upstream has not read."""
@@ -160,6 +179,7 @@
             self.failure_rate = 0
             self.pause_count = 0
             self.paused_until = -math.inf
+            self.last_attempt_at = -math.inf
             self.adapters_assumed_until.clear()
         self.facts = facts
         self.limit.apply_facts(facts.limit_per_s, now)
@@ -209,6 +229,10 @@
             return False
         return not (self.facts.is_silent and self.pause_count)
 
+    def is_untried(self, now: float) -> bool:
+        """Tell whether no attempt was made within `_RESPONSE_MEMORY_S`."""
+        return now - self.last_attempt_at > _RESPONSE_MEMORY_S
+
     def find_model(self, model: str, now: float) -> HeldModel | None:
         """Return the model if it is expected to be available, or None."""
         if now < self.absent_until.get(model, -math.inf):
@@ -251,11 +275,15 @@
     ) -> None:
         """Record the start of an attempt."""
         profile = request.profile
+        is_trial = not request.is_engine and self.is_untried(now)
         self.running[request.number] = RunningRequest(
-            profile,
-            now,
-            expected_s,
+            profile, now, expected_s, is_trial=is_trial
         )
+        if is_trial and not self.has_been_tried:
+            self.average_attempt_s = expected_s
+            self.slowdown = 1.0
+        if not request.is_engine:
+            self.last_attempt_at = now
         if self.limit.per_s is not None:
             self.limit.asking_number = request.number
 
@@ -265,6 +293,7 @@
         if running is None or running.has_response_begun:
             return
         running.has_response_begun = True
+        self._end_trial(running)
         if running.expected_s > 0:
             ratio = (now - running.started_at) / running.expected_s
             bounded = min(_MAX_RATIO, max(_MIN_RATIO, ratio))
@@ -284,6 +313,7 @@
         if outcome is AttemptEnd.unsent:
             self.adapter_loads_paused_until = now + _ADAPTER_PAUSE_S
         if outcome is AttemptEnd.answered:
+            self._end_trial(running)
             taken_s = now - running.started_at
             self.average_attempt_s += _RESPONSE_SMOOTHING * (
                 taken_s - self.average_attempt_s
@@ -297,6 +327,13 @@
         elif outcome not in _NO_FAILURE:
             self._record_failure(outcome, now)
 
+    def _end_trial(self, running: RunningRequest) -> None:
+        """Replace outdated response times by the expectation of a trial."""
+        if running.is_trial:
+            running.is_trial = False
+            self.average_attempt_s = running.expected_s
+            self.slowdown = 1.0
+
     def _record_absence(self, request: DispatchRequest, now: float) -> None:
         """Assume that the model or adapter of a request is absent.
 
