Let a late loop read what has arrived before it blames an upstream

What callers saw: 502 for a sound response. An entry that was frozen or short of processor time for longer than the time-out of a response head (or of a connection) ended the attempt as `no response in time` (or `connect timed out`) although the response was in its socket (or the connection was accepted).

Cause: a loop that goes on reads the socket and runs due timers in one turn. The read only schedules the task that waits; `asyncio.timeout` then cancels that task, which gets the cancellation in place of the result.

Now both use `PeerTimeout`: if its timer fires late (more than 1 ms), the block goes on for a quarter of the time-out, at most twice, in which the loop reads what has arrived. A time-out that is due on a loop in time is as before; a silent upstream is given up after at most one and a half time-outs, and the time that the loop is late.

--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -34,6 +34,7 @@
     BodyEnd,
     ClientConnection,
     ClientRequest,
+    PeerTimeout,
     ResponseBodySink,
     ResponseHead,
     StallDetector,
@@ -255,7 +256,7 @@
         sent = await connection.send_request(self._build_client_request())
         if isinstance(sent, Failed) and connection.bytes_written == 0:
             return _unreachable_result(sent.failure().detail)
-        async with asyncio.timeout(self._head_timeout_s()):
+        async with PeerTimeout(self._head_timeout_s()):
             head = await connection.receive_head()
         if isinstance(head, Failed):
             if is_used and not isinstance(sent, Failed):
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -26,6 +26,7 @@
     encode_headers,
     find_header,
 )
+from persimmonhold.web._peer_timeout import PeerTimeout
 from persimmonhold.web._rejection import Rejection
 from persimmonhold.web._request_head import RequestHead
 from persimmonhold.web._response_body_sink import ResponseBodySink
@@ -57,6 +58,7 @@
     'Headers',
     'HttpBounds',
     'HttpServer',
+    'PeerTimeout',
     'Rejection',
     'RequestHead',
     'ResponseHead',
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -18,6 +18,7 @@
 from persimmonhold.web._address import Address
 from persimmonhold.web._client_codec import ClientCodec
 from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._peer_timeout import PeerTimeout
 from persimmonhold.web._response_body_sink import ResponseBodySink
 from persimmonhold.web._response_head import ResponseHead
 
@@ -64,11 +65,11 @@
         timeout_s: float,
         tls: ssl.SSLContext | None = None,
     ) -> Result[Self, Failure]:
-        """Open a connection within `timeout_s`."""
+        """Open a connection within `timeout_s`, see `PeerTimeout`."""
         connection = cls(peer)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with PeerTimeout(timeout_s):
                 await loop.create_connection(
                     lambda: connection,
                     peer.host,
