Judge a stall by the time at which its check was due

What callers saw: a stream or body broken off as `stalled` though its bytes were in the socket, where the entry's loop was held up for longer than the time-out between its read of the sockets and a check for stalls that was due in the same turn.

Cause: the check compared the time at which it ran, not at which it was due, with the last read. A loop that is held up in an earlier turn reads before it checks, so there the fault cannot happen.

Now the time by which a check is late does not count at that check. The next one is a quarter of the time-out later; by then the loop has read what has arrived.

Evidence: tests/test_late_loop.py. Bytes sent in the same turn as a check, which is then late by 1 s, were reported as a stall before; those of an earlier turn were not, and an upstream that stopped sending was found in time before and now.

--- a/persimmonhold/web/_stall_detector.py
+++ b/persimmonhold/web/_stall_detector.py
@@ -16,10 +16,11 @@
     """Calls a function once if no bytes were read for `timeout_s`.
 
     Time during which reading is paused, because the caller reads slowly,
-    does not count.
+    does not count. A late loop reads what has arrived before the time by
+    which it is late counts.
     """
 
-    __slots__ = ('_connection', '_handle', '_on_stall', '_timeout_s')
+    __slots__ = ('_connection', '_due_at', '_handle', '_on_stall', '_timeout_s')
 
     def __init__(
         self,
@@ -31,6 +32,7 @@
         self._connection = connection
         self._timeout_s = timeout_s
         self._on_stall = on_stall
+        self._due_at = 0.0
         self._handle: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> Self:
@@ -53,14 +55,11 @@
 
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(
-            self._timeout_s / _CHECKS_PER_TIMEOUT,
-            self._check,
-        )
+        self._due_at = loop.time() + self._timeout_s / _CHECKS_PER_TIMEOUT
+        self._handle = loop.call_at(self._due_at, self._check)
 
     def _check(self) -> None:
-        now = asyncio.get_running_loop().time()
-        idle_s = now - self._connection.last_read_at
+        idle_s = self._due_at - self._connection.last_read_at
         if idle_s >= self._timeout_s and not self._connection.is_reading_paused:
             self._on_stall()
         else:
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -12,18 +12,22 @@
 from testtools.matchers import (
     Equals,
     GreaterThan,
+    HasLength,
     IsInstance,
     LessThan,
 )
 
 from bench.virtual_loop import VirtualTimeLoop, run_in_virtual_time
 from persimmonhold.routes import RouteKind
-from persimmonhold.web import Address, ClientConnection
+from persimmonhold.web import Address, ClientConnection, StallDetector
 from tests.forwarding_harness import ForwardingHarness
 from tests.raw_upstream import EVENT_STREAM, PLAIN, RawConnection, RawScript
 
 _LATE_S = 1.0
 _CONNECT_TIMEOUT_S = 0.4
+_STALL_TIMEOUT_S = 0.4
+# Less than the resolution of the loop's clock: due in the same iteration.
+_JUST_BEFORE_S = 1e-10
 # The time-out for a response head in the routes of these tests.
 _HEAD_TIMEOUT_S = 0.8
 
@@ -143,3 +147,47 @@
         opened.unwrap().close()
 
     _run_with_peer(scenario)
+
+
+@pytest.mark.parametrize('before_s', [0.05, _JUST_BEFORE_S])
+def test_bytes_that_have_arrived_are_no_stall_in_a_late_loop(
+    before_s: float,
+) -> None:
+    async def scenario(peer: _Peer, address: Address) -> None:
+        opened = await ClientConnection.connect(address, _CONNECT_TIMEOUT_S)
+        connection = opened.unwrap()
+        await asyncio.sleep(0.1)
+        stalls: list[float] = []
+
+        def send_late() -> None:
+            peer.send(b'more')
+            _be_late()
+
+        with StallDetector(
+            connection, _STALL_TIMEOUT_S, lambda: stalls.append(_now())
+        ):
+            asyncio.get_running_loop().call_later(
+                _STALL_TIMEOUT_S / 4 - before_s, send_late
+            )
+            await asyncio.sleep(_STALL_TIMEOUT_S)
+        connection.close()
+        assert_that(stalls, Equals([]))
+
+    _run_with_peer(scenario)
+
+
+def test_upstream_that_stopped_sending_stalls_in_time() -> None:
+    async def scenario(peer: _Peer, address: Address) -> None:
+        opened = await ClientConnection.connect(address, _CONNECT_TIMEOUT_S)
+        connection = opened.unwrap()
+        begun_at = _now()
+        stalls: list[float] = []
+        with StallDetector(
+            connection, _STALL_TIMEOUT_S, lambda: stalls.append(_now())
+        ):
+            await asyncio.sleep(2 * _STALL_TIMEOUT_S)
+        connection.close()
+        assert_that(stalls, HasLength(1))
+        assert_that(stalls[0] - begun_at, LessThan(1.3 * _STALL_TIMEOUT_S))
+
+    _run_with_peer(scenario)
