Extend the time-out of a late loop by no more than it was late

A loop that was a few ms late gave a silent upstream a quarter of the time-out more, which is time that a further attempt lacks. Now `PeerTimeout` extends by as long as the timer was late, at least 10 ms (a connection takes several turns of the loop), at most a quarter of the time-out, twice.

Evidence: tests/test_late_loop.py, with loops that are late by 0.5 to 50 ms past the time-out added.

--- a/persimmonhold/web/_peer_timeout.py
+++ b/persimmonhold/web/_peer_timeout.py
@@ -5,9 +5,9 @@
 from typing import Final, Self, final
 
 _LATE_S: Final = 0.001  # a timer that fires later than this is late
-# Part of the time-out by which it is extended after a late timer.
-_EXTENSION: Final = 0.25
-_MAX_EXTENSIONS: Final = 2  # the loop may be late again
+_MIN_EXTENSION_S: Final = 0.01  # a connection takes several turns of the loop
+_MAX_EXTENSION: Final = 0.25  # part of the time-out
+_MAX_EXTENSION_COUNT: Final = 2  # the loop may be late again
 
 
 @final
@@ -15,8 +15,8 @@
     """Raises `TimeoutError` unless its block ends within `timeout_s`.
 
     A late loop may find the timer due before it has read what the peer sent in
-    time. The block is then continued, so it takes at most half of `timeout_s`
-    longer, besides the time that the loop is late.
+    time. The block is then continued for as long as the loop was late, but for
+    at most half of `timeout_s` in all.
     """
 
     __slots__ = ('due_at', 'extensions_left', 'timeout', 'timeout_s', 'timer')
@@ -27,7 +27,7 @@
         self.timeout = asyncio.timeout(None)
         self.timer: asyncio.TimerHandle | None = None
         self.due_at = 0.0
-        self.extensions_left = _MAX_EXTENSIONS
+        self.extensions_left = _MAX_EXTENSION_COUNT
 
     async def __aenter__(self) -> Self:
         """Start the time-out."""
@@ -55,9 +55,10 @@
     def _expire(self) -> None:
         """Cancel the block, or extend its time if the timer was late."""
         now = asyncio.get_running_loop().time()
-        is_late = now - self.due_at > _LATE_S
-        if is_late and self.extensions_left and self.timeout_s:
+        late_s = now - self.due_at
+        if late_s > _LATE_S and self.extensions_left and self.timeout_s:
             self.extensions_left -= 1
-            self._schedule(self.timeout_s * _EXTENSION)
+            longest_s = self.timeout_s * _MAX_EXTENSION
+            self._schedule(min(max(late_s, _MIN_EXTENSION_S), longest_s))
         else:
             self.timeout.reschedule(now)
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -57,15 +57,20 @@
 
 
 @pytest.mark.parametrize('content_type', [PLAIN, EVENT_STREAM])
-@pytest.mark.parametrize('wait_s', [0.0, 0.1, 0.5, 0.79])
+@pytest.mark.parametrize(
+    ('wait_s', 'late_s'),
+    [(0.0, _LATE_S), (0.1, _LATE_S), (0.5, _LATE_S), (0.79, _LATE_S)]
+    # The time-out has just been over.
+    + [(0.5, 0.3005), (0.5, 0.302), (0.5, 0.31), (0.5, 0.35)],
+)
 def test_response_that_has_arrived_is_read_by_a_late_loop(
-    wait_s: float, content_type: str
+    wait_s: float, late_s: float, content_type: str
 ) -> None:
     async def script(connection: RawConnection) -> None:
         await asyncio.sleep(wait_s)
         body = b'id: 1\ndata: x\n\n'
         await connection.respond(content_type, 'length', body)
-        _be_late()
+        _be_late(late_s)
 
     status, _ = _call_upstream(script)
     assert_that(status, Equals(200))
@@ -131,9 +136,10 @@
     run_in_virtual_time(run_scenario())
 
 
+@pytest.mark.parametrize('late_s', [0.402, 0.41, 0.45, _LATE_S])
 @pytest.mark.parametrize('steps', range(1, 6))
 def test_connection_that_was_accepted_is_used_by_a_late_loop(
-    steps: int,
+    steps: int, late_s: float
 ) -> None:
     async def scenario(peer: _Peer, address: Address) -> None:
         opening = asyncio.create_task(
@@ -141,7 +147,7 @@
         )
         for _ in range(steps):
             await asyncio.sleep(0)
-        _be_late()
+        _be_late(late_s)
         opened = await opening
         assert_that(opened, IsInstance(Success))
         opened.unwrap().close()
