Share the stand-ins of the platform's list and settings between tests and bench

The soak of planned stops needs the list of upstreams and the settings files of tests/platform_fakes.py.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from bench.platform_list import PlatformList
+from bench.platform_settings import PlatformSettings
 from persimmonhold.platform import _names as names
 from persimmonhold.platform._adapter import HttpPlatformAdapter
 from persimmonhold.platform._settings_file import read_settings_file
@@ -32,22 +34,6 @@
 _POLL_S = 0.02
 
 
-class FakeListServer(ExchangeHandler):
-    """Serves the platform's list of workers."""
-
-    def __init__(self) -> None:
-        self.entries: list[dict[str, Any]] = []
-
-    async def serve(self, exchange: Exchange) -> None:
-        """Answer with one page that also has an undecodable entry."""
-        unreadable = {'id': 7, 'state': 'odd'}
-        document = {
-            'instances': [*self.entries, unreadable],
-            'next-token': None,
-        }
-        await exchange.respond_json(200, document)
-
-
 class FakeWorker(ExchangeHandler):
     """Answers with events for a model, and with the body otherwise."""
 
@@ -136,16 +122,21 @@
     """Owns the list server, the workers and the VMs of the system."""
 
     def __init__(self, directory: Path) -> None:
-        self.directory = directory
         self.stack = AsyncExitStack()
-        self.list_server = FakeListServer()
-        self.list_address = ''
+        self.list_server = PlatformList()
+        self.settings = PlatformSettings(
+            directory=directory,
+            network='127.77',
+            first_port=21_000,
+            grace_s=4,
+        )
         self.vms: dict[str, ForwardingVm] = {}
         self.worker_numbers = itertools.count(1)
         self.request_numbers = itertools.count(1)
 
     async def __aenter__(self) -> Self:
-        self.list_address = await self._start_server(self.list_server)
+        list_address = await self._start_server(self.list_server)
+        self.settings.list_address = list_address
         return self
 
     async def __aexit__(
@@ -178,20 +169,14 @@
 
     async def start_vms(self, *vm_names: str) -> None:
         """Start VMs: `c...` are control VMs and seeds, `e...` are entries."""
-        seeds = [name for name in vm_names if name.startswith('c')]
+        seeds = tuple(name for name in vm_names if name.startswith('c'))
         for name in vm_names:
-            path = self.write_settings(name, seeds)
+            path = self.settings.write_file(name, seeds)
             file = read_settings_file(path).unwrap()
             vm = ForwardingVm(file.settings, HttpPlatformAdapter(file))
             await vm.__aenter__()
             self.vms[name] = vm
 
-    def write_settings(self, name: str, seeds: list[str]) -> Path:
-        """Write the settings file of a VM; return its path."""
-        path = self.directory / f'{name}.toml'
-        path.write_text(self._format_settings(name, seeds), encoding='utf-8')
-        return path
-
     async def send_request(
         self,
         peer: str,
@@ -233,7 +218,7 @@
 
     def address(self, name: str, port: int) -> str:
         """Return the address of a VM for a port index."""
-        return f'{_host(name)}:{21_000 + port}'
+        return self.settings.address(name, port)
 
     async def _put_configuration_at(self, peer: str, body: bytes) -> int:
         answer = await self.send_request(
@@ -255,23 +240,6 @@
         await self.stack.enter_async_context(server)
         return str(server.address)
 
-    def _format_settings(self, name: str, seeds: list[str]) -> str:
-        host = _host(name)
-        listen = f'frontend = "{host}:21001"\nready = "{host}:21002"\n'
-        listen += f'directory = "{host}:21004"\n'
-        folder = ''
-        if name.startswith('c'):
-            listen = f'control = "{host}:21003"\n'
-            folder = f'data-dir = "{self.directory / name}"\n'
-        addresses = ', '.join(f'"{_host(seed)}:21003"' for seed in seeds)
-        return (
-            f'node-name = "{name}"\nip = "{host}"\nzone = "a"\n'
-            f'internal-ports = [21005, 21006]\nseeds = [{addresses}]\n'
-            f'bootstrap = true\n{folder}'
-            f'[listen]\n{listen}[cloud]\naddress = "{self.list_address}"\n'
-            '[bounds]\nlease-ms = 100\ngrace-s = 4\n'
-        )
-
 
 def make_configuration(version: int, timeout_ms: int = 4000) -> dict[str, Any]:
     """Return a configuration with an idempotent and a streaming route."""
@@ -331,8 +299,3 @@
         'service': service,
         'max-attempts': 2,
     }
-
-
-def _host(name: str) -> str:
-    group = 1 if name.startswith('c') else 2
-    return f'127.77.{group}.{int(name[1:])}'
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -45,7 +45,7 @@
 ) -> None:
     async def scenario() -> None:
         async with FakePlatform(tmp_path) as platform:
-            path = platform.write_settings(_VM, [_VM])
+            path = platform.settings.write_file(_VM, (_VM,))
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
@@ -73,8 +73,8 @@
         return True
 
     platform = FakePlatform(tmp_path)
-    platform.list_address = '127.0.0.1:9'
-    path = platform.write_settings(_VM, [_VM])
+    platform.settings.list_address = '127.0.0.1:9'
+    path = platform.settings.write_file(_VM, (_VM,))
     monkeypatch.setenv(_SETTINGS_VARIABLE, str(path))
     monkeypatch.setattr(run_module, 'run_until_stopped', fail)
     with pytest.raises(SystemExit, match='a part failed'):
