Add a randomized soak of planned stops

A seed gives the schedule: stops of entries in series that overlap, restarts, SIGHUP, rewritten settings and configurations in quick succession; in odd seeds also kills and freezes; upstreams that are slow, refuse, close, state a limit or crash. Checked meanwhile from what callers and upstreams saw: whole requests are answered, non-idempotent ones run once at most, refused ones never, answers are whole and their own, stopped processes end cleanly within the grace period, and everything is served after the last start.

Tests: a short run with real processes, the schedule, and each check with a case that it finds and one that it excuses.

--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of planned stops, run by `python -m bench.soak`."""
--- /dev/null
+++ b/bench/soak/_draw_call.py
@@ -0,0 +1,52 @@
+"""Draws the requests of callers."""
+
+import random
+from typing import Final
+
+from bench.soak._call import Call
+from bench.soak._configuration import HOST, NOT_REPEATABLE, ROUTES, STREAMS
+from bench.soak._upstream import EVENTS_HEADER, WORK_HEADER
+from persimmonhold.platform import _names as names
+from persimmonhold.web import ClientRequest, encode_headers
+
+_LONG_SHARE: Final = 0.1
+_LONG_FACTOR: Final = 8
+_ABANDONED_SHARE: Final = 0.03
+_MAX_PATIENCE_S: Final = 0.4
+_MAX_WORK_MS: Final = 200
+_MAX_EVENTS: Final = 10
+_DEADLINES_S: Final = (2, 3, 6, 12)
+_BODY_SIZES: Final = (0, 0, 100, 20_000)
+
+
+def draw_call(rng: random.Random, request_id: str) -> Call:
+    """Return a random request that is not sent yet."""
+    route = rng.choice(ROUTES)
+    factor = _LONG_FACTOR if rng.random() < _LONG_SHARE else 1
+    work_ms = rng.randint(1, _MAX_WORK_MS) * factor
+    event_count = 0
+    if route in STREAMS:
+        event_count = rng.randint(1, _MAX_EVENTS) * factor
+        work_ms //= factor
+    deadline_s = rng.choice(_DEADLINES_S)
+    patience_s = rng.uniform(0, _MAX_PATIENCE_S)
+    headers = {
+        names.REQUEST_ID: request_id,
+        names.DEADLINE_MS: f'{deadline_s}000',
+        WORK_HEADER: str(work_ms),
+        EVENTS_HEADER: str(event_count),
+    }
+    return Call(
+        request_id=request_id,
+        request=ClientRequest(
+            method='POST',
+            target=f'/{route}/one',
+            headers=encode_headers(headers),
+            body=b'x' * rng.choice(_BODY_SIZES),
+            host=HOST,
+        ),
+        deadline_s=deadline_s,
+        is_repeatable=route not in NOT_REPEATABLE,
+        event_count=event_count,
+        patience_s=patience_s * (rng.random() < _ABANDONED_SHARE),
+    )
--- /dev/null
+++ b/bench/soak/_plan.py
@@ -0,0 +1,82 @@
+"""Derives the shape of the system and the faults from a seed."""
+
+import random
+from typing import Final, final
+
+from bench.soak._fault import Fault, FaultKind
+
+_CONTROL_COUNT: Final = 3
+_GRACES_S: Final = (3, 5, 8)
+_MAX_PAUSE_S: Final = 1.2
+_MAX_SERIES_S: Final = 1.5
+_SERIES_SHARE: Final = 0.7  # of the entries at most
+_MAX_CHANGES: Final = 8
+_MAX_UPSTREAM_FAULT_S: Final = 5.0
+_UPSTREAM_FAULTS: Final = (
+    *(FaultKind.slow for _ in range(3)),
+    FaultKind.refusing,
+    FaultKind.closing,
+    FaultKind.limited,
+    FaultKind.crash,
+)
+_PLANNED_FAULTS: Final[tuple[FaultKind, ...]] = (
+    FaultKind.stop,
+    FaultKind.stop,
+    FaultKind.reload,
+    FaultKind.rewrite,
+    FaultKind.configure,
+)
+_UNPLANNED_FAULTS: Final = (FaultKind.freeze, FaultKind.kill)
+
+
+@final
+class Plan:
+    """Names of VMs and upstreams, the grace period, and the faults.
+
+    Three VMs run control. Odd seeds kill and freeze VMs too. Faults are in the order of their times.
+    """
+
+    def __init__(self, seed: int, seconds: float, vm_count: int) -> None:
+        entry_count = max(1, vm_count - _CONTROL_COUNT)
+        self.seed = seed
+        self.controls = _number('c', _CONTROL_COUNT)
+        self.entries = _number('e', entry_count)
+        self.upstreams = _number('u', 2 + entry_count // 2)
+        self.grace_s = _GRACES_S[seed % len(_GRACES_S)]
+        self.rng = random.Random(seed)
+        faults: list[Fault] = []
+        at_s = 1.0
+        while at_s < seconds:
+            faults.extend(self._draw(at_s))
+            at_s += self.rng.uniform(0, _MAX_PAUSE_S)
+        self.faults = sorted(faults, key=lambda fault: fault.at_s)
+
+    def _draw(self, at_s: float) -> list[Fault]:
+        kinds = _PLANNED_FAULTS + _UNPLANNED_FAULTS * (self.seed % 2)
+        kind = self.rng.choice(self.rng.choice((kinds, _UPSTREAM_FAULTS)))
+        if kind is FaultKind.stop:
+            return self._draw_stops(at_s)
+        if kind is FaultKind.configure:
+            return [Fault(at_s, '', kind, self.rng.randint(1, _MAX_CHANGES))]
+        target = self.rng.choice(self.controls + self.entries)
+        amount = self.rng.uniform(0, 1)
+        if kind in _UPSTREAM_FAULTS:
+            target = self.rng.choice(self.upstreams)
+            amount *= _MAX_UPSTREAM_FAULT_S
+        return [Fault(at_s, target, kind, amount)]
+
+    def _draw_stops(self, at_s: float) -> list[Fault]:
+        """Stop a control VM, or entries in a series that overlaps."""
+        vms = [self.rng.choice(self.controls)]
+        if self.rng.random() < 3 / 4:
+            most = max(1, round(_SERIES_SHARE * len(self.entries)))
+            vms = self.rng.sample(self.entries, self.rng.randint(1, most))
+        times = [at_s + self.rng.uniform(0, _MAX_SERIES_S) for _ in vms]
+        return [
+            Fault(time, vm, FaultKind.stop, self.rng.uniform(0, 1))
+            for time, vm in zip(times, vms, strict=True)
+        ]
+
+
+def _number(prefix: str, count: int) -> tuple[str, ...]:
+    return tuple(f'{prefix}{number}' for number in range(1, count + 1))
--- /dev/null
+++ b/bench/soak/_soak_system.py
@@ -0,0 +1,147 @@
+"""The VMs, upstreams and list of one soak."""
+
+import asyncio
+import itertools
+import random
+import signal
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self, final
+
+import msgspec
+
+from bench.platform_list import PlatformList
+from bench.platform_settings import PlatformSettings
+from bench.soak._configuration import SERVICES, build_configuration
+from bench.soak._fault import Fault, FaultKind
+from bench.soak._plan import Plan
+from bench.soak._record import Record
+from bench.soak._soak_vm import SoakVm
+from bench.soak._upstream import Upstream
+from persimmonhold.platform import _names as names
+from persimmonhold.web import (
+    Address,
+    ClientRequest,
+    HttpBounds,
+    HttpServer,
+    fetch,
+    parse_address,
+)
+
+_NETWORKS: Final = range(100, 250)
+# Outside the ports of the drills and the ephemeral ports.
+_FIRST_PORTS: Final = range(25_000, 32_000, 10)
+_FETCH_S: Final = 1.0
+_PAUSE_S: Final = 0.1
+_ROUNDS: Final = 100
+_OK: Final = 200
+
+
+@final
+class SoakSystem:
+    """Owns the processes and servers, and applies faults to them.
+
+    Networks and ports are not derived from the seed; files are written to
+    `directory`.
+    """
+
+    def __init__(self, plan: Plan, directory: Path) -> None:
+        self.plan = plan
+        self.record = Record()
+        self.stack = AsyncExitStack()
+        self.listing = PlatformList()
+        self.server = HttpServer(
+            Address('127.0.0.1', 0), self.listing, HttpBounds()
+        )
+        self.settings = PlatformSettings(
+            directory=directory,
+            network=f'127.{random.choice(_NETWORKS)}',
+            first_port=random.choice(_FIRST_PORTS),
+            grace_s=plan.grace_s,
+            tolerated=len(plan.controls) // 2,
+        )
+        self.versions = itertools.count(1)
+        self.upstreams: dict[str, Upstream] = {}
+        self.vms: dict[str, SoakVm] = {}
+
+    async def __aenter__(self) -> Self:
+        """Start everything and put the first configuration in force."""
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self.server)
+            self.settings.list_address = str(self.server.address)
+            for number, name in enumerate(self.plan.upstreams):
+                await self._start_upstream(name, number, stack)
+            for vm in self.plan.controls + self.plan.entries:
+                await self._start_vm(vm, stack)
+            await self._change_configuration()
+            self.stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Kill the processes and stop the servers."""
+        await self.stack.aclose()
+
+    async def apply(self, fault: Fault) -> None:
+        """Apply a fault; returns when it is over and its VM has started."""
+        if fault.kind is FaultKind.configure:
+            changes = range(round(fault.amount))
+            await asyncio.gather(
+                *(self._change_configuration() for _ in changes)
+            )
+        elif fault.target in self.upstreams:
+            upstream = self.upstreams[fault.target]
+            await upstream.suffer(fault.kind, fault.amount)
+        else:
+            await self._apply_to_vm(self.vms[fault.target], fault)
+
+    async def _apply_to_vm(self, vm: SoakVm, fault: Fault) -> None:
+        if fault.kind is FaultKind.stop:
+            await vm.stop(fault.amount)
+        elif fault.kind is FaultKind.kill:
+            await vm.kill(fault.amount)
+        elif fault.kind is FaultKind.freeze:
+            await vm.freeze(fault.amount)
+        else:
+            if fault.kind is FaultKind.rewrite:
+                seeds = tuple(reversed(self.plan.controls))
+                self.settings.write_file(vm.name, seeds)
+            vm.send_signal(signal.SIGHUP)
+
+    async def _change_configuration(self) -> None:
+        """Send a new version to each control VM in turn until one accepts."""
+        document = build_configuration(next(self.versions))
+        request = ClientRequest(
+            method='PUT',
+            target=names.CONFIGURATION_PATH,
+            body=msgspec.json.encode(document),
+        )
+        for vm in self.plan.controls * _ROUNDS:
+            peer = parse_address(self.settings.address(vm, 3)).unwrap()
+            fetched = await fetch(peer, request, _FETCH_S)
+            response = fetched.value_or(None)
+            if response is not None and response.head.status == _OK:
+                return
+            await asyncio.sleep(_PAUSE_S)
+        self.record.failures.append('configuration not accepted')
+
+    async def _start_upstream(
+        self, name: str, number: int, stack: AsyncExitStack
+    ) -> None:
+        service = SERVICES[number % len(SERVICES)]
+        upstream = Upstream(name, service, self.record, self.listing.entries)
+        self.upstreams[name] = upstream
+        await upstream.start()
+        stack.push_async_callback(upstream.close)
+
+    async def _start_vm(self, name: str, stack: AsyncExitStack) -> None:
+        path = self.settings.write_file(name, self.plan.controls)
+        vm = SoakVm(name, path, self.plan.grace_s, self.record)
+        self.vms[name] = vm
+        stack.push_async_callback(vm.close)
+        await vm.start()
--- /dev/null
+++ b/bench/soak/_upstream.py
@@ -0,0 +1,148 @@
+"""A stand-in upstream that can be made to fail."""
+
+import asyncio
+from typing import Any, Final, final
+
+from bench.soak._fault import FaultKind
+from bench.soak._record import Record
+from bench.soak._run import Run
+from persimmonhold.platform import _names as names
+from persimmonhold.web import (
+    Address,
+    Exchange,
+    ExchangeHandler,
+    HttpBounds,
+    HttpServer,
+    encode_headers,
+)
+
+WORK_HEADER: Final = 'soak-work-ms'
+EVENTS_HEADER: Final = 'soak-events'
+_BODY_BYTES: Final = 3000
+_SLOTS: Final = 3
+_SLOW_S: Final = 4.0
+_EVENT_GAP_S: Final = 0.1
+_LIMIT_PER_S: Final = '2'
+
+
+@final
+class Upstream(ExchangeHandler):
+    """Serves requests and records their runs.
+
+    Each start has a new name and adds an entry to `listed`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        record: Record,
+        listed: list[dict[str, Any]],
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.record = record
+        self.listed = listed
+        self.fault: FaultKind | None = None
+        self.entry: dict[str, Any] = {'born': 0}
+        self.running = 0
+        self.is_crashing = False
+        self.server = HttpServer(Address('127.0.0.1', 0), self, HttpBounds())
+
+    async def start(self) -> None:
+        """Listen under a new process name."""
+        self.is_crashing = False
+        self.server = HttpServer(Address('127.0.0.1', 0), self, HttpBounds())
+        await self.server.__aenter__()
+        born = self.entry['born'] + 1
+        self.entry = {
+            'id': f'i-{self.name}-{born}',
+            'service': self.service,
+            'address': str(self.server.address),
+            'zone': 'a',
+            'state': 'ready',
+            'slots': _SLOTS,
+            'born': born,
+        }
+        self.listed.append(self.entry)
+
+    async def close(self) -> None:
+        """Break off all runs and stop listening."""
+        self.is_crashing = True
+        await self.server.__aexit__(None, None, None)
+        self.listed.remove(self.entry)
+
+    async def suffer(self, kind: FaultKind, length_s: float) -> None:
+        """Apply a fault for a time, unless another one applies."""
+        if self.fault is not None:
+            return
+        self.fault = kind
+        if kind is FaultKind.crash:
+            await self.close()
+        await asyncio.sleep(length_s)
+        if kind is FaultKind.crash:
+            await self.start()
+        self.fault = None
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve a request, or refuse it without running it."""
+        await exchange.read_body()
+        head = exchange.head
+        is_full = self.running >= _SLOTS or self.fault is FaultKind.refusing
+        if head.header(names.EXPECTED_PROCESS) == self.entry['id']:
+            status = 503 if is_full else 200
+        else:
+            status = 421
+        if status > 200:
+            not_run = encode_headers({names.NOT_RUN: '1'})
+            await exchange.respond_json(status, {}, not_run)
+        else:
+            loop = asyncio.get_running_loop()
+            run = Run(self.entry['id'], loop.time())
+            self.record.runs[head.header(names.REQUEST_ID)].append(run)
+            self.running += 1
+            try:
+                await self._run(exchange, run)
+            finally:
+                self._end_run(run, loop.time())
+
+    def _end_run(self, run: Run, now: float) -> None:
+        self.running -= 1
+        run.ended_at = now
+        run.has_broken = run.has_broken or self.is_crashing
+
+    async def _run(self, exchange: Exchange, run: Run) -> None:
+        head = exchange.head
+        slow_s = _SLOW_S * (self.fault is FaultKind.slow)
+        await asyncio.sleep(int(head.header(WORK_HEADER)) / 1000 + slow_s)
+        if self.fault is FaultKind.closing:
+            run.has_broken = True
+            exchange.abort_connection()
+            return
+        request_id = head.header(names.REQUEST_ID)
+        own = {names.REQUEST_ID: request_id, names.SIGNATURE: request_id}
+        if self.fault is FaultKind.limited:
+            own[names.REQUEST_LIMIT] = _LIMIT_PER_S
+        if head.header(EVENTS_HEADER) == '0':
+            body = build_body(request_id, 0)
+            await exchange.respond(200, body, headers=encode_headers(own))
+            return
+        own['content-type'] = 'text/event-stream'
+        await exchange.start_response(200, encode_headers(own))
+        first = int(head.header(names.RESUME_AFTER) or 0) + 1
+        for number in range(first, int(head.header(EVENTS_HEADER)) + 1):
+            await exchange.send_body_chunk(_build_event(request_id, number))
+            await asyncio.sleep(_EVENT_GAP_S)
+        await exchange.finish_response()
+
+
+def build_body(request_id: str, event_count: int) -> bytes:
+    """Return the body of a response, with events if their count is not 0."""
+    if event_count:
+        numbers = range(1, event_count + 1)
+        return b''.join(_build_event(request_id, one) for one in numbers)
+    return request_id.encode('ascii').ljust(_BODY_BYTES, b'.')
+
+
+def _build_event(request_id: str, number: int) -> bytes:
+    return b'id: %d\ndata: %s\n\n' % (number, request_id.encode('ascii'))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,127 @@
+"""The soak of planned stops: a short run, its schedule and its checks."""
+
+import asyncio
+from pathlib import Path
+from typing import Any, Final
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, Not
+
+from bench.soak._call import Call, CallEnd
+from bench.soak._checks import find_violations
+from bench.soak._plan import Plan
+from bench.soak._record import Record
+from bench.soak._run import Run
+from bench.soak._soak import Soak
+from bench.soak._stop import Stop
+from persimmonhold.web import ClientRequest
+
+_SEED: Final = 6  # planned stops only, grace period of 3 s
+_SECONDS: Final = 8.0
+_VM_COUNT: Final = 5
+_TIMEOUT_S: Final = 60.0
+_GRACE_S: Final = 8.0
+_TERM_AT: Final = 100.0
+
+
+def _record(*runs: Run, **fields: Any) -> Record:
+    """Return the record of a call that was cut at an entry in a stop."""
+    values = {
+        'end': CallEnd.cut,
+        'sent_at': _TERM_AT + 1,
+        'ended_at': _TERM_AT + 7,
+        'deadline_s': 12,
+        'request': ClientRequest(method='GET', target='/'),
+        'is_repeatable': False,
+        **fields,
+    }
+    record = Record()
+    record.calls.append(Call(request_id='r1', vm='e1', **values))
+    record.runs['r1'].extend(runs)
+    record.stops.append(
+        Stop('e1', _TERM_AT, _GRACE_S, ended_at=_TERM_AT + 7.3, code=0)
+    )
+    return record
+
+
+def _run(ended_after_s: float, *, has_broken: bool = False) -> Run:
+    """Return a run that ended some time after the SIGTERM."""
+    return Run('i-1', _TERM_AT + 1, _TERM_AT + ended_after_s, has_broken)
+
+
+def test_short_run_breaks_no_promise(tmp_path: Path) -> None:
+    soak = Soak(Plan(_SEED, _SECONDS, _VM_COUNT), tmp_path / 'soak')
+    found = asyncio.run(asyncio.wait_for(soak.run(), _TIMEOUT_S))
+    assert_that(found, Equals(set()))
+    assert_that(soak.record.stops, Not(HasLength(0)))
+    assert_that(
+        {call.end for call in soak.record.calls} >= {CallEnd.answered},
+        Equals(True),
+    )
+
+
+def test_schedule_follows_from_the_seed() -> None:
+    faults = [Plan(seed, 30, 8).faults for seed in (1, 1, 2)]
+    assert_that(faults[0], Equals(faults[1]))
+    assert_that(faults[0], Not(Equals(faults[2])))
+
+
+@pytest.mark.parametrize(
+    'record',
+    [
+        _record(),
+        _record(_run(6.5)),
+        _record(_run(7), sent_at=_TERM_AT + 3.5),
+        _record(end=CallEnd.timed_out, ended_at=_TERM_AT + 14),
+        _record(_run(2), end=CallEnd.answered, status=503),
+        _record(_run(2), _run(3), end=CallEnd.answered, status=502),
+        _record(end=CallEnd.answered, status=200),
+        _record(end=CallEnd.answered, status=404),
+        _record(end=CallEnd.answered, is_signed=True, problem='short'),
+    ],
+)
+def test_broken_promise_is_found(record: Record) -> None:
+    assert_that(list(find_violations(record)), HasLength(1))
+
+
+@pytest.mark.parametrize(
+    'record',
+    [
+        _record(_run(7)),
+        _record(_run(2, has_broken=True)),
+        _record(sent_at=_TERM_AT + 6.9),
+        _record(deadline_s=6),
+        _record(end=CallEnd.pending),
+        _record(end=CallEnd.abandoned),
+        _record(end=CallEnd.answered, status=503),
+        _record(_run(2), end=CallEnd.answered, status=504),
+        _record(
+            _run(2),
+            _run(3),
+            end=CallEnd.answered,
+            status=200,
+            is_signed=True,
+            is_repeatable=True,
+        ),
+    ],
+)
+def test_kept_promise_is_not_reported(record: Record) -> None:
+    assert_that(list(find_violations(record)), Equals([]))
+
+
+@pytest.mark.parametrize(('disrupted_at', 'count'), [(97, 1), (98.5, 0)])
+def test_kill_or_freeze_excuses_requests_for_three_seconds(
+    disrupted_at: float, count: int
+) -> None:
+    record = _record()
+    record.disruptions['e1'].append((disrupted_at, disrupted_at))
+    assert_that(list(find_violations(record)), HasLength(count))
+
+
+def test_stop_that_had_to_be_killed_is_found() -> None:
+    record = _record(end=CallEnd.answered, status=502)
+    record.stops[0].code = -9
+    assert_that(list(find_violations(record)), HasLength(1))
+    record.disruptions['e1'].append((_TERM_AT, _TERM_AT + 1))
+    assert_that(list(find_violations(record)), Equals([]))
