--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	placement_rounds admission routing entry entry_relay
 SOURCES := $(shell find persimmonhold -name '*.py')
 
-.PHONY: run test check check-binary format binary bench drills clean
+.PHONY: run test check check-binary format binary bench drills soak clean
 
 run: $(ENVIRONMENT)
 	$(BIN)/persimmonhold dev
@@ -55,6 +55,9 @@
 drills: $(ENVIRONMENT)
 	$(BIN)/python -m bench.drills
 
+soak: $(ENVIRONMENT)
+	$(BIN)/python -m bench.soak --seeds 1-50
+
 check-binary: dist/persimmonhold
 	$(BIN)/python -m bench.check_binary dist/persimmonhold
 
