Failing test: a stream sent late in a planned stop is begun and broken off

What callers see: a stream that is sent 3.1 to 3.9 s after SIGTERM, on a kept or a new connection, and outlives the stop gets its first events, and its connection ends 7.3 s after the signal (grace period 8 s; 27.4 s at 30 s). Only one sent within 3 s may end so. Cause: the entry accepts requests until 4 s, and the length of a stream without a model is not known, so nothing refuses it.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -433,3 +433,19 @@
     statuses = [one.status for one in outcomes]
     assert_that(statuses, AllMatch(Equals(_UNAVAILABLE)))
     assert_that(statuses, Not(MatchesAny(Equals(CLOSED))))
+
+
+def test_stream_sent_late_in_a_planned_stop_is_not_begun_and_broken_off() -> (
+    None
+):
+    async def scenario(harness: StoppingEntry) -> CallerOutcome:
+        harness.set_route(RouteKind.stream)
+        await harness.start_upstream(_stream_for(_LONG_S))
+        harness.begin_stop()
+        await asyncio.sleep(3.5)
+        call = harness.start_call({'deadline-ms': '60000'})
+        await harness.finish_stop()
+        return await call
+
+    outcome = _run(scenario)
+    assert_that(outcome.status, Not(Equals(BROKEN)))
