Soak: state the first start only once, one bound for all entries

The settings of a VM that starts again no longer say that the system starts for the first time. Not run on more than one VM yet.

--- a/bench/platform_settings.py
+++ b/bench/platform_settings.py
@@ -13,6 +13,7 @@
     VMs whose name begins with `c` run control and are seeds, others are
     entries. Their hosts are in `network`, the first two bytes of an address,
     and their ports follow `first_port`. `tolerated` control VMs may fail.
+    `is_first_start` is True until the system has started for the first time.
     """
 
     directory: Path
@@ -21,6 +22,7 @@
     list_address: str = ''
     grace_s: float
     tolerated: int = 0
+    is_first_start: bool = True
 
     def host(self, name: str) -> str:
         """Return the host of a VM."""
@@ -51,11 +53,12 @@
             listen = f'control = "{self.address(name, 3)}"\n'
             folder = f'data-dir = "{self.directory / name}"\n'
         addresses = ', '.join(f'"{self.address(seed, 3)}"' for seed in seeds)
+        first_start = str(self.is_first_start).lower()
         ports = f'{self.first_port + 5}, {self.first_port + 6}'
         return (
             f'node-name = "{name}"\nip = "{self.host(name)}"\nzone = "a"\n'
             f'internal-ports = [{ports}]\nseeds = [{addresses}]\n'
-            f'bootstrap = true\n{folder}'
+            f'bootstrap = {first_start}\n{folder}'
             f'[listen]\n{listen}[cloud]\naddress = "{self.list_address}"\n'
             f'[fault-tolerance]\nmachines = {self.tolerated}\n'
             f'[bounds]\nlease-ms = 100\ngrace-s = {self.grace_s}\n'
--- a/bench/soak/_soak.py
+++ b/bench/soak/_soak.py
@@ -112,19 +112,26 @@
         """Print and keep the violations that are new."""
         found = set(find_violations(self.record))
         for violation in sorted(found - self.violations):
-            print(f'seed {self.plan.seed}: {violation}; {self.directory}')
+            print(
+                f'seed {self.plan.seed}: {violation}; {self.directory}',
+                flush=True,
+            )
         self.violations |= found
 
     async def _check_served(self, timeout_s: float) -> None:
         """Wait until each entry serves each route; record those that do not."""
-        for entry in self.plan.entries:
-            served: set[str] = set()
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await self._wait_until_served(entry, served)
-            except TimeoutError:
-                failure = f'{entry} serves only {sorted(served)}'
-                self.record.failures.append(failure)
+        served: dict[str, set[str]] = {vm: set() for vm in self.plan.entries}
+        waits = [
+            self._wait_until_served(vm, targets)
+            for vm, targets in served.items()
+        ]
+        try:
+            await asyncio.wait_for(asyncio.gather(*waits), timeout_s)
+        except TimeoutError:
+            for vm, targets in served.items():
+                if len(targets) < len(ROUTES):
+                    failure = f'{vm} serves only {sorted(targets)}'
+                    self.record.failures.append(failure)
 
     async def _wait_until_served(self, entry: str, served: set[str]) -> None:
         address = parse_address(self.system.settings.address(entry, 1))
--- a/bench/soak/_soak_system.py
+++ b/bench/soak/_soak_system.py
@@ -75,6 +75,9 @@
             for vm in self.plan.controls + self.plan.entries:
                 await self._start_vm(vm, stack)
             await self._change_configuration()
+            self.settings.is_first_start = False
+            for name in self.vms:
+                self.settings.write_file(name, self.plan.controls)
             self.stack = stack.pop_all()
         return self
 
--- a/bench/soak/_upstream.py
+++ b/bench/soak/_upstream.py
@@ -67,7 +67,9 @@
         self.listed.append(self.entry)
 
     async def close(self) -> None:
-        """Break off all runs and stop listening."""
+        """Break off all runs and stop listening, unless done before."""
+        if self.is_crashing:
+            return
         self.is_crashing = True
         await self.server.__aexit__(None, None, None)
         self.listed.remove(self.entry)
