--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -34,6 +34,7 @@
     BodyEnd,
     ClientConnection,
     ClientRequest,
+    PeerTimeout,
     ResponseBodySink,
     ResponseHead,
     StallDetector,
@@ -177,6 +178,10 @@
             result = await self._run_on_connection(pooled)
             if result is not None:
                 return result
+        result = await self._run_on_new_connection()
+        return msgspec.structs.replace(result, is_unanswered=pooled is not None)
+
+    async def _run_on_new_connection(self) -> AttemptResult:
         address = parse_address(self.action.upstream.address)
         if isinstance(address, Failed):
             return _unreachable_result('invalid upstream address')
@@ -251,7 +256,7 @@
         sent = await connection.send_request(self._build_client_request())
         if isinstance(sent, Failed) and connection.bytes_written == 0:
             return _unreachable_result(sent.failure().detail)
-        async with asyncio.timeout(self._head_timeout_s()):
+        async with PeerTimeout(self._head_timeout_s()):
             head = await connection.receive_head()
         if isinstance(head, Failed):
             if is_used and not isinstance(sent, Failed):
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -164,6 +164,7 @@
             self._record_cancelled(action, attempt)
             raise
         self._count_run(may_have_run=result.may_have_run)
+        self.may_have_run = self.may_have_run or result.is_unanswered
         self.services.hub.record_prompt_outcome(
             action.upstream.process_key,
             self.request.dispatch_request.profile,
@@ -276,6 +277,12 @@
         if self.response_writer.has_begun:
             self.response_writer.abort_response(reason)
             return
+        if self.error_response is None:
+            self._refuse_timed_out(reason)
+        else:
+            self._end_failed(reason)
+
+    def _refuse_timed_out(self, reason: str) -> None:
         dialect = self.services.dialect
         if self.may_have_run:
             headers = dialect.build_refusal_headers(None)
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -25,6 +25,9 @@
 _HEAD_TOO_LARGE: Final = 431
 _INTERNAL_ERROR: Final = 500
 _LINGER_S: Final = 1.0
+# Time in which an idle connection that is to be closed reads what its peer had
+# sent before.
+_LAST_READ_S: Final = 0.1
 _CLOSE_HEADER: Final = (b'connection', b'close')
 
 
@@ -74,7 +77,10 @@
             return
         peer = transport.get_extra_info('peername')
         self._peer = f'{peer[0]}:{peer[1]}' if peer else ''
-        self.timer.start(self.bounds.head_timeout_s, self._close)
+        timeout_s = self.bounds.head_timeout_s
+        if self._is_draining:
+            timeout_s = _LAST_READ_S
+        self.timer.start(timeout_s, self._close)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and act on them."""
@@ -109,9 +115,11 @@
     def resume_writing(self) -> None:
         """Unblock senders."""
         self._writable.set()
-        self.timer.stop()
         exchange = self._exchange
-        if exchange is not None and exchange.on_writable is not None:
+        if exchange is None:
+            return  # the timer is that of an idle or closing connection
+        self.timer.stop()
+        if exchange.on_writable is not None:
             exchange.on_writable()
 
     def write_event(self, event: h11.Event) -> bool:
@@ -142,11 +150,14 @@
             self._transport.abort()
 
     def close_when_idle(self) -> None:
-        """Close now if no request is in progress, else after its response."""
+        """Close soon if no request is in progress, else after its response.
+
+        A request that the peer has sent before is served.
+        """
         self.is_close_announced = True
         self._is_draining = True
         if self._exchange is None and self._is_idle:
-            self._close()
+            self.timer.start(_LAST_READ_S, self._close)
 
     @property
     def _asks_to_close(self) -> bool:
@@ -156,7 +167,7 @@
         """
         if self._is_rejecting:
             return True
-        return self.is_close_announced and not self._parser.trailing_data[0]
+        return self.is_close_announced and not _has_next_request(self._parser)
 
     def _close(self) -> None:
         if self._transport is not None:
@@ -246,7 +257,7 @@
         done = (h11.DONE, h11.DONE)
         states = (self._parser.our_state, self._parser.their_state)
         # After `connection: close` the parser does not reach DONE.
-        has_next = bool(self._parser.trailing_data[0])
+        has_next = _has_next_request(self._parser)
         if states != done or (self._is_draining and not has_next):
             self._linger()
             return
@@ -326,6 +337,11 @@
     )
 
 
+def _has_next_request(parser: h11.Connection) -> bool:
+    """Tell whether bytes were received behind a complete request."""
+    return parser.their_state is h11.DONE and bool(parser.trailing_data[0])
+
+
 def _count_head_bytes(request: h11.Request) -> int:
     fields = sum(len(name) + len(text) for name, text in request.headers)
     return len(request.target) + fields
