--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -73,7 +73,8 @@
     """A link to a control state machine whose faults a test sets.
 
     `is_cut` fails every command before it is applied; `loses_next_result`
-    applies the next command but reports a failure.
+    applies the next command but reports a failure. While `answers` is not set,
+    no command is applied or answered. An announcement takes `announce_s`.
     """
 
     def __init__(self, machine: ControlStateMachine) -> None:
@@ -83,6 +84,9 @@
         self.is_isolated = False
         self.loses_next_result = False
         self.claim_ended = asyncio.Event()
+        self.answers = asyncio.Event()
+        self.answers.set()
+        self.announce_s = 0.0
 
     async def claim_key(
         self, claim: ClaimKey
@@ -107,11 +111,17 @@
         """Whether the entry may serve callers."""
         return not self.is_isolated
 
+    async def announce_draining(self) -> bool:
+        """Announce the drain, which takes `announce_s`."""
+        await asyncio.sleep(self.announce_s)
+        return await super().announce_draining()
+
     async def _propose(
         self,
         command: ClaimKey | EndClaim,
     ) -> Result[CommandResult, Failure]:
         await asyncio.sleep(0)
+        await self.answers.wait()
         failure = Failure(kind=FailureKind.no_quorum, step='propose')
         if self.is_cut:
             return Failed(failure)
@@ -137,6 +147,7 @@
         self.cancelled = asyncio.Event()
         self.called = asyncio.Event()
         self.address = ANY_PORT
+        self.load_report = IDLE_LOAD_REPORT
 
     @property
     def executions(self) -> int:
@@ -146,7 +157,7 @@
     async def serve(self, exchange: Exchange) -> None:
         """Serve load reports and cache events, and run the script of a call."""
         if exchange.head.path == '/load':
-            await exchange.respond_json(200, IDLE_LOAD_REPORT)
+            await exchange.respond_json(200, self.load_report)
             return
         if exchange.head.path == '/cache-events':
             await exchange.respond_json(200, {'boot_id': 'b', 'last': 0})
