Answer all requests of the own interface in a planned stop

What callers saw: a request that was whole and waited when the drain timeout passed got a closed connection; a stream was cut without an error event. The claim of its key stayed open until control missed the VM.

The drain knew the listening socket, the directory and the number of tasks; nothing that could end a request knew of the drain.

Admission gets the time until which responses have to end: a waiting request that is not expected to be served by then is refused at once, others a second, or their expected duration, before. At that time the state machine of a request treats the stop as one more deadline, whatever the request waits for: `draining`, `ran: no` if no attempt may have run, else `deadline_exceeded`, `ran: unknown`; a call with a claim that may have run goes on to record its outcome. Streams go on until the end of the drain and get their error event; claims without an outcome are then committed as in doubt. Both entries use `run_with_time_limits`. A body that ends after the answers were due is refused. A request that ended before its task ran is no longer started.

Why it works: every wait of a request is a phase of its state machine, and `stop_reached` has an answer for each phase. The steps of the drain follow each other, so a late loop delays them and skips none.

Not ended with an error event: a response that is relayed as it arrives and is no stream that can be resumed; its connection is broken off, as before.

--- a/persimmonhold/admission/_dispatcher.py
+++ b/persimmonhold/admission/_dispatcher.py
@@ -234,7 +234,7 @@
                         pending, _unknown_target_reason(pending), now
                     )
                 )
-            elif self._has_availability_changed(pending, now):
+            elif self._wait_estimator.has_availability_changed(pending, now):
                 pending.expires_at = self._wait_estimator.update_expiry(
                     pending, now
                 )
@@ -251,7 +251,7 @@
         """
         actions: list[DispatchAction] = []
         for pending in self._queues.pop_expired(now):
-            if self._has_availability_changed(pending, now):
+            if self._wait_estimator.has_availability_changed(pending, now):
                 actions.extend(self._enqueue_or_refuse(pending, now))
             else:
                 reason = self._find_expiry_reason(pending, now)
@@ -276,6 +276,35 @@
         expiry = self._queues.next_expiry()
         return scan_at if expiry is None else min(expiry, scan_at)
 
+    def plan_stop(
+        self, stops_at: float, now: float
+    ) -> tuple[DispatchAction, ...]:
+        """Have all responses end by `stops_at`.
+
+        Waiting requests that cannot be served by then are refused now.
+        """
+        self._wait_estimator.stops_at = stops_at
+        waiting = sorted(self._queues.list_waiting(), key=_dispatch_order)
+        ahead = dict.fromkeys(self._queues.by_target, 0)
+        actions: list[DispatchAction] = []
+        for pending in waiting:
+            target = pending.request.target
+            wait_s = self._wait_estimator.dispatch_interval_s(target, now) * (
+                ahead[target] + 1
+            )
+            latest = self._wait_estimator.send_before_stop(pending, now)
+            if now + wait_s > latest:
+                self._queues.remove_request(pending)
+                reason = RefusalReason.draining
+                actions.append(self._remove_and_refuse(pending, reason, now))
+                continue
+            ahead[target] += 1
+            if latest < pending.expires_at:
+                pending.expires_at = latest
+                pending.is_limited_by_stop = True
+                self._queues.schedule_expiry(pending)
+        return tuple(actions)
+
     def queue_depths(self) -> dict[ServiceClass, int]:
         """Return the number of waiting requests by class."""
         return dict(self._queues.request_counts)
@@ -308,6 +337,9 @@
         """Send a request now, queue it, or refuse it."""
         pending.state = PendingState.waiting
         pending.queued_at = now
+        if now > self._wait_estimator.send_before_stop(pending, now):
+            reason = RefusalReason.draining
+            return [self._remove_and_refuse(pending, reason, now)]
         if self._scheduler.must_wait(pending, now):
             actions = self._enqueue_or_refuse(pending, now)
             return [
@@ -356,19 +388,6 @@
         self._queues.add_request(pending)
         return actions
 
-    def _has_availability_changed(
-        self, pending: PendingRequest, now: float
-    ) -> bool:
-        """Return whether a request's target has lost or gained its upstreams.
-
-        Compares whether any reachable upstream serves the target now with
-        whether one did when the request's expiry was last computed.
-        """
-        has_endpoint = self._router.has_reachable_endpoint(
-            pending.request.target, now
-        )
-        return has_endpoint != (pending.unserved_since is None)
-
     def _is_wait_too_long(self, pending: PendingRequest, now: float) -> bool:
         """Return whether a request is expected to expire in the queue.
 
@@ -390,6 +409,8 @@
         """Return the refusal reason of a request that may not wait longer."""
         if now >= pending.request.deadline:
             return RefusalReason.deadline_exceeded
+        if pending.is_limited_by_stop:
+            return RefusalReason.draining
         if not self._router.has_reachable_endpoint(pending.request.target, now):
             return RefusalReason.no_upstream
         if pending.request.service_class is ServiceClass.interactive:
@@ -481,6 +502,11 @@
         return Refuse(pending.request.request_id, refusal)
 
 
+def _dispatch_order(pending: PendingRequest) -> tuple[int, float, int]:
+    request = pending.request
+    return request.service_class.rank, request.deadline, pending.sequence
+
+
 def _unknown_target_reason(pending: PendingRequest) -> RefusalReason:
     if pending.request.is_service:
         return RefusalReason.unknown_service
--- a/persimmonhold/admission/_pending_request.py
+++ b/persimmonhold/admission/_pending_request.py
@@ -15,7 +15,8 @@
 
     Times are in seconds of the entry's clock. `sequence` numbers the requests
     in the order of their arrival. A waiting request is refused at
-    `expires_at`. `unserved_since` is the time since when no reachable upstream
+    `expires_at`, which `is_limited_by_stop` if the planned stop of the entry
+    sets it. `unserved_since` is the time since when no reachable upstream
     serves its target, None if one does. `excluded_upstreams` have failed this
     request. `delivered_tokens` were sent to the caller before a preemption.
     `ran` becomes unknown with the first attempt that may have run, and stays
@@ -28,6 +29,7 @@
         'delivered_tokens',
         'excluded_upstreams',
         'expires_at',
+        'is_limited_by_stop',
         'unserved_since',
         'is_protected',
         'preemption_count',
@@ -47,6 +49,7 @@
         self.arrived_at = now
         self.queued_at = now
         self.expires_at = request.deadline
+        self.is_limited_by_stop = False
         self.unserved_since: float | None = None
         self.state = PendingState.waiting
         self.attempt: Attempt | None = None
--- a/persimmonhold/admission/_refusal_text.py
+++ b/persimmonhold/admission/_refusal_text.py
@@ -18,6 +18,7 @@
     RefusalReason.retry_budget_spent: 'attempt failed; retry budget spent',
     RefusalReason.upstream_failed: 'every upstream of the target failed',
     RefusalReason.outcome_unknown: 'not retried: an attempt may have run',
+    RefusalReason.draining: 'the entry is stopping',
     RefusalReason.unknown_model: 'the target is no longer in the catalogue',
     RefusalReason.unknown_service: 'the service is no longer in the catalogue',
 })
--- a/persimmonhold/attempts/_refusals.py
+++ b/persimmonhold/attempts/_refusals.py
@@ -3,12 +3,15 @@
 from types import MappingProxyType
 from typing import Final
 
+import msgspec
+
 from persimmonhold.attempts._attempt_fault import AttemptFault
 from persimmonhold.control.machine import CommandStatus
 from persimmonhold.failures import Ran, Refusal, RefusalReason
 
 # Suggested delay of a retry by the caller.
 RETRY_AFTER_S: Final = 1.0
+_STOPPING_DETAIL: Final = 'the entry is stopping'
 _CLAIM_REFUSAL_REASONS: Final = MappingProxyType({
     CommandStatus.claim_table_full: RefusalReason.no_capacity,
     CommandStatus.claim_unregistered: RefusalReason.isolated,
@@ -64,6 +67,23 @@
     )
 
 
+def stop_refusal(*, may_have_run: bool) -> Refusal:
+    """Return the refusal of a request that its stopping entry cannot finish.
+
+    If it may have run, the stop is a deadline like any other.
+    """
+    if may_have_run:
+        return msgspec.structs.replace(
+            deadline_refusal(), detail=_STOPPING_DETAIL
+        )
+    return Refusal(
+        reason=RefusalReason.draining,
+        ran=Ran.no,
+        detail=_STOPPING_DETAIL,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def failure_refusal(fault: AttemptFault, *, in_doubt: bool) -> Refusal:
     """Return the refusal of a request whose failed attempt is not retried.
 
--- a/persimmonhold/attempts/_request_state_machine.py
+++ b/persimmonhold/attempts/_request_state_machine.py
@@ -28,6 +28,7 @@
     deadline_refusal,
     failure_refusal,
     no_quorum_refusal,
+    stop_refusal,
 )
 from persimmonhold.attempts._refuse import (
     AbortCallerConnection,
@@ -46,7 +47,7 @@
 from persimmonhold.attempts._start_response import StartResponse
 from persimmonhold.attempts._upstream_response_head import UpstreamResponseHead
 from persimmonhold.control.machine import CommandResult, CommandStatus
-from persimmonhold.failures import Refusal
+from persimmonhold.failures import Refusal, RefusalReason
 
 # A request under which so many upstreams in a row were lost is not sent again.
 _MAX_LOST_ATTEMPTS: Final = 3
@@ -88,7 +89,12 @@
         self._upstream = ''
 
     def start(self) -> AttemptActions:
-        """Claim the idempotency key if there is one, else queue the request."""
+        """Claim the idempotency key if there is one, else queue the request.
+
+        Returns no action if the request has ended before it was started.
+        """
+        if self.phase is not RequestPhase.arrived:
+            return ()
         if self.properties.has_claimable_key:
             self.phase = RequestPhase.claiming
             return (ClaimIdempotencyKey(),)
@@ -138,6 +144,9 @@
         """End the request after a refusal by admission."""
         if self.phase is not RequestPhase.queued:
             return ()
+        if refusal.reason is RefusalReason.draining:
+            may_have_run = self.evidence.may_have_run
+            refusal = stop_refusal(may_have_run=may_have_run)
         return self._end_with_refusal(refusal)
 
     def request_sent(self, attempt_number: int) -> None:
@@ -280,7 +289,7 @@
                 close,
                 *self._end_relayed_body(AttemptFault.connection_lost),
             )
-        self._return_to_queue()
+        _return_to_queue(self)
         tokens = self.response.event_framer.token_count
         return (close, RequestResume(delivered_tokens=tokens))
 
@@ -307,13 +316,30 @@
             return ()
         if self.response.is_started and not self.properties.has_caller_deadline:
             return ()
-        if self._is_outcome_needed and not self.response.is_started:
+        if _is_outcome_needed(self) and not self.response.is_started:
             self.is_caller_connected = False
             return (Refuse(self.evidence.apply_to_refusal(deadline_refusal())),)
-        released = _build_release_actions(self)
-        if self.response.event_framer.is_complete:
-            return (*released, *self._end_relayed_body(AttemptFault.stalled))
-        return (*released, *self._end_with_refusal(deadline_refusal()))
+        return self._break_off(deadline_refusal())
+
+    def stop_reached(self, *, is_final: bool) -> AttemptActions:
+        """Answer the request at a time limit of its entry's planned stop.
+
+        Until the limit that `is_final`, a response that has begun goes on, and
+        so does an attempt that only records its outcome; its caller is
+        refused.
+        """
+        if self.phase in {RequestPhase.ended, RequestPhase.recording}:
+            is_complete = self.phase is RequestPhase.recording and is_final
+            return self._send_buffered_response() if is_complete else ()
+        if not self.is_caller_connected:
+            return self.abort() if is_final else ()
+        if self.response.is_started and not is_final:
+            return ()
+        refusal = stop_refusal(may_have_run=self.evidence.may_have_run)
+        if _is_outcome_needed(self) and not is_final:
+            self.is_caller_connected = False
+            return (Refuse(self.evidence.apply_to_refusal(refusal)),)
+        return self._break_off(refusal)
 
     def caller_disconnected(self) -> AttemptActions:
         """Stop the request of a caller that closed its connection.
@@ -324,7 +350,7 @@
         if self.phase is RequestPhase.ended or not self.is_caller_connected:
             return ()
         self.is_caller_connected = False
-        if self.phase is RequestPhase.recording or self._is_outcome_needed:
+        if self.phase is RequestPhase.recording or _is_outcome_needed(self):
             return ()
         return self.abort()
 
@@ -337,10 +363,15 @@
         self.phase = RequestPhase.ended
         return (*released, *_build_claim_end_actions(self))
 
-    @property
-    def _is_outcome_needed(self) -> bool:
-        """Whether the attempt must continue to record its outcome."""
-        return self.claim_index > 0 and self.evidence.attempt_may_have_run
+    def _break_off(self, refusal: Refusal) -> AttemptActions:
+        """End the request now, whatever it waits for.
+
+        An event stream that is already complete ends normally.
+        """
+        released = _build_release_actions(self)
+        if self.response.event_framer.is_complete:
+            return (*released, *self._end_relayed_body(AttemptFault.stalled))
+        return (*released, *self._end_with_refusal(refusal))
 
     def _start_response(self) -> AttemptActions:
         """Start the response to the caller.
@@ -405,16 +436,10 @@
         if in_doubt or is_truncated or is_spent or not self.is_caller_connected:
             refusal = failure_refusal(fault, in_doubt=in_doubt)
             return (close, *self._end_with_refusal(refusal))
-        self._return_to_queue()
+        _return_to_queue(self)
         retry = RequestRetry(failed_upstream=self._upstream, fault=fault)
         return (close, retry)
 
-    def _return_to_queue(self) -> None:
-        """Enter phase `queued`; discard the bytes that were not delivered."""
-        self.phase = RequestPhase.queued
-        self.evidence.end_attempt()
-        self.response.discard_undelivered()
-
     def _end_with_refusal(self, refusal: Refusal) -> AttemptActions:
         """End the request without a complete response, and its claim.
 
@@ -433,6 +458,18 @@
         return (AbortCallerConnection(final_refusal), *claim_actions)
 
 
+def _is_outcome_needed(machine: RequestStateMachine) -> bool:
+    """Return whether the attempt must continue to record its outcome."""
+    return machine.claim_index > 0 and machine.evidence.attempt_may_have_run
+
+
+def _return_to_queue(machine: RequestStateMachine) -> None:
+    """Enter phase `queued`; discard the bytes that were not delivered."""
+    machine.phase = RequestPhase.queued
+    machine.evidence.end_attempt()
+    machine.response.discard_undelivered()
+
+
 def _build_claim_end_actions(machine: RequestStateMachine) -> AttemptActions:
     """Return the action that ends the claim of a request without an outcome.
 
--- a/persimmonhold/directory/_drain.py
+++ b/persimmonhold/directory/_drain.py
@@ -6,28 +6,27 @@
 that no caller sends a request on a connection that is about to be closed.
 """
 
-from typing import final
+from typing import Final, final
 
 from persimmonhold.directory._drain_phase import DrainPhase
+from persimmonhold.directory._stop_schedule import StopSchedule
+
+_NEVER: Final = float('inf')
 
 
 @final
 class Drain:
-    """Tracks the phase and the scheduled times of one entry's planned stop.
+    """Tracks the phase and the schedule of one entry's planned stop.
 
-    The entry announces the close of connections from `announces_close_at`,
-    accepts no new ones from `closes_at`, and stops by `ends_at` at the latest.
-    These times are in seconds of the entry's clock, infinite before the drain.
+    The times of `schedule` are infinite before the drain.
     """
 
     __slots__ = (
         '_margin_s',
         '_timeout_s',
         '_ttl_s',
-        'announces_close_at',
-        'closes_at',
-        'ends_at',
         'phase',
+        'schedule',
     )
 
     def __init__(self, ttl_s: float, margin_s: float, timeout_s: float) -> None:
@@ -39,9 +38,12 @@
         seconds to end.
         """
         self.phase = DrainPhase.serving
-        self.announces_close_at = float('inf')
-        self.closes_at = float('inf')
-        self.ends_at = float('inf')
+        self.schedule = StopSchedule(
+            announces_close_at=_NEVER,
+            closes_at=_NEVER,
+            answers_at=_NEVER,
+            ends_at=_NEVER,
+        )
         self._ttl_s = ttl_s
         self._margin_s = margin_s
         self._timeout_s = timeout_s
@@ -68,15 +70,15 @@
 
         `in_flight` is the number of requests in flight at this entry.
         """
-        if self.phase is DrainPhase.leaving and now >= self.closes_at:
+        if self.phase is DrainPhase.leaving and now >= self.schedule.closes_at:
             self.phase = DrainPhase.closing
-        is_over = in_flight == 0 or now >= self.ends_at
+        is_over = in_flight == 0 or now >= self.schedule.ends_at
         if self.phase is DrainPhase.closing and is_over:
             self.phase = DrainPhase.drained
         return self.phase
 
     def _schedule_close(self, now: float) -> None:
         """Schedule the close for when the TTL and the margin have passed."""
-        self.announces_close_at = now + self._ttl_s
-        self.closes_at = self.announces_close_at + self._margin_s
-        self.ends_at = self.closes_at + self._timeout_s
+        self.schedule = StopSchedule.within_drain(
+            now, self._ttl_s, self._margin_s, self._timeout_s
+        )
--- a/persimmonhold/entry/_claim_end_committer.py
+++ b/persimmonhold/entry/_claim_end_committer.py
@@ -14,6 +14,7 @@
 
 from persimmonhold.control.machine import ClaimKey, CommandStatus, EndClaim
 from persimmonhold.control.shell import ControlLink
+from persimmonhold.observability import LogLevel, log_event
 
 _MS_PER_S: Final = 1000
 _INITIAL_DELAY_S: Final = 0.1  # doubled after each failed attempt
@@ -65,6 +66,10 @@
         """Wait up to `timeout_s` for pending tasks, then cancel the rest."""
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=timeout_s)
+        if self._tasks:
+            log_event(
+                'claims_left_open', LogLevel.error, claims=len(self._tasks)
+            )
         for task in tuple(self._tasks):
             task.cancel()
 
--- a/persimmonhold/entry/_dispatch_hub.py
+++ b/persimmonhold/entry/_dispatch_hub.py
@@ -103,6 +103,10 @@
         self.router.apply_view(view, _now())
         self._deliver_actions(self.dispatcher.handle_view_change(_now()))
 
+    def plan_stop(self, stops_at: float) -> None:
+        """Have all responses end by `stops_at`; refuse what cannot."""
+        self._deliver_actions(self.dispatcher.plan_stop(stops_at, _now()))
+
     def stop_timer(self) -> None:
         """Stop the timer."""
         if self._timer is not None:
--- a/persimmonhold/entry/_entry.py
+++ b/persimmonhold/entry/_entry.py
@@ -2,20 +2,21 @@
 
 Entering the context starts listening for callers and raises `OSError` if the
 address cannot be bound. `drain` is the planned stop: it returns when no
-request is running any more, at the latest at the drain timeout. Leaving the
-context afterwards cuts off no request that ended in time.
+request is running any more, at the latest when the drain timeout has passed and
+each request has been answered.
 """
 
 import asyncio
 import random
 import ssl
 from contextlib import AsyncExitStack
+from functools import partial
 from types import TracebackType
-from typing import Final, Self, final
+from typing import Any, Final, Self, final
 
 from persimmonhold.admission import Dispatcher, DispatcherSettings
 from persimmonhold.control.shell import ControlLink
-from persimmonhold.directory import Directory, Drain, DrainPhase
+from persimmonhold.directory import Directory, Drain
 from persimmonhold.entry._dispatch_hub import DispatchHub
 from persimmonhold.entry._entry_handler import EntryHandler
 from persimmonhold.entry._entry_services import EntryServices
@@ -26,12 +27,14 @@
     PlatformSettings,
     VmSettings,
 )
-from persimmonhold.tasks import BackgroundTasks
+from persimmonhold.tasks import BackgroundTasks, run_with_time_limits
 from persimmonhold.upstreams import UpstreamPollers
 from persimmonhold.web import Address, HttpBounds, HttpServer, parse_address
 
 _CLAIM_COMMIT_TIMEOUT_S: Final = 5.0
 _LOAD_UPDATE_INTERVAL_S: Final = 0.5
+# Time for the transmission of the last responses after all requests were ended.
+_FLUSH_S: Final = 0.2
 
 
 @final
@@ -131,38 +134,58 @@
         return self.handler.running_request_count
 
     async def drain(self) -> None:
-        """Leave the directory, keep serving, then finish running requests."""
+        """Leave the directory, keep serving, then finish running requests.
+
+        Each request is answered by the end of the drain, at the latest at its
+        time limits.
+        """
         self._drain.start_drain(_now())
         self._directory.is_leaving = True
         is_withdrawn = await self._link.announce_draining()
         self._drain.record_directory_exit(_now())
-        log_event(
-            'drain', phase=self._drain.phase.value, announced=is_withdrawn
-        )
-        await asyncio.sleep(max(0, self._drain.announces_close_at - _now()))
+        self._log_drain(announced=is_withdrawn)
+        schedule = self._drain.schedule
+        self.hub.plan_stop(schedule.answers_at)
+        await _sleep_until(schedule.announces_close_at)
         self._server.announce_close()
-        await asyncio.sleep(max(0, self._drain.closes_at - _now()))
+        await _sleep_until(schedule.closes_at)
         self._drain.advance(_now(), self.running_request_count + 1)
-        log_event(
-            'drain',
-            phase=self._drain.phase.value,
-            running=self.running_request_count,
-        )
+        self._log_drain()
         await self._finish_requests()
         await self._services.claim_committer.wait_and_cancel(
             _CLAIM_COMMIT_TIMEOUT_S
         )
         self._drain.advance(_now(), 0)
-        log_event('drain', phase=DrainPhase.drained.value)
+        self._log_drain()
 
     async def _finish_requests(self) -> None:
-        """Stop listening; wait for running requests until the drain timeout."""
-        try:
-            async with asyncio.timeout_at(self._drain.ends_at):
-                await self._server.drain()
-                await self.handler.wait_for_requests()
-        except TimeoutError:
-            log_event('drain_timed_out', running=self.running_request_count)
+        """Stop listening; finish the running requests within the schedule."""
+        schedule = self._drain.schedule
+        await run_with_time_limits(
+            self._close_connections(),
+            (schedule.answers_at, partial(self._end_requests, is_final=False)),
+            (schedule.ends_at, partial(self._end_requests, is_final=True)),
+            clock=_now,
+            flush_s=_FLUSH_S,
+        )
+
+    async def _close_connections(self) -> None:
+        await self._server.drain()
+        await self.handler.wait_for_requests()
+
+    def _end_requests(self, *, is_final: bool) -> None:
+        self._log_drain('ending')
+        self.handler.end_requests(is_final=is_final)
+
+    def _log_drain(self, phase: str = '', **fields: Any) -> None:
+        """Log the phase of the drain, and the requests in progress."""
+        log_event(
+            'drain',
+            phase=phase or self._drain.phase.value,
+            running=self.running_request_count,
+            waiting=sum(self.hub.dispatcher.queue_depths().values()),
+            **fields,
+        )
 
     def _start_tasks(self) -> None:
         self._background.start_task(self._follow_views(), 'views')
@@ -205,5 +228,9 @@
     )
 
 
+async def _sleep_until(at: float) -> None:
+    await asyncio.sleep(max(0, at - _now()))
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/persimmonhold/entry/_entry_handler.py
+++ b/persimmonhold/entry/_entry_handler.py
@@ -56,7 +56,7 @@
         self._directory = directory
         self._drain = drain
         self._reader = RequestReader(services.link)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._runners: dict[asyncio.Task[None], RequestRunner] = {}
         self._handlers_by_path: dict[str, _PathHandler] = {
             '/v1/chat/completions': self._serve_generation,
             '/v1/completions': self._serve_generation,
@@ -73,7 +73,7 @@
 
         A detached request continues after its caller has disconnected.
         """
-        return len(self._tasks)
+        return len(self._runners)
 
     async def serve(self, exchange: Exchange) -> None:
         """Handle one request by its path."""
@@ -100,8 +100,19 @@
 
     async def wait_for_requests(self) -> None:
         """Wait until no request is running, detached ones included."""
-        while self._tasks:
-            await asyncio.wait(tuple(self._tasks))
+        while self._runners:
+            await asyncio.wait(tuple(self._runners))
+
+    def end_requests(self, *, is_final: bool) -> None:
+        """Answer all requests, as a time limit of the planned stop is over.
+
+        Unless `is_final`, responses that have begun go on.
+        """
+        for task, runner in tuple(self._runners.items()):
+            actions = runner.machine.stop_reached(is_final=is_final)
+            runner.perform_actions(actions)
+            if is_final:
+                task.cancel()
 
     async def _serve_generation(self, context: RequestContext) -> None:
         if context.exchange.head.method != 'POST':
@@ -134,11 +145,14 @@
         if isinstance(request_result, Failed):
             self._refuse(context, request_result.failure())
             return
+        if _now() >= self._drain.schedule.answers_at:
+            self._refuse(context, _build_refusal(RefusalReason.draining))
+            return
         runner = RequestRunner(
             self._services, request_result.unwrap(), context.exchange
         )
         task = asyncio.get_running_loop().create_task(runner.run())
-        self._tasks.add(task)
+        self._runners[task] = runner
         task.add_done_callback(self._handle_request_end)
         try:
             await runner.caller_response.ended.wait()
@@ -147,7 +161,7 @@
             raise
 
     def _handle_request_end(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
+        self._runners.pop(task)
         error = None if task.cancelled() else task.exception()
         if error is not None:
             log_event('request_failed', LogLevel.error, error=repr(error))
@@ -244,6 +258,10 @@
         )
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _build_refusal(reason: RefusalReason) -> Refusal:
     is_retryable = reason in {RefusalReason.draining, RefusalReason.isolated}
     return Refusal(
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from types import TracebackType
 from typing import Final, Self, final
 
@@ -26,10 +27,10 @@
 from persimmonhold.forwarding._forward_hub import ForwardHub
 from persimmonhold.forwarding._forward_services import ForwardServices
 from persimmonhold.forwarding._platform_adapter import PlatformAdapter
-from persimmonhold.observability import LogLevel, Metrics, log_event
+from persimmonhold.observability import Metrics, log_event
 from persimmonhold.routes import TrafficLimits
 from persimmonhold.settings import Settings
-from persimmonhold.tasks import BackgroundTasks
+from persimmonhold.tasks import BackgroundTasks, run_with_time_limits
 from persimmonhold.transport import Transport
 from persimmonhold.web import HttpBounds, HttpServer, parse_address
 
@@ -187,21 +188,17 @@
         Requests that are not finished in time are ended, first those whose
         response has not begun.
         """
-        closing = asyncio.get_running_loop().create_task(self.server.drain())
-        closing.add_done_callback(_log_failure)
-        try:
-            for ends_at, has_begun in (
-                (schedule.answers_at, False),
-                (schedule.ends_at, True),
-            ):
-                left_s = max(0, ends_at - self.hub.clock())
-                await asyncio.wait((closing,), timeout=left_s)
-                if self.handler.running_count:
-                    self._log_drain('ending')
-                    self.handler.end_requests(has_begun=has_begun)
-            await asyncio.wait((closing,), timeout=_FLUSH_S)
-        finally:
-            closing.cancel()
+        await run_with_time_limits(
+            self.server.drain(),
+            (schedule.answers_at, partial(self._end_requests, has_begun=False)),
+            (schedule.ends_at, partial(self._end_requests, has_begun=True)),
+            clock=self.hub.clock,
+            flush_s=_FLUSH_S,
+        )
+
+    def _end_requests(self, *, has_begun: bool) -> None:
+        self._log_drain('ending')
+        self.handler.end_requests(has_begun=has_begun)
 
     def _log_drain(self, phase: str) -> None:
         """Log a phase of the drain, and the requests in progress."""
@@ -241,14 +238,6 @@
             self.services.pool.close_unusable(asyncio.get_running_loop().time())
 
 
-def _log_failure(closing: asyncio.Task[None]) -> None:
-    if closing.cancelled():
-        return
-    error = closing.exception()
-    if error is not None:
-        log_event('drain_failed', LogLevel.error, error=repr(error))
-
-
 def _http_bounds(limits: TrafficLimits) -> HttpBounds:
     return HttpBounds(
         max_head_bytes=limits.max_head_bytes,
--- a/persimmonhold/tasks/__init__.py
+++ b/persimmonhold/tasks/__init__.py
@@ -1,6 +1,7 @@
-"""Background tasks of an owner, and waiting with a time-out."""
+"""Background tasks of an owner, and work and waits that are limited in time."""
 
 from persimmonhold.tasks._background_tasks import BackgroundTasks
+from persimmonhold.tasks._run_with_time_limits import run_with_time_limits
 from persimmonhold.tasks._wait_with_timeout import wait_with_timeout
 
-__all__ = ('BackgroundTasks', 'wait_with_timeout')
+__all__ = ('BackgroundTasks', 'run_with_time_limits', 'wait_with_timeout')
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -109,14 +109,14 @@
         if phase is not DrainPhase.leaving:
             assert_that(now, Not(LessThan(_TTL_S + _MARGIN_S)))
         if phase is DrainPhase.drained and before is not phase and running:
-            assert_that(now, Not(LessThan(drain.ends_at)))
+            assert_that(now, Not(LessThan(drain.schedule.ends_at)))
 
 
 def test_second_signal_does_not_prolong_a_drain() -> None:
     drain = Drain(_TTL_S, _MARGIN_S, _TIMEOUT_S)
     drain.start_drain(0)
     drain.start_drain(5)
-    assert_that(drain.closes_at, Equals(_TTL_S + _MARGIN_S))
+    assert_that(drain.schedule.closes_at, Equals(_TTL_S + _MARGIN_S))
 
 
 def test_silent_entries_are_left_out_while_others_are_heard(
