Finish or refuse the requests of a VM with a failed part

What callers saw: when a background task of a VM ended, the process ended at once and all its requests got a closed connection, on both interfaces.

Cause: `run_until_stopped` drained the VM after a signal only.

Now a failure drains the VM at once: the entry accepts no connections and requests any more, and finishes or refuses what it has like a planned stop without the phase in which it keeps serving. A part that fails within a planned stop ends its serving phase, and does not prolong it. `drain_entry` is an abstract method of `BaseVm` with `at_once`; a control role with a failed part is not drained.

Why it works: it is the same schedule with the close set to now, so the limits of the requests are those of a planned stop.

--- a/persimmonhold/directory/_drain.py
+++ b/persimmonhold/directory/_drain.py
@@ -1,8 +1,8 @@
 """The state machine of an entry's planned stop.
 
 Invariants: the phases only advance; `closing` begins no earlier than the
-directory's TTL plus a margin after the entry left the directory. During the
-margin, from `announces_close_at`, responses carry `Connection: close`, so
+directory's TTL plus a margin after the entry left the directory, unless the
+entry has to close at once. During the margin, responses carry `Connection: close`, so
 that no caller sends a request on a connection that is about to be closed.
 """
 
@@ -57,6 +57,19 @@
             self.phase = DrainPhase.leaving
             self._schedule_close(now)
 
+    def close_at_once(self, now: float, max_timeout_s: float) -> None:
+        """Schedule the close for now, as the process cannot serve on.
+
+        The requests in flight have at most `max_timeout_s` seconds to end. A
+        drain that has begun is not prolonged.
+        """
+        if self.phase is DrainPhase.serving:
+            self.phase = DrainPhase.leaving
+        timeout_s = min(self._timeout_s, max_timeout_s)
+        schedule = StopSchedule.within_drain(now, 0, 0, timeout_s)
+        if schedule.ends_at < self.schedule.ends_at:
+            self.schedule = schedule
+
     def record_directory_exit(self, now: float) -> None:
         """Schedule the close anew, as the directory listed the entry until now.
 
--- a/persimmonhold/entry/_entry.py
+++ b/persimmonhold/entry/_entry.py
@@ -33,6 +33,8 @@
 
 _CLAIM_COMMIT_TIMEOUT_S: Final = 5.0
 _LOAD_UPDATE_INTERVAL_S: Final = 0.5
+# Longest wait for requests under way where a part of the process has failed.
+_MAX_FAILED_DRAIN_S: Final = 30.0
 # Time for the transmission of the last responses after all requests were ended.
 _FLUSH_S: Final = 0.2
 
@@ -133,17 +135,19 @@
         """The number of running requests."""
         return self.handler.running_request_count
 
-    async def drain(self) -> None:
+    async def drain(self, *, at_once: bool = False) -> None:
         """Leave the directory, keep serving, then finish running requests.
 
         Each request is answered by the end of the drain, at the latest at its
-        time limits.
+        time limits. `at_once` accepts no more connections and requests, as a
+        part of the process has failed; it may follow a drain that was
+        cancelled.
         """
-        self._drain.start_drain(_now())
         self._directory.is_leaving = True
-        is_withdrawn = await self._link.announce_draining()
-        self._drain.record_directory_exit(_now())
-        self._log_drain(announced=is_withdrawn)
+        if at_once:
+            self._close_at_once()
+        else:
+            await self._leave_directory()
         schedule = self._drain.schedule
         self.hub.plan_stop(schedule.answers_at)
         await _sleep_until(schedule.announces_close_at)
@@ -158,6 +162,19 @@
         self._drain.advance(_now(), 0)
         self._log_drain()
 
+    async def _leave_directory(self) -> None:
+        """Wait until the directories of all VMs leave this entry out."""
+        self._drain.start_drain(_now())
+        is_withdrawn = await self._link.announce_draining()
+        self._drain.record_directory_exit(_now())
+        self._log_drain(announced=is_withdrawn)
+
+    def _close_at_once(self) -> None:
+        """Close now; the directories leave this entry out a little later."""
+        self._link.set_draining(draining=True)
+        self._drain.close_at_once(_now(), _MAX_FAILED_DRAIN_S)
+        self._log_drain(announced=False)
+
     async def _finish_requests(self) -> None:
         """Stop listening; finish the running requests within the schedule."""
         schedule = self._drain.schedule
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -63,6 +63,7 @@
         self.adapter = adapter
         self.link = link
         self.is_draining = False
+        self.schedule: StopSchedule | None = None
         self.stack = AsyncExitStack()
         self.background = BackgroundTasks()
         rng = random.Random()
@@ -152,15 +153,10 @@
         """Leave the directory, keep serving, then finish running requests.
 
         Returns at the latest shortly before the grace period ends. `at_once`
-        accepts no more connections, as a part of the process has failed.
+        accepts no more connections, as a part of the process has failed; it may
+        follow a drain that was cancelled.
         """
-        now = self.hub.clock()
-        bounds = self.adapter.bounds
-        schedule = StopSchedule.within_grace(
-            now, bounds.grace_s, bounds.directory_ttl_s
-        )
-        if at_once:
-            schedule = schedule.without_new_connections(now)
+        schedule = self._plan_stop(at_once=at_once)
         self.is_draining = True
         self.directory.is_leaving = True
         self._log_drain('leaving')
@@ -174,6 +170,18 @@
             announcement.cancel()
         self._log_drain('drained')
 
+    def _plan_stop(self, *, at_once: bool) -> StopSchedule:
+        """Return the schedule; a drain that has begun is not prolonged."""
+        now = self.hub.clock()
+        bounds = self.adapter.bounds
+        schedule = self.schedule or StopSchedule.within_grace(
+            now, bounds.grace_s, bounds.directory_ttl_s
+        )
+        if at_once:
+            schedule = schedule.without_new_connections(now)
+        self.schedule = schedule
+        return schedule
+
     async def _serve_until_closed(self, schedule: StopSchedule) -> None:
         """Serve on until the entry accepts no more connections."""
         self.hub.plan_stop(schedule.answers_at)
--- a/persimmonhold/system/_base_vm.py
+++ b/persimmonhold/system/_base_vm.py
@@ -9,7 +9,6 @@
 
 import abc
 import asyncio
-from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Final, Self
@@ -40,8 +39,7 @@
     """Owns all components that one VM runs.
 
     Entering the context raises `OSError` if an address, a folder or a
-    certificate cannot be used. `drain_entry` drains the entry; it is None
-    if the VM runs no entry.
+    certificate cannot be used.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -63,7 +61,6 @@
         )
         self.control: ControlRole | None = None
         self.link: RemoteControlLink | None = None
-        self.drain_entry: Callable[[], Awaitable[None]] | None = None
 
     async def __aenter__(self) -> Self:
         """Start the transport, the metrics server and the VM's roles."""
@@ -91,16 +88,24 @@
         await self.stack.aclose()
         log_event('stopped', vm=self.settings.vm.name)
 
-    async def drain(self) -> None:
+    async def drain(self, *, at_once: bool = False) -> None:
         """Drain for a planned stop.
 
-        Running requests complete, and control leadership is transferred.
+        Running requests complete, and control leadership is transferred. With
+        `at_once`, a part of the VM has failed: its entry accepts nothing more,
+        and its control role is not drained.
         """
-        if self.drain_entry is not None:
-            await self.drain_entry()
-        if self.control is not None:
+        await self.drain_entry(at_once=at_once)
+        if self.control is not None and not at_once:
             await self.control.drain()
 
+    @abc.abstractmethod
+    async def drain_entry(self, *, at_once: bool) -> None:
+        """Drain the entry, if there is one, within a limited time.
+
+        With `at_once`, it accepts no more connections and requests.
+        """
+
     @abc.abstractmethod
     def create_leader_work(self) -> LeaderWork:
         """Return the work of the leader besides replicating control state."""
@@ -111,7 +116,7 @@
         stack: AsyncExitStack,
         link: RemoteControlLink,
     ) -> None:
-        """Start the entry and set `drain_entry`; closing `stack` stops it."""
+        """Start the entry; closing `stack` stops it."""
 
     async def _start_roles(self, stack: AsyncExitStack) -> None:
         settings = self.settings
--- a/persimmonhold/system/_forwarding_vm.py
+++ b/persimmonhold/system/_forwarding_vm.py
@@ -65,6 +65,11 @@
         """Return the work that issues orders to the platform's upstreams."""
         return FleetWork(self.adapter, self.transport)
 
+    async def drain_entry(self, *, at_once: bool) -> None:
+        """Drain the entry, if there is one, within a limited time."""
+        if self.entry is not None:
+            await self.entry.drain(at_once=at_once)
+
     async def start_entry(
         self,
         stack: AsyncExitStack,
@@ -81,7 +86,6 @@
             boot_clock,
         )
         await stack.enter_async_context(self.entry)
-        self.drain_entry = self.entry.drain
         self.background.start_task(wait_for_failure(self.entry.failed), 'entry')
 
     async def __aexit__(
--- a/persimmonhold/system/_run.py
+++ b/persimmonhold/system/_run.py
@@ -1,8 +1,8 @@
-"""Runs a VM until a signal or a failure, and drains it on a signal."""
+"""Runs a VM until a signal or a failure, and drains it."""
 
 import asyncio
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from persimmonhold.observability import log_event
 from persimmonhold.system._base_vm import BaseVm
@@ -11,7 +11,8 @@
 async def run_until_stopped(create_vm: Callable[[], BaseVm]) -> bool:
     """Run a VM until SIGTERM, SIGINT or a failure of a background task.
 
-    After a signal the VM is drained. Returns whether a background task has
+    After a signal the VM is drained; after a failure, which may come while it
+    is drained, it is drained at once. Returns whether a background task has
     failed. SIGHUP is logged and otherwise ignored. Raises `OSError` if a
     component cannot start.
     """
@@ -21,16 +22,32 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _log_ignored_reload)
     async with create_vm() as vm:
-        wait_tasks = [
-            loop.create_task(stop_requested.wait()),
-            loop.create_task(vm.background.failed.wait()),
-        ]
-        await asyncio.wait(wait_tasks, return_when=asyncio.FIRST_COMPLETED)
-        for task in wait_tasks:
-            task.cancel()
-        if stop_requested.is_set():
-            await vm.drain()
-        return vm.background.failed.is_set()
+        failed = vm.background.failed
+        await _run_until_first_ends(stop_requested.wait(), failed.wait())
+        if not failed.is_set():
+            await _run_until_first_ends(vm.drain(), failed.wait())
+        if failed.is_set():
+            await vm.drain(at_once=True)
+        return failed.is_set()
+
+
+async def _run_until_first_ends(
+    *coroutines: Coroutine[None, None, object],
+) -> None:
+    """Run coroutines until one has ended, and cancel the others.
+
+    Raises what that one has raised.
+    """
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(one) for one in coroutines]
+    ended, others = await asyncio.wait(
+        tasks, return_when=asyncio.FIRST_COMPLETED
+    )
+    for other in others:
+        other.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+    for task in ended:
+        task.result()
 
 
 def _log_ignored_reload() -> None:
--- a/persimmonhold/system/_vm_process.py
+++ b/persimmonhold/system/_vm_process.py
@@ -27,6 +27,11 @@
         """Return the work that places the catalogue's models on engines."""
         return PlacementWork(self.settings.placement, self.metrics)
 
+    async def drain_entry(self, *, at_once: bool) -> None:
+        """Drain the entry, if there is one, within a limited time."""
+        if self.entry is not None:
+            await self.entry.drain(at_once=at_once)
+
     async def start_entry(
         self,
         stack: AsyncExitStack,
@@ -42,5 +47,4 @@
             incarnation=self.vm.record.incarnation,
         )
         await stack.enter_async_context(self.entry)
-        self.drain_entry = self.entry.drain
         self.background.start_task(wait_for_failure(self.entry.failed), 'entry')
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -119,6 +119,27 @@
     assert_that(drain.schedule.closes_at, Equals(_TTL_S + _MARGIN_S))
 
 
+@pytest.mark.parametrize('begun_s', [0.0, 5.0, 20.0, 71.0])
+def test_drain_at_once_closes_now_and_is_not_prolonged(begun_s: float) -> None:
+    drain = Drain(_TTL_S, _MARGIN_S, _TIMEOUT_S)
+    drain.start_drain(0)
+    drain.advance(begun_s, 1)
+    planned = drain.schedule
+    drain.close_at_once(begun_s, 30)
+    assert_that(drain.schedule.closes_at, Not(GreaterThan(begun_s)))
+    earlier = min(planned.ends_at, begun_s + 30)
+    assert_that(drain.schedule.ends_at, Equals(earlier))
+    assert_that(drain.advance(begun_s, 1), Equals(DrainPhase.closing))
+
+
+def test_drain_at_once_needs_no_drain_before() -> None:
+    drain = Drain(_TTL_S, _MARGIN_S, _TIMEOUT_S)
+    drain.close_at_once(7, 300)
+    assert_that(drain.schedule.closes_at, Equals(7))
+    assert_that(drain.schedule.ends_at, Equals(7 + _TIMEOUT_S))
+    assert_that(drain.advance(7, 1), Equals(DrainPhase.closing))
+
+
 def test_silent_entries_are_left_out_while_others_are_heard(
     directory: Directory,
 ) -> None:
