Failing tests: a failed part and the own interface cut requests

test_vm_of_which_a_part_failed_is_drained: run_until_stopped drains only after a signal, and nothing calls the entry's drain with at_once (0 drains, 1 expected). test_running_request_of_the_own_interface_is_answered: at the end of drain_timeout_s the connection of a request without a response is closed without an answer (persimmonhold/entry/_entry.py).

--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -24,9 +24,11 @@
 from bench.virtual_loop import VirtualTimeLoop, run_in_virtual_time
 from persimmonhold.fleet import HeldModel
 from persimmonhold.routes import RouteKind
+from persimmonhold.settings import CallerSettings
 from persimmonhold.system import run_until_stopped
 from persimmonhold.tasks import BackgroundTasks
 from persimmonhold.web import Exchange, encode_headers
+from tests.entry_builders import EntryHarness, ScriptedUpstream
 from tests.raw_upstream import RawConnection, RawUpstream
 from tests.stopping_entry import CallerOutcome, StoppingEntry
 
@@ -471,6 +473,12 @@
         self.drains += 1
 
 
+def test_vm_of_which_a_part_failed_is_drained() -> None:
+    vm = _FailedVm()
+    asyncio.run(run_until_stopped(lambda: vm))  # type: ignore[arg-type,return-value]
+    assert_that(vm.drains, Equals(1))
+
+
 def test_second_signal_does_not_shorten_a_stop() -> None:
     vm = _FailedVm()
     vm.background.failed.clear()
@@ -492,6 +500,25 @@
     assert_that(vm.drains, Equals(1))
 
 
+@pytest.mark.parametrize('target', ['/services/lodgements/a'])
+def test_running_request_of_the_own_interface_is_answered(target: str) -> None:
+    async def hang(exchange: Exchange) -> None:
+        await asyncio.Event().wait()
+
+    async def scenario() -> int:
+        replica = ScriptedUpstream('replica-1', hang)
+        callers = CallerSettings(
+            directory_ttl_s=0.01, drain_margin_s=0, drain_timeout_s=0.3
+        )
+        async with EntryHarness(replica, callers=callers) as harness:
+            call = asyncio.create_task(harness.call('GET', target))
+            await asyncio.sleep(0.1)
+            await harness.entry.drain()
+        return (await call).head.status
+
+    assert_that(asyncio.run(scenario()), MatchesAny(Equals(502), Equals(504)))
+
+
 def test_refused_body_is_answered_with_the_announced_close() -> None:
     async def scenario(harness: StoppingEntry) -> bytes:
         address = harness.entry.server.address
