Send no requests where a response states that none are wanted

Callers' requests went on to upstreams that had stated in a response that they leave, until the list showed it, and to upstreams that had turned requests away with 503 and Retry-After, a twentieth of a second later. Some were cut by the end of the process, others turned away again and again.

Cause: the entry read neither statement. Now the head of each response is decoded for both, whatever its status and route. An entry keeps per upstream process what it has seen (SparingView, held by the tracker); the chooser leaves such an upstream out, and a request that was already meant for it, but waited for an adapter, a permit or a connection, is looked at again right before it is sent. The record outlives the tracker, so neither an update nor a list that still shows the upstream as ready undoes it; a newer birth does. Where all that hold a model turn requests away, waiting requests that cannot be served in time are refused at once, and told when the first of them opens again.

A call that must not repeat gets 502 instead of a 503 that its upstream did not mark as not executed, since a 503 promises that it did not run.

--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -21,6 +21,8 @@
     'report_failed',
     'routes_in_force',
     'started',
+    'sparing_begins',
+    'sparing_ends',
     'stopped',
     'upstream_limit',
     'upstream_limit_reported',
@@ -32,6 +34,10 @@
     ' limit, and no permit was expected in time',
     'quarantined_prompt': 'upstreams had ended when they began to answer'
     ' requests with a part of its prompt',
+    'upstreams_turned_away': 'every upstream that could run it had turned'
+    ' requests of this entry away until its caller would have left',
+    'upstreams_leaving': 'every upstream that could run it had stated that it'
+    ' leaves',
     'no_upstream': 'no upstream had the model loaded in time',
     'retry_budget_spent': 'upstreams refused it and the retry budget of'
     ' this entry was spent',
--- a/persimmonhold/fleet/_attempt_end.py
+++ b/persimmonhold/fleet/_attempt_end.py
@@ -19,6 +19,7 @@
     `unsent`: the request was not sent.
     `limited`: the request was not sent, as the upstream has a request limit
     and no permit was issued.
+    `spared`: the request was not sent, as the upstream wants no new ones.
     `cancelled`: the entry ended the attempt, which says nothing about the
     upstream.
     """
@@ -32,4 +33,5 @@
     silent = 'silent'
     unsent = 'unsent'
     limited = 'limited'
+    spared = 'spared'
     cancelled = 'cancelled'
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -7,8 +7,8 @@
 is refused while an upstream can accept it.
 
 Invariants: each request ends by `finish_request` or a `RefuseRequest`; a request
-is never sent to an upstream that is leaving, nor so late in a planned stop that
-its response is expected to be cut.
+is never sent to an upstream that wants no new requests, nor so late in a
+planned stop that its response is expected to be cut.
 """
 
 import random
@@ -31,7 +31,10 @@
     MIN_FIRST_EVENT_S,
     SendDeadline,
 )
-from persimmonhold.fleet._upstream_chooser import UpstreamChooser
+from persimmonhold.fleet._upstream_chooser import (
+    TURNED_AWAY_REASON,
+    UpstreamChooser,
+)
 
 _QueueKey: TypeAlias = tuple[str, str]
 _STOPPING: Final = 'stopping'  # reason of refusals in a planned stop
@@ -44,6 +47,7 @@
     AttemptEnd.absent: 0.0,  # the tracker marks the model as absent instead
     AttemptEnd.full: 0.15,  # gives other upstreams precedence
     AttemptEnd.limited: 0.0,  # the tracker keeps the time of the next permit
+    AttemptEnd.spared: 0.0,  # the chooser leaves it out for as long as needed
     AttemptEnd.unsent: 0.1,
     AttemptEnd.unreachable: 0.3,  # a crashed upstream restarts in seconds
 })
@@ -51,6 +55,7 @@
 # budget.
 _NOT_RECEIVED: Final = frozenset((
     AttemptEnd.limited,
+    AttemptEnd.spared,
     AttemptEnd.unreachable,
     AttemptEnd.unsent,
 ))
@@ -290,11 +295,15 @@
     def dispatch_waiting(self, now: float) -> tuple[ForwardAction, ...]:
         """Send waiting requests in order, and refuse those that expired.
 
+        Also refuses those that cannot be served in time any more, if upstreams
+        have turned requests away.
+
         Once a request cannot be sent, later ones of the same model and
         adapter are not tried, except requests that avoid some upstream after a
         failed attempt.
         """
         self.last_dispatch_at = now
+        must_recheck = self.chooser.spared.pop_recheck()
         actions: list[ForwardAction] = []
         blocked: set[tuple[_QueueKey, str]] = set()
         for pending in _list_waiting(self.queues.values(), now):
@@ -305,7 +314,12 @@
                     actions.append(action)
                     continue
                 blocked.add(key)
-            if now >= self.send_deadline.find(pending):
+            is_hopeless = (
+                must_recheck
+                and self.chooser.is_turned_away(pending, now)
+                and self._is_unservable(pending, now)
+            )
+            if is_hopeless or now >= self.send_deadline.find(pending):
                 reason = self._refusal_reason(pending, now)
                 actions.append(self._refuse(pending, reason, now))
         return tuple(actions)
@@ -357,6 +371,7 @@
         running = tracker.total_running(now)
         pending.upstream = tracker.facts.name
         pending.send_count += 1
+        self.chooser.spared.record_sent(pending.request.service)
         tracker.record_attempt_start(pending.request, expected_s, now)
         return SendRequest(
             number=pending.request.number,
@@ -383,14 +398,19 @@
         """Return when an upstream is expected to accept a request."""
         load_at = max(now, self.chooser.orders_start_at) + _MIN_LOAD_S
         if not self.chooser.has_holder(pending, now):
-            return load_at
+            opening_at = self.chooser.find_opening(pending, now)
+            if opening_at is None:
+                return load_at
+            return self.chooser.find_earliest_service(
+                pending.request, opening_at, load_at, now
+            )
         queue = self._queue_of(pending)
         ahead = queue.count_ahead(pending)
         permit_at = self.chooser.next_permit_at(pending, ahead, now)
         if permit_at is not None:
-            if self.chooser.can_get_another_copy(pending.request, now):
-                return min(permit_at, load_at)
-            return permit_at
+            return self.chooser.find_earliest_service(
+                pending.request, permit_at, load_at, now
+            )
         waited = now + queue.expected_wait_s(pending, now)
         if self.chooser.has_adapter(pending, now):
             return waited
@@ -399,15 +419,16 @@
     def _refusal_reason(self, pending: PendingRequest, now: float) -> str:
         """Return `no_upstream` if no available upstream holds the model.
 
-        Otherwise an upstream holds it but cannot serve the request in time:
-        `request_limit` if all that hold it have a request limit, or
-        `no_capacity`. It is `stopping` if only the planned stop prevents it.
+        It is `upstreams_turned_away` or `upstreams_leaving` if those that hold
+        it stated so to this entry. Otherwise an upstream holds it but cannot
+        serve the request in time: `request_limit` if all that hold it have a
+        request limit, or `no_capacity`. It is `stopping` if only the planned stop prevents it.
         """
         service_at = self._expected_service_at(pending, now)
         if self.send_deadline.is_stop_before(service_at, pending):
             return _STOPPING
         if not self.chooser.has_holder(pending, now):
-            return 'no_upstream'
+            return self.chooser.find_absence_reason(pending, now)
         if self.chooser.next_permit_at(pending, 0, now) is not None:
             return 'request_limit'
         return 'no_capacity'
@@ -425,7 +446,9 @@
             wait_s = self._expected_service_at(pending, now) - now
         self._dequeue(pending)
         self.pending.pop(pending.request.number, None)
-        after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
+        if reason != TURNED_AWAY_REASON:
+            wait_s = min(_MAX_RETRY_AFTER_S, wait_s)
+        after_s = max(_MIN_RETRY_AFTER_S, wait_s)
         spread = 1 + _RETRY_AFTER_JITTER * self.rng.random()
         return RefuseRequest(
             number=pending.request.number,
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -1,7 +1,7 @@
 """Chooses the upstream of a request.
 
-Invariant: an upstream that is leaving, is full or lacks the model is never
-chosen.
+Invariant: an upstream that is leaving, has turned requests away for now, is
+full or lacks the model is never chosen.
 """
 
 import random
@@ -27,6 +27,7 @@
     INITIAL_ATTEMPT_S,
     UpstreamTracker,
 )
+from persimmonhold.sparing import SparedUpstreams, SparingCause
 
 # The upstream, the expected seconds to the first event, and whether the adapter
 # has to be loaded first.
@@ -34,6 +35,8 @@
 # An upstream with running requests and more unread prompts than this gets no
 # request, since reading prompts delays the events of all running requests.
 _MAX_UNREAD_S: Final = 0.12
+# Reason of refusals where upstreams turn requests away for a stated time.
+TURNED_AWAY_REASON: Final = 'upstreams_turned_away'
 _ADAPTER_ORDER_S: Final = 0.08  # penalty for an order to load the adapter
 _PERMIT_S: Final = 0.005  # penalty for the round trip to request a permit
 _MIN_LIMIT_PER_S: Final = 0.01  # avoids a division by zero
@@ -49,6 +52,7 @@
     `by_service` groups the trackers by service, and `by_model` those that
     hold a model by service and model. Adapters cannot be loaded before
     `orders_start_at`, when a new fleet controller starts to issue orders.
+    `spared` are the upstreams that want no new requests of this VM.
     """
 
     __slots__ = (
@@ -57,6 +61,7 @@
         'failure_domain',
         'orders_start_at',
         'rng',
+        'spared',
         'trackers',
         'waiting_elsewhere',
     )
@@ -66,6 +71,7 @@
         self.failure_domain = failure_domain
         self.rng = rng
         self.orders_start_at = float('-inf')
+        self.spared = SparedUpstreams()
         self.trackers: dict[str, UpstreamTracker] = {}
         self.by_service: dict[str, list[UpstreamTracker]] = {}
         self.by_model: dict[tuple[str, str], list[UpstreamTracker]] = {}
@@ -85,16 +91,18 @@
         """
         known = {one.name: one for one in facts}
         for name, one in known.items():
+            sparing = self.spared.track(one.process_key, one.service, now)
             tracker = self.trackers.get(name)
             if tracker is None:
-                tracker = UpstreamTracker(one)
+                tracker = UpstreamTracker(one, sparing)
                 self.trackers[name] = tracker
-            tracker.apply_facts(one, now)
+            tracker.apply_facts(one, sparing, now)
         gone_now = set(gone)
         if is_complete:
             gone_now |= self.trackers.keys() - known.keys()
         for name in gone_now:
-            self.trackers.pop(name, None)
+            if self.trackers.pop(name, None) is not None:
+                self.spared.release(name, now)
         if known or gone_now:
             self._group_trackers()
 
@@ -235,32 +243,82 @@
         first_at = max(now, min(one.closed_until for one in limits))
         return first_at + ahead / max(total_per_s, _MIN_LIMIT_PER_S)
 
-    def can_get_another_copy(
-        self, request: DispatchRequest, now: float
-    ) -> bool:
-        """Tell whether the model of a request may be loaded elsewhere.
+    def find_opening(self, pending: PendingRequest, now: float) -> float | None:
+        """Return when an upstream that turns requests away takes them again.
+
+        That is the earliest time among those that hold the model of a request.
+        Returns None if none of them does so.
+        """
+        openings = (
+            tracker.sparing.closed_until
+            for tracker in self._holders(pending, now)
+            if tracker.sparing.find_cause(now) is SparingCause.turned_away
+            and not tracker.facts.is_leaving
+            and not pending.is_excluded(
+                tracker.facts.process_key, tracker.sparing.closed_until
+            )
+        )
+        return min(openings, default=None)
+
+    def is_turned_away(self, pending: PendingRequest, now: float) -> bool:
+        """Tell whether all that hold the model are closed, one for a time."""
+        return (
+            not self.has_holder(pending, now)
+            and self.find_opening(pending, now) is not None
+        )
+
+    def find_absence_reason(self, pending: PendingRequest, now: float) -> str:
+        """Return why no available upstream holds the model of a request."""
+        if self.find_opening(pending, now) is not None:
+            return TURNED_AWAY_REASON
+        is_leaving = any(
+            tracker.sparing.is_leaving
+            for tracker in self._holders(pending, now)
+        )
+        return 'upstreams_leaving' if is_leaving else 'no_upstream'
+
+    def find_earliest_service(
+        self,
+        request: DispatchRequest,
+        accepted_at: float,
+        load_at: float,
+        now: float,
+    ) -> float:
+        """Return when a holder accepts a request, or another upstream does.
 
-        That needs an available upstream without a request limit.
+        A holder does at `accepted_at`, another one at `load_at`. The model may
+        be loaded at an available upstream without a request limit.
         """
-        return request.is_engine and any(
+        can_load = request.is_engine and any(
             tracker.is_available(now) and tracker.limit.per_s is None
             for tracker in self.by_service.get(request.service, ())
         )
+        return min(accepted_at, load_at) if can_load else accepted_at
 
     def _available_holders(
         self, pending: PendingRequest, now: float
     ) -> Iterable[UpstreamTracker]:
-        """Return the available upstreams that hold the model of a request."""
-        request = pending.request
+        """Return the available upstreams that hold the model of a request.
+
+        Not those that the request avoids after a failed attempt.
+        """
         return (
             tracker
-            for tracker in self._candidates(request)
+            for tracker in self._holders(pending, now)
             if tracker.is_available(now)
             and not pending.is_excluded(tracker.facts.process_key, now)
-            and (
-                not request.is_engine
-                or tracker.find_model(request.profile.model, now) is not None
-            )
+        )
+
+    def _holders(
+        self, pending: PendingRequest, now: float
+    ) -> Iterable[UpstreamTracker]:
+        """Return the upstreams that hold the model of a request."""
+        request = pending.request
+        return (
+            tracker
+            for tracker in self._candidates(request)
+            if not request.is_engine
+            or tracker.find_model(request.profile.model, now) is not None
         )
 
     def _group_trackers(self) -> None:
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -17,6 +17,7 @@
 from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
+from persimmonhold.sparing import SparingView
 
 # How long the facts are overridden after a model or adapter was found absent,
 # or an adapter was loaded: reports lag by about 200 ms, and updates by 100 ms.
@@ -43,6 +44,7 @@
 _NO_FAILURE: Final = frozenset((
     AttemptEnd.cancelled,
     AttemptEnd.limited,
+    AttemptEnd.spared,
     AttemptEnd.unsent,
 ))
 # An upstream with a higher failure rate is paused; a healthy one fails a few
@@ -95,11 +97,10 @@
     assumed to be absent. `adapters_assumed_until` maps (model, adapter) to the
     time until which the adapter is assumed to be loaded. `failure_rate` is a
     moving average of the share of failed attempts. `limit` is its request
-    limit. No adapter is loaded there
-    before `adapter_loads_paused_until`. The last attempt of a plain request
-    was at `last_attempt_at`. The upstream gets no
-    requests before `paused_until`, nor before `full_until` after it refused a
-    request as full.
+    limit, and `sparing` what it stated about new requests. No adapter is loaded
+    there before `adapter_loads_paused_until`. The last attempt of a plain
+    request was at `last_attempt_at`. The upstream gets no requests before
+    `paused_until`, nor before `full_until` after it refused a request as full.
     """
 
     __slots__ = (
@@ -119,11 +120,13 @@
         'average_attempt_s',
         'running',
         'slowdown',
+        'sparing',
     )
 
-    def __init__(self, facts: UpstreamFacts) -> None:
+    def __init__(self, facts: UpstreamFacts, sparing: SparingView) -> None:
         """Create the tracker of an upstream without requests."""
         self.facts = facts
+        self.sparing = sparing
         self.running: dict[int, RunningRequest] = {}
         self.adapters_assumed_until: dict[tuple[str, str], float] = {}
         self.adapter_loads_paused_until = -math.inf
@@ -172,8 +175,14 @@
         }
         return tuple(sorted(used))
 
-    def apply_facts(self, facts: UpstreamFacts, now: float) -> None:
-        """Apply newer facts; reset the record of a restarted process."""
+    def apply_facts(
+        self, facts: UpstreamFacts, sparing: SparingView, now: float
+    ) -> None:
+        """Apply newer facts; reset the record of a restarted process.
+
+        `sparing` is the view of the process that they describe.
+        """
+        self.sparing = sparing
         if facts.born_ms != self.facts.born_ms:
             self.limit = RequestLimitView()
             self.failure_rate = 0
@@ -225,9 +234,9 @@
         One that does not answer report requests still can, unless failed
         attempts have paused it since its last complete response.
         """
-        if self.facts.is_leaving or now < self.paused_until:
+        if self.facts.is_leaving or self.sparing.is_spared(now):
             return False
-        return not (self.facts.is_silent and self.pause_count)
+        return not self._is_paused(now)
 
     def is_untried(self, now: float) -> bool:
         """Tell whether no attempt was made within `_RESPONSE_MEMORY_S`."""
@@ -364,6 +373,12 @@
             pause_s = _FIRST_PAUSE_S * 2 ** min(self.pause_count - 1, 4)
             self.paused_until = now + min(_MAX_PAUSE_S, pause_s)
 
+    def _is_paused(self, now: float) -> bool:
+        """Tell whether failed attempts have paused the upstream."""
+        if now < self.paused_until:
+            return True
+        return self.facts.is_silent and self.pause_count > 0
+
     def _fresh_other_load(self, now: float) -> SharedLoad:
         """Return the load of the other entries; zero if it is too old."""
         if now - self.other_load_at > _OTHER_LOAD_STALE_S:
--- a/persimmonhold/forwarding/_decoded_response_head.py
+++ b/persimmonhold/forwarding/_decoded_response_head.py
@@ -16,7 +16,11 @@
     model or adapter. `process` names the process that answered, if known.
     `limit_per_s` is how many requests a second the upstream accepts from all
     VMs together, or None if it states no limit; `is_limit_readable` is False
-    if it states one that is not a number.
+    if it states one that is not a number. `is_leaving` means that the process
+    that answered is about to end. `turned_away_s` is for how many seconds it
+    wants no requests of this VM, or None if it does not state so.
+    `unusual_statements` are those of the last two that are malformed or
+    repeated, and were read with caution.
     """
 
     status: int
@@ -28,3 +32,6 @@
     is_event_stream: bool = False
     limit_per_s: float | None = None
     is_limit_readable: bool = True
+    is_leaving: bool = False
+    turned_away_s: float | None = None
+    unusual_statements: tuple[str, ...] = ()
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -27,7 +27,7 @@
 from persimmonhold.forwarding._resumable_event_framer import (
     ResumableEventFramer,
 )
-from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.forwarding._statement_recorder import StatementRecorder
 from persimmonhold.quarantine import PROOF_S
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import (
@@ -245,13 +245,10 @@
         Returns None if a used connection was closed without a response.
         """
         sent_at = self.services.hub.clock()
-        if sent_at > self.usable_until:
-            connection.mark_failed('permit expired')
-            return AttemptResult(
-                end=AttemptEnd.limited,
-                may_have_run=False,
-                detail='permit expired',
-            )
+        unsendable = self._check_sending(sent_at)
+        if unsendable is not None:
+            connection.mark_failed(unsendable.detail)
+            return unsendable
         self.has_written = True
         sent = await connection.send_request(self._build_client_request())
         if isinstance(sent, Failed) and connection.bytes_written == 0:
@@ -267,38 +264,32 @@
             self.head,
             self.request.dispatch_request.profile.request_id,
         )
+        StatementRecorder(self.services, self.action.upstream).record(
+            decoded_head, sent_at
+        )
         if not decoded_head.is_for_request:
             connection.mark_failed('response to another request')
             return _failed_result(
                 AttemptEnd.failed, 'response to another request'
             )
-        self._record_stated_limit(decoded_head, sent_at)
         return await self._read_response(connection, decoded_head)
 
-    def _record_stated_limit(
-        self, decoded_head: DecodedResponseHead, sent_at: float
-    ) -> None:
-        """Record the request limit that the upstream states in a response.
-
-        One that is not a number neither sets nor ends a limit.
-        """
-        upstream = self.action.upstream
-        if decoded_head.process not in {'', upstream.name}:
-            return
-        if decoded_head.is_limit_readable:
-            self.services.hub.record_stated_limit(
-                upstream.process_key, decoded_head.limit_per_s, sent_at
-            )
-            return
-        now = self.services.hub.clock()
-        left_out = self.services.sampler.admit('unreadable_limit', now)
-        if left_out is not None:
-            log_event(
-                'unreadable_limit',
-                LogLevel.warning,
-                upstream=upstream.name,
-                left_out=left_out,
+    def _check_sending(self, now: float) -> AttemptResult | None:
+        """Return why the request must not be sent any more, or None."""
+        if not self.services.hub.sparing.accepts_sending(
+            self.action.upstream.name
+        ):
+            if self.has_written:
+                # It was sent on a pooled connection, which was then closed.
+                return _failed_result(AttemptEnd.failed, 'not sent again')
+            return build_spared_result()
+        if now > self.usable_until:
+            return AttemptResult(
+                end=AttemptEnd.limited,
+                may_have_run=False,
+                detail='permit expired',
             )
+        return None
 
     async def _read_response(
         self,
@@ -438,6 +429,15 @@
         )
 
 
+def build_spared_result() -> AttemptResult:
+    """Return the result of an attempt that its upstream does not want."""
+    return AttemptResult(
+        end=AttemptEnd.spared,
+        may_have_run=False,
+        detail='the upstream wants no new requests',
+    )
+
+
 def _unreachable_result(detail: str) -> AttemptResult:
     return AttemptResult(
         end=AttemptEnd.unreachable,
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -73,7 +73,7 @@
             adapter.bounds.retries,
             rng,
         )
-        self.hub = ForwardHub(dispatcher, clock)
+        self.hub = ForwardHub(dispatcher, clock, metrics)
         self.fleet_client = FleetClient(
             self.hub,
             vm,
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -25,7 +25,8 @@
 )
 from persimmonhold.forwarding._attempt_result import AttemptResult
 from persimmonhold.forwarding._fleet_view_log import FleetViewLog
-from persimmonhold.observability import log_event
+from persimmonhold.forwarding._sparing_recorder import SparingRecorder
+from persimmonhold.observability import Metrics, log_event
 from persimmonhold.quarantine import (
     PromptEvidence,
     QuarantineUpdate,
@@ -48,6 +49,7 @@
         'quarantine',
         'request_numbers',
         'request_waiting',
+        'sparing',
         'timer',
         'view_log',
         'waiters',
@@ -57,6 +59,7 @@
         self,
         dispatcher: ForwardDispatcher,
         clock: Callable[[], float],
+        metrics: Metrics | None = None,
     ) -> None:
         """Create a hub without any request."""
         self.dispatcher = dispatcher
@@ -68,6 +71,7 @@
         self.waiters: dict[int, asyncio.Future[ForwardAction]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.view_log = FleetViewLog(clock())
+        self.sparing = SparingRecorder(dispatcher, clock, metrics or Metrics())
 
     def submit_request(
         self, dispatch_request: DispatchRequest
@@ -154,6 +158,7 @@
         """Return a report of the load, and the demand since the last call."""
         now = self.clock()
         self.view_log.log_if_due(self.dispatcher, now)
+        self.sparing.log_changes()
         report = self.demand_meter.build_report(self.dispatcher, now)
         return msgspec.structs.replace(
             report, quarantine_version=self.quarantine.version
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -20,7 +20,10 @@
     AttemptResult,
     CompleteResponse,
 )
-from persimmonhold.forwarding._forward_attempt import ForwardAttempt
+from persimmonhold.forwarding._forward_attempt import (
+    ForwardAttempt,
+    build_spared_result,
+)
 from persimmonhold.forwarding._forward_request import ForwardRequest
 from persimmonhold.forwarding._forward_response_writer import (
     ForwardResponseWriter,
@@ -149,6 +152,8 @@
             if wait_s:
                 return _build_limited_result(limit, wait_s)
             usable_until = asked_at + _PERMIT_VALIDITY_S
+        if not self.services.hub.sparing.accepts_sending(action.upstream.name):
+            return build_spared_result()
         attempt = ForwardAttempt(
             self.services,
             self.request,
@@ -220,6 +225,9 @@
             return False
         # A complete response cannot continue a stream that has begun.
         if result.response is not None and not self.response_writer.has_begun:
+            if self._is_unproven_refusal(result.response):
+                self._end_failed(result.detail)
+                return True
             if result.end is AttemptEnd.answered or not self._can_run_again:
                 self.response_writer.write_complete_response(
                     result.response.head, result.response.body
@@ -232,6 +240,15 @@
         self._end_failed(result.detail)
         return True
 
+    def _is_unproven_refusal(self, response: CompleteResponse) -> bool:
+        """Tell whether a response would promise that the request did not run.
+
+        Callers repeat a call after such a status, though its upstream has not
+        stated that the call did not run.
+        """
+        route = self.request.dispatch_request.route
+        return not route.is_repeatable and response.head.status == _UNAVAILABLE
+
     @property
     def _can_run_again(self) -> bool:
         """Tell whether the request may go to another upstream."""
--- /dev/null
+++ b/persimmonhold/forwarding/_statement_recorder.py
@@ -0,0 +1,93 @@
+"""Records what the head of a response states about its upstream."""
+
+from typing import final
+
+from persimmonhold.fleet import UpstreamFacts
+from persimmonhold.forwarding._decoded_response_head import (
+    DecodedResponseHead,
+)
+from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.observability import LogLevel, log_event
+
+
+@final
+class StatementRecorder:
+    """Records the statements in responses to requests to one upstream."""
+
+    __slots__ = ('services', 'upstream')
+
+    def __init__(
+        self, services: ForwardServices, upstream: UpstreamFacts
+    ) -> None:
+        """Create the recorder of an attempt at an upstream."""
+        self.services = services
+        self.upstream = upstream
+
+    def record(self, decoded_head: DecodedResponseHead, sent_at: float) -> None:
+        """Record the statements in the response to a request sent then."""
+        if decoded_head.is_for_request:
+            self._record_limit(decoded_head, sent_at)
+        self._record_availability(decoded_head)
+
+    def _record_limit(
+        self, decoded_head: DecodedResponseHead, sent_at: float
+    ) -> None:
+        """Record the request limit that the upstream states in a response.
+
+        One that is not a number neither sets nor ends a limit.
+        """
+        if decoded_head.process not in {'', self.upstream.name}:
+            return
+        if decoded_head.is_limit_readable:
+            self.services.hub.record_stated_limit(
+                self.upstream.process_key, decoded_head.limit_per_s, sent_at
+            )
+            return
+        left_out = self._sample('unreadable_limit')
+        if left_out is not None:
+            log_event(
+                'unreadable_limit',
+                LogLevel.warning,
+                upstream=self.upstream.name,
+                left_out=left_out,
+            )
+
+    def _record_availability(self, decoded_head: DecodedResponseHead) -> None:
+        """Record whether the process that answered wants no new requests.
+
+        A late response to another request counts only if it names its process.
+        """
+        if not decoded_head.is_for_request and not decoded_head.process:
+            return
+        process = self.upstream.process_key
+        if decoded_head.process not in {'', self.upstream.name}:
+            process = self.services.hub.sparing.find_process(
+                decoded_head.process
+            )
+        self.services.hub.sparing.record_response(
+            process,
+            is_leaving=decoded_head.is_leaving,
+            turned_away_s=decoded_head.turned_away_s,
+        )
+        for statement in decoded_head.unusual_statements:
+            self._log_unusual(statement, process[0], decoded_head)
+
+    def _log_unusual(
+        self, statement: str, upstream: str, decoded_head: DecodedResponseHead
+    ) -> None:
+        """Log a statement that was read with caution, and how."""
+        left_out = self._sample(f'unusual_{statement}')
+        if left_out is not None:
+            log_event(
+                'unusual_statement',
+                LogLevel.warning,
+                upstream=upstream,
+                statement=statement,
+                is_leaving=decoded_head.is_leaving,
+                turned_away_s=decoded_head.turned_away_s,
+                left_out=left_out,
+            )
+
+    def _sample(self, kind: str) -> int | None:
+        """Return how many lines of a kind were left out; None for this one."""
+        return self.services.sampler.admit(kind, self.services.hub.clock())
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -20,6 +20,18 @@
     help_text='Further attempts by the reason for which the last one failed.',
     labels=('reason',),
 )
+SPARINGS_BEGUN: Final = MetricSpec(
+    name='persimmonhold_sparings_begun_total',
+    kind=MetricKind.counter,
+    help_text='Times an entry began to send an upstream no new requests.',
+    labels=('cause',),
+)
+SPARINGS_ENDED: Final = MetricSpec(
+    name='persimmonhold_sparings_ended_total',
+    kind=MetricKind.counter,
+    help_text='Times an entry began to send new requests again, or it left.',
+    labels=('cause',),
+)
 REQUESTS: Final = MetricSpec(
     name='persimmonhold_requests_total',
     kind=MetricKind.counter,
@@ -97,6 +109,8 @@
 METRIC_TABLE: Final = (
     REFUSALS,
     RETRIES,
+    SPARINGS_BEGUN,
+    SPARINGS_ENDED,
     REQUESTS,
     FIRST_TOKEN,
     TOKEN_GAP,
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -22,9 +22,15 @@
 )
 
 _MISDIRECTED_STATUS: Final = 421
+_UNAVAILABLE_STATUS: Final = 503
 _EVENT_STREAM: Final = 'text/event-stream'
 _MAX_PROMPT_PARTS: Final = 64  # usual prompts have three or four
 _MAX_PART_ID_CHARS: Final = 64
+_LEAVING_VALUE: Final = '1'
+# An upstream that asks for more is tried again after this time.
+_MAX_TURNED_AWAY_S: Final = 3600.0
+# Used where an upstream turns a request away for a time that cannot be read.
+_UNREADABLE_TURNED_AWAY_S: Final = 1.0
 
 
 @final
@@ -94,7 +100,11 @@
         echoed = head.header(names.REQUEST_ID)
         not_run = is_misdirected or bool(head.header(names.NOT_RUN))
         stated_limit = head.header(names.REQUEST_LIMIT)
-        limit_per_s = _parse_limit_per_s(stated_limit)
+        limit_per_s = _parse_quantity(stated_limit)
+        leaving = _split_values(head, names.LEAVING)
+        pauses: tuple[str, ...] = ()
+        if head.status == _UNAVAILABLE_STATUS:
+            pauses = _split_values(head, names.RETRY_AFTER)
         return DecodedResponseHead(
             status=head.status,
             is_for_request=echoed == request_id or (not_run and not echoed),
@@ -107,6 +117,9 @@
             ),
             limit_per_s=limit_per_s,
             is_limit_readable=limit_per_s is not None or not stated_limit,
+            is_leaving=_LEAVING_VALUE in leaving,
+            turned_away_s=_decode_pause_s(pauses) if pauses else None,
+            unusual_statements=_name_unusual(leaving, pauses),
         )
 
     def build_refusal_headers(self, retry_after_s: float | None) -> Headers:
@@ -149,12 +162,52 @@
     return tuple(filter(None, ids))
 
 
-def _parse_limit_per_s(text: str) -> float | None:
-    """Return the requests a second, or None if there is no valid number."""
+def _parse_quantity(text: str) -> float | None:
+    """Return a finite number from 0, or None if the text is not one."""
     try:
-        limit_per_s = float(text)
+        number = float(text)
     except ValueError:
         return None
-    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+    if not math.isfinite(number) or number < 0:
         return None
-    return limit_per_s
+    return number
+
+
+def _split_values(head: ResponseHead, name: str) -> tuple[str, ...]:
+    """Return all values of a header, however often it is repeated."""
+    wanted = name.encode('ascii')
+    return tuple(
+        part.strip()
+        for found, text in head.headers
+        if found == wanted
+        for part in text.decode('latin-1').split(',')
+    )
+
+
+def _decode_pause_s(values: tuple[str, ...]) -> float:
+    """Return for how many seconds an upstream wants no requests.
+
+    Of repeated values the longest readable one counts.
+    """
+    seconds = [
+        parsed_s
+        for parsed_s in map(_parse_quantity, values)
+        if parsed_s is not None
+    ]
+    longest_s = max(seconds, default=_UNREADABLE_TURNED_AWAY_S)
+    return min(_MAX_TURNED_AWAY_S, longest_s)
+
+
+def _name_unusual(
+    leaving: tuple[str, ...], pauses: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Name the statements that are not one plain value within its bounds."""
+    unusual: list[str] = []
+    if leaving and leaving != (_LEAVING_VALUE,):
+        unusual.append('leaving')
+    if pauses:
+        parsed_s = _parse_quantity(pauses[0])
+        is_plain = len(pauses) == 1 and parsed_s is not None
+        if not is_plain or not 0 < (parsed_s or 0) <= _MAX_TURNED_AWAY_S:
+            unusual.append('turned_away_s')
+    return tuple(unusual)
--- a/persimmonhold/platform/_names.py
+++ b/persimmonhold/platform/_names.py
@@ -16,6 +16,7 @@
 RETRY_AFTER: Final = 'retry-after'
 # Requests a second that an upstream accepts from all VMs together.
 REQUEST_LIMIT: Final = 'server-limit'
+LEAVING: Final = 'server-leaving'  # `1`: the upstream is about to end
 
 # Headers that a caller cannot pass to an upstream: this system sets or omits
 # them.
--- a/tests/forwarding_harness.py
+++ b/tests/forwarding_harness.py
@@ -19,6 +19,7 @@
 from persimmonhold.fleet import (
     FleetOrder,
     ForwardDispatcher,
+    HeldModel,
     ListedUpstream,
     OrderVerdict,
     RetryBounds,
@@ -35,7 +36,12 @@
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import Metrics
 from persimmonhold.platform._dialect import PlatformDialect
-from persimmonhold.routes import RouteKind, RoutingDocument, ServiceSpec
+from persimmonhold.routes import (
+    EngineSpec,
+    RouteKind,
+    RoutingDocument,
+    ServiceSpec,
+)
 from persimmonhold.web import (
     Address,
     ClientRequest,
@@ -108,11 +114,15 @@
         self.upstreams: list[ScriptedUpstream] = []
         self.raw_upstreams: list[RawUpstream] = []
         self.leaving: set[str] = set()
+        self.births: dict[str, int] = {}
+        self.models: tuple[HeldModel, ...] = ()
         self.request_numbers = itertools.count(1)
         self.control = FakeControlLink(ControlStateMachine())
+        metrics = Metrics()
         self.hub = ForwardHub(
             ForwardDispatcher('d1', RetryBounds(), random.Random(1)),
             clock,
+            metrics,
         )
         network = MemoryNetwork(1)
         transport = network.create_transport('vm1')
@@ -129,7 +139,7 @@
             fleet,
             self.control,
             PlatformDialect(),
-            Metrics(),
+            metrics,
         )
         self.set_route(RouteKind.idempotent)
         self.server = HttpServer(
@@ -158,13 +168,14 @@
         attempts: int = 1,
         resumable: bool = False,
         timeout_ms: float = 5000,
+        engine: EngineSpec | None = None,
     ) -> None:
-        """Replace the routes by one route of a service without models."""
+        """Replace the routes by one route; its service may run models."""
         route = make_route(kind, resumable=resumable, attempts=attempts)
         document = RoutingDocument(
             version=self.control.view.routes.version + 1,
             routes=(msgspec.structs.replace(route, timeout_ms=timeout_ms),),
-            services=(ServiceSpec(name='models'),),
+            services=(ServiceSpec(name='models', engine=engine),),
         )
         self._set_document(document)
 
@@ -231,7 +242,9 @@
                 address=upstream.address,
                 failure_domain='d1',
                 slots=8,
+                born_ms=self.births.get(upstream.name, 0),
                 is_leaving=upstream.name in self.leaving,
+                models=self.models,
             )
             for upstream in running
         ]
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -66,6 +66,10 @@
         self.arrivals: list[tuple[float, str]] = []
         self.told_at: dict[str, float] = {}
         self.is_full = False
+        self.leaving_told_at: dict[str, float] = {}
+        self.tells_leaving_to: set[str] = set()
+        self.turned_away_s: float | None = None
+        self.turned_away_at: dict[str, float] = {}
 
     def count_told(self, until: float) -> int:
         """Count the arrivals in a window from VMs that had been told."""
@@ -81,6 +85,34 @@
         counts = [self.count_told(at) for at, _ in self.arrivals if at > since]
         return max(counts, default=0) - allowed
 
+    def tell_availability(self, entry: str, hub: ForwardHub) -> bool:
+        """Have a response tell an entry whether new requests are wanted.
+
+        Returns whether the upstream turned the request away.
+        """
+        is_leaving = entry in self.tells_leaving_to
+        if is_leaving:
+            self.leaving_told_at.setdefault(entry, hub.clock())
+        if self.turned_away_s is not None:
+            self.turned_away_at.setdefault(entry, hub.clock())
+        hub.sparing.record_response(
+            (self.name, self.born_ms),
+            is_leaving=is_leaving,
+            turned_away_s=self.turned_away_s,
+        )
+        return self.turned_away_s is not None
+
+    def count_after(self, told_at: dict[str, float], until_s: float) -> int:
+        """Count the requests of VMs from when they were told, for so long.
+
+        A request that was on its way then does not count.
+        """
+        return sum(
+            told_at[vm] + 2 * _LINK_DELAY_S < at < told_at[vm] + until_s
+            for at, vm in self.arrivals
+            if vm in told_at
+        )
+
     def count_arrivals(self, since: float, until: float) -> int:
         """Count all arrivals between two times."""
         return sum(since < at <= until for at, _ in self.arrivals)
@@ -387,7 +419,7 @@
         hub.record_stated_limit(
             self.action.upstream.process_key, limit_per_s, sent_at
         )
-        if upstream.is_full:
+        if upstream.tell_availability(entry, hub) or upstream.is_full:
             return AttemptResult(end=AttemptEnd.full, may_have_run=False)
         head = ResponseHead(status=200, headers=())
         return AttemptResult(
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -46,3 +46,25 @@
 def test_lines_without_json_are_ignored() -> None:
     lines = parse_lines('vm', ['panic', '{"at":1}', '  1.0 vm {broken'])
     assert_that(lines, Equals([]))
+
+
+@pytest.mark.parametrize(
+    ('cause', 'reason', 'expected'),
+    [
+        ('turned_away', 'upstreams_turned_away', 'turned requests of this'),
+        ('leaving', 'upstreams_leaving', 'stated that it leaves'),
+    ],
+)
+def test_spared_upstreams_are_named_as_the_cause(
+    cause: str, reason: str, expected: str
+) -> None:
+    logged = (
+        f'{{"at":1,"event":"sparing_begins","upstream":"u1","cause":"{cause}"}}',
+        '{"at":1,"event":"attempt","request_id":"r1","upstream":"u1",'
+        '"end":"full","detail":"status 503"}',
+        f'{{"at":2,"event":"request","request_id":"r1","outcome":"{reason}",'
+        '"total_ms":900}',
+    )
+    explanation = RequestExplanation('r1', parse_lines('vm', logged))
+    assert_that(explanation.cause, Contains(expected))
+    assert_that(explanation.format_text(), Contains('sparing_begins'))
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -25,6 +25,7 @@
     'pin-ms',
     'prefix-hash',
     'request-urgency',
+    'server-leaving',
     'server-limit',
     'server-signature',
     'target-itl-ms',
