Tell all entries of an upstream that stated to one that it leaves

Callers of the other entries were still sent there until each of them had a response of that upstream itself, and a restarted entry began to send again.

Now an entry reports such processes until the facts show them as leaving. The fleet controller marks them so, by name and start time, and plans their models and adapters as for upstreams that the list shows as leaving; the next updates, sent at once, bring it to all entries. A new controller is told again, as its facts do not show it.

--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -24,6 +24,7 @@
     'sparing_begins',
     'sparing_ends',
     'stopped',
+    'upstream_leaving_reported',
     'upstream_limit',
     'upstream_limit_reported',
 ))
--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -71,6 +71,7 @@
             loads=_build_own_loads(dispatcher),
             demand=demand,
             limits=_build_limits(dispatcher, now),
+            leaving=_list_leaving(dispatcher),
         )
 
 
@@ -110,3 +111,17 @@
         for tracker in dispatcher.chooser.trackers.values()
         if tracker.limit.observation is not None
     )
+
+
+def _list_leaving(
+    dispatcher: ForwardDispatcher,
+) -> tuple[tuple[str, int], ...]:
+    """Return the leaving processes that the facts do not show as such."""
+    chooser = dispatcher.chooser
+    return tuple(
+        (name, sparing.view.born_ms)
+        for name, sparing in chooser.spared.in_force.items()
+        if sparing.view.is_leaving
+        and name in chooser.trackers
+        and not chooser.trackers[name].facts.is_leaving
+    )
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -28,7 +28,8 @@
     `departures` maps upstreams that have left the list to the change number of
     their departure. Departures up to `departures_dropped_to` are no longer
     stored. `failure_counts` counts failed report requests in a row. `limits`
-    are the request limits that upstreams state.
+    are the request limits that upstreams state. `stated_leaving` maps those
+    that stated to an entry that they leave to the start of that process.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         'last_change_number',
         'limits',
         'reported_leaving',
+        'stated_leaving',
     )
 
     def __init__(self) -> None:
@@ -56,6 +58,7 @@
         self.failure_counts: dict[str, int] = {}
         self.reported_leaving: set[str] = set()
         self.limits = RequestLimits()
+        self.stated_leaving: dict[str, int] = {}
 
     def apply_list(
         self,
@@ -78,6 +81,7 @@
             self.change_numbers.pop(name)
             self.failure_counts.pop(name, None)
             self.reported_leaving.discard(name)
+            self.stated_leaving.pop(name, None)
             self.last_change_number += 1
             self.departures[name] = self.last_change_number
         return gone
@@ -95,6 +99,28 @@
         if is_leaving:
             self.reported_leaving.add(name)
 
+    def record_stated_leaving(
+        self, processes: Iterable[tuple[str, int]]
+    ) -> tuple[str, ...]:
+        """Record which processes stated to an entry that they leave.
+
+        Their models are planned as those of upstreams that the list shows as
+        leaving. Returns the upstreams of which that was not known; ignores
+        those that have been replaced or are not on the list.
+        """
+        changed: list[str] = []
+        for name, born_ms in processes:
+            facts = self.by_upstream.get(name)
+            if facts is None or facts.is_leaving:
+                continue
+            self.stated_leaving[name] = born_ms
+            if self._has_stated_leaving(facts):
+                changed.append(name)
+                self._store_facts(
+                    msgspec.structs.replace(facts, is_leaving=True)
+                )
+        return tuple(changed)
+
     def refresh_all(self, ledgers: dict[str, UpstreamLedger]) -> None:
         """Update the facts about all listed upstreams."""
         for name in self.listed:
@@ -108,6 +134,8 @@
             limit_per_s = self.limits.find_limit(facts.process_key)
             if limit_per_s is not None:
                 facts = msgspec.structs.replace(facts, limit_per_s=limit_per_s)
+            if self._has_stated_leaving(facts):
+                facts = msgspec.structs.replace(facts, is_leaving=True)
             self._store_facts(facts)
 
     def find_limits(
@@ -155,6 +183,21 @@
         self.change_numbers[facts.name] = self.last_change_number
         self.departures.pop(facts.name, None)
 
+    def _has_stated_leaving(self, facts: UpstreamFacts) -> bool:
+        """Tell whether the process of the facts stated that it leaves.
+
+        An unknown start time is that of the same process, until a report
+        tells it.
+        """
+        born_ms = self.stated_leaving.get(facts.name)
+        if born_ms is None:
+            return False
+        if 0 < born_ms < facts.born_ms:
+            self.stated_leaving.pop(facts.name)
+            return False
+        self.stated_leaving[facts.name] = max(born_ms, facts.born_ms)
+        return True
+
     def _merge_facts(
         self,
         listed: ListedUpstream,
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -106,6 +106,8 @@
     `sequence` increases with each report. `limits` are the request limits of
     upstreams that the facts sent to this entry may not include yet.
     `quarantine_version` is that of the last `QuarantineUpdate` of the term.
+    `leaving` are the processes of upstreams, by name and start time, that
+    stated to this entry that they leave and that the facts do not show so.
     """
 
     term: int
@@ -115,6 +117,7 @@
     demand: tuple[ModelDemand, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
     quarantine_version: int = 0
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 @final
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -175,8 +175,8 @@
             self.work_log.report_count += 1
             term.controller.demand.record_report(peer, message, self.clock())
             self.quarantine_server.check_report(term.controller, peer, message)
-            if self.permit_server.record_limits(
-                term.controller, peer, message.limits
+            if self.permit_server.record_statements(
+                term.controller, peer, message
             ):
                 self._request_updates(term)
             if term.controller.has_unmet_demand(message):
--- a/persimmonhold/forwarding/_permit_server.py
+++ b/persimmonhold/forwarding/_permit_server.py
@@ -1,19 +1,19 @@
 """Issues the permits for requests to upstreams that have a request limit."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import final
 
 import msgspec
 
 from persimmonhold.control.shell import ControlNode
-from persimmonhold.fleet import FleetController, PermitRequest, StatedLimit
+from persimmonhold.fleet import EntryReport, FleetController, PermitRequest
 from persimmonhold.observability import log_event
 from persimmonhold.transport import Channel, Transport
 
 
 @final
 class PermitServer:
-    """Records the limits that entries observe, and answers their requests.
+    """Records what upstreams stated to entries, and answers their requests.
 
     Permits do not wait for the order lease: the buckets of a new controller
     are empty, and it was elected after the last leader lost its quorum.
@@ -32,14 +32,18 @@
         self.transport = transport
         self.clock = clock
 
-    def record_limits(
-        self,
-        controller: FleetController,
-        entry: str,
-        limits: Iterable[StatedLimit],
+    def record_statements(
+        self, controller: FleetController, entry: str, report: EntryReport
     ) -> bool:
-        """Record what an entry observed; tell whether a limit changed."""
-        changed = controller.facts.limits.record_stated(limits, self.clock())
+        """Record what upstreams stated to an entry; tell whether it is new."""
+        leaving = controller.facts.record_stated_leaving(report.leaving)
+        for upstream in leaving:
+            log_event(
+                'upstream_leaving_reported', entry=entry, upstream=upstream
+            )
+        changed = controller.facts.limits.record_stated(
+            report.limits, self.clock()
+        )
         for one in changed:
             log_event(
                 'upstream_limit_reported',
@@ -48,7 +52,7 @@
                 limit_per_s=one.per_s,
                 age_s=round(one.received_age_s, 2),
             )
-        return bool(changed)
+        return bool(changed or leaving)
 
     def answer_request(
         self,
