--- a/persimmonhold/fleet/_first_event.py
+++ b/persimmonhold/fleet/_first_event.py
@@ -4,6 +4,7 @@
 
 from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
+from persimmonhold.fleet._response_times import ResponseTimes
 from persimmonhold.fleet._upstream_tracker import UpstreamTracker
 
 _FIXED_OVERHEAD_S: Final = 0.012  # a connection and two batch steps
@@ -27,7 +28,9 @@
     """
     excess = tracker.total_running(now) + 1 - tracker.facts.slots
     wait_s = (
-        max(0, excess) * tracker.average_attempt_s / max(1, tracker.facts.slots)
+        max(0, excess)
+        * tracker.response_times.average_attempt_s
+        / max(1, tracker.facts.slots)
     )
     unread = tracker.total_unread_tokens(now) + request.profile.prompt_tokens
     read_s = unread / PROMPT_TOKENS_PER_S
@@ -36,27 +39,25 @@
     )
     adapter_s = _ADAPTER_LOAD_S if needs_adapter else 0
     processing_s = (_FIXED_OVERHEAD_S + read_s) * _clamp_slowdown(
-        tracker.slowdown
+        tracker.response_times.slowdown
     )
     return processing_s + wait_s + domain_hop_s + adapter_s
 
 
 def predict_response_s(
-    tracker: UpstreamTracker, usual_s: float, now: float
+    times: ResponseTimes, usual_s: float, now: float
 ) -> float:
     """Return the expected seconds to the response of a plain service.
 
     An upstream that was not tried lately is expected to need `usual_s`, like
     the others of its service.
     """
-    if tracker.is_untried(now):
-        return usual_s
-    return learned_response_s(tracker)
+    return usual_s if times.is_untried(now) else learned_response_s(times)
 
 
-def learned_response_s(tracker: UpstreamTracker) -> float:
+def learned_response_s(times: ResponseTimes) -> float:
     """Return the seconds to a response as learned, however long ago."""
-    return tracker.average_attempt_s * _clamp_slowdown(tracker.slowdown)
+    return times.average_attempt_s * _clamp_slowdown(times.slowdown)
 
 
 def _clamp_slowdown(slowdown: float) -> float:
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -21,12 +21,10 @@
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._request_queue import PendingRequest
+from persimmonhold.fleet._response_times import INITIAL_ATTEMPT_S
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
-from persimmonhold.fleet._upstream_tracker import (
-    INITIAL_ATTEMPT_S,
-    UpstreamTracker,
-)
+from persimmonhold.fleet._upstream_tracker import UpstreamTracker
 from persimmonhold.sparing import SparedUpstreams, SparingCause
 
 # The upstream, the expected seconds to the first event, and whether the adapter
@@ -171,7 +169,7 @@
         """
         best: Choice | None = None
         best_score = float('inf')
-        usual_s = self._usual_response_s(pending.request)
+        usual_s = _usual_response_s(self._candidates(pending.request))
         for tracker in self._candidates(pending.request):
             if not self._has_place(tracker, pending, own_waiting, now):
                 continue
@@ -187,7 +185,7 @@
                     needs_adapter=needs_adapter,
                 )
                 if pending.request.is_engine
-                else predict_response_s(tracker, usual_s, now)
+                else predict_response_s(tracker.response_times, usual_s, now)
             )
             score = expected_s + _JITTER_S * self.rng.random()
             score += (
@@ -343,17 +341,6 @@
             )
         return self.by_service.get(request.service, ())
 
-    def _usual_response_s(self, request: DispatchRequest) -> float:
-        """Return the least response time learned of a plain service."""
-        if request.is_engine:
-            return 0
-        learned = (
-            learned_response_s(tracker)
-            for tracker in self._candidates(request)
-            if tracker.has_been_tried
-        )
-        return min(learned, default=INITIAL_ATTEMPT_S)
-
     def _merge_listed_upstream(self, listed: ListedUpstream) -> UpstreamFacts:
         """Return the facts about a listed upstream.
 
@@ -431,3 +418,13 @@
         return held is None or not tracker.has_adapter(
             held, profile.adapter, now
         )
+
+
+def _usual_response_s(trackers: Iterable[UpstreamTracker]) -> float:
+    """Return the least response time learned of upstreams of one service."""
+    learned = (
+        learned_response_s(tracker.response_times)
+        for tracker in trackers
+        if tracker.response_times.has_been_tried
+    )
+    return min(learned, default=INITIAL_ATTEMPT_S)
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -15,6 +15,7 @@
 from persimmonhold.fleet._held_model import HeldModel
 from persimmonhold.fleet._request_limit_view import RequestLimitView
 from persimmonhold.fleet._request_profile import RequestProfile
+from persimmonhold.fleet._response_times import ResponseTimes
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.sparing import SparingView
@@ -31,15 +32,6 @@
 # leader sends it within a second.
 _OTHER_LOAD_STALE_S: Final = 2.0
 _FAILURE_SMOOTHING: Final = 0.2  # weight of the latest attempt
-# Bounds of the ratio of measured to expected time to a first byte; they keep
-# one stalled response from dominating the average.
-_MAX_RATIO: Final = 10.0
-_MIN_RATIO: Final = 0.1
-_RESPONSE_SMOOTHING: Final = 0.2  # weight of the latest response
-INITIAL_ATTEMPT_S: Final = 0.1  # expected duration before any response
-# How long response times count after the last attempt. Without attempts there
-# is no other way to learn that an upstream is no longer slow.
-_RESPONSE_MEMORY_S: Final = 4.0
 # These outcomes say nothing about the health of the upstream.
 _NO_FAILURE: Final = frozenset((
     AttemptEnd.cancelled,
@@ -56,7 +48,7 @@
 class RunningRequest:
     """An attempt in progress at an upstream.
 
-    `is_trial` tells that it is the first after `_RESPONSE_MEMORY_S`.
+    `is_trial` tells that response times learned before it are outdated.
     """
 
     __slots__ = (
@@ -91,16 +83,15 @@
 class UpstreamTracker:
     """Facts, load and health of one upstream, as seen by one entry.
 
-    `running` holds the attempts of this entry by request number. `slowdown` is
-    the average ratio of the measured to the expected time to a first byte.
+    `running` holds the attempts of this entry by request number.
     `absent_until` maps `MODEL` or `MODEL/ADAPTER` to the time until which it is
     assumed to be absent. `adapters_assumed_until` maps (model, adapter) to the
     time until which the adapter is assumed to be loaded. `failure_rate` is a
     moving average of the share of failed attempts. `limit` is its request
     limit, and `sparing` what it stated about new requests. No adapter is loaded
-    there before `adapter_loads_paused_until`. The last attempt of a plain
-    request was at `last_attempt_at`. The upstream gets no requests before
-    `paused_until`, nor before `full_until` after it refused a request as full.
+    there before `adapter_loads_paused_until`. The upstream gets no requests
+    before `paused_until`, nor before `full_until` after it refused a request
+    as full.
     """
 
     __slots__ = (
@@ -111,15 +102,13 @@
         'failure_rate',
         'free_places',
         'full_until',
-        'last_attempt_at',
         'limit',
         'other_load',
         'other_load_at',
         'pause_count',
         'paused_until',
-        'average_attempt_s',
+        'response_times',
         'running',
-        'slowdown',
         'sparing',
     )
 
@@ -134,20 +123,13 @@
         self.full_until = -math.inf
         self.paused_until = -math.inf
         self.pause_count = 0
-        self.average_attempt_s = INITIAL_ATTEMPT_S
-        self.last_attempt_at = -math.inf
-        self.slowdown = 1.0
+        self.response_times = ResponseTimes()
         self.absent_until: dict[str, float] = {}
         self.other_load = SharedLoad(facts.name, 0, 0)
         self.other_load_at = -math.inf
         self.free_places = FreePlaces(0, 0, 0)
         self.limit = RequestLimitView()
 
-    @property
-    def has_been_tried(self) -> bool:
-        """Whether the process was sent a plain request by this entry."""
-        return math.isfinite(self.last_attempt_at)
-
     @property
     def own_unread_tokens(self) -> int:
         """The prompt tokens of this entry that the upstream has not read."""
@@ -188,7 +170,7 @@
             self.failure_rate = 0
             self.pause_count = 0
             self.paused_until = -math.inf
-            self.last_attempt_at = -math.inf
+            self.response_times.last_attempt_at = -math.inf
             self.adapters_assumed_until.clear()
         self.facts = facts
         self.limit.apply_facts(facts.limit_per_s, now)
@@ -238,10 +220,6 @@
             return False
         return not self._is_paused(now)
 
-    def is_untried(self, now: float) -> bool:
-        """Tell whether no attempt was made within `_RESPONSE_MEMORY_S`."""
-        return now - self.last_attempt_at > _RESPONSE_MEMORY_S
-
     def find_model(self, model: str, now: float) -> HeldModel | None:
         """Return the model if it is expected to be available, or None."""
         if now < self.absent_until.get(model, -math.inf):
@@ -284,15 +262,15 @@
     ) -> None:
         """Record the start of an attempt."""
         profile = request.profile
-        is_trial = not request.is_engine and self.is_untried(now)
+        times = self.response_times
+        is_trial = not request.is_engine and times.is_untried(now)
         self.running[request.number] = RunningRequest(
             profile, now, expected_s, is_trial=is_trial
         )
-        if is_trial and not self.has_been_tried:
-            self.average_attempt_s = expected_s
-            self.slowdown = 1.0
+        if is_trial and not times.has_been_tried:
+            times.replace(expected_s)
         if not request.is_engine:
-            self.last_attempt_at = now
+            times.last_attempt_at = now
         if self.limit.per_s is not None:
             self.limit.asking_number = request.number
 
@@ -303,10 +281,9 @@
             return
         running.has_response_begun = True
         self._end_trial(running)
-        if running.expected_s > 0:
-            ratio = (now - running.started_at) / running.expected_s
-            bounded = min(_MAX_RATIO, max(_MIN_RATIO, ratio))
-            self.slowdown += _RESPONSE_SMOOTHING * (bounded - self.slowdown)
+        self.response_times.record_first_byte(
+            now - running.started_at, running.expected_s
+        )
 
     def record_attempt_end(
         self,
@@ -323,10 +300,7 @@
             self.adapter_loads_paused_until = now + _ADAPTER_PAUSE_S
         if outcome is AttemptEnd.answered:
             self._end_trial(running)
-            taken_s = now - running.started_at
-            self.average_attempt_s += _RESPONSE_SMOOTHING * (
-                taken_s - self.average_attempt_s
-            )
+            self.response_times.record_answer(now - running.started_at)
             self.pause_count = 0
             self.failure_rate -= _FAILURE_SMOOTHING * self.failure_rate
         elif outcome is AttemptEnd.full:
@@ -340,8 +314,7 @@
         """Replace outdated response times by the expectation of a trial."""
         if running.is_trial:
             running.is_trial = False
-            self.average_attempt_s = running.expected_s
-            self.slowdown = 1.0
+            self.response_times.replace(running.expected_s)
 
     def _record_absence(self, request: DispatchRequest, now: float) -> None:
         """Assume that the model or adapter of a request is absent.
