Restart an entry of the simulated fleet in place of its former process

Both kept reporting under one name, so the new one got updates that it could not apply (found by a test of spared upstreams that failed once). Known faults: the price of trials of slow upstreams.

--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -211,6 +211,7 @@
         self.client = ListClient(list(self.upstreams.values()))
         self.stack = AsyncExitStack()
         self.tasks: list[asyncio.Task[Any]] = []
+        self.client_tasks: dict[str, asyncio.Task[Any]] = {}
         self.services: dict[str, ForwardServices] = {}
         self.exchanges: list[RecordedExchange] = []
         self.rng = random.Random(5)
@@ -292,7 +293,10 @@
             self.tasks.append(asyncio.create_task(self._call(name, rate)))
 
     def start_entry(self, name: str) -> None:
-        """Start an entry without any knowledge of the upstreams."""
+        """Start an entry without any knowledge of the upstreams.
+
+        It replaces a former process of that name.
+        """
         vm = self.system.vms[name].vm
         transport = self.system.network.transports[name]
         seed = self.rng.random()
@@ -310,7 +314,12 @@
             PlatformDialect(),
             Metrics(),
         )
-        self.tasks.append(asyncio.create_task(client.run()))
+        task = asyncio.create_task(client.run())
+        self.tasks.append(task)
+        former = self.client_tasks.pop(name, None)
+        if former is not None:
+            former.cancel()
+        self.client_tasks[name] = task
 
     async def disturb_leader(self, fault: str) -> None:
         """Kill, cut off or pause the leader of control for a while."""
