--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_faults.py
@@ -1,4 +1,7 @@
-"""Doubts about planned stops, each as a test; virtual time."""
+"""Faults that meet a planned stop: late loops, failed steps, cut connections.
+
+Virtual time; callers and upstreams use sockets on loopback.
+"""
 
 import asyncio
 import itertools
