--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -38,6 +38,8 @@
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
+# Callers take these statuses as a promise that the request did not run.
+_NOT_RUN_STATUSES: Final = frozenset((408, 429, _UNAVAILABLE))
 _TIMEOUT_RETRY_AFTER_S: Final = 0.3
 _MS_PER_S: Final = 1000
 # Covers a round trip to the fleet controller and a connection attempt.
@@ -247,7 +249,8 @@
         stated that the call did not run.
         """
         route = self.request.dispatch_request.route
-        return not route.is_repeatable and response.head.status == _UNAVAILABLE
+        is_promise = response.head.status in _NOT_RUN_STATUSES
+        return is_promise and not route.is_repeatable
 
     @property
     def _can_run_again(self) -> bool:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -179,6 +179,20 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_refusal_without_proof_is_no_promise_for_a_call_that_runs_once(
+    status: int,
+) -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.non_idempotent)
+        await harness.start_upstream(_answers(status))
+        answer = (await harness.send_request()).unwrap()
+        assert_that(answer.head.status, Equals(502))
+        assert_that(answer.head.header(SIGNATURE), Equals(''))
+
+    _run(scenario)
+
+
 def test_error_response_of_the_upstream_is_relayed() -> None:
     async def scenario(harness: ForwardingHarness) -> None:
         harness.set_route(RouteKind.idempotent, attempts=2)
