Soak: judge the deadline of a call from its first byte

Its entry ended it with `time_over` after 6.001 s, its deadline of 6 s: the entry counts from the head, the soak counted from the end of the body, 8 ms later. The check is as strict otherwise; a call that is cut before its deadline is found as before (tests).

--- a/bench/soak/_call.py
+++ b/bench/soak/_call.py
@@ -24,7 +24,7 @@
     """A request and what its caller saw of it.
 
     Times are of the loop, in seconds. The caller leaves after `patience_s`,
-    unless that is 0. `status` is 0 without a response head, `is_signed` tells
+    unless that is 0; it began to send at `begun_at` and ended at `sent_at`. `status` is 0 without a response head, `is_signed` tells
     whether the response is of an upstream, `problem` what is wrong with it.
     """
 
@@ -35,6 +35,7 @@
     event_count: int = 0
     patience_s: float = 0
     vm: str = ''
+    begun_at: float = 0
     sent_at: float = 0
     ended_at: float = 0
     end: CallEnd = CallEnd.pending
--- a/bench/soak/_caller.py
+++ b/bench/soak/_caller.py
@@ -62,10 +62,11 @@
         """Send a request; return whether the connection may be used again."""
         self.call_count += 1
         call = draw_call(self.rng, f'{self.name}-{self.call_count}')
+        loop = asyncio.get_running_loop()
+        call.begun_at = loop.time()
         sent = await connection.send_request(call.request)
         if isinstance(sent, Failed):
             return False
-        loop = asyncio.get_running_loop()
         call.vm = self.vms[address]
         call.sent_at = loop.time()
         self.record.calls.append(call)
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -73,7 +73,7 @@
         is_excused = (
             is_excused
             or (lasted_s <= _LOSS_SLACK_S and not runs)
-            or lasted_s >= call.deadline_s
+            or call.ended_at - call.begun_at >= call.deadline_s
             or any(run.has_broken for run in runs)
             or (stop is not None and _worked_late(record, call, stop))
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,7 @@
     """Return the record of a call that was cut at an entry in a stop."""
     values = {
         'end': CallEnd.cut,
+        'begun_at': fields.get('sent_at', _TERM_AT + 1),
         'sent_at': _TERM_AT + 1,
         'ended_at': _TERM_AT + 7,
         'deadline_s': 12,
