Accept the reports of a restarted entry at once

What callers saw: an entry that had started again within 2 s of its last report sent requests to an upstream that had told the others that it leaves (9 in 3 s).

Cause: reports were numbered from 1 in each process, and the fleet controller ignores a report with a lower number than the last one until the entry has been silent for 2 s; meanwhile it sends updates that the new process cannot apply. Evidence: on a trace, the first update was applied 2.1 s after the restart.

Now reports are numbered by the clock of the VM in ms, which goes on over restarts of the process; where it does not, the 2 s hold as before.

--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -1,6 +1,6 @@
 """Builds the demand reports of an entry for the fleet controller."""
 
-from typing import final
+from typing import Final, final
 
 from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._fleet_messages import EntryReport, StatedLimit
@@ -8,6 +8,8 @@
 from persimmonhold.fleet._model_demand import ModelDemand
 from persimmonhold.fleet._shared_load import SharedLoad
 
+_MS_PER_S: Final = 1000
+
 
 @final
 class FleetDemandMeter:
@@ -41,7 +43,8 @@
         A model that the last report showed with requests is reported again, so
         that a report with zero counts follows when its last request has ended.
         """
-        self.sequence += 1
+        # Reports of a restarted entry follow those of its former process.
+        self.sequence = max(self.sequence + 1, int(now * _MS_PER_S))
         running = _count_running(dispatcher)
         waiting = {
             key: queue
