--- a/bench/soak/_call.py
+++ b/bench/soak/_call.py
@@ -24,7 +24,8 @@
     """A request and what its caller saw of it.
 
     Times are of the loop, in seconds. The caller leaves after `patience_s`,
-    unless that is 0; it began to send at `begun_at` and ended at `sent_at`. `status` is 0 without a response head, `is_signed` tells
+    unless that is 0. The request was sent from `begun_at` to `sent_at`.
+    `status` is 0 without a response head, `is_signed` tells
     whether the response is of an upstream, `problem` what is wrong with it.
     """
 
--- a/persimmonhold/directory/_drain.py
+++ b/persimmonhold/directory/_drain.py
@@ -2,8 +2,9 @@
 
 Invariants: the phases only advance; `closing` begins no earlier than the
 directory's TTL plus a margin after the entry left the directory, unless the
-entry has to close at once. During the margin, responses carry `Connection: close`, so
-that no caller sends a request on a connection that is about to be closed.
+entry has to close at once. During the margin, responses carry
+`Connection: close`, so that no caller sends a request on a connection that is
+about to be closed.
 """
 
 from typing import Final, final
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -422,7 +422,8 @@
         It is `upstreams_turned_away` or `upstreams_leaving` if those that hold
         it stated so to this entry. Otherwise an upstream holds it but cannot
         serve the request in time: `request_limit` if all that hold it have a
-        request limit, or `no_capacity`. It is `stopping` if only the planned stop prevents it.
+        request limit, or `no_capacity`. It is `stopping` if only the planned
+        stop prevents it.
         """
         service_at = self._expected_service_at(pending, now)
         if self.send_deadline.is_stop_before(service_at, pending):
