Log which requests are repeats where an upstream cuts them (log fields only)

The logs could not tell whether the cut requests were equal, nor that a kept connection had been closed after the request was written to it: two of four ends showed failed connects only.

--- a/persimmonhold/fleet/_request_profile.py
+++ b/persimmonhold/fleet/_request_profile.py
@@ -13,7 +13,9 @@
     response may have, or 0 if unknown. `deadline_ms` is the time from arrival
     within which the caller wants the response; None if it set no limit.
     `prompt_parts` are the ids of the parts of its prompt in order; other
-    requests may share all of them but the last.
+    requests may share all of them but the last. `caller` is its address without
+    the port. `fingerprints` recognize repeats, see `fingerprint_request`; empty
+    before the body was read.
     """
 
     request_id: str
@@ -23,6 +25,8 @@
     output_tokens: int = 0
     deadline_ms: float | None = None
     prompt_parts: tuple[str, ...] = ()
+    caller: str = ''
+    fingerprints: tuple[str, ...] = ()
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -3,6 +3,7 @@
 from types import MappingProxyType
 from typing import Final, final
 
+import msgspec
 from returns.result import Failure as Failed
 
 from persimmonhold.failures import FailureKind
@@ -14,8 +15,9 @@
 from persimmonhold.forwarding._forward_runner import ForwardRunner
 from persimmonhold.forwarding._forward_services import ForwardServices
 from persimmonhold.observability import log_event
+from persimmonhold.quarantine import fingerprint_request
 from persimmonhold.routes import ForwardRoute, RouteKind, RouteTable
-from persimmonhold.web import Exchange, ExchangeHandler, Rejection
+from persimmonhold.web import Exchange, ExchangeHandler, Rejection, RequestHead
 
 _BAD_REQUEST: Final = 400
 _NOT_FOUND: Final = 404
@@ -135,7 +137,9 @@
             self._refuse(exchange, status, 'body', _RETRY_AFTER_S)
             return
         request = ForwardRequest(
-            dispatch_request=dispatch_request,
+            dispatch_request=_add_fingerprints(
+                dispatch_request, exchange.head, body.unwrap()
+            ),
             head=exchange.head,
             body=body.unwrap(),
         )
@@ -218,6 +222,19 @@
         response.write_refusal(status, reason, headers)
 
 
+def _add_fingerprints(
+    dispatch_request: DispatchRequest, head: RequestHead, body: bytes
+) -> DispatchRequest:
+    profile = dispatch_request.profile
+    fingerprints = fingerprint_request(
+        head.method, head.header('host'), head.target, profile.caller, body
+    )
+    return msgspec.structs.replace(
+        dispatch_request,
+        profile=msgspec.structs.replace(profile, fingerprints=fingerprints),
+    )
+
+
 def _caller_wait_s(route: ForwardRoute) -> float:
     """Return the seconds that a caller is expected to wait for an event.
 
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -349,6 +349,7 @@
             adapter_absent=action.needs_adapter,
             body_end=result.body_end,
             within_event=result.is_within_event,
+            kept_closed=result.is_unanswered,
         )
         if result.is_cut:
             self._log_cut(action, result)
@@ -362,6 +363,7 @@
             upstream=action.upstream.name,
             streamed_s=result.streamed_s,
             prompt_parts=profile.prompt_parts,
+            fingerprints=profile.fingerprints,
         )
 
     def _record_end(self) -> None:
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -61,6 +61,7 @@
                 prompt_parts=_parse_prompt_parts(
                     head.header(names.PROMPT_PARTS)
                 ),
+                caller=head.peer.rpartition(':')[0],
             ),
         )
 
--- a/persimmonhold/quarantine/__init__.py
+++ b/persimmonhold/quarantine/__init__.py
@@ -16,6 +16,7 @@
     PROOF_S,
     QuarantineView,
 )
+from persimmonhold.quarantine._request_fingerprint import fingerprint_request
 
 __all__ = (
     'PROOF_S',
@@ -26,4 +27,5 @@
     'QuarantinedPrompt',
     'QuarantineUpdate',
     'QuarantineView',
+    'fingerprint_request',
 )
