--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -89,6 +89,7 @@
         }
         self.client = ListClient(list(self.engines.values()))
         self.bad_parts: set[str] = set()
+        self.bad_repeats: set[tuple[str, str]] = set()
         self.bad_arrivals: list[tuple[float, str, str]] = []
         self.arrived_ids: set[str] = set()
         self.crashes: dict[str, list[float]] = {}
@@ -133,21 +134,72 @@
 
         self._start_callers(per_s, draw_parts)
 
+    async def repeat(
+        self,
+        target: str,
+        caller: str = '',
+        entry: str = '',
+        *,
+        is_bad: bool = False,
+        parts: tuple[str, ...] = (),
+    ) -> None:
+        """Send a request with a given target; a bad one crashes upstreams."""
+        if is_bad:
+            self.bad_repeats.add((target, caller))
+        entry = entry or self.rng.choice(tuple(self.services))
+        sent_at = self.now
+        exchange = await self.run_request(
+            entry, self.route, parts, target, caller
+        )
+        sent = self.bad if is_bad else self.sound
+        sent.append((sent_at, exchange))
+
+    def start_repeating(
+        self,
+        target: str,
+        per_s: float,
+        caller: str = '',
+        *,
+        is_bad: bool = False,
+        parts: tuple[str, ...] = (),
+    ) -> None:
+        """Start callers that repeat a request at any entry."""
+
+        async def send() -> None:
+            async with asyncio.TaskGroup() as group:
+                while True:
+                    await asyncio.sleep(self.rng.expovariate(per_s))
+                    group.create_task(
+                        self.repeat(target, caller, is_bad=is_bad, parts=parts)
+                    )
+
+        self.tasks.append(asyncio.create_task(send()))
+
+    def find_cause(self, request: ForwardRequest) -> str:
+        """Return the part or the target that crashes an upstream, or ''."""
+        profile = request.dispatch_request.profile
+        target = request.head.target
+        if (target, profile.caller) in self.bad_repeats:
+            return target
+        return self.find_bad_part(profile.prompt_parts)
+
     def find_bad_part(self, parts: tuple[str, ...]) -> str:
         """Return the part that crashes an upstream, or ''."""
         return next((part for part in parts if part in self.bad_parts), '')
 
-    def count_late_arrivals(self, part: str, settled_at: float = 0) -> int:
-        """Count requests that arrived `CONTACT_S` after the fifth crash.
+    def count_late_arrivals(
+        self, cause: str, settled_at: float = 0, free_crashes: int = 5
+    ) -> int:
+        """Count requests that arrived `CONTACT_S` after the last free crash.
 
         Those before `settled_at`, when a fault has ended, do not count.
         """
-        crashes = self.crashes.get(part, [])
-        if len(crashes) < 5:
+        crashes = self.crashes.get(cause, [])
+        if len(crashes) < free_crashes:
             return 0
-        since = max(crashes[4], settled_at) + CONTACT_S
+        since = max(crashes[free_crashes - 1], settled_at) + CONTACT_S
         return sum(
-            at > since for at, one, _ in self.bad_arrivals if one == part
+            at > since for at, one, _ in self.bad_arrivals if one == cause
         )
 
     def count_begun(self, since: float, until: float) -> int:
@@ -228,6 +280,8 @@
         self.entry = entry
         self.hub = hub
         self.profile = request.dispatch_request.profile
+        self.cause = world.find_cause(request)
+        self.is_stream = request.dispatch_request.route.kind is RouteKind.stream
         self.response_writer = response_writer
         self.engine = world.engines[action.upstream.name]
         self.first_event_at = 0.0
@@ -238,11 +292,10 @@
         if not self.engine.is_up:
             return AttemptResult(end=AttemptEnd.unreachable, may_have_run=False)
         self.world.arrived_ids.add(self.profile.request_id)
-        bad_part = self.world.find_bad_part(self.profile.prompt_parts)
-        if bad_part:
-            arrival = (self.world.now, bad_part, self.entry)
+        if self.cause:
+            arrival = (self.world.now, self.cause, self.entry)
             self.world.bad_arrivals.append(arrival)
-        streaming = asyncio.create_task(self._stream(bad_part))
+        streaming = asyncio.create_task(self._stream())
         ending = asyncio.create_task(self.engine.ended.wait())
         await asyncio.wait(
             (streaming, ending), return_when=asyncio.FIRST_COMPLETED
@@ -255,19 +308,22 @@
             end=AttemptEnd.failed if is_cut else AttemptEnd.answered,
             may_have_run=True,
             response=None if is_cut else CompleteResponse(_HEAD, b''),
-            is_delivered=not is_cut,
+            is_delivered=self.is_stream and not is_cut,
             is_cut=is_cut,
             streamed_s=streamed_s if self.first_event_at else None,
         )
 
-    async def _stream(self, bad_part: str) -> None:
+    async def _stream(self) -> None:
         await asyncio.sleep(_PROMPT_S * (0.5 + self.world.rng.random()))
-        if bad_part:
+        if self.cause:
             if self.engine.is_up:
-                crashes = self.world.crashes.setdefault(bad_part, [])
+                crashes = self.world.crashes.setdefault(self.cause, [])
                 crashes.append(self.world.now)
             self.engine.crash()
             await asyncio.Event().wait()
+        if not self.is_stream:
+            self.world.sound_begun.append(self.world.now)
+            return
         self.first_event_at = self.world.now
         self.world.sound_begun.append(self.world.now)
         if not self.response_writer.has_begun:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -40,6 +40,7 @@
 from persimmonhold.forwarding._forward_runner import ForwardRunner
 from persimmonhold.observability import Metrics
 from persimmonhold.platform._dialect import PlatformDialect
+from persimmonhold.quarantine import fingerprint_request
 from persimmonhold.routes import ForwardRoute, RouteKind
 from persimmonhold.web import Exchange, Headers, RequestHead, ResponseHead
 from tests.entry_builders import FakeControlLink
@@ -149,9 +150,9 @@
 class RecordedExchange:
     """Records the response that a caller gets."""
 
-    def __init__(self) -> None:
+    def __init__(self, target: str) -> None:
         self.head = RequestHead(
-            method='POST', target='/chat/x', headers=(), peer=''
+            method='POST', target=target, headers=(), peer=''
         )
         self.has_response_started = False
         self.request_id = ''
@@ -359,23 +360,34 @@
         entry: str,
         route: ForwardRoute,
         prompt_parts: tuple[str, ...] = (),
+        target: str = '',
+        caller: str = '',
     ) -> RecordedExchange:
-        """Have an entry serve a request; return what its caller got."""
+        """Have an entry serve a request; return what its caller got.
+
+        Without a target, no other request is equal to it.
+        """
         self.numbers += 1
         now = self.now
+        exchange = RecordedExchange(target or f'/chat/{self.numbers}')
+        fingerprints = fingerprint_request(
+            'POST', 'a.example', exchange.head.target, caller, b''
+        )
         request = DispatchRequest(
             number=self.numbers,
             service='models',
             route=route,
             profile=RequestProfile(
-                request_id=f'r{self.numbers}', prompt_parts=prompt_parts
+                request_id=f'r{self.numbers}',
+                prompt_parts=prompt_parts,
+                caller=caller,
+                fingerprints=fingerprints,
             ),
             arrived_at=now,
             due_at=now + 0.4,
             caller_waits_until=now + 1.8,
             ends_at=now + 3,
         )
-        exchange = RecordedExchange()
         exchange.request_id = request.profile.request_id
         forwarded = ForwardRequest(
             dispatch_request=request, head=exchange.head, body=b''
