Count the end of a process under a request on a kept connection as evidence

Now the attempt counts as cut if the process is gone then (connect refused, or another process at the address); a live upstream that closes a kept connection does not.

--- a/persimmonhold/forwarding/_attempt_result.py
+++ b/persimmonhold/forwarding/_attempt_result.py
@@ -24,7 +24,8 @@
     that it did not run the request. `response` is a complete response that
     has not been sent to the caller; `is_delivered` means that the caller has
     already received a streamed response in full. `is_cut` means that the
-    upstream closed or reset the connection before the response was complete.
+    upstream closed or reset the connection before the response was complete;
+    of a kept one that was closed without a response, that its process is gone.
     `is_unanswered` means that a pooled connection was closed after the request
     was written to it, before the attempt that the other fields describe.
     `streamed_s` is how long ago its first event arrived, or None without one.
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -100,7 +100,10 @@
         is_incomplete = result.response is None and not result.is_delivered
         return msgspec.structs.replace(
             result,
-            is_cut=result.may_have_run and is_incomplete and self.is_cut,
+            is_cut=is_incomplete and (
+                _has_process_ended(result)
+                or (result.may_have_run and self.is_cut)
+            ),
             streamed_s=self._streamed_s(),
             body_end=self.head.body_end.value if has_head else '',
             is_within_event=self.event_boundary.is_within_event,
@@ -456,6 +459,14 @@
     )
 
 
+def _has_process_ended(result: AttemptResult) -> bool:
+    """Tell whether the upstream closed a kept connection and is gone since."""
+    return result.is_unanswered and result.end in {
+        AttemptEnd.unreachable,
+        AttemptEnd.replaced,
+    }
+
+
 def _unreachable_result(detail: str) -> AttemptResult:
     return AttemptResult(
         end=AttemptEnd.unreachable,
--- a/tests/forwarding_harness.py
+++ b/tests/forwarding_harness.py
@@ -122,6 +122,7 @@
         self.stack = AsyncExitStack()
         self.upstreams: list[ScriptedUpstream] = []
         self.raw_upstreams: list[RawUpstream] = []
+        self.raw_servers: list[asyncio.Server] = []
         self.leaving: set[str] = set()
         self.births: dict[str, int] = {}
         self.models: tuple[HeldModel, ...] = ()
@@ -213,6 +214,7 @@
         )
         server = await upstream.start()
         await self.stack.enter_async_context(server)
+        self.raw_servers.append(server)
         self.raw_upstreams.append(upstream)
         self.set_facts()
         return upstream
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -18,7 +18,13 @@
 )
 from persimmonhold.routes import RouteKind
 from tests.forwarding_harness import ForwardingHarness
-from tests.raw_upstream import EVENT_STREAM, FRAMINGS, RawConnection
+from tests.raw_upstream import (
+    EVENT_STREAM,
+    FRAMINGS,
+    PLAIN,
+    RawConnection,
+    RawScript,
+)
 
 _PROMPT: Final = MappingProxyType({'prefix-hash': 'f0:800,BAD:10,own:3'})
 _EVENT: Final = b'id: 1\ndata: x\n\n'
@@ -166,3 +172,55 @@
         assert_that(harness.hub.dispatcher.pending, Equals({}))
 
     _run(scenario)
+
+
+async def _serve_first_and_end(
+    harness: ForwardingHarness, script: RawScript, *, restarts: bool
+) -> list[ObservedCrash]:
+    """Have a kept connection end under the second request; return evidence."""
+    harness.set_route(RouteKind.idempotent)
+    served: list[RawConnection] = []
+
+    async def run_script(connection: RawConnection) -> None:
+        served.append(connection)
+        if len(served) == 1:
+            await connection.respond(PLAIN, 'length', b'{}')
+            return
+        if not restarts:
+            harness.raw_servers[0].close()
+        await script(connection)
+
+    await harness.start_raw_upstream(run_script, keeps_connections=True)
+    await harness.send_request()
+    await harness.send_request()
+    evidence = harness.hub.build_evidence()
+    return list(evidence.crashes) if evidence else []
+
+
+async def _close(connection: RawConnection) -> None:
+    connection.writer.close()
+
+
+async def _answer_after_reconnecting(connection: RawConnection) -> None:
+    if connection.number == 1:
+        connection.writer.close()
+    else:
+        await connection.respond(PLAIN, 'length', b'{}')
+
+
+def test_end_under_a_request_on_a_kept_connection_is_evidence() -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        crashes = await _serve_first_and_end(harness, _close, restarts=False)
+        assert_that([one.request_id for one in crashes], Equals(['r2']))
+
+    _run(scenario)
+
+
+def test_closed_kept_connection_of_a_live_upstream_is_no_evidence() -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        crashes = await _serve_first_and_end(
+            harness, _answer_after_reconnecting, restarts=True
+        )
+        assert_that(crashes, Equals([]))
+
+    _run(scenario)
