Decode the software version of upstreams, and log it with each attempt (log fields only)

The version in the list is not that of a newer process under the same name, so it is unknown until the list shows that process.

--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -231,9 +231,14 @@
         )
         if ledger is None or not ledger.born_ms:
             return facts
+        is_listed_process = listed.born_ms in {0, ledger.born_ms}
         return msgspec.structs.replace(
             facts,
             born_ms=ledger.born_ms,
+            # The list may still show the version of the former process.
+            software_version=(
+                facts.software_version if is_listed_process else ''
+            ),
             is_silent=facts.is_silent or ledger.is_replaced,
             is_changing=not ledger.is_idle,
             models=_held_models(ledger),
--- a/persimmonhold/fleet/_listed_upstream.py
+++ b/persimmonhold/fleet/_listed_upstream.py
@@ -14,7 +14,8 @@
     `slots` is how many requests it runs at a time. `born_ms` is the start time
     of its process, or 0 if the list has none. `name` and `born_ms` together
     identify a process, since the name may be kept over a restart. `models` is
-    None if the upstream runs no models.
+    None if the upstream runs no models. `software_version` is not that of the
+    weights, and empty if unknown.
     """
 
     name: str
@@ -25,3 +26,4 @@
     is_leaving: bool = False
     born_ms: int = 0
     models: tuple[HeldModel, ...] | None = None
+    software_version: str = ''
--- a/persimmonhold/fleet/_request_profile.py
+++ b/persimmonhold/fleet/_request_profile.py
@@ -15,7 +15,8 @@
     `prompt_parts` are the ids of the parts of its prompt in order; other
     requests may share all of them but the last. `caller` is its address without
     the port. `fingerprints` recognize repeats, see `fingerprint_request`; empty
-    before the body was read.
+    before the body was read. If it `goes_on` with a stream, `begun_as` is the id
+    of the request that brought its first event, or empty if unknown.
     """
 
     request_id: str
@@ -27,6 +28,8 @@
     prompt_parts: tuple[str, ...] = ()
     caller: str = ''
     fingerprints: tuple[str, ...] = ()
+    goes_on: bool = False
+    begun_as: str = ''
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/persimmonhold/fleet/_upstream_facts.py
+++ b/persimmonhold/fleet/_upstream_facts.py
@@ -16,6 +16,7 @@
     tells that the upstream does not answer report requests.
     `is_changing` tells that no adapter can be loaded there now. `limit_per_s`
     is how many requests a second it accepts from all VMs, or None.
+    `software_version` is empty if it is not known of this process.
     """
 
     name: str
@@ -29,6 +30,7 @@
     is_changing: bool = False
     models: tuple[HeldModel, ...] = ()
     limit_per_s: float | None = None
+    software_version: str = ''
 
     @classmethod
     def from_listed(cls, listed: ListedUpstream) -> Self:
@@ -42,6 +44,7 @@
             born_ms=listed.born_ms,
             is_leaving=listed.is_leaving,
             models=listed.models or (),
+            software_version=listed.software_version,
         )
 
     @property
@@ -49,6 +52,15 @@
         """The name and the start time, which together identify a process."""
         return self.name, self.born_ms
 
+    @property
+    def build(self) -> str:
+        """What the process writes fits together with that of equal builds.
+
+        It is the software version; of unknown ones, nothing is equal to another
+        process.
+        """
+        return self.software_version or f'{self.name}@{self.born_ms}'
+
     @property
     def group(self) -> tuple[str, tuple[str, ...]]:
         """The service and the models held, by which requests find it."""
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -100,7 +100,8 @@
         is_incomplete = result.response is None and not result.is_delivered
         return msgspec.structs.replace(
             result,
-            is_cut=is_incomplete and (
+            is_cut=is_incomplete
+            and (
                 _has_process_ended(result)
                 or (result.may_have_run and self.is_cut)
             ),
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -350,6 +350,8 @@
             body_end=result.body_end,
             within_event=result.is_within_event,
             kept_closed=result.is_unanswered,
+            build=action.upstream.build,
+            begun_as=self.request.dispatch_request.profile.begun_as,
         )
         if result.is_cut:
             self._log_cut(action, result)
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -26,6 +26,7 @@
 _EVENT_STREAM: Final = 'text/event-stream'
 _MAX_PROMPT_PARTS: Final = 64  # usual prompts have three or four
 _MAX_PART_ID_CHARS: Final = 64
+_MAX_REQUEST_ID_CHARS: Final = 128
 _LEAVING_VALUE: Final = '1'
 # An upstream that asks for more is tried again after this time.
 _MAX_TURNED_AWAY_S: Final = 3600.0
@@ -61,6 +62,10 @@
                 prompt_parts=_parse_prompt_parts(
                     head.header(names.PROMPT_PARTS)
                 ),
+                goes_on=bool(head.header(names.RESUME_AFTER)),
+                begun_as=head.header(names.RESUMED_REQUEST)[
+                    :_MAX_REQUEST_ID_CHARS
+                ],
                 caller=head.peer.rpartition(':')[0],
             ),
         )
--- a/persimmonhold/platform/_listing.py
+++ b/persimmonhold/platform/_listing.py
@@ -10,6 +10,7 @@
 
 _KNOWN_STATES: Final = frozenset(('ready', 'draining'))
 _DRAINING: Final = 'draining'
+_MAX_VERSION_CHARS: Final = 128
 
 
 @final
@@ -23,7 +24,10 @@
 
 @final
 class _WireEntry(msgspec.Struct, frozen=True, rename='kebab'):
-    """An upstream on the list; `born` is the start time of its process."""
+    """An upstream on the list; `born` is the start time of its process.
+
+    `version` is that of its software; one that is not a text is unknown.
+    """
 
     id: str
     service: str
@@ -33,6 +37,7 @@
     slots: int = 1
     born: int = 0
     models: tuple[_WireHeld, ...] | None = None
+    version: object = ''
 
 
 @final
@@ -139,9 +144,17 @@
         models=None
         if wire.models is None
         else _convert_held_models(wire.models),
+        software_version=_read_version(wire.version),
     )
 
 
+def _read_version(version: object) -> str:
+    """Return a version of usual length, or '' if it is unknown."""
+    if isinstance(version, str) and len(version) <= _MAX_VERSION_CHARS:
+        return version
+    return ''
+
+
 def _convert_held_models(wire: tuple[Any, ...]) -> tuple[HeldModel, ...]:
     return tuple(
         HeldModel(held.name, held.version, held.adapters) for held in wire
--- a/persimmonhold/platform/_names.py
+++ b/persimmonhold/platform/_names.py
@@ -13,6 +13,7 @@
 PROMPT_PARTS: Final = 'prefix-hash'  # ID:TOKENS, comma-separated, in order
 URGENCY: Final = 'request-urgency'  # 0 is the most urgent
 RESUME_AFTER: Final = 'last-event-id'
+RESUMED_REQUEST: Final = 'resumes'  # the id under which a stream began
 RETRY_AFTER: Final = 'retry-after'
 # Requests a second that an upstream accepts from all VMs together.
 REQUEST_LIMIT: Final = 'server-limit'
