--- a/tests/forwarding_harness.py
+++ b/tests/forwarding_harness.py
@@ -125,6 +125,7 @@
         self.raw_servers: list[asyncio.Server] = []
         self.leaving: set[str] = set()
         self.births: dict[str, int] = {}
+        self.versions: dict[str, str] = {}
         self.models: tuple[HeldModel, ...] = ()
         self.request_numbers = itertools.count(1)
         self.control = FakeControlLink(ControlStateMachine())
@@ -262,6 +263,7 @@
                 born_ms=self.births.get(upstream.name, 0),
                 is_leaving=upstream.name in self.leaving,
                 models=self.models,
+                software_version=self.versions.get(upstream.name, 'v1'),
             )
             for upstream in running
         ]
