Let a stream go on only at the software version that began it

Cause: a stream that a caller takes up was a new request, sent to any upstream with the model, and a broken stream was resumed within one answer at any upstream; no part knew at which version a stream had begun.

Entries record the build (version of the software) whose upstream sent the first event, tell it the fleet controller with their reports, and ask it when a stream is taken up that they have not begun; a new controller is told all that may be taken up. The dispatcher then considers upstreams of that build only. A stream that nobody knows goes on where one build alone has served for 30 s, longer than streams last; else it is refused at once (503 unknown_stream, no_upstream_of_version; it has not run). A process of unknown version fits only itself, unless no upstream states a version.

The parts of the controller are imported lazily by entries, which keeps the bound on imported modules (test_imports).

--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -5,13 +5,13 @@
 loads. Nothing in this package performs input or output.
 """
 
+from typing import TYPE_CHECKING
+
+from persimmonhold._lazy_exports import LazyExports
 from persimmonhold.fleet._attempt_end import AttemptEnd
-from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
 from persimmonhold.fleet._demand_meter import FleetDemandMeter
 from persimmonhold.fleet._dispatch_request import DispatchRequest
-from persimmonhold.fleet._fleet_controller import FleetController
 from persimmonhold.fleet._fleet_demand import FleetDemand
-from persimmonhold.fleet._fleet_facts import FleetFacts
 from persimmonhold.fleet._fleet_messages import (
     AdapterLoadReply,
     AdapterLoadRequest,
@@ -41,29 +41,31 @@
 from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._retry_budget import RetryBounds, RetryBudget
 from persimmonhold.fleet._shared_load import SharedLoad
-from persimmonhold.fleet._store_load_limiter import StoreLoadLimiter
 from persimmonhold.fleet._update_schedule import UpdateSchedule
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.fleet._upstream_report import UpstreamReport
 
+if TYPE_CHECKING:
+    from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
+    from persimmonhold.fleet._fleet_controller import FleetController
+
 __all__ = (
     'AdapterLoadReply',
     'AdapterLoadRequest',
     'AttemptEnd',
     'CopyPlanner',
+    'DispatchRequest',
     'EntryReport',
+    'FleetController',
     'FleetDemand',
     'FleetDemandMeter',
-    'FleetFacts',
-    'FleetController',
     'FleetMessage',
     'FleetOrder',
     'FleetOrderKind',
     'FleetUpdate',
     'ForwardAction',
     'ForwardDispatcher',
-    'DispatchRequest',
     'HeldModel',
     'ListedUpstream',
     'ModelDemand',
@@ -73,16 +75,25 @@
     'PermitReply',
     'PermitRequest',
     'PlannedOrder',
+    'RefuseRequest',
     'RequestProfile',
-    'RetryBudget',
     'RetryBounds',
+    'RetryBudget',
     'SendRequest',
     'SharedLoad',
     'StatedLimit',
-    'StoreLoadLimiter',
-    'RefuseRequest',
     'UpdateSchedule',
     'UpstreamFacts',
     'UpstreamLedger',
     'UpstreamReport',
 )
+
+if not TYPE_CHECKING:
+    __getattr__ = LazyExports(
+        __name__,
+        {
+            'CopyPlanner': '_copy_planner',
+            'FleetController': '_fleet_controller',
+            'PlannedOrder': '_copy_planner',
+        },
+    )
--- a/persimmonhold/fleet/_dispatch_request.py
+++ b/persimmonhold/fleet/_dispatch_request.py
@@ -16,6 +16,7 @@
     plain response is due. The caller is expected to give up after
     `caller_waits_until` if it has received nothing. At `ends_at` the response
     must be complete. `is_engine` tells that the service runs models.
+    Only upstreams of `build` may run it, if it is not empty.
     """
 
     number: int
@@ -27,3 +28,4 @@
     caller_waits_until: float
     ends_at: float
     is_engine: bool = False
+    build: str = ''
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -16,6 +16,12 @@
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.quarantine import PromptEvidence, QuarantineUpdate
+from persimmonhold.streams import (
+    BegunStream,
+    SeenBuild,
+    StreamOriginReply,
+    StreamOriginRequest,
+)
 
 
 @final
@@ -111,6 +117,8 @@
     `quarantine_version` is that of the last `QuarantineUpdate` of the term.
     `leaving` are the processes of upstreams, by name and start time, that
     stated to this entry that they leave and that the facts do not show so.
+    `streams` have begun lately, or are all that may still be taken up if the
+    controller is new; `builds` have served lately.
     """
 
     term: int
@@ -121,6 +129,8 @@
     limits: tuple[StatedLimit, ...] = ()
     quarantine_version: int = 0
     leaving: tuple[tuple[str, int], ...] = ()
+    streams: tuple[BegunStream, ...] = ()
+    builds: tuple[SeenBuild, ...] = ()
 
     @property
     def content(self) -> tuple[object, ...]:
@@ -132,6 +142,7 @@
             self.limits,
             self.quarantine_version,
             self.leaving,
+            self.streams,
         )
 
 
@@ -212,6 +223,8 @@
     | AdapterLoadReply
     | PermitRequest
     | PermitReply
+    | StreamOriginRequest
+    | StreamOriginReply
     | PromptEvidence
     | QuarantineUpdate
 )
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -404,6 +404,8 @@
             return True
         if _is_refused_by_all(self.chooser, pending, now):
             return True
+        if not _has_build(self.chooser, pending, now):
+            return True
         expires_at = self.send_deadline.find(pending)
         if now >= expires_at:
             return True
@@ -443,7 +445,8 @@
     def _refusal_reason(self, pending: PendingRequest, now: float) -> str:
         """Return `no_upstream` if no available upstream holds the model.
 
-        It is `refused_by_all` if each that does has refused it for good.
+        It is `refused_by_all` if each that does has refused it for good, and
+        `no_upstream_of_version` if a stream began at a version that is gone.
         It is `upstreams_turned_away` or `upstreams_leaving` if those that hold
         it stated so to this entry. Otherwise an upstream holds it but cannot
         serve the request in time: `request_limit` if all that hold it have a
@@ -455,6 +458,8 @@
             return _STOPPING
         if _is_refused_by_all(self.chooser, pending, now):
             return 'refused_by_all'
+        if not _has_build(self.chooser, pending, now):
+            return 'no_upstream_of_version'
         if not self.chooser.has_holder(pending, now):
             return self.chooser.find_absence_reason(pending, now)
         if self.chooser.next_permit_at(pending, 0, now) is not None:
@@ -573,5 +578,12 @@
     )
 
 
+def _has_build(
+    chooser: UpstreamChooser, pending: PendingRequest, now: float
+) -> bool:
+    """Tell whether an upstream of the build that a request needs serves."""
+    return chooser.groups.has_build(pending.request.service, pending.build, now)
+
+
 def _queue_key(request: DispatchRequest) -> _QueueKey:
     return request.service, request.profile.model
--- a/persimmonhold/fleet/_request_queue.py
+++ b/persimmonhold/fleet/_request_queue.py
@@ -24,11 +24,13 @@
     failed attempts to the time at which that ends. `refused_by` are the
     upstreams that it is never sent to again: if one that has refused it ran it
     later, its refusal could arrive once more and be taken for the response.
+    `build` is the build of the upstreams that may run it; empty for any.
     `upstream` is the upstream that the request was sent to, or empty while it
     is queued.
     """
 
     __slots__ = (
+        'build',
         'excluded_until',
         'has_response_begun',
         'is_late',
@@ -44,6 +46,7 @@
     def __init__(self, request: DispatchRequest) -> None:
         """Create the state of a request before its first attempt."""
         self.request = request
+        self.build = request.build
         self.excluded_until: dict[tuple[str, int], float] = {}
         self.refused_by: set[str] = set()
         self.has_response_begun = False
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -173,8 +173,8 @@
         """
         best: Choice | None = None
         best_score = float('inf')
-        usual_s = _usual_response_s(self._candidates(pending.request))
-        for tracker in self._candidates(pending.request):
+        usual_s = _usual_response_s(self._candidates(pending))
+        for tracker in self._candidates(pending):
             if not self._has_place(tracker, pending, own_waiting, now):
                 continue
             needs_adapter = self._needs_adapter(tracker, pending, now)
@@ -215,7 +215,7 @@
             and tracker.find_model(pending.request.profile.model, now)
             is not None
             and not self._needs_adapter(tracker, pending, now)
-            for tracker in self._candidates(pending.request)
+            for tracker in self._candidates(pending)
         )
 
     def count_holders(self, pending: PendingRequest, now: float) -> int:
@@ -269,7 +269,7 @@
         request = pending.request
         return (
             tracker
-            for tracker in self._candidates(request)
+            for tracker in self._candidates(pending)
             if not request.is_engine
             or tracker.find_model(request.profile.model, now) is not None
         )
@@ -322,15 +322,18 @@
             and not pending.is_excluded(tracker.facts.process_key, now)
         )
 
-    def _candidates(
-        self, request: DispatchRequest
-    ) -> Iterable[UpstreamTracker]:
+    def _candidates(self, pending: PendingRequest) -> list[UpstreamTracker]:
         """Return the upstreams that may be able to run a request."""
+        request = pending.request
         if request.is_engine:
-            return self.groups.by_model.get(
+            found = self.groups.by_model.get(
                 (request.service, request.profile.model), ()
             )
-        return self.groups.by_service.get(request.service, ())
+        else:
+            found = self.groups.by_service.get(request.service, ())
+        if not pending.build:
+            return list(found)
+        return [one for one in found if one.facts.build == pending.build]
 
     def _merge_listed_upstream(self, listed: ListedUpstream) -> UpstreamFacts:
         """Return the facts about a listed upstream.
--- a/persimmonhold/fleet/_upstream_groups.py
+++ b/persimmonhold/fleet/_upstream_groups.py
@@ -2,6 +2,7 @@
 
 from typing import final
 
+from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_tracker import UpstreamTracker
 
 
@@ -27,6 +28,25 @@
         for model in models:
             self.by_model.setdefault((service, model), []).append(tracker)
 
+    def find_build(self, facts: UpstreamFacts) -> str:
+        """Return the build of an upstream.
+
+        Empty where no upstream of its service states a version.
+        """
+        if facts.software_version or any(
+            tracker.facts.software_version
+            for tracker in self.by_service.get(facts.service, ())
+        ):
+            return facts.build
+        return ''
+
+    def has_build(self, service: str, build: str, now: float) -> bool:
+        """Tell whether an available upstream is of a build; '' for any."""
+        return not build or any(
+            tracker.facts.build == build and tracker.is_available(now)
+            for tracker in self.by_service.get(service, ())
+        )
+
     def remove(self, tracker: UpstreamTracker) -> None:
         """Remove an upstream from the groups that its facts name."""
         service, models = tracker.facts.group
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -27,10 +27,15 @@
 from persimmonhold.forwarding._upstream_client import UpstreamClient
 from persimmonhold.observability import LogLevel, log_event
 from persimmonhold.quarantine import QuarantineUpdate
+from persimmonhold.streams import (
+    StreamOrigin,
+    StreamOriginReply,
+    StreamOriginRequest,
+)
 from persimmonhold.tasks import wait_with_timeout
 from persimmonhold.transport import Channel, Transport
 
-_ReplyT = TypeVar('_ReplyT', AdapterLoadReply, PermitReply)
+_ReplyT = TypeVar('_ReplyT', AdapterLoadReply, PermitReply, StreamOriginReply)
 # The first request id is random, so that an entry reuses no id after a restart.
 _ID_BITS: Final = 32
 _MAX_REPORT_INTERVAL_S: Final = 0.1  # the planning interval of the controller
@@ -45,6 +50,8 @@
 _ADAPTER_TIMEOUT_S: Final = 0.3
 # A permit takes a round trip to the fleet controller.
 _PERMIT_TIMEOUT_S: Final = 0.2
+# Covers two retransmissions; callers wait two seconds for the next event.
+_ORIGIN_TIMEOUT_S: Final = 0.3
 # Time until the next permit request for an upstream after one without a reply.
 _UNANSWERED_PERMIT_WAIT_S: Final = 0.5
 # Without a newer list for this long, the entry reads the list itself. Updates
@@ -67,6 +74,7 @@
         'decoder',
         'hub',
         'list_read_at',
+        'pending_origins',
         'pending_permits',
         'pending_replies',
         'reported',
@@ -98,6 +106,7 @@
         self.reported: tuple[object, ...] = ()
         self.reported_at = float('-inf')
         self.pending_permits: dict[int, asyncio.Future[PermitReply]] = {}
+        self.pending_origins: dict[int, asyncio.Future[StreamOriginReply]] = {}
         self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
         transport.set_receiver(Channel.fleet, self.handle_message)
 
@@ -184,6 +193,37 @@
             self.pending_permits.pop(request.request_id)
         return reply.wait_s
 
+    async def find_stream_origin(
+        self, service: str, begun_as: str
+    ) -> StreamOrigin | None:
+        """Return where a stream began; None if nobody knows.
+
+        The fleet controller is asked unless this entry has begun the stream.
+        Without its reply, only what this entry is sure of counts.
+        """
+        origins = self.hub.streams.origins
+        known = origins.streams.find_origin(begun_as, self.hub.clock())
+        if known is not None:
+            return known
+        request = StreamOriginRequest(
+            request_id=next(self.request_ids),
+            service=service,
+            begun_as=begun_as,
+        )
+        future: asyncio.Future[StreamOriginReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.pending_origins[request.request_id] = future
+        try:
+            async with asyncio.timeout(_ORIGIN_TIMEOUT_S):
+                reply = await self._resend_until_answered(request, future)
+        except TimeoutError:
+            log_event('origin_unanswered', begun_as=begun_as, service=service)
+            return origins.find_own_origin(begun_as, service, self.hub.clock())
+        finally:
+            self.pending_origins.pop(request.request_id)
+        return reply.origin
+
     def handle_message(self, peer: str, payload: bytes) -> None:
         """Apply an update, or pass a reply to the task that waits for it.
 
@@ -198,10 +238,16 @@
             self.hub.apply_update(message)
         elif isinstance(message, QuarantineUpdate):
             self.hub.apply_quarantine(message)
-        elif isinstance(message, AdapterLoadReply):
+        else:
+            self._pass_reply(message)
+
+    def _pass_reply(self, message: FleetMessage) -> None:
+        if isinstance(message, AdapterLoadReply):
             _set_reply(self.pending_replies, message)
         elif isinstance(message, PermitReply):
             _set_reply(self.pending_permits, message)
+        elif isinstance(message, StreamOriginReply):
+            _set_reply(self.pending_origins, message)
 
     @property
     def _listed_at(self) -> float:
@@ -209,9 +255,9 @@
 
     async def _resend_until_answered(
         self,
-        request: AdapterLoadRequest,
-        future: asyncio.Future[AdapterLoadReply],
-    ) -> AdapterLoadReply:
+        request: AdapterLoadRequest | StreamOriginRequest,
+        future: asyncio.Future[_ReplyT],
+    ) -> _ReplyT:
         """Send a request at intervals until its reply is set in the future."""
         while True:
             self._send_to_controller(request)
@@ -250,6 +296,7 @@
             return
         upstreams = listed.unwrap()
         self.hub.dispatcher.apply_list(upstreams, self.hub.clock())
+        self.hub.streams.record_builds(has_changed=True)
         log_event('list_read_by_entry', upstreams=len(upstreams))
 
     def _send_report(self) -> None:
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -27,9 +27,11 @@
 from persimmonhold.forwarding._order_lease import OrderLease
 from persimmonhold.forwarding._permit_server import PermitServer
 from persimmonhold.forwarding._quarantine_server import QuarantineServer
+from persimmonhold.forwarding._stream_origin_server import StreamOriginServer
 from persimmonhold.forwarding._upstream_client import UpstreamClient
 from persimmonhold.observability import LogLevel, log_event
 from persimmonhold.quarantine import PromptEvidence
+from persimmonhold.streams import StreamOriginRequest
 from persimmonhold.tasks import wait_with_timeout
 from persimmonhold.transport import Channel, Transport
 
@@ -103,6 +105,7 @@
         'next_plan_at',
         'node',
         'order_lease',
+        'origin_server',
         'permit_server',
         'plan_wakeup',
         'planned_at',
@@ -133,6 +136,7 @@
         self.order_lease = OrderLease(node, lease_s, clock)
         self.permit_server = PermitServer(node, transport, clock)
         self.quarantine_server = QuarantineServer(transport, clock)
+        self.origin_server = StreamOriginServer(transport, clock)
         self.clock = clock
         self.next_plan_at = 0.0
         self.planned_at = 0.0
@@ -176,6 +180,7 @@
         if isinstance(message, EntryReport):
             self.work_log.report_count += 1
             term.controller.demand.record_report(peer, message, self.clock())
+            self.origin_server.record_report(message)
             self.quarantine_server.check_report(term.controller, peer, message)
             if self.permit_server.record_statements(
                 term.controller, peer, message
@@ -190,12 +195,18 @@
             term.controller.request_adapter(peer, message, self.clock())
             self._wake_order_task(message.upstream)
             self.plan_wakeup.set()
-        elif isinstance(message, PermitRequest):
-            self.permit_server.answer_request(term.controller, peer, message)
+        else:
+            self._pass_to_servers(term.controller, peer, message)
+
+    def _pass_to_servers(
+        self, controller: FleetController, peer: str, message: FleetMessage
+    ) -> None:
+        if isinstance(message, PermitRequest):
+            self.permit_server.answer_request(controller, peer, message)
+        elif isinstance(message, StreamOriginRequest):
+            self.origin_server.answer_request(peer, message)
         elif isinstance(message, PromptEvidence):
-            self.quarantine_server.record_evidence(
-                term.controller, peer, message
-            )
+            self.quarantine_server.record_evidence(controller, peer, message)
             self.plan_wakeup.set()
 
     async def _run_planning(self) -> None:
@@ -206,7 +217,11 @@
         while True:
             self._start_or_end_term()
             now = self.clock()
-            is_due = now >= self.next_plan_at or self._has_order_due(now)
+            # An order that was predicted to be complete by now is due as well.
+            is_due = now >= self.next_plan_at or (
+                self.term is not None
+                and self.term.controller.has_order_due(now)
+            )
             if self.term is not None and is_due:
                 self.next_plan_at = now + _PLAN_INTERVAL_S
                 self.planned_at = now
@@ -220,10 +235,6 @@
                 )
             await self._wait_until_due()
 
-    def _has_order_due(self, now: float) -> bool:
-        """Tell whether an order was predicted to be complete by now."""
-        return self.term is not None and self.term.controller.has_order_due(now)
-
     async def _wait_until_due(self) -> None:
         """Wait for the next planning time, predicted order end or wakeup.
 
@@ -374,6 +385,7 @@
                     log_event('list_failed', detail=listed.failure().describe())
                 else:
                     term.controller.apply_list(listed.unwrap(), self.clock())
+                    self.origin_server.record_list(term.controller)
             self.term_started.clear()
             await wait_with_timeout(self.term_started, _LIST_INTERVAL_S)
 
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -173,6 +173,10 @@
             return True
         if not self.response_writer.has_begun:
             self.response_writer.write_head(self.head, None)
+            if self.is_event_stream:
+                self.services.hub.streams.record_begun(
+                    self.request.dispatch_request, self.action.upstream
+                )
         return self.response_writer.write_body_chunk(
             chunk, connection.resume_reading
         )
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -26,6 +26,7 @@
 from persimmonhold.forwarding._attempt_result import AttemptResult
 from persimmonhold.forwarding._fleet_view_log import FleetViewLog
 from persimmonhold.forwarding._sparing_recorder import SparingRecorder
+from persimmonhold.forwarding._stream_recorder import StreamRecorder
 from persimmonhold.observability import Metrics, log_event
 from persimmonhold.quarantine import (
     PromptEvidence,
@@ -50,6 +51,7 @@
         'request_numbers',
         'request_waiting',
         'sparing',
+        'streams',
         'timer',
         'view_log',
         'waiters',
@@ -72,6 +74,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.view_log = FleetViewLog(clock())
         self.sparing = SparingRecorder(dispatcher, clock, metrics or Metrics())
+        self.streams = StreamRecorder(dispatcher, clock)
 
     def submit_request(
         self, dispatch_request: DispatchRequest
@@ -151,6 +154,9 @@
         now = self.clock()
         self._deliver(self.dispatcher.apply_update(update, now))
         self.quarantine.begin_term(self.dispatcher.term)
+        self.streams.record_builds(
+            has_changed=bool(update.facts or update.gone)
+        )
         is_applied = self.dispatcher.sequence == update.sequence
         self.view_log.record_update(now, is_applied=is_applied)
 
@@ -160,8 +166,10 @@
         self.view_log.log_if_due(self.dispatcher, now)
         self.sparing.log_changes()
         report = self.demand_meter.build_report(self.dispatcher, now)
-        return msgspec.structs.replace(
-            report, quarantine_version=self.quarantine.version
+        return self.streams.complete_report(
+            msgspec.structs.replace(
+                report, quarantine_version=self.quarantine.version
+            )
         )
 
     def build_evidence(self) -> PromptEvidence | None:
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -10,6 +10,8 @@
 import math
 from typing import Final, final
 
+import msgspec
+
 from persimmonhold.fleet import (
     AttemptEnd,
     RefuseRequest,
@@ -33,6 +35,7 @@
     ResumableEventFramer,
 )
 from persimmonhold.observability import log_event, metric
+from persimmonhold.routes import RouteKind
 from persimmonhold.web import Exchange
 
 _BAD_GATEWAY: Final = 502
@@ -41,6 +44,8 @@
 # Callers take these statuses as a promise that the request did not run.
 _NOT_RUN_STATUSES: Final = frozenset((408, 429, _UNAVAILABLE))
 _TIMEOUT_RETRY_AFTER_S: Final = 0.3
+# A new fleet controller has the reports of all entries within this time.
+_UNKNOWN_STREAM_RETRY_AFTER_S: Final = 1.0
 _MS_PER_S: Final = 1000
 # Covers a round trip to the fleet controller and a connection attempt.
 _PERMIT_VALIDITY_S: Final = 0.7
@@ -114,6 +119,8 @@
         """Run attempts until one ends the request or it is refused."""
         if self._refuse_if_quarantined():
             return
+        if not await self._find_build():
+            return
         action = await self.services.hub.submit_request(
             self.request.dispatch_request
         )
@@ -130,6 +137,44 @@
             )
         self._refuse(action)
 
+    async def _find_build(self) -> bool:
+        """Have a stream that goes on run at the build that began it.
+
+        Refuses one that began at a build that nobody knows.
+        """
+        request = self.request.dispatch_request
+        if not request.profile.goes_on or request.route.kind is not (
+            RouteKind.stream
+        ):
+            return True
+        origin = await self.services.fleet_client.find_stream_origin(
+            request.service, request.profile.begun_as
+        )
+        log_event(
+            'stream_goes_on',
+            request_id=request.profile.request_id,
+            begun_as=request.profile.begun_as,
+            service=None if origin is None else origin.service,
+            build=None if origin is None else origin.build,
+        )
+        if origin is None:
+            self._refuse(
+                RefuseRequest(
+                    number=request.number,
+                    reason='unknown_stream',
+                    retry_after_s=_UNKNOWN_STREAM_RETRY_AFTER_S,
+                )
+            )
+            return False
+        if origin.service in {one.service for one in request.route.targets}:
+            request = msgspec.structs.replace(
+                request, service=origin.service, build=origin.build
+            )
+            self.request = msgspec.structs.replace(
+                self.request, dispatch_request=request
+            )
+        return True
+
     def _refuse_if_quarantined(self) -> bool:
         """Refuse the request if its prompt is quarantined; tell whether."""
         refusal = self.services.hub.build_quarantine_refusal(
--- /dev/null
+++ b/persimmonhold/forwarding/_stream_origin_server.py
@@ -0,0 +1,59 @@
+"""Tells entries where streams began, on the VM that leads control."""
+
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+
+from persimmonhold.fleet import EntryReport, FleetController
+from persimmonhold.streams import (
+    StreamOriginReply,
+    StreamOriginRequest,
+    StreamOrigins,
+)
+from persimmonhold.transport import Channel, Transport
+
+
+@final
+class StreamOriginServer:
+    """Records what entries report of streams, and answers their requests.
+
+    What it knows outlives a term, as versions do not change with the leader.
+    """
+
+    __slots__ = ('clock', 'origins', 'transport')
+
+    def __init__(
+        self, transport: Transport, clock: Callable[[], float]
+    ) -> None:
+        """Create a server on a VM with control."""
+        self.transport = transport
+        self.clock = clock
+        self.origins = StreamOrigins()
+
+    def record_report(self, report: EntryReport) -> None:
+        """Record the streams and the builds that an entry knows."""
+        self.origins.record_reported(
+            report.streams, report.builds, self.clock()
+        )
+
+    def record_list(self, controller: FleetController) -> None:
+        """Record the builds of the upstreams that are listed now."""
+        self.origins.builds.record_serving(
+            (
+                (facts.service, facts.software_version)
+                for facts in controller.facts.by_upstream.values()
+            ),
+            self.clock(),
+        )
+
+    def answer_request(self, entry: str, request: StreamOriginRequest) -> None:
+        """Send an entry the origin of a stream, or that it is not known."""
+        reply = StreamOriginReply(
+            request_id=request.request_id,
+            origin=self.origins.find_origin(
+                request.begun_as, request.service, self.clock()
+            ),
+        )
+        encoded = msgspec.msgpack.encode(reply)
+        self.transport.send(entry, Channel.fleet, encoded)
--- /dev/null
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -0,0 +1,92 @@
+"""Records at an entry where streams begin, and which builds serve."""
+
+from collections.abc import Callable
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.fleet import (
+    DispatchRequest,
+    EntryReport,
+    ForwardDispatcher,
+    UpstreamFacts,
+)
+from persimmonhold.streams import STREAM_LIFE_S, StreamOrigin, StreamOrigins
+
+# A stream is in each report of this time, as reports may be lost.
+_REPORTED_S: Final = 0.35
+_BUILD_INTERVAL_S: Final = 1.0
+
+
+@final
+class StreamRecorder:
+    """Passes the streams that begin to the dispatcher and into reports.
+
+    `told_term` is the last term whose controller was told all streams that may
+    still be taken up.
+    """
+
+    __slots__ = (
+        'builds_recorded_at',
+        'clock',
+        'dispatcher',
+        'origins',
+        'told_term',
+    )
+
+    def __init__(
+        self, dispatcher: ForwardDispatcher, clock: Callable[[], float]
+    ) -> None:
+        """Create a recorder for the dispatcher of an entry."""
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self.origins = StreamOrigins()
+        self.told_term = 0
+        self.builds_recorded_at = float('-inf')
+
+    def record_begun(
+        self, dispatch_request: DispatchRequest, upstream: UpstreamFacts
+    ) -> None:
+        """Record which upstream sent the first event of a response.
+
+        The stream goes on only at the build of that upstream.
+        """
+        build = self.dispatcher.chooser.groups.find_build(upstream)
+        pending = self.dispatcher.pending.get(dispatch_request.number)
+        if pending is not None and not pending.build:
+            pending.build = build
+        self.origins.streams.record(
+            dispatch_request.profile.request_id,
+            StreamOrigin(dispatch_request.service, build),
+            self.clock(),
+        )
+
+    def record_builds(self, *, has_changed: bool) -> None:
+        """Record which builds serve, at once after a change of the facts."""
+        now = self.clock()
+        if not has_changed and (
+            now < self.builds_recorded_at + _BUILD_INTERVAL_S
+        ):
+            return
+        self.builds_recorded_at = now
+        trackers = self.dispatcher.chooser.trackers.values()
+        self.origins.builds.record_serving(
+            (
+                (tracker.facts.service, tracker.facts.software_version)
+                for tracker in trackers
+            ),
+            now,
+        )
+
+    def complete_report(self, report: EntryReport) -> EntryReport:
+        """Add the streams of late to a report, or all for a new controller."""
+        now = self.clock()
+        since = now - _REPORTED_S
+        if self.told_term != report.term:
+            self.told_term = report.term
+            since = now - STREAM_LIFE_S
+        return msgspec.structs.replace(
+            report,
+            streams=self.origins.streams.list_begun_since(since),
+            builds=self.origins.builds.build_report(now),
+        )
--- a/persimmonhold/quarantine/__init__.py
+++ b/persimmonhold/quarantine/__init__.py
@@ -4,6 +4,9 @@
 it, and which prompts entries refuse.
 """
 
+from typing import TYPE_CHECKING
+
+from persimmonhold._lazy_exports import LazyExports
 from persimmonhold.quarantine._messages import (
     AnsweredPart,
     ObservedCrash,
@@ -11,13 +14,15 @@
     QuarantinedPrompt,
     QuarantineUpdate,
 )
-from persimmonhold.quarantine._prompt_quarantine import PromptQuarantine
 from persimmonhold.quarantine._quarantine_view import (
     PROOF_S,
     QuarantineView,
 )
 from persimmonhold.quarantine._request_fingerprint import fingerprint_request
 
+if TYPE_CHECKING:
+    from persimmonhold.quarantine._prompt_quarantine import PromptQuarantine
+
 __all__ = (
     'PROOF_S',
     'AnsweredPart',
@@ -29,3 +34,8 @@
     'QuarantineView',
     'fingerprint_request',
 )
+
+if not TYPE_CHECKING:
+    __getattr__ = LazyExports(
+        __name__, {'PromptQuarantine': '_prompt_quarantine'}
+    )
--- /dev/null
+++ b/persimmonhold/streams/_build_history.py
@@ -0,0 +1,88 @@
+"""Which builds of each service have served lately."""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+import msgspec
+
+from persimmonhold.streams._stream_registry import STREAM_LIFE_S, StreamOrigin
+
+_MAX_REPORTED: Final = 32
+
+
+@final
+class SeenBuild(msgspec.Struct, frozen=True, array_like=True):
+    """A build of a service, and how long ago an upstream was known to run it."""
+
+    service: str
+    build: str
+    age_s: float
+
+
+@final
+class BuildHistory:
+    """When each build of a service was last known to serve.
+
+    `known_since` is when this process began to observe. A stream of unknown
+    origin can only be of the one build that has served for as long as streams
+    last.
+    """
+
+    __slots__ = ('known_since', 'last_seen')
+
+    def __init__(self) -> None:
+        """Create a history without observations."""
+        self.known_since: float | None = None
+        self.last_seen: dict[StreamOrigin, float] = {}
+
+    def record_serving(
+        self, serving: Iterable[tuple[str, str]], now: float
+    ) -> None:
+        """Record the service and the version of each upstream, or '' for it."""
+        if self.known_since is None:
+            self.known_since = now
+        current = {StreamOrigin(*one) for one in serving}
+        stating = {one.service for one in current if one.build}
+        for origin in current:
+            # The version of a process that has just started becomes known soon.
+            if origin.build or origin.service not in stating:
+                self.last_seen[origin] = now
+        self._drop_old(now)
+
+    def record_reported(self, seen: Iterable[SeenBuild], now: float) -> None:
+        """Record what another VM has observed."""
+        for one in seen:
+            origin = StreamOrigin(one.service, one.build)
+            seen_at = now - max(0, one.age_s)
+            self.last_seen[origin] = max(
+                seen_at, self.last_seen.get(origin, seen_at)
+            )
+
+    def find_sole_build(self, service: str, now: float) -> StreamOrigin | None:
+        """Return the only build of a service of late, or None."""
+        builds = [
+            origin
+            for origin, at in self.last_seen.items()
+            if origin.service == service and now - at <= STREAM_LIFE_S
+        ]
+        return builds[0] if len(builds) == 1 else None
+
+    def covers_streams(self, now: float) -> bool:
+        """Tell whether this process has observed for as long as streams last."""
+        return (
+            self.known_since is not None
+            and now - self.known_since >= STREAM_LIFE_S
+        )
+
+    def build_report(self, now: float) -> tuple[SeenBuild, ...]:
+        """Return the builds seen last, up to a bound."""
+        newest = sorted(self.last_seen.items(), key=lambda one: -one[1])
+        return tuple(
+            SeenBuild(origin.service, origin.build, now - at)
+            for origin, at in newest[:_MAX_REPORTED]
+        )
+
+    def _drop_old(self, now: float) -> None:
+        for origin, at in tuple(self.last_seen.items()):
+            if now - at > STREAM_LIFE_S:
+                self.last_seen.pop(origin)
--- /dev/null
+++ b/persimmonhold/streams/_stream_origins.py
@@ -0,0 +1,52 @@
+"""Decides at which build a stream that a caller takes up may go on."""
+
+from collections.abc import Iterable
+from typing import final
+
+from persimmonhold.streams._build_history import BuildHistory, SeenBuild
+from persimmonhold.streams._stream_registry import (
+    BegunStream,
+    StreamOrigin,
+    StreamRegistry,
+)
+
+
+@final
+class StreamOrigins:
+    """What one VM knows of streams, and of the builds that have served."""
+
+    __slots__ = ('builds', 'streams')
+
+    def __init__(self) -> None:
+        """Create without any knowledge."""
+        self.streams = StreamRegistry()
+        self.builds = BuildHistory()
+
+    def record_reported(
+        self,
+        streams: Iterable[BegunStream],
+        builds: Iterable[SeenBuild],
+        now: float,
+    ) -> None:
+        """Record what another VM knows."""
+        self.streams.record_all(streams, now)
+        self.builds.record_reported(builds, now)
+
+    def find_origin(
+        self, begun_as: str, service: str, now: float
+    ) -> StreamOrigin | None:
+        """Return where a stream began, as far as this VM can tell.
+
+        One that no entry has reported is of the only build of late.
+        """
+        known = self.streams.find_origin(begun_as, now)
+        return known or self.builds.find_sole_build(service, now)
+
+    def find_own_origin(
+        self, begun_as: str, service: str, now: float
+    ) -> StreamOrigin | None:
+        """Return where a stream began if this VM alone can be sure of it."""
+        known = self.streams.find_origin(begun_as, now)
+        if known is not None or not self.builds.covers_streams(now):
+            return known
+        return self.builds.find_sole_build(service, now)
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -63,6 +63,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.born_ms = 1
+        self.software_version = ''
         self.limit_per_s: float | None = None
         self.arrivals: list[tuple[float, str]] = []
         self.told_at: dict[str, float] = {}
@@ -141,6 +142,7 @@
                     failure_domain='d1',
                     slots=200,
                     born_ms=one.born_ms,
+                    software_version=one.software_version,
                 )
                 for one in self.upstreams
             )
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -28,12 +28,12 @@
     OrderVerdict,
     SharedLoad,
     StatedLimit,
-    StoreLoadLimiter,
     UpstreamLedger,
     UpstreamReport,
 )
 from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
 from persimmonhold.fleet._model_load import ModelLoad
+from persimmonhold.fleet._store_load_limiter import StoreLoadLimiter
 from persimmonhold.routes import ServiceSpec
 from tests.fleet_builders import ENGINE, make_document
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,15 +1,20 @@
 """A stream goes on only at the software version that began it."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 import pytest
 from returns.result import Failure as Failed
+from returns.result import Result
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from persimmonhold.failures import Failure
 from persimmonhold.routes import RouteKind
+from persimmonhold.streams import STREAM_LIFE_S
+from persimmonhold.web import FetchedResponse
 from tests.forwarding_harness import ForwardingHarness
 from tests.raw_upstream import EVENT_STREAM, RawConnection
 
@@ -18,9 +23,12 @@
 _LAST: Final = b'id: 2\ndata: b\n\n'
 
 
-def _run(scenario: Callable[[ForwardingHarness], Awaitable[None]]) -> None:
+def _run(
+    scenario: Callable[[ForwardingHarness], Awaitable[None]],
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
     async def run_scenario() -> None:
-        async with ForwardingHarness() as harness:
+        async with ForwardingHarness(clock=clock) as harness:
             harness.set_route(RouteKind.stream, attempts=3, resumable=True)
             async with asyncio.timeout(8):
                 await scenario(harness)
@@ -42,6 +50,24 @@
     await connection.respond(EVENT_STREAM, 'length', events)
 
 
+async def _send_until_it_arrives(
+    harness: ForwardingHarness,
+) -> asyncio.Task[Result[FetchedResponse, Failure]]:
+    """Send a request, and wait until the first upstream has it."""
+    upstream = harness.raw_upstreams[0]
+    has_arrived = asyncio.Event()
+    script = upstream.script
+
+    async def run_script(connection: RawConnection) -> None:
+        has_arrived.set()
+        await script(connection)
+
+    upstream.script = run_script
+    sent = asyncio.create_task(harness.send_request())
+    await has_arrived.wait()
+    return sent
+
+
 async def _start_old_upstream(harness: ForwardingHarness) -> None:
     """Have a stream begin at version v1 and break off; more follow."""
     harness.set_route(RouteKind.stream, attempts=1, resumable=True)
@@ -70,9 +96,7 @@
 def test_broken_stream_is_not_resumed_at_another_version() -> None:
     async def scenario(harness: ForwardingHarness) -> None:
         await harness.start_raw_upstream(_break_off)
-        sent = asyncio.create_task(harness.send_request())
-        while not harness.raw_upstreams[0].requests:
-            await asyncio.sleep(0.001)
+        sent = await _send_until_it_arrives(harness)
         harness.versions['r1'] = 'v2'
         other = await harness.start_raw_upstream(_serve)
         assert isinstance(await sent, Failed)
@@ -84,9 +108,7 @@
 def test_broken_stream_is_resumed_at_its_own_version() -> None:
     async def scenario(harness: ForwardingHarness) -> None:
         await harness.start_raw_upstream(_break_off)
-        sent = asyncio.create_task(harness.send_request())
-        while not harness.raw_upstreams[0].requests:
-            await asyncio.sleep(0.001)
+        sent = await _send_until_it_arrives(harness)
         harness.versions['r1'] = 'v2'
         other = await harness.start_raw_upstream(_serve)
         same = await harness.start_raw_upstream(_serve)
@@ -128,24 +150,34 @@
 
 
 def test_stream_of_an_unknown_origin_goes_on_where_one_version_serves() -> None:
+    shift_s = [0.0]
+
     async def scenario(harness: ForwardingHarness) -> None:
         same = await harness.start_raw_upstream(_serve)
+        assert_that(await _take_up(harness, 'forgotten'), Equals(503))
+        shift_s[0] = STREAM_LIFE_S
+        harness.set_facts()
         for begun_as in ('', 'forgotten'):
             assert_that(await _take_up(harness, begun_as), Equals(200))
         assert_that(len(same.requests), Equals(2))
 
-    _run(scenario)
+    _run(scenario, lambda: time.monotonic() + shift_s[0])
 
 
 def test_stream_of_an_unknown_version_goes_on_at_no_other_process() -> None:
     async def scenario(harness: ForwardingHarness) -> None:
-        harness.versions['r0'] = ''
-        await _start_old_upstream(harness)
-        harness.versions['r1'] = ''
-        other = await harness.start_raw_upstream(_serve)
+        harness.versions.update({'r0': '', 'r1': '', 'r2': 'v1'})
+        harness.leaving.add('r2')
+        await harness.start_raw_upstream(_break_off)
+        others = [await harness.start_raw_upstream(_serve) for _ in range(2)]
+        harness.leaving.add('r1')
+        harness.set_facts()
+        harness.set_route(RouteKind.stream, attempts=1, resumable=True)
+        await harness.send_request()
+        harness.leaving.clear()
         _end_old_upstream(harness)
         assert_that(await _take_up(harness), Equals(503))
-        assert_that(other.requests, Equals([]))
+        assert_that([one.requests for one in others], Equals([[], []]))
 
     _run(scenario)
 
@@ -170,9 +202,7 @@
             await connection.write_head(EVENT_STREAM, 'length', 100)
 
         await harness.start_raw_upstream(end_before_an_event)
-        sent = asyncio.create_task(harness.send_request())
-        while not harness.raw_upstreams[0].requests:
-            await asyncio.sleep(0.001)
+        sent = await _send_until_it_arrives(harness)
         harness.versions['r1'] = 'v2'
         served: list[str] = []
 
--- /dev/null
+++ b/tests/test_stream_origins.py
@@ -0,0 +1,196 @@
+"""Entries learn from each other where streams began, in virtual time."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from bench.virtual_loop import run_in_virtual_time
+from persimmonhold.fleet import DispatchRequest, RequestProfile
+from persimmonhold.streams import (
+    STREAM_LIFE_S,
+    SeenBuild,
+    StreamOrigin,
+    StreamOrigins,
+)
+from persimmonhold.streams._stream_registry import StreamRegistry
+from tests.fleet_builders import make_route
+from tests.limited_fleet import LimitedFleet
+
+Scenario = Callable[[LimitedFleet], Awaitable[None]]
+Runner = Callable[[Scenario], None]
+_OLD = StreamOrigin('models', 'v1')
+_NEW = StreamOrigin('models', 'v2')
+_REPORT_S = 0.3  # until the fleet controller has a report
+
+
+@pytest.fixture
+def run_fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Runner:
+    async def run_scenario(scenario: Scenario) -> None:
+        fleet = LimitedFleet(7, tmp_path, monkeypatch)
+        for upstream in fleet.upstreams.values():
+            upstream.software_version = 'v1'
+        async with fleet:
+            await asyncio.sleep(2)
+            await scenario(fleet)
+
+    return lambda scenario: run_in_virtual_time(run_scenario(scenario))
+
+
+def _begin_stream(fleet: LimitedFleet, entry: str, request_id: str) -> None:
+    """Have the first event of a stream come from an upstream of `u1`."""
+    hub = fleet.services[entry].hub
+    request = DispatchRequest(
+        number=0,
+        service='models',
+        route=make_route(resumable=True),
+        profile=RequestProfile(request_id=request_id),
+        arrived_at=fleet.now,
+        due_at=fleet.now,
+        caller_waits_until=fleet.now,
+        ends_at=fleet.now,
+    )
+    facts = hub.dispatcher.chooser.trackers['u1'].facts
+    hub.streams.record_begun(request, facts)
+
+
+async def _find_origins(
+    fleet: LimitedFleet, begun_as: str
+) -> set[StreamOrigin | None]:
+    """Return where all entries believe that a stream began."""
+    return {
+        await services.fleet_client.find_stream_origin('models', begun_as)
+        for services in fleet.services.values()
+    }
+
+
+async def _release(fleet: LimitedFleet) -> None:
+    """Replace both upstreams by ones of another version."""
+    for upstream in fleet.upstreams.values():
+        upstream.software_version = 'v2'
+        upstream.born_ms += 1
+    await asyncio.sleep(1.5)
+
+
+async def _restart_entries(fleet: LimitedFleet) -> None:
+    """Restart all entries at once; they know nothing then."""
+    for entry in fleet.entries:
+        fleet.services.pop(entry).hub.close()
+        fleet.start_entry(entry)
+    await asyncio.sleep(1)
+
+
+def test_all_entries_know_where_a_stream_began(run_fleet: Runner) -> None:
+    async def scenario(fleet: LimitedFleet) -> None:
+        _begin_stream(fleet, fleet.entries[0], 's1')
+        await asyncio.sleep(_REPORT_S)
+        await _release(fleet)
+        assert_that(await _find_origins(fleet, 's1'), Equals({_OLD}))
+
+    run_fleet(scenario)
+
+
+def test_streams_are_known_after_all_entries_have_restarted(
+    run_fleet: Runner,
+) -> None:
+    async def scenario(fleet: LimitedFleet) -> None:
+        for number, entry in enumerate(fleet.entries):
+            _begin_stream(fleet, entry, f's{number}')
+        await asyncio.sleep(_REPORT_S)
+        await _release(fleet)
+        await _restart_entries(fleet)
+        for number, _ in enumerate(fleet.entries):
+            found = await _find_origins(fleet, f's{number}')
+            assert_that(found, Equals({_OLD}))
+
+    run_fleet(scenario)
+
+
+def test_unknown_stream_goes_on_nowhere_when_a_version_has_just_left(
+    run_fleet: Runner,
+) -> None:
+    async def scenario(fleet: LimitedFleet) -> None:
+        assert_that(await _find_origins(fleet, 'lost'), Equals({_OLD}))
+        await _release(fleet)
+        await _restart_entries(fleet)
+        for begun_as in ('lost', ''):
+            found = await _find_origins(fleet, begun_as)
+            assert_that(found, Equals({None}))
+        await asyncio.sleep(STREAM_LIFE_S)
+        assert_that(await _find_origins(fleet, 'lost'), Equals({_NEW}))
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize('fault', ['kill', 'cut', 'pause'])
+def test_new_leader_of_control_learns_where_streams_began(
+    run_fleet: Runner, fault: str
+) -> None:
+    async def scenario(fleet: LimitedFleet) -> None:
+        _begin_stream(fleet, fleet.entries[0], 's1')
+        await asyncio.sleep(1)
+        await _release(fleet)
+        await fleet.disturb_leader(fault)
+        assert_that(await _find_origins(fleet, 's1'), Equals({_OLD}))
+        assert_that(await _find_origins(fleet, 'lost'), Equals({None}))
+
+    run_fleet(scenario)
+
+
+def test_stream_that_began_at_a_process_of_unknown_version_is_its_own(
+    run_fleet: Runner,
+) -> None:
+    async def scenario(fleet: LimitedFleet) -> None:
+        fleet.upstreams['u1'].software_version = ''
+        await asyncio.sleep(1.5)
+        _begin_stream(fleet, fleet.entries[0], 's1')
+        await asyncio.sleep(_REPORT_S)
+        expected = StreamOrigin('models', 'u1@1')
+        assert_that(await _find_origins(fleet, 's1'), Equals({expected}))
+
+    run_fleet(scenario)
+
+
+def test_registry_of_streams_is_bounded() -> None:
+    registry = StreamRegistry()
+    for number in range(70_000):
+        registry.record(f's{number}', _OLD, number / 10_000)
+    assert_that(len(registry.begun), LessThan(65_537))
+    assert_that(registry.find_origin('s69999', 7), Equals(_OLD))
+    registry.record('late', _NEW, 7 + 2 * STREAM_LIFE_S)
+    assert_that(len(registry.begun), Equals(1))
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 60),
+            st.sampled_from(['v1', 'v2', 'v3']),
+            st.booleans(),
+        ),
+        max_size=20,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_unknown_stream_is_of_a_build_only_if_no_other_served(
+    observed: list[tuple[int, str, bool]], rng: random.Random
+) -> None:
+    origins = StreamOrigins()
+    now = 60.0
+    rng.shuffle(observed)
+    for age_s, build, is_reported in sorted(observed, key=lambda one: -one[0]):
+        if is_reported:
+            seen = SeenBuild('models', build, age_s)
+            origins.record_reported((), (seen,), now)
+        else:
+            origins.builds.record_serving((('models', build),), now - age_s)
+    lately = {one[1] for one in observed if one[0] <= STREAM_LIFE_S}
+    expected = StreamOrigin('models', *lately) if len(lately) == 1 else None
+    found = origins.find_origin('lost', 'models', now)
+    assert_that(found, Equals(expected))
