Leave out entries of the list that cannot be decoded or passed on

Here: nesting raised RecursionError out of the tasks that read the list, which are not restarted; a number beyond 64 bits raised OverflowError in the encoder of each update to the entries; NaN or half of a surrogate pair made the whole page unreadable; a port out of range was tried again and again.

JSON from outside has one decoder now, which fails in one way; numbers and names have bounds; a page that is no JSON is split into its entries without recursion.

--- a/persimmonhold/control/shell/_operator_handler.py
+++ b/persimmonhold/control/shell/_operator_handler.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns.result import Failure as Failed
 
+from persimmonhold._json import decode_json
 from persimmonhold.catalogue import CatalogueEntry, StoredEntry
 from persimmonhold.control.machine import (
     CommandResult,
@@ -352,7 +353,7 @@
 
 def _decode_entry(body: bytes, name: str) -> CatalogueEntry:
     """Decode an entry; ignore the `revision` that a read adds to it."""
-    document = msgspec.json.decode(body, type=dict[str, Any])
+    document = decode_json(body, dict[str, Any])
     document.pop('revision', None)
     document.setdefault('name', name)
     entry: CatalogueEntry = msgspec.convert(document, CatalogueEntry)
--- a/persimmonhold/control/shell/_placement_engine_client.py
+++ b/persimmonhold/control/shell/_placement_engine_client.py
@@ -14,6 +14,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from persimmonhold._json import decode_json
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import Inventory, LoadReport, Order, OrderAnswer
 from persimmonhold.web import (
@@ -117,7 +118,7 @@
     document_type: type[_DocumentT],
 ) -> Result[_DocumentT, Failure]:
     try:
-        return Success(msgspec.json.decode(body, type=document_type))
+        return Success(decode_json(body, document_type))
     except msgspec.DecodeError as error:
         return Failed(
             Failure(
--- a/persimmonhold/entry/_request_reader.py
+++ b/persimmonhold/entry/_request_reader.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from persimmonhold._json import decode_json
 from persimmonhold.admission import AdmissionRequest
 from persimmonhold.attempts import RequestProperties
 from persimmonhold.catalogue import (
@@ -52,12 +53,11 @@
 class RequestReader:
     """Parses requests and looks up their targets in the catalogue."""
 
-    __slots__ = ('_decoder', '_link')
+    __slots__ = ('_link',)
 
     def __init__(self, link: ControlLink) -> None:
         """Create a reader that uses the view of a control link."""
         self._link = link
-        self._decoder = msgspec.json.Decoder(GenerationDocument)
 
     async def read_generation_request(
         self,
@@ -68,7 +68,7 @@
         if isinstance(body, Failed):
             return body
         try:
-            document = self._decoder.decode(body.unwrap())
+            document = decode_json(body.unwrap(), GenerationDocument)
         except msgspec.DecodeError as error:
             return _refuse(RefusalReason.malformed_request, str(error))
         entry = self._catalogue.find(document.model)
--- a/persimmonhold/platform/_configuration.py
+++ b/persimmonhold/platform/_configuration.py
@@ -12,6 +12,8 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from persimmonhold._json import decode_json
+from persimmonhold.platform._wire_types import Integer
 from persimmonhold.routes import (
     EngineSpec,
     ForwardRoute,
@@ -54,8 +56,8 @@
     service: str = ''
     split: tuple[_WireTarget, ...] = ()
     target_latency_ms: float = 1000.0
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Integer = 0
+    max_attempts: Integer = 1
     sticky: bool = False
     resumable: bool = False
     target_itl_ms: float = 0.0
@@ -70,7 +72,7 @@
     load_s: float = 0.0
     disk_load_s: float = 0.0
     warmup_s: float = 0.0
-    adapters: int = 0
+    adapters: Integer = 0
     adapter_mb: float = 0.0
 
 
@@ -78,12 +80,12 @@
 class _WireEngine(msgspec.Struct, frozen=True, rename=_FIELD_CASE):
     """An engine; `stride` is the number of tokens per event of a stream."""
 
-    slots: int
+    slots: Integer
     weights_mb: float
-    kv_capacity: int = 0
-    adapter_slots: int = 0
+    kv_capacity: Integer = 0
+    adapter_slots: Integer = 0
     loads_per_s: float = 1.0
-    stride: int = 1
+    stride: Integer = 1
     models: tuple[_WireModel, ...] = ()
 
 
@@ -93,14 +95,14 @@
 
     name: str
     health_path: str = '/healthz'
-    max_conns: int = 100
+    max_conns: Integer = 100
     engine: _WireEngine | None = None
 
 
 @final
 class _WireLimits(msgspec.Struct, frozen=True, rename=_FIELD_CASE):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: Integer = 16_384
+    max_body_bytes: Integer = 4_194_304
     header_timeout_ms: float = 10_000.0
     idle_timeout_ms: float = 75_000.0
 
@@ -109,7 +111,7 @@
 class _WireConfiguration(msgspec.Struct, frozen=True, rename=_FIELD_CASE):
     """The configuration in the platform's format."""
 
-    version: int
+    version: Integer
     routes: tuple[_WireRoute, ...]
     services: tuple[_WireService, ...]
     limits: _WireLimits = _WireLimits()
@@ -118,7 +120,7 @@
 def decode_configuration(body: bytes) -> Result[RoutingDocument, str]:
     """Return the routing document, or why the configuration is invalid."""
     try:
-        wire = msgspec.json.decode(body, type=_WireConfiguration)
+        wire = decode_json(body, _WireConfiguration)
     except msgspec.DecodeError as error:
         return Failed(str(error))
     unknown = [
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -27,6 +27,7 @@
 _MAX_PROMPT_PARTS: Final = 64  # usual prompts have three or four
 _MAX_PART_ID_CHARS: Final = 64
 _MAX_REQUEST_ID_CHARS: Final = 128
+_MAX_TOKENS: Final = 1_000_000_000
 _LEAVING_VALUE: Final = '1'
 # An upstream that asks for more is tried again after this time.
 _MAX_TURNED_AWAY_S: Final = 3600.0
@@ -136,10 +137,14 @@
 def _parse_token_counts(text: str) -> tuple[int, int]:
     """Return the tokens of the prompt, and the most that the response may have.
 
-    A count that is missing is 0. Raises `ValueError` if one is not a number.
+    A count that is missing is 0. Raises `ValueError` if one is not a number, or
+    out of range.
     """
     prompt, _, output = text.partition(',')
-    return int(prompt or 0), int(output or 0)
+    counts = int(prompt or 0), int(output or 0)
+    if min(counts) < 0 or max(counts) > _MAX_TOKENS:
+        raise ValueError(f'token counts {text[:_MAX_PART_ID_CHARS]}')
+    return counts
 
 
 def _parse_deadline_ms(text: str) -> float | None:
--- a/persimmonhold/platform/_listing.py
+++ b/persimmonhold/platform/_listing.py
@@ -6,7 +6,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from persimmonhold._json import decode_json
 from persimmonhold.fleet import HeldModel, ListedUpstream, UpstreamReport
+from persimmonhold.platform._list_page_reader import read_list_page
+from persimmonhold.platform._wire_types import Count, Name
+from persimmonhold.web import parse_address
 
 _KNOWN_STATES: Final = frozenset(('ready', 'draining'))
 _DRAINING: Final = 'draining'
@@ -17,9 +21,9 @@
 class _WireHeld(msgspec.Struct, frozen=True):
     """A model that an upstream holds, and its adapters there."""
 
-    name: str
-    version: int = 0
-    adapters: tuple[str, ...] = ()
+    name: Name
+    version: Count = 0
+    adapters: tuple[Name, ...] = ()
 
 
 @final
@@ -29,31 +33,23 @@
     `version` is that of its software; one that is not a text is unknown.
     """
 
-    id: str
-    service: str
-    address: str
-    zone: str
+    id: Name
+    service: Name
+    address: Name
+    zone: Name
     state: str
-    slots: int = 1
-    born: int = 0
+    slots: Count = 1
+    born: Count = 0
     models: tuple[_WireHeld, ...] | None = None
     version: object = ''
 
 
-@final
-class _WirePage(msgspec.Struct, frozen=True, rename='kebab'):
-    """A page of the list; `next_token` is that of the next page, or null."""
-
-    instances: tuple[msgspec.Raw, ...]
-    next_token: str | None = None
-
-
 @final
 class _WireResident(msgspec.Struct, frozen=True, rename='kebab'):
     """Models whose weights an upstream has in host memory or on its disk."""
 
-    in_memory: tuple[str, ...] = ()
-    on_disk: tuple[str, ...] = ()
+    in_memory: tuple[Name, ...] = ()
+    on_disk: tuple[Name, ...] = ()
 
 
 @final
@@ -63,12 +59,12 @@
     `seq` counts accepted orders; `pending` names adapters being loaded.
     """
 
-    seq: int
+    seq: Count
     busy: bool
     models: tuple[_WireHeld, ...]
-    born: int = 0
+    born: Count = 0
     state: str = 'ready'
-    pending: tuple[str, ...] = ()
+    pending: tuple[Name, ...] = ()
     resident: _WireResident = _WireResident()
 
 
@@ -91,19 +87,19 @@
     Single entries that cannot be decoded are only counted.
     """
     try:
-        page = msgspec.json.decode(body, type=_WirePage)
+        entries, next_page = read_list_page(body)
     except msgspec.DecodeError as error:
         return Failed(str(error))
-    listed = [_decode_entry(raw) for raw in page.instances]
+    listed = [_decode_entry(raw) for raw in entries]
     readable = tuple(upstream for upstream in listed if upstream is not None)
     unreadable = len(listed) - len(readable)
-    return Success(ListPage(readable, unreadable, page.next_token))
+    return Success(ListPage(readable, unreadable, next_page))
 
 
 def decode_report(body: bytes) -> Result[UpstreamReport, str]:
     """Return the report of an upstream, or why it cannot be decoded."""
     try:
-        wire = msgspec.json.decode(body, type=_WireReport)
+        wire = decode_json(body, _WireReport)
     except msgspec.DecodeError as error:
         return Failed(str(error))
     return Success(
@@ -122,17 +118,20 @@
     )
 
 
-def _decode_entry(raw: msgspec.Raw) -> ListedUpstream | None:
+def _decode_entry(raw: bytes | msgspec.Raw) -> ListedUpstream | None:
     """Return one entry of the list; None if it is invalid or not in use.
 
     An upstream is in use if its state is ready or draining.
     """
     try:
-        wire = msgspec.json.decode(raw, type=_WireEntry)
+        wire = decode_json(raw, _WireEntry)
     except msgspec.DecodeError:
         return None
     if wire.state not in _KNOWN_STATES or not wire.id:
         return None
+    address = parse_address(wire.address)
+    if isinstance(address, Failed) or not address.unwrap().port:
+        return None
     return ListedUpstream(
         name=wire.id,
         service=wire.service,
--- /dev/null
+++ b/persimmonhold/platform/_wire_types.py
@@ -0,0 +1,12 @@
+"""Numbers and texts of the platform that this system can pass on."""
+
+from typing import Annotated, Final, TypeAlias
+
+import msgspec
+
+_LARGEST: Final = 9_223_372_036_854_775_807
+_MAX_NAME_CHARS: Final = 1024
+
+Integer: TypeAlias = Annotated[int, msgspec.Meta(ge=-_LARGEST, le=_LARGEST)]
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_LARGEST)]
+Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_CHARS)]
--- a/persimmonhold/upstreams/_upstream_pollers.py
+++ b/persimmonhold/upstreams/_upstream_pollers.py
@@ -15,6 +15,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from persimmonhold._json import decode_json
 from persimmonhold.catalogue import UpstreamEntry
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import CacheEventPage, LoadReport
@@ -282,7 +283,7 @@
     target: str,
 ) -> Result[_DocumentT, Failure]:
     try:
-        return Success(msgspec.json.decode(body, type=document_type))
+        return Success(decode_json(body, document_type))
     except msgspec.DecodeError:
         return Failed(
             _build_failure(FailureKind.protocol_violation, address, target),
