--- a/tests/test_planned_stop_faults.py
+++ b/tests/test_planned_stop_faults.py
@@ -30,7 +30,7 @@
 from persimmonhold.settings import CallerSettings
 from persimmonhold.system import run_until_stopped
 from persimmonhold.tasks import BackgroundTasks
-from persimmonhold.web import Exchange, encode_headers
+from persimmonhold.web import ClientConnection, Exchange, encode_headers
 from tests.entry_builders import EntryHarness, ScriptedUpstream
 from tests.raw_upstream import RawConnection, RawUpstream
 from tests.stopping_entry import CallerOutcome, StoppingEntry
@@ -564,3 +564,54 @@
     statuses = _run(scenario, slots=1)
     answers = [Equals(one) for one in (502, 503, 504)]
     assert_that(statuses, AllMatch(MatchesAny(*answers)))
+
+
+@pytest.mark.parametrize('work_s', [0.09, 0.9, 2.5])
+@pytest.mark.parametrize('kind', list(RouteKind))
+def test_late_request_over_a_kept_connection_is_answered_or_not_passed_on(
+    kind: RouteKind, work_s: float
+) -> None:
+    arrived: set[str] = set()
+
+    async def serve(exchange: Exchange) -> None:
+        arrived.add(exchange.head.header('attempt-id'))
+        if kind is RouteKind.stream:
+            await _stream_for(work_s)(exchange)
+        else:
+            await _answer_after(work_s)(exchange)
+
+    async def send_late(
+        harness: StoppingEntry, connection: ClientConnection, late_s: float
+    ) -> tuple[float, CallerOutcome, bool]:
+        await asyncio.sleep(late_s)
+        name = f'late{late_s:.2f}'
+        outcome = await harness.call({'attempt-id': name}, connection)
+        return late_s, outcome, name in arrived
+
+    async def scenario(
+        harness: StoppingEntry,
+    ) -> list[tuple[float, CallerOutcome, bool]]:
+        harness.set_route(kind)
+        await harness.start_upstream(serve)
+        connections = [await harness.connect() for _ in range(40)]
+        await asyncio.gather(
+            *(harness.call(connection=one) for one in connections)
+        )
+        harness.begin_stop()
+        late = [
+            asyncio.create_task(
+                send_late(harness, connection, step * harness.grace_s / 40)
+            )
+            for step, connection in enumerate(connections)
+        ]
+        assert_that(await harness.finish_stop(), LessThan(harness.grace_s))
+        return list(await asyncio.gather(*late))
+
+    outcomes = _run(scenario, slots=50)
+    passed_on = {
+        late_s: outcome.status
+        for late_s, outcome, has_arrived in outcomes
+        if has_arrived
+    }
+    assert_that(len(passed_on), GreaterThan(5))
+    assert_that(set(passed_on.values()), Equals({200}))
