--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -34,6 +34,8 @@
 CONTACT_S: Final = 3.0
 _RESTART_S: Final = 5.0
 _LINK_S: Final = 0.001
+_CONNECT_S: Final = 0.4  # until a connect to a silent machine fails
+_HEAD_TIMEOUT_S: Final = 0.8
 _PROMPT_S: Final = 0.08  # until an upstream begins to write
 _STREAM_S: Final = 1.2
 _HEAD: Final = ResponseHead(status=200, headers=())
@@ -72,7 +74,8 @@
     reached one; `crashes` are the times at which
     upstreams ended under them.
     `bad` are the exchanges of their callers and `sound` those of all others,
-    each with the time at which the request was sent.
+    each with the time at which the request was sent. If it `falls_silent`, an
+    upstream that ends closes no connection.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         self.client = ListClient(list(self.engines.values()))
         self.bad_parts: set[str] = set()
         self.bad_repeats: set[tuple[str, str]] = set()
+        self.falls_silent = False
         self.bad_arrivals: list[tuple[float, str, str]] = []
         self.arrived_ids: set[str] = set()
         self.crashes: dict[str, list[float]] = {}
@@ -290,6 +294,7 @@
         """Arrive at the upstream, and stream unless the process ends."""
         await asyncio.sleep(_LINK_S)
         if not self.engine.is_up:
+            await asyncio.sleep(_CONNECT_S * self.world.falls_silent)
             return AttemptResult(end=AttemptEnd.unreachable, may_have_run=False)
         self.world.arrived_ids.add(self.profile.request_id)
         if self.cause:
@@ -304,6 +309,9 @@
         streaming.cancel()
         ending.cancel()
         streamed_s = self.world.now - self.first_event_at
+        if is_cut and self.world.falls_silent:
+            await asyncio.sleep(_HEAD_TIMEOUT_S)
+            return AttemptResult(end=AttemptEnd.silent, may_have_run=True)
         return AttemptResult(
             end=AttemptEnd.failed if is_cut else AttemptEnd.answered,
             may_have_run=True,
--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -261,3 +261,30 @@
         assert_that(fleet.has_quarantine(), Equals(False))
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize('route', _ROUTES)
+def test_request_under_which_upstreams_fall_silent_stops_reaching_them(
+    run_fleet: Runner, route: ForwardRoute
+) -> None:
+    async def scenario(fleet: CrashingFleet) -> None:
+        fleet.falls_silent = True
+        fleet.start_repeating(_BAD, 2, is_bad=True)
+        await asyncio.sleep(25)
+        assert_that(_count_late(fleet), LessThan(4))
+
+    run_fleet(scenario, route=route)
+
+
+def test_sound_request_that_slow_upstreams_leave_unanswered_is_served(
+    run_fleet: Runner,
+) -> None:
+    async def scenario(fleet: CrashingFleet) -> None:
+        fleet.falls_silent = True
+        fleet.start_repeating(_SOUND, 10)
+        for _ in range(12):
+            fleet.rng.choice(list(fleet.engines.values())).crash()
+            await asyncio.sleep(2)
+        assert_that(fleet.has_quarantine(), Equals(False))
+
+    run_fleet(scenario)
