Count silence as evidence once the silent process is gone

An attempt without a response is kept now, and counts as a crash when its process is gone (left the list, born anew, or refuses connections) and has answered nothing sent later.

--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -202,6 +202,11 @@
                 best = (tracker, expected_s, needs_adapter)
         return best
 
+    def has_ended(self, process: tuple[str, int]) -> bool:
+        """Tell whether the facts show that a process is not running any more."""
+        tracker = self.trackers.get(process[0])
+        return tracker is None or 0 < process[1] < tracker.facts.born_ms
+
     def has_holder(self, pending: PendingRequest, now: float) -> bool:
         """Tell whether an available upstream holds the model of a request."""
         return self.count_holders(pending, now) > 0
--- a/persimmonhold/forwarding/_attempt_result.py
+++ b/persimmonhold/forwarding/_attempt_result.py
@@ -28,7 +28,8 @@
     of a kept one that was closed without a response, that its process is gone.
     `is_unanswered` means that a pooled connection was closed after the request
     was written to it, before the attempt that the other fields describe.
-    `streamed_s` is how long ago its first event arrived, or None without one.
+    `is_silent` means that nothing of a response arrived after the request was
+    sent. `streamed_s` is how long ago its first event arrived, or None without one.
     For the log: `body_end` is what marked the end of the body, or '' without a response head;
     `is_within_event` means that the last event received was incomplete.
     """
@@ -40,6 +41,7 @@
     detail: str = ''
     is_cut: bool = False
     is_unanswered: bool = False
+    is_silent: bool = False
     streamed_s: float | None = None
     body_end: str = ''
     is_within_event: bool = False
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from functools import partial
 from typing import Final, final
 
 import msgspec
@@ -105,11 +106,17 @@
                 _has_process_ended(result)
                 or (result.may_have_run and self.is_cut)
             ),
+            is_silent=result.end is AttemptEnd.silent and not has_head,
             streamed_s=self._streamed_s(),
             body_end=self.head.body_end.value if has_head else '',
             is_within_event=self.event_boundary.is_within_event,
         )
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the request was sent and no response has begun."""
+        return self.has_written and not self.head.status
+
     @property
     def progress(self) -> str:
         """How far the attempt has got, for the log of a cancelled one."""
@@ -342,7 +349,9 @@
                 AttemptEnd.failed, f'status {decoded_head.status}'
             )
         with StallDetector(
-            connection, self._stall_timeout_s(), self._handle_stall
+            connection,
+            self._stall_timeout_s(),
+            partial(self._fail_connection, 'stalled'),
         ):
             read_result = await connection.stream_body(self)
         return self._build_result(read_result)
@@ -409,11 +418,8 @@
             detail=f'status {decoded_head.status}',
         )
 
-    def _handle_stall(self) -> None:
-        """Fail the connection of a response that has paused too long."""
-        self._fail_connection('stalled')
-
     def _fail_connection(self, detail: str) -> None:
+        """Fail the connection, as its response cannot be relayed."""
         if self.connection is not None:
             self.connection.mark_failed(detail)
 
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -117,6 +117,7 @@
 
         The request was sent at `sent_at`.
         """
+        self.quarantine.silent.record_response(process, sent_at)
         if self.dispatcher.chooser.record_response_limit(
             process, limit_per_s, sent_at, self.clock()
         ):
@@ -154,6 +155,9 @@
         now = self.clock()
         self._deliver(self.dispatcher.apply_update(update, now))
         self.quarantine.begin_term(self.dispatcher.term)
+        for process in self.quarantine.silent.processes:
+            if self.dispatcher.chooser.has_ended(process):
+                self.quarantine.record_process_end(process, now)
         self.streams.record_builds(
             has_changed=bool(update.facts or update.gone)
         )
@@ -234,6 +238,12 @@
             )
         elif result.end is AttemptEnd.answered:
             self.record_prompt_answered(profile, now - (result.streamed_s or 0))
+        elif result.is_silent:
+            self.quarantine.record_silence(
+                process, profile.request_id, parts, now
+            )
+        if result.end in {AttemptEnd.unreachable, AttemptEnd.replaced}:
+            self.quarantine.record_process_end(process, now)
 
     def plan_stop(self, stops_at: float) -> None:
         """Have all responses end by `stops_at`; refuse what cannot."""
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -217,12 +217,18 @@
             raise
         self._count_run(may_have_run=result.may_have_run)
         self.may_have_run = self.may_have_run or result.is_unanswered
+        self._record_outcome(action, result)
+        return result
+
+    def _record_outcome(
+        self, action: SendRequest, result: AttemptResult
+    ) -> None:
+        """Record what an attempt shows of its request and of its upstream."""
         self.services.hub.record_prompt_outcome(
             action.upstream.process_key,
             self.request.dispatch_request.profile,
             result,
         )
-        return result
 
     def _record_cancelled(
         self, action: SendRequest, attempt: ForwardAttempt
@@ -232,7 +238,9 @@
             end=AttemptEnd.cancelled,
             may_have_run=attempt.has_written,
             detail=attempt.progress,
+            is_silent=attempt.is_waiting,
         )
+        self._record_outcome(action, result)
         self._count_run(may_have_run=result.may_have_run)
         self._log_attempt(action, result)
 
--- a/persimmonhold/quarantine/_quarantine_view.py
+++ b/persimmonhold/quarantine/_quarantine_view.py
@@ -14,6 +14,10 @@
     QuarantineUpdate,
 )
 from persimmonhold.quarantine._request_fingerprint import is_fingerprint
+from persimmonhold.quarantine._silent_attempts import (
+    SilentAttempt,
+    SilentAttempts,
+)
 from persimmonhold.quarantine._suspect import SUSPICION_S
 
 # An upstream that a request crashes ends when it begins to answer; one that
@@ -49,6 +53,7 @@
         'crashes',
         'ends',
         'number',
+        'silent',
         'term',
         'version',
         'watched',
@@ -68,6 +73,7 @@
         self.answered: dict[str, tuple[int, float]] = {}
         self.answered_at: float | None = None
         self.answered_requests = AnsweredRequests()
+        self.silent = SilentAttempts()
 
     def find_left_s(self, parts: tuple[str, ...], now: float) -> float:
         """Return for how many seconds a prompt is refused; 0 if it is not."""
@@ -98,6 +104,21 @@
             self.number += 1
             self.crashes.append((self.number, now, crash))
 
+    def record_silence(
+        self,
+        process: tuple[str, int],
+        request_id: str,
+        parts: tuple[str, ...],
+        now: float,
+    ) -> None:
+        """Record that an attempt ended without a response."""
+        self.silent.add(SilentAttempt(process, request_id, parts, now))
+
+    def record_process_end(self, process: tuple[str, int], now: float) -> None:
+        """Record that a process is gone, and what it left unanswered."""
+        for one in self.silent.take_ended(process, now):
+            self.record_cut(process, one.request_id, one.parts, None, now)
+
     def record_answered(self, parts: tuple[str, ...], began_at: float) -> None:
         """Record that an upstream began to answer a prompt, and went on."""
         self.answered_requests.record(parts, began_at)
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -311,7 +311,9 @@
         streamed_s = self.world.now - self.first_event_at
         if is_cut and self.world.falls_silent:
             await asyncio.sleep(_HEAD_TIMEOUT_S)
-            return AttemptResult(end=AttemptEnd.silent, may_have_run=True)
+            return AttemptResult(
+                end=AttemptEnd.silent, may_have_run=True, is_silent=True
+            )
         return AttemptResult(
             end=AttemptEnd.failed if is_cut else AttemptEnd.answered,
             may_have_run=True,
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -191,6 +191,7 @@
     """Stands for the connection of an attempt; the rest is the real code."""
 
     has_written = True
+    is_waiting = True
     progress = 'request sent'
 
     @abc.abstractmethod
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -224,3 +224,36 @@
         assert_that(crashes, Equals([]))
 
     _run(scenario)
+
+
+@pytest.mark.parametrize('kind', [RouteKind.idempotent, RouteKind.stream])
+@pytest.mark.parametrize('answers_later', [True, False])
+def test_silence_is_evidence_once_the_process_is_gone(
+    kind: RouteKind, answers_later: bool
+) -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(kind, resumable=kind is RouteKind.stream)
+        is_silent = True
+
+        async def script(connection: RawConnection) -> None:
+            if is_silent:
+                await asyncio.Event().wait()
+            content_type = (
+                PLAIN if kind is RouteKind.idempotent else (EVENT_STREAM)
+            )
+            await connection.respond(content_type, 'length', _EVENT)
+
+        upstream = await harness.start_raw_upstream(script)
+        await harness.send_request()
+        assert_that(harness.hub.build_evidence(), Equals(None))
+        if answers_later:
+            is_silent = False
+            await harness.send_request()
+        harness.raw_upstreams.remove(upstream)
+        harness.set_facts()
+        evidence = harness.hub.build_evidence()
+        crashes = evidence.crashes if evidence else ()
+        expected = [] if answers_later else ['r1']
+        assert_that([one.request_id for one in crashes], Equals(expected))
+
+    _run(scenario)
