--- a/persimmonhold/forwarding/_quarantine_server.py
+++ b/persimmonhold/forwarding/_quarantine_server.py
@@ -7,7 +7,7 @@
 
 from persimmonhold.fleet import EntryReport, FleetController
 from persimmonhold.observability import log_event
-from persimmonhold.quarantine import PromptEvidence
+from persimmonhold.quarantine import PromptEvidence, spread_release
 from persimmonhold.transport import Channel, Transport
 
 # Bounds the updates to all entries; each end of an upstream changes them.
@@ -77,5 +77,5 @@
         update = controller.quarantine.build_update(
             entry, controller.term, self.clock()
         )
-        encoded = msgspec.msgpack.encode(update)
+        encoded = msgspec.msgpack.encode(spread_release(update, entry))
         self.transport.send(entry, Channel.fleet, encoded)
--- a/persimmonhold/quarantine/__init__.py
+++ b/persimmonhold/quarantine/__init__.py
@@ -18,6 +18,7 @@
     PROOF_S,
     QuarantineView,
 )
+from persimmonhold.quarantine._release_spread import spread_release
 from persimmonhold.quarantine._request_fingerprint import fingerprint_request
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
     'QuarantineUpdate',
     'QuarantineView',
     'fingerprint_request',
+    'spread_release',
 )
 
 if not TYPE_CHECKING:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -16,6 +16,7 @@
     QuarantinedPrompt,
     QuarantineUpdate,
     QuarantineView,
+    spread_release,
 )
 
 _START = 1000.0
@@ -289,3 +290,24 @@
     quarantine.record_evidence('vm1', evidence, 0)
     told = quarantine.build_update('vm2', 1, 1).quarantined
     assert_that(told, Equals(()))
+
+
+def test_entries_end_a_quarantine_one_after_the_other() -> None:
+    quarantine = PromptQuarantine()
+    prompt = QuarantinedPrompt(_BAD, 300)
+    evidence = PromptEvidence(number=1, quarantined=(prompt,))
+    quarantine.record_evidence('vm1', evidence, _START)
+    entries = [f'vm{number}' for number in range(60)]
+    left_s = sorted(
+        spread_release(quarantine.build_update(entry, 1, _START), entry)
+        .quarantined[0]
+        .left_s
+        for entry in entries
+    )
+    assert_that(left_s[0] >= 300, Equals(True))
+    assert_that(left_s[-1] <= 360, Equals(True))
+    # A verdict takes a second; so few entries may send the request until then.
+    together = max(
+        sum(since <= one <= since + 1 for one in left_s) for since in left_s
+    )
+    assert_that(together, LessThan(7))
