Load a model at the version at which a taken-up stream waits for it

Cause: demand was counted by model, and a copy at any version met it. Entries report the copies that streams wait for by version, and the planner loads them there if that is worth the evictions.

--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -21,6 +21,7 @@
     PermitReply,
     PermitRequest,
     StatedLimit,
+    WantedCopy,
 )
 from persimmonhold.fleet._fleet_order import (
     FleetOrder,
@@ -86,6 +87,7 @@
     'UpstreamFacts',
     'UpstreamLedger',
     'UpstreamReport',
+    'WantedCopy',
 )
 
 if not TYPE_CHECKING:
--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -11,11 +11,12 @@
 
 import math
 from collections.abc import Collection, Iterable
-from typing import Final, final
+from typing import Final, TypeAlias, final
 
 import msgspec
 
 from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
+from persimmonhold.fleet._fleet_messages import WantedCopy
 from persimmonhold.fleet._fleet_order import FleetOrder, FleetOrderKind
 from persimmonhold.fleet._model_load import ModelLoad
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
@@ -50,6 +51,8 @@
 _FIRST_COPY_GAIN: Final = 0.3
 # The gain is a rate: the number of waiting requests is divided by this time.
 _WAIT_HORIZON_S: Final = 2.0
+# Gain of a copy at the build of a stream that its caller has taken up.
+_COPY_OF_BUILD_GAIN: Final = _FIRST_COPY_GAIN + 1 / _WAIT_HORIZON_S
 # Costs in the score of an upstream as the place of a copy: its slot
 # utilization times the first, the second for each copy of the model in the same
 # failure domain, and the third if the model has to be loaded from the weight
@@ -58,6 +61,9 @@
 _SAME_DOMAIN_COST: Final = 0.05
 _STORE_LOAD_COST: Final = 0.6
 
+# The gain, the model, and the build at which it is needed; empty for any.
+_WorthwhileCopy: TypeAlias = tuple[float, ModelSpec, str]
+
 
 @final
 class PlannedOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -104,13 +110,16 @@
     While `can_evict` is False, models are loaded only into free memory: the
     demand for the models already loaded may not be known yet. `limits` has the
     request limits of upstreams that state one, in requests a second; a copy
-    there counts as the part of a copy that the limit leaves. `holders` indexes
+    there counts as the part of a copy that the limit leaves. `wanted_copies` are
+    models that requests need at one build each, and `builds` the builds of the
+    upstreams. `holders` indexes
     the ledgers by the models that they hold or reserve memory for, so that a
     plan takes time in proportion to the copies, and not to models times
     upstreams; it is empty unless the ledgers are unchanged since it was built.
     """
 
     __slots__ = (
+        'builds',
         'can_evict',
         'failure_domains',
         'holders',
@@ -122,6 +131,7 @@
         'running',
         'spec',
         'utilization',
+        'wanted_copies',
     )
 
     def __init__(
@@ -147,6 +157,8 @@
         self.can_evict = True
         self.holders: dict[str, list[UpstreamLedger]] = {}
         self.limits: dict[str, float] = {}
+        self.builds: dict[str, str] = {}
+        self.wanted_copies: tuple[WantedCopy, ...] = ()
         self.spec = spec
         self.ledgers = tuple(ledgers)
         self.loads = loads
@@ -169,10 +181,11 @@
         )
         if finished is not None:
             return finished
-        for gain, spec in self._models_by_gain():
-            if gain < _MIN_GAIN:
-                break
-            placement = self._best_placement(spec, gain)
+        for gain, spec, build in (
+            *self._list_copies_of_builds(),
+            *self._models_by_gain(),
+        ):
+            placement = self._best_placement(spec, gain, build)
             if placement is None:
                 continue
             order = self._make_first_order(spec, placement, gain)
@@ -296,10 +309,28 @@
             victims[0], spec, ledger, f'cost {cost:.3f}'
         )
 
-    def _models_by_gain(self) -> list[tuple[float, ModelSpec]]:
-        """Return (gain, model) for all models, the highest gain first."""
-        gains = [(self._copy_gain(spec), spec) for spec in self.spec.models]
-        return sorted(gains, key=lambda pair: pair[0], reverse=True)
+    def _list_copies_of_builds(self) -> list[_WorthwhileCopy]:
+        """Return the copies that requests need at builds without one."""
+        copies: list[_WorthwhileCopy] = []
+        for wanted in self.wanted_copies:
+            spec = self.spec.find_model(wanted.model)
+            is_held = any(
+                self.builds.get(ledger.name) == wanted.build
+                for ledger in self._list_holders(wanted.model)
+            )
+            if spec is not None and not is_held:
+                gain = max(self._copy_gain(spec), _COPY_OF_BUILD_GAIN)
+                copies.append((gain, spec, wanted.build))
+        return copies
+
+    def _models_by_gain(self) -> list[_WorthwhileCopy]:
+        """Return the models that gain by a copy, the highest gain first."""
+        gains = [(self._copy_gain(spec), spec, '') for spec in self.spec.models]
+        return sorted(
+            (one for one in gains if one[0] >= _MIN_GAIN),
+            key=lambda one: one[0],
+            reverse=True,
+        )
 
     def _copy_gain(self, spec: ModelSpec) -> float:
         """Return how many late requests per second another copy avoids.
@@ -318,12 +349,15 @@
         )
 
     def _best_placement(
-        self, spec: ModelSpec, gain: float
+        self, spec: ModelSpec, gain: float, build: str
     ) -> _Placement | None:
-        """Return the worthwhile placement with the lowest score, or None."""
+        """Return the worthwhile placement with the lowest score, or None.
+
+        It is at an upstream of `build`, if that is not empty.
+        """
         places = [
             placement
-            for ledger in self.ledgers
+            for ledger in _select_build(self.ledgers, self.builds, build)
             if (placement := self._find_placement(spec, ledger, gain))
             is not None
             and self._is_worthwhile(gain, placement.cost)
@@ -503,6 +537,15 @@
         )
 
 
+def _select_build(
+    ledgers: Iterable[UpstreamLedger], builds: dict[str, str], build: str
+) -> list[UpstreamLedger]:
+    """Return the ledgers of the upstreams of a build; '' for any."""
+    return [
+        ledger for ledger in ledgers if build in {'', builds.get(ledger.name)}
+    ]
+
+
 def _late_requests_per_s(load: ModelLoad, copies: float) -> float:
     """Return the requests per second that are late with that many copies."""
     if copies <= 0:
--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -350,6 +350,10 @@
         planner = self._make_planner(spec, ledgers, loads, now)
         planner.can_evict = self.demand.is_warmed_up(now)
         planner.limits = self.facts.find_limits(ledgers)
+        planner.wanted_copies = self.demand.list_wanted(service)
+        planner.builds = {
+            one.name: self.facts.by_upstream[one.name].build for one in ledgers
+        }
         orders: list[PlannedOrder] = []
         while len(orders) < len(ledgers):
             may_load = limiter.refill_and_check(spec.store_loads_per_s, now)
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from persimmonhold.fleet._fleet_messages import EntryReport
+from persimmonhold.fleet._fleet_messages import EntryReport, WantedCopy
 from persimmonhold.fleet._model_load import ModelLoad
 from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._shared_load import SharedLoad
@@ -141,6 +141,16 @@
             or total.running > own[total.upstream].running
         )
 
+    def list_wanted(self, service: str) -> tuple[WantedCopy, ...]:
+        """Return the copies that requests of a service need at some build."""
+        wanted = {
+            copy
+            for report in self.last_reports.values()
+            for copy in report.wanted
+            if copy.service == service
+        }
+        return tuple(sorted(wanted, key=lambda one: (one.model, one.build)))
+
     def sum_other_waiting(self, entry: str) -> tuple[ModelWaiting, ...]:
         """Return the requests that wait at all other entries, by model."""
         own = self.waiting_by_entry.get(entry)
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -101,6 +101,15 @@
         )
 
 
+@final
+class WantedCopy(msgspec.Struct, frozen=True, array_like=True):
+    """A model that no upstream of a build holds, though requests need it."""
+
+    service: str
+    model: str
+    build: str
+
+
 @final
 class EntryReport(
     msgspec.Struct,
@@ -118,7 +127,8 @@
     `leaving` are the processes of upstreams, by name and start time, that
     stated to this entry that they leave and that the facts do not show so.
     `streams` have begun lately, or are all that may still be taken up if the
-    controller is new; `builds` have served lately.
+    controller is new; `builds` have served lately. `wanted` are the copies that
+    streams wait for which callers have taken up.
     """
 
     term: int
@@ -131,6 +141,7 @@
     leaving: tuple[tuple[str, int], ...] = ()
     streams: tuple[BegunStream, ...] = ()
     builds: tuple[SeenBuild, ...] = ()
+    wanted: tuple[WantedCopy, ...] = ()
 
     @property
     def content(self) -> tuple[object, ...]:
@@ -143,6 +154,7 @@
             self.quarantine_version,
             self.leaving,
             self.streams,
+            self.wanted,
         )
 
 
--- a/persimmonhold/fleet/_upstream_groups.py
+++ b/persimmonhold/fleet/_upstream_groups.py
@@ -47,6 +47,13 @@
             for tracker in self.by_service.get(service, ())
         )
 
+    def holds_model(self, service: str, model: str, build: str) -> bool:
+        """Tell whether an upstream of a build holds a model."""
+        return any(
+            tracker.facts.build == build
+            for tracker in self.by_model.get((service, model), ())
+        )
+
     def remove(self, tracker: UpstreamTracker) -> None:
         """Remove an upstream from the groups that its facts name."""
         service, models = tracker.facts.group
--- a/persimmonhold/forwarding/_stream_recorder.py
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -10,12 +10,14 @@
     EntryReport,
     ForwardDispatcher,
     UpstreamFacts,
+    WantedCopy,
 )
 from persimmonhold.streams import STREAM_LIFE_S, StreamOrigin, StreamOrigins
 
 # A stream is in each report of this time, as reports may be lost.
 _REPORTED_S: Final = 0.35
 _BUILD_INTERVAL_S: Final = 1.0
+_MAX_WANTED: Final = 16
 
 
 @final
@@ -89,4 +91,20 @@
             report,
             streams=self.origins.streams.list_begun_since(since),
             builds=self.origins.builds.build_report(now),
+            wanted=self._list_wanted(),
         )
+
+    def _list_wanted(self) -> tuple[WantedCopy, ...]:
+        """Return the copies that waiting requests need at some build."""
+        groups = self.dispatcher.chooser.groups
+        needed = {
+            (one.request.service, one.request.profile.model, one.build)
+            for queue in self.dispatcher.queues.values()
+            for one in queue.pending
+            if one.build and one.request.is_engine
+        }
+        return tuple(
+            WantedCopy(*copy)
+            for copy in sorted(needed)
+            if not groups.holds_model(*copy)
+        )[:_MAX_WANTED]
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -30,6 +30,7 @@
     StatedLimit,
     UpstreamLedger,
     UpstreamReport,
+    WantedCopy,
 )
 from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
 from persimmonhold.fleet._model_load import ModelLoad
@@ -773,3 +774,23 @@
     planner = CopyPlanner(ENGINE, (ledger,), loads, {}, {}, running, (), 0.0)
     planned = planner.plan_next_order(can_load_from_store=True)
     assert_that(planned is not None, Is(is_evicted), f'{planned}')
+
+
+@pytest.mark.parametrize('is_wanted', [True, False])
+def test_model_is_loaded_at_the_build_at_which_a_stream_waits_for_it(
+    is_wanted: bool,
+) -> None:
+    """The day rejoined: 8 of 13 streams that were taken up found no copy."""
+    ledgers = [UpstreamLedger(name) for name in ('old', 'new', 'other')]
+    for ledger in ledgers:
+        ledger.is_content_known = True
+    ledgers[1].held = {'m1': set()}
+    load = ModelLoad(0.0)
+    load.slow_arrivals_per_s = 0.1
+    planner = CopyPlanner(ENGINE, ledgers, {'m1': load}, {}, {}, {}, (), 0.0)
+    planner.builds = {'old': 'v1', 'new': 'v2', 'other': 'v2'}
+    if is_wanted:
+        planner.wanted_copies = (WantedCopy('models', 'm1', 'v1'),)
+    planned = planner.plan_next_order(can_load_from_store=True)
+    found = planned and (planned.upstream, planned.order.model)
+    assert_that(found, Equals(('old', 'm1') if is_wanted else None))
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -12,7 +12,12 @@
 from testtools.matchers import Equals, LessThan
 
 from bench.virtual_loop import run_in_virtual_time
-from persimmonhold.fleet import DispatchRequest, RequestProfile
+from persimmonhold.fleet import (
+    AttemptEnd,
+    DispatchRequest,
+    RequestProfile,
+    WantedCopy,
+)
 from persimmonhold.streams import (
     STREAM_LIFE_S,
     SeenBuild,
@@ -194,3 +199,30 @@
     expected = StreamOrigin('models', *lately) if len(lately) == 1 else None
     found = origins.find_origin('lost', 'models', now)
     assert_that(found, Equals(expected))
+
+
+def test_entry_reports_the_copy_that_a_taken_up_stream_waits_for(
+    run_fleet: Runner,
+) -> None:
+    async def scenario(fleet: LimitedFleet) -> None:
+        hub = fleet.services[fleet.entries[0]].hub
+        request = DispatchRequest(
+            number=1,
+            service='models',
+            route=make_route(resumable=True),
+            profile=RequestProfile(request_id='r1', model='m1'),
+            arrived_at=fleet.now,
+            due_at=fleet.now + 1,
+            caller_waits_until=fleet.now + 3,
+            ends_at=fleet.now + 3,
+            is_engine=True,
+            build='v1',
+        )
+        waiting = hub.submit_request(request)
+        copy = WantedCopy('models', 'm1', 'v1')
+        assert_that(hub.build_report().wanted, Equals((copy,)))
+        waiting.cancel()
+        hub.finish_request(1, AttemptEnd.cancelled)
+        assert_that(hub.build_report().wanted, Equals(()))
+
+    run_fleet(scenario)
