Send an entry only the quarantines that it lacks

Each change of the quarantine went to each entry whole: with 256 of three fingerprints about 20 KB, at 540 entries 11 MB a round (by size, not measured on a fleet). An update now has those that began after the version in the entry's last report, under 100 bytes for a new one in the test; an entry that lacks earlier ones waits for a whole update.

--- a/persimmonhold/forwarding/_quarantine_server.py
+++ b/persimmonhold/forwarding/_quarantine_server.py
@@ -19,9 +19,16 @@
     """Records the evidence of entries, and sends them updates.
 
     An entry whose report names an older version gets the update again.
+    `applied` has the term and version in the last report of each entry.
     """
 
-    __slots__ = ('clock', 'last_round_at', 'sent_version', 'transport')
+    __slots__ = (
+        'applied',
+        'clock',
+        'last_round_at',
+        'sent_version',
+        'transport',
+    )
 
     def __init__(
         self, transport: Transport, clock: Callable[[], float]
@@ -30,6 +37,7 @@
         self.transport = transport
         self.clock = clock
         self.sent_version = (0, 0)
+        self.applied: dict[str, tuple[int, int]] = {}
         self.last_round_at = 0.0
 
     def record_evidence(
@@ -43,6 +51,7 @@
         self, controller: FleetController, entry: str, report: EntryReport
     ) -> None:
         """Send an entry the update that its report shows it lacks."""
+        self.applied[entry] = report.term, report.quarantine_version
         version = controller.quarantine.version
         if version and (report.term, report.quarantine_version) != (
             controller.term,
@@ -74,8 +83,12 @@
                 self._send_update(controller, entry)
 
     def _send_update(self, controller: FleetController, entry: str) -> None:
+        term, base = self.applied.get(entry, (0, 0))
         update = controller.quarantine.build_update(
-            entry, controller.term, self.clock()
+            entry,
+            controller.term,
+            self.clock(),
+            base if term == controller.term else 0,
         )
         encoded = msgspec.msgpack.encode(spread_release(update, entry))
         self.transport.send(entry, Channel.fleet, encoded)
--- a/persimmonhold/quarantine/_messages.py
+++ b/persimmonhold/quarantine/_messages.py
@@ -79,7 +79,8 @@
 ):
     """Tells an entry which prompts to refuse, and which parts are suspected.
 
-    `version` increases within the leadership term. `confirmed` is the number of
+    `version` increases within the leadership term; quarantines that began up to
+    version `base` are left out. `confirmed` is the number of
     the entry's last evidence that the controller has recorded. The entry
     reports if a part in `watched` is answered.
     """
@@ -89,3 +90,4 @@
     confirmed: int
     watched: tuple[str, ...] = ()
     quarantined: tuple[QuarantinedPrompt, ...] = ()
+    base: int = 0
--- a/persimmonhold/quarantine/_prompt_quarantine.py
+++ b/persimmonhold/quarantine/_prompt_quarantine.py
@@ -42,13 +42,14 @@
     """The suspected parts, and the prompts that entries refuse.
 
     `ends` has the end of each quarantine and `durations` its length, also of
-    one that has ended. `watched` has the parts with the most crashes, up to
+    one that has ended; `begun_versions` the version that began it. `watched` has the parts with the most crashes, up to
     `watched_until`. `confirmed` has the number of the last evidence of each
     entry, and `version` increases when an update changes.
     """
 
     __slots__ = (
         'answered_at',
+        'begun_versions',
         'confirmed',
         'durations',
         'ends',
@@ -65,6 +66,7 @@
         self.suspects: dict[str, Suspect] = {}
         self.ends: dict[PartSet, float] = {}
         self.durations: dict[PartSet, float] = {}
+        self.begun_versions: dict[PartSet, int] = {}
         self.confirmed: dict[str, int] = {}
         self.explained: dict[ProcessKey, PartSet] = {}
         self.answered_at = -math.inf
@@ -114,9 +116,9 @@
         return tuple(begun)
 
     def build_update(
-        self, entry: str, term: int, now: float
+        self, entry: str, term: int, now: float, base: int = 0
     ) -> QuarantineUpdate:
-        """Return the update for an entry."""
+        """Return the update for an entry that has applied version `base`."""
         return QuarantineUpdate(
             term=term,
             version=self.version,
@@ -125,8 +127,9 @@
             quarantined=tuple(
                 QuarantinedPrompt(parts, end - now)
                 for parts, end in self.ends.items()
-                if end > now
+                if end > now and self.begun_versions[parts] > base
             ),
+            base=base,
         )
 
     def _find_last_end(self, parts: PartSet) -> float | None:
@@ -224,6 +227,7 @@
         self.ends[parts] = now + duration_s
         self.durations[parts] = duration_s
         self.version += 1
+        self.begun_versions[parts] = self.version
         return QuarantinedPrompt(parts, duration_s)
 
     def _merge_quarantine(self, prompt: QuarantinedPrompt, now: float) -> None:
@@ -236,6 +240,7 @@
         end = now + min(prompt.left_s, _MAX_QUARANTINE_S)
         if prompt.parts not in self.ends:
             self.version += 1
+            self.begun_versions[prompt.parts] = self.version
         self.ends[prompt.parts] = max(end, self.ends.get(prompt.parts, end))
         self.durations.setdefault(prompt.parts, _FIRST_QUARANTINE_S)
 
@@ -284,6 +289,7 @@
         for parts in first_to_end[: max(0, len(self.ends) - _MAX_QUARANTINES)]:
             self.ends.pop(parts)
             self.durations.pop(parts)
+            self.begun_versions.pop(parts)
 
 
 def _create_suspect(part: str, now: float) -> Suspect:
--- a/persimmonhold/quarantine/_quarantine_view.py
+++ b/persimmonhold/quarantine/_quarantine_view.py
@@ -146,10 +146,15 @@
     def apply_update(
         self, update: QuarantineUpdate, now: float
     ) -> tuple[QuarantinedPrompt, ...]:
-        """Apply an update of the fleet controller; return what is new."""
+        """Apply an update of the fleet controller; return what is new.
+
+        It is ignored if earlier quarantines were not applied here.
+        """
         if update.term < self.term:
             return ()
         self.begin_term(update.term)
+        if update.base > self.version:
+            return ()
         if update.confirmed <= self.number:
             # A higher number was confirmed to this entry before its restart.
             self.confirmed = max(self.confirmed, update.confirmed)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -311,3 +311,34 @@
         sum(since <= one <= since + 1 for one in left_s) for since in left_s
     )
     assert_that(together, LessThan(7))
+
+
+def test_update_has_only_the_quarantines_that_an_entry_lacks() -> None:
+    quarantine = PromptQuarantine()
+    view = QuarantineView()
+    sizes = []
+    for number in range(200):
+        prompt = QuarantinedPrompt((f'bad{number}',), 300)
+        evidence = PromptEvidence(number=1, quarantined=(prompt,))
+        quarantine.record_evidence('vm1', evidence, _START)
+        update = quarantine.build_update('vm1', 1, _START, view.version)
+        sizes.append(len(msgspec.msgpack.encode(update)))
+        view.apply_update(update, _START)
+        assert_that(view.find_left_s((f'bad{number}',), _START), Equals(300))
+    assert_that(max(sizes), LessThan(100))
+    assert_that(len(view.ends), Equals(200))
+
+
+def test_entry_that_lacks_earlier_quarantines_waits_for_all_of_them() -> None:
+    quarantine = PromptQuarantine()
+    for name in ('bad1', 'bad2'):
+        evidence = PromptEvidence(
+            number=1, quarantined=(QuarantinedPrompt((name,), 300),)
+        )
+        quarantine.record_evidence('vm1', evidence, _START)
+    view = QuarantineView()
+    view.apply_update(quarantine.build_update('vm1', 1, _START, 1), _START)
+    assert_that(view.version, Equals(0))
+    view.apply_update(quarantine.build_update('vm1', 1, _START), _START)
+    assert_that(view.version, Equals(quarantine.version))
+    assert_that(len(view.ends), Equals(2))
