--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -51,8 +51,6 @@
 _FIRST_COPY_GAIN: Final = 0.3
 # The gain is a rate: the number of waiting requests is divided by this time.
 _WAIT_HORIZON_S: Final = 2.0
-# Gain of a copy at the build of a stream that its caller has taken up.
-_COPY_OF_BUILD_GAIN: Final = _FIRST_COPY_GAIN + 1 / _WAIT_HORIZON_S
 # Costs in the score of an upstream as the place of a copy: its slot
 # utilization times the first, the second for each copy of the model in the same
 # failure domain, and the third if the model has to be loaded from the weight
@@ -319,7 +317,7 @@
                 for ledger in self._list_holders(wanted.model)
             )
             if spec is not None and not is_held:
-                gain = max(self._copy_gain(spec), _COPY_OF_BUILD_GAIN)
+                gain = _FIRST_COPY_GAIN + wanted.waiting / _WAIT_HORIZON_S
                 copies.append((gain, spec, wanted.build))
         return copies
 
--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -6,6 +6,7 @@
 from persimmonhold.fleet._fleet_messages import EntryReport, StatedLimit
 from persimmonhold.fleet._forward_dispatcher import ForwardDispatcher
 from persimmonhold.fleet._model_demand import ModelDemand
+from persimmonhold.fleet._request_queue import RequestQueue
 from persimmonhold.fleet._shared_load import SharedLoad
 
 _MS_PER_S: Final = 1000
@@ -60,7 +61,7 @@
                 arrived=self.arrived.get(key, 0),
                 tokens=self.tokens.get(key, 0),
                 running=running.get(key, 0),
-                waiting=len(waiting[key]) if key in waiting else 0,
+                waiting=_count_waiting(waiting.get(key)),
             )
             for key in sorted(keys)
         )
@@ -90,6 +91,11 @@
     return running
 
 
+def _count_waiting(queue: RequestQueue | None) -> int:
+    """Count the waiting requests that a copy at any build could serve."""
+    return sum(not one.build for one in queue.pending) if queue else 0
+
+
 def _build_own_loads(dispatcher: ForwardDispatcher) -> tuple[SharedLoad, ...]:
     """Return the load that this entry puts on each upstream it uses."""
     return tuple(
--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -163,13 +163,13 @@
             one.model for one in report.demand if one.waiting and one.model
         ]
         if not waiting:
-            return False
+            return bool(report.wanted)
         held = {
             model
             for ledger in self.ledgers.values()
             for model in (*ledger.models, ledger.reserved_model)
         }
-        return not held.issuperset(waiting)
+        return bool(report.wanted) or not held.issuperset(waiting)
 
     def request_adapter(
         self,
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -143,13 +143,15 @@
 
     def list_wanted(self, service: str) -> tuple[WantedCopy, ...]:
         """Return the copies that requests of a service need at some build."""
-        wanted = {
-            copy
-            for report in self.last_reports.values()
-            for copy in report.wanted
-            if copy.service == service
-        }
-        return tuple(sorted(wanted, key=lambda one: (one.model, one.build)))
+        wanted: Counter[tuple[str, str]] = Counter()
+        for report in self.last_reports.values():
+            for copy in report.wanted:
+                if copy.service == service:
+                    wanted[copy.model, copy.build] += copy.waiting
+        return tuple(
+            WantedCopy(service, model, build, count)
+            for (model, build), count in wanted.most_common()
+        )
 
     def sum_other_waiting(self, entry: str) -> tuple[ModelWaiting, ...]:
         """Return the requests that wait at all other entries, by model."""
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -103,11 +103,12 @@
 
 @final
 class WantedCopy(msgspec.Struct, frozen=True, array_like=True):
-    """A model that no upstream of a build holds, though requests need it."""
+    """A model that no upstream of a build holds, and the requests that need it."""
 
     service: str
     model: str
     build: str
+    waiting: int = 1
 
 
 @final
--- a/persimmonhold/forwarding/_stream_recorder.py
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -1,5 +1,6 @@
 """Records at an entry where streams begin, and which builds serve."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Final, final
 
@@ -97,14 +98,14 @@
     def _list_wanted(self) -> tuple[WantedCopy, ...]:
         """Return the copies that waiting requests need at some build."""
         groups = self.dispatcher.chooser.groups
-        needed = {
+        needed = Counter(
             (one.request.service, one.request.profile.model, one.build)
             for queue in self.dispatcher.queues.values()
             for one in queue.pending
             if one.build and one.request.is_engine
-        }
+        )
         return tuple(
-            WantedCopy(*copy)
-            for copy in sorted(needed)
+            WantedCopy(*copy, waiting=count)
+            for copy, count in needed.most_common()
             if not groups.holds_model(*copy)
         )[:_MAX_WANTED]
