--- a/persimmonhold/quarantine/_prompt_quarantine.py
+++ b/persimmonhold/quarantine/_prompt_quarantine.py
@@ -25,6 +25,8 @@
 PartSet: TypeAlias = tuple[str, ...]
 ProcessKey: TypeAlias = tuple[str, int]
 _MAX_SUSPECTS: Final = 1024
+# Fewer are kept of too many, so that they are ranked less often.
+_KEPT_SUSPECTS: Final = 768
 _MAX_WATCHED: Final = 64
 _MAX_QUARANTINES: Final = 256
 _MAX_EXPLAINED: Final = 256
@@ -283,8 +285,9 @@
         for part, suspect in tuple(self.suspects.items()):
             if suspect.is_stale(now):
                 self.suspects.pop(part)
-        for part in self._rank_suspects()[_MAX_SUSPECTS:]:
-            self.suspects.pop(part)
+        if len(self.suspects) > _MAX_SUSPECTS:
+            for part in self._rank_suspects()[_KEPT_SUSPECTS:]:
+                self.suspects.pop(part)
         first_to_end = sorted(self.ends, key=self.ends.__getitem__)
         for parts in first_to_end[: max(0, len(self.ends) - _MAX_QUARANTINES)]:
             self.ends.pop(parts)
--- a/persimmonhold/quarantine/_suspect.py
+++ b/persimmonhold/quarantine/_suspect.py
@@ -25,7 +25,13 @@
     The controller has known of a crash that counts since `suspected_since`.
     """
 
-    __slots__ = ('answered_at', 'crashes', 'request_ids', 'suspected_since')
+    __slots__ = (
+        '_valid_crashes',
+        'answered_at',
+        'crashes',
+        'request_ids',
+        'suspected_since',
+    )
 
     def __init__(self, now: float) -> None:
         """Create a suspect without evidence."""
@@ -33,19 +39,27 @@
         self.answered_at = -math.inf
         self.crashes: dict[tuple[str, int], DatedCrash] = {}
         self.request_ids: set[str] = set()
+        self._valid_crashes: list[DatedCrash] | None = None
 
     @property
     def valid_crashes(self) -> list[DatedCrash]:
         """The crashes that count, in order of time."""
-        return sorted(
-            (one for one in self.crashes.values() if one[0] > self.answered_at),
-            key=lambda one: one[0],
-        )
+        if self._valid_crashes is None:
+            self._valid_crashes = sorted(
+                (
+                    one
+                    for one in self.crashes.values()
+                    if one[0] > self.answered_at
+                ),
+                key=lambda one: one[0],
+            )
+        return self._valid_crashes
 
     @property
     def last_crash_at(self) -> float:
         """When the last process ended that counts."""
-        return max((at for at, _ in self.valid_crashes), default=-math.inf)
+        crashes = self.valid_crashes
+        return crashes[-1][0] if crashes else -math.inf
 
     @property
     @abc.abstractmethod
@@ -70,6 +84,7 @@
         """Add the end of a process; entries may report the same one."""
         if self.is_newly_suspected():
             self.suspected_since = now
+        self._valid_crashes = None
         for known, (ended_at, _) in tuple(self.crashes.items()):
             if ended_at <= self.answered_at:
                 self.crashes.pop(known)
@@ -85,6 +100,7 @@
     def record_answered(self, at: float) -> None:
         """Record that an upstream began to answer such a request, and went on."""
         self.answered_at = max(self.answered_at, at)
+        self._valid_crashes = None
 
     def is_stale(self, now: float) -> bool:
         """Tell whether all that is known is too old to count."""
