--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -34,7 +34,11 @@
     'request_limit': 'every upstream that could run it had stated a request'
     ' limit, and no permit was expected in time',
     'quarantined_prompt': 'upstreams had ended when they began to answer'
-    ' requests with a part of its prompt',
+    ' equal requests, or requests with a part of its prompt',
+    'unknown_stream': 'nobody knew at which software version the stream that'
+    ' it goes on with had begun',
+    'no_upstream_of_version': 'no upstream of the software version at which'
+    ' its stream had begun took requests',
     'upstreams_turned_away': 'every upstream that could run it had turned'
     ' requests of this entry away until its caller would have left',
     'upstreams_leaving': 'every upstream that could run it had stated that it'
