--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -607,7 +607,7 @@
         try:
             for offset in range(10):
                 for group in (1, 2):
-                    for number in (1, 2, 3):
+                    for number in (1, 2, 3, 4, 5, 6, 7, 99):
                         with socket.socket() as one:
                             one.bind((f'127.{network}.{group}.{number}',
                                       port + offset))
