Keep the fleet controller while the leader's lease lapses within a term

Cause: the lease lasts 0.9 of the election timeout, but the leader steps down after the whole of it. FleetRunner took a lease that lapsed in between for the end of the term and created a new controller in the same term, so tokens, sequence and change numbers, the load limiter and quarantines began again.

Fix: a lapse pauses the controller; it is replaced only when the replica no longer leads its term, which is for good. LeaderDuties kept no silence of VMs across a lapse for the same reason.

--- a/bench/shared_log.py
+++ b/bench/shared_log.py
@@ -136,7 +136,7 @@
         return ReplicaStatus(
             vm=self._name,
             incarnation='',
-            role='leader' if self.is_leader else 'follower',
+            role='leader' if self._group.leader == self._name else 'follower',
             term=self._group.term,
             leader=self.leader,
             is_verified=True,
--- a/persimmonhold/control/shell/_leader_duties.py
+++ b/persimmonhold/control/shell/_leader_duties.py
@@ -25,13 +25,20 @@
 class LeaderDuties:
     """The periodic work, run on each control VM; idle unless it leads."""
 
-    __slots__ = ('_first_seen_at', '_is_leadership_announced', '_node', '_vm')
+    __slots__ = (
+        '_first_seen_at',
+        '_is_leadership_announced',
+        '_node',
+        '_term',
+        '_vm',
+    )
 
     def __init__(self, node: ControlNode, vm: VmAgentRunner) -> None:
         """Create the periodic work of a control replica on a VM."""
         self._node = node
         self._vm = vm
         self._is_leadership_announced = False
+        self._term = 0
         self._first_seen_at: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -47,11 +54,14 @@
     async def run_round(self) -> None:
         """Renew the proof, announce a new leadership and remove dead VMs.
 
-        On a VM that is not the leader, only clear the times at which VMs were
-        first checked and the mark that the leadership was announced.
+        On a VM that is not the leader, only clear the mark that the leadership
+        was announced. The times at which VMs were first checked are cleared in
+        a new term, but not by a lease that lapses within a term.
         """
-        if not self._node.is_leader:
+        if self._term != self._node.term:
+            self._term = self._node.term
             self._first_seen_at.clear()
+        if not self._node.is_leader:
             self._is_leadership_announced = False
             return
         started_at = self._vm.clock()
--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -10,6 +10,8 @@
 _CONTEXT_MARGIN_S: Final = 1.0
 _CONTEXT_EVENTS: Final = frozenset((
     'drain',
+    'fleet_continues',
+    'fleet_paused',
     'fleet_term_begins',
     'fleet_term_ends',
     'list_failed',
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -2,7 +2,9 @@
 
 Invariants: only one VM sends orders at a time. A new leader first acquires
 the order lease (see `OrderLease`); a leader checks right before each order
-that it still leads in the same term.
+that it still leads in the same term. A term of the log has one controller:
+while its leader's lease has lapsed, the controller is kept and nothing is sent,
+so fencing tokens and the numbers of updates never begin again in a term.
 """
 
 import asyncio
@@ -23,11 +25,13 @@
     PermitRequest,
     PlannedOrder,
 )
+from persimmonhold.forwarding._fleet_term import FleetTerm
 from persimmonhold.forwarding._fleet_work_log import FleetWorkLog
 from persimmonhold.forwarding._order_lease import OrderLease
 from persimmonhold.forwarding._permit_server import PermitServer
 from persimmonhold.forwarding._quarantine_server import QuarantineServer
 from persimmonhold.forwarding._stream_origin_server import StreamOriginServer
+from persimmonhold.forwarding._term_leadership import TermLeadership
 from persimmonhold.forwarding._upstream_client import UpstreamClient
 from persimmonhold.observability import LogLevel, log_event
 from persimmonhold.quarantine import PromptEvidence
@@ -50,44 +54,6 @@
 _IDLE_ORDER_POLL_INTERVAL_S: Final = 1.0
 _ORDER_POLL_INTERVAL_S: Final = 0.05
 _LEADERSHIP_POLL_S: Final = 0.02
-# Low bits of a fencing token: the number of the order within its term.
-_TOKEN_NUMBER_BITS: Final = 24
-
-
-@final
-class FleetTerm:
-    """The fleet controller of one leadership term, and the tasks for it.
-
-    The dictionaries are keyed by upstream. `issued_token_count` is the number
-    of fencing tokens used in the term.
-    """
-
-    __slots__ = (
-        'controller',
-        'issued_token_count',
-        'lease_task',
-        'order_tasks',
-        'order_wakeups',
-        'report_requested_at',
-        'report_tasks',
-    )
-
-    def __init__(self, controller: FleetController) -> None:
-        """Create a term without any task."""
-        self.controller = controller
-        self.issued_token_count = 0
-        self.order_tasks: dict[str, asyncio.Task[None]] = {}
-        self.report_tasks: dict[str, asyncio.Task[None]] = {}
-        self.order_wakeups: dict[str, asyncio.Event] = {}
-        self.report_requested_at: dict[str, float] = {}
-        self.lease_task: asyncio.Task[None] | None = None
-
-    def close(self) -> None:
-        """Cancel all tasks of the term."""
-        for task in (*self.order_tasks.values(), *self.report_tasks.values()):
-            task.cancel()
-        if self.lease_task is not None:
-            self.lease_task.cancel()
 
 
 @final
@@ -102,8 +68,8 @@
     __slots__ = (
         'clock',
         'decoder',
+        'leadership',
         'next_plan_at',
-        'node',
         'order_lease',
         'origin_server',
         'permit_server',
@@ -130,7 +96,6 @@
 
         `lease_s` must pass between the orders of two VMs.
         """
-        self.node = node
         self.transport = transport
         self.upstream_client = upstream_client
         self.order_lease = OrderLease(node, lease_s, clock)
@@ -138,6 +103,7 @@
         self.quarantine_server = QuarantineServer(transport, clock)
         self.origin_server = StreamOriginServer(transport, clock)
         self.clock = clock
+        self.leadership = TermLeadership(node)
         self.next_plan_at = 0.0
         self.planned_at = 0.0
         self.term: FleetTerm | None = None
@@ -216,58 +182,57 @@
         """
         while True:
             self._start_or_end_term()
+            term = self.leadership.find_active(self.term)
             now = self.clock()
-            # An order that was predicted to be complete by now is due as well.
-            is_due = now >= self.next_plan_at or (
-                self.term is not None
-                and self.term.controller.has_order_due(now)
-            )
-            if self.term is not None and is_due:
-                self.next_plan_at = now + _PLAN_INTERVAL_S
-                self.planned_at = now
-                self._plan_orders(self.term, now)
-                self.work_log.record_plan(self.clock() - now)
-                self.work_log.log_if_due(now)
-            if self.term is not None:
-                self._send_due_replies(self.term, now)
+            if term is not None:
+                # An order predicted to be complete by now is due as well.
+                if now >= self.next_plan_at or term.controller.has_order_due(
+                    now
+                ):
+                    self._plan_orders(term, now)
+                self._send_due_replies(term, now)
                 self.quarantine_server.decide_and_send(
-                    self.term.controller, self._list_entries
+                    term.controller, self._list_entries
                 )
-            await self._wait_until_due()
+            await self._wait_until_due(term)
 
-    async def _wait_until_due(self) -> None:
+    async def _wait_until_due(self, term: FleetTerm | None) -> None:
         """Wait for the next planning time, predicted order end or wakeup.
 
-        Without a term, wait until leadership is checked again.
+        Without a term in which this VM leads, wait until leadership is checked
+        again.
         """
         wait_s = _LEADERSHIP_POLL_S
-        if self.term is not None:
-            due = min(self.next_plan_at, self.term.controller.next_due_at())
+        if term is not None:
+            due = min(self.next_plan_at, term.controller.next_due_at())
             wait_s = max(_MIN_WAIT_S, due - self.clock())
         self.plan_wakeup.clear()
         await wait_with_timeout(self.plan_wakeup, wait_s)
 
     def _start_or_end_term(self) -> None:
-        """Start or end a term if leadership changed; apply current routes."""
-        if not self.node.is_leader:
+        """Start or end a term if leadership changed; apply current routes.
+
+        A term does not end when the leader's lease lapses: it may become valid
+        again in the same term, which needs the same controller.
+        """
+        if self.term is not None and self.leadership.is_over(self.term):
             self._end_term()
+        if not self.leadership.node.is_leader:
             return
-        if (
-            self.term is not None
-            and self.term.controller.term != self.node.term
-        ):
-            self._end_term()
         if self.term is None:
             controller = FleetController(
-                self.node.term, self.order_lease.compute_latest_start()
+                self.leadership.node.term,
+                self.order_lease.compute_latest_start(),
             )
             self.term = FleetTerm(controller)
             self.term.lease_task = asyncio.get_running_loop().create_task(
                 self._acquire_order_lease(controller),
             )
-            log_event('fleet_term_begins', term=self.node.term)
+            log_event('fleet_term_begins', term=self.leadership.node.term)
             self.term_started.set()
-        self.term.controller.apply_routes(self.node.state.view.routes)
+        self.term.controller.apply_routes(
+            self.leadership.node.state.view.routes
+        )
 
     async def _acquire_order_lease(self, controller: FleetController) -> None:
         """Activate the controller once no other VM can issue orders."""
@@ -281,12 +246,18 @@
     def _end_term(self) -> None:
         """Cancel the tasks of the current term, if there is one."""
         if self.term is not None:
-            log_event('fleet_term_ends', term=self.term.controller.term)
+            log_event(
+                'fleet_term_ends',
+                term=self.term.controller.term,
+                issued_tokens=self.term.issued_token_count,
+            )
             self.term.close()
         self.term = None
 
     def _plan_orders(self, term: FleetTerm, now: float) -> None:
         """Plan orders, wake the tasks that send them, and update entries."""
+        self.next_plan_at = now + _PLAN_INTERVAL_S
+        self.planned_at = now
         is_update_due = term.controller.has_order_due(now)
         for planned in term.controller.plan_orders(now):
             _log_plan(planned)
@@ -297,6 +268,8 @@
             # about to be evicted.
             self._request_updates(term)
         self._update_order_tasks(term)
+        self.work_log.record_plan(self.clock() - now)
+        self.work_log.log_if_due(now)
 
     def _update_order_tasks(self, term: FleetTerm) -> None:
         """Run exactly one task for each upstream that accepts orders."""
@@ -340,16 +313,12 @@
         """Send an order if this VM still leads, and record the verdict."""
         listed = term.controller.facts.listed[upstream]
         verdict = OrderVerdict.not_sent
-        if self.node.is_leader and self.node.term == term.controller.term:
-            term.issued_token_count += 1
-            fencing_token = (
-                term.controller.term << _TOKEN_NUMBER_BITS
-            ) + term.issued_token_count
+        if self.leadership.may_act(term):
             verdict = await self.upstream_client.send_order(
                 upstream,
                 listed.address,
                 order,
-                fencing_token,
+                term.issue_fencing_token(),
             )
         term.controller.record_order_outcome(
             upstream, order, verdict, self.clock()
@@ -378,7 +347,7 @@
         Runs until cancelled.
         """
         while True:
-            term = self.term
+            term = self.leadership.find_active(self.term)
             if term is not None:
                 listed = await self.upstream_client.read_list()
                 if isinstance(listed, Failed):
@@ -395,7 +364,7 @@
         An upstream is read more often while it executes a model order.
         """
         while True:
-            term = self.term
+            term = self.leadership.find_active(self.term)
             if term is not None:
                 for upstream, ledger in tuple(term.controller.ledgers.items()):
                     interval_s = (
@@ -443,8 +412,9 @@
         """Send a round of updates to all entries when due, until cancelled."""
         while True:
             wait_s = _MAX_UPDATE_WAIT_S
-            if self.term is not None:
-                wait_s = self._send_updates_if_due(self.term)
+            term = self.leadership.find_active(self.term)
+            if term is not None:
+                wait_s = self._send_updates_if_due(term)
             self.update_wakeup.clear()
             await wait_with_timeout(self.update_wakeup, wait_s)
 
@@ -477,7 +447,9 @@
     def _list_entries(self) -> tuple[str, ...]:
         """Return the names of the VMs that serve callers."""
         return tuple(
-            vm.name for vm in self.node.state.vms.values() if vm.callers
+            vm.name
+            for vm in self.leadership.node.state.vms.values()
+            if vm.callers
         )
 
 
--- a/persimmonhold/replication/_replica_status.py
+++ b/persimmonhold/replication/_replica_status.py
@@ -29,3 +29,11 @@
     snapshot_index: int
     members: tuple[MemberStatus, ...]
     failure: str = ''
+
+    @property
+    def has_leadership(self) -> bool:
+        """Whether the replica leads its term, even if its lease has lapsed.
+
+        Once false, it stays false for the rest of the term.
+        """
+        return self.role == 'leader' and not self.failure
--- a/tests/test_fleet_givers.py
+++ b/tests/test_fleet_givers.py
@@ -22,7 +22,9 @@
 from persimmonhold.failures import Failure
 from persimmonhold.fleet import (
     EntryReport,
+    FleetMessage,
     FleetOrder,
+    FleetUpdate,
     HeldModel,
     ListedUpstream,
     ModelDemand,
@@ -37,6 +39,7 @@
 
 _LEASE_S = 3.0
 _SLACK_S = 0.001
+_LAPSE_S = 0.03  # the leader steps down 0.05 s after its lease has lapsed
 
 
 class SharedUpstream:
@@ -299,6 +302,56 @@
     _run_scenario(tmp_path, seed, scenario)
 
 
+async def _let_lease_lapse(system: MemorySystem) -> bool:
+    """Delay messages to the leader until its lease has lapsed for a moment.
+
+    Tell whether it leads again in the same term.
+    """
+    leader = await system.wait_for_leader()
+    assert leader.vm is not None
+    term = leader.term
+    system.network.pause(leader.vm.record.name)
+    await wait_until(lambda: not leader.is_leader)
+    await asyncio.sleep(_LAPSE_S)
+    system.network.resume(leader.vm.record.name)
+    await asyncio.sleep(0.5)
+    return leader.is_leader and leader.term == term
+
+
+def _record_updates(system: MemorySystem, updates: list[FleetUpdate]) -> None:
+    """Record the updates that one entry receives."""
+
+    def record(peer: str, payload: bytes) -> None:
+        message = msgspec.msgpack.decode(payload, type=FleetMessage)
+        if isinstance(message, FleetUpdate):
+            updates.append(message)
+
+    entry = system.network.transports[system.names[-2]]
+    entry.set_receiver(Channel.fleet, record)
+
+
+# Tokens and update numbers began again after a lease that lapsed for a moment.
+def test_numbers_rise_across_a_lease_that_lapses_within_a_term(
+    tmp_path: Path,
+) -> None:
+    lapses: list[bool] = []
+    updates: list[FleetUpdate] = []
+
+    async def scenario(system: OrderingSystem) -> None:
+        _record_updates(system.memory, updates)
+        for _ in range(10):
+            await system.await_orders(2)
+            lapses.append(await _let_lease_lapse(system.memory))
+        await system.await_orders(2)
+
+    _run_scenario(tmp_path, 1, scenario)
+    assert_that(lapses.count(True), GreaterThan(4))
+    numbers = [(one.term, one.sequence) for one in updates]
+    assert_that(numbers, Equals(sorted(set(numbers))))
+    changes = [(one.term, one.number) for one in updates]
+    assert_that(changes, Equals(sorted(changes)))
+
+
 def test_snapshot_keeps_the_last_order_issuer() -> None:
     machine = ControlStateMachine()
     machine.apply(1, RecordFleetController(at_ms=1, vm='vm2'))
