Accept changes without VMs that have been silent for two seconds

Seen by the operator: with 5 of 7 entries lost for good no configuration was acknowledged again, and no new entry got ready, though all control VMs ran.

Cause: a change, a registration and a removal each waited until a majority of all registered VMs held the view, and lost VMs count until they are removed. The removals ran in the round that renews the proofs of control, so the survivors stopped serving too.

--- a/bench/memory_system.py
+++ b/bench/memory_system.py
@@ -25,6 +25,7 @@
     RemoteControlLink,
     VmAgentRunner,
 )
+from persimmonhold.membership import MembershipTimings
 from persimmonhold.messages import VmRecord
 from persimmonhold.replication import (
     LogApplier,
@@ -50,6 +51,7 @@
         transport: Transport,
         create_log: LogFactory,
         address: str = '',
+        timings: MembershipTimings | None = None,
     ) -> None:
         """Create a VM; one that `control_addresses` names has a replica.
 
@@ -66,7 +68,7 @@
         )
         clock = asyncio.get_running_loop().time
         self.vm = VmAgentRunner(
-            record, control_addresses, transport, clock=clock
+            record, control_addresses, transport, timings, clock
         )
         self.client = ControlClient(self.vm, transport)
         self.node: ControlNode | None = None
@@ -116,6 +118,7 @@
         control_count: int,
         seed: int,
         directory: Path | None = None,
+        timings: MembershipTimings | None = None,
     ) -> None:
         """Create a system that is not started.
 
@@ -128,6 +131,7 @@
         self.network = MemoryNetwork(seed)
         self.group = LogGroup(self.network)
         self.vms: dict[str, MemoryVm] = {}
+        self._timings = timings
         self._change_count = 0
         self._directory = directory
         self._random = random.Random(seed)
@@ -179,7 +183,9 @@
         """Create and start a VM."""
         transport = self.network.create_transport(name)
         control = dict.fromkeys(self.control_names, '')
-        vm = MemoryVm(name, control, transport, self._create_log)
+        vm = MemoryVm(
+            name, control, transport, self._create_log, timings=self._timings
+        )
         self.vms[name] = vm
         await vm.start()
 
--- a/persimmonhold/control/shell/__init__.py
+++ b/persimmonhold/control/shell/__init__.py
@@ -29,6 +29,8 @@
     )
     from persimmonhold.control.shell._single_replica_log import SingleReplicaLog
     from persimmonhold.control.shell._vm_agent_runner import VmAgentRunner
+    from persimmonhold.control.shell._vm_liveness import VmLiveness
+    from persimmonhold.control.shell._vm_report_tracker import VmReportTracker
 
 __all__ = (
     'REFUSAL_HTTP_STATUS',
@@ -47,6 +49,8 @@
     'RemoteControlLink',
     'SingleReplicaLog',
     'VmAgentRunner',
+    'VmLiveness',
+    'VmReportTracker',
 )
 
 if not TYPE_CHECKING:
@@ -69,5 +73,7 @@
             'RemoteControlLink': '_remote_control_link',
             'SingleReplicaLog': '_single_replica_log',
             'VmAgentRunner': '_vm_agent_runner',
+            'VmLiveness': '_vm_liveness',
+            'VmReportTracker': '_vm_report_tracker',
         },
     )
--- a/persimmonhold/membership/_membership_timings.py
+++ b/persimmonhold/membership/_membership_timings.py
@@ -1,10 +1,15 @@
 """Timings and limits of membership and dissemination."""
 
+import math
 from typing import Final, final
 
 import msgspec
 
 _SMALL_SYSTEM_VMS: Final = 64
+# Bounds the periodic reports of all VMs together to the leader.
+_REPORTS_PER_SECOND: Final = 100
+# A VM counts as silent only after more than one report of it was due.
+_SILENT_REPORT_INTERVALS: Final = 1.5
 
 
 @final
@@ -15,7 +20,12 @@
     control. It serves while its proof of control or of a majority is younger
     than `lease_s`. A VM is removed once there has been no proof of it for
     `removal_timeout_s`, which must exceed the lease by more than the time
-    that proofs take to spread.
+    that proofs take to spread. If a majority is silent, control is probably
+    cut off from them, and they are removed after `mass_removal_timeout_s`.
+
+    A VM that lacks a change and has been silent for `acceptance_silence_s` does
+    not delay the acceptance of the change. If it is infinite, a majority must
+    hold each change.
 
     A change is pushed by the leader to up to `leader_push_fanout` VMs and by
     each of these to `push_fanout` VMs, or to one VM in a small system. If
@@ -27,6 +37,8 @@
     joining_interval_s: float = 0.1
     lease_s: float = 4
     removal_timeout_s: float = 10
+    mass_removal_timeout_s: float = 30
+    acceptance_silence_s: float = math.inf
     pull_timeout_s: float = 0.3
     heartbeat_fanout: int = 2
     push_fanout: int = 5
@@ -40,6 +52,17 @@
             return self.heartbeat_interval_s
         return 2 * self.heartbeat_interval_s
 
+    def report_interval_s_for(self, vm_count: int) -> float:
+        """Return the interval of a VM's reports in a system of `vm_count`."""
+        return max(self.heartbeat_interval_s, vm_count / _REPORTS_PER_SECOND)
+
+    def acceptance_silence_s_for(self, vm_count: int) -> float:
+        """Return the silence after which a VM delays no acceptance."""
+        interval_s = self.report_interval_s_for(vm_count)
+        return max(
+            self.acceptance_silence_s, _SILENT_REPORT_INTERVALS * interval_s
+        )
+
     def push_fanout_for(self, vm_count: int) -> int:
         """Return the number of VMs to which a VM forwards a change.
 
--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -27,6 +27,9 @@
 _VERIFICATION_MS: Final = 500  # disks are complete or empty here, never stale
 _HEARTBEAT_MS: Final = 80
 _ELECTION_TIMEOUT_MS: Final = 450  # a retransmitted packet takes 200 ms
+# Entries have no disk and any number may be lost. The platform excuses a VM that
+# stands still or is cut off; those that are reachable report within 0.5 s.
+_ACCEPTANCE_SILENCE_MS: Final = 2000
 _METRICS_PORT: Final = 9464  # the port in deploy/system.toml
 _DIRECTORY_TTL_S: Final = 1.0  # how long callers cache a directory response
 
@@ -162,6 +165,7 @@
         verification_ms=_VERIFICATION_MS,
         heartbeat_ms=_HEARTBEAT_MS,
         election_timeout_ms=_ELECTION_TIMEOUT_MS,
+        acceptance_silence_ms=_ACCEPTANCE_SILENCE_MS,
         plain_outside_loopback=True,
     )
 
--- a/persimmonhold/settings/_peer_settings.py
+++ b/persimmonhold/settings/_peer_settings.py
@@ -65,6 +65,15 @@
             description='Silence of the leader before an election.',
         ),
     ] = 500
+    acceptance_silence_ms: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=60_000,
+            description='Silence after which a VM that lacks a change does '
+            'not delay its acceptance; 0: a majority must hold each change.',
+        ),
+    ] = 0
     plain_outside_loopback: Annotated[
         bool,
         Meta(description='Allow addresses beyond loopback without TLS.'),
--- a/persimmonhold/system/_base_vm.py
+++ b/persimmonhold/system/_base_vm.py
@@ -9,6 +9,7 @@
 
 import abc
 import asyncio
+import math
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import TYPE_CHECKING, Final, Self
@@ -21,8 +22,9 @@
     RemoteControlLink,
     VmAgentRunner,
 )
+from persimmonhold.membership import MembershipTimings
 from persimmonhold.observability import Metrics, log_event
-from persimmonhold.settings import Settings
+from persimmonhold.settings import PeerSettings, Settings
 from persimmonhold.system._boot_clock import boot_clock
 from persimmonhold.system._leader_work import LeaderWork
 from persimmonhold.system._metrics_handler import MetricsHandler
@@ -36,6 +38,7 @@
     from persimmonhold.system._control_role import ControlRole
 
 _METRICS_INTERVAL_S: Final = 1.0
+_MS_PER_S: Final = 1000
 
 
 class BaseVm(abc.ABC):
@@ -60,7 +63,8 @@
             create_vm_record(settings),
             settings.peers.control_addresses,
             self.transport,
-            clock=boot_clock,
+            create_membership_timings(settings.peers),
+            boot_clock,
         )
         self.control: ControlRole | None = None
         self.link: RemoteControlLink | None = None
@@ -174,3 +178,9 @@
     Run as a background task: when such a task ends, the VM has failed.
     """
     await failed.wait()
+
+
+def create_membership_timings(peers: PeerSettings) -> MembershipTimings:
+    """Return the timings of membership that the settings of a VM imply."""
+    silence_s = peers.acceptance_silence_ms / _MS_PER_S
+    return MembershipTimings(acceptance_silence_s=silence_s or math.inf)
