Parse long inputs in turns that leave the event loop to others

Seen by callers: one upstream that answers with one-byte chunks without end made the entry hang; over 200 of 240 requests had no final answer 0.5 s after their time-out, those to sound upstreams too.

Cause: all chunks of a read were parsed in one callback; 256 KiB of one-byte chunks take about half a second. Bodies of callers and buffered bodies were parsed alike.

--- a/persimmonhold/web/_client_codec.py
+++ b/persimmonhold/web/_client_codec.py
@@ -9,6 +9,7 @@
 import h11
 
 from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._parse_turns import MAX_EVENTS_PER_TURN
 from persimmonhold.web._response_head import ResponseHead
 
 _MAX_HEAD_BYTES: Final = 65_536
@@ -20,18 +21,23 @@
 
 @final
 class ClientCodec:
-    """Encodes requests and parses the responses to them."""
+    """Encodes requests and parses the responses to them.
+
+    `has_backlog` tells whether `parse_body` left received bytes unparsed.
+    """
 
     __slots__ = (
         '_informational_count',
         '_parser',
         '_unparsed_bytes',
         'error',
+        'has_backlog',
         'is_response_complete',
     )
 
     def __init__(self) -> None:
         """Create a codec without a request in progress."""
+        self.has_backlog = False
         self.is_response_complete = False
         self.error = ''
         self._unparsed_bytes = 0
@@ -89,22 +95,29 @@
         """Return the body bytes received since the last call; may be empty.
 
         Most reads contain exactly one chunk; h11 is not called again once
-        all received bytes are consumed.
+        all received bytes are consumed. After a bounded number of chunks the
+        rest is left for the next call, see `has_backlog`.
         """
         chunks: list[bytes] = []
-        while not self.is_response_complete:
-            event = self._next_event()
-            if isinstance(event, h11.Data):
-                chunks.append(event.data)
-                if self._is_input_consumed(event):
-                    break
-            elif isinstance(event, h11.EndOfMessage):
-                self._end_response()
-            else:
-                self._unparsed_bytes = len(self._parser.trailing_data[0])
+        self.has_backlog = False
+        while not self.is_response_complete and self._parse_part(chunks):
+            if len(chunks) >= MAX_EVENTS_PER_TURN:
+                self.has_backlog = True
                 break
         return b''.join(chunks)
 
+    def _parse_part(self, chunks: list[bytes]) -> bool:
+        """Parse one event; return whether more bytes may be unparsed."""
+        event = self._next_event()
+        if isinstance(event, h11.Data):
+            chunks.append(event.data)
+            return not self._is_input_consumed(event)
+        if isinstance(event, h11.EndOfMessage):
+            self._end_response()
+            return False
+        self._unparsed_bytes = len(self._parser.trailing_data[0])
+        return False
+
     def _is_input_consumed(self, event: h11.Data) -> bool:
         """Tell whether a chunk consumed all received bytes.
 
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -6,7 +6,8 @@
 `is_kept_open` was cleared, no further request is sent on it. `stated_idle_s`
 is after how many seconds without a request the peer closes it, if it says so.
 Data that arrives while no task waits for it is buffered, and reading is then
-paused, so that at most one read is buffered.
+paused, so that at most one read is buffered. A read of very many chunks is parsed
+over several turns, see `ParseTurns`; nothing more is read meanwhile.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 from persimmonhold.web._address import Address
 from persimmonhold.web._client_codec import ClientCodec
 from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._parse_turns import ParseTurn
 from persimmonhold.web._peer_timeout import PeerTimeout
 from persimmonhold.web._response_body_sink import ResponseBodySink
 from persimmonhold.web._response_head import ResponseHead
@@ -37,6 +39,7 @@
         '_parser',
         '_sink',
         '_transport',
+        '_turn',
         '_waiter',
         '_writable',
         'bytes_written',
@@ -58,6 +61,7 @@
         self.last_read_at = 0.0
         self.is_reading_paused = False
         self._failure: Failure | None = None
+        self._turn = ParseTurn(self._take_turn)
         self._parser = ClientCodec()
         self._sink: ResponseBodySink | None = None
         self._transport: asyncio.Transport | None = None
@@ -158,7 +162,10 @@
         if self._transport is not None and self.is_reading_paused:
             self.is_reading_paused = False
             self.last_read_at = asyncio.get_running_loop().time()
-            self._transport.resume_reading()
+            if self._parser.has_backlog:
+                self._turn.request(self._transport)
+            else:
+                self._transport.resume_reading()
 
     async def send_request(
         self, request: ClientRequest
@@ -172,9 +179,11 @@
             self.mark_failed('received data before the request')
         encoded = self._parser.encode_request(request, str(self.peer))
         if self._failure is not None or self._transport is None:
-            return Failed(self._build_failure('send', 'closed before sending'))
+            return Failed(
+                _build_failure(self.peer, 'send', 'closed before sending')
+            )
         if not encoded:
-            return Failed(self._build_failure('send', self._parser.error))
+            return Failed(_build_failure(self.peer, 'send', self._parser.error))
         self.bytes_written += len(encoded)
         self._transport.write(encoded)
         await self._writable.wait()
@@ -196,11 +205,13 @@
 
         If it is complete, the connection can be reused.
         """
-        while self._parser.parse_body():
-            """Parsed bytes are dropped."""
+        self._parser.parse_body()
 
     async def receive_chunk(self) -> Result[bytes, Failure]:
         """Wait for the next part of the body; return b'' at its end."""
+        if self._parser.has_backlog:
+            self._turn.request(self._transport)
+            await self._wait_for_wakeup()
         body = self._parser.parse_body()
         while not body and not self._parser.is_response_complete:
             failure = await self._wait_for_data('receive body')
@@ -222,7 +233,7 @@
             if len(received) > max_body_bytes:
                 self.mark_failed('body too large')
                 return Failed(
-                    self._build_failure('receive body', 'body too large')
+                    _build_failure(self.peer, 'receive body', 'body too large')
                 )
         return Success(bytes(received))
 
@@ -245,7 +256,9 @@
             self._sink = None
         if self._parser.is_response_complete:
             return Success(None)
-        return Failed(self._failure or self._build_failure('pump', 'broken'))
+        return Failed(
+            self._failure or _build_failure(self.peer, 'pump', 'broken')
+        )
 
     def mark_failed(self, detail: str) -> None:
         """Make waiting and later calls fail; the first failure is kept.
@@ -253,7 +266,7 @@
         Does not close the transport; `is_reusable` is False from now on.
         """
         if self._failure is None:
-            self._failure = self._build_failure('receive', detail)
+            self._failure = _build_failure(self.peer, 'receive', detail)
         self._writable.set()
         self._wake_waiter()
 
@@ -270,12 +283,27 @@
             self.mark_failed(self._parser.error)
         elif self._parser.is_response_complete:
             self._wake_waiter()
+        elif self._parser.has_backlog and not self.is_reading_paused:
+            self._turn.request(self._transport)
+
+    def _take_turn(self) -> None:
+        """Parse on, and read on once all that was read is parsed."""
+        if self._failure is not None:
+            return
+        self.last_read_at = asyncio.get_running_loop().time()
+        if self._sink is None:
+            self._wake_waiter()
+        elif not self.is_reading_paused:
+            self._deliver_body(self._sink)
+        is_blocked = self.is_reading_paused or self._parser.has_backlog
+        if self._transport is not None and not is_blocked:
+            self._transport.resume_reading()
 
     async def _wait_for_data(self, step: str) -> Failure | None:
         if self._parser.error:
-            return self._build_failure(step, self._parser.error)
+            return _build_failure(self.peer, step, self._parser.error)
         if self._failure is not None:
-            return self._build_failure(step, self._failure.detail)
+            return _build_failure(self.peer, step, self._failure.detail)
         self.resume_reading()
         await self._wait_for_wakeup()
         return None
@@ -291,10 +319,11 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def _build_failure(self, step: str, detail: str) -> Failure:
-        return Failure(
-            kind=FailureKind.connection_lost,
-            step=step,
-            peer=str(self.peer),
-            detail=detail,
-        )
+
+def _build_failure(peer: Address, step: str, detail: str) -> Failure:
+    return Failure(
+        kind=FailureKind.connection_lost,
+        step=step,
+        peer=str(peer),
+        detail=detail,
+    )
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Final, final
 
 import h11
@@ -19,6 +20,10 @@
 from persimmonhold.web._connection_timer import ConnectionTimer
 from persimmonhold.web._exchange import Exchange
 from persimmonhold.web._exchange_handler import ExchangeHandler
+from persimmonhold.web._parse_turns import (
+    MAX_EVENTS_PER_TURN,
+    ParseTurn,
+)
 from persimmonhold.web._request_head import RequestHead
 
 _BAD_REQUEST: Final = 400
@@ -63,6 +68,7 @@
         self._is_lingering = False
         self._is_rejecting = False
         self._is_draining = False
+        self._turn = ParseTurn(self._take_turn)
         self._peer = ''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -90,7 +96,10 @@
             # The timer covers the whole head, so that a sender which sends
             # it byte by byte cannot extend it.
             self._is_idle = False
-            self.timer.start(self.bounds.head_timeout_s, self._reject_slow_head)
+            self.timer.start(
+                self.bounds.head_timeout_s,
+                partial(self._reject, self.bounds.slow_head_status),
+            )
         self._parser.receive_data(data)
         self._process_events()
 
@@ -174,7 +183,10 @@
             self._transport.close()
 
     def _process_events(self) -> None:
-        while self._transport is not None and not self._is_lingering:
+        """Parse what was received; a long input is parsed in several turns."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self._transport is None or self._is_lingering:
+                return
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -182,6 +194,14 @@
                 return
             if not self._handle_event(event):
                 return
+        self._turn.request(self._transport)
+
+    def _take_turn(self) -> None:
+        exchange = self._exchange
+        is_refused = exchange is not None and exchange.body_refusal is not None
+        if self._transport is not None and not is_refused:
+            self._transport.resume_reading()
+            self._process_events()
 
     def _handle_event(
         self,
@@ -267,12 +287,12 @@
         self.timer.start(self.bounds.idle_timeout_s, self._close)
         if has_next:
             self._is_idle = False
-            self.timer.start(self.bounds.head_timeout_s, self._reject_slow_head)
+            self.timer.start(
+                self.bounds.head_timeout_s,
+                partial(self._reject, self.bounds.slow_head_status),
+            )
             self._process_events()
 
-    def _reject_slow_head(self) -> None:
-        self._reject(self.bounds.slow_head_status)
-
     def _reject(self, status: int = _BAD_REQUEST) -> None:
         """Respond to a request that cannot be served, then close.
 
