Judge a refusal by its head, before any of it can reach the caller

Seen by callers: an upstream ran a booking and answered 503 with 300,000 bytes and without Not-Executed; the caller got the 503, which promises that it has not run.

Cause: the check for such refusals saw only buffered responses; a body above 262,144 bytes has its head sent on unchecked. Routes whose requests may be repeated were not checked at all.

Fix: a refusal without the statement that nothing ran ends the attempt as failed when its head is decoded, on every route; 425 counts too.

--- a/persimmonhold/forwarding/_attempt_result.py
+++ b/persimmonhold/forwarding/_attempt_result.py
@@ -29,7 +29,8 @@
     `is_unanswered` means that a pooled connection was closed after the request
     was written to it, before the attempt that the other fields describe.
     `is_silent` means that nothing of a response arrived after the request was
-    sent. `streamed_s` is how long ago its first event arrived, or None without one.
+    sent. `is_refusal` means that a process that may have run the request refused
+    it. `streamed_s` is how long ago its first event arrived, or None without one.
     For the log: `body_end` is what marked the end of the body, or '' without a response head;
     `is_within_event` means that the last event received was incomplete.
     """
@@ -42,6 +43,7 @@
     is_cut: bool = False
     is_unanswered: bool = False
     is_silent: bool = False
+    is_refusal: bool = False
     streamed_s: float | None = None
     body_end: str = ''
     is_within_event: bool = False
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -44,6 +44,8 @@
 _CONNECT_TIMEOUT_S: Final = 0.4  # covers two lost packets on a path of a few ms
 _MAX_BUFFERED_BYTES: Final = 262_144  # usual responses have a few kilobytes
 _FIRST_NON_SUCCESS_STATUS: Final = 300
+# Callers take these statuses as a promise that the request did not run.
+_NOT_RUN_STATUSES: Final = frozenset((408, 425, 429, 503))
 _FIRST_SERVER_ERROR_STATUS: Final = 500
 # A response head may take this many times the latency target of the route; a
 # healthy upstream responds within that time.
@@ -98,7 +100,11 @@
         """Run the attempt, and tell how its response ended."""
         result = await self._run_on_any_connection()
         has_head = self.head.status > 0
-        is_incomplete = result.response is None and not result.is_delivered
+        is_incomplete = (
+            result.response is None
+            and not result.is_delivered
+            and not result.is_refusal
+        )
         return msgspec.structs.replace(
             result,
             is_cut=is_incomplete
@@ -327,8 +333,8 @@
         decoded_head: DecodedResponseHead,
     ) -> AttemptResult:
         """Check what the head states, and relay the body if it is valid."""
-        if decoded_head.is_not_run:
-            return self._build_not_run_result(connection, decoded_head)
+        if decoded_head.is_not_run or decoded_head.status in _NOT_RUN_STATUSES:
+            return self._build_refusal_result(connection, decoded_head)
         if (
             decoded_head.status < _FIRST_NON_SUCCESS_STATUS
             and not decoded_head.is_signed
@@ -395,16 +401,25 @@
             is_delivered=True,
         )
 
-    def _build_not_run_result(
+    def _build_refusal_result(
         self,
         connection: ClientConnection,
         decoded_head: DecodedResponseHead,
     ) -> AttemptResult:
-        """Return why the request was not run.
+        """Return the result of a refusal, whose body is not relayed.
 
-        The connection is kept if the refusal has arrived in full.
+        One that does not state that nothing has run must not reach the caller,
+        whatever follows the head, as its status would promise that. The
+        connection is kept if the refusal has arrived in full.
         """
         connection.skip_received_body()
+        if not decoded_head.is_not_run:
+            return AttemptResult(
+                end=AttemptEnd.failed,
+                may_have_run=True,
+                is_refusal=True,
+                detail=f'status {decoded_head.status} without proof',
+            )
         end = AttemptEnd.full
         if decoded_head.is_misdirected:
             is_other = decoded_head.process not in {
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -3,7 +3,8 @@
 Invariants: a request that may not be repeated is sent again only with
 evidence that it did not run; a refusal that states that the request did not
 run is sent only with such evidence; a complete response of an upstream reaches
-the caller, unless a repeated attempt got a better one.
+the caller, unless a repeated attempt got a better one or its status would state
+without proof that the request did not run.
 """
 
 import asyncio
@@ -41,8 +42,6 @@
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
-# Callers take these statuses as a promise that the request did not run.
-_NOT_RUN_STATUSES: Final = frozenset((408, 429, _UNAVAILABLE))
 _TIMEOUT_RETRY_AFTER_S: Final = 0.3
 # A new fleet controller has the reports of all entries within this time.
 _UNKNOWN_STREAM_RETRY_AFTER_S: Final = 1.0
@@ -280,9 +279,6 @@
             return False
         # A complete response cannot continue a stream that has begun.
         if result.response is not None and not self.response_writer.has_begun:
-            if self._is_unproven_refusal(result.response):
-                self._end_failed(result.detail)
-                return True
             if result.end is AttemptEnd.answered or not self._can_run_again:
                 self.response_writer.write_complete_response(
                     result.response.head, result.response.body
@@ -295,16 +291,6 @@
         self._end_failed(result.detail)
         return True
 
-    def _is_unproven_refusal(self, response: CompleteResponse) -> bool:
-        """Tell whether a response would promise that the request did not run.
-
-        Callers repeat a call after such a status, though its upstream has not
-        stated that the call did not run.
-        """
-        route = self.request.dispatch_request.route
-        is_promise = response.head.status in _NOT_RUN_STATUSES
-        return is_promise and not route.is_repeatable
-
     @property
     def _can_run_again(self) -> bool:
         """Tell whether the request may go to another upstream."""
