Do not guess the version of a stream from facts that have gaps

Cause: without a reply of control, an entry trusted its own facts, recorded as seen now once a second, however old the list behind them, and counted the time since its start as observation, gaps included.

Fix: builds are recorded with the time of their list; a gap of 4 s ends the observation, and the list is read once more after the caller has asked. Without it the stream is refused.

--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -73,7 +73,9 @@
     __slots__ = (
         'decoder',
         'hub',
+        'list_lock',
         'list_read_at',
+        'own_list_read_at',
         'pending_origins',
         'pending_permits',
         'pending_replies',
@@ -102,7 +104,9 @@
         self.rng = rng
         self.request_ids = itertools.count(rng.getrandbits(_ID_BITS))
         self.pending_replies: dict[int, asyncio.Future[AdapterLoadReply]] = {}
+        self.list_lock = asyncio.Lock()
         self.list_read_at: float | None = None
+        self.own_list_read_at = float('-inf')
         self.reported: tuple[object, ...] = ()
         self.reported_at = float('-inf')
         self.pending_permits: dict[int, asyncio.Future[PermitReply]] = {}
@@ -201,6 +205,7 @@
         The fleet controller is asked unless this entry has begun the stream.
         Without its reply, only what this entry is sure of counts.
         """
+        asked_at = self.hub.clock()
         origins = self.hub.streams.origins
         known = origins.streams.find_origin(begun_as, self.hub.clock())
         if known is not None:
@@ -219,7 +224,10 @@
                 reply = await self._resend_until_answered(request, future)
         except TimeoutError:
             log_event('origin_unanswered', begun_as=begun_as, service=service)
-            return origins.find_own_origin(begun_as, service, self.hub.clock())
+            await self._read_list_since(asked_at)
+            return origins.find_own_origin(
+                begun_as, service, asked_at, self.hub.clock()
+            )
         finally:
             self.pending_origins.pop(request.request_id)
         return reply.origin
@@ -275,10 +283,7 @@
         if now - self._listed_at <= _MAX_LIST_AGE_S:
             self.list_read_at = None
             return False
-        interval_s = max(
-            _MIN_LIST_READ_INTERVAL_S,
-            self.hub.dispatcher.entry_count / _LIST_READS_PER_S,
-        )
+        interval_s = self._list_read_interval_s()
         if self.list_read_at is None:
             self.list_read_at = now + interval_s * self.rng.random()
         if now < self.list_read_at:
@@ -286,6 +291,26 @@
         self.list_read_at = now + interval_s
         return True
 
+    async def _read_list_since(self, asked_at: float) -> None:
+        """Have a list read after `asked_at`, unless one was read lately.
+
+        A list of before may lack a build at which a stream has begun since.
+        """
+        async with self.list_lock:
+            if self._listed_at >= asked_at:
+                return
+            now = self.hub.clock()
+            if now >= self.own_list_read_at + self._list_read_interval_s():
+                self.own_list_read_at = now
+                await self._read_list()
+
+    def _list_read_interval_s(self) -> float:
+        """Return the interval of this entry's share of the rate of reads."""
+        return max(
+            _MIN_LIST_READ_INTERVAL_S,
+            self.hub.dispatcher.entry_count / _LIST_READS_PER_S,
+        )
+
     async def _read_list(self) -> None:
         """Read the list directly from the platform.
 
--- a/persimmonhold/forwarding/_stream_origin_server.py
+++ b/persimmonhold/forwarding/_stream_origin_server.py
@@ -39,12 +39,14 @@
 
     def record_list(self, controller: FleetController) -> None:
         """Record the builds of the upstreams that are listed now."""
+        now = self.clock()
         self.origins.builds.record_serving(
             (
                 (facts.service, facts.software_version)
                 for facts in controller.facts.by_upstream.values()
             ),
-            self.clock(),
+            now,
+            now,
         )
 
     def answer_request(self, entry: str, request: StreamOriginRequest) -> None:
--- a/persimmonhold/forwarding/_stream_recorder.py
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -78,6 +78,7 @@
                 (tracker.facts.service, tracker.facts.software_version)
                 for tracker in trackers
             ),
+            self.dispatcher.listed_at,
             now,
         )
 
--- a/persimmonhold/streams/_build_history.py
+++ b/persimmonhold/streams/_build_history.py
@@ -1,5 +1,6 @@
 """Which builds of each service have served lately."""
 
+import math
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -8,6 +9,8 @@
 from persimmonhold.streams._stream_registry import STREAM_LIFE_S, StreamOrigin
 
 _MAX_REPORTED: Final = 32
+# A new build joins and leaves within no shorter time.
+_MAX_OBSERVATION_GAP_S: Final = 4.0
 
 
 @final
@@ -23,30 +26,38 @@
 class BuildHistory:
     """When each build of a service was last known to serve.
 
-    `known_since` is when this process began to observe. A stream of unknown
-    origin can only be of the one build that has served for as long as streams
-    last.
+    `known_since` is since when this process has observed without a gap, and
+    `observed_at` the time of the newest list. A process that was cut off or
+    stood still does not know what served meanwhile. A stream of unknown origin
+    can only be of the one build that has served for as long as streams last.
     """
 
-    __slots__ = ('known_since', 'last_seen')
+    __slots__ = ('known_since', 'last_seen', 'observed_at')
 
     def __init__(self) -> None:
         """Create a history without observations."""
-        self.known_since: float | None = None
+        self.known_since = math.inf
+        self.observed_at = -math.inf
         self.last_seen: dict[StreamOrigin, float] = {}
 
     def record_serving(
-        self, serving: Iterable[tuple[str, str]], now: float
+        self, serving: Iterable[tuple[str, str]], observed_at: float, now: float
     ) -> None:
-        """Record the service and the version of each upstream, or '' for it."""
-        if self.known_since is None:
-            self.known_since = now
+        """Record the service and the version of each upstream, or '' for it.
+
+        `observed_at` is when the list that tells it was read.
+        """
+        if observed_at - self.observed_at > _MAX_OBSERVATION_GAP_S:
+            self.known_since = observed_at
+        self.observed_at = max(self.observed_at, observed_at)
         current = {StreamOrigin(*one) for one in serving}
         stating = {one.service for one in current if one.build}
         for origin in current:
             # The version of a process that has just started becomes known soon.
             if origin.build or origin.service not in stating:
-                self.last_seen[origin] = now
+                self.last_seen[origin] = max(
+                    observed_at, self.last_seen.get(origin, observed_at)
+                )
         self._drop_old(now)
 
     def record_reported(self, seen: Iterable[SeenBuild], now: float) -> None:
@@ -68,10 +79,13 @@
         return builds[0] if len(builds) == 1 else None
 
     def covers_streams(self, now: float) -> bool:
-        """Tell whether this process has observed for as long as streams last."""
+        """Tell whether this process has observed for as long as streams last.
+
+        False if it missed what served for a while, then or until now.
+        """
         return (
-            self.known_since is not None
-            and now - self.known_since >= STREAM_LIFE_S
+            now - self.known_since >= STREAM_LIFE_S
+            and now - self.observed_at <= _MAX_OBSERVATION_GAP_S
         )
 
     def build_report(self, now: float) -> tuple[SeenBuild, ...]:
--- a/persimmonhold/streams/_stream_origins.py
+++ b/persimmonhold/streams/_stream_origins.py
@@ -43,10 +43,18 @@
         return known or self.builds.find_sole_build(service, now)
 
     def find_own_origin(
-        self, begun_as: str, service: str, now: float
+        self, begun_as: str, service: str, asked_at: float, now: float
     ) -> StreamOrigin | None:
-        """Return where a stream began if this VM alone can be sure of it."""
+        """Return where a stream began if this VM alone can be sure of it.
+
+        `asked_at` is when its caller took it up. A list that is older may lack
+        the build that began it.
+        """
         known = self.streams.find_origin(begun_as, now)
-        if known is not None or not self.builds.covers_streams(now):
+        is_sure = (
+            self.builds.covers_streams(now)
+            and self.builds.observed_at >= asked_at
+        )
+        if known is not None or not is_sure:
             return known
         return self.builds.find_sole_build(service, now)
--- a/tests/forwarding_harness.py
+++ b/tests/forwarding_harness.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 from returns.result import Failure as Failed
-from returns.result import Result
+from returns.result import Result, Success
 
 from bench.memory_network import MemoryNetwork
 from persimmonhold.control.machine import ControlStateMachine
@@ -72,11 +72,16 @@
 
 
 class UnavailableUpstreamClient(UpstreamClient):
-    """A platform that never answers; the tests set the facts."""
+    """A platform that answers nothing but the list, if a test sets one."""
+
+    def __init__(self) -> None:
+        self.listed: tuple[ListedUpstream, ...] | None = None
+        self.read_count = 0
 
     async def read_list(self) -> Result[tuple[ListedUpstream, ...], Failure]:
-        """Fail with a time-out."""
-        return Failed(_NO_LIST)
+        """Return the list; fail with a time-out if there is none."""
+        self.read_count += 1
+        return Failed(_NO_LIST) if self.listed is None else Success(self.listed)
 
     async def read_report(
         self,
@@ -138,11 +143,12 @@
         network = MemoryNetwork(1)
         transport = network.create_transport('vm1')
         record = VmRecord(name='vm1', failure_domain='d1')
+        self.platform = UnavailableUpstreamClient()
         fleet = FleetClient(
             self.hub,
             VmAgentRunner(record, {}, transport),
             transport,
-            UnavailableUpstreamClient(),
+            self.platform,
             random.Random(1),
         )
         self.services = ForwardServices(
@@ -270,6 +276,21 @@
         sequence = self.hub.dispatcher.sequence + 1
         self.hub.apply_update(make_update(*facts, sequence=sequence))
 
+    def set_list(self) -> None:
+        """Have the platform list all upstreams from now on."""
+        self.platform.listed = tuple(
+            ListedUpstream(
+                name=tracker.facts.name,
+                service=tracker.facts.service,
+                address=tracker.facts.address,
+                failure_domain='d1',
+                slots=8,
+                born_ms=tracker.facts.born_ms,
+                software_version=self.versions.get(tracker.facts.name, 'v1'),
+            )
+            for tracker in self.hub.dispatcher.chooser.trackers.values()
+        )
+
     def _set_document(self, document: RoutingDocument) -> None:
         view = msgspec.structs.replace(self.control.view, routes=document)
         self.control.view = view
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -149,21 +149,96 @@
     _run(scenario)
 
 
+async def _observe(
+    harness: ForwardingHarness, shift_s: list[float], duration_s: float
+) -> None:
+    """Have the entry get facts about its upstreams for that long."""
+    ends_at = shift_s[0] + duration_s
+    while shift_s[0] < ends_at:
+        shift_s[0] += 1
+        harness.set_facts()
+
+
 def test_stream_of_an_unknown_origin_goes_on_where_one_version_serves() -> None:
     shift_s = [0.0]
 
     async def scenario(harness: ForwardingHarness) -> None:
         same = await harness.start_raw_upstream(_serve)
+        harness.set_list()
         assert_that(await _take_up(harness, 'forgotten'), Equals(503))
-        shift_s[0] = STREAM_LIFE_S
-        harness.set_facts()
+        await _observe(harness, shift_s, STREAM_LIFE_S)
         for begun_as in ('', 'forgotten'):
+            shift_s[0] += 1  # between two reads of the list
             assert_that(await _take_up(harness, begun_as), Equals(200))
         assert_that(len(same.requests), Equals(2))
 
     _run(scenario, lambda: time.monotonic() + shift_s[0])
 
 
+# An entry that had stood still took the version it knew for the only one.
+@pytest.mark.parametrize('gap_s', [5, 12])
+def test_entry_that_stood_still_guesses_no_version(gap_s: float) -> None:
+    shift_s = [0.0]
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        same = await harness.start_raw_upstream(_serve)
+        harness.set_list()
+        await _observe(harness, shift_s, STREAM_LIFE_S)
+        shift_s[0] += gap_s
+        assert_that(await _take_up(harness, 'elsewhere'), Equals(503))
+        await _observe(harness, shift_s, STREAM_LIFE_S / 2)
+        assert_that(await _take_up(harness, 'elsewhere'), Equals(503))
+        assert_that(same.requests, Equals([]))
+
+    _run(scenario, lambda: time.monotonic() + shift_s[0])
+
+
+# An entry cut off from control and the platform did so, too.
+def test_entry_that_cannot_read_the_list_guesses_no_version() -> None:
+    shift_s = [0.0]
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        same = await harness.start_raw_upstream(_serve)
+        await _observe(harness, shift_s, STREAM_LIFE_S)
+        assert_that(await _take_up(harness, 'elsewhere'), Equals(503))
+        assert_that(same.requests, Equals([]))
+
+    _run(scenario, lambda: time.monotonic() + shift_s[0])
+
+
+def test_entry_cut_off_from_control_sees_a_new_version_in_the_list() -> None:
+    shift_s = [0.0]
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        same = await harness.start_raw_upstream(_serve)
+        await _observe(harness, shift_s, STREAM_LIFE_S)
+        harness.versions['r1'] = 'v2'
+        await harness.start_raw_upstream(_serve)
+        harness.set_list()
+        harness.raw_upstreams.pop()
+        harness.set_facts()
+        assert_that(await _take_up(harness, 'elsewhere'), Equals(503))
+        assert_that(same.requests, Equals([]))
+
+    _run(scenario, lambda: time.monotonic() + shift_s[0])
+
+
+def test_streams_taken_up_together_share_a_read_of_the_list() -> None:
+    shift_s = [0.0]
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        await harness.start_raw_upstream(_serve)
+        harness.set_list()
+        await _observe(harness, shift_s, STREAM_LIFE_S)
+        statuses = await asyncio.gather(
+            *(_take_up(harness, f'elsewhere{one}') for one in range(6))
+        )
+        assert_that(statuses, Equals([200, 200, 200, 200, 200, 200]))
+        assert_that(harness.platform.read_count, Equals(1))
+
+    _run(scenario, lambda: time.monotonic() + shift_s[0])
+
+
 def test_stream_of_an_unknown_version_goes_on_at_no_other_process() -> None:
     async def scenario(harness: ForwardingHarness) -> None:
         harness.versions.update({'r0': '', 'r1': '', 'r2': 'v1'})
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -194,7 +194,10 @@
             seen = SeenBuild('models', build, age_s)
             origins.record_reported((), (seen,), now)
         else:
-            origins.builds.record_serving((('models', build),), now - age_s)
+            observed_at = now - age_s
+            origins.builds.record_serving(
+                (('models', build),), observed_at, observed_at
+            )
     lately = {one[1] for one in observed if one[0] <= STREAM_LIFE_S}
     expected = StreamOrigin('models', *lately) if len(lately) == 1 else None
     found = origins.find_origin('lost', 'models', now)
