Give a stalled response up only if another upstream can go on with it

Seen by callers: streams whose sound upstream paused for 1.5 s were cut in mid-stream by an entry in a planned stop, 5 s before the end of its grace period.

Cause: a second without an event ended the attempt, also where no other upstream holds the model, so that nothing could go on with the stream.

Fix: a stalled response is waited for unless the request may be sent again, a retry is left, the stop leaves time and another holder has a free slot.

--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -33,7 +33,10 @@
     RefuseRequest,
     SendRequest,
 )
-from persimmonhold.fleet._forward_dispatcher import ForwardDispatcher
+from persimmonhold.fleet._forward_dispatcher import (
+    ForwardDispatcher,
+    can_go_on_elsewhere,
+)
 from persimmonhold.fleet._held_model import HeldModel
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_demand import ModelDemand
@@ -88,6 +91,7 @@
     'UpstreamLedger',
     'UpstreamReport',
     'WantedCopy',
+    'can_go_on_elsewhere',
 )
 
 if not TYPE_CHECKING:
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -536,6 +536,31 @@
             queue.remove_request(pending)
 
 
+def can_go_on_elsewhere(
+    dispatcher: ForwardDispatcher, request_number: int, now: float
+) -> bool:
+    """Tell whether an upstream other than the request's can accept it now.
+
+    It must be allowed to be sent again, also in a planned stop.
+    """
+    pending = dispatcher.pending.get(request_number)
+    if pending is None or pending.send_count >= _MAX_SENDS:
+        return False
+    if now > dispatcher.send_deadline.find_before_stop(pending):
+        return False
+    budget = dispatcher.retry_budgets.get(pending.request.service)
+    if budget is None or not budget.has_retry(dispatcher.entry_count, now):
+        return False
+    return any(
+        tracker.facts.name != pending.upstream
+        and not pending.is_excluded(tracker.facts.process_key, now)
+        and tracker.is_available(now)
+        and tracker.limit.allows_request(now)
+        and tracker.total_running(now) < tracker.facts.slots
+        for tracker in dispatcher.chooser.holders(pending, now)
+    )
+
+
 def _list_waiting(
     queues: Iterable[RequestQueue], now: float
 ) -> list[PendingRequest]:
--- a/persimmonhold/fleet/_retry_budget.py
+++ b/persimmonhold/fleet/_retry_budget.py
@@ -46,8 +46,8 @@
         """Count a request received from a caller."""
         self.requests.append(now)
 
-    def try_spend_retry(self, entry_count: int, now: float) -> bool:
-        """Spend one retry and return True, or return False if none is left.
+    def has_retry(self, entry_count: int, now: float) -> bool:
+        """Tell whether a retry is left.
 
         `entry_count` is the number of entries that share the slack.
         """
@@ -56,7 +56,12 @@
         _drop_before(self.retries, horizon)
         earned = self.bounds.ratio * len(self.requests)
         slack_share = self.bounds.slack / max(1, entry_count)
-        if len(self.retries) + 1 > _SPENDABLE_SHARE * (earned + slack_share):
+        spendable = _SPENDABLE_SHARE * (earned + slack_share)
+        return len(self.retries) + 1 <= spendable
+
+    def try_spend_retry(self, entry_count: int, now: float) -> bool:
+        """Spend one retry and return True, or return False if none is left."""
+        if not self.has_retry(entry_count, now):
             return False
         self.retries.append(now)
         return True
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-from functools import partial
 from typing import Final, final
 
 import msgspec
@@ -12,6 +11,7 @@
 from persimmonhold.attempts import EventBoundary
 from persimmonhold.failures import Failure
 from persimmonhold.fleet import AttemptEnd, SendRequest
+from persimmonhold.forwarding._attempt_limits import AttemptLimits
 from persimmonhold.forwarding._attempt_result import (
     AttemptResult,
     CompleteResponse,
@@ -72,19 +72,15 @@
         response_writer: ForwardResponseWriter,
         event_framer: ResumableEventFramer,
         action: SendRequest,
-        usable_until: float,
+        limits: AttemptLimits,
     ) -> None:
-        """Create an attempt at the upstream that the dispatcher chose.
-
-        Its permit can be used until `usable_until`; that is infinity if the
-        upstream has no request limit.
-        """
+        """Create an attempt at the upstream that the dispatcher chose."""
         self.services = services
         self.request = request
         self.response_writer = response_writer
         self.event_framer = event_framer
         self.action = action
-        self.usable_until = usable_until
+        self.limits = limits
         self.connection: ClientConnection | None = None
         self.head = ResponseHead(status=0, headers=())
         self.buffered = bytearray()
@@ -113,7 +109,11 @@
                 or (result.may_have_run and self.is_cut)
             ),
             is_silent=result.end is AttemptEnd.silent and not has_head,
-            streamed_s=self._streamed_s(),
+            streamed_s=(
+                self.services.hub.clock() - self.first_event_at
+                if self.first_event_at
+                else None
+            ),
             body_end=self.head.body_end.value if has_head else '',
             is_within_event=self.event_boundary.is_within_event,
         )
@@ -173,12 +173,6 @@
                 self.request.dispatch_request.profile, self.first_event_at
             )
 
-    def _streamed_s(self) -> float | None:
-        """Return how long ago the first event arrived, or None without one."""
-        if not self.first_event_at:
-            return None
-        return self.services.hub.clock() - self.first_event_at
-
     def _write_to_caller(self, chunk: bytes) -> bool:
         """Send a part of the body; return whether to read on at once."""
         connection = self.connection
@@ -229,7 +223,7 @@
         One with a permit gets none: the upstream may close such a connection
         before it responds, and the request would be sent twice with one permit.
         """
-        if math.isfinite(self.usable_until):
+        if math.isfinite(self.limits.usable_until):
             return None
         address = parse_address(self.action.upstream.address)
         if isinstance(address, Failed):
@@ -319,7 +313,7 @@
                 # It was sent on a pooled connection, which was then closed.
                 return _failed_result(AttemptEnd.failed, 'not sent again')
             return build_spared_result()
-        if now > self.usable_until:
+        if now > self.limits.usable_until:
             return AttemptResult(
                 end=AttemptEnd.limited,
                 may_have_run=False,
@@ -357,7 +351,7 @@
         with StallDetector(
             connection,
             self._stall_timeout_s(),
-            partial(self._fail_connection, 'stalled'),
+            self._handle_stall,
         ):
             read_result = await connection.stream_body(self)
         return self._build_result(read_result)
@@ -433,6 +427,17 @@
             detail=f'status {decoded_head.status}',
         )
 
+    def _handle_stall(self) -> bool:
+        """Fail a response that pauses; return True to wait on instead.
+
+        A sound upstream may pause, for example to run a more urgent request.
+        If no other one can go on, giving up would only cut the response.
+        """
+        if not self.limits.can_go_on_elsewhere():
+            return True
+        self._fail_connection('stalled')
+        return False
+
     def _fail_connection(self, detail: str) -> None:
         """Fail the connection, as its response cannot be relayed."""
         if self.connection is not None:
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -22,6 +22,7 @@
     RefuseRequest,
     RequestProfile,
     StatedLimit,
+    can_go_on_elsewhere,
 )
 from persimmonhold.forwarding._attempt_result import AttemptResult
 from persimmonhold.forwarding._fleet_view_log import FleetViewLog
@@ -103,6 +104,12 @@
         )
         return waiter
 
+    def can_go_on_elsewhere(self, request_number: int) -> bool:
+        """Tell whether another upstream could accept a sent request now."""
+        return can_go_on_elsewhere(
+            self.dispatcher, request_number, self.clock()
+        )
+
     def record_first_byte(self, request_number: int) -> None:
         """Record that the first byte of the response to a request arrived."""
         self.dispatcher.record_first_byte(request_number, self.clock())
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import math
 from typing import Final, final
 
 import msgspec
@@ -19,6 +18,7 @@
     SendRequest,
     StatedLimit,
 )
+from persimmonhold.forwarding._attempt_limits import AttemptLimits
 from persimmonhold.forwarding._attempt_result import (
     AttemptResult,
     CompleteResponse,
@@ -191,13 +191,13 @@
         if not is_ready:
             return AttemptResult(end=AttemptEnd.unsent, may_have_run=False)
         limit = self.services.hub.find_stated_limit(self.request_number)
-        usable_until = math.inf
+        limits = AttemptLimits(self._can_go_on_elsewhere)
         if limit is not None:
             asked_at = self.services.hub.clock()
             wait_s = await self._request_permit(limit)
             if wait_s:
                 return _build_limited_result(limit, wait_s)
-            usable_until = asked_at + _PERMIT_VALIDITY_S
+            limits.usable_until = asked_at + _PERMIT_VALIDITY_S
         if not self.services.hub.sparing.accepts_sending(action.upstream.name):
             return build_spared_result()
         attempt = ForwardAttempt(
@@ -206,7 +206,7 @@
             self.response_writer,
             self.event_framer,
             action,
-            usable_until,
+            limits,
         )
         try:
             result = await attempt.run()
@@ -301,6 +301,15 @@
             return True
         return route.is_resumable and self.event_framer.can_resume
 
+    def _can_go_on_elsewhere(self) -> bool:
+        """Tell whether another upstream can take over the running attempt."""
+        route = self.request.dispatch_request.route
+        if self.run_count + 1 >= route.max_attempts:
+            return False
+        return self._can_run_again and self.services.hub.can_go_on_elsewhere(
+            self.request_number
+        )
+
     def _refuse(self, action: RefuseRequest) -> None:
         """Refuse the request, or end it as failed if it may have run."""
         self.services.metrics.increment(
--- a/persimmonhold/web/_stall_detector.py
+++ b/persimmonhold/web/_stall_detector.py
@@ -13,7 +13,9 @@
 
 @final
 class StallDetector:
-    """Calls a function once if no bytes were read for `timeout_s`.
+    """Calls a function if no bytes were read for `timeout_s`.
+
+    It is called again at intervals as long as it returns True.
 
     Time during which reading is paused, because the caller reads slowly,
     does not count. A late loop reads what has arrived before the time by
@@ -26,7 +28,7 @@
         self,
         connection: ClientConnection,
         timeout_s: float,
-        on_stall: Callable[[], None],
+        on_stall: Callable[[], bool | None],
     ) -> None:
         """Create a detector; with a `timeout_s` of 0 it never calls back."""
         self._connection = connection
@@ -60,7 +62,8 @@
 
     def _check(self) -> None:
         idle_s = self._due_at - self._connection.last_read_at
-        if idle_s >= self._timeout_s and not self._connection.is_reading_paused:
-            self._on_stall()
-        else:
+        is_stalled = (
+            idle_s >= self._timeout_s and not self._connection.is_reading_paused
+        )
+        if not is_stalled or self._on_stall():
             self._schedule()
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -109,7 +109,7 @@
         response_writer: ForwardResponseWriter,
         event_framer: object,
         action: SendRequest,
-        usable_until: float,
+        limits: object,
     ) -> SimulatedAttempt:
         """Return an attempt at an upstream that the request may crash."""
         entry = self.find_entry(services)
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -269,7 +269,7 @@
         response_writer: ForwardResponseWriter,
         event_framer: object,
         action: SendRequest,
-        usable_until: float,
+        limits: object,
     ) -> SimulatedAttempt:
         """Return what stands for an attempt at an upstream."""
         return _LimitedAttempt(self, services, action)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -494,3 +494,40 @@
     profile = PlatformDialect().decode_profile(head).unwrap()
     assert_that(len(profile.prompt_parts), Equals(64))
     assert_that(profile.prompt_parts[-1], Equals(f'{1999:x}'))
+
+
+async def _pause_in_a_stream(exchange: Exchange) -> None:
+    """Pause for longer than the usual time between events, then go on."""
+    after = int(exchange.head.header('last-event-id') or 0)
+    if after:
+        await _stream(exchange, after + 1, 9)
+    else:
+        await _stream(exchange, 1, 4)
+        await asyncio.sleep(1.6)
+        await exchange.send_body_chunk(_events(5, 9))
+    await exchange.finish_response()
+
+
+# The only upstream with the model was given up after a second without an event.
+def test_stream_that_pauses_goes_on_if_no_other_upstream_can() -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.stream, attempts=2, resumable=True)
+        upstream = await harness.start_upstream(_pause_in_a_stream)
+        answer = (await harness.send_request()).unwrap()
+        assert_that(answer.body, Equals(_events(1, 9)))
+        assert_that(len(upstream.heads), Equals(1))
+
+    _run(scenario)
+
+
+def test_stream_that_pauses_goes_on_at_another_upstream() -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.stream, attempts=2, resumable=True)
+        upstreams = [
+            await harness.start_upstream(_pause_in_a_stream) for _ in range(2)
+        ]
+        answer = (await harness.send_request()).unwrap()
+        assert_that(answer.body, Equals(_events(1, 9)))
+        assert_that([len(one.heads) for one in upstreams], Equals([1, 1]))
+
+    _run(scenario)
