Bound the platform's list as a whole, and reports and order responses

Told by operators: bytes without end filled the memory of the machine that called. Heads, framing, bodies and events were bounded; a list was bounded only by its page (200 of 1 MiB) and the reports of all upstreams, read at once, by 1 MiB each.

test_list_without_end_is_not_kept failed before (all 200 pages were read). Guards for an endless response whose caller does not read passed before.

--- a/persimmonhold/platform/_upstream_client.py
+++ b/persimmonhold/platform/_upstream_client.py
@@ -36,6 +36,10 @@
 _ORDER_TIMEOUT_S: Final = 0.25  # upstreams answer orders before execution
 _MAX_PAGES: Final = 200  # a page has 50 entries
 _MAX_BODY_BYTES: Final = 1_048_576  # a page has some 100 kB
+_MAX_LIST_BYTES: Final = 16_777_216  # 6,600 upstreams at most of 2 kB each
+# The reports of many upstreams are read at the same time; usual ones have 10 kB.
+_MAX_REPORT_BYTES: Final = 262_144
+_MAX_ORDER_RESPONSE_BYTES: Final = 16_384
 _OK: Final = 200
 _VERDICT_BY_STATUS: Final = MappingProxyType({
     200: OrderVerdict.holds,
@@ -65,14 +69,24 @@
         Entries that cannot be decoded are counted in the log and left out.
         """
         listed: list[ListedUpstream] = []
+        size_bytes = 0
         token = ''
         for _ in range(_MAX_PAGES):
             target = names.LIST_PATH
             if token:
                 target = f'{target}?page-token={quote(token)}'
-            body = await self._get_body(self.list_address, target)
+            body = await self._get_body(
+                self.list_address, target, _MAX_BODY_BYTES
+            )
             if isinstance(body, Failed):
                 return body
+            size_bytes += len(body.unwrap())
+            if size_bytes > _MAX_LIST_BYTES:
+                return Failed(
+                    _protocol_failure(
+                        self.list_address, target, 'list too large'
+                    )
+                )
             page = decode_list_page(body.unwrap())
             if isinstance(page, Failed):
                 return Failed(
@@ -98,7 +112,9 @@
         peer = parse_address(address)
         if isinstance(peer, Failed):
             return peer
-        body = await self._get_body(peer.unwrap(), names.REPORT_PATH)
+        body = await self._get_body(
+            peer.unwrap(), names.REPORT_PATH, _MAX_REPORT_BYTES
+        )
         if isinstance(body, Failed):
             return body
         report = decode_report(body.unwrap())
@@ -125,7 +141,7 @@
             return OrderVerdict.not_sent
         request = self._build_order_request(upstream, order, fencing_token)
         response = await fetch(
-            peer.unwrap(), request, _ORDER_TIMEOUT_S, _MAX_BODY_BYTES
+            peer.unwrap(), request, _ORDER_TIMEOUT_S, _MAX_ORDER_RESPONSE_BYTES
         )
         if isinstance(response, Failed):
             if response.failure().kind is FailureKind.connect_failed:
@@ -167,12 +183,15 @@
         self,
         peer: Address,
         target: str,
+        max_bytes: int,
     ) -> Result[bytes, Failure]:
         """Return the body of a response with status 200, or the failure."""
         request = ClientRequest(method='GET', target=target)
         try:
             async with asyncio.timeout(_READ_TIMEOUT_S):
-                fetched = await self._fetch_pooled_or_new(peer, request)
+                fetched = await self._fetch_pooled_or_new(
+                    peer, request, max_bytes
+                )
         except TimeoutError:
             return Failed(
                 Failure(
@@ -193,29 +212,31 @@
         self,
         peer: Address,
         request: ClientRequest,
+        max_bytes: int,
     ) -> Result[FetchedResponse, Failure]:
         """Fetch over a pooled connection; if that fails, over a new one."""
         loop = asyncio.get_running_loop()
         pooled = self.pool.acquire(peer, loop.time())
         if pooled is not None:
-            fetched = await self._fetch_and_release(pooled, request)
+            fetched = await self._fetch_and_release(pooled, request, max_bytes)
             if not isinstance(fetched, Failed):
                 return fetched
         connected = await ClientConnection.connect(peer, _READ_TIMEOUT_S)
         if isinstance(connected, Failed):
             return connected
-        return await self._fetch_and_release(connected.unwrap(), request)
+        return await self._fetch_and_release(
+            connected.unwrap(), request, max_bytes
+        )
 
     async def _fetch_and_release(
         self,
         connection: ClientConnection,
         request: ClientRequest,
+        max_bytes: int,
     ) -> Result[FetchedResponse, Failure]:
         """Fetch over a connection, and return the connection to the pool."""
         try:
-            return await fetch_on_connection(
-                connection, request, _MAX_BODY_BYTES
-            )
+            return await fetch_on_connection(connection, request, max_bytes)
         finally:
             # The pool closes a connection whose response is incomplete.
             self.pool.release(connection, asyncio.get_running_loop().time())
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -9,9 +9,10 @@
 import pytest
 from returns.result import Failure as Failed
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, HasLength, LessThan
 
 from persimmonhold.failures import Failure
+from persimmonhold.platform._upstream_client import PlatformUpstreamClient
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import (
     Address,
@@ -24,6 +25,7 @@
 )
 from tests.entry_builders import ANY_PORT
 from tests.forwarding_harness import (
+    ROUTE_KINDS,
     ForwardingHarness,
     ScriptedUpstream,
     run_with_harness,
@@ -313,3 +315,74 @@
             return received
 
     assert_that(asyncio.run(scenario()).count(b'200'), Equals(2))
+
+
+# Buffers of the four sockets between the upstream and the caller, and what the
+# entry may keep.
+_MAX_ACCEPTED_BYTES = 48 * 1_048_576
+_EVENT_STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nattempt-id: %b\r\n'
+    b'server-signature: s\r\ntransfer-encoding: chunked\r\n\r\n'
+)
+
+
+# A response without end must not pile up while its caller does not read.
+@pytest.mark.parametrize(
+    'part', [b'.', b'id: 1\ndata: x\n\n', b'data: x\n'], ids=str
+)
+@pytest.mark.parametrize(('kind', 'resumable'), ROUTE_KINDS)
+def test_entry_keeps_a_bounded_part_of_an_endless_response(
+    kind: RouteKind, resumable: bool, part: bytes
+) -> None:
+    accepted: list[int] = []
+    block = part * (262_144 // len(part))
+
+    async def serve_endlessly(connection: RawConnection) -> None:
+        request_id = connection.headers['attempt-id'].encode('ascii')
+        await connection.write(_EVENT_STREAM_HEAD % request_id)
+        while True:
+            await connection.write_body(block, 'chunks')
+            accepted.append(len(block))
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(kind, attempts=2, resumable=resumable)
+        await harness.start_raw_upstream(serve_endlessly)
+        address = harness.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port, limit=1024
+        )
+        writer.write(
+            b'GET /chat/x HTTP/1.1\r\nhost: a.example\r\nattempt-id: r1\r\n'
+            b'deadline-ms: 4000\r\n\r\n'
+        )
+        await asyncio.sleep(0.7)
+        assert_that(sum(accepted), LessThan(_MAX_ACCEPTED_BYTES))
+        writer.close()
+        reader.feed_eof()
+
+    run_with_harness(scenario)
+
+
+# Pages without end used to be kept as long as each of them was small enough.
+def test_list_without_end_is_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    pages: list[bytes] = []
+    page = b'{"instances":[],"next-token":"more","rest":"%b"}' % (
+        b'x' * 900_000
+    )
+
+    async def serve(exchange: Exchange) -> None:
+        pages.append(page)
+        await exchange.respond(200, page)
+
+    async def scenario() -> None:
+        handler = ScriptedUpstream('list', serve)
+        async with HttpServer(ANY_PORT, handler, HttpBounds()) as server:
+            client = PlatformUpstreamClient(server.address, 'vm1')
+            read = await client.read_list()
+            client.close()
+        assert isinstance(read, Failed)
+
+    module = 'persimmonhold.platform._upstream_client'
+    monkeypatch.setattr(f'{module}._READ_TIMEOUT_S', 30)
+    asyncio.run(scenario())
+    assert_that(pages, HasLength(19))
