--- a/tests/test_lost_vms.py
+++ b/tests/test_lost_vms.py
@@ -148,3 +148,57 @@
     liveness.observe(1, 15.9)
     liveness.observe(2, 16)
     assert_that(liveness.silence_s('vm2', 16), Equals(0))
+
+
+def test_changes_and_new_vms_are_accepted_beside_lost_ones(
+    system: MemorySystem,
+) -> None:
+    """New VMs at other addresses join while a change waits for the lost."""
+
+    async def scenario() -> None:
+        async with system:
+            for name in _ENTRIES:
+                await system.kill(name)
+            change = asyncio.create_task(_commit_until_accepted(system))
+            new_names = ('vm11', 'vm12', 'vm13')
+            for name in new_names:
+                await system.start(name)
+            assert_that(await change, LessThan(_ACCEPT_BOUND_S))
+            await wait_until(lambda: system.serving_vms() >= set(new_names))
+            taken_s = await _commit_until_accepted(system)
+            assert_that(taken_s, LessThan(1.0))
+
+    run_in_virtual_time(scenario())
+
+
+def test_change_is_accepted_after_a_control_vm_and_all_entries_are_lost(
+    system: MemorySystem,
+) -> None:
+    async def scenario() -> None:
+        async with system:
+            for name in ('vm3', *_ENTRIES):
+                await system.kill(name)
+            taken_s = await _commit_until_accepted(system)
+            assert_that(taken_s, LessThan(_ACCEPT_BOUND_S))
+
+    run_in_virtual_time(scenario())
+
+
+def test_vms_that_come_back_after_a_long_cut_serve_again(
+    system: MemorySystem,
+) -> None:
+    """The lost are removed after a while; they register anew when heard."""
+
+    async def scenario() -> None:
+        async with system:
+            system.network.partition(set(system.control_names), set(_ENTRIES))
+            await asyncio.sleep(60)
+            registered = set(system.leader.state.vms)
+            assert_that(registered, Equals(set(system.control_names)))
+            system.network.blocked_links.clear()
+            await asyncio.sleep(5)
+            assert_that(system.serving_vms(), Equals(set(system.names)))
+            taken_s = await _commit_until_accepted(system)
+            assert_that(taken_s, LessThan(1.0))
+
+    run_in_virtual_time(scenario())
