Spread heartbeats of large fleets further while control is not heard

Found by a test: above 64 VMs, all entries refused callers seconds after control was cut off, though they heard one another; proofs of a majority did not spread within the lease. A VM whose proof of control is older than 2 s now sends heartbeats to six VMs each half second. Up to 64 VMs nothing changes.

Test: test_entries_of_a_large_fleet_serve_while_control_is_cut_off (40, 70, 200 VMs).

--- a/persimmonhold/membership/_membership_timings.py
+++ b/persimmonhold/membership/_membership_timings.py
@@ -27,6 +27,11 @@
     not delay the acceptance of the change. If it is infinite, a majority must
     hold each change.
 
+    A large system sends fewer heartbeats, as the proof of control suffices. A VM
+    of such a system whose proof of control is older than `control_loss_s` sends
+    each heartbeat to `control_loss_fanout` VMs, so that it has proof of a majority
+    before the lease ends.
+
     A change is pushed by the leader to up to `leader_push_fanout` VMs and by
     each of these to `push_fanout` VMs, or to one VM in a small system. If
     more than `max_pushed_changes` changes come at once, VMs pull them.
@@ -41,6 +46,8 @@
     acceptance_silence_s: float = math.inf
     pull_timeout_s: float = 0.3
     heartbeat_fanout: int = 2
+    control_loss_s: float = 2
+    control_loss_fanout: int = 6
     push_fanout: int = 5
     leader_push_fanout: int = 32
     max_pushed_changes: int = 64
@@ -77,3 +84,9 @@
         Heartbeats to control VMs are not counted.
         """
         return self.heartbeat_fanout if vm_count <= _SMALL_SYSTEM_VMS else 1
+
+    def control_loss_fanout_for(self, vm_count: int) -> int:
+        """Return the number of random VMs without a recent proof of control."""
+        if vm_count <= _SMALL_SYSTEM_VMS:
+            return self.heartbeat_fanout
+        return self.control_loss_fanout
--- a/persimmonhold/membership/_vm_agent.py
+++ b/persimmonhold/membership/_vm_agent.py
@@ -111,14 +111,17 @@
         pull = self._pull_announced(now)
         if now < self._next_heartbeat_at:
             return pull
-        interval_s = self.timings.heartbeat_interval_s_for(
-            len(self.registered_names)
-        )
+        vm_count = len(self.registered_names)
+        interval_s = self.timings.heartbeat_interval_s_for(vm_count)
+        fanout = self.timings.heartbeat_fanout_for(vm_count)
         if not self.proofs.has_joined:
             interval_s = self.timings.joining_interval_s
+        elif now - self.proofs.control_proven_at > self.timings.control_loss_s:
+            interval_s = self.timings.heartbeat_interval_s
+            fanout = self.timings.control_loss_fanout_for(vm_count)
         self._next_heartbeat_at = now + interval_s
         heartbeat = Heartbeat(sent_at=now, index=self.view.index)
-        peers = self._choose_heartbeat_peers()
+        peers = self._choose_heartbeat_peers(fanout)
         return (*pull, *(Send(peer, heartbeat) for peer in peers))
 
     def receive(
@@ -215,10 +218,9 @@
             case SnapshotPart():
                 return self._handle_snapshot_part(now, peer, message)
 
-    def _choose_heartbeat_peers(self) -> tuple[str, ...]:
-        """Return some control VMs and a few random VMs, without duplicates."""
+    def _choose_heartbeat_peers(self, fanout: int) -> tuple[str, ...]:
+        """Return some control VMs and `fanout` random VMs, no VM twice."""
         others = [name for name in self.registered_names if name != self.name]
-        fanout = self.timings.heartbeat_fanout_for(len(self.registered_names))
         chosen = self._rng.sample(others, min(fanout, len(others)))
         control = self._choose_control_peers()
         return tuple(dict.fromkeys((*control, *chosen)))
--- a/tests/test_lost_vms.py
+++ b/tests/test_lost_vms.py
@@ -202,3 +202,21 @@
             assert_that(taken_s, LessThan(1.0))
 
     run_in_virtual_time(scenario())
+
+
+# Large fleets heard too few of each other to go on without control.
+@pytest.mark.parametrize('vm_count', [40, 70, 200])
+def test_entries_of_a_large_fleet_serve_while_control_is_cut_off(
+    vm_count: int,
+) -> None:
+    async def scenario() -> None:
+        async with MemorySystem(vm_count, 5, 1) as system:
+            await asyncio.sleep(2)
+            control = set(system.control_names)
+            entries = set(system.names) - control
+            system.network.partition(control, entries)
+            for _ in range(12):
+                await asyncio.sleep(0.5)
+                assert_that(entries - system.serving_vms(), Equals(set()))
+
+    run_in_virtual_time(scenario())
