--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -11,7 +11,6 @@
 from persimmonhold.fleet._attempt_end import AttemptEnd
 from persimmonhold.fleet._demand_meter import FleetDemandMeter
 from persimmonhold.fleet._dispatch_request import DispatchRequest
-from persimmonhold.fleet._fleet_demand import FleetDemand
 from persimmonhold.fleet._fleet_messages import (
     AdapterLoadReply,
     AdapterLoadRequest,
@@ -41,19 +40,20 @@
 from persimmonhold.fleet._held_model import HeldModel
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_demand import ModelDemand
-from persimmonhold.fleet._model_load import ModelLoad
 from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._retry_budget import RetryBounds, RetryBudget
 from persimmonhold.fleet._shared_load import SharedLoad
-from persimmonhold.fleet._update_schedule import UpdateSchedule
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
-from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 from persimmonhold.fleet._upstream_report import UpstreamReport
 
 if TYPE_CHECKING:
     from persimmonhold.fleet._copy_planner import CopyPlanner, PlannedOrder
     from persimmonhold.fleet._fleet_controller import FleetController
+    from persimmonhold.fleet._fleet_demand import FleetDemand
+    from persimmonhold.fleet._model_load import ModelLoad
+    from persimmonhold.fleet._update_schedule import UpdateSchedule
+    from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 
 __all__ = (
     'AdapterLoadReply',
@@ -102,6 +102,10 @@
         {
             'CopyPlanner': '_copy_planner',
             'FleetController': '_fleet_controller',
+            'FleetDemand': '_fleet_demand',
+            'ModelLoad': '_model_load',
             'PlannedOrder': '_copy_planner',
+            'UpdateSchedule': '_update_schedule',
+            'UpstreamLedger': '_upstream_ledger',
         },
     )
