--- a/persimmonhold/control/shell/_leader_duties.py
+++ b/persimmonhold/control/shell/_leader_duties.py
@@ -98,7 +98,7 @@
         ]
 
     async def _remove_vm(self, vm: VmRecord) -> None:
-        """Remove a VM if it is still silent; a later round tries again."""
+        """Remove a silent VM; if that fails, a later round tries again."""
         command = RegisterVm(at_ms=self._node.now_ms(), vm=vm, gone=True)
         removed = await self._node.propose(command)
         if isinstance(removed, Failed):
