Add workspaces to the routing document, and specify the work on shared load

Configurations with workspaces had no type to decode into. The types and the order of priorities come first, as several parts use them. New fields stay unset, so documents without workspaces are encoded as before and earlier builds compute the same digest of the view. No behavior changes without workspaces.

--- a/persimmonhold/fleet/_dispatch_request.py
+++ b/persimmonhold/fleet/_dispatch_request.py
@@ -16,7 +16,10 @@
     plain response is due. The caller is expected to give up after
     `caller_waits_until` if it has received nothing. At `ends_at` the response
     must be complete. `is_engine` tells that the service runs models.
-    Only upstreams of `build` may run it, if it is not empty.
+    Only upstreams of `build` may run it, if it is not empty. `workspace` is the
+    name of the workspace that its key belongs to, or empty. Requests with a
+    lower `priority` are more urgent: that of the workspace comes first, then
+    that of the route.
     """
 
     number: int
@@ -29,3 +32,10 @@
     ends_at: float
     is_engine: bool = False
     build: str = ''
+    workspace: str = ''
+    workspace_priority: int = 0
+
+    @property
+    def priority(self) -> tuple[int, int]:
+        """The priority of the workspace, then that of the route."""
+        return self.workspace_priority, self.route.priority
--- a/persimmonhold/fleet/_request_queue.py
+++ b/persimmonhold/fleet/_request_queue.py
@@ -58,7 +58,7 @@
         self.hedged: Self | None = None
         self.caller_waits_until = request.caller_waits_until
         self.is_late = False
-        self.sort_key = (0, 0, 0.0, 0)
+        self.sort_key = (0, (0, 0), 0.0, 0)
         self.queued_at = request.arrived_at
         self.send_count = 0
         self.upstream = ''
@@ -116,7 +116,7 @@
         )
         self.sort_key = (
             int(self.is_late),
-            request.route.priority,
+            request.priority,
             request.due_at,
             request.number,
         )
--- a/persimmonhold/routes/__init__.py
+++ b/persimmonhold/routes/__init__.py
@@ -11,6 +11,11 @@
 from persimmonhold.routes._service_spec import ServiceSpec
 from persimmonhold.routes._traffic_limits import TrafficLimits
 from persimmonhold.routes._validate_document import validate_document
+from persimmonhold.routes._workspace import (
+    Workspace,
+    WorkspaceLimit,
+    hash_key,
+)
 
 __all__ = (
     'EngineSpec',
@@ -22,6 +27,9 @@
     'RoutingDocument',
     'ServiceSpec',
     'TrafficLimits',
+    'Workspace',
+    'WorkspaceLimit',
     'find_engine_error',
+    'hash_key',
     'validate_document',
 )
--- a/persimmonhold/routes/_forward_route.py
+++ b/persimmonhold/routes/_forward_route.py
@@ -22,7 +22,8 @@
     lower `priority` is more urgent. A request is sent to `max_attempts`
     upstreams at most. `is_sticky` tells that prompts share prefixes, so that
     caches matter, and `is_resumable` that another upstream can continue a
-    broken stream.
+    broken stream. Requests to a route that `is_public` need no key; the field
+    is left out unless it is set, as earlier builds refuse unknown fields.
     """
 
     name: str
@@ -37,6 +38,7 @@
     is_sticky: bool = False
     is_resumable: bool = False
     max_gap_ms: float = 0.0
+    is_public: bool | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def is_repeatable(self) -> bool:
