Check the keys of workspaces, and name the workspace to upstreams

Keys were forwarded to upstreams on nearly every request, and no workspace was named. An entry now finds the workspace of a key by its digest, refuses unknown keys with 401, removes the key and the caller's own Tenant header, and checks again before each attempt and when the document changes. Documents without workspaces are encoded and served as before.

--- a/persimmonhold/control/machine/_put_routes.py
+++ b/persimmonhold/control/machine/_put_routes.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from persimmonhold.routes import RoutingDocument, validate_document
+from persimmonhold import routes
+from persimmonhold.routes import RoutingDocument
 
 
 @final
@@ -21,4 +22,4 @@
     @property
     def validation_error(self) -> str:
         """The first error in the document, or an empty string."""
-        return validate_document(self.document)
+        return routes.validate_document(self.document)
--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -38,7 +38,11 @@
 from persimmonhold.messages import ControlView, Demand
 from persimmonhold.placement import explain_misfit
 from persimmonhold.replication import ReplicatedLog
-from persimmonhold.routes import RoutingDocument, find_engine_error
+from persimmonhold.routes import (
+    RoutingDocument,
+    find_engine_error,
+    find_workspace_error,
+)
 
 _MS_PER_S: Final = 1000
 
@@ -211,11 +215,13 @@
 
         A version that is not newer than the stored one has no effect and
         is not added to the log; the call returns once the stored version
-        is accepted. A document whose engines cannot run their models is not
-        proposed.
+        is accepted. A document whose engines cannot run their models, or
+        whose workspaces are not valid, is not proposed.
         """
         if document.version > self.state.view.routes.version:
-            error = find_engine_error(document)
+            error = find_engine_error(document) or find_workspace_error(
+                document
+            )
             if error:
                 return Success(
                     CommandResult(
--- a/persimmonhold/fleet/_attempt_end.py
+++ b/persimmonhold/fleet/_attempt_end.py
@@ -20,6 +20,7 @@
     `limited`: the request was not sent, as the upstream has a request limit
     and no permit was issued.
     `spared`: the request was not sent, as the upstream wants no new ones.
+    `withheld`: the request was not sent, as no workspace holds its key now.
     `cancelled`: the entry ended the attempt, which says nothing about the
     upstream.
     """
@@ -34,4 +35,5 @@
     unsent = 'unsent'
     limited = 'limited'
     spared = 'spared'
+    withheld = 'withheld'
     cancelled = 'cancelled'
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -50,6 +50,7 @@
     AttemptEnd.limited: 0.0,  # the tracker keeps the time of the next permit
     AttemptEnd.spared: 0.0,  # the chooser leaves it out for as long as needed
     AttemptEnd.unsent: 0.1,
+    AttemptEnd.withheld: 0.0,  # the upstream was not involved
     AttemptEnd.unreachable: 0.3,  # a crashed upstream restarts in seconds
 })
 # The upstream did not receive the request, so a retry is not charged to the
@@ -59,6 +60,7 @@
     AttemptEnd.spared,
     AttemptEnd.unreachable,
     AttemptEnd.unsent,
+    AttemptEnd.withheld,
 ))
 # The upstream has answered that it did not run the request.
 _REFUSED_BY_PROCESS: Final = frozenset((
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -38,6 +38,7 @@
     AttemptEnd.limited,
     AttemptEnd.spared,
     AttemptEnd.unsent,
+    AttemptEnd.withheld,
 ))
 # An upstream with a higher failure rate is paused; a healthy one fails a few
 # percent of requests.
--- a/persimmonhold/forwarding/_attempt_race.py
+++ b/persimmonhold/forwarding/_attempt_race.py
@@ -126,6 +126,8 @@
         is_quarantined = hub.quarantine.find_left_s(parts, hub.clock()) > 0
         if not state.can_run_beside or is_quarantined:
             return False
+        if state.services.keys.check_request(state.request).refusal:
+            return False
         number = next(hub.request_numbers)
         action = state.services.hedges.submit(dispatch_request.number, number)
         if action is None:
--- a/persimmonhold/forwarding/_dialect.py
+++ b/persimmonhold/forwarding/_dialect.py
@@ -19,6 +19,10 @@
     def decode_profile(self, head: RequestHead) -> Result[RequestProfile, str]:
         """Return the profile of a request, or what is malformed in its head."""
 
+    @abc.abstractmethod
+    def hash_key(self, head: RequestHead) -> str:
+        """Return the digest of the key in a head; '' if there is not one."""
+
     @abc.abstractmethod
     def build_request_headers(
         self,
@@ -37,3 +41,7 @@
     @abc.abstractmethod
     def build_refusal_headers(self, retry_after_s: float | None) -> Headers:
         """Return the headers of a refusal; None states no time to retry."""
+
+    @abc.abstractmethod
+    def build_challenge_headers(self) -> Headers:
+        """Return the headers that tell a caller how to send a key."""
--- a/persimmonhold/forwarding/_dispatched_attempt.py
+++ b/persimmonhold/forwarding/_dispatched_attempt.py
@@ -157,6 +157,7 @@
         log_event(
             'attempt',
             request_id=profile.request_id,
+            workspace=self.request.dispatch_request.workspace,
             upstream=action.upstream.name,
             end=result.end.value,
             detail=result.detail,
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -31,7 +31,7 @@
 )
 from persimmonhold.forwarding._statement_recorder import StatementRecorder
 from persimmonhold.quarantine import PROOF_S
-from persimmonhold.routes import ForwardRoute
+from persimmonhold.routes import ForwardRoute, KeyVerdict
 from persimmonhold.web import (
     BodyEnd,
     ClientConnection,
@@ -63,7 +63,8 @@
     """Sends a request to one upstream and relays the response to the caller.
 
     A response other than an event stream is buffered up to a limit, so that
-    a broken one can still be replaced; events are sent as they arrive.
+    a broken one can still be replaced; events are sent as they arrive. The key is
+    checked right before the request is sent, for `verdict_on_key`.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self.is_event_stream = False
         self.is_streaming = False
         self.progress = AttemptProgress()
+        self.verdict_on_key = KeyVerdict()
 
     def supersede(self) -> None:
         """Fail the attempt, as another one goes on with the response."""
@@ -287,6 +289,7 @@
         Returns None if a used connection was closed without a response.
         """
         sent_at = self.services.hub.clock()
+        self.verdict_on_key = self.services.keys.check_request(self.request)
         unsendable = self._check_sending(sent_at)
         if unsendable is not None:
             connection.mark_failed(unsendable.detail)
@@ -299,6 +302,7 @@
                 self.request,
                 self.action.upstream,
                 self.event_framer.last_id,
+                self.verdict_on_key,
             )
         )
         if isinstance(sent, Failed) and connection.bytes_written == before:
@@ -352,6 +356,13 @@
         """Return why the request must not be sent any more, or None."""
         if self.progress.is_superseded:
             return _failed_result(AttemptEnd.silent, 'superseded')
+        if self.verdict_on_key.refusal:
+            # If written, a pooled connection was closed without a response.
+            return AttemptResult(
+                end=AttemptEnd.withheld,
+                may_have_run=self.progress.has_written,
+                detail=self.verdict_on_key.refusal,
+            )
         if not self.services.hub.sparing.accepts_sending(
             self.action.upstream.name
         ):
@@ -527,14 +538,20 @@
     request: ForwardRequest,
     upstream: UpstreamFacts,
     resume_after: str,
+    verdict_on_key: KeyVerdict,
 ) -> ClientRequest:
     """Return what is sent to an upstream, after the event with that id."""
     left_s = request.dispatch_request.ends_at - services.hub.clock()
+    table = services.routes.table
     parameters = ForwardParameters(
         time_left_ms=max(_MIN_DEADLINE_MS, int(left_s * _MS_PER_S)),
         upstream=upstream.name,
-        urgency=min(9, max(0, request.dispatch_request.route.priority)),
+        urgency=table.urgency.find_level(
+            verdict_on_key.priority, request.dispatch_request.route.priority
+        ),
         resume_after=resume_after,
+        has_workspaces=table.has_workspaces,
+        workspace=verdict_on_key.workspace_name,
     )
     return ClientRequest(
         method=request.head.method,
--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -14,9 +14,18 @@
 )
 from persimmonhold.forwarding._forward_runner import ForwardRunner
 from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.forwarding._refusal import (
+    build_refusal_headers,
+    find_refusal_status,
+)
 from persimmonhold.observability import log_event
 from persimmonhold.quarantine import fingerprint_request
-from persimmonhold.routes import ForwardRoute, RouteKind, RouteTable
+from persimmonhold.routes import (
+    ForwardRoute,
+    KeyVerdict,
+    RouteKind,
+    RouteTable,
+)
 from persimmonhold.web import Exchange, ExchangeHandler, Rejection, RequestHead
 
 _BAD_REQUEST: Final = 400
@@ -51,9 +60,14 @@
     def __init__(self, services: ForwardServices) -> None:
         """Create the handler of an entry."""
         self.services = services
-        self.route_table = RouteTable(services.link.view.routes)
         self.running_count = 0
         self.runners: set[ForwardRunner] = set()
+        services.routes.subscribe(self._refuse_withdrawn)
+
+    @property
+    def route_table(self) -> RouteTable:
+        """The route table, as of its last refresh."""
+        return self.services.routes.table
 
     async def serve(self, exchange: Exchange) -> None:
         """Run a request, or refuse one that cannot be forwarded."""
@@ -77,12 +91,12 @@
 
     def refresh_route_table(self) -> RouteTable:
         """Return the route table of the current view, rebuilt if it changed."""
-        document = self.services.link.view.routes
-        if document is not self.route_table.document:
-            if document != self.route_table.document:
-                log_event('routes_in_force', version=document.version)
-            self.route_table = RouteTable(document)
-        return self.route_table
+        return self.services.routes.refresh()
+
+    def _refuse_withdrawn(self) -> None:
+        """Refuse the waiting requests whose key was withdrawn."""
+        for runner in tuple(self.runners):
+            runner.refuse_if_withdrawn()
 
     async def _match_and_forward(self, exchange: Exchange) -> None:
         """Find the route of a request and forward it, or refuse it."""
@@ -94,21 +108,39 @@
             self._refuse(exchange, _UNAVAILABLE, 'isolated', retry_after_s)
             return
         head = exchange.head
-        path = head.target.partition('?')[0]
-        route = table.find_route(head.header('host'), path)
-        profile = self.services.dialect.decode_profile(head)
+        route = table.find_route(head.header('host'), head.raw_path)
         if route is None:
             self._refuse(exchange, _NOT_FOUND, 'no_route')
-        elif isinstance(profile, Failed):
-            self._refuse(exchange, _BAD_REQUEST, 'malformed_request')
         else:
-            dispatch_request = self._build_dispatch_request(
-                route, profile.unwrap(), arrived_at
-            )
-            await self._check_model_and_forward(exchange, dispatch_request)
+            await self._check_key_and_forward(exchange, route, arrived_at)
+
+    async def _check_key_and_forward(
+        self, exchange: Exchange, route: ForwardRoute, arrived_at: float
+    ) -> None:
+        """Forward a request, or refuse it for its key or its headers."""
+        keys = self.services.keys
+        key_hash = keys.hash_key(route, exchange.head)
+        verdict = keys.check_route(route, key_hash)
+        if verdict.refusal:
+            status = find_refusal_status(verdict.refusal)
+            self._refuse(exchange, status, verdict.refusal, _RETRY_AFTER_S)
+            return
+        profile = self.services.dialect.decode_profile(exchange.head)
+        if isinstance(profile, Failed):
+            self._refuse(exchange, _BAD_REQUEST, 'malformed_request')
+            return
+        dispatch_request = self._build_dispatch_request(
+            route, profile.unwrap(), verdict, arrived_at
+        )
+        await self._check_model_and_forward(
+            exchange, dispatch_request, key_hash
+        )
 
     async def _check_model_and_forward(
-        self, exchange: Exchange, dispatch_request: DispatchRequest
+        self,
+        exchange: Exchange,
+        dispatch_request: DispatchRequest,
+        key_hash: str,
     ) -> None:
         """Forward a request, or refuse it if its model is not configured."""
         spec = self.route_table.services.get(dispatch_request.service)
@@ -117,7 +149,7 @@
             engine is None
             or engine.find_model(dispatch_request.profile.model) is not None
         ):
-            await self._read_body_and_run(exchange, dispatch_request)
+            await self._read_body_and_run(exchange, dispatch_request, key_hash)
         else:
             self._refuse(
                 exchange, _UNAVAILABLE, 'unknown_model', _RETRY_AFTER_S
@@ -127,6 +159,7 @@
         self,
         exchange: Exchange,
         dispatch_request: DispatchRequest,
+        key_hash: str,
     ) -> None:
         """Read the body and run the request, or refuse an unreadable body."""
         body = await exchange.read_body()
@@ -142,6 +175,7 @@
             ),
             head=exchange.head,
             body=body.unwrap(),
+            key_hash=key_hash,
         )
         runner = ForwardRunner(self.services, request, exchange)
         self.runners.add(runner)
@@ -165,6 +199,7 @@
         self,
         route: ForwardRoute,
         profile: RequestProfile,
+        verdict: KeyVerdict,
         arrived_at: float,
     ) -> DispatchRequest:
         hub = self.services.hub
@@ -183,6 +218,8 @@
             caller_waits_until=min(ends_at, arrived_at + _caller_wait_s(route)),
             ends_at=ends_at,
             is_engine=spec is not None and spec.engine is not None,
+            workspace=verdict.workspace_name,
+            workspace_priority=verdict.priority,
         )
 
     def _choose_service(self, route: ForwardRoute) -> str:
@@ -217,7 +254,9 @@
                 version=self.route_table.document.version,
                 left_out=left_out,
             )
-        headers = self.services.dialect.build_refusal_headers(retry_after_s)
+        headers = build_refusal_headers(
+            self.services.dialect, status, retry_after_s
+        )
         response = ForwardResponseWriter(exchange, self.services.hub.clock)
         response.write_refusal(status, reason, headers)
 
--- a/persimmonhold/forwarding/_forward_request.py
+++ b/persimmonhold/forwarding/_forward_request.py
@@ -10,8 +10,12 @@
 
 @final
 class ForwardRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """Head and complete body, and the request as the dispatcher sees it."""
+    """Head and complete body, and the request as the dispatcher sees it.
+
+    `key_hash` is the digest of its key; empty if it needed none on arrival.
+    """
 
     dispatch_request: DispatchRequest
     head: RequestHead
     body: bytes
+    key_hash: str = ''
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -24,6 +24,10 @@
     ForwardResponseWriter,
 )
 from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.forwarding._refusal import (
+    build_refusal_headers,
+    find_refusal_status,
+)
 from persimmonhold.forwarding._request_state import RequestState
 from persimmonhold.observability import log_event, metric
 from persimmonhold.routes import RouteKind
@@ -35,6 +39,8 @@
 _TIMEOUT_RETRY_AFTER_S: Final = 0.3
 # A new fleet controller has the reports of all entries within this time.
 _UNKNOWN_STREAM_RETRY_AFTER_S: Final = 1.0
+# An entry that cannot tell whether a key is valid has new proof by then.
+_NO_KEY_RETRY_AFTER_S: Final = 0.5
 _MS_PER_S: Final = 1000
 
 
@@ -97,17 +103,23 @@
             self.time_over_reason = 'stopping'
             self.time_limit.reschedule(asyncio.get_running_loop().time())
 
+    def refuse_if_withdrawn(self) -> None:
+        """Refuse the request if it waits, and no workspace holds its key."""
+        refusal = self._check_key()
+        if refusal is not None:
+            self.services.hub.deliver((refusal,))
+
     async def _run_attempts(self) -> None:
         """Run attempts until one ends the request or it is refused."""
         if self._refuse_if_quarantined():
             return
-        if not await self._find_build():
+        if not await self._find_build() or self._refuse_if_no_key():
             return
         action = await self.services.hub.submit_request(
             self.request.dispatch_request
         )
         while isinstance(action, SendRequest):
-            if self._refuse_if_quarantined():
+            if self._refuse_if_quarantined() or self._refuse_if_no_key():
                 return
             self.services.hub.begin_trial(self.request.dispatch_request)
             outcome = await AttemptRace(self.state, action).run()
@@ -116,6 +128,8 @@
                 break
             if self._handle_attempt_result(outcome):
                 return
+            if self._refuse_if_no_key():
+                return
             self.last_attempt_end = AttemptEnd.cancelled
             action = await self.services.hub.retry_request(
                 self.state.number, outcome.end
@@ -169,6 +183,39 @@
             self._refuse(refusal)
         return refusal is not None
 
+    def _refuse_if_no_key(self) -> bool:
+        """Refuse the request if no workspace holds its key; tell whether.
+
+        Otherwise it goes on in the name of the workspace that holds it now.
+        """
+        refusal = self._check_key()
+        if refusal is not None:
+            self._refuse(refusal)
+        return refusal is not None
+
+    def _check_key(self) -> RefuseRequest | None:
+        """Check the key by the document in force; return the refusal or None.
+
+        Records which workspace holds it, as a key may have been moved.
+        """
+        verdict = self.services.keys.check_request(self.request)
+        request = self.request.dispatch_request
+        if verdict.refusal:
+            return RefuseRequest(
+                number=request.number,
+                reason=verdict.refusal,
+                retry_after_s=_NO_KEY_RETRY_AFTER_S,
+                waited_s=self.services.hub.clock() - request.arrived_at,
+            )
+        if verdict.workspace_name != request.workspace:
+            self.state.request = msgspec.structs.replace(
+                self.request,
+                dispatch_request=msgspec.structs.replace(
+                    request, workspace=verdict.workspace_name
+                ),
+            )
+        return None
+
     def _handle_attempt_result(self, result: AttemptResult) -> bool:
         """End the request if the result allows; tell whether it has ended.
 
@@ -208,10 +255,11 @@
         if self.state.may_have_run:
             self._end_failed(action.reason)
             return
-        headers = self.services.dialect.build_refusal_headers(
-            action.retry_after_s
+        status = find_refusal_status(action.reason)
+        headers = build_refusal_headers(
+            self.services.dialect, status, action.retry_after_s
         )
-        self.response_writer.write_refusal(_UNAVAILABLE, action.reason, headers)
+        self.response_writer.write_refusal(status, action.reason, headers)
 
     def _end_failed(self, reason: str) -> None:
         """End a request that may have run without a successful response."""
@@ -260,6 +308,7 @@
         log_event(
             'turned_away',
             request_id=self.request.dispatch_request.profile.request_id,
+            workspace=self.request.dispatch_request.workspace,
             reason=action.reason,
             waited_ms=round(action.waited_s * _MS_PER_S, 1),
             line=action.queue_length,
@@ -285,6 +334,7 @@
             'request',
             request_id=dispatch_request.profile.request_id,
             route=dispatch_request.route.name,
+            workspace=dispatch_request.workspace,
             model=dispatch_request.profile.model,
             adapter=dispatch_request.profile.adapter,
             outcome=self.response_writer.outcome,
--- a/persimmonhold/forwarding/_forward_services.py
+++ b/persimmonhold/forwarding/_forward_services.py
@@ -3,10 +3,12 @@
 from typing import final
 
 from persimmonhold.control.shell import ControlLink
+from persimmonhold.forwarding._active_routes import ActiveRoutes
 from persimmonhold.forwarding._dialect import Dialect
 from persimmonhold.forwarding._fleet_client import FleetClient
 from persimmonhold.forwarding._forward_hub import ForwardHub
 from persimmonhold.forwarding._hedge_hub import HedgeHub
+from persimmonhold.forwarding._key_check import KeyCheck
 from persimmonhold.forwarding._process_probe import ProcessProbe
 from persimmonhold.observability import BurstSampler, Metrics
 from persimmonhold.upstreams import ConnectionPool
@@ -21,10 +23,12 @@
         'fleet_client',
         'hedges',
         'hub',
+        'keys',
         'link',
         'metrics',
         'pool',
         'probe',
+        'routes',
         'sampler',
     )
 
@@ -43,6 +47,8 @@
         self.link = link
         self.dialect = dialect
         self.metrics = metrics
+        self.routes = ActiveRoutes(link)
+        self.keys = KeyCheck(self.routes, dialect)
         self.pool = ConnectionPool()
         self.probe = ProcessProbe(hub, fleet_client.upstream_client)
         self.sampler = BurstSampler()
--- a/persimmonhold/platform/_configuration.py
+++ b/persimmonhold/platform/_configuration.py
@@ -13,6 +13,7 @@
 from returns.result import Result, Success
 
 from persimmonhold._json import decode_json
+from persimmonhold.platform._wire_tenant import WireTenant, convert_tenant
 from persimmonhold.platform._wire_types import Integer
 from persimmonhold.routes import (
     EngineSpec,
@@ -61,6 +62,7 @@
     sticky: bool = False
     resumable: bool = False
     target_itl_ms: float = 0.0
+    public: bool = False
 
 
 @final
@@ -115,6 +117,7 @@
     routes: tuple[_WireRoute, ...]
     services: tuple[_WireService, ...]
     limits: _WireLimits = _WireLimits()
+    tenants: tuple[WireTenant, ...] = ()
 
 
 def decode_configuration(body: bytes) -> Result[RoutingDocument, str]:
@@ -131,7 +134,10 @@
     return Success(
         RoutingDocument(
             version=wire.version,
-            routes=tuple(_convert_route(route) for route in wire.routes),
+            routes=tuple(
+                _convert_route(route, has_workspaces=bool(wire.tenants))
+                for route in wire.routes
+            ),
             services=tuple(
                 _convert_service(service) for service in wire.services
             ),
@@ -142,6 +148,8 @@
                 idle_timeout_ms=wire.limits.idle_timeout_ms,
             ),
             source=zlib.compress(body),
+            workspaces=tuple(map(convert_tenant, wire.tenants))
+            or msgspec.UNSET,
         ),
     )
 
@@ -151,7 +159,11 @@
     return zlib.decompress(document.source)
 
 
-def _convert_route(wire: _WireRoute) -> ForwardRoute:
+def _convert_route(wire: _WireRoute, *, has_workspaces: bool) -> ForwardRoute:
+    """Convert a route; without workspaces, public routes are like others.
+
+    Their field stays unset then, as earlier builds cannot decode it.
+    """
     targets = wire.split or (_WireTarget(wire.service),)
     return ForwardRoute(
         name=wire.name,
@@ -168,6 +180,7 @@
         is_sticky=wire.sticky,
         is_resumable=wire.resumable,
         max_gap_ms=wire.target_itl_ms,
+        is_public=(wire.public and has_workspaces) or msgspec.UNSET,
     )
 
 
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -13,6 +13,7 @@
     ForwardParameters,
 )
 from persimmonhold.platform import _names as names
+from persimmonhold.routes import hash_key
 from persimmonhold.web import (
     Headers,
     RequestHead,
@@ -29,6 +30,7 @@
 _MAX_REQUEST_ID_CHARS: Final = 128
 _MAX_TOKENS: Final = 1_000_000_000
 _LEAVING_VALUE: Final = '1'
+_KEY_SCHEME: Final = b'bearer'  # schemes are compared in lower case
 # An upstream that asks for more is tried again after this time.
 _MAX_TURNED_AWAY_S: Final = 3600.0
 # Used where an upstream turns a request away for a time that cannot be read.
@@ -71,6 +73,23 @@
             ),
         )
 
+    def hash_key(self, head: RequestHead) -> str:
+        """Return the digest of the one key that a caller sent as a bearer.
+
+        A key that is sent twice or not in UTF-8 is malformed.
+        """
+        values = _list_values(head.headers, names.AUTHORIZATION)
+        if len(values) != 1:
+            return ''
+        scheme, _, key = values[0].partition(b' ')
+        if scheme.lower() != _KEY_SCHEME:
+            return ''
+        try:
+            text = key.lstrip(b' ').decode()
+        except UnicodeDecodeError:
+            return ''
+        return hash_key(text) if text else ''
+
     def build_request_headers(
         self,
         head: RequestHead,
@@ -81,10 +100,13 @@
         Headers that only this system sets are dropped from those of the caller,
         except the id of the event after which the caller resumes a stream.
         """
+        dropped = names.SET_BY_SYSTEM
+        if parameters.has_workspaces:
+            dropped |= names.SET_FOR_WORKSPACES
         caller_headers = tuple(
             pair
             for pair in select_end_to_end_headers(head.headers)
-            if pair[0] not in names.SET_BY_SYSTEM
+            if pair[0] not in dropped
         )
         system_headers = {
             names.DEADLINE_MS: str(parameters.time_left_ms),
@@ -95,7 +117,11 @@
             system_headers[names.RESUME_AFTER] = resumed
         if head.header(names.MODEL):
             system_headers[names.URGENCY] = str(parameters.urgency)
-        return (*caller_headers, *encode_headers(system_headers))
+        return (
+            *caller_headers,
+            *encode_headers(system_headers),
+            *_encode_workspace(parameters.workspace),
+        )
 
     def decode_response_head(
         self,
@@ -133,6 +159,23 @@
             return ()
         return encode_headers({names.RETRY_AFTER: f'{retry_after_s:.2f}'})
 
+    def build_challenge_headers(self) -> Headers:
+        """Return the challenge that each response with status 401 needs."""
+        return ((b'www-authenticate', b'Bearer'),)
+
+
+def _encode_workspace(name: str) -> Headers:
+    """Return the header for a workspace, whose name may be beyond Latin-1."""
+    if not name:
+        return ()
+    return ((names.WORKSPACE.encode('ascii'), name.encode()),)
+
+
+def _list_values(headers: Headers, name: str) -> tuple[bytes, ...]:
+    """Return the value of each header of that name."""
+    wanted = name.encode('ascii')
+    return tuple(text for found, text in headers if found == wanted)
+
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
     """Return the tokens of the prompt, and the most that the response may have.
@@ -184,11 +227,9 @@
 
 def _split_values(head: ResponseHead, name: str) -> tuple[str, ...]:
     """Return all values of a header, however often it is repeated."""
-    wanted = name.encode('ascii')
     return tuple(
         part.strip()
-        for found, text in head.headers
-        if found == wanted
+        for text in _list_values(head.headers, name)
         for part in text.decode('latin-1').split(',')
     )
 
--- a/persimmonhold/platform/_names.py
+++ b/persimmonhold/platform/_names.py
@@ -18,6 +18,8 @@
 # Requests a second that an upstream accepts from all VMs together.
 REQUEST_LIMIT: Final = 'server-limit'
 LEAVING: Final = 'server-leaving'  # `1`: the upstream is about to end
+AUTHORIZATION: Final = 'authorization'  # `Bearer` and the key of a workspace
+WORKSPACE: Final = 'tenant'  # the name of the workspace that holds the key
 
 # Headers that a caller cannot pass to an upstream: this system sets or omits
 # them.
@@ -36,6 +38,10 @@
         'pin-ms',
     )
 )
+# Headers that are dropped as well if workspaces are configured.
+SET_FOR_WORKSPACES: Final = frozenset(
+    name.encode('ascii') for name in (AUTHORIZATION, WORKSPACE)
+)
 
 CONFIGURATION_PATH: Final = '/config'
 DIRECTORY_PATH: Final = '/resolve'
--- a/persimmonhold/routes/_workspace.py
+++ b/persimmonhold/routes/_workspace.py
@@ -1,10 +1,12 @@
 """A workspace: the keys of its callers, its priority and its limit."""
 
 import hashlib
-from typing import final
+from typing import Final, final
 
 import msgspec
 
+_FINGERPRINT_DIGITS: Final = 8
+
 
 @final
 class WorkspaceLimit(
@@ -56,3 +58,8 @@
 def hash_key(key: str) -> str:
     """Return the SHA-256 digest of a key in hexadecimal digits."""
     return hashlib.sha256(key.encode()).hexdigest()
+
+
+def fingerprint_key(key_hash: str) -> str:
+    """Return the part of a digest that logs and operators may see."""
+    return key_hash[:_FINGERPRINT_DIGITS]
--- a/persimmonhold/web/_request_head.py
+++ b/persimmonhold/web/_request_head.py
@@ -22,6 +22,11 @@
         """The decoded path without the query."""
         return unquote(self.target.partition('?')[0])
 
+    @property
+    def raw_path(self) -> str:
+        """The path as sent, without the query."""
+        return self.target.partition('?')[0]
+
     @property
     def raw_target(self) -> str:
         """The request target as sent, the same as `target`."""
--- a/tests/forwarding_harness.py
+++ b/tests/forwarding_harness.py
@@ -43,6 +43,7 @@
     RouteKind,
     RoutingDocument,
     ServiceSpec,
+    Workspace,
 )
 from persimmonhold.web import (
     Address,
@@ -201,6 +202,17 @@
         )
         self._set_document(document)
 
+    def set_workspaces(self, *workspaces: Workspace) -> None:
+        """Replace the workspaces, as the entry does when it gets a view."""
+        self._set_document(
+            msgspec.structs.replace(
+                self.control.view.routes,
+                version=self.control.view.routes.version + 1,
+                workspaces=workspaces or msgspec.UNSET,
+            )
+        )
+        self.services.routes.refresh()
+
     def clear_routes(self) -> None:
         """Remove the routes, as in an entry that has just started."""
         self._set_document(RoutingDocument())
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -23,6 +23,7 @@
     FetchedResponse,
     HttpBounds,
     HttpServer,
+    RequestHead,
     encode_headers,
     fetch,
     parse_address,
@@ -43,6 +44,7 @@
         self.accepted = 0
         self.orders: list[dict[str, Any]] = []
         self.served: list[str] = []
+        self.heads: list[RequestHead] = []  # of the requests in `served`
         self.stated_limit = ''
 
     async def serve(self, exchange: Exchange) -> None:
@@ -102,6 +104,7 @@
             await exchange.respond_json(421, {})
             return
         self.served.append(head.header(names.REQUEST_ID))
+        self.heads.append(head)
         own = {
             names.REQUEST_ID: head.header(names.REQUEST_ID),
             names.SIGNATURE: 'signed',
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -10,7 +10,9 @@
 _PACKAGE = Path(__file__).parent.parent / 'persimmonhold'
 _FOLDER = _PACKAGE / 'platform'
 _WIRE_NAMES = (
+    'api-key',
     'attempt-id',
+    'authorization',
     'cold-remaining-ms',
     'deadline-ms',
     'expect-instance',
@@ -30,7 +32,9 @@
     'server-signature',
     'target-itl-ms',
     'token-count',
+    'tenant',
     'ttl-s',
+    'uncached-tokens',
     'weights-mb',
 )
 
