--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -35,6 +35,8 @@
     ' its caller would have left',
     'request_limit': 'every upstream that could run it had stated a request'
     ' limit, and no permit was expected in time',
+    'quota': 'its workspace had no credit left of the limit that all entries'
+    ' keep together, or the entry did not reach the fleet controller',
     'quarantined_prompt': 'upstreams had ended when they began to answer'
     ' equal requests, or requests with a part of its prompt',
     'unknown_stream': 'nobody knew at which software version the stream that'
--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -14,6 +14,8 @@
 from persimmonhold.fleet._fleet_messages import (
     AdapterLoadReply,
     AdapterLoadRequest,
+    CreditReply,
+    CreditRequest,
     EntryReport,
     FleetMessage,
     FleetUpdate,
@@ -61,6 +63,8 @@
     'AdapterLoadRequest',
     'AttemptEnd',
     'CopyPlanner',
+    'CreditReply',
+    'CreditRequest',
     'DispatchRequest',
     'EntryReport',
     'FleetController',
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -229,6 +229,52 @@
     wait_s: float
 
 
+@final
+class CreditRequest(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='credit',
+    array_like=True,
+):
+    """Asks the fleet controller for credit of a workspace.
+
+    All of `tokens` is granted or none; of `prefetch` any part may be. The unit
+    is that of the limit of the workspace. `returned` are (grant id, credit)
+    pairs: all credit of a grant that was returned so far, so that repeats and
+    lost messages do no harm. A retransmission keeps the `request_id`.
+    """
+
+    request_id: int
+    workspace: str
+    tokens: float
+    returned: tuple[tuple[int, float], ...] = ()
+    prefetch: float = 0
+
+
+@final
+class CreditReply(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='credit_reply',
+    array_like=True,
+):
+    """Grants credit, or states the seconds until it can be granted.
+
+    The grant expires `term_s` after the request was sent. `tokens` and
+    `grant_id` are 0 if nothing is granted. `admit_share` is the share of the
+    credit requested for the workspace lately that was granted.
+    """
+
+    request_id: int
+    grant_id: int
+    tokens: float
+    term_s: float
+    wait_s: float
+    admit_share: float
+
+
 FleetMessage: TypeAlias = (
     FleetUpdate
     | EntryReport
@@ -240,4 +286,6 @@
     | StreamOriginReply
     | PromptEvidence
     | QuarantineUpdate
+    | CreditRequest
+    | CreditReply
 )
--- a/persimmonhold/forwarding/__init__.py
+++ b/persimmonhold/forwarding/__init__.py
@@ -28,6 +28,7 @@
         PlatformAdapter,
         ServedAddress,
     )
+    from persimmonhold.forwarding._quota_client import QuotaClient
     from persimmonhold.forwarding._resumable_event_framer import (
         ResumableEventFramer,
     )
@@ -47,6 +48,7 @@
     'ForwardParameters',
     'ForwardServices',
     'PlatformAdapter',
+    'QuotaClient',
     'ServedAddress',
     'UpstreamClient',
     'DecodedResponseHead',
@@ -69,6 +71,7 @@
             'ForwardParameters': '_forward_parameters',
             'ForwardServices': '_forward_services',
             'PlatformAdapter': '_platform_adapter',
+            'QuotaClient': '_quota_client',
             'ResumableEventFramer': '_resumable_event_framer',
             'ServedAddress': '_platform_adapter',
             'UpstreamClient': '_upstream_client',
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable
 from typing import Final, TypeVar, final
 
 import msgspec
@@ -17,6 +18,8 @@
 from persimmonhold.fleet import (
     AdapterLoadReply,
     AdapterLoadRequest,
+    CreditReply,
+    CreditRequest,
     FleetMessage,
     FleetUpdate,
     PermitReply,
@@ -68,9 +71,11 @@
     """Sends reports and adapter requests of one entry; applies updates.
 
     `reported` is what the last report told, and to which VM, at `reported_at`.
+    `credit_handler` gets the replies to credit requests.
     """
 
     __slots__ = (
+        'credit_handler',
         'decoder',
         'hub',
         'list_lock',
@@ -111,6 +116,7 @@
         self.reported_at = float('-inf')
         self.pending_permits: dict[int, asyncio.Future[PermitReply]] = {}
         self.pending_origins: dict[int, asyncio.Future[StreamOriginReply]] = {}
+        self.credit_handler: Callable[[CreditReply], None] | None = None
         self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
         transport.set_receiver(Channel.fleet, self.handle_message)
 
@@ -197,6 +203,10 @@
             self.pending_permits.pop(request.request_id)
         return reply.wait_s
 
+    def send_credit_request(self, request: CreditRequest) -> None:
+        """Send a request for credit of a workspace."""
+        self._send_to_controller(request)
+
     async def find_stream_origin(
         self, service: str, begun_as: str
     ) -> StreamOrigin | None:
@@ -256,6 +266,8 @@
             _set_reply(self.pending_permits, message)
         elif isinstance(message, StreamOriginReply):
             _set_reply(self.pending_origins, message)
+        elif isinstance(message, CreditReply) and self.credit_handler:
+            self.credit_handler(message)
 
     @property
     def _listed_at(self) -> float:
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -17,6 +17,7 @@
 from persimmonhold.control.shell import ControlNode
 from persimmonhold.fleet import (
     AdapterLoadRequest,
+    CreditRequest,
     EntryReport,
     FleetController,
     FleetMessage,
@@ -30,6 +31,7 @@
 from persimmonhold.forwarding._order_lease import OrderLease
 from persimmonhold.forwarding._permit_server import PermitServer
 from persimmonhold.forwarding._quarantine_server import QuarantineServer
+from persimmonhold.forwarding._quota_server import QuotaServer
 from persimmonhold.forwarding._stream_origin_server import StreamOriginServer
 from persimmonhold.forwarding._term_leadership import TermLeadership
 from persimmonhold.forwarding._upstream_client import UpstreamClient
@@ -66,6 +68,7 @@
     """
 
     __slots__ = (
+        '_quota_server',
         'clock',
         'decoder',
         'leadership',
@@ -102,6 +105,9 @@
         self.permit_server = PermitServer(node, transport, clock)
         self.quarantine_server = QuarantineServer(transport, clock)
         self.origin_server = StreamOriginServer(transport, clock)
+        self._quota_server = QuotaServer(
+            node, transport, clock, self._list_entries
+        )
         self.clock = clock
         self.leadership = TermLeadership(node)
         self.next_plan_at = 0.0
@@ -151,6 +157,7 @@
             self.work_log.report_count += 1
             term.controller.demand.record_report(peer, message, self.clock())
             self.origin_server.record_report(message)
+            self._quota_server.record_heard(term.controller, peer)
             self.quarantine_server.check_report(term.controller, peer, message)
             if self.permit_server.record_statements(
                 term.controller, peer, message
@@ -173,6 +180,8 @@
     ) -> None:
         if isinstance(message, PermitRequest):
             self.permit_server.answer_request(controller, peer, message)
+        elif isinstance(message, CreditRequest):
+            self._quota_server.answer_request(controller, peer, message)
         elif isinstance(message, StreamOriginRequest):
             self.origin_server.answer_request(peer, message)
         elif isinstance(message, PromptEvidence):
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from typing import Final, final
+from typing import TYPE_CHECKING, Final, final
 
 import msgspec
 
@@ -17,7 +17,7 @@
     RefuseRequest,
     SendRequest,
 )
-from persimmonhold.forwarding._attempt_race import AttemptRace
+from persimmonhold.forwarding._attempt_race import AttemptRace, RaceOutcome
 from persimmonhold.forwarding._attempt_result import AttemptResult
 from persimmonhold.forwarding._forward_request import ForwardRequest
 from persimmonhold.forwarding._forward_response_writer import (
@@ -29,6 +29,10 @@
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import Exchange
 
+if TYPE_CHECKING:
+    from persimmonhold.quota import CreditSpending
+
+_TOO_MANY_REQUESTS: Final = 429
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
@@ -36,6 +40,13 @@
 # A new fleet controller has the reports of all entries within this time.
 _UNKNOWN_STREAM_RETRY_AFTER_S: Final = 1.0
 _MS_PER_S: Final = 1000
+# Ends of attempts that wrote nothing to the upstream.
+_UNSENT: Final = frozenset((
+    AttemptEnd.unreachable,
+    AttemptEnd.unsent,
+    AttemptEnd.limited,
+    AttemptEnd.spared,
+))
 
 
 @final
@@ -45,7 +56,8 @@
     It runs in the task of the caller's connection, which is cancelled when the
     caller disconnects. `state` is what its attempts have in common.
     `time_limit` cancels the attempts when it expires, and `time_over_reason`
-    tells why.
+    tells why. `unsent_credit` is what the request has spent of the limit of its
+    workspace, until it is sent.
     """
 
     def __init__(
@@ -61,6 +73,7 @@
         )
         self.state = RequestState(services, request, self.response_writer)
         self.last_attempt_end = AttemptEnd.cancelled
+        self.unsent_credit: CreditSpending | None = None
         self.time_limit = asyncio.timeout(None)
         self.time_over_reason = 'time_over'
 
@@ -101,7 +114,7 @@
         """Run attempts until one ends the request or it is refused."""
         if self._refuse_if_quarantined():
             return
-        if not await self._find_build():
+        if not await self._find_build() or not await self._obtain_credit():
             return
         action = await self.services.hub.submit_request(
             self.request.dispatch_request
@@ -110,7 +123,7 @@
             if self._refuse_if_quarantined():
                 return
             self.services.hub.begin_trial(self.request.dispatch_request)
-            outcome = await AttemptRace(self.state, action).run()
+            outcome = await self._run_race(action)
             if isinstance(outcome, RefuseRequest):
                 action = outcome
                 break
@@ -160,6 +173,30 @@
             )
         return True
 
+    async def _run_race(self, action: SendRequest) -> RaceOutcome:
+        """Run an attempt; the credit stays spent if it was sent."""
+        credit = self.unsent_credit
+        self.unsent_credit = None
+        outcome = await AttemptRace(self.state, action).run()
+        if not self.state.may_have_run and _is_unsent(outcome):
+            self.unsent_credit = credit
+        return outcome
+
+    async def _obtain_credit(self) -> bool:
+        """Spend credit of the workspace; refuse the request if there is none.
+
+        It spends once, whatever attempts follow.
+        """
+        request = self.request.dispatch_request
+        if not request.workspace:
+            return True
+        outcome = await self.services.find_quota_client().obtain_credit(request)
+        if isinstance(outcome, RefuseRequest):
+            self._refuse(outcome, _TOO_MANY_REQUESTS)
+            return False
+        self.unsent_credit = outcome
+        return True
+
     def _refuse_if_quarantined(self) -> bool:
         """Refuse the request if its prompt is quarantined; tell whether."""
         refusal = self.services.hub.build_quarantine_refusal(
@@ -196,7 +233,9 @@
         self._end_failed(result.detail)
         return True
 
-    def _refuse(self, action: RefuseRequest) -> None:
+    def _refuse(
+        self, action: RefuseRequest, status: int = _UNAVAILABLE
+    ) -> None:
         """Refuse the request, or end it as failed if it may have run."""
         self.services.metrics.increment(
             metric.REFUSALS,
@@ -211,7 +250,7 @@
         headers = self.services.dialect.build_refusal_headers(
             action.retry_after_s
         )
-        self.response_writer.write_refusal(_UNAVAILABLE, action.reason, headers)
+        self.response_writer.write_refusal(status, action.reason, headers)
 
     def _end_failed(self, reason: str) -> None:
         """End a request that may have run without a successful response."""
@@ -270,7 +309,9 @@
         )
 
     def _record_end(self) -> None:
-        """Log the end of the request, and count it in the metrics."""
+        """Return unspent credit; log the end of the request and count it."""
+        if self.unsent_credit is not None:
+            self.services.find_quota_client().return_credit(self.unsent_credit)
         dispatch_request = self.request.dispatch_request
         total_s = self.services.hub.clock() - dispatch_request.arrived_at
         first_s = max(
@@ -309,3 +350,8 @@
                 self.response_writer.longest_gap_s,
                 service_class=service_class,
             )
+
+
+def _is_unsent(outcome: RaceOutcome) -> bool:
+    """Tell whether an attempt ended before its request was sent."""
+    return isinstance(outcome, AttemptResult) and outcome.end in _UNSENT
--- a/persimmonhold/forwarding/_forward_services.py
+++ b/persimmonhold/forwarding/_forward_services.py
@@ -1,7 +1,8 @@
 """Dependencies shared by the forwarded requests of an entry."""
 
-from typing import final
+from typing import TYPE_CHECKING, final
 
+from persimmonhold import forwarding
 from persimmonhold.control.shell import ControlLink
 from persimmonhold.forwarding._dialect import Dialect
 from persimmonhold.forwarding._fleet_client import FleetClient
@@ -11,6 +12,9 @@
 from persimmonhold.observability import BurstSampler, Metrics
 from persimmonhold.upstreams import ConnectionPool
 
+if TYPE_CHECKING:
+    from persimmonhold.forwarding._quota_client import QuotaClient
+
 
 @final
 class ForwardServices:
@@ -25,6 +29,7 @@
         'metrics',
         'pool',
         'probe',
+        'quota_client',
         'sampler',
     )
 
@@ -46,3 +51,15 @@
         self.pool = ConnectionPool()
         self.probe = ProcessProbe(hub, fleet_client.upstream_client)
         self.sampler = BurstSampler()
+        self.quota_client: QuotaClient | None = None
+
+    def find_quota_client(self) -> 'QuotaClient':
+        """Return the client for credit, created when it is first needed.
+
+        Entries without workspaces do not import it.
+        """
+        if self.quota_client is None:
+            self.quota_client = forwarding.QuotaClient(
+                self.fleet_client, self.link, self.metrics
+            )
+        return self.quota_client
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -44,6 +44,12 @@
     help_text='Times an entry began to send new requests again, or it left.',
     labels=('cause',),
 )
+QUOTA: Final = MetricSpec(
+    name='persimmonhold_quota_units_total',
+    kind=MetricKind.counter,
+    help_text='Tokens or requests of limited workspaces by what became of them.',
+    labels=('workspace', 'outcome'),
+)
 REQUESTS: Final = MetricSpec(
     name='persimmonhold_requests_total',
     kind=MetricKind.counter,
@@ -125,6 +131,7 @@
     UNACCEPTED_RESPONSES,
     SPARINGS_BEGUN,
     SPARINGS_ENDED,
+    QUOTA,
     REQUESTS,
     FIRST_TOKEN,
     TOKEN_GAP,
