--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from typing import Final, final
+from typing import TYPE_CHECKING, Final, final
 
 import msgspec
 
@@ -17,7 +17,7 @@
     RefuseRequest,
     SendRequest,
 )
-from persimmonhold.forwarding._attempt_race import AttemptRace
+from persimmonhold.forwarding._attempt_race import AttemptRace, RaceOutcome
 from persimmonhold.forwarding._attempt_result import AttemptResult
 from persimmonhold.forwarding._forward_request import ForwardRequest
 from persimmonhold.forwarding._forward_response_writer import (
@@ -33,6 +33,9 @@
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import Exchange
 
+if TYPE_CHECKING:
+    from persimmonhold.quota import CreditSpending
+
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
@@ -42,6 +45,14 @@
 # An entry that cannot tell whether a key is valid has new proof by then.
 _NO_KEY_RETRY_AFTER_S: Final = 0.5
 _MS_PER_S: Final = 1000
+# Ends of attempts that wrote nothing to the upstream.
+_UNSENT: Final = frozenset((
+    AttemptEnd.unreachable,
+    AttemptEnd.unsent,
+    AttemptEnd.limited,
+    AttemptEnd.spared,
+    AttemptEnd.withheld,
+))
 
 
 @final
@@ -51,7 +62,8 @@
     It runs in the task of the caller's connection, which is cancelled when the
     caller disconnects. `state` is what its attempts have in common.
     `time_limit` cancels the attempts when it expires, and `time_over_reason`
-    tells why.
+    tells why. `unsent_credit` is what the request has spent of the limit of its
+    workspace, until it is sent.
     """
 
     def __init__(
@@ -67,6 +79,7 @@
         )
         self.state = RequestState(services, request, self.response_writer)
         self.last_attempt_end = AttemptEnd.cancelled
+        self.unsent_credit: CreditSpending | None = None
         self.time_limit = asyncio.timeout(None)
         self.time_over_reason = 'time_over'
 
@@ -111,9 +124,7 @@
 
     async def _run_attempts(self) -> None:
         """Run attempts until one ends the request or it is refused."""
-        if self._refuse_if_quarantined():
-            return
-        if not await self._find_build() or self._refuse_if_no_key():
+        if not await self._prepare():
             return
         action = await self.services.hub.submit_request(
             self.request.dispatch_request
@@ -122,7 +133,7 @@
             if self._refuse_if_quarantined() or self._refuse_if_no_key():
                 return
             self.services.hub.begin_trial(self.request.dispatch_request)
-            outcome = await AttemptRace(self.state, action).run()
+            outcome = await self._run_race(action)
             if isinstance(outcome, RefuseRequest):
                 action = outcome
                 break
@@ -136,6 +147,12 @@
             )
         self._refuse(action)
 
+    async def _prepare(self) -> bool:
+        """Tell whether the request may be dispatched; refuse it if not."""
+        if self._refuse_if_quarantined() or not await self._find_build():
+            return False
+        return not self._refuse_if_no_key() and await self._obtain_credit()
+
     async def _find_build(self) -> bool:
         """Have a stream that goes on run at the build that began it.
 
@@ -174,6 +191,30 @@
             )
         return True
 
+    async def _run_race(self, action: SendRequest) -> RaceOutcome:
+        """Run an attempt; the credit stays spent if it was sent."""
+        credit = self.unsent_credit
+        self.unsent_credit = None
+        outcome = await AttemptRace(self.state, action).run()
+        if not self.state.may_have_run and _is_unsent(outcome):
+            self.unsent_credit = credit
+        return outcome
+
+    async def _obtain_credit(self) -> bool:
+        """Spend credit of the workspace; refuse the request if there is none.
+
+        It spends once, whatever attempts follow.
+        """
+        request = self.request.dispatch_request
+        if not request.workspace:
+            return True
+        outcome = await self.services.find_quota_client().obtain_credit(request)
+        if isinstance(outcome, RefuseRequest):
+            self._refuse(outcome)
+            return False
+        self.unsent_credit = outcome
+        return True
+
     def _refuse_if_quarantined(self) -> bool:
         """Refuse the request if its prompt is quarantined; tell whether."""
         refusal = self.services.hub.build_quarantine_refusal(
@@ -319,7 +360,9 @@
         )
 
     def _record_end(self) -> None:
-        """Log the end of the request, and count it in the metrics."""
+        """Return unspent credit; log the end of the request and count it."""
+        if self.unsent_credit is not None:
+            self.services.find_quota_client().return_credit(self.unsent_credit)
         dispatch_request = self.request.dispatch_request
         total_s = self.services.hub.clock() - dispatch_request.arrived_at
         first_s = max(
@@ -359,3 +402,8 @@
                 self.response_writer.longest_gap_s,
                 service_class=service_class,
             )
+
+
+def _is_unsent(outcome: RaceOutcome) -> bool:
+    """Tell whether an attempt ended before its request was sent."""
+    return isinstance(outcome, AttemptResult) and outcome.end in _UNSENT
--- a/persimmonhold/forwarding/_refusal.py
+++ b/persimmonhold/forwarding/_refusal.py
@@ -8,9 +8,14 @@
 from persimmonhold.web import Headers
 
 _UNAUTHORIZED: Final = 401
+_TOO_MANY_REQUESTS: Final = 429
 _UNAVAILABLE: Final = 503
+QUOTA_SPENT: Final = 'quota'  # a workspace has no credit left
 # Reasons whose refusals have a status other than 503.
-_STATUSES: Final = MappingProxyType({UNKNOWN_KEY: _UNAUTHORIZED})
+_STATUSES: Final = MappingProxyType({
+    QUOTA_SPENT: _TOO_MANY_REQUESTS,
+    UNKNOWN_KEY: _UNAUTHORIZED,
+})
 
 
 def find_refusal_status(reason: str) -> int:
