Refuse keys at entries that may have missed a revocation, if it is strict

With strict-revocation, an entry without proof of control for longer than revoke-ms answers revocation_unsure. Proofs by a majority of VMs do not count, as control accepts changes without VMs that have been silent for 2 s. A VM whose proof is older than half of revoke-ms asks the control leader, as proofs by heartbeats are up to 3 s old in a large system.

--- a/persimmonhold/control/shell/_control_link.py
+++ b/persimmonhold/control/shell/_control_link.py
@@ -35,6 +35,14 @@
         """
         return True
 
+    @property
+    def control_proof_age_s(self) -> float:
+        """How long ago control is known to have had no newer view.
+
+        It is 0 in a system of one process.
+        """
+        return 0
+
     @property
     def live_vms(self) -> frozenset[str]:
         """The registered VMs that are not known to be silent."""
--- a/persimmonhold/control/shell/_remote_control_link.py
+++ b/persimmonhold/control/shell/_remote_control_link.py
@@ -59,6 +59,11 @@
         """Whether this VM may serve callers from its view."""
         return self._vm.can_serve
 
+    @property
+    def control_proof_age_s(self) -> float:
+        """How long ago control is known to have had no newer view."""
+        return self._vm.clock() - self._vm.agent.proofs.control_proven_at
+
     @property
     def live_vms(self) -> frozenset[str]:
         """The VMs with a sign of life within the lease."""
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -92,6 +92,7 @@
             link,
             adapter.dialect,
             metrics,
+            adapter.bounds.max_proof_age_s,
         )
         self.handler = ForwardHandler(self.services)
         self.directory = Directory(
--- a/persimmonhold/forwarding/_forward_services.py
+++ b/persimmonhold/forwarding/_forward_services.py
@@ -1,5 +1,6 @@
 """Dependencies shared by the forwarded requests of an entry."""
 
+import math
 from typing import final
 
 from persimmonhold.control.shell import ControlLink
@@ -39,8 +40,12 @@
         link: ControlLink,
         dialect: Dialect,
         metrics: Metrics,
+        max_proof_age_s: float = math.inf,
     ) -> None:
-        """Create the services with a new connection pool and log sampler."""
+        """Create the services with a new connection pool and log sampler.
+
+        `max_proof_age_s` is that of `FleetBounds`.
+        """
         self.hub = hub
         self.hedges = HedgeHub(hub)
         self.fleet_client = fleet_client
@@ -48,7 +53,7 @@
         self.dialect = dialect
         self.metrics = metrics
         self.routes = ActiveRoutes(link)
-        self.keys = KeyCheck(self.routes, dialect)
+        self.keys = KeyCheck(self.routes, dialect, link, max_proof_age_s)
         self.pool = ConnectionPool()
         self.probe = ProcessProbe(hub, fleet_client.upstream_client)
         self.sampler = BurstSampler()
--- a/persimmonhold/membership/_membership_timings.py
+++ b/persimmonhold/membership/_membership_timings.py
@@ -32,6 +32,10 @@
     each heartbeat to `control_loss_fanout` VMs, so that it has proof of a majority
     before the lease ends.
 
+    A VM whose proof of control is older than `leader_proof_s` asks the leader for
+    one, so that it has a newer one before twice that time. If it is infinite,
+    proofs come with the heartbeats alone, up to 3 s late in a large system.
+
     A change is pushed by the leader to up to `leader_push_fanout` VMs and by
     each of these to `push_fanout` VMs, or to one VM in a small system. If
     more than `max_pushed_changes` changes come at once, VMs pull them.
@@ -48,6 +52,7 @@
     heartbeat_fanout: int = 2
     control_loss_s: float = 2
     control_loss_fanout: int = 6
+    leader_proof_s: float = math.inf
     push_fanout: int = 5
     leader_push_fanout: int = 32
     max_pushed_changes: int = 64
--- a/persimmonhold/membership/_vm_agent.py
+++ b/persimmonhold/membership/_vm_agent.py
@@ -44,6 +44,9 @@
 # Number of changes kept for VMs that lag behind. A VM that lags further
 # pulls a whole snapshot.
 _CHANGE_LOG_LENGTH: Final = 4096
+# Times that a VM asks the leader before its proof of control is twice as old as
+# it may be without asking; single messages may be lost.
+_LEADER_ASKS: Final = 4
 
 
 @final
@@ -60,6 +63,7 @@
     __slots__ = (
         '_configured_control_vms',
         '_control_vms',
+        '_leader_asked_at',
         '_next_heartbeat_at',
         '_rng',
         '_view_server',
@@ -97,6 +101,7 @@
         self._configured_control_vms = control_vms
         self._rng = rng
         self._next_heartbeat_at = 0.0
+        self._leader_asked_at = 0.0
 
     def can_serve(self, now: float) -> bool:
         """Return whether this VM may serve callers from its view."""
@@ -108,7 +113,7 @@
 
     def tick(self, now: float) -> tuple[Send, ...]:
         """Return the heartbeats and the repeated pull that are due."""
-        pull = self._pull_announced(now)
+        pull = (*self._pull_announced(now), *self._ask_leader(now))
         if now < self._next_heartbeat_at:
             return pull
         vm_count = len(self.registered_names)
@@ -317,6 +322,19 @@
             return ()
         return self._start_pull(now, self._rng.choice(list(self.announced)))
 
+    def _ask_leader(self, now: float) -> tuple[Send, ...]:
+        """Ask the leader for a proof of control if the last one is too old."""
+        limit_s = self.timings.leader_proof_s
+        is_recent = now - self.proofs.control_proven_at <= limit_s
+        asked_s = now - self._leader_asked_at
+        if is_recent or asked_s < limit_s / _LEADER_ASKS:
+            return ()
+        if self.leader in {'', self.name}:
+            return ()
+        self._leader_asked_at = now
+        heartbeat = Heartbeat(sent_at=now, index=self.view.index)
+        return (Send(self.leader, heartbeat),)
+
     def _start_pull(self, now: float, peer: str) -> tuple[Send, ...]:
         pull = self.updater.start_pull(now, peer)
         return () if pull is None else (Send(peer, pull),)
--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -9,9 +9,13 @@
 from returns.result import Result, Success
 
 from persimmonhold.failures import Failure, FailureKind
-from persimmonhold.fleet import RetryBounds
 from persimmonhold.forwarding import FleetBounds
 from persimmonhold.observability import STANDARD_OUTPUT
+from persimmonhold.platform._wire_bounds import (
+    WireBounds,
+    build_fleet_bounds,
+    choose_leader_proof_ms,
+)
 from persimmonhold.settings import (
     CallerSettings,
     LogSettings,
@@ -31,7 +35,6 @@
 # stands still or is cut off; those that are reachable report within 0.5 s.
 _ACCEPTANCE_SILENCE_MS: Final = 2000
 _METRICS_PORT: Final = 9464  # the port in deploy/system.toml
-_DIRECTORY_TTL_S: Final = 1.0  # how long callers cache a directory response
 
 
 @final
@@ -51,17 +54,6 @@
     machines: int = 0
 
 
-@final
-class _Bounds(msgspec.Struct, frozen=True, rename='kebab'):
-    """The limits that become `FleetBounds`."""
-
-    grace_s: float = 8
-    lease_ms: float = 3000
-    retry_budget_ratio: float = 0.2
-    retry_window_s: float = 10
-    retry_slack: float = 50
-
-
 @final
 class _Cloud(msgspec.Struct, frozen=True, rename='kebab'):
     """Access to the platform, which lists the upstreams at `address`."""
@@ -86,7 +78,7 @@
     bootstrap: bool = False
     data_dir: str = ''
     fault_tolerance: _Tolerance = _Tolerance()
-    bounds: _Bounds = _Bounds()
+    bounds: WireBounds = WireBounds()
 
 
 @final
@@ -117,7 +109,7 @@
     return Success(
         PlatformSettingsFile(
             settings=_build_settings(wire),
-            bounds=_build_fleet_bounds(wire.bounds),
+            bounds=build_fleet_bounds(wire.bounds),
             list_address=list_address.unwrap(),
             ready_address=wire.listen.ready,
             directory_address=wire.listen.directory,
@@ -166,23 +158,11 @@
         heartbeat_ms=_HEARTBEAT_MS,
         election_timeout_ms=_ELECTION_TIMEOUT_MS,
         acceptance_silence_ms=_ACCEPTANCE_SILENCE_MS,
+        leader_proof_ms=choose_leader_proof_ms(wire.bounds),
         plain_outside_loopback=True,
     )
 
 
-def _build_fleet_bounds(wire: _Bounds) -> FleetBounds:
-    return FleetBounds(
-        order_lease_s=wire.lease_ms / 1000,
-        grace_s=wire.grace_s,
-        directory_ttl_s=_DIRECTORY_TTL_S,
-        retries=RetryBounds(
-            ratio=wire.retry_budget_ratio,
-            window_s=wire.retry_window_s,
-            slack=wire.retry_slack,
-        ),
-    )
-
-
 def _derive_vm_name(host: str) -> str:
     """Derive the name of a VM from its IP address; a seed states no name."""
     number = int(ipaddress.ip_address(host))
--- a/persimmonhold/settings/_peer_settings.py
+++ b/persimmonhold/settings/_peer_settings.py
@@ -74,6 +74,15 @@
             'not delay its acceptance; 0: a majority must hold each change.',
         ),
     ] = 0
+    leader_proof_ms: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=60_000,
+            description='Age of the proof of control from which a VM asks the '
+            'control leader for one; 0: it waits for heartbeats.',
+        ),
+    ] = 0
     plain_outside_loopback: Annotated[
         bool,
         Meta(description='Allow addresses beyond loopback without TLS.'),
--- a/persimmonhold/system/_base_vm.py
+++ b/persimmonhold/system/_base_vm.py
@@ -183,4 +183,8 @@
 def create_membership_timings(peers: PeerSettings) -> MembershipTimings:
     """Return the timings of membership that the settings of a VM imply."""
     silence_s = peers.acceptance_silence_ms / _MS_PER_S
-    return MembershipTimings(acceptance_silence_s=silence_s or math.inf)
+    proof_s = peers.leader_proof_ms / _MS_PER_S
+    return MembershipTimings(
+        acceptance_silence_s=silence_s or math.inf,
+        leader_proof_s=proof_s or math.inf,
+    )
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -75,6 +75,7 @@
     `is_cut` fails every command before it is applied; `loses_next_result`
     applies the next command but reports a failure. While `answers` is not set,
     no command is applied or answered. An announcement takes `announce_s`.
+    `proof_age_s` is the age of the proof of control.
     """
 
     def __init__(self, machine: ControlStateMachine) -> None:
@@ -87,6 +88,7 @@
         self.answers = asyncio.Event()
         self.answers.set()
         self.announce_s = 0.0
+        self.proof_age_s = 0.0
 
     async def claim_key(
         self, claim: ClaimKey
@@ -111,6 +113,11 @@
         """Whether the entry may serve callers."""
         return not self.is_isolated
 
+    @property
+    def control_proof_age_s(self) -> float:
+        """The age that a test sets."""
+        return self.proof_age_s
+
     async def announce_draining(self) -> bool:
         """Announce the drain, which takes `announce_s`."""
         await asyncio.sleep(self.announce_s)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -628,3 +628,34 @@
         for send in agent.tick(_TIMINGS.heartbeat_interval_s * second)
     }
     assert_that(asked >= set(_CONTROL), Equals(True))
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_vm_that_asks_the_leader_always_has_a_recent_proof_of_control(
+    seed: int,
+) -> None:
+    """Guards strict revocation: an old proof refuses requests with keys.
+
+    By heartbeats alone, proofs were up to 3 s old in a system of this size.
+    """
+    limit_s = 0.5
+    timings = msgspec.structs.replace(_TIMINGS, leader_proof_s=limit_s)
+    system = SimulatedSystem(40, seed)
+    for one in system.agents.values():
+        one.timings = timings
+    system.run(2 * limit_s)
+    oldest_s = 0.0
+    for _ in range(100):
+        system.run(_STEP_S)
+        oldest_s = max(
+            oldest_s,
+            *(
+                system.now - agent.proofs.control_proven_at
+                for agent in system.agents.values()
+            ),
+        )
+    assert_that(oldest_s, LessThan(2 * limit_s))
+    system.partitions['vm40'] = 1
+    system.run(3)
+    cut = system.agents['vm40'].proofs.control_proven_at
+    assert_that(system.now - cut, GreaterThan(2 * limit_s))
