--- a/persimmonhold/cli/_commands.py
+++ b/persimmonhold/cli/_commands.py
@@ -31,6 +31,7 @@
     show_explanation,
     show_status,
 )
+from persimmonhold.cli._workspace_commands import show_workspaces
 from persimmonhold.deployment import (
     SHAPES,
     DeploymentPlan,
@@ -249,6 +250,10 @@
         """Show claims on idempotency keys whose requests may have run."""
         return self._client_runner.run_with_client(show_claims)
 
+    def workspaces(self) -> CommandOutput:
+        """Show the workspaces of a fleet, their limits and their keys."""
+        return self._client_runner.run_with_client(show_workspaces)
+
     def quarantines(self, end: str = '') -> CommandOutput:
         """Show which requests are refused because they crash upstreams.
 
--- a/persimmonhold/forwarding/_fleet_operator_handler.py
+++ b/persimmonhold/forwarding/_fleet_operator_handler.py
@@ -8,9 +8,11 @@
     end_quarantine,
     list_quarantines,
 )
+from persimmonhold.forwarding._workspace_desk import list_workspaces
 from persimmonhold.web import Exchange, ExchangeHandler, find_header
 
 QUARANTINES_PATH: Final = '/fleet/v1/quarantines'
+WORKSPACES_PATH: Final = '/fleet/v1/workspaces'
 OPERATOR_HEADER: Final = 'persimmonhold-operator'
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -20,7 +22,7 @@
 
 @final
 class FleetOperatorHandler(ExchangeHandler):
-    """Serves the quarantines, and passes all else to the platform's handler.
+    """Serves quarantines and workspaces; the platform's handler does the rest.
 
     Only the VM whose fleet controller is active does so; others answer 503.
     """
@@ -35,16 +37,27 @@
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request of an operator."""
         path = exchange.head.path
-        if path != QUARANTINES_PATH and not path.startswith(
-            f'{QUARANTINES_PATH}/'
-        ):
+        is_own = path in {QUARANTINES_PATH, WORKSPACES_PATH}
+        if not is_own and not path.startswith(f'{QUARANTINES_PATH}/'):
             await self.platform_handler.serve(exchange)
             return
         term = self.runner.term
         if term is None or not self.runner.leadership.may_act(term):
             await exchange.respond_json(_UNAVAILABLE, {'reason': 'not_leading'})
             return
-        await self._serve_quarantines(exchange, term)
+        if path == WORKSPACES_PATH:
+            await self._serve_workspaces(exchange)
+        else:
+            await self._serve_quarantines(exchange, term)
+
+    async def _serve_workspaces(self, exchange: Exchange) -> None:
+        if exchange.head.method == 'GET':
+            document = self.runner.leadership.node.state.view.routes
+            await exchange.respond_json(_OK, list_workspaces(document))
+        else:
+            await exchange.respond_json(
+                _METHOD_NOT_ALLOWED, {'reason': 'method_not_allowed'}
+            )
 
     async def _serve_quarantines(
         self, exchange: Exchange, term: FleetTerm
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -330,6 +330,7 @@
             service_class=dispatch_request.route.kind.value,
             outcome=self.response_writer.outcome,
         )
+        self._count_for_workspace()
         log_event(
             'request',
             request_id=dispatch_request.profile.request_id,
@@ -359,3 +360,22 @@
                 self.response_writer.longest_gap_s,
                 service_class=service_class,
             )
+
+    def _count_for_workspace(self) -> None:
+        """Count the request and its tokens for the workspace of its key."""
+        dispatch_request = self.request.dispatch_request
+        workspace = dispatch_request.workspace
+        if not workspace:
+            return
+        metrics = self.services.metrics
+        metrics.increment(
+            metric.WORKSPACE_REQUESTS,
+            workspace=workspace,
+            outcome=self.response_writer.outcome,
+        )
+        profile = dispatch_request.profile
+        metrics.increment(
+            metric.WORKSPACE_TOKENS,
+            profile.prompt_tokens + profile.output_tokens,
+            workspace=workspace,
+        )
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -50,6 +50,18 @@
     help_text='Requests by class and outcome.',
     labels=('service_class', 'outcome'),
 )
+WORKSPACE_REQUESTS: Final = MetricSpec(
+    name='persimmonhold_workspace_requests_total',
+    kind=MetricKind.counter,
+    help_text='Requests by the workspace of their key and by outcome.',
+    labels=('workspace', 'outcome'),
+)
+WORKSPACE_TOKENS: Final = MetricSpec(
+    name='persimmonhold_workspace_tokens_total',
+    kind=MetricKind.counter,
+    help_text='Tokens that the requests of a workspace stated.',
+    labels=('workspace',),
+)
 FIRST_TOKEN: Final = MetricSpec(
     name='persimmonhold_first_token_seconds',
     kind=MetricKind.histogram,
@@ -126,6 +138,8 @@
     SPARINGS_BEGUN,
     SPARINGS_ENDED,
     REQUESTS,
+    WORKSPACE_REQUESTS,
+    WORKSPACE_TOKENS,
     FIRST_TOKEN,
     TOKEN_GAP,
     QUEUE_DEPTH,
