Prefer upstreams whose prompt cache should have a request's prompt

The tokens of prompt parts are decoded. An entry remembers what its upstreams have read, and uses rendezvous hashing for what it has not sent itself, so that all entries prefer the same upstream without messages. Prefill speeds are learned from own observations. Both only order the upstreams that can accept a request, and only in deployments with workspaces.

--- a/persimmonhold/fleet/_forward_action.py
+++ b/persimmonhold/fleet/_forward_action.py
@@ -13,7 +13,9 @@
 
     If `needs_adapter`, the adapter must be loaded there first. For the log:
     `expected_s` is the expected time to the first event, `waited_s` the time
-    in the queue, `running` the number of other requests at the upstream.
+    in the queue, `running` the number of other requests at the upstream,
+    `cached_tokens` those expected in its prompt cache, and `tokens_per_s` the
+    prefill speed assumed, or 0 if none was learned.
     """
 
     number: int
@@ -22,6 +24,8 @@
     expected_s: float = 0
     waited_s: float = 0
     running: int = 0
+    cached_tokens: int = 0
+    tokens_per_s: int = 0
 
 
 @final
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -35,6 +35,7 @@
     TURNED_AWAY_REASON,
     UpstreamChooser,
 )
+from persimmonhold.fleet._upstream_option import UpstreamOption
 
 _QueueKey: TypeAlias = tuple[str, str]
 BUDGET_SPENT: Final = 'retry_budget_spent'  # reason of refusals
@@ -108,9 +109,17 @@
         failure_domain: str,
         retry_bounds: RetryBounds,
         rng: random.Random,
+        *,
+        is_learning: bool = True,
     ) -> None:
-        """Create the dispatcher of an entry in a failure domain."""
-        self.chooser = UpstreamChooser(failure_domain, rng)
+        """Create the dispatcher of an entry in a failure domain.
+
+        `is_learning` enables prompt caches and learned speeds in the choice of
+        upstreams.
+        """
+        self.chooser = UpstreamChooser(
+            failure_domain, rng, is_learning=is_learning
+        )
         self.retry_bounds = retry_bounds
         self.rng = rng
         self.entry_count = 1
@@ -243,6 +252,10 @@
         tracker = self.chooser.trackers.get(pending.upstream)
         if tracker is not None:
             tracker.record_first_byte(request_number, now)
+            if pending.request.is_engine:
+                self.chooser.preference.record_read(
+                    pending.prompt_keys, pending.upstream, now
+                )
 
     def record_adapter_loaded(self, request_number: int, now: float) -> None:
         """Record that the adapter of a request was loaded at its upstream."""
@@ -433,7 +446,7 @@
             return None
         if is_hedge:
             budget.try_spend_retry(self.entry_count, now)
-        tracker, expected_s, needs_adapter = choice
+        tracker = choice.tracker
         if pending in queue.pending:
             queue.remove_request(pending)
         queue.record_dispatch(now, others_wait=bool(queue.pending))
@@ -441,14 +454,16 @@
         pending.upstream = tracker.facts.name
         pending.send_count += 1
         self.chooser.spared.record_sent(pending.request.service)
-        tracker.record_attempt_start(pending.request, expected_s, now)
+        _record_attempt_start(self.chooser, pending, choice, now)
         return SendRequest(
             number=pending.request.number,
             upstream=tracker.facts,
-            needs_adapter=needs_adapter,
-            expected_s=expected_s,
+            needs_adapter=choice.needs_adapter,
+            expected_s=choice.forecast.expected_s,
             waited_s=now - pending.queued_at,
             running=running,
+            cached_tokens=round(choice.forecast.cached_tokens),
+            tokens_per_s=round(choice.forecast.tokens_per_s),
         )
 
     def _is_hopeless(
@@ -553,6 +568,32 @@
         pending.excluded_until[tracker.facts.process_key] = now + pause_s
 
 
+def _record_attempt_start(
+    chooser: UpstreamChooser,
+    pending: PendingRequest,
+    choice: UpstreamOption,
+    now: float,
+) -> None:
+    """Record the start of an attempt, and what it may show.
+
+    The time to the first event shows no speed where it includes an adapter load
+    or a wait for a permit.
+    """
+    tracker = choice.tracker
+    forecast = choice.forecast
+    is_measured = not choice.needs_adapter and tracker.limit.per_s is None
+    tracker.record_attempt_start(
+        pending.request,
+        forecast.expected_s,
+        now,
+        forecast if is_measured and forecast.tokens_per_s else None,
+    )
+    if pending.send_count == 1:
+        chooser.preference.record_sent(
+            pending.request, pending.prompt_keys, now
+        )
+
+
 def _list_waiting(
     queues: Iterable[RequestQueue], now: float
 ) -> list[PendingRequest]:
--- a/persimmonhold/fleet/_request_profile.py
+++ b/persimmonhold/fleet/_request_profile.py
@@ -13,8 +13,8 @@
     response may have, or 0 if unknown. `deadline_ms` is the time from arrival
     within which the caller wants the response; None if it set no limit.
     `prompt_parts` are the ids of the parts of its prompt in order; other
-    requests may share all of them but the last. `caller` is its address without
-    the port. `fingerprints` recognize repeats, see `fingerprint_request`; empty
+    requests may share all of them but the last. `part_tokens` are the prompt
+    tokens of each part. `caller` is its address without the port. `fingerprints` recognize repeats, see `fingerprint_request`; empty
     before the body was read. If it `goes_on` with a stream, `begun_as` is the id
     of the request that brought its first event, or empty if unknown.
     """
@@ -26,6 +26,7 @@
     output_tokens: int = 0
     deadline_ms: float | None = None
     prompt_parts: tuple[str, ...] = ()
+    part_tokens: tuple[int, ...] = ()
     caller: str = ''
     fingerprints: tuple[str, ...] = ()
     goes_on: bool = False
--- a/persimmonhold/fleet/_request_queue.py
+++ b/persimmonhold/fleet/_request_queue.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from persimmonhold.fleet._dispatch_request import DispatchRequest
+from persimmonhold.fleet._prompt_keys import PromptKeys
 
 _SMOOTHING: Final = 0.3  # weight of the latest interval between dispatches
 # A copy with a full batch finishes a request about this often.
@@ -29,6 +30,7 @@
     `build` is the build of the upstreams that may run it; empty for any.
     `hedged` is the request for which this one is a hedge, that is, a second
     attempt while the first one pauses at its upstream, or None.
+    `prompt_keys` identify its prompt in caches, or are None if unknown.
     `upstream` is the upstream that the request was sent to, or empty while it
     is queued.
     """
@@ -39,6 +41,7 @@
         'has_response_begun',
         'hedged',
         'is_late',
+        'prompt_keys',
         'caller_waits_until',
         'queued_at',
         'refused_by',
@@ -58,6 +61,7 @@
         self.hedged: Self | None = None
         self.caller_waits_until = request.caller_waits_until
         self.is_late = False
+        self.prompt_keys = PromptKeys.from_profile(request.profile)
         self.sort_key = (0, (0, 0), 0.0, 0)
         self.queued_at = request.arrived_at
         self.send_count = 0
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -6,17 +6,13 @@
 
 import random
 from collections.abc import Iterable
-from typing import Final, TypeAlias, final
+from typing import Final, final
 
 import msgspec
 
 from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
-from persimmonhold.fleet._first_event import (
-    learned_response_s,
-    predict_first_event_s,
-    predict_response_s,
-)
+from persimmonhold.fleet._first_event import learned_response_s
 from persimmonhold.fleet._limit_observation import LimitObservation
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_waiting import ModelWaiting
@@ -25,23 +21,17 @@
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_groups import UpstreamGroups
+from persimmonhold.fleet._upstream_option import UpstreamOption
+from persimmonhold.fleet._upstream_preference import UpstreamPreference
 from persimmonhold.fleet._upstream_tracker import UpstreamTracker
 from persimmonhold.sparing import SparedUpstreams, SparingCause
 
-# The upstream, the expected seconds to the first event, and whether the adapter
-# has to be loaded first.
-Choice: TypeAlias = tuple[UpstreamTracker, float, bool]
 # An upstream with running requests and more unread prompts than this gets no
 # request, since reading prompts delays the events of all running requests.
 _MAX_UNREAD_S: Final = 0.12
 # Reason of refusals where upstreams turn requests away for a stated time.
 TURNED_AWAY_REASON: Final = 'upstreams_turned_away'
-_ADAPTER_ORDER_S: Final = 0.08  # penalty for an order to load the adapter
-_PERMIT_S: Final = 0.005  # penalty for the round trip to request a permit
 _MIN_LIMIT_PER_S: Final = 0.01  # avoids a division by zero
-# Random part of a score, in seconds. All entries see the same loads; without it
-# they would all choose the same upstream.
-_JITTER_S: Final = 0.04
 
 
 @final
@@ -50,27 +40,39 @@
 
     `groups` finds the trackers by service and model. Adapters cannot be loaded before
     `orders_start_at`, when a new fleet controller starts to issue orders.
+    `preference` decides among those that can accept a request.
     `spared` are the upstreams that want no new requests of this VM.
     """
 
     __slots__ = (
-        'failure_domain',
         'groups',
         'orders_start_at',
+        'preference',
         'rng',
         'spared',
         'trackers',
         'waiting_elsewhere',
     )
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
-        """Create a chooser without upstreams."""
-        self.failure_domain = failure_domain
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        *,
+        is_learning: bool = True,
+    ) -> None:
+        """Create a chooser without upstreams.
+
+        `is_learning` enables prompt caches and learned speeds.
+        """
         self.rng = rng
         self.orders_start_at = float('-inf')
         self.spared = SparedUpstreams()
         self.trackers: dict[str, UpstreamTracker] = {}
         self.groups = UpstreamGroups()
+        self.preference = UpstreamPreference(
+            failure_domain, self.groups, rng, is_learning=is_learning
+        )
         self.waiting_elsewhere: dict[tuple[str, str], int] = {}
 
     def apply_facts(
@@ -91,6 +93,8 @@
             tracker = self.trackers.get(name)
             if tracker is None:
                 tracker = UpstreamTracker(one, sparing)
+                # An upstream of this name may have been tracked before.
+                tracker.learned.restart(now)
                 self.trackers[name] = tracker
                 self.groups.add(tracker)
             is_regrouped = tracker.facts.group != one.group
@@ -163,7 +167,7 @@
         pending: PendingRequest,
         own_waiting: int,
         now: float,
-    ) -> Choice | None:
+    ) -> UpstreamOption | None:
         """Return the upstream with the earliest expected first event.
 
         `own_waiting` requests for the model wait at this entry, this one
@@ -171,36 +175,21 @@
         Upstreams whose attempts failed lately are less likely to be chosen.
         Returns None if no upstream can accept the request now.
         """
-        best: Choice | None = None
-        best_score = float('inf')
-        usual_s = _usual_response_s(self._candidates(pending))
+        request = pending.request
+        options: list[UpstreamOption] = []
         for tracker in self._candidates(pending):
             if not self._has_place(tracker, pending, own_waiting, now):
                 continue
             needs_adapter = self._needs_adapter(tracker, pending, now)
             if needs_adapter and not self._can_load_adapter(tracker, now):
                 continue
-            expected_s = (
-                predict_first_event_s(
-                    tracker,
-                    pending.request,
-                    self.failure_domain,
-                    now,
-                    needs_adapter=needs_adapter,
-                )
-                if pending.request.is_engine
-                else predict_response_s(tracker.response_times, usual_s, now)
-            )
-            score = expected_s + _JITTER_S * self.rng.random()
-            score += (
-                tracker.failure_rate * expected_s
-                + _ADAPTER_ORDER_S * needs_adapter
-                + _PERMIT_S * (tracker.limit.per_s is not None)
-            )
-            if score < best_score:
-                best_score = score
-                best = (tracker, expected_s, needs_adapter)
-        return best
+            options.append(UpstreamOption(tracker, needs_adapter))
+        usual_s = 0.0
+        if not request.is_engine:
+            usual_s = _usual_response_s(self._candidates(pending))
+        return self.preference.choose(
+            request, pending.prompt_keys, options, usual_s, now
+        )
 
     def has_ended(self, process: tuple[str, int]) -> bool:
         """Tell whether the facts show that a process is not running any more."""
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -11,9 +11,11 @@
 
 from persimmonhold.fleet._attempt_end import AttemptEnd
 from persimmonhold.fleet._dispatch_request import DispatchRequest
+from persimmonhold.fleet._first_event_forecast import FirstEventForecast
 from persimmonhold.fleet._free_places import FreePlaces
 from persimmonhold.fleet._fullness import Fullness
 from persimmonhold.fleet._held_model import HeldModel
+from persimmonhold.fleet._learned_engine import LearnedEngine
 from persimmonhold.fleet._request_limit_view import RequestLimitView
 from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._response_times import ResponseTimes
@@ -48,13 +50,15 @@
 class RunningRequest:
     """An attempt in progress at an upstream.
 
-    `is_trial` tells that response times learned before it are outdated.
+    `forecast` tells what was expected of an engine whose speed is learned from
+    it. `is_trial` tells that response times learned before it are outdated.
     `is_overdue` tells that it has no response and counts as failed already.
     """
 
     __slots__ = (
         'adapter',
         'expected_s',
+        'forecast',
         'has_response_begun',
         'is_overdue',
         'is_trial',
@@ -77,6 +81,7 @@
         self.unread_tokens = profile.prompt_tokens
         self.started_at = started_at
         self.expected_s = expected_s
+        self.forecast: FirstEventForecast | None = None
         self.has_response_begun = False
         self.is_overdue = False
         self.is_trial = is_trial
@@ -93,7 +98,8 @@
     moving average of the share of failed attempts. `limit` is its request
     limit, and `sparing` what it stated about new requests. No adapter is loaded
     there before `adapter_loads_paused_until`. The upstream gets no requests
-    before `paused_until`, and `fullness` is what its refusals show.
+    before `paused_until`, and `fullness` is what its refusals show. `learned`
+    is what is known of how it reads prompts.
     """
 
     __slots__ = (
@@ -104,6 +110,7 @@
         'failure_rate',
         'free_places',
         'fullness',
+        'learned',
         'limit',
         'other_load',
         'other_load_at',
@@ -123,6 +130,7 @@
         self.adapter_loads_paused_until = -math.inf
         self.failure_rate = 0.0
         self.fullness = Fullness()
+        self.learned = LearnedEngine(facts.name)
         self.paused_until = -math.inf
         self.pause_count = 0
         self.response_times = ResponseTimes()
@@ -175,6 +183,10 @@
             self.paused_until = -math.inf
             self.response_times.last_attempt_at = -math.inf
             self.adapters_assumed_until.clear()
+            self.learned.restart(now)
+        for held in self.facts.models:
+            if facts.find_model(held.name) is None:
+                self.learned.drop_model(held.name, now)
         self.facts = facts
         self.limit.apply_facts(facts.limit_per_s, now)
 
@@ -276,14 +288,19 @@
         request: DispatchRequest,
         expected_s: float,
         now: float,
+        forecast: FirstEventForecast | None = None,
     ) -> None:
-        """Record the start of an attempt."""
+        """Record the start of an attempt.
+
+        `forecast` is set if the first event shows the speed of the upstream.
+        """
         profile = request.profile
         times = self.response_times
         is_trial = not request.is_engine and times.is_untried(now)
         self.running[request.number] = RunningRequest(
             profile, now, expected_s, is_trial=is_trial
         )
+        self.running[request.number].forecast = forecast
         if is_trial and not times.has_been_tried:
             times.replace(expected_s)
         if not request.is_engine:
@@ -302,6 +319,10 @@
         self.response_times.record_first_byte(
             now - running.started_at, running.expected_s
         )
+        if running.forecast is not None:
+            self.learned.record_first_event(
+                running.forecast, now - running.started_at, now
+            )
 
     def record_overdue(self, request_number: int, now: float) -> None:
         """Record that an attempt has no response long after it was due."""
@@ -351,6 +372,7 @@
         and the model if the adapter is already assumed to be absent.
         """
         profile = request.profile
+        self.learned.drop_model(profile.model, now)
         held = self.facts.find_model(profile.model)
         if held is not None and profile.adapter:
             key = f'{profile.model}/{profile.adapter}'
--- a/persimmonhold/forwarding/_dispatched_attempt.py
+++ b/persimmonhold/forwarding/_dispatched_attempt.py
@@ -164,6 +164,8 @@
             waited_ms=round(action.waited_s * _MS_PER_S, 1),
             expected_ms=round(action.expected_s * _MS_PER_S, 1),
             running=action.running,
+            cached_tokens=action.cached_tokens,
+            tokens_per_s=action.tokens_per_s,
             adapter_absent=action.needs_adapter,
             body_end=result.body_end,
             within_event=result.is_within_event,
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -14,6 +14,8 @@
 from types import TracebackType
 from typing import Final, Self, final
 
+import msgspec
+
 from persimmonhold.control.shell import ControlLink, VmAgentRunner
 from persimmonhold.directory import (
     Directory,
@@ -241,6 +243,11 @@
             view = self.link.view
             entry_count = sum(bool(vm.callers) for vm in view.vms)
             self.hub.dispatcher.entry_count = max(1, entry_count)
+            # Deployments without workspaces choose upstreams as before.
+            self.hub.dispatcher.chooser.preference.configure(
+                max(1, entry_count),
+                is_enabled=view.routes.workspaces is not msgspec.UNSET,
+            )
             self._limit_idle_connections(view.routes)
             if view.routes.version and view.routes.limits != self.limits:
                 self.limits = view.routes.limits
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -28,6 +28,7 @@
 _MAX_PART_ID_CHARS: Final = 64
 _MAX_REQUEST_ID_CHARS: Final = 128
 _MAX_TOKENS: Final = 1_000_000_000
+_MAX_TOKEN_DIGITS: Final = 9  # of the tokens of a prompt part
 _LEAVING_VALUE: Final = '1'
 # An upstream that asks for more is tried again after this time.
 _MAX_TURNED_AWAY_S: Final = 3600.0
@@ -52,6 +53,7 @@
             deadline_ms = _parse_deadline_ms(head.header(names.DEADLINE_MS))
         except ValueError as error:
             return Failed(f'malformed header: {error}')
+        parts = _parse_prompt_parts(head.header(names.PROMPT_PARTS))
         return Success(
             RequestProfile(
                 request_id=request_id,
@@ -60,9 +62,8 @@
                 prompt_tokens=prompt,
                 output_tokens=output,
                 deadline_ms=deadline_ms,
-                prompt_parts=_parse_prompt_parts(
-                    head.header(names.PROMPT_PARTS)
-                ),
+                prompt_parts=tuple(part_id for part_id, _ in parts),
+                part_tokens=tuple(tokens for _, tokens in parts),
                 goes_on=bool(head.header(names.RESUME_AFTER)),
                 begun_as=head.header(names.RESUMED_REQUEST)[
                     :_MAX_REQUEST_ID_CHARS
@@ -157,18 +158,33 @@
     return deadline_ms
 
 
-def _parse_prompt_parts(text: str) -> tuple[str, ...]:
-    """Return the ids of the parts of a prompt, at most a maximum number.
+def _parse_prompt_parts(text: str) -> list[tuple[str, int]]:
+    """Return the ids and tokens of the parts of a prompt, up to a maximum.
 
-    Of too many parts, the last one is kept, as it is the request's own.
+    Of too many parts, the last one is kept, as it is the request's own. A count
+    that cannot be read is 0: the parts only decide which upstream is preferred.
     """
-    ids = [
-        part.partition(':')[0].strip().lower()[:_MAX_PART_ID_CHARS]
-        for part in text.split(',')
+    parts = text.split(',')
+    if len(parts) > _MAX_PROMPT_PARTS:
+        parts = [*parts[: _MAX_PROMPT_PARTS - 1], parts[-1]]
+    pairs = (part.partition(':') for part in parts)
+    return [
+        (
+            part_id.strip().lower()[:_MAX_PART_ID_CHARS],
+            _parse_part_tokens(tokens),
+        )
+        for part_id, _, tokens in pairs
+        if part_id.strip()
     ]
-    if len(ids) > _MAX_PROMPT_PARTS:
-        ids = [*ids[: _MAX_PROMPT_PARTS - 1], ids[-1]]
-    return tuple(filter(None, ids))
+
+
+def _parse_part_tokens(text: str) -> int:
+    """Return the tokens of a part; 0 if the text is no number in range."""
+    digits = text.strip()
+    is_number = digits.isascii() and digits.isdigit()
+    if not is_number or len(digits) > _MAX_TOKEN_DIGITS:
+        return 0
+    return int(digits)
 
 
 def _parse_quantity(text: str) -> float | None:
