--- a/persimmonhold/cli/_workspace_commands.py
+++ b/persimmonhold/cli/_workspace_commands.py
@@ -14,7 +14,7 @@
 
 
 async def show_workspaces(client: OperatorClient) -> CommandOutput:
-    """Show the workspaces, their limits and the fingerprints of their keys."""
+    """Show the workspaces, their limits, usage and fingerprints of keys."""
     reply = await client.get(_PATH)
     if isinstance(reply, Failed):
         return failure_output(reply.failure())
@@ -30,6 +30,8 @@
     lines = [
         f'workspace {one["name"]}: priority {one["priority"]},'
         f' {_format_limit(one["limit"])},'
+        f' used {one["tokens_per_s"]:g} tokens/s and'
+        f' {one["requests_per_s"]:g} requests/s,'
         f' keys {",".join(one["keys"]) or "none"}'
         for one in workspaces
     ]
--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -52,6 +52,10 @@
     ' this entry was spent',
     'isolated': 'the entry could not confirm that its routes were current',
     'unknown_model': 'no configured service has its model',
+    'unknown_key': 'no workspace of the version in force held its key, at its'
+    ' arrival or before it was sent',
+    'revocation_unsure': 'the entry could not confirm in time that no key had'
+    ' been withdrawn',
     'no_route': 'no route of the version in force matched its host and path',
     'malformed_request': 'its headers could not be read',
     'upstream_failed': 'the upstream failed after it may have run the request,'
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -22,6 +22,7 @@
     StreamOriginReply,
     StreamOriginRequest,
 )
+from persimmonhold.usage import WorkspaceUsage
 
 
 @final
@@ -240,4 +241,5 @@
     | StreamOriginReply
     | PromptEvidence
     | QuarantineUpdate
+    | WorkspaceUsage
 )
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -125,6 +125,11 @@
             evidence = self.hub.build_evidence()
             if evidence is not None:
                 self._send_to_controller(evidence)
+            usage = self.hub.usage_meter.build_message(
+                self.vm.record.incarnation, self.hub.clock()
+            )
+            if usage is not None:
+                self._send_to_controller(usage)
             if self._is_list_read_due():
                 await self._read_list()
             reported_at = self.hub.clock()
--- a/persimmonhold/forwarding/_fleet_operator_handler.py
+++ b/persimmonhold/forwarding/_fleet_operator_handler.py
@@ -46,14 +46,20 @@
             await exchange.respond_json(_UNAVAILABLE, {'reason': 'not_leading'})
             return
         if path == WORKSPACES_PATH:
-            await self._serve_workspaces(exchange)
+            await self._serve_workspaces(exchange, term)
         else:
             await self._serve_quarantines(exchange, term)
 
-    async def _serve_workspaces(self, exchange: Exchange) -> None:
+    async def _serve_workspaces(
+        self, exchange: Exchange, term: FleetTerm
+    ) -> None:
         if exchange.head.method == 'GET':
-            document = self.runner.leadership.node.state.view.routes
-            await exchange.respond_json(_OK, list_workspaces(document))
+            listed = list_workspaces(
+                self.runner.leadership.node.state.view.routes,
+                term.usage_book,
+                self.runner.clock(),
+            )
+            await exchange.respond_json(_OK, listed)
         else:
             await exchange.respond_json(
                 _METHOD_NOT_ALLOWED, {'reason': 'method_not_allowed'}
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -38,6 +38,7 @@
 from persimmonhold.streams import StreamOriginRequest
 from persimmonhold.tasks import keep_running, wait_with_timeout
 from persimmonhold.transport import Channel, Transport
+from persimmonhold.usage import WorkspaceUsage
 
 # A leaving upstream becomes known after the lag of the list plus this interval.
 _LIST_INTERVAL_S: Final = 0.5
@@ -165,6 +166,8 @@
             term.controller.request_adapter(peer, message, self.clock())
             self._wake_order_task(message.upstream)
             self.plan_wakeup.set()
+        elif isinstance(message, WorkspaceUsage):
+            term.usage_book.record_usage(peer, message, self.clock())
         else:
             self._pass_to_servers(term.controller, peer, message)
 
--- a/persimmonhold/forwarding/_fleet_term.py
+++ b/persimmonhold/forwarding/_fleet_term.py
@@ -4,6 +4,7 @@
 from typing import Final, final
 
 from persimmonhold.fleet import FleetController
+from persimmonhold.usage import UsageBook
 
 # Low bits of a fencing token: the number of the order within its term.
 _TOKEN_NUMBER_BITS: Final = 24
@@ -25,6 +26,7 @@
         'order_wakeups',
         'report_requested_at',
         'report_tasks',
+        'usage_book',
     )
 
     def __init__(self, controller: FleetController) -> None:
@@ -35,6 +37,7 @@
         self.report_tasks: dict[str, asyncio.Task[None]] = {}
         self.order_wakeups: dict[str, asyncio.Event] = {}
         self.report_requested_at: dict[str, float] = {}
+        self.usage_book = UsageBook()
         self.lease_task: asyncio.Task[None] | None = None
 
     def issue_fencing_token(self) -> int:
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -33,6 +33,7 @@
     QuarantineUpdate,
     QuarantineView,
 )
+from persimmonhold.usage import WorkspaceMeter
 
 
 @final
@@ -53,6 +54,7 @@
         'sparing',
         'streams',
         'timer',
+        'usage_meter',
         'view_log',
         'waiters',
     )
@@ -75,6 +77,7 @@
         self.view_log = FleetViewLog(clock())
         self.sparing = SparingRecorder(dispatcher, clock, metrics or Metrics())
         self.streams = StreamRecorder(dispatcher, clock)
+        self.usage_meter = WorkspaceMeter()
 
     def submit_request(
         self, dispatch_request: DispatchRequest
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -367,15 +367,14 @@
         workspace = dispatch_request.workspace
         if not workspace:
             return
+        profile = dispatch_request.profile
+        tokens = profile.prompt_tokens + profile.output_tokens
+        if self.state.run_count:
+            self.services.hub.usage_meter.record_request(workspace, tokens)
         metrics = self.services.metrics
         metrics.increment(
             metric.WORKSPACE_REQUESTS,
             workspace=workspace,
             outcome=self.response_writer.outcome,
         )
-        profile = dispatch_request.profile
-        metrics.increment(
-            metric.WORKSPACE_TOKENS,
-            profile.prompt_tokens + profile.output_tokens,
-            workspace=workspace,
-        )
+        metrics.increment(metric.WORKSPACE_TOKENS, tokens, workspace=workspace)
