--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -22,6 +22,7 @@
     StreamOriginReply,
     StreamOriginRequest,
 )
+from persimmonhold.usage import WorkspaceUsage
 
 
 @final
@@ -295,4 +296,5 @@
     | QuarantineUpdate
     | CreditRequest
     | CreditReply
+    | WorkspaceUsage
 )
