--- a/persimmonhold/forwarding/_quota_client.py
+++ b/persimmonhold/forwarding/_quota_client.py
@@ -165,7 +165,8 @@
                 return outcome
             wait_s = outcome
             left_s = due_at - self._now
-            if wait_s > min(_MAX_WAIT_S, _MAX_WAIT_SHARE * left_s):
+            longest_s = min(_MAX_WAIT_S, _MAX_WAIT_SHARE * left_s)
+            if wait_s > longest_s or asked + 1 == _MAX_ASKS:
                 break
             await asyncio.sleep(wait_s)
         return wait_s
--- a/persimmonhold/quota/_held_credit.py
+++ b/persimmonhold/quota/_held_credit.py
@@ -69,7 +69,7 @@
         """Return how much credit to prefetch with the next request."""
         self._drop_old(now)
         lately = sum(cost for _, cost in self.spent)
-        return max(0, lately - self.total - self.awaited)
+        return max(0, lately - self.total - max(0, self.awaited))
 
     def _drop_old(self, now: float) -> None:
         while self.spent and now - self.spent[0][0] > _PREFETCH_S:
--- a/tests/test_quota_leaders.py
+++ b/tests/test_quota_leaders.py
@@ -19,6 +19,8 @@
 from tests.fleet_builders import make_route
 from tests.limited_fleet import LimitedFleet
 
+Scenario = Callable[[LimitedFleet], Awaitable[None]]
+Run = Callable[[Scenario], None]
 _ENTRIES: Final = 20
 _COST: Final = 1114
 _LIMIT: Final = WorkspaceLimit(
@@ -77,19 +79,17 @@
 
 
 @pytest.fixture
-def run_fleet(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> Callable[[Callable[[LimitedFleet], Awaitable[None]]], None]:
+def run_fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Run:
     """Return a function that runs a scenario with control VMs and entries."""
 
     async def run_scenario(
-        scenario: Callable[[LimitedFleet], Awaitable[None]],
+        scenario: Scenario,
     ) -> None:
         async with LimitedFleet(_ENTRIES, tmp_path, monkeypatch) as fleet:
             await _set_limit(fleet)
             await scenario(fleet)
 
-    def run(scenario: Callable[[LimitedFleet], Awaitable[None]]) -> None:
+    def run(scenario: Scenario) -> None:
         run_in_virtual_time(run_scenario(scenario))
 
     return run
@@ -113,7 +113,7 @@
 @pytest.mark.parametrize('fault', ['', 'kill', 'cut', 'pause'])
 @pytest.mark.parametrize('share', [0.55, 4.0])
 def test_limit_is_kept_while_the_leader_fails(
-    run_fleet: Callable[[Callable[[LimitedFleet], Awaitable[None]]], None],
+    run_fleet: Run,
     fault: str,
     share: float,
 ) -> None:
