--- a/persimmonhold/admission/_fair_queue.py
+++ b/persimmonhold/admission/_fair_queue.py
@@ -15,6 +15,7 @@
 from typing import TypeAlias, final
 
 from persimmonhold.admission._pending_request import PendingRequest
+from persimmonhold.fairness import FairClock
 
 _RankedRequest: TypeAlias = tuple[float, int, PendingRequest]
 
@@ -29,10 +30,9 @@
     __slots__ = (
         '_bucket_count',
         '_caller_heap',
-        '_finish_times',
+        '_clock',
         '_max_callers',
         '_requests',
-        '_virtual_time',
         'size',
     )
 
@@ -41,8 +41,7 @@
         self.size = 0
         self._max_callers = max_callers
         self._bucket_count = bucket_count
-        self._virtual_time = 0.0
-        self._finish_times: dict[str, float] = {}
+        self._clock = FairClock(max_callers)
         self._requests: dict[str, list[_RankedRequest]] = {}
         self._caller_heap: list[tuple[float, int, str]] = []
 
@@ -80,7 +79,7 @@
         heapq.heappush(requests, ranked)
         if len(requests) > 1:
             return
-        start = max(self._virtual_time, self._finish_times.get(key, 0))
+        start = self._clock.find_start(key)
         heapq.heappush(self._caller_heap, (start, pending.sequence, key))
 
     def pop(self) -> PendingRequest:
@@ -89,7 +88,7 @@
         requests = self._requests[key]
         pending = heapq.heappop(requests)[-1]
         self.size -= 1
-        self._virtual_time = start
+        self._clock.advance(start)
         finish = start + pending.cost_tokens
         if requests:
             heapq.heappush(self._caller_heap, (finish, sequence, key))
@@ -127,19 +126,12 @@
     def _store_finish_time(self, key: str, finish: float) -> None:
         """Store the virtual finish time of a caller with no waiting request.
 
-        Drops the earliest stored time if there are more than `max_callers`.
         Resets all virtual times if the queue is empty.
         """
-        if not self.size:
-            self._finish_times.clear()
-            self._virtual_time = 0
-            return
-        self._finish_times[key] = finish
-        if len(self._finish_times) > self._max_callers:
-            earliest = min(
-                self._finish_times, key=self._finish_times.__getitem__
-            )
-            self._finish_times.pop(earliest)
+        if self.size:
+            self._clock.store_finish(key, finish)
+        else:
+            self._clock.reset()
 
     def _assign_key(self, caller: str) -> str:
         """Return the caller's name, or its bucket beyond `max_callers`."""
