Order waiting requests by urgency also when they are late

Late urgent requests waited behind all latency-tolerant work, and entries shared free slots by the number of waiting requests, whatever their urgency.

Requests of workspaces are ordered by virtual start time. Entries report the priorities of what waits, in fields that older builds ignore.

--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -8,6 +8,7 @@
 from persimmonhold.fleet._model_demand import ModelDemand
 from persimmonhold.fleet._request_queue import RequestQueue
 from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._waiting_class import WaitingClass
 
 _MS_PER_S: Final = 1000
 
@@ -62,6 +63,7 @@
                 tokens=self.tokens.get(key, 0),
                 running=running.get(key, 0),
                 waiting=_count_waiting(waiting.get(key)),
+                classes=_list_classes(waiting.get(key)),
             )
             for key in sorted(keys)
         )
@@ -96,6 +98,11 @@
     return sum(not one.build for one in queue.pending) if queue else 0
 
 
+def _list_classes(queue: RequestQueue | None) -> tuple[WaitingClass, ...]:
+    """Return the priorities of the waiting requests of a queue."""
+    return queue.list_classes() if queue else ()
+
+
 def _build_own_loads(dispatcher: ForwardDispatcher) -> tuple[SharedLoad, ...]:
     """Return the load that this entry puts on each upstream it uses."""
     return tuple(
--- a/persimmonhold/fleet/_dispatch_request.py
+++ b/persimmonhold/fleet/_dispatch_request.py
@@ -1,12 +1,15 @@
 """A request to be dispatched to an upstream."""
 
-from typing import final
+from typing import Final, final
 
 import msgspec
 
 from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.routes import ForwardRoute
 
+# Of a response whose limit is not stated; the usual length of a stream.
+_DEFAULT_OUTPUT_TOKENS: Final = 288
+
 
 @final
 class DispatchRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,3 +42,10 @@
     def priority(self) -> tuple[int, int]:
         """The priority of the workspace, then that of the route."""
         return self.workspace_priority, self.route.priority
+
+    @property
+    def expected_tokens(self) -> int:
+        """The tokens that the request is expected to take, both ways."""
+        profile = self.profile
+        output = profile.output_tokens or _DEFAULT_OUTPUT_TOKENS
+        return profile.prompt_tokens + output
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -13,10 +13,15 @@
 from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+from persimmonhold.fleet._waiting_class import WaitingClass
 from persimmonhold.routes import EngineSpec
 
 _Key = TypeVar('_Key', bound=Hashable)
 _QueueKey: TypeAlias = tuple[str, str]  # service and model
+# The priorities of workspace and route, and whether the requests are late.
+_ClassKey: TypeAlias = tuple[int, int, bool]
+_Classes: TypeAlias = tuple[WaitingClass, ...]
+_ClassesByKey: TypeAlias = dict[_QueueKey, _Classes]
 # For this time after the first report, low demand may only mean that reports of
 # other entries are missing. It equals the averaging time of the fast averages.
 _WARM_UP_S: Final = 0.8
@@ -36,12 +41,15 @@
     `reported_at` are keyed by entry. `running` and `unread_tokens` are the
     sums of `loads_by_entry` by upstream, `running_models` those of running
     requests by (upstream, model), and `waiting` those of waiting requests by
-    (service, model), of which `waiting_by_entry` has the parts. `load_sums` and
+    (service, model), of which `waiting_by_entry` has the parts.
+    `waiting_classes` has their numbers by priority and whether they are late,
+    of which `classes_by_entry` has the parts. `load_sums` and
     `waiting_sums` are these sums as sent to entries, or None after a change; a
     round of updates builds them once for all entries.
     """
 
     __slots__ = (
+        'classes_by_entry',
         'first_report_at',
         'last_reports',
         'load_sums',
@@ -54,6 +62,7 @@
         'unread_tokens',
         'waiting',
         'waiting_by_entry',
+        'waiting_classes',
         'waiting_sums',
     )
 
@@ -70,6 +79,8 @@
         self.running_models: Counter[tuple[str, str]] = Counter()
         self.waiting: Counter[tuple[str, str]] = Counter()
         self.waiting_by_entry: dict[str, dict[_QueueKey, int]] = {}
+        self.waiting_classes: dict[_QueueKey, Counter[_ClassKey]] = {}
+        self.classes_by_entry: dict[str, _ClassesByKey] = {}
         self.load_sums: tuple[SharedLoad, ...] | None = None
         self.waiting_sums: tuple[ModelWaiting, ...] | None = None
 
@@ -101,6 +112,9 @@
             self._replace_waiting(
                 entry, (demand.service, demand.model), demand.waiting
             )
+            self._replace_classes(
+                entry, (demand.service, demand.model), demand.classes
+            )
             load.add_report(entry, demand, now)
 
     def is_warmed_up(self, now: float) -> bool:
@@ -167,7 +181,12 @@
         own = self.waiting_by_entry.get(entry)
         if self.waiting_sums is None:
             self.waiting_sums = tuple(
-                ModelWaiting(service, model, total)
+                ModelWaiting(
+                    service,
+                    model,
+                    total,
+                    _list_classes(self.waiting_classes.get((service, model))),
+                )
                 for (service, model), total in self.waiting.items()
             )
         if not own:
@@ -177,7 +196,9 @@
             for total in self.waiting_sums
         )
         return tuple(
-            msgspec.structs.replace(total, count=count)
+            total
+            if count == total.count
+            else self._subtract_waiting(total, count, entry)
             for total, count in others
             if count > 0
         )
@@ -204,7 +225,9 @@
                 self.loads_by_entry.pop(entry)
                 for key in tuple(self.waiting_by_entry.get(entry, ())):
                     self._replace_waiting(entry, key, 0)
+                    self._replace_classes(entry, key, ())
                 self.waiting_by_entry.pop(entry, None)
+                self.classes_by_entry.pop(entry, None)
                 for models in self.model_loads.values():
                     for load in models.values():
                         load.drop_entry(entry)
@@ -226,6 +249,38 @@
         _add_count(self.waiting, key, change)
         self.waiting_sums = None
 
+    def _replace_classes(
+        self, entry: str, key: _QueueKey, classes: tuple[WaitingClass, ...]
+    ) -> None:
+        """Replace the priorities of what waits at an entry."""
+        own = self.classes_by_entry.setdefault(entry, {})
+        replaced = own.get(key, ())
+        if classes == replaced:
+            return
+        self.waiting_sums = None
+        sums = self.waiting_classes.setdefault(key, Counter())
+        _add_classes(sums, replaced, -1)
+        _add_classes(sums, classes, 1)
+        own[key] = classes
+        if not classes:
+            own.pop(key)
+        if not sums:
+            self.waiting_classes.pop(key)
+
+    def _subtract_waiting(
+        self, total: ModelWaiting, count: int, entry: str
+    ) -> ModelWaiting:
+        """Return the `count` requests that wait at all other entries."""
+        key = (total.service, total.model)
+        own = self.classes_by_entry.get(entry, {}).get(key)
+        if not own:
+            return msgspec.structs.replace(total, count=count)
+        sums = Counter(self.waiting_classes[key])
+        _add_classes(sums, own, -1)
+        return msgspec.structs.replace(
+            total, count=count, classes=_list_classes(sums)
+        )
+
     def _replace_loads(
         self,
         entry: str,
@@ -257,6 +312,32 @@
     )
 
 
+def _add_classes(
+    sums: Counter[_ClassKey], classes: Iterable[WaitingClass], factor: int
+) -> None:
+    """Add waiting requests `factor` times; late ones count separately."""
+    for one in classes:
+        in_time = one.count - one.late
+        _add_count(sums, (*one.priority, False), factor * in_time)
+        _add_count(sums, (*one.priority, True), factor * one.late)
+
+
+def _list_classes(
+    sums: Counter[_ClassKey] | None,
+) -> tuple[WaitingClass, ...]:
+    """Return the sums by priority."""
+    sums = sums or Counter()
+    priorities = {key[:2] for key in sums}
+    return tuple(
+        WaitingClass(
+            *priority,
+            sums[*priority, False] + sums[*priority, True],
+            sums[*priority, True],
+        )
+        for priority in sorted(priorities)
+    )
+
+
 def _add_count(sums: Counter[_Key], key: _Key, amount: int) -> None:
     """Add to a sum; drop it if it becomes zero."""
     sums[key] += amount
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -27,10 +27,8 @@
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._request_queue import PendingRequest, RequestQueue
 from persimmonhold.fleet._retry_budget import RetryBounds, RetryBudget
-from persimmonhold.fleet._send_deadline import (
-    MIN_FIRST_EVENT_S,
-    SendDeadline,
-)
+from persimmonhold.fleet._send_deadline import SendDeadline
+from persimmonhold.fleet._service_orders import ServiceOrders
 from persimmonhold.fleet._upstream_chooser import (
     TURNED_AWAY_REASON,
     UpstreamChooser,
@@ -93,6 +91,7 @@
         'applied_change_number',
         'last_dispatch_at',
         'listed_at',
+        'orders',
         'pending',
         'queues',
         'ready_at',
@@ -121,6 +120,7 @@
         self.listed_at = float('-inf')
         self.last_dispatch_at = 0.0
         self.ready_at: dict[str, float] = {}
+        self.orders = ServiceOrders()
         self.queues: dict[_QueueKey, RequestQueue] = {}
         self.pending: dict[int, PendingRequest] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -185,7 +185,7 @@
         self.send_deadline.plan_stop(stops_at, now)
         refused = [
             self.refuse(pending, _STOPPING, now)
-            for pending in _list_waiting(self.queues.values(), now)
+            for pending in self.orders.list_waiting(self.queues, now)
             if self.send_deadline.is_stop_before(
                 self._expected_service_at(pending, now), pending
             )
@@ -300,7 +300,7 @@
         if pending.upstream:
             self._end_attempt(pending, outcome, now)
             return self.dispatch_waiting(now)
-        _dequeue(self.queue_of(pending), pending)
+        self.queue_of(pending).remove_request(pending)
         return ()
 
     def dispatch_waiting(self, now: float) -> tuple[ForwardAction, ...]:
@@ -317,7 +317,7 @@
         must_recheck = self.chooser.spared.pop_recheck()
         actions: list[ForwardAction] = []
         blocked: set[tuple[_QueueKey, str]] = set()
-        for pending in _list_waiting(self.queues.values(), now):
+        for pending in self.orders.list_waiting(self.queues, now):
             key = (_queue_key(pending.request), pending.request.profile.adapter)
             if key not in blocked or pending.is_selective:
                 action = self._try_send(pending, now)
@@ -348,7 +348,6 @@
         """Send or enqueue a request, or refuse it if it cannot be served."""
         pending.upstream = ''
         pending.queued_at = now
-        pending.update_sort_key(now, MIN_FIRST_EVENT_S)
         queue = self.queue_of(pending)
         if not queue.pending:
             sent = self._try_send(pending, now)
@@ -374,7 +373,7 @@
         wait_s = 0.0  # other entries can accept the request at once
         if reason != _STOPPING:
             wait_s = self._expected_service_at(pending, now) - now
-        _dequeue(self.queue_of(pending), pending)
+        self.queue_of(pending).remove_request(pending)
         self.pending.pop(pending.request.number, None)
         if reason != TURNED_AWAY_REASON:
             wait_s = min(_MAX_RETRY_AFTER_S, wait_s)
@@ -427,15 +426,16 @@
         if is_hedge and not budget.has_retry(self.entry_count, now):
             return None
         queue = self.queue_of(pending)
-        own_waiting = max(1, len(queue))
-        choice = self.chooser.choose_upstream(pending, own_waiting, now)
+        choice = self.chooser.choose_upstream(
+            pending, queue.describe_waiting(), now
+        )
         if choice is None:
             return None
         if is_hedge:
             budget.try_spend_retry(self.entry_count, now)
         tracker, expected_s, needs_adapter = choice
-        if pending in queue.pending:
-            queue.remove_request(pending)
+        queue.remove_request(pending)
+        self.orders.find(pending.request.service).record_dispatch(pending)
         queue.record_dispatch(now, others_wait=bool(queue.pending))
         running = tracker.total_running(now)
         pending.upstream = tracker.facts.name
@@ -553,19 +553,6 @@
         pending.excluded_until[tracker.facts.process_key] = now + pause_s
 
 
-def _list_waiting(
-    queues: Iterable[RequestQueue], now: float
-) -> list[PendingRequest]:
-    """Return the requests of all queues in the order of their urgency."""
-    waiting: list[PendingRequest] = []
-    for queue in queues:
-        if queue.pending:
-            queue.reorder(now, MIN_FIRST_EVENT_S)
-            waiting.extend(queue.pending)
-    waiting.sort(key=lambda one: one.sort_key)
-    return waiting
-
-
 def _must_recheck(
     dispatcher: ForwardDispatcher,
     pending: PendingRequest,
@@ -604,9 +591,3 @@
 
 def _queue_key(request: DispatchRequest) -> _QueueKey:
     return request.service, request.profile.model
-
-
-def _dequeue(queue: RequestQueue, pending: PendingRequest) -> None:
-    """Remove a request from its queue, if it is queued."""
-    if pending in queue.pending:
-        queue.remove_request(pending)
--- a/persimmonhold/fleet/_model_demand.py
+++ b/persimmonhold/fleet/_model_demand.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from persimmonhold.fleet._waiting_class import WaitingClass
+
 
 @final
 class ModelDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -11,6 +13,7 @@
 
     `arrived` counts requests, and `tokens` their prompt tokens, since the last
     report. `running` and `waiting` are the current numbers of requests.
+    `classes` has the priorities of those that wait.
     """
 
     service: str
@@ -19,3 +22,4 @@
     tokens: int = 0
     running: int = 0
     waiting: int = 0
+    classes: tuple[WaitingClass, ...] = ()
--- a/persimmonhold/fleet/_request_queue.py
+++ b/persimmonhold/fleet/_request_queue.py
@@ -1,21 +1,34 @@
 """The queue of requests that wait for one model at an entry.
 
-Requests that can still be answered in time are ordered by priority and due
-time. Late requests follow, in the same order.
+`WaitingOrder` ranks the requests of all queues of a service.
 """
 
 import bisect
-from typing import Final, Self, final
+from typing import Final, NamedTuple, Self, final
 
 import msgspec
 
 from persimmonhold.fleet._dispatch_request import DispatchRequest
+from persimmonhold.fleet._waiting_class import WaitingClass
 
 _SMOOTHING: Final = 0.3  # weight of the latest interval between dispatches
 # A copy with a full batch finishes a request about this often.
 _INITIAL_INTERVAL_S: Final = 0.05
 # At this age a learned interval has half the weight, the initial one the rest.
 _HALF_WEIGHT_AGE_S: Final = 1.0
+# A due time is near when less than this share of the time until it is left, or
+# less than this time; work that tolerates latency has targets of 1.2 s or more.
+_NEAR_SHARE: Final = 0.6
+_NEAR_S: Final = 0.8
+_NOT_QUEUED: Final = -1  # rank of a request that is in no queue
+
+
+@final
+class OwnWaiting(NamedTuple):
+    """How many requests wait for a model at this entry, and their priority."""
+
+    total: int
+    classes: tuple[WaitingClass, ...] = ()
 
 
 @final
@@ -30,21 +43,24 @@
     `hedged` is the request for which this one is a hedge, that is, a second
     attempt while the first one pauses at its upstream, or None.
     `upstream` is the upstream that the request was sent to, or empty while it
-    is queued.
+    is queued. `rank` is its place among the waiting requests of its service
+    when they were last ordered, or negative if it is not queued, and
+    `fair_start` its virtual start time then.
     """
 
     __slots__ = (
         'build',
         'excluded_until',
+        'fair_start',
         'has_response_begun',
         'hedged',
         'is_late',
         'caller_waits_until',
         'queued_at',
+        'rank',
         'refused_by',
         'request',
         'send_count',
-        'sort_key',
         'upstream',
     )
 
@@ -58,7 +74,8 @@
         self.hedged: Self | None = None
         self.caller_waits_until = request.caller_waits_until
         self.is_late = False
-        self.sort_key = (0, (0, 0), 0.0, 0)
+        self.rank = _NOT_QUEUED
+        self.fair_start = 0.0
         self.queued_at = request.arrived_at
         self.send_count = 0
         self.upstream = ''
@@ -68,6 +85,13 @@
         """Whether some upstreams that others may use are none for it."""
         return bool(self.excluded_until or self.build)
 
+    def is_due_near(self, now: float) -> bool:
+        """Tell whether little of the time until the due time is left."""
+        request = self.request
+        left_s = request.due_at - now
+        near_s = _NEAR_SHARE * (request.due_at - request.arrived_at)
+        return left_s < max(_NEAR_S, near_s)
+
     def is_excluded(self, process: tuple[str, int], now: float) -> bool:
         """Tell whether an upstream process must not be tried now."""
         if process[0] in self.refused_by:
@@ -101,36 +125,39 @@
             wait_s = request.caller_waits_until - request.arrived_at
             self.caller_waits_until = min(request.ends_at, now + wait_s)
 
-    def update_sort_key(self, now: float, min_first_event_s: float) -> None:
-        """Update whether the request is late, and its place in the queue.
+    def update_lateness(self, now: float, min_first_event_s: float) -> None:
+        """Update whether the request is late.
 
         It is late if its first event would miss the due time even after
         `min_first_event_s`, the time at an idle upstream. An interrupted
         stream is never late, as its caller is still waiting. A hedge always
         is, as its first attempt may still go on.
         """
-        request = self.request
         self.is_late = self.hedged is not None or (
             not self.has_response_begun
-            and now + min_first_event_s > request.due_at
-        )
-        self.sort_key = (
-            int(self.is_late),
-            request.priority,
-            request.due_at,
-            request.number,
+            and now + min_first_event_s > self.request.due_at
         )
 
 
 @final
 class RequestQueue:
-    """A sorted queue that learns the interval between dispatches."""
+    """A sorted queue that learns the interval between dispatches.
+
+    `classes` has the priorities of the requests that waited when it was last
+    sorted.
+    """
 
-    __slots__ = ('dispatch_interval_s', 'last_dispatch_at', 'pending')
+    __slots__ = (
+        'classes',
+        'dispatch_interval_s',
+        'last_dispatch_at',
+        'pending',
+    )
 
     def __init__(self) -> None:
         """Create an empty queue."""
         self.pending: list[PendingRequest] = []
+        self.classes: tuple[WaitingClass, ...] = ()
         self.dispatch_interval_s = _INITIAL_INTERVAL_S
         self.last_dispatch_at = float('-inf')
 
@@ -139,18 +166,39 @@
         return len(self.pending)
 
     def add_request(self, pending: PendingRequest) -> None:
-        """Insert a request by its sort key."""
-        bisect.insort(self.pending, pending, key=lambda one: one.sort_key)
+        """Add a request behind all others, until they are ordered again."""
+        last = self.pending[-1].rank if self.pending else 0
+        pending.rank = last + 1
+        self.pending.append(pending)
 
     def remove_request(self, pending: PendingRequest) -> None:
-        """Remove a request."""
-        self.pending.remove(pending)
-
-    def reorder(self, now: float, min_first_event_s: float) -> None:
-        """Update which requests are late, and sort the queue again."""
-        for pending in self.pending:
-            pending.update_sort_key(now, min_first_event_s)
-        self.pending.sort(key=lambda one: one.sort_key)
+        """Remove a request, if it is queued."""
+        if pending.rank == _NOT_QUEUED:
+            return
+        self.pending.pop(self.count_ahead(pending))
+        pending.rank = _NOT_QUEUED
+
+    def sort(self) -> None:
+        """Sort the queue by rank."""
+        self.pending.sort(key=_rank_of)
+        self.classes = self.list_classes()
+
+    def describe_waiting(self) -> OwnWaiting:
+        """Return what waits here, at least the request to be sent."""
+        return OwnWaiting(max(1, len(self.pending)), self.classes)
+
+    def list_classes(self) -> tuple[WaitingClass, ...]:
+        """Count the waiting requests by priority, without hedges."""
+        counts: dict[tuple[int, int], list[int]] = {}
+        for one in self.pending:
+            if one.hedged is None:
+                count = counts.setdefault(one.request.priority, [0, 0])
+                count[0] += 1
+                count[1] += one.is_late
+        return tuple(
+            WaitingClass(*priority, *count)
+            for priority, count in counts.items()
+        )
 
     def record_dispatch(self, now: float, *, others_wait: bool) -> None:
         """Record the time of a dispatch, and learn the interval between them.
@@ -166,8 +214,14 @@
         self.last_dispatch_at = now
 
     def count_ahead(self, pending: PendingRequest) -> int:
-        """Count the waiting requests that go before another one."""
-        return sum(one.sort_key < pending.sort_key for one in self.pending)
+        """Count the waiting requests that go before another one.
+
+        All that are as urgent do if that one is not queued.
+        """
+        if pending.rank != _NOT_QUEUED:
+            return bisect.bisect_left(self.pending, pending.rank, key=_rank_of)
+        priority = pending.request.priority
+        return sum(one.request.priority <= priority for one in self.pending)
 
     def expected_wait_s(self, pending: PendingRequest, now: float) -> float:
         """Return the expected wait of a request in this queue.
@@ -182,3 +236,7 @@
             + (1 - weight) * _INITIAL_INTERVAL_S
         )
         return (self.count_ahead(pending) + 1) * learned
+
+
+def _rank_of(pending: PendingRequest) -> int:
+    return pending.rank
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -20,9 +20,10 @@
 from persimmonhold.fleet._limit_observation import LimitObservation
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_waiting import ModelWaiting
-from persimmonhold.fleet._request_queue import PendingRequest
+from persimmonhold.fleet._request_queue import OwnWaiting, PendingRequest
 from persimmonhold.fleet._response_times import INITIAL_ATTEMPT_S
 from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._slot_share import SlotShare, find_slot_share
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_groups import UpstreamGroups
 from persimmonhold.fleet._upstream_tracker import UpstreamTracker
@@ -71,7 +72,7 @@
         self.spared = SparedUpstreams()
         self.trackers: dict[str, UpstreamTracker] = {}
         self.groups = UpstreamGroups()
-        self.waiting_elsewhere: dict[tuple[str, str], int] = {}
+        self.waiting_elsewhere: dict[tuple[str, str], ModelWaiting] = {}
 
     def apply_facts(
         self,
@@ -136,7 +137,7 @@
         for name, tracker in self.trackers.items():
             tracker.apply_other_load(loads.get(name), self.rng.random(), now)
         self.waiting_elsewhere = {
-            (one.service, one.model): one.count for one in waiting
+            (one.service, one.model): one for one in waiting
         }
 
     def record_response_limit(
@@ -161,13 +162,13 @@
     def choose_upstream(
         self,
         pending: PendingRequest,
-        own_waiting: int,
+        own_waiting: OwnWaiting,
         now: float,
     ) -> Choice | None:
         """Return the upstream with the earliest expected first event.
 
-        `own_waiting` requests for the model wait at this entry, this one
-        included.
+        `own_waiting` is what waits for the model at this entry, with this
+        request.
         Upstreams whose attempts failed lately are less likely to be chosen.
         Returns None if no upstream can accept the request now.
         """
@@ -246,7 +247,8 @@
             return None
         total_per_s = sum(one.per_s or 0 for one in limits)
         key = (request.service, request.profile.model)
-        ahead += self.waiting_elsewhere.get(key, 0)
+        elsewhere = self.waiting_elsewhere.get(key)
+        ahead += elsewhere.count if elsewhere else 0
         first_at = max(now, min(one.closed_until for one in limits))
         return first_at + ahead / max(total_per_s, _MIN_LIMIT_PER_S)
 
@@ -378,7 +380,7 @@
         self,
         tracker: UpstreamTracker,
         pending: PendingRequest,
-        own_waiting: int,
+        own_waiting: OwnWaiting,
         now: float,
     ) -> bool:
         """Tell whether an upstream has a slot left in this entry's share.
@@ -388,16 +390,24 @@
         """
         if not self._can_accept(tracker, pending, now):
             return False
-        request = pending.request
-        key = (request.service, request.profile.model)
-        if not request.is_engine or key not in self.waiting_elsewhere:
+        if not pending.request.is_engine:
             return True
-        elsewhere = sum(
-            self.waiting_elsewhere.get((request.service, held.name), 0)
-            for held in tracker.facts.models
+        share = _find_share(
+            [
+                one
+                for held in tracker.facts.models
+                if (
+                    one := self.waiting_elsewhere.get((
+                        tracker.facts.service,
+                        held.name,
+                    ))
+                )
+            ],
+            pending,
+            own_waiting,
+            now,
         )
-        share = own_waiting / (own_waiting + elsewhere)
-        return tracker.has_free_place(share, now)
+        return share is None or tracker.has_free_place(share, now)
 
     def _can_load_adapter(self, tracker: UpstreamTracker, now: float) -> bool:
         """Tell whether an adapter can be loaded at an upstream now."""
@@ -427,3 +437,26 @@
         if tracker.response_times.has_been_tried
     )
     return min(learned, default=INITIAL_ATTEMPT_S)
+
+
+def _find_share(
+    elsewhere: list[ModelWaiting],
+    pending: PendingRequest,
+    own_waiting: OwnWaiting,
+    now: float,
+) -> SlotShare | None:
+    """Return this entry's share of an upstream's slots; None for any number.
+
+    `elsewhere` is what waits for the models of the upstream.
+    """
+    share = find_slot_share(
+        pending.request.priority,
+        own_waiting.classes,
+        [one for waiting in elsewhere for one in waiting.classes],
+        is_due_near=pending.is_due_near(now),
+    )
+    model = pending.request.profile.model
+    if share or all(waiting.model != model for waiting in elsewhere):
+        return share
+    total = sum(waiting.count for waiting in elsewhere)
+    return SlotShare(own_waiting.total / (own_waiting.total + total))
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -18,6 +18,7 @@
 from persimmonhold.fleet._request_profile import RequestProfile
 from persimmonhold.fleet._response_times import ResponseTimes
 from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._slot_share import SlotShare
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.sparing import SparingView
 
@@ -191,8 +192,9 @@
         self.other_load = load or SharedLoad(self.facts.name, 0, 0)
         self.other_load_at = now
         own = len(self.running)
-        free = max(0, self.facts.slots - self.other_load.running - own)
-        self.free_places = FreePlaces(free, own, draw)
+        total = self.other_load.running + own
+        free = max(0, self.facts.slots - total)
+        self.free_places = FreePlaces(free, own, draw, total)
 
     def total_running(self, now: float) -> int:
         """Return the estimated number of requests at the upstream."""
@@ -218,7 +220,7 @@
         )
         return self.fullness.is_in_force(last_unanswered_at, now)
 
-    def has_free_place(self, share: float, now: float) -> bool:
+    def has_free_place(self, share: SlotShare, now: float) -> bool:
         """Tell whether this entry's share of the free slots has one left.
 
         Without a recent update, the entry is not held to its share.
