Share one memory budget among all servers of a process

Servers had a budget each (268 MB except for callers), only for bodies. Heads with thousands of fields, pipelined bytes and unread responses had none, and connections no limit by descriptors.

--- a/persimmonhold/entry/_entry.py
+++ b/persimmonhold/entry/_entry.py
@@ -29,7 +29,13 @@
 )
 from persimmonhold.tasks import BackgroundTasks, run_with_time_limits
 from persimmonhold.upstreams import UpstreamPollers
-from persimmonhold.web import Address, HttpBounds, HttpServer, parse_address
+from persimmonhold.web import (
+    Address,
+    HttpBounds,
+    HttpServer,
+    MemoryBudget,
+    parse_address,
+)
 
 _CLAIM_COMMIT_TIMEOUT_S: Final = 5.0
 _LOAD_UPDATE_INTERVAL_S: Final = 0.5
@@ -135,6 +141,10 @@
         """The number of running requests."""
         return self.handler.running_request_count
 
+    def share_budget(self, budget: MemoryBudget) -> None:
+        """Use the memory budget of the process; call it before the start."""
+        self._server.budget = budget
+
     async def drain(self, *, at_once: bool = False) -> None:
         """Leave the directory, keep serving, then finish running requests.
 
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -17,6 +17,7 @@
     AttemptResult,
     CompleteResponse,
 )
+from persimmonhold.forwarding._buffered_body import BufferedBody
 from persimmonhold.forwarding._decoded_response_head import (
     DecodedResponseHead,
 )
@@ -43,7 +44,6 @@
 )
 
 _CONNECT_TIMEOUT_S: Final = 0.4  # covers two lost packets on a path of a few ms
-_MAX_BUFFERED_BYTES: Final = 262_144  # usual responses have a few kilobytes
 _FIRST_NON_SUCCESS_STATUS: Final = 300
 # Callers take these statuses as a promise that the request did not run.
 _NOT_RUN_STATUSES: Final = frozenset((408, 425, 429, 503))
@@ -84,7 +84,7 @@
         self.limits = limits
         self.connection: ClientConnection | None = None
         self.head = ResponseHead(status=0, headers=())
-        self.buffered = bytearray()
+        self.buffered = BufferedBody()
         self.event_boundary = EventBoundary()
         self.first_event_at = 0.0
         self.is_proven = False
@@ -149,8 +149,8 @@
         if self.is_event_stream:
             self._record_events(chunk)
         if not self.is_streaming:
-            self.buffered += chunk
-            if len(self.buffered) <= _MAX_BUFFERED_BYTES:
+            budget = self.response_writer.exchange.budget
+            if self.buffered.add(chunk, budget):
                 return True
             self.is_streaming = True
             chunk = bytes(self.buffered)
@@ -273,6 +273,7 @@
     def _release(self, connection: ClientConnection) -> None:
         """Return the connection to the pool, which closes a broken one."""
         self.connection = None
+        self.buffered.clear()
         self.progress.is_cut = connection.has_peer_closed
         self.services.pool.release(connection, _now())
 
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -37,7 +37,12 @@
 )
 from persimmonhold.transport import Transport
 from persimmonhold.upstreams import share_idle_connections
-from persimmonhold.web import HttpBounds, HttpServer, parse_address
+from persimmonhold.web import (
+    HttpBounds,
+    HttpServer,
+    MemoryBudget,
+    parse_address,
+)
 
 _MS_PER_S: Final = 1000
 _HEAD_TOO_LARGE_STATUS: Final = 431
@@ -63,6 +68,8 @@
         transport: Transport,
         metrics: Metrics,
         clock: Callable[[], float],
+        *,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Create the entry of a VM on a platform."""
         self.adapter = adapter
@@ -104,6 +111,7 @@
             parse_address(settings.callers.address).unwrap(),
             self.handler,
             _http_bounds(self.limits),
+            budget=budget,
         )
 
     async def __aenter__(self) -> Self:
@@ -118,6 +126,7 @@
                     served.address,
                     served.handler,
                     HttpBounds(),
+                    budget=self.server.budget,
                 )
                 await stack.enter_async_context(server)
             await stack.enter_async_context(self.background)
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -74,6 +74,17 @@
     help_text='Requests that an upstream is working on.',
     labels=('service_class',),
 )
+BUFFERED_BYTES: Final = MetricSpec(
+    name='persimmonhold_buffered_bytes',
+    kind=MetricKind.gauge,
+    help_text='Bytes that this VM holds for its peers.',
+)
+EVICTIONS: Final = MetricSpec(
+    name='persimmonhold_evictions_total',
+    kind=MetricKind.counter,
+    help_text='Connections whose request was refused or that were closed.',
+    labels=('cause',),
+)
 CATALOGUE_REVISION: Final = MetricSpec(
     name='persimmonhold_catalogue_revision',
     kind=MetricKind.gauge,
@@ -130,6 +141,8 @@
     TOKEN_GAP,
     QUEUE_DEPTH,
     IN_FLIGHT,
+    BUFFERED_BYTES,
+    EVICTIONS,
     CATALOGUE_REVISION,
     STALE_VIEWS,
     DIVERGED_VIEWS,
--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -12,6 +12,7 @@
 from persimmonhold.fleet import RetryBounds
 from persimmonhold.forwarding import FleetBounds
 from persimmonhold.observability import STANDARD_OUTPUT
+from persimmonhold.platform._vm_limits import VmLimits
 from persimmonhold.settings import (
     CallerSettings,
     LogSettings,
@@ -87,6 +88,7 @@
     data_dir: str = ''
     fault_tolerance: _Tolerance = _Tolerance()
     bounds: _Bounds = _Bounds()
+    limits: VmLimits = VmLimits()
 
 
 @final
@@ -141,6 +143,8 @@
             failure_domain=wire.zone,
             roles=','.join(roles),
             data_directory=wire.data_dir,
+            memory_mb=max(0, int(wire.limits.memory_mb)),
+            max_descriptors=max(0, wire.limits.max_fds),
         ),
         callers=CallerSettings(address=wire.listen.frontend),
         operators=OperatorSettings(address=wire.listen.control),
--- a/persimmonhold/settings/_vm_settings.py
+++ b/persimmonhold/settings/_vm_settings.py
@@ -33,6 +33,20 @@
         Meta(description='Folder of the control state, on a persistent disk.'),
     ] = ''
 
+    memory_mb: Annotated[
+        int,
+        Meta(ge=0, description='Memory of this VM in MB; 0: unknown.'),
+    ] = 0
+    max_descriptors: Annotated[
+        int,
+        Meta(
+            ge=0,
+            description=(
+                'Open descriptors that this VM allows; 0: as the system says.'
+            ),
+        ),
+    ] = 0
+
     @property
     def has_entry(self) -> bool:
         """Whether this VM has the role entry and serves callers."""
--- a/persimmonhold/system/_base_vm.py
+++ b/persimmonhold/system/_base_vm.py
@@ -23,11 +23,12 @@
     VmAgentRunner,
 )
 from persimmonhold.membership import MembershipTimings
-from persimmonhold.observability import Metrics, log_event
+from persimmonhold.observability import Metrics, log_event, metric
 from persimmonhold.settings import PeerSettings, Settings
 from persimmonhold.system._boot_clock import boot_clock
 from persimmonhold.system._leader_work import LeaderWork
 from persimmonhold.system._metrics_handler import MetricsHandler
+from persimmonhold.system._peer_budget import create_peer_budget
 from persimmonhold.system._usage_log import UsageLog
 from persimmonhold.system._vm_record import create_vm_record
 from persimmonhold.tasks import BackgroundTasks
@@ -54,6 +55,7 @@
         self.stack = AsyncExitStack()
         self.background = BackgroundTasks()
         self.metrics = Metrics()
+        self.peer_budget = create_peer_budget(settings.vm, self.metrics)
         self.transport = NngTransport(
             settings.vm.name,
             settings.peers,
@@ -134,6 +136,7 @@
                 self.transport,
                 self.create_leader_work(),
                 self.background,
+                self.peer_budget,
             )
             await stack.enter_async_context(self.control)
         node = self.control.node if self.control else None
@@ -155,6 +158,7 @@
                 parse_address(address).unwrap(),
                 MetricsHandler(self.metrics),
                 HttpBounds(),
+                budget=self.peer_budget,
             )
             await stack.enter_async_context(server)
 
@@ -165,6 +169,9 @@
         usage_log = UsageLog(counters, boot_clock())
         while True:
             control_metrics.update(self.vm.agent, counters)
+            self.metrics.set_gauge(
+                metric.BUFFERED_BYTES, self.peer_budget.reserved_bytes
+            )
             slept_at = boot_clock()
             await asyncio.sleep(_METRICS_INTERVAL_S)
             now = boot_clock()
--- a/persimmonhold/system/_control_role.py
+++ b/persimmonhold/system/_control_role.py
@@ -22,7 +22,12 @@
 from persimmonhold.system._leader_work import LeaderWork
 from persimmonhold.tasks import BackgroundTasks
 from persimmonhold.transport import Transport
-from persimmonhold.web import HttpBounds, HttpServer, parse_address
+from persimmonhold.web import (
+    HttpBounds,
+    HttpServer,
+    MemoryBudget,
+    parse_address,
+)
 
 _MS_PER_S: Final = 1000
 _FAILURE_CHECK_INTERVAL_S: Final = 0.5
@@ -47,6 +52,7 @@
         transport: Transport,
         leader_work: LeaderWork,
         background: BackgroundTasks,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Create the control role and start its background tasks.
 
@@ -68,6 +74,7 @@
             parse_address(settings.operators.address).unwrap(),
             handler,
             HttpBounds(),
+            budget=budget,
         )
         self._background = background
         self._exit_stack = AsyncExitStack()
--- a/persimmonhold/system/_forwarding_vm.py
+++ b/persimmonhold/system/_forwarding_vm.py
@@ -50,6 +50,7 @@
             self.transport,
             self.metrics,
             boot_clock,
+            budget=self.peer_budget,
         )
         await stack.enter_async_context(self.entry)
         self.background.start_task(wait_for_failure(self.entry.failed), 'entry')
--- a/persimmonhold/system/_vm_process.py
+++ b/persimmonhold/system/_vm_process.py
@@ -47,5 +47,6 @@
             self.metrics,
             incarnation=self.vm.record.incarnation,
         )
+        self.entry.share_budget(self.peer_budget)
         await stack.enter_async_context(self.entry)
         self.background.start_task(wait_for_failure(self.entry.failed), 'entry')
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -1,9 +1,9 @@
 """HTTP/1.1 on asyncio and h11: servers, connections and addresses."""
 
 from persimmonhold.web._address import Address, parse_address
-from persimmonhold.web._body_budget import BodyBudget
 from persimmonhold.web._body_end import BodyEnd
 from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._buffer_share import BufferShare
 from persimmonhold.web._client_connection import ClientConnection
 from persimmonhold.web._client_request import ClientRequest
 from persimmonhold.web._end_to_end import select_end_to_end_headers
@@ -26,6 +26,7 @@
     encode_headers,
     find_header,
 )
+from persimmonhold.web._memory_budget import EvictionCause, MemoryBudget
 from persimmonhold.web._peer_timeout import PeerTimeout
 from persimmonhold.web._rejection import Rejection
 from persimmonhold.web._request_head import RequestHead
@@ -47,8 +48,10 @@
     'RESUME_OFFSET_HEADER',
     'SERVICE_CLASS_HEADER',
     'Address',
-    'BodyBudget',
     'BodyEnd',
+    'BufferShare',
+    'EvictionCause',
+    'MemoryBudget',
     'ResponseBodySink',
     'ClientConnection',
     'ClientRequest',
--- a/persimmonhold/web/_bounds.py
+++ b/persimmonhold/web/_bounds.py
@@ -10,11 +10,13 @@
     """Limits of an HTTP server, and the statuses of requests beyond them.
 
     `max_buffered_bytes` limits the request bodies of all connections
-    together, the other sizes one request. `idle_timeout_s` applies between
+    together, where the process has no common budget; the other sizes and
+    `max_header_fields` limit one request. `idle_timeout_s` applies between
     requests, `send_timeout_s` while the peer reads no response bytes.
     """
 
     max_head_bytes: int = 16_384
+    max_header_fields: int = 512  # usual clients send fewer than 50
     max_body_bytes: int = 4_194_304
     max_buffered_bytes: int = 268_435_456
     head_timeout_s: float = 10
--- a/persimmonhold/web/_client_codec.py
+++ b/persimmonhold/web/_client_codec.py
@@ -55,7 +55,7 @@
         return self._parser.trailing_data == (b'', False)
 
     def encode_request(self, request: ClientRequest, host: str) -> bytes:
-        """Return the bytes of a request.
+        """Return the bytes of the head of a request; its body follows it.
 
         Returns b'' and sets `error` if the request is invalid.
         """
@@ -143,8 +143,10 @@
         )
         encoded = self._parser.send(head) or b''
         if request.body:
-            encoded += self._parser.send(h11.Data(data=request.body)) or b''
-        return encoded + (self._parser.send(h11.EndOfMessage()) or b'')
+            # With a length, the body is sent as it is.
+            self._parser.send(h11.Data(data=request.body))
+        self._parser.send(h11.EndOfMessage())
+        return encoded
 
     def _next_event(self) -> _Event | None:
         if self.error:
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -6,12 +6,14 @@
 `is_kept_open` was cleared, no further request is sent on it. `stated_idle_s`
 is after how many seconds without a request the peer closes it, if it says so.
 Data that arrives while no task waits for it is buffered, and reading is then
-paused, so that at most one read is buffered. A read of very many chunks is parsed
+paused, so that at most one read is buffered. Of a long request, at most a slice
+is written while the peer reads slowly. A read of very many chunks is parsed
 over several turns, see `ParseTurns`; nothing more is read meanwhile.
 """
 
 import asyncio
 import ssl
+from collections.abc import Iterator
 from typing import Final, Self, final
 
 from returns.result import Failure as Failed
@@ -23,15 +25,18 @@
 from persimmonhold.web._client_request import ClientRequest
 from persimmonhold.web._parse_turns import ParseTurn
 from persimmonhold.web._peer_timeout import PeerTimeout
+from persimmonhold.web._read_protocol import ReadProtocol
 from persimmonhold.web._response_body_sink import ResponseBodySink
 from persimmonhold.web._response_head import ResponseHead
 
 # The default bound on a body that is kept in memory as a whole.
 MAX_BODY_BYTES: Final = 67_108_864
+# What is written at once; more waits until the peer has read.
+_SLICE_BYTES: Final = 65_536
 
 
 @final
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(ReadProtocol):
     """Sends one request at a time and receives its response."""
 
     __slots__ = (
@@ -177,21 +182,26 @@
     ) -> Result[None, Failure]:
         """Write a whole request and wait until the send buffer has room.
 
+        Ends early if the connection fails: a response may have arrived before.
+
         Fails without writing if the peer has sent something before: that
         belongs to no request of this connection.
         """
         if not self._parser.is_idle:
             self.mark_failed('received data before the request')
         encoded = self._parser.encode_request(request, str(self.peer))
-        if self._failure is not None or self._transport is None:
+        failure, transport = self._failure, self._transport
+        if failure is not None or transport is None:
             return Failed(
                 _build_failure(self.peer, 'send', 'closed before sending')
             )
         if not encoded:
             return Failed(_build_failure(self.peer, 'send', self._parser.error))
-        self.bytes_written += len(encoded)
-        self._transport.write(encoded)
-        await self._writable.wait()
+        for part in _split_request(encoded, request.body):
+            if self._failure is None:
+                self.bytes_written += len(part)
+                transport.write(part)
+                await self._writable.wait()
         return Success(None)
 
     async def receive_head(self) -> Result[ResponseHead, Failure]:
@@ -328,6 +338,13 @@
             self._waiter.set_result(None)
 
 
+def _split_request(head: bytes, body: bytes) -> Iterator[bytes]:
+    """Yield what is written at once; a short request is one part."""
+    yield head + body[:_SLICE_BYTES]
+    for start in range(_SLICE_BYTES, len(body), _SLICE_BYTES):
+        yield body[start : start + _SLICE_BYTES]
+
+
 def _build_failure(peer: Address, step: str, detail: str) -> Failure:
     return Failure(
         kind=FailureKind.connection_lost,
--- /dev/null
+++ b/persimmonhold/web/_connection_buffers.py
@@ -0,0 +1,167 @@
+"""What a server connection holds for its peer, and when it may be evicted."""
+
+import asyncio
+from typing import TYPE_CHECKING, Final, final
+
+from persimmonhold.failures import FailureKind
+from persimmonhold.web._buffer_holder import BufferHolder
+from persimmonhold.web._buffer_share import BufferShare
+from persimmonhold.web._memory_budget import MemoryBudget
+
+if TYPE_CHECKING:
+    from persimmonhold.web._exchange import Exchange
+    from persimmonhold.web._server_connection import ServerConnection
+
+# Objects of a connection without a request: parser, transport and timer.
+_CONNECTION_BYTES: Final = 8192
+# Objects of a parsed field besides its text, which is held twice.
+_FIELD_BYTES: Final = 200
+# A peer that reads takes what is sent within a few round trips.
+_UNREAD_S: Final = 1.0
+
+
+@final
+class ConnectionBuffers(BufferHolder):
+    """Reserves the buffers of one connection in the budget of the process."""
+
+    __slots__ = (
+        'connection',
+        'head_bytes',
+        'input_bytes',
+        'is_open',
+        'output_bytes',
+        'paused_at',
+        'server',
+        'share',
+        'since',
+        'transport',
+    )
+
+    def __init__(
+        self, connection: 'ServerConnection', budget: MemoryBudget
+    ) -> None:
+        """Create the buffers of a connection that is not open yet."""
+        self.connection = connection
+        self.share = BufferShare(budget)
+        self.server: object = connection
+        self.is_open = False
+        self.head_bytes = 0
+        self.input_bytes = 0
+        self.output_bytes = 0
+        self.paused_at = 0.0
+        self.since = 0.0
+        self.transport: asyncio.Transport | None = None
+
+    @property
+    def body_share(self) -> BufferShare | None:
+        """The share of the body of the request in progress."""
+        exchange = self.connection.exchange
+        return exchange.body_share if exchange else None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the head or the body of a request is awaited.
+
+        A peer may still read the response to the last one for a short time.
+        """
+        exchange = self.connection.exchange
+        if exchange is not None:
+            return exchange.is_body_awaited
+        is_sent = self._unsent_bytes == 0
+        return is_sent or _now() - self.since >= _UNREAD_S
+
+    def open(self, server: object) -> bool:
+        """Begin to hold a connection; False if there is no room for it."""
+        self.server = server
+        self.since = _now()
+        if not self.share.budget.try_connect(server, self):
+            return False
+        self.is_open = True
+        self._reserve()
+        return True
+
+    def close(self) -> None:
+        """Release everything; nothing is held any more."""
+        self.is_open = False
+        self.share.budget.disconnect(self.server, self)
+        self.share.resize(0)
+
+    def begin_request(self, text_bytes: int, field_count: int) -> None:
+        """Hold the fields of a request."""
+        self.since = _now()
+        self.head_bytes = 2 * text_bytes + field_count * _FIELD_BYTES
+        self._reserve()
+
+    def finish_request(self) -> None:
+        """Release the fields of a request whose response was sent."""
+        self.since = _now()
+        self.head_bytes = 0
+        self.share.budget.record_finish(self.server, self)
+        self._reserve()
+
+    def hold_input(self, size_bytes: int) -> None:
+        """Hold bytes that were received and not parsed."""
+        if size_bytes != self.input_bytes:
+            self.input_bytes = size_bytes
+            self._reserve()
+
+    def pause_output(self) -> None:
+        """Hold the parts of a response that the peer has not read."""
+        self.paused_at = _now()
+        self.output_bytes = self._unsent_bytes
+        self._reserve()
+
+    def resume_output(self) -> None:
+        """Release what the peer has read by now."""
+        self.output_bytes = 0
+        self._reserve()
+
+    def compute_excess(self, now: float) -> float:
+        """Return the bytes held times the seconds without progress."""
+        held = self.share.size_bytes
+        if self.output_bytes:
+            unread_s = now - self.paused_at
+            return held * unread_s if unread_s >= _UNREAD_S else 0
+        if not self.is_waiting and not self._has_long_pipeline:
+            return 0
+        body = self.body_share
+        if body is not None:
+            held += body.size_bytes
+        return held * (now - self.since)
+
+    def evict(self) -> None:
+        """Refuse a body that is awaited; close the connection otherwise."""
+        exchange: Exchange | None = self.connection.exchange
+        if exchange is not None and exchange.is_body_awaited:
+            exchange.refuse_body(FailureKind.overloaded)
+        else:
+            self.close_at_once()
+
+    def close_at_once(self) -> None:
+        """Close the connection and release what it holds."""
+        exchange: Exchange | None = self.connection.exchange
+        if exchange is not None:
+            exchange.discard_body()
+        self.close()
+        self.connection.abort()
+
+    @property
+    def _has_long_pipeline(self) -> bool:
+        """Whether more was sent behind a request than one head."""
+        return self.input_bytes > self.connection.bounds.max_head_bytes
+
+    @property
+    def _unsent_bytes(self) -> int:
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    def _reserve(self) -> None:
+        if not self.is_open:
+            return
+        held = self.head_bytes + self.input_bytes + self.output_bytes
+        self.share.resize(_CONNECTION_BYTES + held)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/persimmonhold/web/_exchange.py
+++ b/persimmonhold/web/_exchange.py
@@ -15,7 +15,9 @@
 from returns.result import Result, Success
 
 from persimmonhold.failures import Failure, FailureKind
+from persimmonhold.web._buffer_share import BufferShare
 from persimmonhold.web._headers import Headers, encode_headers
+from persimmonhold.web._memory_budget import MemoryBudget
 from persimmonhold.web._request_head import RequestHead
 
 if TYPE_CHECKING:
@@ -33,9 +35,11 @@
         '_body_ended',
         '_connection',
         'body_refusal',
+        'body_share',
         'has_response_ended',
         'has_response_started',
         'head',
+        'is_body_wanted',
         'on_writable',
     )
 
@@ -49,17 +53,32 @@
         self.has_response_started = False
         self.has_response_ended = False
         self.body_refusal: FailureKind | None = None
+        self.is_body_wanted = False
         self.on_writable: Callable[[], None] | None = None
+        self.body_share = BufferShare(connection.budget)
         self._connection = connection
-        self._body = bytearray()
+        self._body: bytearray | bytes = bytearray()
         self._body_ended = asyncio.Event()
 
+    @property
+    def is_body_awaited(self) -> bool:
+        """Whether the request body was neither received whole nor refused."""
+        return not self._body_ended.is_set()
+
+    @property
+    def budget(self) -> MemoryBudget:
+        """The memory that the process has for its peers."""
+        return self.body_share.budget
+
     async def read_body(self) -> Result[bytes, Failure]:
         """Wait for the whole request body and return it.
 
-        Fails as `timed_out`, or as `refused` or `overloaded` if the server
-        refused the body.
+        Little of the body is received before this call. Fails as `timed_out`,
+        or as `refused` or `overloaded` if the server refused the body.
         """
+        if not self.is_body_wanted:
+            self.is_body_wanted = True
+            self._connection.receive_wanted_body()
         if not self._body_ended.is_set():
             timeout_s = self._connection.bounds.body_timeout_s
             try:
@@ -69,7 +88,10 @@
                 return Failed(self._build_body_failure(FailureKind.timed_out))
         if self.body_refusal is not None:
             return Failed(self._build_body_failure(self.body_refusal))
-        return Success(bytes(self._body))
+        if isinstance(self._body, bytearray):
+            # The copy replaces what it was made from; one of them is kept.
+            self._body = bytes(self._body)
+        return Success(self._body)
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the head of the response; waits while the peer reads slowly."""
@@ -163,11 +185,14 @@
 
         It is refused beyond its size limit or the memory of the server.
         """
-        limit = self._connection.bounds.max_body_bytes
-        if len(self._body) + len(chunk) > limit:
+        if self.body_refusal is not None:
+            return
+        connection = self._connection
+        size_bytes = len(self._body) + len(chunk)
+        if size_bytes > connection.bounds.max_body_bytes:
             self.refuse_body(FailureKind.refused)
-        elif self._connection.body_budget.try_reserve(len(chunk)):
-            self._body.extend(chunk)
+        elif self.body_share.try_resize(size_bytes, connection.buffers):
+            self._body += chunk
         else:
             self.refuse_body(FailureKind.overloaded)
 
@@ -187,8 +212,8 @@
 
     def discard_body(self) -> None:
         """Discard the received body and release its bytes in the budget."""
-        self._connection.body_budget.release(len(self._body))
-        self._body.clear()
+        self.body_share.resize(0)
+        self._body = bytearray()
 
     def _build_body_failure(self, kind: FailureKind) -> Failure:
         return Failure(kind=kind, step='read body', peer=self.head.peer)
--- a/persimmonhold/web/_server.py
+++ b/persimmonhold/web/_server.py
@@ -6,9 +6,9 @@
 from typing import Self, final
 
 from persimmonhold.web._address import Address
-from persimmonhold.web._body_budget import BodyBudget
 from persimmonhold.web._bounds import HttpBounds
 from persimmonhold.web._exchange_handler import ExchangeHandler
+from persimmonhold.web._memory_budget import MemoryBudget
 from persimmonhold.web._server_connection import ServerConnection
 
 
@@ -32,7 +32,7 @@
         '_tls',
         'address',
         'bounds',
-        'body_budget',
+        'budget',
     )
 
     def __init__(
@@ -41,11 +41,17 @@
         handler: ExchangeHandler,
         bounds: HttpBounds,
         tls: ssl.SSLContext | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
-        """Create a server for `address`; port 0 chooses a free port."""
+        """Create a server for `address`; port 0 chooses a free port.
+
+        The servers of a process share a budget; a server without one has its
+        own.
+        """
         self.address = address
         self.bounds = bounds
-        self.body_budget = BodyBudget(bounds.max_buffered_bytes)
+        self.budget = budget or MemoryBudget(bounds.max_buffered_bytes)
+        self.budget.admit_bodies(bounds.max_body_bytes)
         self._address = address
         self._handler = handler
         self._tls = tls
@@ -63,6 +69,7 @@
             self._address.host,
             self._address.port,
             ssl=self._tls,
+            backlog=self.budget.accept_burst,
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = Address(self._address.host, port)
@@ -94,6 +101,7 @@
     def update_bounds(self, bounds: HttpBounds) -> None:
         """Replace the limits of open and later connections."""
         self.bounds = bounds
+        self.budget.admit_bodies(bounds.max_body_bytes)
         for connection in self._connections:
             connection.bounds = bounds
 
@@ -120,7 +128,7 @@
         connection = ServerConnection(
             self._handler,
             self.bounds,
-            self.body_budget,
+            self.budget,
             self._unregister,
         )
         connection.on_open = self._register
@@ -131,7 +139,7 @@
         connection.is_close_announced = self._is_closing
         self._connections.add(connection)
         is_full = len(self._connections) > self.bounds.max_connections
-        connection.is_refused = is_full
+        connection.is_refused = is_full or not connection.buffers.open(self)
         if self._is_draining:
             connection.close_when_idle()
 
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -2,7 +2,8 @@
 
 Invariants: one exchange is served at a time; a disconnect of the peer
 cancels the task that serves it; pausing the transport bounds the bytes that
-wait to be parsed; no timer outlives the connection. A peer that closes its
+wait to be parsed; a request is begun only after the peer has read most of the
+response before it; no timer outlives the connection. A peer that closes its
 sending half counts as disconnected, since a process that dies looks the
 same.
 """
@@ -15,15 +16,19 @@
 import h11
 
 from persimmonhold.failures import FailureKind
-from persimmonhold.web._body_budget import BodyBudget
 from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._connection_buffers import ConnectionBuffers
 from persimmonhold.web._connection_timer import ConnectionTimer
 from persimmonhold.web._exchange import Exchange
 from persimmonhold.web._exchange_handler import ExchangeHandler
+from persimmonhold.web._head_field_counter import HeadFieldCounter
+from persimmonhold.web._memory_budget import MemoryBudget
 from persimmonhold.web._parse_turns import (
     MAX_EVENTS_PER_TURN,
     ParseTurn,
 )
+from persimmonhold.web._read_protocol import MAX_READ_BYTES, ReadProtocol
+from persimmonhold.web._rejection import Rejection
 from persimmonhold.web._request_head import RequestHead
 
 _BAD_REQUEST: Final = 400
@@ -37,19 +42,20 @@
 
 
 @final
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(ReadProtocol):
     """Parses requests with h11 and serves them through a handler."""
 
     def __init__(
         self,
         handler: ExchangeHandler,
         bounds: HttpBounds,
-        budget: BodyBudget,
+        budget: MemoryBudget,
         on_close: Callable[['ServerConnection'], None],
     ) -> None:
         """Create a connection that calls `on_close` when it is closed."""
         self.bounds = bounds
-        self.body_budget = budget
+        self.budget = budget
+        self.buffers = ConnectionBuffers(self, budget)
         self.is_close_announced = False
         self.on_open: Callable[[ServerConnection], None] | None = None
         self.is_refused = False
@@ -61,13 +67,15 @@
         )
         self._transport: asyncio.Transport | None = None
         self._writable = asyncio.Event()
-        self._exchange: Exchange | None = None
+        self.exchange: Exchange | None = None
+        self._fields = HeadFieldCounter()
         self._task: asyncio.Task[None] | None = None
         self.timer = ConnectionTimer()
         self._is_idle = True
         self._is_lingering = False
         self._is_rejecting = False
         self._is_draining = False
+        self._is_next_delayed = False
         self._turn = ParseTurn(self._take_turn)
         self._peer = ''
 
@@ -76,6 +84,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._writable.set()
+        self.buffers.transport = transport
         if self.on_open is not None:
             self.on_open(self)
         if self.is_refused:
@@ -92,7 +101,7 @@
         """Parse received bytes and act on them."""
         if self._is_lingering:
             return
-        if self._exchange is None and self._is_idle:
+        if self.exchange is None and self._is_idle:
             # The timer covers the whole head, so that a sender which sends
             # it byte by byte cannot extend it.
             self._is_idle = False
@@ -100,6 +109,11 @@
                 self.bounds.head_timeout_s,
                 partial(self._reject, self.bounds.slow_head_status),
             )
+        if self.exchange is None:
+            self.buffers.hold_input(self.buffers.input_bytes + len(data))
+            if self._fields.count(data) > self.bounds.max_header_fields:
+                self._reject(_HEAD_TOO_LARGE)
+                return
         self._parser.receive_data(data)
         self._process_events()
 
@@ -111,6 +125,7 @@
         """Cancel the task of the request in progress and call `on_close`."""
         self.timer.stop()
         self._transport = None
+        self.buffers.close()
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
@@ -120,11 +135,18 @@
         """Block senders while the peer reads slowly, for a limited time."""
         self._writable.clear()
         self.timer.start(self.bounds.send_timeout_s, self.abort)
+        self.buffers.pause_output()
 
     def resume_writing(self) -> None:
-        """Unblock senders."""
+        """Unblock senders, or begin the next request that was delayed."""
         self._writable.set()
-        exchange = self._exchange
+        self.buffers.resume_output()
+        exchange = self.exchange
+        if self._is_next_delayed:
+            self._is_next_delayed = False
+            self.timer.stop()
+            self._start_next_cycle()
+            return
         if exchange is None:
             return  # the timer is that of an idle or closing connection
         self.timer.stop()
@@ -138,8 +160,11 @@
         """
         if self._transport is None:
             return False
-        if self._asks_to_close and isinstance(event, h11.Response):
-            event = _add_close_header(event)
+        if isinstance(event, h11.Response):
+            if self.exchange is not None and not self.exchange.is_body_wanted:
+                _skip_received_body(self._parser)
+            if self._asks_to_close:
+                event = _add_close_header(event)
         encoded = self._parser.send(event)
         if encoded:
             self._transport.write(encoded)
@@ -155,9 +180,25 @@
 
     def abort(self) -> None:
         """Close the connection at once and drop unsent bytes."""
+        self._is_lingering = True
         if self._transport is not None:
             self._transport.abort()
 
+    def receive_wanted_body(self) -> None:
+        """Receive the body of the request, as its handler waits for it."""
+        exchange = self.exchange
+        if self._transport is None or exchange is None:
+            return
+        if exchange.body_refusal or not exchange.is_body_awaited:
+            return
+        if self._parser.they_are_waiting_for_100_continue:
+            self.write_event(
+                h11.InformationalResponse(status_code=100, headers=[]),
+            )
+        self.buffers.hold_input(0)
+        self._transport.resume_reading()
+        self._process_events()
+
     def close_when_idle(self) -> None:
         """Close soon if no request is in progress, else after its response.
 
@@ -165,7 +206,7 @@
         """
         self.is_close_announced = True
         self._is_draining = True
-        if self._exchange is None and self._is_idle:
+        if self.exchange is None and self._is_idle:
             self.timer.start(_LAST_READ_S, self._close)
 
     @property
@@ -179,7 +220,9 @@
         return self.is_close_announced and not _has_next_request(self._parser)
 
     def _close(self) -> None:
+        """Close after the peer has read what was sent, for a limited time."""
         if self._transport is not None:
+            self.timer.start(self.bounds.send_timeout_s, self.abort)
             self._transport.close()
 
     def _process_events(self) -> None:
@@ -197,7 +240,7 @@
         self._turn.request(self._transport)
 
     def _take_turn(self) -> None:
-        exchange = self._exchange
+        exchange = self.exchange
         is_refused = exchange is not None and exchange.body_refusal is not None
         if self._transport is not None and not is_refused:
             self._transport.resume_reading()
@@ -213,40 +256,50 @@
         if isinstance(event, h11.Data):
             return self._receive_body(event.data)
         if isinstance(event, h11.EndOfMessage):
-            if self._exchange is not None:
-                self._exchange.mark_body_complete()
+            if self.exchange is not None:
+                self.exchange.mark_body_complete()
             return True
         if event is h11.PAUSED and self._transport is not None:
             self._transport.pause_reading()
+            self.buffers.hold_input(len(self._parser.trailing_data[0]))
         return False
 
     def _receive_body(self, chunk: bytes) -> bool:
-        if self._exchange is None:
+        if self.exchange is None:
             return False
-        self._exchange.receive_body_chunk(chunk)
-        if self._exchange.body_refusal and self._transport is not None:
+        self.exchange.receive_body_chunk(chunk)
+        if self.exchange.body_refusal and self._transport is not None:
             self._transport.pause_reading()
-        return self._exchange.body_refusal is None
+        return self.exchange.body_refusal is None
 
     def _begin_exchange(self, request: h11.Request) -> bool:
         self.timer.stop()
-        if _count_head_bytes(request) > self.bounds.max_head_bytes:
+        self._fields.reset()
+        self.buffers.hold_input(0)
+        text_bytes = _count_head_bytes(request)
+        field_count = len(request.headers)
+        if (
+            text_bytes > self.bounds.max_head_bytes
+            or field_count > self.bounds.max_header_fields
+        ):
             self._reject(_HEAD_TOO_LARGE)
             return False
+        self.buffers.begin_request(text_bytes, field_count)
         if _has_conflicting_framing(request):
             self._reject(_BAD_REQUEST)
             return False
         exchange = Exchange(_convert_request_head(request, self._peer), self)
-        self._exchange = exchange
+        self.exchange = exchange
         if _parse_content_length(request) > self.bounds.max_body_bytes:
             exchange.refuse_body(FailureKind.refused)
-        elif self._parser.they_are_waiting_for_100_continue:
-            self.write_event(
-                h11.InformationalResponse(status_code=100, headers=[]),
-            )
         self._task = asyncio.get_running_loop().create_task(
             self._serve(exchange),
         )
+        if _may_have_long_body(request) and self._transport is not None:
+            # The rest waits until the handler has accepted the request.
+            self._transport.pause_reading()
+            self.buffers.hold_input(len(self._parser.trailing_data[0]))
+            return False
         return exchange.body_refusal is None
 
     async def _serve(self, exchange: Exchange) -> None:
@@ -259,17 +312,20 @@
 
     def _end_exchange(self, exchange: Exchange) -> None:
         self._task = None
-        self._exchange = None
+        self.exchange = None
         exchange.on_writable = None
         exchange.discard_body()
         if self._transport is None:
             return
-        if not exchange.has_response_started:
-            self._reject(_INTERNAL_ERROR)
-        elif not exchange.has_response_ended:
+        if exchange.has_response_ended:
+            # The timer of a peer that does not read goes on.
+            self._is_next_delayed = not self._writable.is_set()
+            if self._writable.is_set():
+                self._start_next_cycle()
+        elif exchange.has_response_started:
             self.abort()
         else:
-            self._start_next_cycle()
+            self._reject(_INTERNAL_ERROR)
 
     def _start_next_cycle(self) -> None:
         if self._transport is None:
@@ -282,6 +338,7 @@
             self._linger()
             return
         self._parser.start_next_cycle()
+        self.buffers.finish_request()
         self._is_idle = True
         self._transport.resume_reading()
         self.timer.start(self.bounds.idle_timeout_s, self._close)
@@ -303,8 +360,9 @@
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             is_large = status == _HEAD_TOO_LARGE
             refused = self.bounds.large_head_status if is_large else status
-            self._write_rejection(refused)
-        elif self._exchange is not None:
+            self._is_rejecting = True
+            _write_rejection(self, self._handler.build_rejection(refused))
+        elif self.exchange is not None:
             # The request body is malformed and the response has begun.
             self.abort()
         self._linger()
@@ -326,19 +384,20 @@
             self._transport.write_eof()
         self.timer.start(_LINGER_S, self.abort)
 
-    def _write_rejection(self, status: int) -> None:
-        self._is_rejecting = True
-        rejection = self._handler.build_rejection(status)
-        headers = [
-            (b'content-type', b'application/problem+json'),
-            (b'content-length', str(len(rejection.body)).encode('ascii')),
-            *rejection.headers,
-        ]
-        self.write_event(
-            h11.Response(status_code=rejection.status, headers=headers),
-        )
-        self.write_event(h11.Data(data=rejection.body))
-        self.write_event(h11.EndOfMessage())
+
+def _write_rejection(
+    connection: ServerConnection, rejection: Rejection
+) -> None:
+    headers = [
+        (b'content-type', b'application/problem+json'),
+        (b'content-length', str(len(rejection.body)).encode('ascii')),
+        *rejection.headers,
+    ]
+    connection.write_event(
+        h11.Response(status_code=rejection.status, headers=headers),
+    )
+    connection.write_event(h11.Data(data=rejection.body))
+    connection.write_event(h11.EndOfMessage())
 
 
 def _convert_request_head(request: h11.Request, peer: str) -> RequestHead:
@@ -357,6 +416,29 @@
     )
 
 
+def _may_have_long_body(request: h11.Request) -> bool:
+    """Tell whether the body may be longer than what one read holds."""
+    if _parse_content_length(request) > MAX_READ_BYTES:
+        return True
+    return any(name == b'transfer-encoding' for name, _ in request.headers)
+
+
+def _skip_received_body(parser: h11.Connection) -> None:
+    """Drop the body of a refused request as far as it has arrived.
+
+    If it is complete, the connection can be used for the next request.
+    """
+    for _ in range(MAX_EVENTS_PER_TURN):
+        if parser.their_state is not h11.SEND_BODY:
+            return
+        try:
+            event = parser.next_event()
+        except h11.RemoteProtocolError:
+            return
+        if not isinstance(event, h11.Data):
+            return
+
+
 def _has_next_request(parser: h11.Connection) -> bool:
     """Tell whether bytes were received behind a complete request."""
     return parser.their_state is h11.DONE and bool(parser.trailing_data[0])
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -28,11 +28,11 @@
 from persimmonhold.failures import FailureKind
 from persimmonhold.web import (
     Address,
-    BodyBudget,
     Exchange,
     ExchangeHandler,
     HttpBounds,
     HttpServer,
+    MemoryBudget,
     Rejection,
 )
 from persimmonhold.web._server_connection import ServerConnection
@@ -62,7 +62,7 @@
 class _Transport(asyncio.Transport):
     """Collects written bytes; closes like the transports of the event loop."""
 
-    def __init__(self, protocol: asyncio.Protocol) -> None:
+    def __init__(self, protocol: asyncio.BaseProtocol) -> None:
         super().__init__()
         self.protocol = protocol
         self.written = b''
@@ -75,6 +75,10 @@
         """Collect the bytes."""
         self.written += bytes(data)
 
+    def get_write_buffer_size(self) -> int:
+        """Return 0: all bytes are taken at once."""
+        return 0
+
     def close(self) -> None:
         """Report the end of the connection in the next loop iteration."""
         self.ended.set()
@@ -138,10 +142,10 @@
 class _ConnectionDriver:
     """Drives a connection through a fake transport and an echo handler."""
 
-    def __init__(self, budget: BodyBudget | None = None) -> None:
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
         self.ends: list[ServerConnection] = []
         self.handler = _Echo()
-        self.budget = budget or BodyBudget(_BOUNDS.max_buffered_bytes)
+        self.budget = budget or MemoryBudget(_BOUNDS.max_buffered_bytes)
         self.connection = ServerConnection(
             self.handler,
             _BOUNDS,
@@ -356,7 +360,7 @@
 
 def test_bodies_share_a_budget_and_give_it_back() -> None:
     async def scenario() -> tuple[bytes, int]:
-        budget = BodyBudget(_BOUNDS.max_buffered_bytes)
+        budget = MemoryBudget(_BOUNDS.max_buffered_bytes)
         first, second = _ConnectionDriver(budget), _ConnectionDriver(budget)
         half = _request(0, b'x' * 400, chunked=False)
         await first.feed(half[:-1])
