--- a/bench/entry_relay.py
+++ b/bench/entry_relay.py
@@ -23,12 +23,12 @@
 from persimmonhold.attempts import EventFramer
 from persimmonhold.web import (
     Address,
-    BodyBudget,
     ClientConnection,
     ClientRequest,
     Exchange,
     ExchangeHandler,
     HttpBounds,
+    MemoryBudget,
     ResponseBodySink,
 )
 from persimmonhold.web._server_connection import ServerConnection
@@ -119,7 +119,7 @@
     server = ServerConnection(
         _Relay(upstream, uses_stream_body),
         HttpBounds(),
-        BodyBudget(1),
+        MemoryBudget(1),
         lambda _: None,
     )
     server.connection_made(caller)
--- a/persimmonhold/web/_head_field_counter.py
+++ b/persimmonhold/web/_head_field_counter.py
@@ -15,23 +15,23 @@
     head with too many is refused before.
     """
 
-    __slots__ = ('_field_count', '_tail')
+    __slots__ = ('_line_count', '_tail')
 
     def __init__(self) -> None:
         """Create the counter of a head of which nothing was received."""
-        self._field_count = 0
+        self._line_count = 0
         self._tail = b''
 
     def count(self, received: bytes) -> int:
         """Return the number of fields up to the end of the head so far."""
         seen = self._tail + received
         end = _HEAD_END.search(seen)
-        stop = end.start() if end else len(seen)
-        self._field_count += seen.count(b'\n', len(self._tail), stop)
+        stop = end.start() + 1 if end else len(seen)
+        self._line_count += seen.count(b'\n', len(self._tail), stop)
         self._tail = b'' if end else seen[-_MAX_PARTIAL_END_BYTES:]
-        return self._field_count
+        return max(0, self._line_count - 1)
 
     def reset(self) -> None:
         """Begin with the next head."""
-        self._field_count = 0
+        self._line_count = 0
         self._tail = b''
