--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -6,6 +6,7 @@
 from persimmonhold.web._buffer_share import BufferShare
 from persimmonhold.web._client_connection import ClientConnection
 from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._connection_buffers import CONNECTION_BYTES
 from persimmonhold.web._end_to_end import select_end_to_end_headers
 from persimmonhold.web._exchange import Exchange
 from persimmonhold.web._exchange_handler import ExchangeHandler
@@ -38,6 +39,7 @@
 __all__ = (
     'CALLER_HEADER',
     'COMMAND_ID_HEADER',
+    'CONNECTION_BYTES',
     'DEADLINE_MS_HEADER',
     'IDEMPOTENCY_KEY_HEADER',
     'IF_MATCH_HEADER',
--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -13,7 +13,7 @@
     from persimmonhold.web._server_connection import ServerConnection
 
 # Objects of a connection without a request: parser, transport and timer.
-_CONNECTION_BYTES: Final = 8192
+CONNECTION_BYTES: Final = 8192
 # Objects of a parsed field besides its text, which is held twice.
 _FIELD_BYTES: Final = 200
 # A peer that reads takes what is sent within a few round trips.
@@ -102,6 +102,8 @@
     def hold_input(self, size_bytes: int) -> None:
         """Hold bytes that were received and not parsed."""
         if size_bytes != self.input_bytes:
+            if not self.input_bytes and self.connection.exchange is None:
+                self.since = _now()
             self.input_bytes = size_bytes
             self._reserve()
 
@@ -117,8 +119,11 @@
         self._reserve()
 
     def compute_excess(self, now: float) -> float:
-        """Return the bytes held times the seconds without progress."""
-        held = self.share.size_bytes
+        """Return the bytes held times the seconds without progress.
+
+        A connection that is only open holds too little to be closed for it.
+        """
+        held = self.share.size_bytes - CONNECTION_BYTES
         if self.output_bytes:
             unread_s = now - self.paused_at
             return held * unread_s if unread_s >= _UNREAD_S else 0
@@ -160,7 +165,7 @@
         if not self.is_open:
             return
         held = self.head_bytes + self.input_bytes + self.output_bytes
-        self.share.resize(_CONNECTION_BYTES + held)
+        self.share.resize(CONNECTION_BYTES + held)
 
 
 def _now() -> float:
