--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -11,6 +11,7 @@
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.forwarding import FleetBounds
 from persimmonhold.observability import STANDARD_OUTPUT
+from persimmonhold.platform._vm_limits import VmLimits
 from persimmonhold.platform._wire_bounds import (
     WireBounds,
     build_fleet_bounds,
@@ -79,6 +80,7 @@
     data_dir: str = ''
     fault_tolerance: _Tolerance = _Tolerance()
     bounds: WireBounds = WireBounds()
+    limits: VmLimits = VmLimits()
 
 
 @final
@@ -133,6 +135,8 @@
             failure_domain=wire.zone,
             roles=','.join(roles),
             data_directory=wire.data_dir,
+            memory_mb=max(0, int(wire.limits.memory_mb)),
+            max_descriptors=max(0, wire.limits.max_fds),
         ),
         callers=CallerSettings(address=wire.listen.frontend),
         operators=OperatorSettings(address=wire.listen.control),
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -1,11 +1,12 @@
 """HTTP/1.1 on asyncio and h11: servers, connections and addresses."""
 
 from persimmonhold.web._address import Address, parse_address
-from persimmonhold.web._body_budget import BodyBudget
 from persimmonhold.web._body_end import BodyEnd
 from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._buffer_share import BufferShare
 from persimmonhold.web._client_connection import ClientConnection
 from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._connection_buffers import CONNECTION_BYTES
 from persimmonhold.web._end_to_end import select_end_to_end_headers
 from persimmonhold.web._exchange import Exchange
 from persimmonhold.web._exchange_handler import ExchangeHandler
@@ -26,6 +27,7 @@
     encode_headers,
     find_header,
 )
+from persimmonhold.web._memory_budget import EvictionCause, MemoryBudget
 from persimmonhold.web._peer_timeout import PeerTimeout
 from persimmonhold.web._rejection import Rejection
 from persimmonhold.web._request_head import RequestHead
@@ -37,6 +39,7 @@
 __all__ = (
     'CALLER_HEADER',
     'COMMAND_ID_HEADER',
+    'CONNECTION_BYTES',
     'DEADLINE_MS_HEADER',
     'IDEMPOTENCY_KEY_HEADER',
     'IF_MATCH_HEADER',
@@ -47,8 +50,10 @@
     'RESUME_OFFSET_HEADER',
     'SERVICE_CLASS_HEADER',
     'Address',
-    'BodyBudget',
     'BodyEnd',
+    'BufferShare',
+    'EvictionCause',
+    'MemoryBudget',
     'ResponseBodySink',
     'ClientConnection',
     'ClientRequest',
