--- a/bench/platform_settings.py
+++ b/bench/platform_settings.py
@@ -13,6 +13,7 @@
     VMs whose name begins with `c` run control and are seeds, others are
     entries. Their hosts are in `network`, the first two bytes of an address,
     and their ports follow `first_port`. `tolerated` control VMs may fail.
+    `bounds` are further lines of the section of that name.
     `is_first_start` is True until the system has started for the first time.
     """
 
@@ -22,6 +23,7 @@
     list_address: str = ''
     grace_s: float
     tolerated: int = 0
+    bounds: str = ''
     is_first_start: bool = True
 
     def host(self, name: str) -> str:
@@ -62,4 +64,5 @@
             f'[listen]\n{listen}[cloud]\naddress = "{self.list_address}"\n'
             f'[fault-tolerance]\nmachines = {self.tolerated}\n'
             f'[bounds]\nlease-ms = 100\ngrace-s = {self.grace_s}\n'
+            f'{self.bounds}'
         )
