--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -373,6 +373,7 @@
         wait_s = 0.0  # other entries can accept the request at once
         if reason != _STOPPING:
             wait_s = self._expected_service_at(pending, now) - now
+        ahead = queue.count_ahead(pending)
         self.queue_of(pending).remove_request(pending)
         self.pending.pop(pending.request.number, None)
         if reason != TURNED_AWAY_REASON:
@@ -385,6 +386,8 @@
             retry_after_s=after_s * spread,
             waited_s=now - pending.queued_at,
             queue_length=len(queue),
+            ahead=ahead,
+            is_late=pending.is_late,
             holder_count=self.chooser.count_holders(pending, now),
             list_age_s=now - self.listed_at,
         )
@@ -449,6 +452,7 @@
             expected_s=expected_s,
             waited_s=now - pending.queued_at,
             running=running,
+            is_late=pending.is_late,
         )
 
     def _is_hopeless(
--- a/persimmonhold/forwarding/_dispatched_attempt.py
+++ b/persimmonhold/forwarding/_dispatched_attempt.py
@@ -164,6 +164,7 @@
             waited_ms=round(action.waited_s * _MS_PER_S, 1),
             expected_ms=round(action.expected_s * _MS_PER_S, 1),
             running=action.running,
+            was_late=action.is_late,
             adapter_absent=action.needs_adapter,
             body_end=result.body_end,
             within_event=result.is_within_event,
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -263,6 +263,8 @@
             reason=action.reason,
             waited_ms=round(action.waited_s * _MS_PER_S, 1),
             line=action.queue_length,
+            ahead=action.ahead,
+            was_late=action.is_late,
             holders=action.holder_count,
             list_age_s=round(action.list_age_s, 2),
             retry_after_s=round(action.retry_after_s, 2),
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -14,6 +14,7 @@
     AttemptEnd,
     DispatchRequest,
     ForwardDispatcher,
+    RefuseRequest,
     SendRequest,
 )
 from tests.fleet_builders import (
@@ -195,6 +196,29 @@
     assert_that(served, GreaterThan(0.5 * len(sent) / 300))
 
 
+def test_hundred_callers_at_once_are_refused_at_once_at_different_times() -> (
+    None
+):
+    """They would all come back in the same moment, or wait in vain."""
+    dispatcher = _make_full()
+    refused: list[float] = []
+    for number in range(1, 101):
+        request = msgspec.structs.replace(
+            _make(number, 1.0), caller_waits_until=2.8
+        )
+        for action in dispatcher.submit_request(request, 1.0):
+            assert isinstance(action, RefuseRequest)
+            assert_that(action.number, Equals(number))
+            refused.append(action.retry_after_s)
+    waiting = len(dispatcher.queues['models', 'm1'])
+    assert_that(len(refused), GreaterThan(50))
+    assert_that(waiting + len(refused), Equals(100))
+    # No slot is expected before those that wait have had theirs.
+    assert_that(min(refused), GreaterThan(1.5))
+    assert_that(max(refused) / min(refused), GreaterThan(1.3))
+    assert_that(len(set(refused)), Equals(len(refused)))
+
+
 def _count_calls(waiting: int) -> int:
     """Count the calls of one ordering of a number of waiting requests."""
     dispatcher = _make_full()
