--- a/tests/test_priority_load.py
+++ b/tests/test_priority_load.py
@@ -11,6 +11,7 @@
     TOLERANT,
     URGENT,
     Arrivals,
+    Outcomes,
     PriorityLoad,
     credit_share,
     total_credit,
@@ -53,3 +54,27 @@
     assert_that(credit_share(outcomes, CHECK), GreaterThan(least_check))
     assert_that(credit_share(outcomes, TOLERANT), GreaterThan(0.4))
     assert_that(total_credit(outcomes), GreaterThan(least_total))
+
+
+def _served(outcomes: Outcomes) -> float:
+    return sum(one.credit > 0 for one in outcomes) / len(outcomes)
+
+
+def test_workspace_at_six_times_the_others_does_not_displace_them() -> None:
+    """It was served as often as the fifteen others, which lost by its load."""
+    per_s = _PER_S / 21
+    load = (
+        Arrivals(URGENT, 6 * per_s, workspace='big'),
+        *(
+            Arrivals(URGENT, per_s, workspace=f'w{number}')
+            for number in range(15)
+        ),
+    )
+    outcomes = PriorityLoad(3, _ENGINES, seed=0).run(30, load)
+    big = [one for one in outcomes if one.workspace == 'big']
+    others = [one for one in outcomes if one.workspace != 'big']
+    assert_that(_served(others), GreaterThan(0.8))
+    assert_that(_served(others), GreaterThan(_served(big) + 0.1))
+    by_size = sorted(outcomes, key=lambda one: one.stream.prompt)
+    largest = by_size[-len(by_size) // 10 :]
+    assert_that(_served(largest), GreaterThan(_served(outcomes) / 2))
