--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -388,6 +388,7 @@
         wait_s = 0.0  # other entries can accept the request at once
         if reason != _STOPPING:
             wait_s = self._expected_service_at(pending, now) - now
+        ahead = queue.count_ahead(pending)
         self.queue_of(pending).remove_request(pending)
         self.pending.pop(pending.request.number, None)
         if reason != TURNED_AWAY_REASON:
@@ -400,6 +401,8 @@
             retry_after_s=after_s * spread,
             waited_s=now - pending.queued_at,
             queue_length=len(queue),
+            ahead=ahead,
+            is_late=pending.is_late,
             holder_count=self.chooser.count_holders(pending, now),
             list_age_s=now - self.listed_at,
         )
@@ -466,6 +469,7 @@
             running=running,
             cached_tokens=round(choice.forecast.cached_tokens),
             tokens_per_s=round(choice.forecast.tokens_per_s),
+            is_late=pending.is_late,
         )
 
     def _is_hopeless(
--- a/persimmonhold/forwarding/_dispatched_attempt.py
+++ b/persimmonhold/forwarding/_dispatched_attempt.py
@@ -167,6 +167,7 @@
             running=action.running,
             cached_tokens=action.cached_tokens,
             tokens_per_s=action.tokens_per_s,
+            was_late=action.is_late,
             adapter_absent=action.needs_adapter,
             body_end=result.body_end,
             within_event=result.is_within_event,
