--- a/tests/test_untrusted_callers.py
+++ b/tests/test_untrusted_callers.py
@@ -226,3 +226,16 @@
         await asyncio.sleep(1)
 
     _check(tmp_path, 'callers', crowd)
+
+
+def test_request_at_the_limits_is_served(tmp_path: Path) -> None:
+    """Guard: the largest body, and a long head of 400 fields."""
+
+    async def crowd(system: UntrustedSystem) -> None:
+        fields = {f'x-{number}': 'y' * 30 for number in range(400)}
+        is_answered = await system.is_answered(
+            'callers', '/app/echo', bytes(_BODY_BYTES), **fields
+        )
+        assert_that(is_answered, Equals(True))
+
+    _check(tmp_path, 'callers', crowd)
--- a/tests/untrusted_system.py
+++ b/tests/untrusted_system.py
@@ -183,14 +183,18 @@
             text = self.settings.address(_ENTRY, _SOCKETS[socket_name])
         return parse_address(text).unwrap()
 
-    async def is_answered(self, socket_name: str, target: str) -> bool:
+    async def is_answered(
+        self, socket_name: str, target: str, body: bytes = b'', **fields: str
+    ) -> bool:
         """Tell whether an ordinary request is answered, tried for a time."""
         request = ClientRequest(
-            method='GET',
+            method='POST' if body else 'GET',
             target=target,
+            body=body,
             headers=encode_headers({
                 names.REQUEST_ID: 'ordinary',
                 names.DEADLINE_MS: '5000',
+                **fields,
             }),
             host=HOST,
         )
