Weigh the entries in the platform's directory by their usable cores

Callers pick one of at most 64 addresses at random, so the weight becomes how often an entry is included in an answer. With equal weights, answers are as before.

--- a/persimmonhold/directory/__init__.py
+++ b/persimmonhold/directory/__init__.py
@@ -1,14 +1,19 @@
 """The directory of entry addresses, and the planned stop of an entry."""
 
-from persimmonhold.directory._directory import Directory
+from typing import TYPE_CHECKING
+
+from persimmonhold._lazy_exports import LazyExports
+from persimmonhold.directory._directory import Directory, sample_addresses
 from persimmonhold.directory._directory_entry import (
     DirectoryEntry,
     DirectoryResponse,
 )
-from persimmonhold.directory._drain import Drain
-from persimmonhold.directory._drain_phase import DrainPhase
 from persimmonhold.directory._stop_schedule import StopSchedule
 
+if TYPE_CHECKING:
+    from persimmonhold.directory._drain import Drain
+    from persimmonhold.directory._drain_phase import DrainPhase
+
 __all__ = (
     'Directory',
     'DirectoryResponse',
@@ -16,4 +21,10 @@
     'Drain',
     'DrainPhase',
     'StopSchedule',
+    'sample_addresses',
 )
+
+if not TYPE_CHECKING:
+    __getattr__ = LazyExports(
+        __name__, {'Drain': '_drain', 'DrainPhase': '_drain_phase'}
+    )
--- a/persimmonhold/directory/_directory.py
+++ b/persimmonhold/directory/_directory.py
@@ -6,6 +6,8 @@
 come first, unless this entry is in the same domain and is overloaded.
 """
 
+import random
+from collections.abc import Sequence
 from typing import Final, final
 
 from persimmonhold.directory._directory_entry import (
@@ -20,6 +22,9 @@
 # However loaded it is, an entry lists itself with at least this fraction of its
 # configured weight.
 _MIN_WEIGHT_FRACTION: Final = 0.05
+# As many addresses are drawn, even if the heaviest entry then is due several of
+# them: most callers should have a second one if the first is unreachable.
+_MIN_SAMPLE: Final = 4
 
 
 @final
@@ -98,3 +103,59 @@
             failure_domain=vm.failure_domain,
             weight=round(weight, 3),
         )
+
+
+def sample_addresses(
+    entries: Sequence[DirectoryEntry], max_count: int, rng: random.Random
+) -> list[str]:
+    """Return addresses, from which a caller picks one at random.
+
+    With equal weights, these are the first `max_count`. Otherwise an entry is
+    as often included as its weight requires, so that entries are picked in
+    proportion to their weights. The order stays that of `entries`. If those of
+    the first failure domain are enough, only they are included.
+    """
+    if len({entry.weight for entry in entries}) < 2:
+        return [entry.address for entry in entries[:max_count]]
+    nearest = _count_nearest(entries)
+    pool = list(entries[:nearest] if nearest >= max_count else entries)
+    total = sum(entry.weight for entry in pool)
+    heaviest = max(entry.weight for entry in pool)
+    count = min(max_count, int(total / heaviest))
+    count = min(len(pool), max(_MIN_SAMPLE, count))
+    drawn = _draw(pool, count, rng)
+    return [entry.address for entry in pool if entry.address in drawn]
+
+
+def _count_nearest(entries: Sequence[DirectoryEntry]) -> int:
+    """Count the first entries that are of the same failure domain."""
+    domain = entries[0].failure_domain
+    count = 0
+    for entry in entries:
+        if entry.failure_domain != domain:
+            break
+        count += 1
+    return count
+
+
+def _draw(
+    entries: Sequence[DirectoryEntry], count: int, rng: random.Random
+) -> set[str]:
+    """Draw addresses in proportion to their weights, by systematic sampling.
+
+    An entry whose share is above one address is always drawn, which leaves less
+    than `count` addresses.
+    """
+    shuffled = list(entries)
+    rng.shuffle(shuffled)
+    step = sum(entry.weight for entry in entries) / count
+    next_at = step * rng.random()
+    drawn: set[str] = set()
+    passed = 0.0
+    for entry in shuffled:
+        passed += entry.weight
+        if next_at < passed:
+            drawn.add(entry.address)
+        while next_at < passed:
+            next_at += step
+    return drawn or {shuffled[-1].address}
--- a/persimmonhold/platform/_entry_handlers.py
+++ b/persimmonhold/platform/_entry_handlers.py
@@ -1,7 +1,9 @@
 """Handlers of readiness checks and of the directory of entries."""
 
+import random
 from typing import Final, final
 
+from persimmonhold.directory import sample_addresses
 from persimmonhold.forwarding import EntryStatus
 from persimmonhold.platform import _names as names
 from persimmonhold.web import Exchange, ExchangeHandler
@@ -35,6 +37,7 @@
 
     def __init__(self, status: EntryStatus) -> None:
         """Create the handler of an entry."""
+        self.rng = random.Random()
         self.status = status
 
     async def serve(self, exchange: Exchange) -> None:
@@ -44,12 +47,12 @@
             return
         failure_domain = exchange.head.query.get('zone', '')
         response = self.status.list_entries(failure_domain)
-        addresses = [entry.address for entry in response.entries]
+        addresses = sample_addresses(response.entries, _MAX_ADDRESSES, self.rng)
         if not addresses:
             await exchange.respond_json(_UNAVAILABLE, {})
             return
         document = {
-            'addresses': addresses[:_MAX_ADDRESSES],
+            'addresses': addresses,
             'ttl-s': response.ttl_s,
         }
         await exchange.respond_json(_OK, document)
--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -12,6 +12,7 @@
 from persimmonhold.fleet import RetryBounds
 from persimmonhold.forwarding import FleetBounds
 from persimmonhold.observability import STANDARD_OUTPUT
+from persimmonhold.platform._vm_limits import VmLimits
 from persimmonhold.settings import (
     CallerSettings,
     LogSettings,
@@ -87,6 +88,7 @@
     data_dir: str = ''
     fault_tolerance: _Tolerance = _Tolerance()
     bounds: _Bounds = _Bounds()
+    limits: VmLimits = VmLimits()
 
 
 @final
@@ -142,7 +144,9 @@
             roles=','.join(roles),
             data_directory=wire.data_dir,
         ),
-        callers=CallerSettings(address=wire.listen.frontend),
+        callers=CallerSettings(
+            address=wire.listen.frontend, weight=wire.limits.weight
+        ),
         operators=OperatorSettings(address=wire.listen.control),
         peers=_build_peer_settings(wire),
         logs=LogSettings(path=STANDARD_OUTPUT),
