--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -8,6 +8,7 @@
 from persimmonhold.fleet._model_demand import ModelDemand
 from persimmonhold.fleet._request_queue import RequestQueue
 from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._speed_sums import SpeedSums
 
 _MS_PER_S: Final = 1000
 
@@ -76,6 +77,7 @@
             demand=demand,
             limits=_build_limits(dispatcher, now),
             leaving=_list_leaving(dispatcher),
+            speeds=_pop_speeds(dispatcher),
         )
 
 
@@ -136,3 +138,18 @@
         and name in chooser.trackers
         and not chooser.trackers[name].facts.is_leaving
     )
+
+
+def _pop_speeds(dispatcher: ForwardDispatcher) -> tuple[SpeedSums, ...]:
+    """Return the prefill speeds observed since the last report."""
+    chooser = dispatcher.chooser
+    observed = [
+        (name, chooser.trackers[name].learned.pop_unreported())
+        for name in chooser.preference.pop_observed()
+        if name in chooser.trackers
+    ]
+    return tuple(
+        SpeedSums(name, round(tokens), round(seconds * _MS_PER_S))
+        for name, (tokens, seconds) in observed
+        if tokens
+    )
--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -355,6 +355,7 @@
             orders_in_s=max(0, self.orders_start_at - now),
             waiting=self.demand.sum_other_waiting(entry),
             loading=self.facts.loading,
+            speeds=self.demand.speeds.list_changes(now),
         )
 
     def _plan_service(
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from persimmonhold.fleet._fleet_messages import EntryReport, WantedCopy
+from persimmonhold.fleet._fleet_speeds import FleetSpeeds
 from persimmonhold.fleet._lost_streams import LostStreams
 from persimmonhold.fleet._model_load import ModelLoad
 from persimmonhold.fleet._model_waiting import ModelWaiting
@@ -38,7 +39,8 @@
     requests by (upstream, model), and `waiting` those of waiting requests by
     (service, model), of which `waiting_by_entry` has the parts. `load_sums` and
     `waiting_sums` are these sums as sent to entries, or None after a change; a
-    round of updates builds them once for all entries.
+    round of updates builds them once for all entries. `speeds` are the prefill
+    speeds that they have observed.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         'reported_at',
         'running',
         'running_models',
+        'speeds',
         'unread_tokens',
         'waiting',
         'waiting_by_entry',
@@ -68,6 +71,7 @@
         self.running: Counter[str] = Counter()
         self.unread_tokens: Counter[str] = Counter()
         self.running_models: Counter[tuple[str, str]] = Counter()
+        self.speeds = FleetSpeeds()
         self.waiting: Counter[tuple[str, str]] = Counter()
         self.waiting_by_entry: dict[str, dict[_QueueKey, int]] = {}
         self.load_sums: tuple[SharedLoad, ...] | None = None
@@ -95,6 +99,7 @@
         self.last_reports[entry] = report
         self.reported_at[entry] = now
         self._replace_loads(entry, report.loads)
+        self.speeds.record_observations(report.speeds, now)
         for demand in report.demand:
             models = self.model_loads.setdefault(demand.service, {})
             load = models.setdefault(demand.model, ModelLoad(now))
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -14,6 +14,7 @@
 from persimmonhold.fleet._model_loading import ModelLoading
 from persimmonhold.fleet._model_waiting import ModelWaiting
 from persimmonhold.fleet._shared_load import SharedLoad
+from persimmonhold.fleet._speed_sums import SpeedSums
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.quarantine import PromptEvidence, QuarantineUpdate
 from persimmonhold.streams import (
@@ -41,7 +42,8 @@
     `waiting` has the models that requests wait for there. `list_age_s`
     is the age of the latest upstream list. `orders_in_s` is how long a new
     fleet controller still waits before it issues orders. `loading` are the
-    models that nobody serves yet and that are being loaded.
+    models that nobody serves yet and that are being loaded. `speeds` are some
+    of the prefill speeds that the entries have observed.
     """
 
     term: int
@@ -55,6 +57,7 @@
     orders_in_s: float = 0
     waiting: tuple[ModelWaiting, ...] = ()
     loading: tuple[ModelLoading, ...] = ()
+    speeds: tuple[SpeedSums, ...] = ()
 
 
 @final
@@ -129,7 +132,8 @@
     stated to this entry that they leave and that the facts do not show so.
     `streams` have begun lately, or are all that may still be taken up if the
     controller is new; `builds` have served lately. `wanted` are the copies that
-    streams wait for which callers have taken up.
+    streams wait for which callers have taken up. `speeds` are the prefill
+    speeds observed since the last report.
     """
 
     term: int
@@ -143,6 +147,7 @@
     streams: tuple[BegunStream, ...] = ()
     builds: tuple[SeenBuild, ...] = ()
     wanted: tuple[WantedCopy, ...] = ()
+    speeds: tuple[SpeedSums, ...] = ()
 
     @property
     def content(self) -> tuple[object, ...]:
@@ -156,6 +161,7 @@
             self.leaving,
             self.streams,
             self.wanted,
+            self.speeds,
         )
 
 
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -165,6 +165,9 @@
             update.facts, update.gone, now, is_complete=is_complete
         )
         self.chooser.apply_other_loads(update.others, update.waiting, now)
+        self.chooser.preference.apply_speeds(
+            update.speeds, self.chooser.trackers, now
+        )
         self.chooser.orders_start_at = now + update.orders_in_s
         self.ready_at = {
             one.model: now + one.ready_in_s for one in update.loading
--- a/persimmonhold/fleet/_learned_engine.py
+++ b/persimmonhold/fleet/_learned_engine.py
@@ -6,7 +6,9 @@
 from persimmonhold.fleet._first_event_forecast import FirstEventForecast
 from persimmonhold.fleet._prefill_speed import PrefillSpeed
 from persimmonhold.fleet._prompt_keys import stable_hash
+from persimmonhold.fleet._speed_sums import SpeedSums
 
+_MS_PER_S: Final = 1000
 # The usual speed of the service counts like an observation of this many tokens,
 # about those of a typical prompt.
 _USUAL_TOKENS: Final = 800.0
@@ -101,6 +103,10 @@
             tokens, seconds = self.unreported
             self.unreported = (tokens + read_tokens, seconds + max(0, read_s))
 
+    def state_speed(self, sums: SpeedSums, now: float) -> None:
+        """Replace what all entries have observed."""
+        self.stated_speed.replace_sums(sums.tokens, sums.ms / _MS_PER_S, now)
+
     def pop_unreported(self) -> tuple[float, float]:
         """Return the tokens and seconds observed since the last call."""
         unreported = self.unreported
--- a/persimmonhold/fleet/_prompt_popularity.py
+++ b/persimmonhold/fleet/_prompt_popularity.py
@@ -7,8 +7,9 @@
 _HALF: Final = 0.5
 _MAX_PROMPTS: Final = 1024
 # Requests a second with the same shared parts that one upstream is meant for.
-# At capacity, 350 requests a second on 70 upstreams are 5 for each.
-_PER_UPSTREAM_PER_S: Final = 10.0
+# They keep the parts in its cache, as each is used again within seconds; more
+# at one upstream save nothing, and crowd it.
+_PER_UPSTREAM_PER_S: Final = 0.5
 
 
 @final
--- a/persimmonhold/fleet/_upstream_preference.py
+++ b/persimmonhold/fleet/_upstream_preference.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final, final
 
 from persimmonhold.fleet._dispatch_request import DispatchRequest
@@ -20,8 +20,10 @@
 from persimmonhold.fleet._prompt_memory import CachedPrompt, PromptMemory
 from persimmonhold.fleet._prompt_popularity import PromptPopularity
 from persimmonhold.fleet._rendezvous import RANKS, rendezvous_rank
+from persimmonhold.fleet._speed_sums import SpeedSums
 from persimmonhold.fleet._upstream_groups import UpstreamGroups
 from persimmonhold.fleet._upstream_option import UpstreamOption
+from persimmonhold.fleet._upstream_tracker import UpstreamTracker
 from persimmonhold.fleet._usual_speeds import UsualSpeeds
 
 _ADAPTER_ORDER_S: Final = 0.08  # penalty for an order to load the adapter
@@ -30,10 +32,12 @@
 # the same loads; without it they would all choose the same upstream.
 _JITTER_S: Final = 0.04
 _HALF: Final = 0.5
-# Penalty for a full batch, in proportion to the slots in use. Without it, an
-# upstream that many prompts prefer would fill its batch while others are idle,
-# which makes each of its responses several times as slow.
-_CROWDING_S: Final = 0.1
+# Penalty for the share of slots in use above `_CROWDED`. Without it, an upstream
+# that many prompts prefer would fill its batch while others are idle, which
+# makes each of its responses several times as slow. Below that share it would
+# draw all entries to the upstream that last looked idle.
+_CROWDING_S: Final = 0.2
+_CROWDED: Final = 0.5
 # Probability that the upstream which all entries prefer has cached the shared
 # parts of a prompt that this entry has not sent there.
 _ASSUMED_CERTAINTY: Final = 0.7
@@ -54,7 +58,8 @@
     `is_learning` enables the prompt caches and the learned speeds; it is never
     set unless `may_learn`. `prefers_own_domain` enables the preference of
     `failure_domain`.
-    `entry_count` entries share the upstreams.
+    `entry_count` entries share the upstreams. `observed` are those that this
+    entry has learned of since its last report.
     """
 
     __slots__ = (
@@ -63,6 +68,7 @@
         'is_learning',
         'may_learn',
         'memory',
+        'observed',
         'popularity',
         'prefers_own_domain',
         'rng',
@@ -87,6 +93,7 @@
         self.may_learn = is_learning
         self.prefers_own_domain = True
         self.memory = PromptMemory()
+        self.observed: set[str] = set()
         self.popularity = PromptPopularity()
         self.rng = rng
         self.usual_speeds = UsualSpeeds(groups)
@@ -123,6 +130,20 @@
         target_s = request.route.target_ms / _MS_PER_S
         return self._pick_best(options, target_s)
 
+    def apply_speeds(
+        self,
+        speeds: Iterable[SpeedSums],
+        trackers: Mapping[str, UpstreamTracker],
+        now: float,
+    ) -> None:
+        """Apply prefill speeds that all entries have observed."""
+        if not self.is_learning:
+            return
+        for sums in speeds:
+            tracker = trackers.get(sums.upstream)
+            if tracker is not None:
+                tracker.learned.state_speed(sums, now)
+
     def record_sent(
         self, request: DispatchRequest, keys: PromptKeys | None, now: float
     ) -> None:
@@ -134,9 +155,18 @@
         self, keys: PromptKeys | None, upstream: str, now: float
     ) -> None:
         """Record that an upstream has read a prompt of this entry."""
-        if self.is_learning and keys is not None:
+        if not self.is_learning:
+            return
+        self.observed.add(upstream)
+        if keys is not None:
             self.memory.record_read(keys, upstream, now)
 
+    def pop_observed(self) -> list[str]:
+        """Return the upstreams that were observed since the last call."""
+        observed = sorted(self.observed)
+        self.observed.clear()
+        return observed
+
     def _predict(
         self,
         request: DispatchRequest,
@@ -245,7 +275,7 @@
         for preferred in stays or first:
             is_shared = len(first) > 1 and not stays
             preferred.spread_s = (
-                _HALF * _JITTER_S * self.rng.random() if is_shared else 0
+                _JITTER_S * self.rng.random() if is_shared else 0
             )
 
     def _group_by_domain(
@@ -279,7 +309,7 @@
             if keys is not None:
                 running = tracker.total_running(now)
                 slots = max(1, tracker.facts.slots)
-                option.score += _CROWDING_S * running / slots
+                option.score += _CROWDING_S * max(0, running / slots - _CROWDED)
             is_slow = option.forecast.tokens_per_s < _SLOW_SHARE * usual_per_s
             if (
                 is_slow
--- a/tests/test_prompt_caches.py
+++ b/tests/test_prompt_caches.py
@@ -304,8 +304,8 @@
             update = msgspec.structs.replace(
                 make_update(changed, sequence=number, others=(load,)), base=1
             )
-            for entry in entries:
-                entry.apply_update(update, now)
+            for updated in entries:
+                updated.apply_update(update, now)
             continue
         request = make_prompt(
             number, (f'{prompt}', 900), ('1', 50), now=now, model=model
