--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,9 +12,17 @@
 from returns.result import Failure as Failed
 from returns.result import Result
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Is, LessThan, Not
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    Is,
+    LessThan,
+    Not,
+)
 
 from persimmonhold.failures import Failure
+from persimmonhold.fleet import HeldModel
 from persimmonhold.forwarding import ResumableEventFramer
 from persimmonhold.platform._dialect import PlatformDialect
 from persimmonhold.platform._names import (
@@ -30,6 +38,7 @@
     RequestHead,
     encode_headers,
 )
+from tests.fleet_builders import ENGINE
 from tests.forwarding_harness import ForwardingHarness, Script
 
 Answered = Result[FetchedResponse, Failure]
@@ -483,6 +492,39 @@
     assert_that(attempt['streamed_s'] is None, Equals(not events))
 
 
+def test_attempts_are_logged_with_the_cached_tokens_and_the_speed() -> None:
+    """Operators could not see why an upstream was preferred."""
+    messages: list[dict[str, Any]] = []
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.models = (HeldModel('m1'),)
+        harness.set_route(RouteKind.stream, engine=ENGINE)
+
+        async def script(exchange: Exchange) -> None:
+            await _stream(exchange, 1, 3)
+
+        await harness.start_upstream(script)
+        headers = {
+            'model': 'm1',
+            'prefix-hash': 'A1:800,c3:200',
+            'token-count': '1000,3',
+        }
+        for _ in range(2):
+            await harness.send_request(headers=headers)
+
+    eliot.add_destinations(messages.append)
+    messages.clear()
+    try:
+        _run(scenario)
+    finally:
+        eliot.remove_destination(messages.append)
+    attempts = [one for one in messages if one['message_type'] == 'attempt']
+    # Shared parts are assumed cached where all entries send them.
+    assert_that(attempts[0]['cached_tokens'], Equals(560))
+    assert_that(attempts[-1]['cached_tokens'], GreaterThan(900))
+    assert_that(attempts[0]['tokens_per_s'], Equals(36_000))
+
+
 def test_prompt_parts_of_a_request_are_bounded() -> None:
     parts = ','.join(f'{number:x}:10' for number in range(2000))
     head = RequestHead(
