--- a/persimmonhold/directory/__init__.py
+++ b/persimmonhold/directory/__init__.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from persimmonhold._lazy_exports import LazyExports
-from persimmonhold.directory._directory import Directory
+from persimmonhold.directory._directory import Directory, sample_addresses
 from persimmonhold.directory._directory_entry import (
     DirectoryEntry,
     DirectoryResponse,
@@ -15,6 +15,7 @@
     from persimmonhold.directory._drain_phase import DrainPhase
 
 __all__ = (
+    'sample_addresses',
     'Directory',
     'DirectoryResponse',
     'DirectoryEntry',
--- a/persimmonhold/platform/_settings_file.py
+++ b/persimmonhold/platform/_settings_file.py
@@ -135,10 +135,12 @@
             failure_domain=wire.zone,
             roles=','.join(roles),
             data_directory=wire.data_dir,
-            memory_mb=max(0, int(wire.limits.memory_mb)),
-            max_descriptors=max(0, wire.limits.max_fds),
+            memory_mb=wire.limits.memory,
+            max_descriptors=wire.limits.descriptors,
+        ),
+        callers=CallerSettings(
+            address=wire.listen.frontend, weight=wire.limits.weight
         ),
-        callers=CallerSettings(address=wire.listen.frontend),
         operators=OperatorSettings(address=wire.listen.control),
         peers=_build_peer_settings(wire),
         logs=LogSettings(path=STANDARD_OUTPUT),
