--- a/persimmonhold/quota/_quota_book.py
+++ b/persimmonhold/quota/_quota_book.py
@@ -76,7 +76,7 @@
             credit = self.credits.get(name)
             if credit is None:
                 bucket = CreditBucket(limit, now, self.refill_share)
-                self.credits[name] = WorkspaceCredit(bucket)
+                self.credits[name] = WorkspaceCredit(bucket, now)
             elif limit != credit.bucket.limit:
                 credit.bucket.change_limit(limit, now)
 
@@ -94,7 +94,7 @@
         demand was granted before, the buckets were nearly full.
         """
         for credit in self.credits.values():
-            if credit.share.compute(now - paused_s) < _SHORT_SHARE:
+            if credit.compute_share(now - paused_s) < _SHORT_SHARE:
                 credit.bucket.skip(paused_s, now)
 
     def answer_request(
@@ -135,13 +135,13 @@
             # Its limit was removed, which the entry does not know yet.
             return self._grant(entry, request, request.tokens, 1.0, now)
         if not request.tokens:
-            share = credit.share.compute(now)
+            share = credit.compute_share(now)
             return self._build_reply(request, 0, share, now)
         wait_s = credit.bucket.try_take(request.tokens, now)
         # The demand of a request counts once, however often it asks.
         demand = 0 if request.has_asked else request.tokens
         credit.share.record(demand, 0 if wait_s else request.tokens, now)
-        share = credit.share.compute(now)
+        share = credit.compute_share(now)
         if wait_s:
             credit.refused += demand
             return self._build_reply(request, wait_s, share, now)
@@ -191,7 +191,7 @@
         if now >= self.shares_at + _SHARES_INTERVAL_S:
             self.shares_at = now
             shares = [
-                (credit.share.compute(now), name)
+                (credit.compute_share(now), name)
                 for name, credit in self.credits.items()
                 if credit.share.slots
             ]
--- a/persimmonhold/quota/_workspace_credit.py
+++ b/persimmonhold/quota/_workspace_credit.py
@@ -15,12 +15,16 @@
 
     __slots__ = ('bucket', 'granted', 'refused', 'returned', 'share')
 
-    def __init__(self, bucket: CreditBucket) -> None:
+    def __init__(self, bucket: CreditBucket, now: float) -> None:
         """Create the credit of a workspace that requested none yet."""
         self.bucket = bucket
-        self.share = GrantedShare()
+        self.share = GrantedShare(now)
         self._reset_counts()
 
+    def compute_share(self, now: float) -> float:
+        """Return the share of the demand that can be granted."""
+        return self.share.compute(now, self.bucket.limit.per_s)
+
     @property
     def is_used(self) -> bool:
         """Whether anything was counted since the last summary."""
