--- a/persimmonhold/routes/__init__.py
+++ b/persimmonhold/routes/__init__.py
@@ -1,9 +1,7 @@
 """The routing document: its structure, validation, and look-up of routes."""
 
-from typing import TYPE_CHECKING
-
-from persimmonhold._lazy_exports import LazyExports
 from persimmonhold.routes._engine_spec import EngineSpec
+from persimmonhold.routes._find_engine_error import find_engine_error
 from persimmonhold.routes._forward_route import ForwardRoute
 from persimmonhold.routes._model_spec import ModelSpec
 from persimmonhold.routes._route_kind import RouteKind
@@ -12,16 +10,13 @@
 from persimmonhold.routes._routing_document import RoutingDocument
 from persimmonhold.routes._service_spec import ServiceSpec
 from persimmonhold.routes._traffic_limits import TrafficLimits
+from persimmonhold.routes._validate_document import validate_document
 from persimmonhold.routes._workspace import (
     Workspace,
     WorkspaceLimit,
     hash_key,
 )
 
-if TYPE_CHECKING:
-    from persimmonhold.routes._find_engine_error import find_engine_error
-    from persimmonhold.routes._validate_document import validate_document
-
 __all__ = (
     'EngineSpec',
     'ForwardRoute',
@@ -38,12 +33,3 @@
     'hash_key',
     'validate_document',
 )
-
-if not TYPE_CHECKING:
-    __getattr__ = LazyExports(
-        __name__,
-        {
-            'find_engine_error': '_find_engine_error',
-            'validate_document': '_validate_document',
-        },
-    )
