--- a/persimmonhold/fleet/_request_queue.py
+++ b/persimmonhold/fleet/_request_queue.py
@@ -18,7 +18,7 @@
 _HALF_WEIGHT_AGE_S: Final = 1.0
 # A due time is near when less than this share of the time until it is left, or
 # less than this time; work that tolerates latency has targets of 1.2 s or more.
-_NEAR_SHARE: Final = 0.6
+_NEAR_SHARE: Final = 0.85
 _NEAR_S: Final = 0.8
 _NOT_QUEUED: Final = -1  # rank of a request that is in no queue
 
