--- a/persimmonhold/quota/_quota_account.py
+++ b/persimmonhold/quota/_quota_account.py
@@ -24,6 +24,8 @@
 _PENDING_S: Final = 2.0
 # A reply of the controller tells nothing of the demand after this time.
 _SHARE_LIFE_S: Final = 30.0
+# The demand of an overloaded workspace may rise after the last reply.
+_LONE_CAUTION: Final = 0.9
 
 
 @final
@@ -174,6 +176,8 @@
         """
         lone_share = self._find_lone_share(need.workspace)
         admit_share = self.find_admit_share(need.workspace, now)
+        if admit_share < 1:
+            admit_share *= _LONE_CAUTION
         wait_s = lone_share.try_spend(need, admit_share, now, self.rng)
         if wait_s:
             return wait_s
