Read infinite resources of a VM as unknown

The merge of two readers of [limits] bounded an infinite number of cores by a large one, so that the VM got 100 times its share of callers. Odd memory and descriptors fall back to the defaults, with a test.

--- a/persimmonhold/platform/_vm_limits.py
+++ b/persimmonhold/platform/_vm_limits.py
@@ -28,7 +28,7 @@
     def weight(self) -> float:
         """The share of callers: the usable cores, or 1 if they are unknown."""
         usable = _read_number(self.cores) * _read_number(self.cpu_share)
-        if not 0 < usable < math.inf:
+        if not usable:
             return 1
         rounded = round(usable, _WEIGHT_DIGITS)
         return min(_MAX_WEIGHT, max(_MIN_WEIGHT, rounded))
@@ -48,4 +48,4 @@
     """Return a positive finite number, or 0 if a value is none."""
     if isinstance(given, bool) or not isinstance(given, int | float):
         return 0
-    return min(given, _MAX_STATED) if given > 0 else 0
+    return min(given, _MAX_STATED) if 0 < given < math.inf else 0
--- a/tests/test_directory_weights.py
+++ b/tests/test_directory_weights.py
@@ -3,12 +3,14 @@
 import random
 from pathlib import Path
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from persimmonhold.directory import DirectoryEntry, sample_addresses
 from persimmonhold.platform._settings_file import read_settings_file
+from persimmonhold.platform._vm_limits import VmLimits
 
 _ANSWERS = 4000
 _MIXED = tuple(0.387 if one % 2 else 1.29 for one in range(100))
@@ -129,3 +131,15 @@
     path.write_text(_FILE + limits, encoding='utf-8')
     settings = read_settings_file(path).unwrap().settings
     assert_that(settings.callers.weight, Equals(expected))
+
+
+@pytest.mark.parametrize('stated', ['inf', 'nan', '-1', 'true', '"many"', '0'])
+def test_odd_memory_and_descriptors_fall_back_to_defaults(
+    stated: str,
+) -> None:
+    # An odd value ended the start, or set a budget without a bound.
+    limits = msgspec.toml.decode(
+        f'memory-mb = {stated}\nmax-fds = {stated}', type=VmLimits
+    )
+    assert_that(limits.memory, Equals(160))
+    assert_that(limits.descriptors, Equals(0))
