--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -43,7 +43,13 @@
 from persimmonhold.quarantine import fingerprint_request
 from persimmonhold.routes import ForwardRoute, RouteKind
 from persimmonhold.tasks import keep_running
-from persimmonhold.web import Exchange, Headers, RequestHead, ResponseHead
+from persimmonhold.web import (
+    Exchange,
+    Headers,
+    MemoryBudget,
+    RequestHead,
+    ResponseHead,
+)
 from tests.entry_builders import FakeControlLink
 from tests.fleet_builders import make_route
 from tests.forwarding_harness import UnavailableUpstreamClient
@@ -53,6 +59,7 @@
 _LINK_DELAY_S: Final = 0.001
 _RESPONSE_S: Final = 0.03
 _FAULT_S: Final = 4.0
+_BUDGET_BYTES: Final = 33_554_432
 # Requests of a VM count from this time after its first response with a limit.
 _TOLD_S: Final = 0.5
 _WINDOW_S: Final = 4.0
@@ -157,6 +164,7 @@
         self.head = RequestHead(
             method='POST', target=target, headers=(), peer=''
         )
+        self.budget = MemoryBudget(_BUDGET_BYTES)
         self.has_response_started = False
         self.request_id = ''
         self.status = 0
--- a/tests/test_quota_forwarding.py
+++ b/tests/test_quota_forwarding.py
@@ -22,7 +22,12 @@
 from persimmonhold.forwarding._forward_runner import ForwardRunner
 from persimmonhold.observability import metric
 from persimmonhold.platform._names import REQUEST_ID, SIGNATURE
-from persimmonhold.routes import RouteKind, Workspace, WorkspaceLimit
+from persimmonhold.routes import (
+    RouteKind,
+    Workspace,
+    WorkspaceLimit,
+    hash_key,
+)
 from persimmonhold.transport import Channel, Receiver, Transport
 from persimmonhold.web import Exchange, RequestHead, encode_headers
 from tests.entry_builders import TIMEOUT_S
@@ -88,12 +93,17 @@
         )
 
 
+def make_workspace(name: str, limit: WorkspaceLimit | None = None) -> Workspace:
+    """Return a workspace whose key is its name."""
+    return Workspace(name=name, key_hashes=(hash_key(name),), limit=limit)
+
+
 class QuotaPath:
     """An entry with an upstream, a limited workspace and a controller."""
 
     def __init__(self, harness: ForwardingHarness) -> None:
         self.harness = harness
-        self.set_workspaces((Workspace(name='w1', limit=_LIMIT),))
+        self.set_workspaces((make_workspace('w1', _LIMIT),))
         self.controller = FakeController(harness)
         self.numbers = 0
 
@@ -108,8 +118,12 @@
         workspace: str = 'w1',
         tokens: tuple[int, int] = (826, 288),
         lasts_s: float = 1.0,
+        key: str = '',
     ) -> RecordedExchange:
-        """Run a request from its dispatch request on; return its response."""
+        """Run a request from its dispatch request on; return its response.
+
+        `key` is that of its workspace, unless it is given.
+        """
         self.numbers += 1
         now = self.harness.hub.clock()
         exchange = RecordedExchange('/chat/x')
@@ -137,7 +151,10 @@
         runner = ForwardRunner(
             self.harness.services,
             ForwardRequest(
-                dispatch_request=request, head=exchange.head, body=b''
+                dispatch_request=request,
+                head=exchange.head,
+                body=b'',
+                key_hash=hash_key(key or workspace),
             ),
             cast(Exchange, exchange),
         )
@@ -246,14 +263,15 @@
 def test_request_without_a_limit_asks_for_nothing(
     run_path: Run, workspace: str
 ) -> None:
+    # Its key is valid, also if the name was that of a workspace before.
     async def scenario(path: QuotaPath) -> None:
         await path.harness.start_upstream(_answer)
         path.set_workspaces((
-            Workspace(name='w1', limit=_LIMIT),
-            Workspace(name='w2'),
+            make_workspace('w1', _LIMIT),
+            make_workspace('w2'),
         ))
         path.controller.wait_s = 5
-        exchange = await path.run(workspace)
+        exchange = await path.run(workspace, key='w2')
         assert_that(exchange.status, Equals(200))
         assert_that(path.controller.requests, Equals([]))
 
@@ -264,8 +282,10 @@
     """It must not import what only entries with limits use."""
 
     async def scenario(path: QuotaPath) -> None:
+        path.set_workspaces(())
         await path.harness.start_upstream(_answer)
-        await path.run('')
+        exchange = await path.run('')
+        assert_that(exchange.status, Equals(200))
         assert_that(path.harness.services.quota_client, Is(None))
 
     run_path(scenario)
@@ -277,7 +297,7 @@
         path.controller.wait_s = 5
         refused = await path.run()
         assert_that(refused.status, Equals(429))
-        path.set_workspaces((Workspace(name='w1'),))
+        path.set_workspaces((make_workspace('w1'),))
         admitted = await path.run()
         assert_that(admitted.status, Equals(200))
 
