Log whether a connection had carried the request of an attempt before

Nothing told a refusal on a connection that the request was sent on for the first time from one on a connection that had already carried it, where it may be the copy of an earlier refusal. The line `attempt` has `repeated_on_connection` now. No decision uses it yet.

--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -124,6 +124,7 @@
             ),
             body_end=self.head.body_end.value if has_head else '',
             is_within_event=self.event_boundary.is_within_event,
+            is_repeated_on_connection=self.progress.is_repeated_on_connection,
         )
 
     @property
@@ -296,6 +297,10 @@
             connection.mark_failed(unsendable.detail)
             return unsendable
         self.progress.has_written = True
+        self.progress.is_repeated_on_connection = (
+            self.request.dispatch_request.profile.request_id
+            in connection.carried_ids
+        )
         before = connection.bytes_written
         sent = await connection.send_request(
             _build_client_request(
@@ -562,6 +567,7 @@
         ),
         body=request.body,
         host=request.head.header('host'),
+        request_id=request.dispatch_request.profile.request_id,
     )
 
 
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -5,6 +5,7 @@
 `has_peer_closed` is set once the peer closed or reset the connection. After
 `is_kept_open` was cleared, no further request is sent on it. `stated_idle_s`
 is after how many seconds without a request the peer closes it, if it says so.
+`carried_ids` are the ids of the requests that were written to it.
 Data that arrives while no task waits for it is buffered, and reading is then
 paused, so that at most one read is buffered. Of a long request, at most a slice
 is written while the peer reads slowly. A read of very many chunks is parsed
@@ -48,6 +49,7 @@
         '_waiter',
         '_writable',
         'bytes_written',
+        'carried_ids',
         'has_peer_closed',
         'is_kept_open',
         'is_reading_paused',
@@ -60,6 +62,7 @@
         """Create a connection to `peer` that is not open yet."""
         self.peer = peer
         self.bytes_written = 0
+        self.carried_ids: set[str] = set()
         self.has_peer_closed = False
         self.is_kept_open = True
         self.stated_idle_s: float | None = None
@@ -197,6 +200,8 @@
             )
         if not encoded:
             return Failed(_build_failure(self.peer, 'send', self._parser.error))
+        if request.request_id:
+            self.carried_ids.add(request.request_id)
         for part in _split_request(encoded, request.body):
             if self._failure is None:
                 self.bytes_written += len(part)
