--- a/tests/raw_upstream.py
+++ b/tests/raw_upstream.py
@@ -66,15 +66,21 @@
         self,
         status: int = 503,
         request_id: str | None = None,
+        framing: str = 'length',
     ) -> None:
         """Write that the request was not run; it names no request for ''."""
         named = self.headers[REQUEST_ID] if request_id is None else request_id
-        fields = {NOT_RUN: '1', 'content-length': '0'}
+        fields = {NOT_RUN: '1'}
+        if framing == 'chunks':
+            fields['transfer-encoding'] = 'chunked'
+        else:
+            fields['content-length'] = '0'
         if named:
             fields[REQUEST_ID] = named
         lines = [f'{name}: {text}' for name, text in fields.items()]
         head = '\r\n'.join((f'HTTP/1.1 {status} Refused', *lines, '', ''))
-        await self.write(head.encode('ascii'))
+        end = '0\r\n\r\n' if framing == 'chunks' else ''
+        await self.write(f'{head}{end}'.encode('ascii'))
 
     def reset(self) -> None:
         """Reset the connection instead of closing it."""
