Send each request over a connection once, so that a copied refusal is not believed

Callers saw calls run twice (TWICE) and refusals of calls that ran (REFUSED). An upstream wrote a refusal twice, late. Its connection had gone back to the pool, the request was sent again to the same address, and the pool gives out the most recently used connection first: the copy arrived as the response, with the right id, and counted as proof that the request was not run.

The id says which request a response belongs to only while each request is on a connection once. The connection now keeps the ids that it has carried, refuses to write one again, and the pool passes such connections over; it carries 256 requests with an id at most. Closing the connection of each refusal was weighed: under load that costs a connection a refusal.

Ruled out: a second send by the entry after a kept connection was closed (only of requests that may be repeated).

--- a/persimmonhold/entry/_attempt_runner.py
+++ b/persimmonhold/entry/_attempt_runner.py
@@ -142,7 +142,11 @@
         """Return a pooled connection if the request is idempotent."""
         if not self._request.properties.is_idempotent:
             return None
-        return self._services.pool.acquire(address, _now())
+        return self._services.pool.acquire(
+            address,
+            _now(),
+            request_id=self._request.admission_request.request_id,
+        )
 
     async def _run_on_connection(self, connection: ClientConnection) -> bool:
         """Send the request on a connection and receive the response.
@@ -300,6 +304,7 @@
             target=self._request.target,
             headers=(*self._request.headers, *encode_headers(added_headers)),
             body=self._request.body,
+            request_id=self._request.admission_request.request_id,
         )
 
     def _record_read(self, read_at: float) -> None:
--- a/persimmonhold/forwarding/_attempt_progress.py
+++ b/persimmonhold/forwarding/_attempt_progress.py
@@ -9,8 +9,8 @@
 
     `has_written` tells that the request was sent, at least in part. `is_cut`
     tells that the upstream closed the last connection. `is_overdue` tells that
-    no response had arrived when it was due. `is_repeated_on_connection` tells that
-    the last connection had carried the request before. `is_given_up` tells that the entry
+    no response had arrived when it was due. `requests_before` is how many
+    requests the last connection had carried before. `is_given_up` tells that the entry
     has ended the attempt, and `is_superseded` that it did so for another one.
     """
 
@@ -19,7 +19,7 @@
         'is_cut',
         'is_given_up',
         'is_overdue',
-        'is_repeated_on_connection',
+        'requests_before',
         'is_superseded',
     )
 
@@ -29,5 +29,5 @@
         self.is_cut = False
         self.is_given_up = False
         self.is_overdue = False
-        self.is_repeated_on_connection = False
+        self.requests_before = 0
         self.is_superseded = False
--- a/persimmonhold/forwarding/_dispatched_attempt.py
+++ b/persimmonhold/forwarding/_dispatched_attempt.py
@@ -172,7 +172,7 @@
             body_end=result.body_end,
             within_event=result.is_within_event,
             kept_closed=result.is_unanswered,
-            repeated_on_connection=result.is_repeated_on_connection,
+            requests_before=result.requests_before,
             build=action.upstream.build,
             begun_as=profile.begun_as,
         )
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -5,7 +5,8 @@
 `has_peer_closed` is set once the peer closed or reset the connection. After
 `is_kept_open` was cleared, no further request is sent on it. `stated_idle_s`
 is after how many seconds without a request the peer closes it, if it says so.
-`carried_ids` are the ids of the requests that were written to it.
+`carried_ids` are the ids of the requests that were written to it; each request
+with an id is written once at most, so a response that names it is its response.
 Data that arrives while no task waits for it is buffered, and reading is then
 paused, so that at most one read is buffered. Of a long request, at most a slice
 is written while the peer reads slowly. A read of very many chunks is parsed
@@ -32,6 +33,9 @@
 
 # The default bound on a body that is kept in memory as a whole.
 MAX_BODY_BYTES: Final = 67_108_864
+# After so many requests with an id, a connection carries no further one; bounds
+# the memory for their ids.
+_MAX_CARRIED_IDS: Final = 256
 # What is written at once; more waits until the peer has read.
 _SLICE_BYTES: Final = 65_536
 
@@ -109,7 +113,7 @@
     def is_reusable(self) -> bool:
         """Whether another request can be sent on this connection."""
         is_open = self._failure is None and self._transport is not None
-        if not self.is_kept_open:
+        if not self.is_kept_open or len(self.carried_ids) >= _MAX_CARRIED_IDS:
             return False
         return is_open and self._parser.is_idle
 
@@ -188,10 +192,13 @@
         Ends early if the connection fails: a response may have arrived before.
 
         Fails without writing if the peer has sent something before: that
-        belongs to no request of this connection.
+        belongs to no request of this connection. It also does if the request was
+        written here before: its first response may arrive once more.
         """
         if not self._parser.is_idle:
             self.mark_failed('received data before the request')
+        if request.request_id in self.carried_ids:
+            self.mark_failed('has carried the request before')
         encoded = self._parser.encode_request(request, str(self.peer))
         failure, transport = self._failure, self._transport
         if failure is not None or transport is None:
--- a/tests/test_copied_refusals.py
+++ b/tests/test_copied_refusals.py
@@ -205,3 +205,45 @@
 
     run_with_harness(scenario)
     assert_that(upstream.runs, Equals({_RESENT_ID: 1}))
+
+
+def test_copy_of_a_response_does_not_answer_another_request_of_its_id() -> None:
+    """A caller may give a second request the id of an earlier one."""
+
+    async def serve(connection: RawConnection) -> None:
+        arrivals.append(connection.number)
+        body = f'{len(arrivals)}'.encode('ascii')
+        if arrivals.count(connection.number) > 1:
+            await connection.respond(PLAIN, 'length', b'1')
+        await connection.respond(PLAIN, 'length', body)
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.idempotent)
+        await harness.start_raw_upstream(serve, keeps_connections=True)
+        for number in range(1, 4):
+            answer = await _send_resent(harness)
+            assert_that(answer.body, Equals(f'{number}'.encode('ascii')))
+
+    arrivals: list[int] = []
+    run_with_harness(scenario)
+
+
+def test_connection_carries_a_request_once_and_a_bounded_number() -> None:
+    """The memory for the ids that a connection has carried is bounded."""
+    numbers: list[int] = []
+
+    async def serve(connection: RawConnection) -> None:
+        numbers.append(connection.number)
+        await connection.respond(PLAIN, 'length', _BODY)
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        await harness.start_raw_upstream(serve, keeps_connections=True)
+        for _ in range(2):
+            await _send_resent(harness)
+        for _ in range(600):
+            await harness.send_request()
+
+    run_with_harness(scenario)
+    assert_that(numbers[:2], Equals([1, 2]))
+    assert_that(max(map(numbers.count, numbers)) <= 300, Equals(True))
+    assert_that(len(set(numbers)) <= 5, Equals(True))
