Log and count when an entry reaches no upstream of a service any more

The refusals of a cut entry had the reason `no_upstream`, as when the upstreams themselves are gone. ReachMonitor (pure) tells the two apart: two upstreams that give no connection have the entry probe others, and only those count that the fleet controller hears. Lines `service_out_of_reach` and `service_in_reach`, counter persimmonhold_services_out_of_reach_total. No decision uses it yet. What it costs: up to three connections, once, where two upstreams are down; they go to the pool.

--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -234,8 +234,12 @@
             address.unwrap(),
             _CONNECT_TIMEOUT_S,
         )
+        reach = self.services.reach
+        service = self.request.dispatch_request.service
         if isinstance(opened, Failed):
+            reach.record_failure(service, self.action.upstream.name)
             return _unreachable_result(opened.failure().detail)
+        reach.monitor.record_connected(service)
         result = await self._run_on_connection(opened.unwrap())
         return result or _failed_result(
             AttemptEnd.failed, 'connection closed without a response'
@@ -475,6 +479,9 @@
         if self.is_waiting and not self.progress.is_overdue:
             self.progress.is_overdue = True
             self.services.hedges.record_overdue(number, process)
+            self.services.reach.record_failure(
+                self.request.dispatch_request.service, process[0]
+            )
         if not self.limits.monitor.handle_pause(number):
             return True
         self.progress.is_given_up = True
--- a/persimmonhold/forwarding/_forward_entry.py
+++ b/persimmonhold/forwarding/_forward_entry.py
@@ -123,6 +123,7 @@
             stack.callback(self.hub.close)
             stack.callback(self.services.pool.close)
             stack.callback(self.services.probe.close)
+            stack.callback(self.services.reach.close)
             await stack.enter_async_context(self.server)
             for served in self.adapter.create_entry_handlers(self):
                 server = HttpServer(
--- a/persimmonhold/forwarding/_forward_services.py
+++ b/persimmonhold/forwarding/_forward_services.py
@@ -12,6 +12,7 @@
 from persimmonhold.forwarding._hedge_hub import HedgeHub
 from persimmonhold.forwarding._key_check import KeyCheck
 from persimmonhold.forwarding._process_probe import ProcessProbe
+from persimmonhold.forwarding._reach_probe import ReachProbe
 from persimmonhold.observability import BurstSampler, Metrics
 from persimmonhold.upstreams import ConnectionPool
 
@@ -34,6 +35,7 @@
         'pool',
         'probe',
         'quota_client',
+        'reach',
         'routes',
         'sampler',
     )
@@ -61,6 +63,7 @@
         self.keys = KeyCheck(self.routes, dialect, link, max_proof_age_s)
         self.pool = ConnectionPool()
         self.probe = ProcessProbe(hub, fleet_client.upstream_client)
+        self.reach = ReachProbe(hub, self.pool, metrics)
         self.sampler = BurstSampler()
         self.quota_client: QuotaClient | None = None
 
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -32,6 +32,12 @@
     help_text='Responses of upstreams not taken for the request sent, by why.',
     labels=('verdict',),
 )
+SERVICES_LOST: Final = MetricSpec(
+    name='persimmonhold_services_out_of_reach_total',
+    kind=MetricKind.counter,
+    help_text='Times an entry lost its path to all upstreams of a service.',
+    labels=('service',),
+)
 SPARINGS_BEGUN: Final = MetricSpec(
     name='persimmonhold_sparings_begun_total',
     kind=MetricKind.counter,
@@ -152,6 +158,7 @@
     RETRIES,
     HEDGES,
     UNACCEPTED_RESPONSES,
+    SERVICES_LOST,
     SPARINGS_BEGUN,
     SPARINGS_ENDED,
     QUOTA,
