Have other entries run the requests of an entry that reaches no upstream

Cause: a request had no way but the own connections of its entry, and nothing in the system could go round a link that is lost. Class: a dependency on one path, with a fallback only where the far end fails.

An entry whose probes of a service all fail, while the fleet controller hears upstreams, now relays its requests to a live entry, its own failure domain first. The other entry treats them as those of a caller: it checks the key, spends credit and retries, and it never relays them again. Relayed events are passed on as they arrive. A refusal says whether the request ran, and is believed by its id; what may have run and may not be repeated ends as 502. Requests that wait, or whose attempt pauses, are relayed as well. Upstreams are probed every 0.5 s, so the way is direct again soon after the cut. Requests go to the address for callers, so entries of earlier builds can take them.

Ruled out: leaving the directory, as callers keep addresses; longer connect time-outs, as nothing answers. Weighed: messages between VMs by pynng; streams would have to be cut into messages there.

--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -22,6 +22,8 @@
     'quarantine_in_force',
     'report_failed',
     'routes_in_force',
+    'service_in_reach',
+    'service_out_of_reach',
     'started',
     'sparing_begins',
     'sparing_ends',
@@ -50,6 +52,10 @@
     'refused_by_all': 'every upstream that could run it had refused it, and a'
     ' call that may not be repeated goes to each of them once',
     'no_upstream': 'no upstream had the model loaded in time',
+    'out_of_reach': 'the entry reached no upstream of its service, and no other'
+    ' entry could run it',
+    'relayed': 'the entry reached no upstream of its service; another entry ran'
+    ' it',
     'retry_budget_spent': 'upstreams refused it and the retry budget of'
     ' this entry was spent',
     'isolated': 'the entry could not confirm that its routes were current',
--- a/persimmonhold/forwarding/_attempt_race.py
+++ b/persimmonhold/forwarding/_attempt_race.py
@@ -95,8 +95,11 @@
 
         An attempt that pauses is given up only if its upstream has ended, and
         no other one can run the request; also without a response if the route
-        allows no other attempt, as its caller may send the request again.
+        allows no other attempt, as its caller may send the request again. It is
+        too if the service is out of reach, as another entry may run the request.
         """
+        if self.state.is_out_of_reach() and self.state.can_run_beside:
+            return True
         if self.hedge is not None or self._start_hedge():
             return False
         if self.is_only_attempt and not self.current.has_response:
--- a/persimmonhold/forwarding/_dialect.py
+++ b/persimmonhold/forwarding/_dialect.py
@@ -31,6 +31,15 @@
     ) -> Headers:
         """Return the headers of the request sent to an upstream."""
 
+    @abc.abstractmethod
+    def build_relay_headers(
+        self, head: RequestHead, time_left_ms: int
+    ) -> Headers:
+        """Return the headers of a request that another entry forwards.
+
+        They are those of the caller, with the time that is left.
+        """
+
     @abc.abstractmethod
     def decode_response_head(
         self,
--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -18,6 +18,10 @@
     build_refusal_headers,
     find_refusal_status,
 )
+from persimmonhold.forwarding._relay_head import (
+    is_relayed,
+    restore_caller_head,
+)
 from persimmonhold.observability import log_event, metric
 from persimmonhold.quarantine import fingerprint_request
 from persimmonhold.routes import (
@@ -125,7 +129,9 @@
         if verdict.refusal:
             self._refuse_key(exchange, route, key_hash, verdict.refusal)
             return
-        profile = self.services.dialect.decode_profile(exchange.head)
+        profile = self.services.dialect.decode_profile(
+            self._read_caller_head(exchange)
+        )
         if isinstance(profile, Failed):
             self._refuse(
                 exchange,
@@ -184,13 +190,15 @@
                 workspace=dispatch_request.workspace,
             )
             return
+        head = self._read_caller_head(exchange)
         request = ForwardRequest(
             dispatch_request=_add_fingerprints(
-                dispatch_request, exchange.head, body.unwrap()
+                dispatch_request, head, body.unwrap()
             ),
-            head=exchange.head,
+            head=head,
             body=body.unwrap(),
             key_hash=key_hash,
+            is_relayed=head is not exchange.head,
         )
         runner = ForwardRunner(self.services, request, exchange)
         self.runners.add(runner)
@@ -199,6 +207,12 @@
         finally:
             self.runners.discard(runner)
 
+    def _read_caller_head(self, exchange: Exchange) -> RequestHead:
+        """Return the head that the caller sent, maybe to another entry."""
+        if is_relayed(exchange.head, self.services.link.view.vms):
+            return restore_caller_head(exchange.head)
+        return exchange.head
+
     def _retry_jitter(self) -> float:
         """Return a random factor that spreads the retries of callers."""
         return 1 + _MAX_RETRY_JITTER * self.services.hub.dispatcher.rng.random()
--- a/persimmonhold/forwarding/_forward_request.py
+++ b/persimmonhold/forwarding/_forward_request.py
@@ -12,10 +12,12 @@
 class ForwardRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Head and complete body, and the request as the dispatcher sees it.
 
-    `key_hash` is the digest of its key; empty if it needed none on arrival.
+    `key_hash` is the digest of its key; empty if it needed none on arrival. One
+    that `is_relayed` came from another entry, with the head of its caller.
     """
 
     dispatch_request: DispatchRequest
     head: RequestHead
     body: bytes
     key_hash: str = ''
+    is_relayed: bool = False
--- a/persimmonhold/forwarding/_forward_response_writer.py
+++ b/persimmonhold/forwarding/_forward_response_writer.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final, final
 
+from persimmonhold.forwarding._relay_head import build_refusal_proof
 from persimmonhold.web import (
     Exchange,
     Headers,
@@ -94,7 +95,8 @@
         self.status = status
         self.outcome = reason
         body = b'{"error":"%s"}' % reason.encode('ascii')
-        self.exchange.respond_nowait(status, body, headers=headers)
+        proof = build_refusal_proof(self.exchange.head, status, reason)
+        self.exchange.respond_nowait(status, body, headers=(*headers, *proof))
 
     def abort_response(self, reason: str) -> None:
         """Abort the connection of a response that cannot be completed."""
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -28,8 +28,11 @@
     build_refusal_headers,
     find_refusal_status,
 )
+from persimmonhold.forwarding._relay_result import RelayEnd, RelayResult
+from persimmonhold.forwarding._request_relay import RequestRelay
 from persimmonhold.forwarding._request_state import RequestState
 from persimmonhold.observability import log_event, metric
+from persimmonhold.reach import OUT_OF_REACH
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import Exchange
 
@@ -44,6 +47,8 @@
 _UNKNOWN_STREAM_RETRY_AFTER_S: Final = 1.0
 # An entry that cannot tell whether a key is valid has new proof by then.
 _NO_KEY_RETRY_AFTER_S: Final = 0.5
+# Upstreams are probed at this interval.
+_OUT_OF_REACH_RETRY_AFTER_S: Final = 0.5
 _MS_PER_S: Final = 1000
 # Ends of attempts that wrote nothing to the upstream.
 _UNSENT: Final = frozenset((
@@ -63,7 +68,8 @@
     caller disconnects. `state` is what its attempts have in common.
     `time_limit` cancels the attempts when it expires, and `time_over_reason`
     tells why. `unsent_credit` is what the request has spent of the limit of its
-    workspace, until it is sent.
+    workspace, until it is sent. `was_relayed` tells that other entries ran it,
+    which count it as well.
     """
 
     def __init__(
@@ -82,6 +88,7 @@
         self.unsent_credit: CreditSpending | None = None
         self.time_limit = asyncio.timeout(None)
         self.time_over_reason = 'time_over'
+        self.was_relayed = False
 
     @property
     def request(self) -> ForwardRequest:
@@ -123,29 +130,75 @@
             self.services.hub.deliver((refusal,))
 
     async def _run_attempts(self) -> None:
-        """Run attempts until one ends the request or it is refused."""
-        if not await self._prepare():
+        """Run attempts until one ends the request or it is refused.
+
+        If no upstream is in reach, another entry runs them.
+        """
+        if self.state.is_out_of_reach():
+            await self._relay()
             return
+        refusal = await self._run_own_attempts()
+        if refusal is not None and self.state.is_out_of_reach():
+            await self._relay()
+        elif refusal is not None:
+            self._refuse(refusal)
+
+    async def _run_own_attempts(self) -> RefuseRequest | None:
+        """Run attempts at upstreams; return the refusal unless one ended it."""
+        if not await self._prepare():
+            return None
         action = await self.services.hub.submit_request(
             self.request.dispatch_request
         )
         while isinstance(action, SendRequest):
             if self._refuse_if_quarantined() or self._refuse_if_no_key():
-                return
+                return None
             self.services.hub.begin_trial(self.request.dispatch_request)
             outcome = await self._run_race(action)
             if isinstance(outcome, RefuseRequest):
-                action = outcome
-                break
-            if self._handle_attempt_result(outcome):
-                return
-            if self._refuse_if_no_key():
-                return
+                return outcome
+            if self._handle_attempt_result(outcome) or self._refuse_if_no_key():
+                return None
+            if self.state.is_out_of_reach():
+                return _build_out_of_reach_refusal(self.services, self.request)
             self.last_attempt_end = AttemptEnd.cancelled
             action = await self.services.hub.retry_request(
                 self.state.number, outcome.end
             )
-        self._refuse(action)
+        return action
+
+    async def _relay(self) -> None:
+        """Have another entry run the request; refuse it if none can.
+
+        One that another entry has relayed is not relayed again.
+        """
+        self.services.hub.finish_request(
+            self.state.number, self.last_attempt_end
+        )
+        if self.request.is_relayed or self.response_writer.has_begun:
+            self._refuse(
+                _build_out_of_reach_refusal(self.services, self.request)
+            )
+        elif not self._refuse_if_quarantined() and not self._refuse_if_no_key():
+            self.was_relayed = True
+            self._end_relayed(
+                await RequestRelay(self.services, self.state).run()
+            )
+
+    def _end_relayed(self, result: RelayResult) -> None:
+        """End the request as the other entry did."""
+        if result.end is RelayEnd.delivered:
+            self.response_writer.outcome = 'relayed'
+        elif result.end is RelayEnd.unable:
+            self._refuse(
+                _build_out_of_reach_refusal(self.services, self.request)
+            )
+        elif result.end is RelayEnd.failed or self.state.may_have_run:
+            self._end_failed('upstream_failed')
+        else:
+            self.response_writer.write_refusal(
+                result.status, result.reason, result.headers
+            )
 
     async def _prepare(self) -> bool:
         """Tell whether the request may be dispatched; refuse it if not."""
@@ -386,6 +439,7 @@
             outcome=self.response_writer.outcome,
             status=self.response_writer.status,
             runs=self.state.run_count,
+            from_entry=self.request.is_relayed,
             first_ms=round(first_s * _MS_PER_S, 1),
             longest_gap_ms=round(
                 self.response_writer.longest_gap_s * _MS_PER_S, 1
@@ -414,7 +468,7 @@
             return
         profile = dispatch_request.profile
         tokens = profile.prompt_tokens + profile.output_tokens
-        if self.state.run_count:
+        if self.state.run_count and not self.was_relayed:
             self.services.hub.usage_meter.record_request(workspace, tokens)
         metrics = self.services.metrics
         metrics.increment(
@@ -425,6 +479,20 @@
         metrics.increment(metric.WORKSPACE_TOKENS, tokens, workspace=workspace)
 
 
+def _build_out_of_reach_refusal(
+    services: ForwardServices, forward_request: ForwardRequest
+) -> RefuseRequest:
+    """Return the refusal of a request that no entry in reach can run."""
+    request = forward_request.dispatch_request
+    rng = services.hub.dispatcher.rng
+    return RefuseRequest(
+        number=request.number,
+        reason=OUT_OF_REACH,
+        retry_after_s=_OUT_OF_REACH_RETRY_AFTER_S * (1 + rng.random()),
+        waited_s=services.hub.clock() - request.arrived_at,
+    )
+
+
 def _is_unsent(outcome: RaceOutcome) -> bool:
     """Tell whether an attempt ended before its request was sent."""
     return isinstance(outcome, AttemptResult) and outcome.end in _UNSENT
--- a/persimmonhold/forwarding/_forward_services.py
+++ b/persimmonhold/forwarding/_forward_services.py
@@ -14,6 +14,7 @@
 from persimmonhold.forwarding._process_probe import ProcessProbe
 from persimmonhold.forwarding._reach_probe import ReachProbe
 from persimmonhold.observability import BurstSampler, Metrics
+from persimmonhold.reach import RelayPeers
 from persimmonhold.upstreams import ConnectionPool
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         'probe',
         'quota_client',
         'reach',
+        'relay_peers',
         'routes',
         'sampler',
     )
@@ -64,6 +66,10 @@
         self.pool = ConnectionPool()
         self.probe = ProcessProbe(hub, fleet_client.upstream_client)
         self.reach = ReachProbe(hub, self.pool, metrics)
+        own = fleet_client.vm.record
+        self.relay_peers = RelayPeers(
+            own.name, own.failure_domain, fleet_client.rng
+        )
         self.sampler = BurstSampler()
         self.quota_client: QuotaClient | None = None
 
--- a/persimmonhold/forwarding/_reach_probe.py
+++ b/persimmonhold/forwarding/_reach_probe.py
@@ -8,7 +8,7 @@
 from persimmonhold.fleet import UpstreamFacts
 from persimmonhold.forwarding._forward_hub import ForwardHub
 from persimmonhold.observability import LogLevel, Metrics, log_event, metric
-from persimmonhold.reach import ReachMonitor
+from persimmonhold.reach import OUT_OF_REACH, ReachMonitor
 from persimmonhold.upstreams import ConnectionPool
 from persimmonhold.web import ClientConnection, parse_address
 
@@ -22,6 +22,7 @@
     """Probes a service when several of its upstreams are out of reach.
 
     It goes on until one is in reach, or the fleet controller hears none either.
+    Requests that wait when none is in reach are released to their runners.
     `tasks` are the probes under way, by service.
     """
 
@@ -67,6 +68,7 @@
                 if self.monitor.record_lost(service, self.hub.clock()):
                     was_lost = True
                     self._record_lost(service)
+                    self._release_waiting(service)
                 await asyncio.sleep(_PROBE_INTERVAL_S)
         finally:
             self.tasks.pop(service)
@@ -124,3 +126,17 @@
             service=service,
             failed=sorted(found.failed_at),
         )
+
+    def _release_waiting(self, service: str) -> None:
+        """Refuse what waits for a service that is out of reach.
+
+        Its runners then have other entries forward it.
+        """
+        now = self.hub.clock()
+        dispatcher = self.hub.dispatcher
+        waiting = dispatcher.orders.list_waiting(dispatcher.queues, now)
+        self.hub.deliver([
+            dispatcher.refuse(pending, OUT_OF_REACH, now)
+            for pending in waiting
+            if pending.request.service == service
+        ])
--- /dev/null
+++ b/persimmonhold/forwarding/_request_relay.py
@@ -0,0 +1,98 @@
+"""Relays the requests of an entry that reaches no upstream to other entries."""
+
+from typing import Final, final
+
+from returns.result import Failure as Failed
+
+from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.forwarding._relay_result import RelayEnd, RelayResult
+from persimmonhold.forwarding._relayed_attempt import RelayedAttempt
+from persimmonhold.forwarding._request_state import RequestState
+from persimmonhold.messages import VmRecord
+from persimmonhold.observability import log_event, metric
+from persimmonhold.web import parse_address
+
+_MAX_ENTRIES: Final = 4  # that one request is relayed to
+
+
+@final
+class RequestRelay:
+    """Relays one request, to one entry after another until one takes it.
+
+    Only a request that may run again goes on after it may have run, and only
+    within the retry budget. `tried` are the entries that it went to.
+    """
+
+    __slots__ = ('services', 'state', 'tried')
+
+    def __init__(self, services: ForwardServices, state: RequestState) -> None:
+        """Create the relay of a request."""
+        self.services = services
+        self.state = state
+        self.tried: set[str] = set()
+
+    async def run(self) -> RelayResult:
+        """Relay the request; `unable` if no entry could take it."""
+        result = RelayResult(end=RelayEnd.unable, detail='no entry')
+        while len(self.tried) < _MAX_ENTRIES:
+            entry = self._choose_entry()
+            if entry is None:
+                break
+            self.tried.add(entry.name)
+            result = await self._relay(entry)
+            if not self._may_go_on(entry, result):
+                return result
+        return result
+
+    def _choose_entry(self) -> VmRecord | None:
+        link = self.services.link
+        return self.services.relay_peers.choose(
+            link.view.vms,
+            link.live_vms,
+            self.tried,
+            self.services.hub.clock(),
+        )
+
+    async def _relay(self, entry: VmRecord) -> RelayResult:
+        """Relay the request to an entry; log and count how it ended."""
+        address = parse_address(entry.callers)
+        if isinstance(address, Failed):
+            return RelayResult(end=RelayEnd.unable, detail='invalid address')
+        began_at = self.services.hub.clock()
+        # Until it ends otherwise, as the caller may leave meanwhile.
+        may_have_run = self.state.may_have_run
+        self.state.may_have_run = True
+        result = await RelayedAttempt(
+            self.services, self.state.request, self.state.response_writer
+        ).run(address.unwrap())
+        if result.end in {RelayEnd.refused, RelayEnd.unable}:
+            self.state.may_have_run = may_have_run
+        else:
+            self.state.run_count += 1
+        self.services.metrics.increment(metric.RELAYS, end=result.end.value)
+        log_event(
+            'relay',
+            request_id=self.state.request.dispatch_request.profile.request_id,
+            entry=entry.name,
+            end=result.end.value,
+            detail=result.detail,
+            took_s=round(self.services.hub.clock() - began_at, 3),
+        )
+        return result
+
+    def _may_go_on(self, entry: VmRecord, result: RelayResult) -> bool:
+        """Tell whether another entry is to be tried."""
+        if result.end is RelayEnd.unable:
+            self.services.relay_peers.record_unable(
+                entry.name, self.services.hub.clock()
+            )
+            return True
+        if result.end is not RelayEnd.failed or not self.state.can_run_again:
+            return False
+        if self.state.response_writer.has_begun:
+            return False
+        dispatcher = self.services.hub.dispatcher
+        service = self.state.request.dispatch_request.service
+        return dispatcher.retry_budget(service).try_spend_retry(
+            dispatcher.entry_count, self.services.hub.clock()
+        )
--- a/persimmonhold/forwarding/_request_state.py
+++ b/persimmonhold/forwarding/_request_state.py
@@ -56,6 +56,12 @@
         """The number under which the current attempt was dispatched."""
         return self.request.dispatch_request.number
 
+    def is_out_of_reach(self) -> bool:
+        """Tell whether this entry reaches no upstream of its service now."""
+        return self.services.reach.monitor.is_lost(
+            self.request.dispatch_request.service
+        )
+
     @property
     def can_run_again(self) -> bool:
         """Whether the request may go to another upstream."""
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -32,6 +32,12 @@
     help_text='Responses of upstreams not taken for the request sent, by why.',
     labels=('verdict',),
 )
+RELAYS: Final = MetricSpec(
+    name='persimmonhold_relays_total',
+    kind=MetricKind.counter,
+    help_text='Requests that were relayed to another entry, by end.',
+    labels=('end',),
+)
 SERVICES_LOST: Final = MetricSpec(
     name='persimmonhold_services_out_of_reach_total',
     kind=MetricKind.counter,
@@ -158,6 +164,7 @@
     RETRIES,
     HEDGES,
     UNACCEPTED_RESPONSES,
+    RELAYS,
     SERVICES_LOST,
     SPARINGS_BEGUN,
     SPARINGS_ENDED,
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -124,6 +124,20 @@
             *_encode_workspace(parameters.workspace),
         )
 
+    def build_relay_headers(
+        self, head: RequestHead, time_left_ms: int
+    ) -> Headers:
+        """Return the caller's headers with the deadline that is left."""
+        deadline = names.DEADLINE_MS.encode('ascii')
+        return (
+            *(
+                pair
+                for pair in select_end_to_end_headers(head.headers)
+                if pair[0] != deadline
+            ),
+            *encode_headers({names.DEADLINE_MS: str(time_left_ms)}),
+        )
+
     def decode_response_head(
         self,
         head: ResponseHead,
--- a/persimmonhold/reach/__init__.py
+++ b/persimmonhold/reach/__init__.py
@@ -1,5 +1,9 @@
-"""Which services' upstreams an entry reaches over its own links."""
+"""Which services' upstreams an entry reaches, and which entries reach others.
 
-from persimmonhold.reach._reach_monitor import ReachMonitor
+Nothing in this package performs input or output.
+"""
 
-__all__ = ('ReachMonitor',)
+from persimmonhold.reach._reach_monitor import OUT_OF_REACH, ReachMonitor
+from persimmonhold.reach._relay_peers import RelayPeers
+
+__all__ = ('OUT_OF_REACH', 'ReachMonitor', 'RelayPeers')
--- a/persimmonhold/reach/_reach_monitor.py
+++ b/persimmonhold/reach/_reach_monitor.py
@@ -11,6 +11,7 @@
 
 from persimmonhold.reach._service_reach import ServiceReach
 
+OUT_OF_REACH: Final = 'out_of_reach'  # reason of refusals
 # Failures further apart do not hint at a common cause.
 _MAX_EVIDENCE_AGE_S: Final = 2.0
 _MIN_FAILED_UPSTREAMS: Final = 2
--- a/persimmonhold/web/_headers.py
+++ b/persimmonhold/web/_headers.py
@@ -10,6 +10,10 @@
 CALLER_HEADER: Final = 'persimmonhold-caller'
 SERVICE_CLASS_HEADER: Final = 'persimmonhold-class'
 PRIORITY_HEADER: Final = 'persimmonhold-priority'
+# Set between entries: the address of the caller for whom a request is relayed,
+# and the reason of the entry that refused it.
+RELAYED_FOR_HEADER: Final = 'persimmonhold-relayed-for'
+REFUSAL_REASON_HEADER: Final = 'persimmonhold-refusal-reason'
 RESUME_OFFSET_HEADER: Final = 'persimmonhold-resume-offset'
 OPERATOR_HEADER: Final = 'persimmonhold-operator'
 COMMAND_ID_HEADER: Final = 'persimmonhold-command-id'
--- a/tests/forwarding_harness.py
+++ b/tests/forwarding_harness.py
@@ -127,7 +127,11 @@
 class ForwardingHarness:
     """Owns an entry and its upstreams."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        vm_name: str = 'vm1',
+    ) -> None:
         self.stack = AsyncExitStack()
         self.upstreams: list[ScriptedUpstream] = []
         self.raw_upstreams: list[RawUpstream] = []
@@ -147,8 +151,8 @@
             metrics,
         )
         network = MemoryNetwork(1)
-        transport = network.create_transport('vm1')
-        record = VmRecord(name='vm1', failure_domain='d1')
+        transport = network.create_transport(vm_name)
+        record = VmRecord(name=vm_name, failure_domain='d1')
         self.platform = UnavailableUpstreamClient()
         fleet = FleetClient(
             self.hub,
@@ -174,6 +178,7 @@
     async def __aenter__(self) -> Self:
         self.stack.callback(self.hub.close)
         self.stack.callback(self.services.pool.close)
+        self.stack.callback(self.services.reach.close)
         await self.stack.enter_async_context(self.server)
         return self
 
--- a/tests/upstream_links.py
+++ b/tests/upstream_links.py
@@ -132,7 +132,9 @@
     """
 
     def __init__(self, count: int) -> None:
-        self.entries = [ForwardingHarness() for _ in range(count)]
+        self.entries = [
+            ForwardingHarness(vm_name=f'vm{number}') for number in range(count)
+        ]
         self.links: list[dict[str, UpstreamLink]] = [{} for _ in range(count)]
         self.upstreams: list[RawUpstream] = []
         self.silent: set[str] = set()
