Try entries of other failure domains once one of the own has no upstream either

Where a whole failure domain is cut off, a request went from one cut entry to another: four tries of 31 neighbours.

--- a/persimmonhold/forwarding/_request_relay.py
+++ b/persimmonhold/forwarding/_request_relay.py
@@ -10,6 +10,7 @@
 from persimmonhold.forwarding._request_state import RequestState
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import log_event, metric
+from persimmonhold.reach import OUT_OF_REACH
 from persimmonhold.web import parse_address
 
 _MAX_ENTRIES: Final = 4  # that one request is relayed to
@@ -84,7 +85,9 @@
         """Tell whether another entry is to be tried."""
         if result.end is RelayEnd.unable:
             self.services.relay_peers.record_unable(
-                entry.name, self.services.hub.clock()
+                entry,
+                self.services.hub.clock(),
+                is_cut=result.reason == OUT_OF_REACH,
             )
             return True
         if result.end is not RelayEnd.failed or not self.state.can_run_again:
