--- a/tests/upstream_links.py
+++ b/tests/upstream_links.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from persimmonhold.fleet import UpstreamFacts
-from persimmonhold.messages import ControlView, VmRecord
+from persimmonhold.messages import VmRecord
 from persimmonhold.routes import RouteKind
 from tests.fleet_builders import make_update
 from tests.forwarding_harness import ForwardingHarness
@@ -230,8 +230,3 @@
             await scenario(linked)
 
     asyncio.run(run_scenario())
-
-
-def read_view(entry: ForwardingHarness) -> ControlView:
-    """Return the view of an entry."""
-    return entry.control.view
