--- a/tests/test_entries_without_upstreams.py
+++ b/tests/test_entries_without_upstreams.py
@@ -1,6 +1,7 @@
 """Entries that are cut off from all upstreams, while other entries are not."""
 
 import asyncio
+from itertools import repeat
 from typing import Final
 
 import pytest
@@ -97,7 +98,7 @@
 
     async def scenario(linked: LinkedEntries) -> None:
         linked.set_route(kind, attempts=2, resumable=resumable)
-        await linked.start_upstreams(*[upstream.serve] * 3)
+        await linked.start_upstreams(*repeat(upstream.serve, 3))
         await _send_for(linked, 0, 'before', 0.3)
         linked.cut(0, how)
         await _send_for(linked, 0, 'noticing', _NOTICED_S)
@@ -128,15 +129,14 @@
 
     async def scenario(linked: LinkedEntries) -> None:
         linked.set_route(RouteKind.non_idempotent)
-        await linked.start_upstreams(*[upstream.serve] * 3)
+        await linked.start_upstreams(*repeat(upstream.serve, 3))
         for entry in range(cut_entries):
             linked.cut(entry, HANG)
-        await asyncio.gather(
-            *(
-                _send_for(linked, entry, f'noticing{entry}-', _NOTICED_S)
-                for entry in range(cut_entries)
-            )
-        )
+        noticing = [
+            _send_for(linked, cut, f'noticing{cut}-', _NOTICED_S)
+            for cut in range(cut_entries)
+        ]
+        await asyncio.gather(*noticing)
         upstream.runs.clear()
         for entry in range(cut_entries):
             served, _ = await _count_served(linked, entry, f'e{entry}-')
