--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -136,7 +136,7 @@
     """A request that was refused with a promise has not run.
 
     One that may not be repeated runs once at most. On 7034edd copies were
-    believed: three of the twelve cases failed.
+    believed: three to nine of the twelve cases failed in a run.
     """
     upstream = LateCopies(seed)
 
