Read the list of upstreams over a new connection each time

Callers would see requests refused or cut: if the list server wrote the last page of a list once more, late, the next read took it for the first page, and all upstreams on the other pages were dropped as gone, with what is known of their models. A page does not tell which request it answers, and the connection was kept between reads. Within one read, a copy only repeats entries, as each page is asked for by the token of the last.

Evidence: test_copy_of_a_page_does_not_stand_for_another_page, case last_of_earlier_read, failed before (u1 missing); the other three cases are guards.

--- a/persimmonhold/platform/_upstream_client.py
+++ b/persimmonhold/platform/_upstream_client.py
@@ -53,7 +53,12 @@
 
 @final
 class PlatformUpstreamClient(UpstreamClient):
-    """Reads lists and reports over pooled connections, orders over new ones."""
+    """Reads reports over pooled connections; lists and orders over new ones.
+
+    A page of the list does not tell which request it answers. If an earlier
+    page came once more in place of the first one, upstreams would be missing
+    from the list, so each read of the list begins with a new connection.
+    """
 
     __slots__ = ('list_address', 'pool', 'vm_name')
 
@@ -68,40 +73,11 @@
 
         Entries that cannot be decoded are counted in the log and left out.
         """
-        listed: list[ListedUpstream] = []
-        size_bytes = 0
-        token = ''
-        for _ in range(_MAX_PAGES):
-            target = names.LIST_PATH
-            if token:
-                target = f'{target}?page-token={quote(token)}'
-            body = await self._get_body(
-                self.list_address, target, _MAX_BODY_BYTES
-            )
-            if isinstance(body, Failed):
-                return body
-            size_bytes += len(body.unwrap())
-            if size_bytes > _MAX_LIST_BYTES:
-                return Failed(
-                    _protocol_failure(
-                        self.list_address, target, 'list too large'
-                    )
-                )
-            page = decode_list_page(body.unwrap())
-            if isinstance(page, Failed):
-                return Failed(
-                    _protocol_failure(
-                        self.list_address, target, page.failure()
-                    ),
-                )
-            listed.extend(page.unwrap().upstreams)
-            if page.unwrap().unreadable_count:
-                count = page.unwrap().unreadable_count
-                log_event('list_unreadable', LogLevel.warning, entries=count)
-            token = page.unwrap().next_page or ''
-            if not token:
-                break
-        return Success(tuple(listed))
+        pool = ConnectionPool()
+        try:
+            return await self._read_pages(pool)
+        finally:
+            pool.close()
 
     async def read_report(
         self,
@@ -113,7 +89,7 @@
         if isinstance(peer, Failed):
             return peer
         body = await self._get_body(
-            peer.unwrap(), names.REPORT_PATH, _MAX_REPORT_BYTES
+            self.pool, peer.unwrap(), names.REPORT_PATH, _MAX_REPORT_BYTES
         )
         if isinstance(body, Failed):
             return body
@@ -154,6 +130,45 @@
         """Close the pooled connections."""
         self.pool.close()
 
+    async def _read_pages(
+        self, pool: ConnectionPool
+    ) -> Result[tuple[ListedUpstream, ...], Failure]:
+        """Read all pages of the list over connections of a pool."""
+        listed: list[ListedUpstream] = []
+        size_bytes = 0
+        token = ''
+        for _ in range(_MAX_PAGES):
+            target = names.LIST_PATH
+            if token:
+                target = f'{target}?page-token={quote(token)}'
+            body = await self._get_body(
+                pool, self.list_address, target, _MAX_BODY_BYTES
+            )
+            if isinstance(body, Failed):
+                return body
+            size_bytes += len(body.unwrap())
+            if size_bytes > _MAX_LIST_BYTES:
+                return Failed(
+                    _protocol_failure(
+                        self.list_address, target, 'list too large'
+                    )
+                )
+            page = decode_list_page(body.unwrap())
+            if isinstance(page, Failed):
+                return Failed(
+                    _protocol_failure(
+                        self.list_address, target, page.failure()
+                    ),
+                )
+            listed.extend(page.unwrap().upstreams)
+            if page.unwrap().unreadable_count:
+                count = page.unwrap().unreadable_count
+                log_event('list_unreadable', LogLevel.warning, entries=count)
+            token = page.unwrap().next_page or ''
+            if not token:
+                break
+        return Success(tuple(listed))
+
     def _build_order_request(
         self,
         upstream: str,
@@ -181,6 +196,7 @@
 
     async def _get_body(
         self,
+        pool: ConnectionPool,
         peer: Address,
         target: str,
         max_bytes: int,
@@ -190,7 +206,7 @@
         try:
             async with asyncio.timeout(_READ_TIMEOUT_S):
                 fetched = await self._fetch_pooled_or_new(
-                    peer, request, max_bytes
+                    pool, peer, request, max_bytes
                 )
         except TimeoutError:
             return Failed(
@@ -210,36 +226,38 @@
 
     async def _fetch_pooled_or_new(
         self,
+        pool: ConnectionPool,
         peer: Address,
         request: ClientRequest,
         max_bytes: int,
     ) -> Result[FetchedResponse, Failure]:
         """Fetch over a pooled connection; if that fails, over a new one."""
         loop = asyncio.get_running_loop()
-        pooled = self.pool.acquire(peer, loop.time())
+        pooled = pool.acquire(peer, loop.time())
         if pooled is not None:
-            fetched = await self._fetch_and_release(pooled, request, max_bytes)
+            fetched = await _fetch_and_release(pool, pooled, request, max_bytes)
             if not isinstance(fetched, Failed):
                 return fetched
         connected = await ClientConnection.connect(peer, _READ_TIMEOUT_S)
         if isinstance(connected, Failed):
             return connected
-        return await self._fetch_and_release(
-            connected.unwrap(), request, max_bytes
+        return await _fetch_and_release(
+            pool, connected.unwrap(), request, max_bytes
         )
 
-    async def _fetch_and_release(
-        self,
-        connection: ClientConnection,
-        request: ClientRequest,
-        max_bytes: int,
-    ) -> Result[FetchedResponse, Failure]:
-        """Fetch over a connection, and return the connection to the pool."""
-        try:
-            return await fetch_on_connection(connection, request, max_bytes)
-        finally:
-            # The pool closes a connection whose response is incomplete.
-            self.pool.release(connection, asyncio.get_running_loop().time())
+
+async def _fetch_and_release(
+    pool: ConnectionPool,
+    connection: ClientConnection,
+    request: ClientRequest,
+    max_bytes: int,
+) -> Result[FetchedResponse, Failure]:
+    """Fetch over a connection, and return the connection to the pool."""
+    try:
+        return await fetch_on_connection(connection, request, max_bytes)
+    finally:
+        # The pool closes a connection whose response is incomplete.
+        pool.release(connection, asyncio.get_running_loop().time())
 
 
 def _protocol_failure(peer: Address, target: str, detail: str) -> Failure:
--- a/tests/raw_upstream.py
+++ b/tests/raw_upstream.py
@@ -22,6 +22,7 @@
     ) -> None:
         self.writer = writer
         self.number = number  # of the connection, from 1 at each upstream
+        self.target = head.split(' ')[1]
         fields = [line.partition(':') for line in head.split('\r\n')[1:]]
         self.headers = {name.lower(): text.strip() for name, _, text in fields}
 
