Keep no connection that has carried a very long request id

The ids that a connection has carried were bounded in number, not in size: a caller that sends ids of 12 kB had one idle connection hold 1.2 MB after 100 requests, and heads may have 16 kB, so 512 idle connections could hold 2 GB. A connection that carried an id of more than 128 characters is now closed after its response.

Evidence: test_connection_that_carried_a_long_id_is_not_kept failed before (1 idle connection, not 0). A second new test covers the check in send_request, which the pool hides in the other tests; it passed before.

--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -36,6 +36,8 @@
 # After so many requests with an id, a connection carries no further one; bounds
 # the memory for their ids.
 _MAX_CARRIED_IDS: Final = 256
+# A connection that carried a longer id is not kept; usual ids have 16 characters.
+_MAX_CARRIED_ID_CHARS: Final = 128
 # What is written at once; more waits until the peer has read.
 _SLICE_BYTES: Final = 65_536
 
@@ -209,6 +211,8 @@
             return Failed(_build_failure(self.peer, 'send', self._parser.error))
         if request.request_id:
             self.carried_ids.add(request.request_id)
+            if len(request.request_id) > _MAX_CARRIED_ID_CHARS:
+                self.is_kept_open = False
         for part in _split_request(encoded, request.body):
             if self._failure is None:
                 self.bytes_written += len(part)
--- a/tests/test_copied_refusals.py
+++ b/tests/test_copied_refusals.py
@@ -9,12 +9,20 @@
 from typing import Final
 
 import pytest
+from returns.result import Failure as Failed
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from persimmonhold.platform._names import REQUEST_ID
 from persimmonhold.routes import RouteKind
-from persimmonhold.web import FetchedResponse
+from persimmonhold.web import (
+    ClientConnection,
+    ClientRequest,
+    FetchedResponse,
+    encode_headers,
+    fetch_on_connection,
+    parse_address,
+)
 from tests.forwarding_harness import (
     ROUTE_KINDS,
     ForwardingHarness,
@@ -247,3 +255,50 @@
     assert_that(numbers[:2], Equals([1, 2]))
     assert_that(max(map(numbers.count, numbers)) <= 300, Equals(True))
     assert_that(len(set(numbers)) <= 5, Equals(True))
+
+
+def test_connection_that_carried_a_long_id_is_not_kept() -> None:
+    """Ids of up to 16 kB, 256 on each idle connection, would take gigabytes."""
+    ids = [f'{number}-{"x" * 10_000}' for number in range(3)]
+
+    async def serve(connection: RawConnection) -> None:
+        await connection.respond(PLAIN, 'length', _BODY)
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        await harness.start_raw_upstream(serve, keeps_connections=True)
+        for request_id in ids:
+            answer = await harness.send_request(
+                headers={'attempt-id': request_id}
+            )
+            assert_that(answer.unwrap().head.status, Equals(200))
+        assert_that(len(harness.services.pool), Equals(0))
+
+    run_with_harness(scenario)
+
+
+def test_connection_does_not_write_a_request_that_it_has_carried() -> None:
+    """Whoever holds a connection without the pool may not repeat one either."""
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        async def serve(connection: RawConnection) -> None:
+            await connection.respond(PLAIN, 'length', _BODY)
+
+        upstream = await harness.start_raw_upstream(
+            serve, keeps_connections=True
+        )
+        address = parse_address(upstream.address).unwrap()
+        connection = (await ClientConnection.connect(address, 1)).unwrap()
+        request = ClientRequest(
+            method='GET',
+            target='/',
+            headers=encode_headers({REQUEST_ID: 'r'}),
+            request_id='r',
+        )
+        await fetch_on_connection(connection, request)
+        written = connection.bytes_written
+        sent = await connection.send_request(request)
+        assert_that(isinstance(sent, Failed), Equals(True))
+        assert_that(connection.bytes_written, Equals(written))
+        connection.close()
+
+    run_with_harness(scenario)
