Ignore the request limits in a report of an entry that arrives again

Messages between VMs may be delayed or duplicated. An old report of an entry was left out of the demand by its number, but the request limits in it were recorded: their ages are those at the time of sending, so an earlier limit seemed newer than the one in force, and entries together could send an upstream more than it states (LIMIT).

Evidence: test_repeated_report_does_not_restore_an_earlier_limit failed before (50 a second in force again, not 5). A report that is only delayed, and still the newest of its entry, is not covered.

--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -93,16 +93,18 @@
         entry: str,
         report: EntryReport,
         now: float,
-    ) -> None:
+    ) -> bool:
         """Record a report, unless a newer one of the entry is known.
 
+        Returns whether it was recorded.
+
         After a silence any report is accepted: an entry that restarts counts
         its reports from the beginning again.
         """
         last = self.last_reports.get(entry)
         is_old = last is not None and last.sequence >= report.sequence
         if is_old and now - self.reported_at[entry] < _ENTRY_SILENT_S:
-            return
+            return False
         if last is not None and not report.term and last.term:
             # A new process of the entry, which has applied no update yet.
             self._lose_streams(entry, now)
@@ -121,6 +123,7 @@
                 entry, (demand.service, demand.model), demand.classes
             )
             load.add_report(entry, demand, now)
+        return True
 
     def is_warmed_up(self, now: float) -> bool:
         """Tell whether reports have arrived long enough to trust low demand.
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -156,11 +156,14 @@
             return
         if isinstance(message, EntryReport):
             self.work_log.report_count += 1
-            term.controller.demand.record_report(peer, message, self.clock())
+            is_new = term.controller.demand.record_report(
+                peer, message, self.clock()
+            )
             self.origin_server.record_report(message)
             self._quota_server.record_heard(term.controller, peer)
             self.quarantine_server.check_report(term.controller, peer, message)
-            if self.permit_server.record_statements(
+            # The ages in an old report would make its statements seem newer.
+            if is_new and self.permit_server.record_statements(
                 term.controller, peer, message
             ):
                 self._request_updates(term)
--- a/tests/test_request_limits_shared.py
+++ b/tests/test_request_limits_shared.py
@@ -4,11 +4,13 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from bench.virtual_loop import run_in_virtual_time
+from persimmonhold.fleet import EntryReport, StatedLimit
 from tests.limited_fleet import LimitedFleet
 
 Scenario = Callable[[LimitedFleet], Awaitable[None]]
@@ -251,3 +253,31 @@
             assert_that(age_s, LessThan(1.5 + entries / 6 + 0.5))
 
     run_fleet(entries, scenario)
+
+
+def test_repeated_report_does_not_restore_an_earlier_limit(
+    run_fleet: Callable[[int, Scenario], None],
+) -> None:
+    """Its ages are counted from its arrival, so the earlier limit looks newer."""
+    reports = [
+        EntryReport(
+            term=0,
+            number=0,
+            sequence=sequence,
+            limits=(StatedLimit('u1', 1, per_s, 0.02, 0.01),),
+        )
+        for sequence, per_s in ((1, 50.0), (2, 5.0))
+    ]
+
+    async def scenario(fleet: LimitedFleet) -> None:
+        runner = next(
+            one for one in fleet.runners.values() if one.term is not None
+        )
+        assert runner.term is not None
+        for report in (*reports, reports[0]):
+            runner.handle_message('e9', msgspec.msgpack.encode(report))
+            await asyncio.sleep(0.3)
+        limits = runner.term.controller.facts.limits
+        assert_that(limits.find_limit(('u1', 1)), Equals(5.0))
+
+    run_fleet(1, scenario)
