Read past late responses to earlier requests of a connection

Callers of requests that may not be repeated got 502 where the right response followed a late one on a kept connection: a head that named another request ended the attempt as perhaps run. Others were sent a second time or, on their last attempt, answered 502, too.

A connection carries each request id once, so a response that names another id which it has carried is a late one. The new verdict `earlier_request` has the attempt read past it, head and body, on the same connection, and judge the next response by the same rules. At most four late responses and 1 MiB of their bodies are read past; the connection is closed afterwards. Closing costs one connect and leaves no second late response for the next request. Responses that name no request, or one that the connection has not carried, end the attempt as before, as does a late one without a certain end: neither length nor chunks, `Connection: close`, or a HEAD among the two requests, since a response to HEAD has no body and the body of the other may have been chosen by a caller. After a late response, a request that may be repeated is not sent on a new connection within the same attempt. The time for the head includes late ones.

No existing test was changed: those that expect 502 name requests which their connection never carried.

--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -27,10 +27,10 @@
     ForwardResponseWriter,
 )
 from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.forwarding._response_receiver import ResponseReceiver
 from persimmonhold.forwarding._resumable_event_framer import (
     ResumableEventFramer,
 )
-from persimmonhold.forwarding._statement_recorder import StatementRecorder
 from persimmonhold.quarantine import PROOF_S
 from persimmonhold.routes import ForwardRoute, KeyVerdict
 from persimmonhold.web import (
@@ -318,37 +318,36 @@
             return (
                 None if is_used else _unreachable_result(sent.failure().detail)
             )
+        request_id = self.request.dispatch_request.profile.request_id
+        receiver = ResponseReceiver(self.services, connection)
         with StallDetector(
             connection,
             _head_timeout_s(self.request.dispatch_request.route),
             self._handle_stall,
             counts_reads=False,
         ):
-            head = await connection.receive_head()
-        if isinstance(head, Failed):
-            was_sent = not isinstance(sent, Failed)
+            received = await receiver.receive_head(
+                self.action.upstream, request_id, sent_at
+            )
+        if isinstance(received, Failed):
+            was_closed = (
+                not isinstance(sent, Failed) and not receiver.late_count
+            )
             return self._build_headless_result(
-                head.failure(), may_reconnect=is_used and was_sent
+                received.failure(), may_reconnect=is_used and was_closed
             )
-        self.head = head.unwrap()
+        self.head = received.unwrap().head
         if self.progress.is_overdue:
             self.services.hub.quarantine.silent.drop(
-                self.action.upstream.process_key,
-                self.request.dispatch_request.profile.request_id,
+                self.action.upstream.process_key, request_id
             )
-        decoded_head = self.services.dialect.decode_response_head(self.head)
-        recorder = StatementRecorder(self.services, self.action.upstream)
-        verdict = recorder.record(
-            decoded_head,
-            self.request.dispatch_request.profile.request_id,
-            sent_at,
-        )
+        verdict = received.unwrap().verdict
         if not verdict.is_for_request:
             connection.mark_failed(verdict.value)
             return _failed_result(
                 AttemptEnd.failed, f'response not accepted: {verdict.value}'
             )
-        return await self._read_response(connection, decoded_head)
+        return await self._read_response(connection, received.unwrap().decoded)
 
     def _build_headless_result(
         self, failure: Failure, *, may_reconnect: bool
--- a/persimmonhold/forwarding/_statement_recorder.py
+++ b/persimmonhold/forwarding/_statement_recorder.py
@@ -1,5 +1,6 @@
 """Records what the head of a response states about its upstream."""
 
+from collections.abc import Container
 from typing import Final, final
 
 from persimmonhold.attempts import ResponseVerdict, judge_response
@@ -31,9 +32,11 @@
         decoded_head: DecodedResponseHead,
         request_id: str,
         sent_at: float,
+        carried_ids: Container[str],
     ) -> ResponseVerdict:
         """Judge whether a response is that to a request sent then.
 
+        `carried_ids` are the requests that were sent on its connection.
         Its statements are recorded; a response that is not accepted is logged
         and counted.
         """
@@ -42,6 +45,7 @@
             request_id,
             states_not_run=decoded_head.is_not_run,
             must_be_named=True,
+            carried_ids=carried_ids,
         )
         if verdict.is_for_request:
             self._record_limit(decoded_head, sent_at)
--- a/persimmonhold/web/_client_codec.py
+++ b/persimmonhold/web/_client_codec.py
@@ -23,7 +23,8 @@
 class ClientCodec:
     """Encodes requests and parses the responses to them.
 
-    `has_backlog` tells whether `parse_body` left received bytes unparsed.
+    `has_backlog` tells whether `parse_body` left received bytes unparsed;
+    `method` is that of the last request.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         'error',
         'has_backlog',
         'is_response_complete',
+        'method',
     )
 
     def __init__(self) -> None:
@@ -40,6 +42,7 @@
         self.has_backlog = False
         self.is_response_complete = False
         self.error = ''
+        self.method = ''
         self._unparsed_bytes = 0
         self._informational_count = 0
         self._parser = h11.Connection(
@@ -60,6 +63,7 @@
         Returns b'' and sets `error` if the request is invalid.
         """
         self.is_response_complete = False
+        self.method = request.method
         self._informational_count = 0
         try:
             return self._encode_events(request, host)
@@ -67,6 +71,24 @@
             self.error = str(error)
             return b''
 
+    def expect_another_response(self) -> bool:
+        """Parse what follows a complete response as one to the same request.
+
+        Returns False if the peer will send none on this connection.
+        """
+        if self._parser.our_state is not h11.IDLE:
+            return False
+        # Nothing is written: h11 takes a response only after a request, and
+        # only the method of that matters for the response.
+        head = h11.Request(
+            method=self.method, target='/', headers=[('host', '-')]
+        )
+        self._parser.send(head)
+        self._parser.send(h11.EndOfMessage())
+        self.is_response_complete = False
+        self._informational_count = 0
+        return True
+
     def add_received_bytes(self, received: bytes) -> None:
         """Add bytes from the peer; empty bytes mark the end of its stream."""
         self._unparsed_bytes += len(received)
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -5,8 +5,9 @@
 `has_peer_closed` is set once the peer closed or reset the connection. After
 `is_kept_open` was cleared, no further request is sent on it. `stated_idle_s`
 is after how many seconds without a request the peer closes it, if it says so.
-`carried_ids` are the ids of the requests that were written to it; each request
-with an id is written once at most, so a response that names it is its response.
+`carried_ids` has the ids of the requests that were written to it, with their
+methods; each request with an id is written once at most, so a response that
+names it is its response.
 Data that arrives while no task waits for it is buffered, and reading is then
 paused, so that at most one read is buffered. Of a long request, at most a slice
 is written while the peer reads slowly. A read of very many chunks is parsed
@@ -46,7 +47,6 @@
 
     __slots__ = (
         '_failure',
-        '_parser',
         '_sink',
         '_transport',
         '_turn',
@@ -54,6 +54,7 @@
         '_writable',
         'bytes_written',
         'carried_ids',
+        'codec',
         'has_peer_closed',
         'is_kept_open',
         'is_reading_paused',
@@ -66,7 +67,8 @@
         """Create a connection to `peer` that is not open yet."""
         self.peer = peer
         self.bytes_written = 0
-        self.carried_ids: set[str] = set()
+        self.carried_ids: dict[str, str] = {}
+        self.codec = ClientCodec()
         self.has_peer_closed = False
         self.is_kept_open = True
         self.stated_idle_s: float | None = None
@@ -74,7 +76,6 @@
         self.is_reading_paused = False
         self._failure: Failure | None = None
         self._turn = ParseTurn(self._take_turn)
-        self._parser = ClientCodec()
         self._sink: ResponseBodySink | None = None
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -115,7 +116,7 @@
         is_open = self._failure is None and self._transport is not None
         if not self.is_kept_open or len(self.carried_ids) >= _MAX_CARRIED_IDS:
             return False
-        return is_open and self._parser.is_idle
+        return is_open and self.codec.is_idle
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open connection."""
@@ -131,7 +132,7 @@
         stay buffered and reading is paused.
         """
         self.last_read_at = asyncio.get_running_loop().time()
-        self._parser.add_received_bytes(data)
+        self.codec.add_received_bytes(data)
         sink = self._sink
         if sink:
             self._deliver_body(sink)
@@ -143,7 +144,7 @@
     def eof_received(self) -> bool:
         """Deliver what was received, then fail: the peer ended its stream."""
         self.has_peer_closed = True
-        self._parser.add_received_bytes(b'')
+        self.codec.add_received_bytes(b'')
         if self._sink is not None:
             self._deliver_body(self._sink)
         self.mark_failed('closed by the peer')
@@ -179,7 +180,7 @@
             self.last_read_at = asyncio.get_running_loop().time()
         if self._transport is None:
             return
-        if self._parser.has_backlog:
+        if self.codec.has_backlog:
             self._turn.request(self._transport)
         else:
             self._transport.resume_reading()
@@ -195,20 +196,20 @@
         belongs to no request of this connection. It also does if the request was
         written here before: its first response may arrive once more.
         """
-        if not self._parser.is_idle:
+        if not self.codec.is_idle:
             self.mark_failed('received data before the request')
         if request.request_id in self.carried_ids:
             self.mark_failed('has carried the request before')
-        encoded = self._parser.encode_request(request, str(self.peer))
+        encoded = self.codec.encode_request(request, str(self.peer))
         failure, transport = self._failure, self._transport
         if failure is not None or transport is None:
             return Failed(
                 _build_failure(self.peer, 'send', 'closed before sending')
             )
         if not encoded:
-            return Failed(_build_failure(self.peer, 'send', self._parser.error))
+            return Failed(_build_failure(self.peer, 'send', self.codec.error))
         if request.request_id:
-            self.carried_ids.add(request.request_id)
+            self.carried_ids[request.request_id] = request.method
         for part in _split_request(encoded, request.body):
             if self._failure is None:
                 self.bytes_written += len(part)
@@ -218,12 +219,12 @@
 
     async def receive_head(self) -> Result[ResponseHead, Failure]:
         """Wait for the head of the response and return it."""
-        head = self._parser.parse_head()
+        head = self.codec.parse_head()
         while head is None:
             failure = await self._wait_for_data('receive head')
             if failure is not None:
                 return Failed(failure)
-            head = self._parser.parse_head()
+            head = self.codec.parse_head()
         self.stated_idle_s = head.keep_alive_s
         return Success(head)
 
@@ -232,22 +233,22 @@
 
         If it is complete, the connection can be reused.
         """
-        self._parser.parse_body()
+        self.codec.parse_body()
 
     async def receive_chunk(self) -> Result[bytes, Failure]:
         """Wait for the next part of the body; return b'' at its end."""
-        is_long = self._parser.has_backlog
+        is_long = self.codec.has_backlog
         if is_long:
             self._turn.request(self._transport)
             await self._wait_for_wakeup()
-        body = self._parser.parse_body()
+        body = self.codec.parse_body()
         if is_long:
             self.resume_reading()
-        while not body and not self._parser.is_response_complete:
+        while not body and not self.codec.is_response_complete:
             failure = await self._wait_for_data('receive body')
             if failure is not None:
                 return Failed(failure)
-            body = self._parser.parse_body()
+            body = self.codec.parse_body()
         return Success(body)
 
     async def receive_body(
@@ -255,7 +256,7 @@
     ) -> Result[bytes, Failure]:
         """Wait for the whole body and return it; fail if it is too large."""
         received = bytearray()
-        while not self._parser.is_response_complete:
+        while not self.codec.is_response_complete:
             chunk = await self.receive_chunk()
             if isinstance(chunk, Failed):
                 return chunk
@@ -278,13 +279,11 @@
         self.resume_reading()
         self._deliver_body(sink)
         try:
-            while (
-                self._failure is None and not self._parser.is_response_complete
-            ):
+            while self._failure is None and not self.codec.is_response_complete:
                 await self._wait_for_wakeup()
         finally:
             self._sink = None
-        if self._parser.is_response_complete:
+        if self.codec.is_response_complete:
             return Success(None)
         return Failed(
             self._failure or _build_failure(self.peer, 'pump', 'broken')
@@ -306,14 +305,14 @@
             self._transport.abort()
 
     def _deliver_body(self, sink: ResponseBodySink) -> None:
-        body = self._parser.parse_body()
+        body = self.codec.parse_body()
         if body and not sink.handle_response_chunk(body):
             self.pause_reading()
-        if self._parser.error:
-            self.mark_failed(self._parser.error)
-        elif self._parser.is_response_complete:
+        if self.codec.error:
+            self.mark_failed(self.codec.error)
+        elif self.codec.is_response_complete:
             self._wake_waiter()
-        elif self._parser.has_backlog and not self.is_reading_paused:
+        elif self.codec.has_backlog and not self.is_reading_paused:
             self._turn.request(self._transport)
 
     def _take_turn(self) -> None:
@@ -325,13 +324,13 @@
             self._wake_waiter()
         elif not self.is_reading_paused:
             self._deliver_body(self._sink)
-        is_blocked = self.is_reading_paused or self._parser.has_backlog
+        is_blocked = self.is_reading_paused or self.codec.has_backlog
         if self._transport is not None and not is_blocked:
             self._transport.resume_reading()
 
     async def _wait_for_data(self, step: str) -> Failure | None:
-        if self._parser.error:
-            return _build_failure(self.peer, step, self._parser.error)
+        if self.codec.error:
+            return _build_failure(self.peer, step, self.codec.error)
         if self._failure is not None:
             return _build_failure(self.peer, step, self._failure.detail)
         self.resume_reading()
