Send no call that runs once over a connection unused since its peer was silent

Callers of requests that may not be repeated would get 504 at their deadline where an upstream was gone without a reset: their call was written to a kept connection, though a request on another connection to the same upstream had already had no response in time. No option of the kernel ends such a connection.

The pool records when a request was sent whose response is overdue, and gives a request that is not repeatable no connection to that upstream that was last used before. It gets a new connection, which fails before anything is written, so another upstream can run it. Connections that have carried a response since, or were opened since, are used as before, so an upstream that was only silent costs one connect. Requests that may be repeated are not affected.

--- a/persimmonhold/forwarding/_attempt_progress.py
+++ b/persimmonhold/forwarding/_attempt_progress.py
@@ -7,7 +7,8 @@
 class AttemptProgress:
     """What has happened to an attempt.
 
-    `has_written` tells that the request was sent, at least in part. `is_cut`
+    `has_written` tells that the request was sent, at least in part, and
+    `written_at` when, by the clock of the loop. `is_cut`
     tells that the upstream closed the last connection. `is_overdue` tells that
     no response had arrived when it was due. `requests_before` is how many
     requests the last connection had carried before. `is_given_up` tells that the entry
@@ -21,6 +22,7 @@
         'is_overdue',
         'requests_before',
         'is_superseded',
+        'written_at',
     )
 
     def __init__(self) -> None:
@@ -31,3 +33,4 @@
         self.is_overdue = False
         self.requests_before = 0
         self.is_superseded = False
+        self.written_at = 0.0
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -302,6 +302,7 @@
             connection.mark_failed(unsendable.detail)
             return unsendable
         self.progress.has_written = True
+        self.progress.written_at = _now()
         self.progress.requests_before = len(connection.carried_ids)
         before = connection.bytes_written
         sent = await connection.send_request(
@@ -477,6 +478,10 @@
         process = self.action.upstream.process_key
         if self.is_waiting and not self.progress.is_overdue:
             self.progress.is_overdue = True
+            if self.connection is not None:
+                self.services.pool.record_silence(
+                    self.connection.peer, self.progress.written_at, _now()
+                )
             self.services.hedges.record_overdue(number, process)
             self.services.reach.record_failure(
                 self.request.dispatch_request.service, process[0]
--- a/persimmonhold/upstreams/_connection_pool.py
+++ b/persimmonhold/upstreams/_connection_pool.py
@@ -2,7 +2,10 @@
 
 Invariant: a connection is reused only if its last response was complete,
 nothing has arrived on it since, it was idle no longer than `find_idle_limit_s`
-allows for the request, and it has not carried that request before.
+allows for the request, and it has not carried that request before. For a request
+that is not repeatable, it has also been used since the peer was last found silent:
+a peer that is gone without a reset leaves its connections open, while a new one fails
+before anything is written.
 """
 
 from collections import deque
@@ -13,6 +16,8 @@
 
 _MAX_IDLE_PER_PEER: Final = 16
 _MAX_IDLE_CONNECTIONS: Final = 512
+# For longer, no connection is idle and given a request that is not repeatable.
+_MAX_SILENCE_S: Final = 15.0
 _IdleConnections: TypeAlias = deque[tuple[float, ClientConnection]]
 
 
@@ -23,11 +28,12 @@
     At most `max_idle_per_peer` are kept for each peer.
     """
 
-    __slots__ = ('_idle', '_size', 'max_idle_per_peer')
+    __slots__ = ('_idle', '_silent_since', '_size', 'max_idle_per_peer')
 
     def __init__(self) -> None:
         """Create an empty pool."""
         self._idle: dict[Address, _IdleConnections] = {}
+        self._silent_since: dict[Address, float] = {}
         self._size = 0
         self.max_idle_per_peer = _MAX_IDLE_PER_PEER
 
@@ -51,7 +57,8 @@
 
         Unusable connections that are found on the way are closed. None is
         returned if the request is not repeatable and all that are left were
-        idle for too long for it, or have carried it before.
+        idle for too long for it or since the peer was found silent, or have
+        carried it before.
         """
         idle = self._idle.get(peer)
         if idle is None:
@@ -60,11 +67,24 @@
             if not _is_fresh(pair, now):
                 self._remove(idle, pair).close()
             elif request_id not in pair[1].carried_ids:
-                if not _is_fresh(pair, now, is_repeatable=is_repeatable):
-                    return None
-                return self._remove(idle, pair)
+                if is_repeatable or self._is_trusted(pair, now):
+                    return self._remove(idle, pair)
+                return None
         return None
 
+    def record_silence(self, peer: Address, sent_at: float, now: float) -> None:
+        """Record that a peer has not responded in time to a request sent then.
+
+        Dropped once no connection that was idle before can be left.
+        """
+        latest = max(sent_at, self._silent_since.get(peer, sent_at))
+        silent = {**self._silent_since, peer: latest}
+        self._silent_since = {
+            address: since
+            for address, since in silent.items()
+            if now - since <= _MAX_SILENCE_S
+        }
+
     def release(self, connection: ClientConnection, now: float) -> None:
         """Return a connection to the pool, or close it.
 
@@ -101,6 +121,15 @@
         self._idle.clear()
         self._size = 0
 
+    def _is_trusted(
+        self, pair: tuple[float, ClientConnection], now: float
+    ) -> bool:
+        """Whether a request that is not repeatable may use a connection."""
+        since, connection = pair
+        if since < self._silent_since.get(connection.peer, since):
+            return False
+        return _is_fresh(pair, now, is_repeatable=False)
+
     def _remove(
         self, idle: _IdleConnections, pair: tuple[float, ClientConnection]
     ) -> ClientConnection:
