Read past late responses on the own interface, too

Callers of idempotent calls got 502 where each upstream wrote a late response to an earlier request before the right one: each ended an attempt. Other calls use new connections only. One late response too many now ends the attempt with the detail "late response is one too many" instead of "response not accepted: earlier_request", as any other one that cannot be skipped; its log line and counter stay.

tests/test_late_responses.py: two of three cases of test_own_interface_reads_past_late_responses failed before (502 instead of 200); that of too many is a guard.

--- a/persimmonhold/entry/_attempt_runner.py
+++ b/persimmonhold/entry/_attempt_runner.py
@@ -5,7 +5,7 @@
 from typing import Final, TypeAlias, final
 
 from returns.result import Failure as Failed
-from returns.result import Result
+from returns.result import Result, Success
 
 from persimmonhold.attempts import (
     AttemptActions,
@@ -32,6 +32,7 @@
     BodyEnd,
     ClientConnection,
     ClientRequest,
+    LateResponseSkipper,
     ResponseBodySink,
     ResponseHead,
     StallDetector,
@@ -176,17 +177,18 @@
             return True
         bytes_before = connection.bytes_written
         sent = await connection.send_request(self._build_client_request())
-        head = await connection.receive_head()
-        if isinstance(sent, Failed) or isinstance(head, Failed):
+        judged = await self._receive_head(connection, is_fresh=is_fresh)
+        if isinstance(sent, Failed) or isinstance(judged, Failed):
             has_sent_bytes = connection.bytes_written > bytes_before
             if not is_fresh and self._fault is AttemptFault.connection_lost:
                 return self._machine.phase is not RequestPhase.sent
             self._record_failure(self._fault, has_sent_bytes=has_sent_bytes)
             return True
-        self.response_head = head.unwrap()
-        verdict = self._judge_response(connection, is_fresh=is_fresh)
+        verdict = judged.unwrap()
         if not verdict.is_for_request:
-            self._reject_response(verdict)
+            self._record_unaccepted(verdict)
+            self._abort_connection(AttemptFault.upstream_error)
+            self._record_failure(self._fault, has_sent_bytes=True)
             return True
         self._perform_actions(
             self._machine.head_received(
@@ -201,6 +203,28 @@
             self._handle_body_end(await connection.stream_body(self))
         return True
 
+    async def _receive_head(
+        self, connection: ClientConnection, *, is_fresh: bool
+    ) -> Result[ResponseVerdict, Failure]:
+        """Receive a head, past late responses, and judge whose it is."""
+        late_responses = LateResponseSkipper(connection)
+        while True:
+            head = await connection.receive_head()
+            if isinstance(head, Failed):
+                return head
+            self.response_head = head.unwrap()
+            verdict = self._judge_response(connection, is_fresh=is_fresh)
+            if verdict is not ResponseVerdict.earlier_request:
+                return Success(verdict)
+            self._record_unaccepted(verdict)
+            skipped = await late_responses.skip(
+                self.response_head, self.response_head.header(REQUEST_ID_HEADER)
+            )
+            if isinstance(skipped, Failed):
+                if self._fault is AttemptFault.connection_lost:
+                    self._abort_connection(AttemptFault.upstream_error)
+                return skipped
+
     def _judge_response(
         self, connection: ClientConnection, *, is_fresh: bool
     ) -> ResponseVerdict:
@@ -217,10 +241,11 @@
             self._request.admission_request.request_id,
             states_not_run=_states_not_run(self.response_head),
             must_be_named=not is_fresh,
+            carried_ids=connection.carried_ids,
         )
 
-    def _reject_response(self, verdict: ResponseVerdict) -> None:
-        """Give up the attempt, as the response is not this request's."""
+    def _record_unaccepted(self, verdict: ResponseVerdict) -> None:
+        """Log and count a response that is not this request's."""
         self._services.metrics.increment(
             metric.UNACCEPTED_RESPONSES, verdict=verdict.value
         )
@@ -233,8 +258,6 @@
             status=self.response_head.status,
             not_run_stated=_states_not_run(self.response_head),
         )
-        self._abort_connection(AttemptFault.upstream_error)
-        self._record_failure(self._fault, has_sent_bytes=True)
 
     @property
     def _is_relaying(self) -> bool:
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -332,7 +332,8 @@
             )
         if isinstance(received, Failed):
             was_closed = (
-                not isinstance(sent, Failed) and not receiver.late_count
+                not isinstance(sent, Failed)
+                and not receiver.late_responses.count
             )
             return self._build_headless_result(
                 received.failure(), may_reconnect=is_used and was_closed
--- a/persimmonhold/forwarding/_response_receiver.py
+++ b/persimmonhold/forwarding/_response_receiver.py
@@ -1,6 +1,6 @@
 """Receives the response to a request, past late ones to earlier requests."""
 
-from typing import Final, final
+from typing import final
 
 import msgspec
 from returns.result import Failure as Failed
@@ -16,15 +16,10 @@
 from persimmonhold.forwarding._statement_recorder import StatementRecorder
 from persimmonhold.web import (
     ClientConnection,
+    LateResponseSkipper,
     ResponseHead,
-    skip_late_response,
 )
 
-# Late responses that are read past before one response, and the size of their
-# bodies together. Bounds what a faulty upstream can have an entry read.
-_MAX_LATE_RESPONSES: Final = 4
-_MAX_LATE_BYTES: Final = 1_048_576
-
 
 @final
 class ReceivedHead(msgspec.Struct, frozen=True):
@@ -37,12 +32,9 @@
 
 @final
 class ResponseReceiver:
-    """Receives the head of the response to one request.
-
-    `late_count` is how many late responses have begun before it.
-    """
+    """Receives the head of the response to one request."""
 
-    __slots__ = ('connection', 'late_count', 'late_bytes', 'services')
+    __slots__ = ('connection', 'late_responses', 'services')
 
     def __init__(
         self, services: ForwardServices, connection: ClientConnection
@@ -50,16 +42,12 @@
         """Create a receiver for the last request on a connection."""
         self.services = services
         self.connection = connection
-        self.late_count = 0
-        self.late_bytes = 0
+        self.late_responses = LateResponseSkipper(connection)
 
     async def receive_head(
         self, upstream: UpstreamFacts, request_id: str, sent_at: float
     ) -> Result[ReceivedHead, Failure]:
-        """Return the first head that is not of a late response.
-
-        That of one late response too many is returned, too.
-        """
+        """Return the first head that is not of a late response."""
         recorder = StatementRecorder(self.services, upstream)
         while True:
             head = await self.connection.receive_head()
@@ -68,10 +56,9 @@
             received = self._judge(recorder, head.unwrap(), request_id, sent_at)
             if received.verdict is not ResponseVerdict.earlier_request:
                 return Success(received)
-            self.late_count += 1
-            if self.late_count > _MAX_LATE_RESPONSES:
-                return Success(received)
-            skipped = await self._skip(received)
+            skipped = await self.late_responses.skip(
+                received.head, received.decoded.request_id
+            )
             if isinstance(skipped, Failed):
                 return skipped
 
@@ -87,14 +74,3 @@
             decoded, request_id, sent_at, self.connection.carried_ids
         )
         return ReceivedHead(head, decoded, verdict)
-
-    async def _skip(self, late: ReceivedHead) -> Result[int, Failure]:
-        """Read past the body of a late response."""
-        skipped = await skip_late_response(
-            self.connection,
-            late.head,
-            late.decoded.request_id,
-            _MAX_LATE_BYTES - self.late_bytes,
-        )
-        self.late_bytes += skipped.value_or(0)
-        return skipped
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -29,7 +29,7 @@
     encode_headers,
     find_header,
 )
-from persimmonhold.web._late_response import skip_late_response
+from persimmonhold.web._late_response import LateResponseSkipper
 from persimmonhold.web._memory_budget import EvictionCause, MemoryBudget
 from persimmonhold.web._peer_timeout import PeerTimeout
 from persimmonhold.web._rejection import Rejection
@@ -68,6 +68,7 @@
     'Headers',
     'HttpBounds',
     'HttpServer',
+    'LateResponseSkipper',
     'PeerTimeout',
     'Rejection',
     'RequestHead',
@@ -79,5 +80,4 @@
     'fetch',
     'find_header',
     'parse_address',
-    'skip_late_response',
 )
--- a/persimmonhold/web/_late_response.py
+++ b/persimmonhold/web/_late_response.py
@@ -1,6 +1,6 @@
-"""Skips a late response to an earlier request on a connection."""
+"""Skips late responses to earlier requests on a connection."""
 
-from typing import Final
+from typing import Final, final
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -11,34 +11,53 @@
 from persimmonhold.web._response_head import ResponseHead
 
 _HEAD_METHOD: Final = 'HEAD'
+# Late responses that are skipped before one response, and the size of their
+# bodies together. Bounds what a faulty peer can have this process read.
+_MAX_LATE_RESPONSES: Final = 4
+_MAX_LATE_BYTES: Final = 1_048_576
 
 
-async def skip_late_response(
-    connection: ClientConnection,
-    head: ResponseHead,
-    request_id: str,
-    max_body_bytes: int,
-) -> Result[int, Failure]:
-    """Read past the response to an earlier request, whose head was received.
+@final
+class LateResponseSkipper:
+    """Skips late responses before that to the last request of a connection.
 
-    Returns the size of its body. What follows is received as the response to
-    the last request, and the connection carries no further one. Fails if it is
-    not certain where the late response ends, or if it is too long.
+    `count` is how many there were, also of those that could not be skipped.
     """
-    connection.is_kept_open = False
-    if not _has_certain_end(connection, head, request_id):
-        return _fail(connection, 'has no certain end')
-    size = 0
-    while not connection.codec.is_response_complete:
-        chunk = await connection.receive_chunk()
-        if isinstance(chunk, Failed):
-            return chunk
-        size += len(chunk.unwrap())
-        if size > max_body_bytes:
-            return _fail(connection, 'is too long')
-    if not connection.codec.expect_another_response():
-        return _fail(connection, 'ends the connection')
-    return Success(size)
+
+    __slots__ = ('connection', 'count', 'size_bytes')
+
+    def __init__(self, connection: ClientConnection) -> None:
+        """Create a skipper for a connection on which a request was sent."""
+        self.connection = connection
+        self.count = 0
+        self.size_bytes = 0
+
+    async def skip(
+        self, head: ResponseHead, request_id: str
+    ) -> Result[None, Failure]:
+        """Read past the response to `request_id`, whose head was received.
+
+        What follows is received as the response to the last request, and the
+        connection carries no further one. Fails if it is not certain where the
+        late response ends, or if there is too much of them.
+        """
+        connection = self.connection
+        connection.is_kept_open = False
+        self.count += 1
+        if self.count > _MAX_LATE_RESPONSES:
+            return _fail(connection, 'is one too many')
+        if not _has_certain_end(connection, head, request_id):
+            return _fail(connection, 'has no certain end')
+        while not connection.codec.is_response_complete:
+            chunk = await connection.receive_chunk()
+            if isinstance(chunk, Failed):
+                return chunk
+            self.size_bytes += len(chunk.unwrap())
+            if self.size_bytes > _MAX_LATE_BYTES:
+                return _fail(connection, 'is too long')
+        if not connection.codec.expect_another_response():
+            return _fail(connection, 'ends the connection')
+        return Success(None)
 
 
 def _has_certain_end(
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -24,8 +24,8 @@
     SIGNATURE,
 )
 from persimmonhold.routes import RouteKind
-from persimmonhold.web import ClientRequest, encode_headers, fetch
-from tests.entry_builders import TIMEOUT_S
+from persimmonhold.web import ClientRequest, Exchange, encode_headers, fetch
+from tests.entry_builders import TIMEOUT_S, EntryHarness, ScriptedUpstream
 from tests.forwarding_harness import (
     ROUTE_KINDS,
     ForwardingHarness,
@@ -366,3 +366,47 @@
         [(line['verdict'], line['named_request']) for line in logged],
         Equals([('earlier_request', 'r1')]),
     )
+
+
+# The interface of the product itself.
+
+
+@pytest.mark.parametrize('count', [1, _MAX_SKIPPED, _MAX_SKIPPED + 1])
+def test_own_interface_reads_past_late_responses(count: int) -> None:
+    """Too many of them end the attempt, as each one did before."""
+    name = 'persimmonhold-request-id'
+    served: list[tuple[str, str]] = []
+
+    async def script(exchange: Exchange) -> None:
+        request_id = exchange.head.header(name)
+        earlier = [one for one, peer in served if peer == exchange.head.peer]
+        served.append((request_id, exchange.head.peer))
+        if earlier:
+            late = (
+                f'HTTP/1.1 503 Late\r\n{name}: {earlier[0]}\r\n'
+                'persimmonhold-ran: no\r\ncontent-length: 4\r\n\r\nlate'
+            )
+            transport = exchange._connection._transport  # noqa: SLF001
+            assert transport is not None
+            transport.write(late.encode('ascii') * count)
+        headers = encode_headers({name: request_id})
+        await exchange.respond(200, b'own', headers=headers)
+
+    async def scenario() -> None:
+        async with EntryHarness(ScriptedUpstream('s1', script)) as harness:
+            first, second, third = [
+                await harness.call('GET', '/services/lodgements/x')
+                for _ in range(3)
+            ]
+            assert_that(first.body, Equals(b'own'))
+            assert_that(third.body, Equals(b'own'))
+            assert_that(second.body, Not(Contains(b'late')))
+            if count <= _MAX_SKIPPED:
+                assert_that(second.body, Equals(b'own'))
+                assert_that(len(served), Equals(3))
+            else:
+                assert_that(second.head.status, Equals(502))
+                ran = second.head.header('persimmonhold-ran')
+                assert_that(ran, Equals('unknown'))
+
+    asyncio.run(scenario())
