--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -27,10 +27,10 @@
     ForwardResponseWriter,
 )
 from persimmonhold.forwarding._forward_services import ForwardServices
+from persimmonhold.forwarding._response_receiver import ResponseReceiver
 from persimmonhold.forwarding._resumable_event_framer import (
     ResumableEventFramer,
 )
-from persimmonhold.forwarding._statement_recorder import StatementRecorder
 from persimmonhold.quarantine import PROOF_S
 from persimmonhold.routes import ForwardRoute, KeyVerdict
 from persimmonhold.web import (
@@ -302,6 +302,7 @@
             connection.mark_failed(unsendable.detail)
             return unsendable
         self.progress.has_written = True
+        self.progress.written_at = _now()
         self.progress.requests_before = len(connection.carried_ids)
         before = connection.bytes_written
         sent = await connection.send_request(
@@ -318,37 +319,37 @@
             return (
                 None if is_used else _unreachable_result(sent.failure().detail)
             )
+        request_id = self.request.dispatch_request.profile.request_id
+        receiver = ResponseReceiver(self.services, connection)
         with StallDetector(
             connection,
             _head_timeout_s(self.request.dispatch_request.route),
             self._handle_stall,
             counts_reads=False,
         ):
-            head = await connection.receive_head()
-        if isinstance(head, Failed):
-            was_sent = not isinstance(sent, Failed)
+            received = await receiver.receive_head(
+                self.action.upstream, request_id, sent_at
+            )
+        if isinstance(received, Failed):
+            was_closed = (
+                not isinstance(sent, Failed)
+                and not receiver.late_responses.count
+            )
             return self._build_headless_result(
-                head.failure(), may_reconnect=is_used and was_sent
+                received.failure(), may_reconnect=is_used and was_closed
             )
-        self.head = head.unwrap()
+        self.head = received.unwrap().head
         if self.progress.is_overdue:
             self.services.hub.quarantine.silent.drop(
-                self.action.upstream.process_key,
-                self.request.dispatch_request.profile.request_id,
+                self.action.upstream.process_key, request_id
             )
-        decoded_head = self.services.dialect.decode_response_head(self.head)
-        recorder = StatementRecorder(self.services, self.action.upstream)
-        verdict = recorder.record(
-            decoded_head,
-            self.request.dispatch_request.profile.request_id,
-            sent_at,
-        )
+        verdict = received.unwrap().verdict
         if not verdict.is_for_request:
             connection.mark_failed(verdict.value)
             return _failed_result(
                 AttemptEnd.failed, f'response not accepted: {verdict.value}'
             )
-        return await self._read_response(connection, decoded_head)
+        return await self._read_response(connection, received.unwrap().decoded)
 
     def _build_headless_result(
         self, failure: Failure, *, may_reconnect: bool
@@ -478,6 +479,10 @@
         process = self.action.upstream.process_key
         if self.is_waiting and not self.progress.is_overdue:
             self.progress.is_overdue = True
+            if self.connection is not None:
+                self.services.pool.record_silence(
+                    self.connection.peer, self.progress.written_at, _now()
+                )
             self.services.hedges.record_overdue(number, process)
             self.services.reach.record_failure(
                 self.request.dispatch_request.service, process[0]
