--- a/tests/raw_upstream.py
+++ b/tests/raw_upstream.py
@@ -109,9 +109,9 @@
         self.address = ''
         self.requests: list[dict[str, str]] = []
 
-    async def start(self) -> asyncio.Server:
+    async def start(self, host: str = '127.0.0.1') -> asyncio.Server:
         """Listen on loopback."""
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        server = await asyncio.start_server(self._serve, host, 0)
         host, port = server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
         return server
--- /dev/null
+++ b/tests/test_relays_between_entries.py
@@ -0,0 +1,418 @@
+"""Entries that relay requests to one another, with upstreams of their own."""
+
+import asyncio
+import itertools
+from typing import Final
+
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    Is,
+    LessThan,
+    Not,
+)
+
+from persimmonhold.forwarding._forward_handler import ForwardHandler
+from persimmonhold.observability import metric
+from persimmonhold.platform._names import REQUEST_ID
+from persimmonhold.routes import RouteKind, Workspace, hash_key
+from persimmonhold.usage import UsedTokens
+from persimmonhold.web import (
+    RELAYED_FOR_HEADER,
+    FetchedResponse,
+    HttpBounds,
+    HttpServer,
+)
+from tests.entry_builders import ANY_PORT
+from tests.forwarding_harness import ForwardingHarness
+from tests.raw_upstream import (
+    EVENT_STREAM,
+    PLAIN,
+    RawConnection,
+    RawUpstream,
+)
+from tests.scripted_entries import (
+    BODY,
+    CutEntry,
+    lose_upstreams,
+    make_vm,
+    regain_upstreams,
+    run_cut,
+    set_vms,
+    wait_until,
+)
+from tests.upstream_links import HANG, RESET, LinkedEntries, run_linked
+
+_FIRST_EVENT: Final = b'id: 1\ndata: x\n\n'
+
+
+class Upstream:
+    """Answers requests after a delay, and records the runs of each."""
+
+    def __init__(self, delay_s: float = 0) -> None:
+        self.delay_s = delay_s
+        self.runs: dict[str, int] = {}
+        self.heads: list[dict[str, str]] = []
+
+    async def serve(self, connection: RawConnection) -> None:
+        """Run a request."""
+        name = connection.headers[REQUEST_ID]
+        self.runs[name] = self.runs.get(name, 0) + 1
+        self.heads.append(connection.headers)
+        await asyncio.sleep(self.delay_s)
+        await connection.respond(PLAIN, 'length', BODY)
+
+
+async def _send(
+    entry: ForwardingHarness,
+    name: str,
+    deadline_ms: int = 3000,
+    headers: dict[str, str] | None = None,
+) -> FetchedResponse | None:
+    answered = await entry.send_request(
+        headers={REQUEST_ID: name, **(headers or {})}, deadline_ms=deadline_ms
+    )
+    return answered.value_or(None)
+
+
+def _count_relays(entry: ForwardingHarness, end: str = '') -> float:
+    metrics = entry.services.metrics
+    ends = [end] if end else ['delivered', 'refused', 'unable', 'failed']
+    return sum(metrics.counter_value(metric.RELAYS, end=one) for one in ends)
+
+
+def _status(response: FetchedResponse | None) -> int:
+    return 0 if response is None else response.head.status
+
+
+# Circles.
+
+
+@pytest.mark.parametrize('kind', list(RouteKind))
+def test_request_is_refused_soon_if_all_entries_are_cut_off(
+    kind: RouteKind,
+) -> None:
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(kind, attempts=3, resumable=True)
+        await linked.start_upstreams(*itertools.repeat(upstream.serve, 2))
+        for entry in linked.entries:
+            lose_upstreams(entry)
+        loop = asyncio.get_running_loop()
+        for number in range(12):
+            began_at = loop.time()
+            answer = await _send(linked.entries[number % 4], f'r{number}')
+            assert answer is not None
+            assert_that(answer.head.status, Equals(503))
+            after = float(answer.head.header('retry-after'))
+            assert_that(after, GreaterThan(0.3))
+            assert_that(loop.time() - began_at, LessThan(1))
+        assert_that(upstream.runs, Equals({}))
+        for entry in linked.entries:
+            assert_that(_count_relays(entry), LessThan(7))
+
+    run_linked(4, scenario)
+
+
+# What the run at the other entry is like.
+
+
+def test_relayed_request_runs_once_and_within_its_deadline() -> None:
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.non_idempotent)
+        await linked.start_upstreams(upstream.serve)
+        lose_upstreams(linked.entries[0])
+        answer = await _send(linked.entries[0], 'r1', 1000)
+        assert answer is not None
+        assert_that(answer.body, Equals(BODY))
+        assert_that(upstream.runs, Equals({'r1': 1}))
+        head = upstream.heads[0]
+        assert_that(int(head['deadline-ms']), LessThan(1001))
+        assert_that(RELAYED_FOR_HEADER in head, Is(False))
+
+    run_linked(2, scenario)
+
+
+def test_forged_header_of_a_caller_reaches_no_upstream() -> None:
+    """A caller that is no VM gains nothing from the header of a relay."""
+
+    async def scenario(cut: CutEntry) -> None:
+        regain_upstreams(cut.harness)
+        upstream = Upstream()
+        await cut.harness.start_raw_upstream(upstream.serve)
+        set_vms(cut.harness, make_vm('other', '127.0.0.2:80'))
+        answer = await cut.send('r1', headers={RELAYED_FOR_HEADER: '9.9.9.9'})
+        assert answer is not None
+        assert_that(answer.head.status, Equals(200))
+        names = ' '.join(upstream.heads[0])
+        assert_that(names, Not(Contains('persimmonhold')))
+
+    run_cut(scenario)
+
+
+def test_key_is_checked_and_use_is_counted_at_the_entry_that_runs() -> None:
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        await linked.start_upstreams(upstream.serve)
+        first, second = linked.entries
+        for either in linked.entries:
+            either.set_workspaces(
+                Workspace(name='w1', key_hashes=(hash_key('k'),))
+            )
+        lose_upstreams(first)
+        key = {'authorization': 'Bearer k', 'token-count': '10,5'}
+        assert_that(_status(await _send(first, 'r1', headers=key)), Equals(200))
+        assert_that(upstream.heads[0]['tenant'], Equals('w1'))
+        used = [
+            one.hub.usage_meter.build_message('e', 1e9)
+            for one in linked.entries
+        ]
+        assert_that([one is None for one in used], Equals([True, False]))
+        assert used[1] is not None
+        assert_that(used[1].used, Equals((UsedTokens('w1', 1, 15),)))
+        second.set_workspaces(
+            Workspace(name='w1', key_hashes=(hash_key('new'),))
+        )
+        refused = await _send(first, 'r2', headers=key)
+        assert refused is not None
+        assert_that(refused.head.status, Equals(503))
+        assert_that(upstream.runs, Equals({'r1': 1}))
+
+    run_linked(2, scenario)
+
+
+# Requests that were under way when the cut was noticed.
+
+
+async def _hang(connection: RawConnection) -> None:
+    await asyncio.sleep(30)
+
+
+async def _fail(connection: RawConnection) -> None:
+    connection.reset()
+    connection.writer.close()
+
+
+def test_requests_that_wait_are_relayed_when_the_cut_is_noticed() -> None:
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.non_idempotent)
+        await linked.start_upstreams(upstream.serve, upstream.serve)
+        first = linked.entries[0]
+        linked.cut(0, HANG)
+        sent = [
+            asyncio.create_task(_send(first, f'r{number}'))
+            for number in range(30)
+        ]
+        answers = await asyncio.gather(*sent)
+        assert_that({_status(one) for one in answers}, Equals({200}))
+        assert_that(set(upstream.runs.values()), Equals({1}))
+
+    run_linked(2, scenario)
+
+
+def test_stream_that_has_begun_ends_so_that_its_caller_can_go_on() -> None:
+    async def scenario(cut: CutEntry) -> None:
+        async def begin(connection: RawConnection) -> None:
+            await connection.write_head(EVENT_STREAM, 'chunks')
+            await connection.write_body(_FIRST_EVENT, 'chunks')
+            await asyncio.sleep(30)
+
+        regain_upstreams(cut.harness)
+        cut.set_route(RouteKind.stream, attempts=3, resumable=True)
+        other = Upstream()
+        await cut.start_others(other.serve)
+        await cut.harness.start_raw_upstream(begin)
+        reader, writer = await cut.open_request(deadline_ms=8000)
+        await reader.readuntil(_FIRST_EVENT)
+        lose_upstreams(cut.harness)
+        async with asyncio.timeout(2):
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await reader.readuntil(b'0\r\n\r\n')
+        writer.close()
+        assert_that(other.heads, Equals([]))
+
+    run_cut(scenario)
+
+
+# Cuts that end, and what looks like one.
+
+
+async def _wait_until_served(entry: ForwardingHarness, prefix: str) -> None:
+    """Send requests until one is served; the rule allows some seconds."""
+    async with asyncio.timeout(4):
+        for number in itertools.count():
+            answer = await _send(entry, f'{prefix}{number}')
+            if _status(answer) == 200:
+                return
+
+
+async def _wait_until_regained(entry: ForwardingHarness) -> None:
+    """Wait until upstreams are in reach, which one probe shows."""
+    monitor = entry.services.reach.monitor
+    await wait_until(lambda: not monitor.is_lost('models'), 2)
+
+
+@pytest.mark.parametrize('how', [HANG, RESET])
+def test_way_is_direct_again_soon_after_each_of_two_cuts(how: str) -> None:
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.idempotent, attempts=2)
+        await linked.start_upstreams(*itertools.repeat(upstream.serve, 3))
+        first = linked.entries[0]
+        monitor = first.services.reach.monitor
+        for number in range(2):
+            linked.cut(0, how)
+            await _wait_until_served(first, f'cut{number}-')
+            assert_that(monitor.is_lost('models'), Is(True))
+            await linked.heal(0)
+            await _wait_until_regained(first)
+            relayed = _count_relays(first)
+            answer = await _send(first, f'direct{number}')
+            assert_that(_status(answer), Equals(200))
+            assert_that(_count_relays(first), Equals(relayed))
+
+    run_linked(2, scenario)
+
+
+def test_hardly_a_request_is_relayed_while_all_upstreams_are_down() -> None:
+    """Each entry finds the same, and no request may go round for nothing."""
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.idempotent, attempts=2)
+        await linked.start_upstreams(*itertools.repeat(upstream.serve, 3))
+        for number in range(4):
+            linked.cut(number, RESET)
+        sent = []
+        for number in range(100):
+            entry = linked.entries[number % 4]
+            sent.append(asyncio.create_task(_send(entry, f'r{number}', 1000)))
+            await asyncio.sleep(0.02)
+        answers = await asyncio.gather(*sent)
+        assert_that({_status(one) for one in answers}, Equals({503}))
+        relayed = sum(map(_count_relays, linked.entries))
+        assert_that(relayed, LessThan(150))
+        for number in range(4):
+            await linked.heal(number)
+        for one in linked.entries:
+            await _wait_until_regained(one)
+            assert_that(_status(await _send(one, 'after')), Equals(200))
+
+    run_linked(4, scenario)
+
+
+@pytest.mark.parametrize('down', [1, 2])
+def test_nothing_is_relayed_while_some_upstreams_are_down(down: int) -> None:
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.idempotent, attempts=3)
+        await linked.start_upstreams(*itertools.repeat(upstream.serve, 6))
+        first = linked.entries[0]
+        for link in list(linked.links[0].values())[:down]:
+            link.cut(RESET)
+        for number in range(60):
+            answer = await _send(first, f'r{number}')
+            assert_that(_status(answer), Equals(200))
+        assert_that(_count_relays(first), Equals(0))
+
+    run_linked(2, scenario)
+
+
+def test_nothing_is_relayed_while_upstreams_are_silent_for_a_second() -> None:
+    """Upstreams that pause accept connections, so the entry is not cut off."""
+    upstream = Upstream(delay_s=1.2)
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.idempotent, attempts=3)
+        await linked.start_upstreams(*itertools.repeat(upstream.serve, 3))
+        first = linked.entries[0]
+        answers = await asyncio.gather(
+            *(_send(first, f'r{number}') for number in range(6))
+        )
+        assert_that({_status(one) for one in answers}, Equals({200}))
+        assert_that(_count_relays(first), Equals(0))
+
+    run_linked(2, scenario)
+
+
+# Planned stops.
+
+
+def test_planned_stop_of_the_cut_entry_cuts_no_relayed_request() -> None:
+    upstream = Upstream(delay_s=0.5)
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.non_idempotent)
+        await linked.start_upstreams(upstream.serve)
+        first = linked.entries[0]
+        lose_upstreams(first)
+        sent = [
+            asyncio.create_task(_send(first, f'r{number}'))
+            for number in range(5)
+        ]
+        await wait_until(lambda: len(upstream.runs) == 5)
+        await first.server.drain()
+        answers = await asyncio.gather(*sent)
+        assert_that({_status(one) for one in answers}, Equals({200}))
+
+    run_linked(2, scenario)
+
+
+def test_planned_stop_of_the_other_entry_tells_truly_what_ran() -> None:
+    """What waits there goes on to a third entry, what runs may have run."""
+
+    async def scenario(cut: CutEntry) -> None:
+        third = Upstream()
+        hanging = RawUpstream('hanging', _hang)
+        server = await hanging.start()
+        await cut.harness.stack.enter_async_context(server)
+        second = ForwardingHarness(vm_name='second')
+        await cut.harness.stack.enter_async_context(second)
+        stopping = ForwardHandler(second.services)
+        served = HttpServer(ANY_PORT, stopping, HttpBounds())
+        await cut.harness.stack.enter_async_context(served)
+        cut.set_route(RouteKind.non_idempotent)
+        second.set_route(RouteKind.non_idempotent)
+        await cut.start_others(third.serve)
+        vms = cut.harness.control.view.vms
+        set_vms(
+            cut.harness,
+            make_vm('second', str(served.address)),
+            *(msgspec.structs.replace(vm, failure_domain='d2') for vm in vms),
+        )
+        second.raw_upstreams.append(hanging)
+        second.set_facts()
+        sent = [
+            asyncio.create_task(cut.send(f'r{number}', 4000))
+            for number in range(20)
+        ]
+        await wait_until(lambda: len(stopping.runners) == 20)
+        await wait_until(lambda: len(hanging.requests) > 3)
+        await asyncio.sleep(0.1)
+        stopping.end_requests(has_begun=False)
+        answers = await asyncio.gather(*sent)
+        ran = {head[REQUEST_ID] for head in hanging.requests}
+        assert_that(len(ran), GreaterThan(0))
+        assert_that(len(ran), LessThan(20))
+        for number, answer in enumerate(answers):
+            expected = 504 if f'r{number}' in ran else 200
+            assert_that(_status(answer), Equals(expected))
+        again = ran & set(third.runs)
+        assert_that(again, Equals(set()))
+
+    run_cut(scenario)
+
+
+# What the logs tell.
