Do not pass on an unproven 429 or 503 of another entry

A response that named the request, but did not state that it had not run, was passed on with any status. Callers take 408, 421, 425, 429 and 503 as a promise and would send a request again that may have run. A success that states that it did not run was sent on as a refusal with the status of a success. The own attempts already check this; the relay did not.

--- a/persimmonhold/forwarding/_relayed_attempt.py
+++ b/persimmonhold/forwarding/_relayed_attempt.py
@@ -31,6 +31,9 @@
 
 _CONNECT_TIMEOUT_S: Final = 0.4  # as for an upstream
 _RETRY_AFTER: Final = 'retry-after'
+# Callers take these statuses as a promise that the request did not run.
+_NOT_RUN_STATUSES: Final = frozenset((408, 421, 425, 429, 503))
+_FIRST_ERROR_STATUS: Final = 400
 # Refusals that concern the other entry, not the request or the upstreams.
 _UNABLE_REASONS: Final = frozenset((
     OUT_OF_REACH,
@@ -121,7 +124,7 @@
             return _failed_result(failure.failure().detail)
         self.head = head.unwrap()
         verdict = self._judge_head()
-        if not verdict.is_for_request:
+        if not verdict.is_for_request or not self._has_fitting_status(verdict):
             connection.mark_failed(verdict.value)
             return _failed_result(f'response not accepted: {verdict.value}')
         if verdict is ResponseVerdict.not_run:
@@ -141,6 +144,12 @@
             must_be_named=True,
         )
 
+    def _has_fitting_status(self, verdict: ResponseVerdict) -> bool:
+        """Tell whether the status says the same as the other headers."""
+        if verdict is ResponseVerdict.not_run:
+            return self.head.status >= _FIRST_ERROR_STATUS
+        return self.head.status not in _NOT_RUN_STATUSES
+
     def _build_request(self) -> ClientRequest:
         head = self.request.head
         dispatch_request = self.request.dispatch_request
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -87,6 +87,43 @@
 })
 
 
+@pytest.mark.parametrize('status', _PROMISES)
+@pytest.mark.parametrize('case', list(_UNPROVEN))
+def test_unproven_refusal_is_no_promise_to_the_caller(
+    case: str, status: int
+) -> None:
+    async def scenario(cut: CutEntry) -> None:
+        async def refuse_it(connection: RawConnection) -> None:
+            await refuse(connection, status, **_UNPROVEN[case])
+
+        cut.set_route(RouteKind.non_idempotent)
+        await cut.start_others(refuse_it, refuse_it)
+        response = await cut.send()
+        assert response is not None
+        assert_that(response.head.status, Equals(502))
+        assert_that(response.head.header('retry-after'), Equals(''))
+        assert_that(sum(cut.relayed_counts), Equals(1))
+
+    run_cut(scenario)
+
+
+@pytest.mark.parametrize('status', [200, 204, 302])
+def test_success_that_states_it_did_not_run_is_not_passed_on(
+    status: int,
+) -> None:
+    async def scenario(cut: CutEntry) -> None:
+        async def refuse_it(connection: RawConnection) -> None:
+            await refuse(connection, status, content_length='2')
+
+        cut.set_route(RouteKind.non_idempotent)
+        await cut.start_others(refuse_it)
+        response = await cut.send()
+        assert response is not None
+        assert_that(response.head.status, Equals(502))
+
+    run_cut(scenario)
+
+
 @pytest.mark.parametrize('status', [500, 502, 504])
 def test_failure_of_the_other_entry_is_passed_on_once(status: int) -> None:
     async def scenario(cut: CutEntry) -> None:
