Check the form of the reason that another entry gives

A reason that is not ASCII ended the request with an exception, so its caller got no response; others went into the body and the outcome label as they were.

Evidence: 5 of 6 cases of the test failed before (one with UnicodeEncodeError).

--- a/persimmonhold/forwarding/_relayed_attempt.py
+++ b/persimmonhold/forwarding/_relayed_attempt.py
@@ -1,6 +1,7 @@
 """Relays one request to another entry, which forwards it to an upstream."""
 
 import asyncio
+import re
 from typing import Final, final
 
 from returns.result import Failure as Failed
@@ -34,6 +35,8 @@
 # Callers take these statuses as a promise that the request did not run.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 425, 429, 503))
 _FIRST_ERROR_STATUS: Final = 400
+_REASON: Final = re.compile('[a-z_]{1,64}')
+_UNKNOWN_REASON: Final = 'refused'
 # Refusals that concern the other entry, not the request or the upstreams.
 _UNABLE_REASONS: Final = frozenset((
     OUT_OF_REACH,
@@ -168,7 +171,7 @@
         )
 
     def _build_refusal_result(self) -> RelayResult:
-        reason = self.head.header(REFUSAL_REASON_HEADER)
+        reason = self._read_reason()
         retry_after = self.head.header(_RETRY_AFTER)
         return RelayResult(
             end=(
@@ -178,7 +181,7 @@
             ),
             detail=reason,
             status=self.head.status,
-            reason=reason or 'refused',
+            reason=reason,
             headers=(
                 encode_headers({_RETRY_AFTER: retry_after})
                 if retry_after
@@ -186,6 +189,11 @@
             ),
         )
 
+    def _read_reason(self) -> str:
+        """Return the reason of a refusal if it has the form of one."""
+        reason = self.head.header(REFUSAL_REASON_HEADER)
+        return reason if _REASON.fullmatch(reason) else _UNKNOWN_REASON
+
     def _write_to_caller(self, chunk: bytes) -> bool:
         connection = self.connection
         if not chunk or connection is None:
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -124,6 +124,25 @@
     run_cut(scenario)
 
 
+@pytest.mark.parametrize(
+    'reason', ['', 'caf\xe9', '"}{"', 'x' * 2000, 'a b', 'No_Capacity']
+)
+def test_unreadable_reason_of_a_refusal_does_not_break_the_response(
+    reason: str,
+) -> None:
+    async def scenario(cut: CutEntry) -> None:
+        async def refuse_it(connection: RawConnection) -> None:
+            await refuse(connection, 503, persimmonhold_refusal_reason=reason)
+
+        await cut.start_others(refuse_it)
+        response = await cut.send()
+        assert response is not None
+        assert_that(response.head.status, Equals(503))
+        assert_that(response.body, Equals(b'{"error":"refused"}'))
+
+    run_cut(scenario)
+
+
 @pytest.mark.parametrize('status', [500, 502, 504])
 def test_failure_of_the_other_entry_is_passed_on_once(status: int) -> None:
     async def scenario(cut: CutEntry) -> None:
