Relay fewer requests to an entry that does not answer

Now the entry with the fewest requests under way for its weight is chosen, and one that sent no response comes last for 3 s. It is still asked if no other is left, so that slow upstreams exclude nobody.

--- a/persimmonhold/forwarding/_request_relay.py
+++ b/persimmonhold/forwarding/_request_relay.py
@@ -10,9 +10,11 @@
 from persimmonhold.forwarding._request_state import RequestState
 from persimmonhold.messages import VmRecord
 from persimmonhold.observability import log_event, metric
-from persimmonhold.web import parse_address
+from persimmonhold.web import Address, parse_address
 
 _MAX_ENTRIES: Final = 4  # that one request is relayed to
+# An entry that sends no response for so long, until the request ends, may hang.
+_RESPONSE_TIMEOUT_S: Final = 0.5
 
 
 @final
@@ -62,9 +64,7 @@
         # Until it ends otherwise, as the caller may leave meanwhile.
         may_have_run = self.state.may_have_run
         self.state.may_have_run = True
-        result = await RelayedAttempt(
-            self.services, self.state.request, self.state.response_writer
-        ).run(address.unwrap())
+        result = await self._run_attempt(entry.name, address.unwrap())
         if result.end in {RelayEnd.refused, RelayEnd.unable}:
             self.state.may_have_run = may_have_run
         else:
@@ -80,6 +80,32 @@
         )
         return result
 
+    async def _run_attempt(self, entry: str, address: Address) -> RelayResult:
+        """Relay the request; record whether the entry responds at all."""
+        peers = self.services.relay_peers
+        began_at = self.services.hub.clock()
+        attempt = RelayedAttempt(
+            self.services, self.state.request, self.state.response_writer
+        )
+        peers.record_sent(entry)
+        is_broken = False
+        try:
+            result = await attempt.run(address)
+            is_broken = result.end is RelayEnd.failed
+        finally:
+            peers.record_ended(entry)
+            if not attempt.head.status:
+                self._record_unanswered(entry, began_at, is_broken=is_broken)
+        return result
+
+    def _record_unanswered(
+        self, entry: str, began_at: float, *, is_broken: bool
+    ) -> None:
+        """Record that an entry has sent no response, if it had time for it."""
+        now = self.services.hub.clock()
+        if is_broken or now - began_at >= _RESPONSE_TIMEOUT_S:
+            self.services.relay_peers.record_unanswered(entry, now)
+
     def _may_go_on(self, entry: VmRecord, result: RelayResult) -> bool:
         """Tell whether another entry is to be tried."""
         if result.end is RelayEnd.unable:
--- a/persimmonhold/reach/_relay_peers.py
+++ b/persimmonhold/reach/_relay_peers.py
@@ -1,6 +1,7 @@
 """Chooses the entries to which an entry without upstreams relays requests."""
 
 import random
+from collections import Counter
 from collections.abc import Collection, Iterable
 from typing import Final, final
 
@@ -8,17 +9,29 @@
 
 # An entry that could not take a relayed request is not asked for this long.
 _PAUSE_S: Final = 1.0
+# One that did not answer a request is asked only if no other is left. Covers the
+# time after which an entry that is frozen counts as silent.
+_DOUBT_S: Final = 3.0
 
 
 @final
 class RelayPeers:
     """Chooses among the entries that are live and have taken relayed requests.
 
-    Those in the failure domain of this entry come first. `paused_until` has the
+    Those in the failure domain of this entry come first, and of these the ones
+    with the fewest `running` requests for their weight. `paused_until` has the
     others: out of reach as well, stopping, or cut off from control.
+    `doubted_until` has those that come last, as they did not answer.
     """
 
-    __slots__ = ('failure_domain', 'own_name', 'paused_until', 'rng')
+    __slots__ = (
+        'doubted_until',
+        'failure_domain',
+        'own_name',
+        'paused_until',
+        'rng',
+        'running',
+    )
 
     def __init__(
         self, own_name: str, failure_domain: str, rng: random.Random
@@ -28,6 +41,8 @@
         self.failure_domain = failure_domain
         self.rng = rng
         self.paused_until: dict[str, float] = {}
+        self.doubted_until: dict[str, float] = {}
+        self.running: Counter[str] = Counter()
 
     def choose(
         self,
@@ -46,20 +61,47 @@
             and vm.name not in {self.own_name, *tried}
             and now >= self.paused_until.get(vm.name, 0)
         ]
-        near = [vm for vm in able if vm.failure_domain == self.failure_domain]
-        chosen = near or able
-        if not chosen:
-            return None
-        weights = [max(vm.weight, 0) for vm in chosen]
-        if not any(weights):
-            return self.rng.choice(chosen)
-        return self.rng.choices(chosen, weights)[0]
+        trusted = [
+            vm for vm in able if now >= self.doubted_until.get(vm.name, 0)
+        ]
+        near = [
+            vm for vm in trusted if vm.failure_domain == self.failure_domain
+        ]
+        return self._choose_least_busy(near or trusted or able)
+
+    def record_sent(self, name: str) -> None:
+        """Record that a request is relayed to an entry."""
+        self.running[name] += 1
+
+    def record_ended(self, name: str) -> None:
+        """Record that a relayed request has ended."""
+        self.running[name] -= 1
+        if not self.running[name]:
+            self.running.pop(name)
 
     def record_unable(self, name: str, now: float) -> None:
         """Record that an entry could not take a relayed request."""
-        self.paused_until = {
-            paused: until
-            for paused, until in self.paused_until.items()
-            if until > now
-        }
+        self.paused_until = _drop_past(self.paused_until, now)
         self.paused_until[name] = now + _PAUSE_S
+
+    def record_unanswered(self, name: str, now: float) -> None:
+        """Record that an entry did not answer a relayed request in time."""
+        self.doubted_until = _drop_past(self.doubted_until, now)
+        self.doubted_until[name] = now + _DOUBT_S
+
+    def _choose_least_busy(self, vms: list[VmRecord]) -> VmRecord | None:
+        """Choose among the entries with the fewest requests for their weight.
+
+        An entry that hangs so gets no more of them than the others have.
+        """
+        weighted = [vm for vm in vms if vm.weight > 0]
+        if not weighted:
+            return self.rng.choice(vms) if vms else None
+        shares = {vm.name: self.running[vm.name] / vm.weight for vm in weighted}
+        least = min(shares.values())
+        idle = [vm for vm in weighted if shares[vm.name] <= least]
+        return self.rng.choices(idle, [vm.weight for vm in idle])[0]
+
+
+def _drop_past(times: dict[str, float], now: float) -> dict[str, float]:
+    return {name: until for name, until in times.items() if until > now}
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -13,7 +13,7 @@
     rule,
 )
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from persimmonhold.forwarding._relay_head import (
     build_refusal_proof,
@@ -150,6 +150,118 @@
 # The choice of other entries.
 
 
+@given(
+    vms=st.lists(
+        st.builds(
+            _vm,
+            name=st.sampled_from((*_NAMES, 'self')),
+            domain=st.sampled_from(('d1', 'd2')),
+            weight=st.sampled_from((-1.0, 0.0, 0.5, 1.0, 3.0)),
+            draining=st.booleans(),
+            callers=st.sampled_from(('', '10.1.0.2:80')),
+        ),
+        unique_by=lambda vm: vm.name,
+    ),
+    live=st.sets(st.sampled_from((*_NAMES, 'self'))),
+    tried=st.sets(st.sampled_from(_NAMES)),
+    unable=st.sets(st.sampled_from(_NAMES)),
+    doubted=st.sets(st.sampled_from(_NAMES)),
+    sent=st.lists(st.sampled_from(_NAMES)),
+    seed=st.integers(0, 5),
+)
+def test_chosen_entry_can_take_the_request(
+    vms: list[VmRecord],
+    live: set[str],
+    tried: set[str],
+    unable: set[str],
+    doubted: set[str],
+    sent: list[str],
+    seed: int,
+) -> None:
+    peers = _peers(seed)
+    for name in sent:
+        peers.record_sent(name)
+    for name in unable:
+        peers.record_unable(name, 10)
+    for name in doubted:
+        peers.record_unanswered(name, 10)
+    chosen = peers.choose(vms, live, tried, 10.5)
+    able = (
+        {
+            vm.name
+            for vm in vms
+            if vm.callers and not vm.draining and vm.name in live
+        }
+        - tried
+        - unable
+        - {'self'}
+    )
+    assert_that(chosen is None, Is(not able))
+    if chosen is None:
+        return
+    assert_that(chosen.name in able, Is(True))
+    if able - doubted:
+        assert_that(chosen.name in doubted, Is(False))
+        near = {
+            vm.name
+            for vm in vms
+            if vm.failure_domain == 'd1' and vm.name in able - doubted
+        }
+        assert_that(chosen.name in near, Is(bool(near)))
+
+
+def test_nothing_stays_excluded() -> None:
+    """Entries are asked again a while after they failed, and forgotten."""
+    peers = _peers()
+    for name in _NAMES:
+        peers.record_unable(name, 10)
+        peers.record_unanswered(name, 10)
+        peers.record_sent(name)
+        peers.record_ended(name)
+    vms = [_vm(one) for one in _NAMES]
+    assert_that(peers.choose(vms, _LIVE, (), 10.9), Is(None))
+    assert_that(peers.choose(vms, _LIVE, (), 11.1) is None, Is(False))
+    peers.record_unable('a', 20)
+    peers.record_unanswered('a', 20)
+    assert_that(set(peers.paused_until), Equals({'a'}))
+    assert_that(set(peers.doubted_until), Equals({'a'}))
+    assert_that(len(peers.running), Equals(0))
+
+
+def test_entry_that_hangs_gets_no_more_requests_than_the_others_hold() -> None:
+    peers = _peers()
+    vms = [_vm(name) for name in _NAMES]
+    taken = 0
+    for _ in range(100):
+        chosen = peers.choose(vms, _LIVE, (), 1)
+        assert chosen is not None
+        peers.record_sent(chosen.name)
+        if chosen.name == 'a':
+            taken += 1
+        else:
+            peers.record_ended(chosen.name)
+    assert_that(taken, LessThan(2))
+
+
+@pytest.mark.parametrize(
+    ('weights', 'heavy'), [((1, 1, 6), 'c'), ((0, 0, 1), 'c')]
+)
+def test_requests_are_shared_by_weight(
+    weights: tuple[int, ...], heavy: str
+) -> None:
+    peers = _peers()
+    vms = [
+        _vm(name, weight=weight)
+        for name, weight in zip(_NAMES, weights, strict=False)
+    ]
+    for _ in range(80):
+        chosen = peers.choose(vms, _LIVE, (), 1)
+        assert chosen is not None
+        peers.record_sent(chosen.name)
+    share = peers.running[heavy] / 80
+    assert_that(share, GreaterThan(0.7))
+
+
 # Which requests were relayed.
 
 
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -298,6 +298,44 @@
 # Entries that do not answer.
 
 
+def test_entry_that_does_not_answer_gets_few_of_the_following_requests() -> (
+    None
+):
+    """A frozen process still has its connections accepted."""
+
+    async def scenario(cut: CutEntry) -> None:
+        await cut.start_others(_hang, _answer, _answer)
+        sent = []
+        for number in range(60):
+            sent.append(
+                asyncio.create_task(cut.send(f'r{number}', deadline_ms=1000))
+            )
+            await asyncio.sleep(0.05)
+        answers = await asyncio.gather(*sent)
+        served = sum(
+            answer is not None and answer.head.status == 200
+            for answer in answers
+        )
+        assert_that(cut.relayed_counts[0], LessThan(7))
+        assert_that(served, GreaterThan(53))
+
+    run_cut(scenario)
+
+
+@pytest.mark.parametrize('script', [_reset_before_head, _reset_in_head])
+def test_entry_that_breaks_connections_gets_few_of_the_following_requests(
+    script: object,
+) -> None:
+    async def scenario(cut: CutEntry) -> None:
+        cut.set_route(RouteKind.non_idempotent)
+        await cut.start_others(script, _answer)  # type: ignore[arg-type]
+        for number in range(20):
+            await cut.send(f'r{number}')
+        assert_that(cut.relayed_counts[0], LessThan(4))
+
+    run_cut(scenario)
+
+
 def test_entries_that_are_slow_all_alike_are_still_asked() -> None:
     """Where upstreams are slow, no entry is to blame, and all are needed."""
 
