Compare the addresses of entries as IP addresses

The sender of a relayed request was compared as text. An entry with an IPv6 address was never recognized, as its record has brackets, so its requests were run under its own address and could be relayed again. An address without a host, or one that is no IP address, was taken for an entry.

--- a/persimmonhold/forwarding/_relay_head.py
+++ b/persimmonhold/forwarding/_relay_head.py
@@ -1,7 +1,8 @@
 """Headers by which one entry relays a request to another one."""
 
+import ipaddress
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, TypeAlias
 
 import msgspec
 
@@ -19,6 +20,7 @@
     encode_headers,
 )
 
+_IpAddress: TypeAlias = ipaddress.IPv4Address | ipaddress.IPv6Address
 _MS_PER_S: Final = 1000
 _MIN_DEADLINE_MS: Final = 1
 _RELAY_HEADERS: Final = frozenset((
@@ -51,8 +53,10 @@
     """Tell whether another entry relayed a request; callers cannot claim it."""
     if not head.header(RELAYED_FOR_HEADER):
         return False
-    host = _find_host(head.peer)
-    return any(host == _find_host(vm.callers) for vm in vms if vm.callers)
+    host = _parse_host(head.peer)
+    if host is None:
+        return False
+    return any(host == _parse_host(vm.callers) for vm in vms)
 
 
 def restore_caller_head(head: RequestHead) -> RequestHead:
@@ -78,5 +82,9 @@
     })
 
 
-def _find_host(address: str) -> str:
-    return address.rpartition(':')[0]
+def _parse_host(address: str) -> _IpAddress | None:
+    """Return the IP address of `ip:port`; IPv6 may have brackets."""
+    try:
+        return ipaddress.ip_address(address.rpartition(':')[0].strip('[]'))
+    except ValueError:
+        return None
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -17,6 +17,7 @@
 
 from persimmonhold.forwarding._relay_head import (
     build_refusal_proof,
+    is_relayed,
     restore_caller_head,
 )
 from persimmonhold.messages import VmRecord
@@ -275,6 +276,34 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('callers', 'peer', 'expected'),
+    [
+        ('10.1.0.2:80', '10.1.0.2:40001', True),
+        ('10.1.0.2:80', '10.1.0.20:40001', False),
+        ('10.1.0.2:80', '110.1.0.2:40001', False),
+        ('10.1.0.2:80', '', False),
+        ('', '', False),
+        ('', '10.1.0.2:40001', False),
+        (':80', '', False),
+        ('[fd00::2]:80', 'fd00::2:40001', True),
+        ('[fd00::2]:80', 'fd00::21:40001', False),
+        ('[fd00::2]:80', 'fd00::2:2:40001', False),
+        ('[FD00:0::2]:80', 'fd00::2:40001', True),
+        ('nonsense', 'nonsense', False),
+    ],
+)
+def test_only_the_address_of_a_vm_is_taken_for_an_entry(
+    callers: str, peer: str, expected: bool
+) -> None:
+    """A caller that claims to be an entry gets nothing by it."""
+    vms = [_vm('a', callers=callers)]
+    claimed = _head(peer, persimmonhold_relayed_for='10.9.9.9')
+    assert_that(is_relayed(claimed, vms), Is(expected))
+    assert_that(is_relayed(_head(peer), vms), Is(False))
+    assert_that(is_relayed(claimed, ()), Is(False))
+
+
 @given(host=st.sampled_from(('10.7.0.1', 'fd00::7', '::1')))
 def test_head_of_a_relayed_request_is_that_of_its_caller(host: str) -> None:
     sent = _head(f'{host}:5000', x_own='1')
