Never relay a request that names another entry's caller

An entry that does not know the sender yet (an older view of the VMs) took a relayed request for one of a caller. If it was cut off as well, it relayed the request again: with all entries cut off, requests could go round in a circle. The header itself now rules that out. A caller that forges it at an entry that is cut off is refused, as before the relay existed.

Evidence: both tests failed before (the second entry relayed on: 200, not 503).

--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -31,7 +31,13 @@
     RouteTable,
     fingerprint_key,
 )
-from persimmonhold.web import Exchange, ExchangeHandler, Rejection, RequestHead
+from persimmonhold.web import (
+    RELAYED_FOR_HEADER,
+    Exchange,
+    ExchangeHandler,
+    Rejection,
+    RequestHead,
+)
 
 _BAD_REQUEST: Final = 400
 _NOT_FOUND: Final = 404
@@ -199,6 +205,7 @@
             body=body.unwrap(),
             key_hash=key_hash,
             is_relayed=head is not exchange.head,
+            may_be_relayed=not exchange.head.header(RELAYED_FOR_HEADER),
         )
         runner = ForwardRunner(self.services, request, exchange)
         self.runners.add(runner)
--- a/persimmonhold/forwarding/_forward_request.py
+++ b/persimmonhold/forwarding/_forward_request.py
@@ -13,7 +13,8 @@
     """Head and complete body, and the request as the dispatcher sees it.
 
     `key_hash` is the digest of its key; empty if it needed none on arrival. One
-    that `is_relayed` came from another entry, with the head of its caller.
+    that `is_relayed` came from another entry, with the head of its caller. One
+    that says so is not relayed again, even if its sender is unknown.
     """
 
     dispatch_request: DispatchRequest
@@ -21,3 +22,4 @@
     body: bytes
     key_hash: str = ''
     is_relayed: bool = False
+    may_be_relayed: bool = True
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -175,7 +175,7 @@
         self.services.hub.finish_request(
             self.state.number, self.last_attempt_end
         )
-        if self.request.is_relayed or self.response_writer.has_begun:
+        if not self.request.may_be_relayed or self.response_writer.has_begun:
             self._refuse(
                 _build_out_of_reach_refusal(self.services, self.request)
             )
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -620,6 +620,19 @@
     run_cut(scenario)
 
 
+def test_request_that_claims_to_be_relayed_is_not_relayed() -> None:
+    """It may come from an entry that is not known here yet, in a circle."""
+
+    async def scenario(cut: CutEntry) -> None:
+        await cut.start_others(_answer)
+        response = await cut.send(headers={RELAYED_FOR_HEADER: '9.9.9.9'})
+        assert response is not None
+        assert_that(response.head.status, Equals(503))
+        assert_that(cut.relayed_counts, Equals([0]))
+
+    run_cut(scenario)
+
+
 def test_ends_of_relays_are_counted() -> None:
     async def scenario(cut: CutEntry) -> None:
         await cut.start_others(_answer)
--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -119,6 +119,30 @@
     run_linked(4, scenario)
 
 
+def test_relayed_request_goes_no_further_at_an_entry_that_knows_no_vms() -> (
+    None
+):
+    """An older view of the VMs must not send a request round in a circle."""
+
+    async def scenario(cut: CutEntry) -> None:
+        upstream = Upstream()
+        await cut.start_others(upstream.serve)
+        second = ForwardingHarness(vm_name='second')
+        await cut.harness.stack.enter_async_context(second)
+        lose_upstreams(second)
+        second.control.view = msgspec.structs.replace(
+            second.control.view, vms=cut.harness.control.view.vms
+        )
+        set_vms(cut.harness, make_vm('second', str(second.server.address)))
+        answer = await _send(cut.harness, 'r1')
+        assert answer is not None
+        assert_that(answer.head.status, Equals(503))
+        assert_that(_count_relays(cut.harness, 'unable'), Equals(1))
+        assert_that(upstream.runs, Equals({}))
+
+    run_cut(scenario)
+
+
 # What the run at the other entry is like.
 
 
