Spend a retry for a relayed request that may have run

A request whose attempt had paused was relayed without the retry budget. Its second run counts as a retry of the service all the same. Now a retry is spent first, and returned if no entry runs it; without one the request ends as 502.

--- a/persimmonhold/forwarding/_request_relay.py
+++ b/persimmonhold/forwarding/_request_relay.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure as Failed
 
+from persimmonhold.fleet import RetryBudget
 from persimmonhold.forwarding._forward_services import ForwardServices
 from persimmonhold.forwarding._relay_result import RelayEnd, RelayResult
 from persimmonhold.forwarding._relayed_attempt import RelayedAttempt
@@ -34,7 +35,20 @@
         self.tried: set[str] = set()
 
     async def run(self) -> RelayResult:
-        """Relay the request; `unable` if no entry could take it."""
+        """Relay the request; `unable` if no entry could take it.
+
+        If it may have run here, a retry is spent, unless it runs nowhere else.
+        """
+        is_repeat = self.state.may_have_run
+        if is_repeat and not self._try_spend_retry():
+            return RelayResult(end=RelayEnd.unable, detail='no retry left')
+        result = await self._run_at_entries()
+        if is_repeat and result.end in {RelayEnd.unable, RelayEnd.refused}:
+            self._find_budget().return_retry()
+        return result
+
+    async def _run_at_entries(self) -> RelayResult:
+        """Relay the request until an entry takes it."""
         result = RelayResult(end=RelayEnd.unable, detail='no entry')
         while len(self.tried) < _MAX_ENTRIES:
             entry = self._choose_entry()
@@ -113,12 +127,21 @@
                 entry.name, self.services.hub.clock()
             )
             return True
-        if result.end is not RelayEnd.failed or not self.state.can_run_again:
+        if result.end is not RelayEnd.failed:
             return False
         if self.state.response_writer.has_begun:
             return False
+        return self._try_spend_retry()
+
+    def _try_spend_retry(self) -> bool:
+        """Spend a retry if the request may run again; tell whether."""
+        if not self.state.can_run_again:
+            return False
         dispatcher = self.services.hub.dispatcher
-        service = self.state.request.dispatch_request.service
-        return dispatcher.retry_budget(service).try_spend_retry(
+        return self._find_budget().try_spend_retry(
             dispatcher.entry_count, self.services.hub.clock()
         )
+
+    def _find_budget(self) -> RetryBudget:
+        service = self.state.request.dispatch_request.service
+        return self.services.hub.dispatcher.retry_budget(service)
--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -16,6 +16,7 @@
     Not,
 )
 
+from persimmonhold.fleet import RetryBounds
 from persimmonhold.forwarding._forward_handler import ForwardHandler
 from persimmonhold.observability import metric
 from persimmonhold.platform._names import REQUEST_ID
@@ -40,6 +41,7 @@
     CutEntry,
     lose_upstreams,
     make_vm,
+    refuse,
     regain_upstreams,
     run_cut,
     set_vms,
@@ -220,6 +222,77 @@
     await asyncio.sleep(30)
 
 
+@pytest.mark.parametrize(
+    ('kind', 'attempts', 'is_relayed'),
+    [
+        (RouteKind.idempotent, 2, True),
+        (RouteKind.idempotent, 1, False),
+        (RouteKind.non_idempotent, 2, False),
+        (RouteKind.stream, 2, False),
+    ],
+)
+def test_paused_attempt_is_relayed_only_if_the_request_may_run_again(
+    kind: RouteKind, attempts: int, is_relayed: bool
+) -> None:
+    async def scenario(cut: CutEntry) -> None:
+        regain_upstreams(cut.harness)
+        other = Upstream()
+        cut.set_route(kind, attempts)
+        await cut.start_others(other.serve)
+        hanging = await cut.harness.start_raw_upstream(_hang)
+        sent = asyncio.create_task(cut.send('r1', 1800))
+        await wait_until(lambda: len(hanging.requests) == 1)
+        lose_upstreams(cut.harness)
+        answer = await sent
+        assert_that(_status(answer) == 200, Is(is_relayed))
+        assert_that(len(other.heads), Equals(int(is_relayed)))
+        if not is_relayed:
+            assert_that(_status(answer) in {502, 504}, Is(True))
+        budget = cut.harness.hub.dispatcher.retry_budget('models')
+        assert_that(len(budget.retries), Equals(int(is_relayed)))
+
+    run_cut(scenario)
+
+
+def test_paused_attempt_is_not_relayed_without_a_retry_left() -> None:
+    async def scenario(cut: CutEntry) -> None:
+        regain_upstreams(cut.harness)
+        other = Upstream()
+        cut.set_route(RouteKind.idempotent, 2)
+        await cut.start_others(other.serve)
+        hanging = await cut.harness.start_raw_upstream(_hang)
+        budget = cut.harness.hub.dispatcher.retry_budget('models')
+        budget.bounds = RetryBounds(slack=0, ratio=0)
+        sent = asyncio.create_task(cut.send('r1', 1800))
+        await wait_until(lambda: len(hanging.requests) == 1)
+        lose_upstreams(cut.harness)
+        assert_that(_status(await sent) in {502, 504}, Is(True))
+        assert_that(other.heads, Equals([]))
+
+    run_cut(scenario)
+
+
+@pytest.mark.parametrize('reason', ['stopping', 'no_capacity'])
+def test_retry_is_returned_if_the_other_entry_refuses(reason: str) -> None:
+    async def scenario(cut: CutEntry) -> None:
+        async def refuse_it(connection: RawConnection) -> None:
+            await refuse(connection, persimmonhold_refusal_reason=reason)
+
+        regain_upstreams(cut.harness)
+        cut.set_route(RouteKind.idempotent, 2)
+        await cut.start_others(refuse_it)
+        hanging = await cut.harness.start_raw_upstream(_hang)
+        sent = asyncio.create_task(cut.send('r1', 1800))
+        await wait_until(lambda: len(hanging.requests) == 1)
+        lose_upstreams(cut.harness)
+        assert_that(_status(await sent), Equals(502))
+        assert_that(cut.relayed_counts, Equals([1]))
+        budget = cut.harness.hub.dispatcher.retry_budget('models')
+        assert_that(len(budget.retries), Equals(0))
+
+    run_cut(scenario)
+
+
 async def _fail(connection: RawConnection) -> None:
     connection.reset()
     connection.writer.close()
