Count the runs at all entries towards the attempts of a route

An entry that got a relayed request began to count at 0. A request that had run at the entry that relayed it ran on more upstreams than its route allows, and spent credit of its workspace twice. The number of earlier runs now goes along, and counts only if the sender is an entry.

The tests of the header need the new function.

--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -20,6 +20,7 @@
 )
 from persimmonhold.forwarding._relay_head import (
     is_relayed,
+    read_earlier_runs,
     restore_caller_head,
 )
 from persimmonhold.observability import log_event, metric
@@ -206,6 +207,9 @@
             key_hash=key_hash,
             is_relayed=head is not exchange.head,
             may_be_relayed=not exchange.head.header(RELAYED_FOR_HEADER),
+            earlier_runs=(
+                0 if head is exchange.head else read_earlier_runs(exchange.head)
+            ),
         )
         runner = ForwardRunner(self.services, request, exchange)
         self.runners.add(runner)
--- a/persimmonhold/forwarding/_forward_request.py
+++ b/persimmonhold/forwarding/_forward_request.py
@@ -13,8 +13,9 @@
     """Head and complete body, and the request as the dispatcher sees it.
 
     `key_hash` is the digest of its key; empty if it needed none on arrival. One
-    that `is_relayed` came from another entry, with the head of its caller. One
-    that says so is not relayed again, even if its sender is unknown.
+    that `is_relayed` came from another entry, with the head of its caller, after
+    `earlier_runs` at upstreams of that entry. One that says so is not relayed
+    again, even if its sender is unknown.
     """
 
     dispatch_request: DispatchRequest
@@ -23,3 +24,4 @@
     key_hash: str = ''
     is_relayed: bool = False
     may_be_relayed: bool = True
+    earlier_runs: int = 0
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -256,10 +256,11 @@
     async def _obtain_credit(self) -> bool:
         """Spend credit of the workspace; refuse the request if there is none.
 
-        It spends once, whatever attempts follow.
+        It spends once, whatever attempts follow, or ran at the entry that
+        relayed the request.
         """
         request = self.request.dispatch_request
-        if not request.workspace:
+        if not request.workspace or self.request.earlier_runs:
             return True
         outcome = await self.services.find_quota_client().obtain_credit(request)
         if isinstance(outcome, RefuseRequest):
@@ -468,7 +469,8 @@
             return
         profile = dispatch_request.profile
         tokens = profile.prompt_tokens + profile.output_tokens
-        if self.state.run_count and not self.was_relayed:
+        own_runs = self.state.run_count - self.request.earlier_runs
+        if own_runs and not self.was_relayed:
             self.services.hub.usage_meter.record_request(workspace, tokens)
         metrics = self.services.metrics
         metrics.increment(
--- a/persimmonhold/forwarding/_relay_head.py
+++ b/persimmonhold/forwarding/_relay_head.py
@@ -1,6 +1,7 @@
 """Headers by which one entry relays a request to another one."""
 
 import ipaddress
+import re
 from collections.abc import Iterable
 from typing import Final, TypeAlias
 
@@ -14,6 +15,7 @@
     RAN_HEADER,
     REFUSAL_REASON_HEADER,
     RELAYED_FOR_HEADER,
+    RELAYED_RUNS_HEADER,
     REQUEST_ID_HEADER,
     Headers,
     RequestHead,
@@ -23,8 +25,10 @@
 _IpAddress: TypeAlias = ipaddress.IPv4Address | ipaddress.IPv6Address
 _MS_PER_S: Final = 1000
 _MIN_DEADLINE_MS: Final = 1
+_RUN_COUNT: Final = re.compile('[0-9]{1,4}')
 _RELAY_HEADERS: Final = frozenset((
     RELAYED_FOR_HEADER.encode('ascii'),
+    RELAYED_RUNS_HEADER.encode('ascii'),
     REQUEST_ID_HEADER.encode('ascii'),
 ))
 # Statuses of refusals that leave open whether the request has run.
@@ -36,8 +40,12 @@
     head: RequestHead,
     dispatch_request: DispatchRequest,
     left_s: float,
+    run_count: int,
 ) -> Headers:
-    """Return the headers of a relayed request that has `left_s` seconds."""
+    """Return the headers of a relayed request that has `left_s` seconds.
+
+    It may have run `run_count` times before.
+    """
     left_ms = max(_MIN_DEADLINE_MS, int(left_s * _MS_PER_S))
     profile = dispatch_request.profile
     return (
@@ -45,6 +53,7 @@
         *encode_headers({
             REQUEST_ID_HEADER: profile.request_id,
             RELAYED_FOR_HEADER: profile.caller,
+            RELAYED_RUNS_HEADER: str(run_count),
         }),
     )
 
@@ -59,6 +68,12 @@
     return any(host == _parse_host(vm.callers) for vm in vms)
 
 
+def read_earlier_runs(head: RequestHead) -> int:
+    """Return how often a relayed request may have run; 0 if not told."""
+    text = head.header(RELAYED_RUNS_HEADER)
+    return int(text) if _RUN_COUNT.fullmatch(text) else 0
+
+
 def restore_caller_head(head: RequestHead) -> RequestHead:
     """Return the head of a relayed request as its caller sent it."""
     return msgspec.structs.replace(
--- a/persimmonhold/forwarding/_relayed_attempt.py
+++ b/persimmonhold/forwarding/_relayed_attempt.py
@@ -62,11 +62,16 @@
         services: ForwardServices,
         request: ForwardRequest,
         response_writer: ForwardResponseWriter,
+        run_count: int,
     ) -> None:
-        """Create an attempt that has not been sent."""
+        """Create an attempt that has not been sent.
+
+        The request may have run `run_count` times before.
+        """
         self.services = services
         self.request = request
         self.response_writer = response_writer
+        self.run_count = run_count
         self.connection: ClientConnection | None = None
         self.head = ResponseHead(status=0, headers=())
         self.buffered = BufferedBody()
@@ -164,6 +169,7 @@
                 head,
                 dispatch_request,
                 dispatch_request.ends_at - self.services.hub.clock(),
+                self.run_count,
             ),
             body=self.request.body,
             host=head.header('host'),
--- a/persimmonhold/forwarding/_request_relay.py
+++ b/persimmonhold/forwarding/_request_relay.py
@@ -99,7 +99,10 @@
         peers = self.services.relay_peers
         began_at = self.services.hub.clock()
         attempt = RelayedAttempt(
-            self.services, self.state.request, self.state.response_writer
+            self.services,
+            self.state.request,
+            self.state.response_writer,
+            self.state.run_count,
         )
         peers.record_sent(entry)
         is_broken = False
--- a/persimmonhold/forwarding/_request_state.py
+++ b/persimmonhold/forwarding/_request_state.py
@@ -23,7 +23,7 @@
     `request` is dispatched under the number of its current attempt, whose
     events `event_framer` splits. `error_response` is the last complete error
     response of an upstream. `run_count` counts the attempts that have ended and
-    may have run the request.
+    may have run the request, those of the entry that relayed it included.
     """
 
     __slots__ = (
@@ -48,7 +48,7 @@
         self.response_writer = response_writer
         self.event_framer = ResumableEventFramer()
         self.may_have_run = False
-        self.run_count = 0
+        self.run_count = request.earlier_runs
         self.error_response: CompleteResponse | None = None
 
     @property
--- a/persimmonhold/web/_headers.py
+++ b/persimmonhold/web/_headers.py
@@ -11,8 +11,9 @@
 SERVICE_CLASS_HEADER: Final = 'persimmonhold-class'
 PRIORITY_HEADER: Final = 'persimmonhold-priority'
 # Set between entries: the address of the caller for whom a request is relayed,
-# and the reason of the entry that refused it.
+# how often it may have run before, and the reason of the entry that refused it.
 RELAYED_FOR_HEADER: Final = 'persimmonhold-relayed-for'
+RELAYED_RUNS_HEADER: Final = 'persimmonhold-relayed-runs'
 REFUSAL_REASON_HEADER: Final = 'persimmonhold-refusal-reason'
 RESUME_OFFSET_HEADER: Final = 'persimmonhold-resume-offset'
 OPERATOR_HEADER: Final = 'persimmonhold-operator'
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -3,6 +3,7 @@
 import random
 from typing import Final, final
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,10 +18,13 @@
 
 from persimmonhold.forwarding._relay_head import (
     build_refusal_proof,
+    build_relay_headers,
     is_relayed,
+    read_earlier_runs,
     restore_caller_head,
 )
 from persimmonhold.messages import VmRecord
+from persimmonhold.platform._dialect import PlatformDialect
 from persimmonhold.reach import ReachMonitor, RelayPeers
 from persimmonhold.web import (
     RAN_HEADER,
@@ -29,6 +33,7 @@
     encode_headers,
     find_header,
 )
+from tests.fleet_builders import make_request
 
 _SERVICE: Final = 'models'
 _NAMES: Final = ('a', 'b', 'c', 'd', 'e')
@@ -320,6 +325,54 @@
     )
 
 
+def test_relayed_request_has_the_fingerprint_of_its_caller() -> None:
+    """A prompt that crashes upstreams is recognized at every entry."""
+    dialect = PlatformDialect()
+    sent = _head(
+        '10.7.0.1:5000', attempt_id='r1', host='a.example', deadline_ms='900'
+    )
+    profile = dialect.decode_profile(sent).unwrap()
+    headers = build_relay_headers(
+        dialect,
+        sent,
+        msgspec.structs.replace(make_request(1), profile=profile),
+        0.5,
+        1,
+    )
+    arrived = RequestHead(
+        method='POST',
+        target='/chat/x',
+        headers=headers,
+        peer='10.1.0.2:40001',
+    )
+    assert_that(is_relayed(arrived, [_vm('a')]), Is(True))
+    assert_that(read_earlier_runs(arrived), Equals(1))
+    restored = dialect.decode_profile(restore_caller_head(arrived)).unwrap()
+    assert_that(
+        restored, Equals(msgspec.structs.replace(profile, deadline_ms=500))
+    )
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('', 0),
+        ('0', 0),
+        ('3', 3),
+        ('-1', 0),
+        ('1e9', 0),
+        ('99999999999999999999', 0),
+        ('\xb2', 0),
+        (' 1', 0),
+    ],
+)
+def test_unreadable_number_of_earlier_runs_counts_as_none(
+    text: str, expected: int
+) -> None:
+    head = _head('10.1.0.2:1', persimmonhold_relayed_runs=text)
+    assert_that(read_earlier_runs(head), Equals(expected))
+
+
 @pytest.mark.parametrize(
     ('status', 'ran'),
     [(503, 'no'), (429, 'no'), (404, 'no'), (502, 'unknown'), (504, 'unknown')],
--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -298,6 +298,24 @@
     connection.writer.close()
 
 
+def test_request_runs_no_oftener_than_its_route_allows_in_all() -> None:
+    """The runs of the entry that relays count at the other entry as well."""
+
+    async def scenario(linked: LinkedEntries) -> None:
+        first, second = linked.entries
+        linked.set_route(RouteKind.idempotent, attempts=2)
+        hanging = await first.start_raw_upstream(_hang)
+        failing = [await second.start_raw_upstream(_fail) for _ in range(3)]
+        sent = asyncio.create_task(_send(first, 'r1', 2500))
+        await wait_until(lambda: len(hanging.requests) == 1)
+        lose_upstreams(first)
+        await sent
+        runs = sum(len(one.requests) for one in failing)
+        assert_that(runs, Equals(1))
+
+    run_linked(2, scenario)
+
+
 def test_requests_that_wait_are_relayed_when_the_cut_is_noticed() -> None:
     upstream = Upstream()
 
