Explain a relayed request as answered

`explain` told of a request that another entry had answered with 200: "not served, relayed ... (never sent)", and did not name the entry. If the line of the other entry came last, it was taken for the end.

--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -8,6 +8,7 @@
 
 # State changes up to 1 s before a request may explain its outcome.
 _CONTEXT_MARGIN_S: Final = 1.0
+_FIRST_ERROR: Final = 400  # status
 _CONTEXT_EVENTS: Final = frozenset((
     'drain',
     'fleet_continues',
@@ -102,7 +103,7 @@
         """One sentence that names the outcome and its reason."""
         if not self.lines:
             return f'no line about the request {self.request_id}'
-        last = self.lines[-1]
+        last = self._find_end()
         if last.event == 'refused':
             return self._describe_failure(
                 'refused', str(last.fields.get('reason'))
@@ -115,6 +116,10 @@
         outcome = str(last.fields.get('outcome'))
         if outcome == 'answered':
             return self._describe_answer(last.fields)
+        if outcome == 'relayed' and last.fields.get('status', 0) < _FIRST_ERROR:
+            entry = self._describe_attempts('relay', 'entry')
+            answer = self._describe_answer(last.fields)
+            return f'{answer}; relayed to another entry ({entry})'
         return self._describe_failure('not served', outcome)
 
     def format_text(self) -> str:
@@ -132,10 +137,13 @@
     def _describe_failure(self, result: str, reason: str) -> str:
         reason_text = _REASON_TEXTS.get(reason, 'see the lines above')
         attempt_texts = '; '.join(
-            f'{line.fields.get("upstream")}: {line.fields.get("end")}'
-            f' {line.fields.get("detail")}'.strip()
-            for line in self.lines
-            if line.event == 'attempt'
+            filter(
+                None,
+                (
+                    self._describe_attempts('attempt', 'upstream'),
+                    self._describe_attempts('relay', 'entry'),
+                ),
+            )
         )
         attempts = (
             f' (attempts: {attempt_texts})'
@@ -144,6 +152,27 @@
         )
         return f'{result}, {reason}: {reason_text}{attempts}'
 
+    def _find_end(self) -> LogLine:
+        """Return the end at the entry of the caller, else the last line."""
+        last = self.lines[-1]
+        if not last.fields.get('from_entry'):
+            return last
+        ends = (
+            line
+            for line in reversed(self.lines)
+            if line.event == 'request' and not line.fields.get('from_entry')
+        )
+        return next(ends, last)
+
+    def _describe_attempts(self, event: str, key: str) -> str:
+        """List the attempts at upstreams, or the relays to entries."""
+        return '; '.join(
+            f'{line.fields.get(key)}: {line.fields.get("end")}'
+            f' {line.fields.get("detail")}'.strip()
+            for line in self.lines
+            if line.event == event
+        )
+
     def _describe_answer(self, fields: dict[str, Any]) -> str:
         waited_ms = sum(
             float(line.fields.get('waited_ms', 0))
--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from pathlib import Path
 from typing import Final
 
 import msgspec
@@ -16,9 +17,14 @@
     Not,
 )
 
+from persimmonhold.explanation import (
+    LogLine,
+    RequestExplanation,
+    parse_lines,
+)
 from persimmonhold.fleet import RetryBounds
 from persimmonhold.forwarding._forward_handler import ForwardHandler
-from persimmonhold.observability import metric
+from persimmonhold.observability import LogLevel, LogOutput, log_event, metric
 from persimmonhold.platform._names import REQUEST_ID
 from persimmonhold.routes import RouteKind, Workspace, hash_key
 from persimmonhold.usage import UsedTokens
@@ -531,3 +537,37 @@
 
 
 # What the logs tell.
+
+
+def _log_relayed_request(tmp_path: Path) -> list[LogLine]:
+    """Return the log of two entries, of which one has the other run `r1`."""
+    upstream = Upstream()
+
+    async def scenario(linked: LinkedEntries) -> None:
+        await linked.start_upstreams(upstream.serve)
+        lose_upstreams(linked.entries[0])
+        await _send(linked.entries[0], 'r1')
+
+    # The first output also gets the lines that other tests have logged before.
+    with LogOutput(LogLevel.debug, str(tmp_path / 'earlier')):
+        log_event('earlier_lines')
+    log_path = tmp_path / 'log'
+    with LogOutput(LogLevel.debug, str(log_path)):
+        run_linked(2, scenario)
+    text = log_path.read_text(encoding='utf-8')
+    for logged, parsed in (('timestamp', 'at'), ('message_type', 'event')):
+        text = text.replace(f'"{logged}"', f'"{parsed}"')
+    return parse_lines('vm', text.splitlines())
+
+
+def test_logs_of_both_entries_explain_where_a_request_ran(
+    tmp_path: Path,
+) -> None:
+    lines = _log_relayed_request(tmp_path)
+    for order in (lines, list(reversed(lines))):
+        explanation = RequestExplanation('r1', order)
+        events = [line.event for line in explanation.lines]
+        assert_that(set(events), Equals({'attempt', 'relay', 'request'}))
+        assert_that(explanation.cause, Contains('answered with status 200'))
+        assert_that(explanation.cause, Contains('vm1'))
+        assert_that(explanation.cause, Not(Contains('not served')))
