Do not report relayed requests as lost

The loss report counted each relayed request twice, at both entries, and the one of the caller's entry as lost after it was sent.

Evidence: the test failed before.

--- a/persimmonhold/explanation/_loss_report.py
+++ b/persimmonhold/explanation/_loss_report.py
@@ -14,6 +14,7 @@
 _LONG_SHARE: Final = 0.5  # of the time to the first byte
 _FIRST_ERROR_STATUS: Final = 400
 _MODELS_SHOWN: Final = 3
+_SERVED: Final = frozenset(('answered', 'relayed'))
 _NO_PLACE_REASONS: Final = frozenset((
     'no_capacity',
     'refused_by_all',
@@ -62,7 +63,7 @@
                 waited = float(line.fields.get('waited_ms', 0))
                 waited_ms[request_id] += waited
                 self.sent_in_vain += _is_refused_attempt(line)
-            elif line.event == 'request':
+            elif line.event == 'request' and not line.fields.get('from_entry'):
                 cause = find_loss_cause(line.fields, waited_ms[request_id])
                 if cause is None:
                     self.answered += 1
@@ -102,7 +103,7 @@
     status = int(end.get('status', 0))
     first_ms = float(end.get('first_ms', 0))
     is_sent = int(end.get('runs', 0)) > 0
-    if 0 < status < _FIRST_ERROR_STATUS and end.get('outcome') == 'answered':
+    if 0 < status < _FIRST_ERROR_STATUS and end.get('outcome') in _SERVED:
         is_long = waited_ms >= _HELD_MS and waited_ms > _LONG_SHARE * first_ms
         return LossCause.waited_long if is_long else None
     if is_sent:
--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -19,6 +19,7 @@
 
 from persimmonhold.explanation import (
     LogLine,
+    LossReport,
     RequestExplanation,
     parse_lines,
 )
@@ -571,3 +572,11 @@
         assert_that(explanation.cause, Contains('answered with status 200'))
         assert_that(explanation.cause, Contains('vm1'))
         assert_that(explanation.cause, Not(Contains('not served')))
+
+
+def test_relayed_request_is_reported_once_and_not_as_lost(
+    tmp_path: Path,
+) -> None:
+    report = LossReport(_log_relayed_request(tmp_path))
+    assert_that(report.answered, Equals(1))
+    assert_that(report.sums, Equals(()))
