--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -27,7 +27,12 @@
 from persimmonhold.forwarding._forward_handler import ForwardHandler
 from persimmonhold.observability import LogLevel, LogOutput, log_event, metric
 from persimmonhold.platform._names import REQUEST_ID
-from persimmonhold.routes import RouteKind, Workspace, hash_key
+from persimmonhold.routes import (
+    RouteKind,
+    Workspace,
+    WorkspaceLimit,
+    hash_key,
+)
 from persimmonhold.usage import UsedTokens
 from persimmonhold.web import (
     RELAYED_FOR_HEADER,
@@ -54,6 +59,7 @@
     set_vms,
     wait_until,
 )
+from tests.test_quota_forwarding import FakeController
 from tests.upstream_links import HANG, RESET, LinkedEntries, run_linked
 
 _FIRST_EVENT: Final = b'id: 1\ndata: x\n\n'
@@ -323,6 +329,35 @@
     run_linked(2, scenario)
 
 
+@pytest.mark.parametrize('ran_before', [True, False])
+def test_credit_is_spent_once_for_a_request_that_is_relayed(
+    ran_before: bool,
+) -> None:
+    async def scenario(linked: LinkedEntries) -> None:
+        first, second = linked.entries
+        linked.set_route(RouteKind.idempotent, attempts=2)
+        asked = [FakeController(entry).requests for entry in linked.entries]
+        limit = WorkspaceLimit(per_s=9, burst=9)
+        for entry in linked.entries:
+            entry.set_workspaces(
+                Workspace(name='w1', key_hashes=(hash_key('k'),), limit=limit)
+            )
+        hanging = await first.start_raw_upstream(_hang)
+        await second.start_raw_upstream(Upstream().serve)
+        if not ran_before:
+            lose_upstreams(first)
+        key = {'authorization': 'Bearer k'}
+        sent = asyncio.create_task(_send(first, 'r1', headers=key))
+        if ran_before:
+            await wait_until(lambda: len(hanging.requests) == 1)
+            lose_upstreams(first)
+        assert_that(_status(await sent), Equals(200))
+        spent = [sum(one.tokens for one in requests) for requests in asked]
+        assert_that(spent, Equals([int(ran_before), int(not ran_before)]))
+
+    run_linked(2, scenario)
+
+
 def test_requests_that_wait_are_relayed_when_the_cut_is_noticed() -> None:
     upstream = Upstream()
 
