Count the run of a request that no other entry takes

A request of a workspace that had run here and was then relayed counted nowhere if no other entry took it: the entry left the count to the others.

Evidence: test_run_whose_relay_no_entry_takes_is_counted_once failed before (no usage reported). Further cases compare relayed responses with direct ones, by method and status, and break off long ones; they passed before as well.

--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -50,6 +50,8 @@
 # Upstreams are probed at this interval.
 _OUT_OF_REACH_RETRY_AFTER_S: Final = 0.5
 _MS_PER_S: Final = 1000
+# Ends of relays after which another entry may have run the request.
+_TAKEN: Final = frozenset((RelayEnd.delivered, RelayEnd.failed))
 # Ends of attempts that wrote nothing to the upstream.
 _UNSENT: Final = frozenset((
     AttemptEnd.unreachable,
@@ -181,9 +183,9 @@
             )
         elif not self._refuse_if_quarantined() and not self._refuse_if_no_key():
             self.was_relayed = True
-            self._end_relayed(
-                await RequestRelay(self.services, self.state).run()
-            )
+            result = await RequestRelay(self.services, self.state).run()
+            self.was_relayed = result.end in _TAKEN
+            self._end_relayed(result)
 
     def _end_relayed(self, result: RelayResult) -> None:
         """End the request as the other entry did."""
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -11,6 +11,7 @@
     Contains,
     Equals,
     GreaterThan,
+    Is,
     LessThan,
     Not,
 )
@@ -233,6 +234,28 @@
     run_cut(scenario)
 
 
+@pytest.mark.parametrize('framing', ['length', 'chunks', 'connection'])
+def test_long_response_that_breaks_off_is_not_complete(framing: str) -> None:
+    """What is too long to be kept is passed on before its end is known."""
+
+    async def scenario(cut: CutEntry) -> None:
+        part = b'x' * 300_000
+
+        async def break_off(connection: RawConnection) -> None:
+            await connection.write_head(PLAIN, framing, 2 * len(part))
+            await connection.write_body(part, framing)
+            await asyncio.sleep(0.05)
+            await _reset_before_head(connection)
+
+        cut.set_route(RouteKind.idempotent, attempts=3)
+        await cut.start_others(break_off, break_off)
+        response = await cut.send()
+        assert_that(response, Is(None))
+        assert_that(sum(cut.relayed_counts), Equals(1))
+
+    run_cut(scenario)
+
+
 def test_response_to_another_request_reaches_no_caller() -> None:
     """An entry behind a faulty link answers with an earlier response."""
 
--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -36,9 +36,12 @@
 from persimmonhold.usage import UsedTokens
 from persimmonhold.web import (
     RELAYED_FOR_HEADER,
+    ClientRequest,
     FetchedResponse,
     HttpBounds,
     HttpServer,
+    encode_headers,
+    fetch,
 )
 from tests.entry_builders import ANY_PORT
 from tests.forwarding_harness import ForwardingHarness
@@ -228,6 +231,56 @@
     run_linked(2, scenario)
 
 
+async def _fetch_shown(
+    entry: ForwardingHarness, method: str
+) -> tuple[object, ...]:
+    """Send a request; return what its caller sees of the response."""
+    request = ClientRequest(
+        method=method,
+        target='/chat/x',
+        headers=encode_headers({REQUEST_ID: f'r{entry.server.address}'}),
+        body=b'',
+        host='a.example',
+    )
+    fetched = await fetch(entry.server.address, request, 5)
+    head = fetched.unwrap().head
+    names = ('content-length', 'x-own', 'server-signature')
+    shown = tuple(head.header(name) for name in names)
+    return (head.status, fetched.unwrap().body, *shown)
+
+
+@pytest.mark.parametrize('method', ['GET', 'HEAD', 'DELETE', 'PUT'])
+@pytest.mark.parametrize('status', [200, 204, 304, 404, 500])
+def test_relayed_response_is_that_of_the_upstream(
+    status: int, method: str
+) -> None:
+    async def serve(connection: RawConnection) -> None:
+        size = 0 if status == 204 else len(BODY)
+        has_body = size and method != 'HEAD' and status != 304
+        length = '' if status == 204 else f'Content-Length: {size}\r\n'
+        head = (
+            f'HTTP/1.1 {status} Some\r\n{length}X-Own: 1\r\n'
+            f'Server-Signature: s1\r\n'
+            f'Attempt-Id: {connection.headers[REQUEST_ID]}\r\n\r\n'
+        )
+        await connection.write(head.encode('ascii'))
+        if has_body:
+            await connection.write(BODY)
+
+    async def scenario(linked: LinkedEntries) -> None:
+        linked.set_route(RouteKind.idempotent)
+        await linked.start_upstreams(serve)
+        lose_upstreams(linked.entries[0])
+        direct, relayed = [
+            await _fetch_shown(entry, method)
+            for entry in reversed(linked.entries)
+        ]
+        assert_that(relayed, Equals(direct))
+        assert_that(direct[0], Equals(status))
+
+    run_linked(2, scenario)
+
+
 # Requests that were under way when the cut was noticed.
 
 
@@ -285,6 +338,26 @@
     run_cut(scenario)
 
 
+def test_run_whose_relay_no_entry_takes_is_counted_once() -> None:
+    async def scenario(cut: CutEntry) -> None:
+        regain_upstreams(cut.harness)
+        cut.set_route(RouteKind.idempotent, 2)
+        cut.harness.set_workspaces(
+            Workspace(name='w1', key_hashes=(hash_key('k'),))
+        )
+        hanging = await cut.harness.start_raw_upstream(_hang)
+        key = {'authorization': 'Bearer k', 'token-count': '10,5'}
+        sent = asyncio.create_task(cut.send('r1', 1800, headers=key))
+        await wait_until(lambda: len(hanging.requests) == 1)
+        lose_upstreams(cut.harness)
+        assert_that(_status(await sent), Equals(502))
+        used = cut.harness.hub.usage_meter.build_message('e', 1e9)
+        assert used is not None
+        assert_that(used.used, Equals((UsedTokens('w1', 1, 15),)))
+
+    run_cut(scenario)
+
+
 @pytest.mark.parametrize('reason', ['stopping', 'no_capacity'])
 def test_retry_is_returned_if_the_other_entry_refuses(reason: str) -> None:
     async def scenario(cut: CutEntry) -> None:
