Ask entries that are cut off as well less often

Where most entries of a failure domain were cut off together, each of them was asked again every second, before the sound ones. An entry that could not take a request now comes last for 3 s, after its pause of 1 s.

Evidence: test_sound_entry_is_found_among_many_that_are_cut_off_too failed before: eight such entries got 26 relays beside 60 requests, where 16 are allowed.

--- a/persimmonhold/reach/_relay_peers.py
+++ b/persimmonhold/reach/_relay_peers.py
@@ -9,8 +9,9 @@
 
 # An entry that could not take a relayed request is not asked for this long.
 _PAUSE_S: Final = 1.0
-# One that did not answer a request is asked only if no other is left. Covers the
-# time after which an entry that is frozen counts as silent.
+# One that did not answer a request, or could not take one, is asked only if no
+# other is left for this long. Covers the time after which an entry that is frozen
+# counts as silent.
 _DOUBT_S: Final = 3.0
 
 
@@ -21,7 +22,8 @@
     Those in the failure domain of this entry come first, and of these the ones
     with the fewest `running` requests for their weight. `paused_until` has the
     others: out of reach as well, stopping, or cut off from control.
-    `doubted_until` has those that come last, as they did not answer.
+    `doubted_until` has those that come last, as they did not answer, or were
+    paused lately.
     """
 
     __slots__ = (
@@ -80,9 +82,14 @@
             self.running.pop(name)
 
     def record_unable(self, name: str, now: float) -> None:
-        """Record that an entry could not take a relayed request."""
+        """Record that an entry could not take a relayed request.
+
+        After the pause it still comes last for a while, as it may be cut off for
+        as long as this entry is.
+        """
         self.paused_until = _drop_past(self.paused_until, now)
         self.paused_until[name] = now + _PAUSE_S
+        self.record_unanswered(name, now)
 
     def record_unanswered(self, name: str, now: float) -> None:
         """Record that an entry did not answer a relayed request in time."""
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -21,7 +21,12 @@
 from persimmonhold.platform._names import REQUEST_ID
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import RELAYED_FOR_HEADER, Exchange, encode_headers
-from tests.raw_upstream import EVENT_STREAM, PLAIN, RawConnection
+from tests.raw_upstream import (
+    EVENT_STREAM,
+    PLAIN,
+    RawConnection,
+    RawUpstream,
+)
 from tests.scripted_entries import (
     BODY,
     CutEntry,
@@ -29,10 +34,12 @@
     run_cut,
     wait_until,
 )
+from tests.upstream_links import HANG, UpstreamLink
 
 _EVENT: Final = b'id: %d\ndata: x\n\n'
 _FIRST_EVENT: Final = b'id: 1\ndata: x\n\n'
 _PROMISES: Final = (408, 421, 425, 429, 503)
+_SLOW_S: Final = 0.3  # less than a connection attempt lasts
 
 
 async def _answer(connection: RawConnection) -> None:
@@ -666,3 +673,49 @@
         assert_that(counted, Equals(1))
 
     run_cut(scenario)
+
+
+def test_sound_entry_is_found_among_many_that_are_cut_off_too() -> None:
+    """Most entries of a failure domain may be cut off together."""
+
+    async def scenario(cut: CutEntry) -> None:
+        async def refuse_it(connection: RawConnection) -> None:
+            await refuse(
+                connection, 503, persimmonhold_refusal_reason='out_of_reach'
+            )
+
+        cut.set_route(RouteKind.non_idempotent)
+        await cut.start_others(*itertools.repeat(refuse_it, 8), _answer)
+        served = 0
+        for number in range(60):
+            answer = await cut.send(f'r{number}')
+            served += answer is not None and answer.head.status == 200
+            await asyncio.sleep(0.05)
+        assert_that(served, GreaterThan(56))
+        assert_that(sum(cut.relayed_counts[:-1]), LessThan(17))
+
+    run_cut(scenario)
+
+
+def test_entry_that_accepts_no_connection_delays_few_requests() -> None:
+    async def scenario(cut: CutEntry) -> None:
+        link = UpstreamLink(RawUpstream('none', _answer))
+        await link.open()
+        link.cut(HANG)
+        await cut.start_others(_answer, _answer)
+        cut.others.append(RawUpstream('hung', _answer))
+        cut.others[-1].address = link.address
+        cut.set_view()
+        loop = asyncio.get_running_loop()
+        slow = 0
+        for number in range(40):
+            began_at = loop.time()
+            answer = await cut.send(f'r{number}')
+            assert answer is not None
+            assert_that(answer.head.status, Equals(200))
+            slow += loop.time() - began_at > _SLOW_S
+            await asyncio.sleep(0.05)
+        link.close()
+        assert_that(slow, LessThan(3))
+
+    run_cut(scenario)
