Let a paused attempt go on if its request cannot be relayed

When a service was out of reach, an attempt that paused was given up for a relay, also if no retry was left for it or another entry had relayed the request. Its caller then got 502, though the kept connection may live on and the upstream answer: in the test it does after 1.3 s.

Evidence: both cases of test_paused_attempt_goes_on_if_it_may_not_be_relayed failed before (502 instead of 200).

--- a/persimmonhold/forwarding/_attempt_race.py
+++ b/persimmonhold/forwarding/_attempt_race.py
@@ -98,7 +98,7 @@
         allows no other attempt, as its caller may send the request again. It is
         too if the service is out of reach, as another entry may run the request.
         """
-        if self.state.is_out_of_reach() and self.state.can_run_beside:
+        if self.state.is_out_of_reach() and self._may_be_relayed():
             return True
         if self.hedge is not None or self._start_hedge():
             return False
@@ -120,6 +120,20 @@
         else:
             self._end_hedge(AttemptEnd.cancelled)
 
+    def _may_be_relayed(self) -> bool:
+        """Tell whether another entry may run the request as well."""
+        if not self.state.can_run_beside:
+            return False
+        if self.state.response_writer.has_begun:
+            return True  # its caller takes it up elsewhere
+        if not self.state.request.may_be_relayed:
+            return False
+        hub = self.state.services.hub
+        budget = hub.dispatcher.retry_budget(
+            self.state.request.dispatch_request.service
+        )
+        return budget.has_retry(hub.dispatcher.entry_count, hub.clock())
+
     def _start_hedge(self) -> bool:
         """Submit a hedge, if the request may run once more beside another."""
         state = self.state
--- a/tests/test_relays_between_entries.py
+++ b/tests/test_relays_between_entries.py
@@ -379,6 +379,31 @@
     run_cut(scenario)
 
 
+@pytest.mark.parametrize('was_relayed', [True, False])
+def test_paused_attempt_goes_on_if_it_may_not_be_relayed(
+    was_relayed: bool,
+) -> None:
+    """Kept connections may live on, so the upstream may still answer."""
+
+    async def scenario(cut: CutEntry) -> None:
+        regain_upstreams(cut.harness)
+        cut.set_route(RouteKind.idempotent, 2)
+        other = Upstream()
+        await cut.start_others(other.serve)
+        slow = await cut.harness.start_raw_upstream(Upstream(1.3).serve)
+        budget = cut.harness.hub.dispatcher.retry_budget('models')
+        headers = {RELAYED_FOR_HEADER: '9.9.9.9'} if was_relayed else {}
+        if not was_relayed:
+            budget.bounds = RetryBounds(slack=0, ratio=0)
+        sent = asyncio.create_task(cut.send('r1', 4000, headers))
+        await wait_until(lambda: len(slow.requests) == 1)
+        lose_upstreams(cut.harness)
+        assert_that(_status(await sent), Equals(200))
+        assert_that(other.heads, Equals([]))
+
+    run_cut(scenario)
+
+
 async def _fail(connection: RawConnection) -> None:
     connection.reset()
     connection.writer.close()
