--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -20,6 +20,7 @@
 )
 from persimmonhold.forwarding._relay_head import (
     is_relayed,
+    read_earlier_runs,
     restore_caller_head,
 )
 from persimmonhold.observability import log_event, metric
@@ -31,7 +32,13 @@
     RouteTable,
     fingerprint_key,
 )
-from persimmonhold.web import Exchange, ExchangeHandler, Rejection, RequestHead
+from persimmonhold.web import (
+    RELAYED_FOR_HEADER,
+    Exchange,
+    ExchangeHandler,
+    Rejection,
+    RequestHead,
+)
 
 _BAD_REQUEST: Final = 400
 _NOT_FOUND: Final = 404
@@ -199,6 +206,10 @@
             body=body.unwrap(),
             key_hash=key_hash,
             is_relayed=head is not exchange.head,
+            may_be_relayed=not exchange.head.header(RELAYED_FOR_HEADER),
+            earlier_runs=(
+                0 if head is exchange.head else read_earlier_runs(exchange.head)
+            ),
         )
         runner = ForwardRunner(self.services, request, exchange)
         self.runners.add(runner)
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -50,6 +50,8 @@
 # Upstreams are probed at this interval.
 _OUT_OF_REACH_RETRY_AFTER_S: Final = 0.5
 _MS_PER_S: Final = 1000
+# Ends of relays after which another entry may have run the request.
+_TAKEN: Final = frozenset((RelayEnd.delivered, RelayEnd.failed))
 # Ends of attempts that wrote nothing to the upstream.
 _UNSENT: Final = frozenset((
     AttemptEnd.unreachable,
@@ -175,15 +177,15 @@
         self.services.hub.finish_request(
             self.state.number, self.last_attempt_end
         )
-        if self.request.is_relayed or self.response_writer.has_begun:
+        if not self.request.may_be_relayed or self.response_writer.has_begun:
             self._refuse(
                 _build_out_of_reach_refusal(self.services, self.request)
             )
         elif not self._refuse_if_quarantined() and not self._refuse_if_no_key():
             self.was_relayed = True
-            self._end_relayed(
-                await RequestRelay(self.services, self.state).run()
-            )
+            result = await RequestRelay(self.services, self.state).run()
+            self.was_relayed = result.end in _TAKEN
+            self._end_relayed(result)
 
     def _end_relayed(self, result: RelayResult) -> None:
         """End the request as the other entry did."""
@@ -256,10 +258,11 @@
     async def _obtain_credit(self) -> bool:
         """Spend credit of the workspace; refuse the request if there is none.
 
-        It spends once, whatever attempts follow.
+        It spends once, whatever attempts follow, or ran at the entry that
+        relayed the request.
         """
         request = self.request.dispatch_request
-        if not request.workspace:
+        if not request.workspace or self.request.earlier_runs:
             return True
         outcome = await self.services.find_quota_client().obtain_credit(request)
         if isinstance(outcome, RefuseRequest):
@@ -468,7 +471,8 @@
             return
         profile = dispatch_request.profile
         tokens = profile.prompt_tokens + profile.output_tokens
-        if self.state.run_count and not self.was_relayed:
+        own_runs = self.state.run_count - self.request.earlier_runs
+        if own_runs and not self.was_relayed:
             self.services.hub.usage_meter.record_request(workspace, tokens)
         metrics = self.services.metrics
         metrics.increment(
--- a/persimmonhold/forwarding/_relayed_attempt.py
+++ b/persimmonhold/forwarding/_relayed_attempt.py
@@ -1,6 +1,7 @@
 """Relays one request to another entry, which forwards it to an upstream."""
 
 import asyncio
+import re
 from typing import Final, final
 
 from returns.result import Failure as Failed
@@ -31,6 +32,11 @@
 
 _CONNECT_TIMEOUT_S: Final = 0.4  # as for an upstream
 _RETRY_AFTER: Final = 'retry-after'
+# Callers take these statuses as a promise that the request did not run.
+_NOT_RUN_STATUSES: Final = frozenset((408, 421, 425, 429, 503))
+_FIRST_ERROR_STATUS: Final = 400
+_REASON: Final = re.compile('[a-z_]{1,64}')
+_UNKNOWN_REASON: Final = 'refused'
 # Refusals that concern the other entry, not the request or the upstreams.
 _UNABLE_REASONS: Final = frozenset((
     OUT_OF_REACH,
@@ -56,11 +62,16 @@
         services: ForwardServices,
         request: ForwardRequest,
         response_writer: ForwardResponseWriter,
+        run_count: int,
     ) -> None:
-        """Create an attempt that has not been sent."""
+        """Create an attempt that has not been sent.
+
+        The request may have run `run_count` times before.
+        """
         self.services = services
         self.request = request
         self.response_writer = response_writer
+        self.run_count = run_count
         self.connection: ClientConnection | None = None
         self.head = ResponseHead(status=0, headers=())
         self.buffered = BufferedBody()
@@ -121,7 +132,7 @@
             return _failed_result(failure.failure().detail)
         self.head = head.unwrap()
         verdict = self._judge_head()
-        if not verdict.is_for_request:
+        if not verdict.is_for_request or not self._has_fitting_status(verdict):
             connection.mark_failed(verdict.value)
             return _failed_result(f'response not accepted: {verdict.value}')
         if verdict is ResponseVerdict.not_run:
@@ -141,6 +152,12 @@
             must_be_named=True,
         )
 
+    def _has_fitting_status(self, verdict: ResponseVerdict) -> bool:
+        """Tell whether the status says the same as the other headers."""
+        if verdict is ResponseVerdict.not_run:
+            return self.head.status >= _FIRST_ERROR_STATUS
+        return self.head.status not in _NOT_RUN_STATUSES
+
     def _build_request(self) -> ClientRequest:
         head = self.request.head
         dispatch_request = self.request.dispatch_request
@@ -152,6 +169,7 @@
                 head,
                 dispatch_request,
                 dispatch_request.ends_at - self.services.hub.clock(),
+                self.run_count,
             ),
             body=self.request.body,
             host=head.header('host'),
@@ -159,7 +177,7 @@
         )
 
     def _build_refusal_result(self) -> RelayResult:
-        reason = self.head.header(REFUSAL_REASON_HEADER)
+        reason = self._read_reason()
         retry_after = self.head.header(_RETRY_AFTER)
         return RelayResult(
             end=(
@@ -169,7 +187,7 @@
             ),
             detail=reason,
             status=self.head.status,
-            reason=reason or 'refused',
+            reason=reason,
             headers=(
                 encode_headers({_RETRY_AFTER: retry_after})
                 if retry_after
@@ -177,6 +195,11 @@
             ),
         )
 
+    def _read_reason(self) -> str:
+        """Return the reason of a refusal if it has the form of one."""
+        reason = self.head.header(REFUSAL_REASON_HEADER)
+        return reason if _REASON.fullmatch(reason) else _UNKNOWN_REASON
+
     def _write_to_caller(self, chunk: bytes) -> bool:
         connection = self.connection
         if not chunk or connection is None:
