Assign the slots of upstreams that fail when they refuse too much

Callers would see upstreams fall over again and again: an upstream may state how many requests a second it withstands refusing for want of room (Server-Brittle), and the entries ignored it. Each entry fills free slots by a view of the others' load that is 100 to 300 ms old, so near capacity all of them overrun the same slots.

The fleet controller now assigns the slots of such an upstream, one request at a time; an entry that it does not answer for 1.5 s uses a small random share, which the controller leaves free.

--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -28,6 +28,8 @@
     'sparing_begins',
     'sparing_ends',
     'stopped',
+    'upstream_brittle',
+    'upstream_brittle_reported',
     'upstream_leaving_reported',
     'upstream_limit',
     'upstream_limit_reported',
--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -21,6 +21,8 @@
     FleetUpdate,
     PermitReply,
     PermitRequest,
+    SlotRequest,
+    SlotReturn,
     StatedLimit,
     WantedCopy,
 )
@@ -90,6 +92,8 @@
     'RetryBudget',
     'SendRequest',
     'SharedLoad',
+    'SlotRequest',
+    'SlotReturn',
     'StatedLimit',
     'UpdateSchedule',
     'UpstreamFacts',
--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -2,6 +2,7 @@
 
 from typing import Final, final
 
+from persimmonhold.fleet._brittleness import count_sent
 from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._fleet_messages import EntryReport, StatedLimit
 from persimmonhold.fleet._forward_dispatcher import ForwardDispatcher
@@ -78,6 +79,7 @@
             loads=_build_own_loads(dispatcher),
             demand=demand,
             limits=_build_limits(dispatcher, now),
+            brittle=_build_brittle(dispatcher, now),
             leaving=_list_leaving(dispatcher),
             speeds=_pop_speeds(dispatcher),
         )
@@ -110,7 +112,7 @@
     return tuple(
         SharedLoad(
             name,
-            len(tracker.running),
+            count_sent(tracker),
             tracker.own_unread_tokens,
             tracker.running_by_model,
             tracker.running_adapters,
@@ -133,6 +135,21 @@
     )
 
 
+def _build_brittle(
+    dispatcher: ForwardDispatcher, now: float
+) -> tuple[StatedLimit, ...]:
+    """Return the bounds of refusals that the facts may not include yet."""
+    return tuple(
+        StatedLimit.from_observation(
+            tracker.facts.process_key,
+            tracker.fullness.brittleness.observation,
+            now,
+        )
+        for tracker in dispatcher.chooser.trackers.values()
+        if tracker.fullness.brittleness.observation is not None
+    )
+
+
 def _list_leaving(
     dispatcher: ForwardDispatcher,
 ) -> tuple[tuple[str, int], ...]:
--- a/persimmonhold/fleet/_fleet_demand.py
+++ b/persimmonhold/fleet/_fleet_demand.py
@@ -218,6 +218,19 @@
             return 0
         return min((report.number for report in reports), default=0)
 
+    def count_heard(self, now: float) -> int:
+        """Count the entries that report at present."""
+        return sum(
+            now - at <= _STREAMS_SILENT_S for at in self.reported_at.values()
+        )
+
+    def list_running(self, upstream: str) -> dict[str, int]:
+        """Return what each entry reports to run at an upstream."""
+        return {
+            entry: loads[upstream].running if upstream in loads else 0
+            for entry, loads in self.loads_by_entry.items()
+        }
+
     def drop_silent_entries(self, now: float) -> None:
         """Drop reports and load of entries that have stopped reporting."""
         for entry, reported_at in tuple(self.reported_at.items()):
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -9,10 +9,13 @@
 
 import msgspec
 
+from persimmonhold.fleet._fleet_demand import FleetDemand
+from persimmonhold.fleet._fleet_messages import SlotRequest
 from persimmonhold.fleet._held_model import HeldModel
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_loading import ModelLoading
 from persimmonhold.fleet._request_limits import RequestLimits
+from persimmonhold.fleet._slot_leases import SlotLeases, find_assignable
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
 
@@ -21,6 +24,12 @@
 # An upstream counts as silent after this many failed report requests in a row;
 # a single failure may be a lost packet.
 _SILENT_AFTER_FAILURES: Final = 2
+# An entry that got no slot asks again after the sum of these, of which the
+# latter is for each entry, as all of them may wait for it.
+_MIN_SLOT_WAIT_S: Final = 0.02
+_SLOT_WAIT_PER_ENTRY_S: Final = 0.002
+# By then, all entries have reported to a new controller.
+_SLOT_SETTLING_S: Final = 0.5
 
 
 @final
@@ -31,7 +40,8 @@
     `departures` maps upstreams that have left the list to the change number of
     their departure. Departures up to `departures_dropped_to` are no longer
     stored. `failure_counts` counts failed report requests in a row. `limits`
-    are the request limits that upstreams state. `stated_leaving` maps those
+    are the request limits that upstreams state, and `refusals` the refusals a
+    second that brittle ones withstand, whose slots `slot_leases` assigns. `stated_leaving` maps those
     that stated to an entry that they leave to the start of that process.
     `loading` are the models that were being loaded without a serving copy when
     orders were last planned.
@@ -50,7 +60,9 @@
         'last_changes',
         'limits',
         'loading',
+        'refusals',
         'reported_leaving',
+        'slot_leases',
         'stated_leaving',
     )
 
@@ -66,6 +78,8 @@
         self.failure_counts: dict[str, int] = {}
         self.reported_leaving: set[str] = set()
         self.limits = RequestLimits()
+        self.refusals = RequestLimits()
+        self.slot_leases = SlotLeases()
         self.loading: tuple[ModelLoading, ...] = ()
         self.stated_leaving: dict[str, int] = {}
         self.last_changes: tuple[tuple[int, int, int], _Changes] | None = None
@@ -83,6 +97,8 @@
         self.listed_at = now
         self.listed = {one.name: one for one in listed}
         self.limits.retain_upstreams(self.listed)
+        self.refusals.retain_upstreams(self.listed)
+        self.slot_leases.retain_upstreams(self.listed)
         gone = tuple(
             name for name in self.by_upstream if name not in self.listed
         )
@@ -144,10 +160,43 @@
             limit_per_s = self.limits.find_limit(facts.process_key)
             if limit_per_s is not None:
                 facts = msgspec.structs.replace(facts, limit_per_s=limit_per_s)
+            refusals_per_s = self.refusals.find_limit(facts.process_key)
+            if refusals_per_s is not None:
+                facts = msgspec.structs.replace(
+                    facts, refusals_per_s=refusals_per_s
+                )
             if self._has_stated_leaving(facts):
                 facts = msgspec.structs.replace(facts, is_leaving=True)
             self._store_facts(facts)
 
+    def assign_slot(
+        self,
+        entry: str,
+        request: SlotRequest,
+        demand: FleetDemand,
+        entry_count: int,
+        now: float,
+    ) -> float:
+        """Assign a slot of a brittle upstream to an entry.
+
+        Returns 0, or the seconds until one may be free. A new controller waits
+        for the reports of all entries, which show the slots in use.
+        """
+        wait_s = _MIN_SLOT_WAIT_S + _SLOT_WAIT_PER_ENTRY_S * entry_count
+        facts = self.by_upstream.get(request.upstream)
+        is_settled = now >= demand.first_report_at + _SLOT_SETTLING_S
+        if facts is None or not is_settled:
+            return wait_s
+        unheard = max(0, entry_count - demand.count_heard(now))
+        is_assigned = self.slot_leases.try_take(
+            entry,
+            request,
+            find_assignable(facts.slots, entry_count, unheard),
+            demand.list_running(request.upstream),
+            now,
+        )
+        return 0 if is_assigned else wait_s
+
     def find_limits(
         self, ledgers: Iterable[UpstreamLedger]
     ) -> dict[str, float]:
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -134,7 +134,8 @@
     `streams` have begun lately, or are all that may still be taken up if the
     controller is new; `builds` have served lately. `wanted` are the copies that
     streams wait for which callers have taken up. `speeds` are the prefill
-    speeds observed since the last report.
+    speeds observed since the last report. `brittle` are the refusals a second
+    that upstreams withstand, in the form of limits that the facts may lack.
     """
 
     term: int
@@ -149,6 +150,7 @@
     builds: tuple[SeenBuild, ...] = ()
     wanted: tuple[WantedCopy, ...] = ()
     speeds: tuple[SpeedSums, ...] = ()
+    brittle: tuple[StatedLimit, ...] = ()
 
     @property
     def content(self) -> tuple[object, ...]:
@@ -163,6 +165,7 @@
             self.streams,
             self.wanted,
             self.speeds,
+            self.brittle,
         )
 
 
@@ -289,6 +292,55 @@
     short_shares: tuple[tuple[str, float], ...] = ()
 
 
+@final
+class SlotRequest(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='slot',
+    array_like=True,
+):
+    """Asks the fleet controller for a slot of a brittle upstream.
+
+    `upstream` and `born_ms` identify its process. A `PermitReply` assigns
+    the slot. It is not retransmitted; a slot whose reply comes too late is
+    returned.
+    """
+
+    request_id: int
+    upstream: str
+    born_ms: int
+
+    @property
+    def process_key(self) -> tuple[str, int]:
+        """The name and the start time, which together identify a process."""
+        return self.upstream, self.born_ms
+
+
+@final
+class SlotReturn(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='slot_return',
+    array_like=True,
+):
+    """Returns the slot that a `SlotRequest` asked for.
+
+    `is_refused` tells that the upstream refused the request for want of room.
+    """
+
+    request_id: int
+    upstream: str
+    born_ms: int
+    is_refused: bool = False
+
+    @property
+    def process_key(self) -> tuple[str, int]:
+        """The name and the start time, which together identify a process."""
+        return self.upstream, self.born_ms
+
+
 FleetMessage: TypeAlias = (
     FleetUpdate
     | EntryReport
@@ -303,4 +355,6 @@
     | CreditRequest
     | CreditReply
     | WorkspaceUsage
+    | SlotRequest
+    | SlotReturn
 )
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -17,6 +17,7 @@
 from typing import Final, TypeAlias, final
 
 from persimmonhold.fleet._attempt_end import AttemptEnd
+from persimmonhold.fleet._brittleness import find_slot_opening
 from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._fleet_messages import FleetUpdate, StatedLimit
 from persimmonhold.fleet._forward_action import (
@@ -29,6 +30,7 @@
 from persimmonhold.fleet._retry_budget import RetryBounds, RetryBudget
 from persimmonhold.fleet._send_deadline import SendDeadline
 from persimmonhold.fleet._service_orders import ServiceOrders
+from persimmonhold.fleet._slot_dispatch import SlotDispatch
 from persimmonhold.fleet._upstream_chooser import (
     TURNED_AWAY_REASON,
     UpstreamChooser,
@@ -102,6 +104,7 @@
         'rng',
         'send_deadline',
         'sequence',
+        'slots',
         'term',
     )
 
@@ -135,6 +138,7 @@
         self.queues: dict[_QueueKey, RequestQueue] = {}
         self.pending: dict[int, PendingRequest] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
+        self.slots = SlotDispatch(self.chooser, self.pending, rng)
 
     def apply_update(
         self,
@@ -505,7 +509,10 @@
         if _is_refused_by_all(self.chooser, pending, now):
             # The caller's next attempt may go to all of them again.
             queue = self.queue_of(pending)
-            return now + queue.expected_wait_s(pending, now)
+            return max(
+                now + queue.expected_wait_s(pending, now),
+                find_slot_opening(self.chooser.holders(pending, now), now),
+            )
         if not self.chooser.has_holder(pending, now):
             # A model that is not being loaded may be, as requests wait for it.
             model = pending.request.profile.model
@@ -523,7 +530,10 @@
             return self.chooser.find_earliest_service(
                 pending.request, permit_at, load_at, now
             )
-        waited = now + queue.expected_wait_s(pending, now)
+        waited = max(
+            now + queue.expected_wait_s(pending, now),
+            find_slot_opening(self.chooser.holders(pending, now), now),
+        )
         if self.chooser.has_adapter(pending, now):
             return waited
         return max(waited, self.chooser.orders_start_at)
--- a/persimmonhold/fleet/_request_limit_view.py
+++ b/persimmonhold/fleet/_request_limit_view.py
@@ -86,7 +86,11 @@
     def record_permit(self, request_number: int, closed_until: float) -> None:
         """Record the answer to the permit request of a request."""
         self.cancel_request(request_number)
-        self.closed_until = max(self.closed_until, closed_until)
+        self.close(closed_until)
+
+    def close(self, until: float) -> None:
+        """Request no permit before a time."""
+        self.closed_until = max(self.closed_until, until)
 
     def cancel_request(self, request_number: int) -> None:
         """Allow other permit requests if this request was waiting for one."""
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from persimmonhold.fleet._brittleness import find_least_refusals
 from persimmonhold.fleet._dispatch_request import DispatchRequest
 from persimmonhold.fleet._engine_speed import PROMPT_TOKENS_PER_S
 from persimmonhold.fleet._first_event import learned_response_s
@@ -96,6 +97,12 @@
                 tracker = UpstreamTracker(one, sparing)
                 # An upstream of this name may have been tracked before.
                 tracker.learned.restart(now)
+                tracker.fullness.expect_brittleness(
+                    find_least_refusals(
+                        self.groups.by_service.get(one.service, ())
+                    ),
+                    now,
+                )
                 self.trackers[name] = tracker
                 self.groups.add(tracker)
             is_regrouped = tracker.facts.group != one.group
@@ -127,8 +134,10 @@
         for tracker in self.trackers.values():
             if is_new_controller:
                 tracker.limit.keep_limit(now)
+                tracker.fullness.brittleness.keep_limit(now)
             else:
                 tracker.limit.drop_confirmed_observation(now)
+                tracker.fullness.brittleness.drop_confirmed_observation(now)
 
     def apply_other_loads(
         self,
@@ -353,7 +362,8 @@
             tracker.facts.process_key, now
         ) or not tracker.is_available(now):
             return False
-        if not tracker.limit.allows_request(now):
+        statements = (tracker.limit, tracker.fullness.brittleness)
+        if not all(one.allows_request(now) for one in statements):
             return False
         running = tracker.total_running(now)
         if running >= tracker.facts.slots or tracker.is_full(now):
--- a/persimmonhold/fleet/_upstream_facts.py
+++ b/persimmonhold/fleet/_upstream_facts.py
@@ -17,6 +17,8 @@
     `is_changing` tells that no adapter can be loaded there now. `limit_per_s`
     is how many requests a second it accepts from all VMs, or None.
     `software_version` is empty if it is not known of this process.
+    `refusals_per_s` is how many requests a second it can refuse for want of room
+    before it fails, or None if it states no such bound.
     """
 
     name: str
@@ -31,6 +33,7 @@
     models: tuple[HeldModel, ...] = ()
     limit_per_s: float | None = None
     software_version: str = ''
+    refusals_per_s: float | None = None
 
     @classmethod
     def from_listed(cls, listed: ListedUpstream) -> Self:
--- a/persimmonhold/fleet/_upstream_tracker.py
+++ b/persimmonhold/fleet/_upstream_tracker.py
@@ -180,7 +180,7 @@
         if facts.born_ms != self.facts.born_ms:
             self.limit = RequestLimitView()
             self.failure_rate = 0
-            self.fullness = Fullness()
+            self.fullness = self.fullness.restart(now)
             self.pause_count = 0
             self.paused_until = -math.inf
             self.response_times.last_attempt_at = -math.inf
@@ -191,6 +191,7 @@
                 self.learned.drop_model(held.name, now)
         self.facts = facts
         self.limit.apply_facts(facts.limit_per_s, now)
+        self.fullness.brittleness.apply_facts(facts.refusals_per_s, now)
 
     def apply_other_load(
         self,
@@ -310,6 +311,8 @@
             times.last_attempt_at = now
         if self.limit.per_s is not None:
             self.limit.asking_number = request.number
+        if self.fullness.brittleness.per_s is not None:
+            self.fullness.brittleness.asking_number = request.number
 
     def record_first_byte(self, request_number: int, now: float) -> None:
         """Record the first byte of a response, and update the slowdown."""
@@ -342,6 +345,7 @@
     ) -> None:
         """Record the end of an attempt, and update the health record."""
         self.limit.cancel_request(request.number)
+        self.fullness.brittleness.cancel_request(request.number)
         running = self.running.pop(request.number, None)
         if running is None:
             return
--- a/persimmonhold/forwarding/_decoded_response_head.py
+++ b/persimmonhold/forwarding/_decoded_response_head.py
@@ -19,7 +19,9 @@
     if it states one that is not a number. `is_leaving` means that the process
     that answered is about to end. `turned_away_s` is for how many seconds it
     wants no requests of this VM, or None if it does not state so.
-    `unusual_statements` are those of the last two that are malformed or
+    `refusals_per_s` is how many requests a second it can refuse for want of room
+    before it fails, or None if it does not state so.
+    `unusual_statements` are those of the last three that are malformed or
     repeated, and were read with caution.
     """
 
@@ -34,4 +36,5 @@
     is_limit_readable: bool = True
     is_leaving: bool = False
     turned_away_s: float | None = None
+    refusals_per_s: float | None = None
     unusual_statements: tuple[str, ...] = ()
--- a/persimmonhold/forwarding/_dispatched_attempt.py
+++ b/persimmonhold/forwarding/_dispatched_attempt.py
@@ -88,6 +88,40 @@
             if wait_s:
                 return _build_limited_result(limit, wait_s)
             limits.usable_until = asked_at + _PERMIT_VALIDITY_S
+        process = hub.brittle.find_process(self.action.number)
+        if process is not None:
+            return await self._send_with_slot(process, limits)
+        return await self._send_unless_spared(limits)
+
+    async def _send_with_slot(
+        self, process: tuple[str, int], limits: AttemptLimits
+    ) -> AttemptResult:
+        """Run the attempt with a slot of a brittle upstream."""
+        services = self.state.services
+        slots = services.fleet_client.slots
+        request_id = next(services.fleet_client.request_ids)
+        answer_s = await slots.ask(request_id, process)
+        wait_s = services.hub.brittle.record_slot(self.action.number, answer_s)
+        if wait_s:
+            return AttemptResult(
+                end=AttemptEnd.limited,
+                may_have_run=False,
+                detail=f'brittle, slot in {wait_s:.2f} s',
+            )
+        end = AttemptEnd.cancelled
+        try:
+            result = await self._send_unless_spared(limits)
+            end = result.end
+        finally:
+            if answer_s is not None:
+                slots.give_back_after(request_id, process, end)
+        if end is AttemptEnd.full and answer_s is None:
+            services.hub.brittle.record_unassigned_refusal(process[0])
+        return result
+
+    async def _send_unless_spared(self, limits: AttemptLimits) -> AttemptResult:
+        """Run the attempt unless its upstream wants no new request by now."""
+        hub = self.state.services.hub
         if not hub.sparing.accepts_sending(self.action.upstream.name):
             return build_spared_result()
         return await self._send(limits)
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -27,6 +27,7 @@
     StatedLimit,
 )
 from persimmonhold.forwarding._forward_hub import ForwardHub
+from persimmonhold.forwarding._slot_permits import SlotPermits
 from persimmonhold.forwarding._upstream_client import UpstreamClient
 from persimmonhold.observability import LogLevel, log_event
 from persimmonhold.quarantine import QuarantineUpdate
@@ -65,6 +66,8 @@
 _LIST_READS_PER_S: Final = 6.0
 _MIN_LIST_READ_INTERVAL_S: Final = 0.4
 
+_DECODER: Final = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
+
 
 @final
 class FleetClient:
@@ -76,7 +79,6 @@
 
     __slots__ = (
         'credit_handler',
-        'decoder',
         'hub',
         'list_lock',
         'list_read_at',
@@ -88,6 +90,7 @@
         'reported_at',
         'request_ids',
         'rng',
+        'slots',
         'transport',
         'upstream_client',
         'vm',
@@ -116,8 +119,10 @@
         self.reported_at = float('-inf')
         self.pending_permits: dict[int, asyncio.Future[PermitReply]] = {}
         self.pending_origins: dict[int, asyncio.Future[StreamOriginReply]] = {}
+        self.slots = SlotPermits(
+            hub.clock, self._send_to_controller, self.pending_permits
+        )
         self.credit_handler: Callable[[CreditReply], None] | None = None
-        self.decoder = msgspec.msgpack.Decoder[FleetMessage](FleetMessage)
         transport.set_receiver(Channel.fleet, self.handle_message)
 
     async def run(self) -> None:
@@ -253,7 +258,7 @@
         Messages that cannot be decoded are logged and dropped.
         """
         try:
-            message = self.decoder.decode(payload)
+            message = _DECODER.decode(payload)
         except msgspec.DecodeError as error:
             log_event('bad_message', LogLevel.warning, error=str(error))
             return
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -25,6 +25,8 @@
     OrderVerdict,
     PermitRequest,
     PlannedOrder,
+    SlotRequest,
+    SlotReturn,
 )
 from persimmonhold.forwarding._fleet_term import FleetTerm
 from persimmonhold.forwarding._fleet_work_log import FleetWorkLog
@@ -181,8 +183,8 @@
     def _pass_to_servers(
         self, controller: FleetController, peer: str, message: FleetMessage
     ) -> None:
-        if isinstance(message, PermitRequest):
-            self.permit_server.answer_request(controller, peer, message)
+        if isinstance(message, PermitRequest | SlotRequest | SlotReturn):
+            self.permit_server.handle_message(controller, peer, message)
         elif isinstance(message, CreditRequest):
             self._quota_server.answer_request(controller, peer, message)
         elif isinstance(message, StreamOriginRequest):
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -24,6 +24,7 @@
     StatedLimit,
 )
 from persimmonhold.forwarding._attempt_result import AttemptResult
+from persimmonhold.forwarding._brittle_recorder import BrittleRecorder
 from persimmonhold.forwarding._fleet_view_log import FleetViewLog
 from persimmonhold.forwarding._sparing_recorder import SparingRecorder
 from persimmonhold.forwarding._stream_recorder import StreamRecorder
@@ -45,6 +46,7 @@
     """
 
     __slots__ = (
+        'brittle',
         'clock',
         'demand_meter',
         'dispatcher',
@@ -76,6 +78,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.view_log = FleetViewLog(clock())
         self.sparing = SparingRecorder(dispatcher, clock, metrics or Metrics())
+        self.brittle = BrittleRecorder(dispatcher, clock)
         self.streams = StreamRecorder(dispatcher, clock)
         self.usage_meter = WorkspaceMeter()
 
--- a/persimmonhold/forwarding/_permit_server.py
+++ b/persimmonhold/forwarding/_permit_server.py
@@ -6,7 +6,15 @@
 import msgspec
 
 from persimmonhold.control.shell import ControlNode
-from persimmonhold.fleet import EntryReport, FleetController, PermitRequest
+from persimmonhold.fleet import (
+    EntryReport,
+    FleetController,
+    FleetMessage,
+    PermitReply,
+    PermitRequest,
+    SlotRequest,
+    SlotReturn,
+)
 from persimmonhold.observability import log_event
 from persimmonhold.transport import Channel, Transport
 
@@ -52,7 +60,37 @@
                 limit_per_s=one.per_s,
                 age_s=round(one.received_age_s, 2),
             )
-        return bool(changed or leaving)
+        brittle = controller.facts.refusals.record_stated(
+            report.brittle, self.clock()
+        )
+        for bound in brittle:
+            log_event(
+                'upstream_brittle_reported',
+                entry=entry,
+                upstream=bound.upstream,
+                refusals_per_s=bound.per_s,
+                age_s=round(bound.received_age_s, 2),
+            )
+        controller.facts.slot_leases.reconcile(
+            entry,
+            {load.upstream: load.running for load in report.loads},
+            self.clock(),
+        )
+        return bool(changed or leaving or brittle)
+
+    def handle_message(
+        self,
+        controller: FleetController,
+        entry: str,
+        message: PermitRequest | SlotRequest | SlotReturn,
+    ) -> None:
+        """Answer a request, or free a slot that an entry returns."""
+        if isinstance(message, PermitRequest):
+            self.answer_request(controller, entry, message)
+        elif isinstance(message, SlotRequest):
+            self.assign_slot(controller, entry, message)
+        else:
+            controller.facts.slot_leases.give_back(entry, message, self.clock())
 
     def answer_request(
         self,
@@ -64,5 +102,28 @@
         if not self.node.is_leader or self.node.term != controller.term:
             return
         reply = controller.facts.limits.answer_request(request, self.clock())
+        self._send(entry, reply)
+
+    def assign_slot(
+        self,
+        controller: FleetController,
+        entry: str,
+        request: SlotRequest,
+    ) -> None:
+        """Answer a slot request, unless this VM no longer leads the term."""
+        if not self.node.is_leader or self.node.term != controller.term:
+            return
+        wait_s = controller.facts.assign_slot(
+            entry,
+            request,
+            controller.demand,
+            controller.entry_count,
+            self.clock(),
+        )
+        self._send(
+            entry, PermitReply(request_id=request.request_id, wait_s=wait_s)
+        )
+
+    def _send(self, entry: str, reply: FleetMessage) -> None:
         encoded = msgspec.msgpack.encode(reply)
         self.transport.send(entry, Channel.fleet, encoded)
--- a/persimmonhold/forwarding/_statement_recorder.py
+++ b/persimmonhold/forwarding/_statement_recorder.py
@@ -74,12 +74,15 @@
     def _record_limit(
         self, decoded_head: DecodedResponseHead, sent_at: float
     ) -> None:
-        """Record the request limit that the upstream states in a response.
+        """Record the limit and the brittleness that a response states.
 
-        One that is not a number neither sets nor ends a limit.
+        A limit that is not a number neither sets nor ends a limit.
         """
         if decoded_head.process not in {'', self.upstream.name}:
             return
+        self.services.hub.brittle.record_response(
+            self.upstream.process_key, decoded_head.refusals_per_s, sent_at
+        )
         if decoded_head.is_limit_readable:
             self.services.hub.record_stated_limit(
                 self.upstream.process_key, decoded_head.limit_per_s, sent_at
@@ -125,6 +128,7 @@
                 statement=statement,
                 is_leaving=decoded_head.is_leaving,
                 turned_away_s=decoded_head.turned_away_s,
+                refusals_per_s=decoded_head.refusals_per_s,
                 left_out=left_out,
             )
 
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -148,6 +148,7 @@
         stated_limit = head.header(names.REQUEST_LIMIT)
         limit_per_s = _parse_quantity(stated_limit)
         leaving = _split_values(head, names.LEAVING)
+        brittle = _split_values(head, names.BRITTLE)
         pauses: tuple[str, ...] = ()
         if head.status == _UNAVAILABLE_STATUS:
             pauses = _split_values(head, names.RETRY_AFTER)
@@ -165,7 +166,8 @@
             is_limit_readable=limit_per_s is not None or not stated_limit,
             is_leaving=_LEAVING_VALUE in leaving,
             turned_away_s=_decode_pause_s(pauses) if pauses else None,
-            unusual_statements=_name_unusual(leaving, pauses),
+            refusals_per_s=_decode_refusals(brittle) if brittle else None,
+            unusual_statements=_name_unusual(leaving, pauses, brittle),
         )
 
     def build_refusal_headers(self, retry_after_s: float | None) -> Headers:
@@ -278,8 +280,18 @@
     return min(_MAX_TURNED_AWAY_S, longest_s)
 
 
+def _decode_refusals(values: tuple[str, ...]) -> float:
+    """Return how many refusals a second an upstream withstands.
+
+    Of repeated values the lowest counts; one that cannot be read is 0.
+    """
+    return min(_parse_quantity(text) or 0 for text in values)
+
+
 def _name_unusual(
-    leaving: tuple[str, ...], pauses: tuple[str, ...]
+    leaving: tuple[str, ...],
+    pauses: tuple[str, ...],
+    brittle: tuple[str, ...],
 ) -> tuple[str, ...]:
     """Name the statements that are not one plain value within its bounds."""
     unusual: list[str] = []
@@ -290,4 +302,6 @@
         is_plain = len(pauses) == 1 and parsed_s is not None
         if not is_plain or not 0 < (parsed_s or 0) <= _MAX_TURNED_AWAY_S:
             unusual.append('turned_away_s')
+    if len(brittle) > 1 or (brittle and _parse_quantity(brittle[0]) is None):
+        unusual.append('refusals_per_s')
     return tuple(unusual)
--- a/persimmonhold/platform/_names.py
+++ b/persimmonhold/platform/_names.py
@@ -17,6 +17,8 @@
 RETRY_AFTER: Final = 'retry-after'
 # Requests a second that an upstream accepts from all VMs together.
 REQUEST_LIMIT: Final = 'server-limit'
+# Requests a second that an upstream can refuse as full before it fails.
+BRITTLE: Final = 'server-brittle'
 LEAVING: Final = 'server-leaving'  # `1`: the upstream is about to end
 AUTHORIZATION: Final = 'authorization'  # `Bearer` and the key of a workspace
 WORKSPACE: Final = 'tenant'  # the name of the workspace that holds the key
