--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # 0: the rule held, 1: it was broken, 2: the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/10/case.py
+exec python3 -B review/10/case.py
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,36 +1,127 @@
-"""CONFIG: an invalid configuration is acknowledged once its version is overtaken."""
+"""RECOVER: a service stays out of use once its workers restarted under their ids.
+
+The workers of a service drain and start again one after the other, as in a release;
+with TROUBLE=0 under new ids, else under the ids that they had. Then a final fault
+comes: a core machine that does not lead loses its disk and is back.
+"""
 
 import asyncio
-import json
+import random
+import shutil
+import time
+import uuid
 from pathlib import Path
 
 import harness
-from harness import HOST, TROUBLE, System, Worker, build_response
+from harness import TROUBLE, System, Worker, build_response
 
+DRAIN_S = 3.2  # `drain-ms` is 3 s
+DOWN_S = 0.5  # from the end of a worker to its next start
+READY_S = 1.2  # to the next worker's draining; the gap of a release is 1 s
+FINAL_DOWN_S = 0.9
+RECOVERY_S = 12.0
+JUDGED_S = 10.0
+REQUESTS_PER_S = 8
 
-class App(Worker):
-    async def run(self, method, target, headers, body, writer, own):
-        own.append(('Server-Signature', headers['attempt-id']))
-        writer.write(build_response(200, b'ok', own))
-        return True
 
+class Engine(Worker):
+    """A worker that runs models and restarts empty."""
 
-def route(name, **changed):
-    return {
-        'name': name, 'host': HOST, 'path-prefix': f'/{name}/',
-        'kind': 'idempotent', 'timeout-ms': 3000, 'target-latency-ms': 400,
-        'priority': 2, 'service': 'app', 'max-attempts': 1, 'sticky': False,
-        'resumable': False, **changed,
-    }
+    async def run(self, method, target, headers, body, writer, own):
+        self.runs.append(headers['attempt-id'])
+        await asyncio.sleep(0.05)
+        event = b'id: 1\ndata: done\n\n'
+        writer.write(build_response(200, event, [
+            *own,
+            ('Server-Signature', f'{self.id}.{headers["attempt-id"]}'),
+            ('Weight-Versions', '1'),
+            ('Content-Type', 'text/event-stream'),
+        ]))
+        return True
 
 
-def configuration(version, routes):
+async def restart(system, worker):
+    """Drain a worker and start it again, empty; return the one that serves."""
+    record = system.record
+    worker.state = 'draining'
+    system.listing.note()
+    record.say(f'{worker.id} is draining')
+    await asyncio.sleep(DRAIN_S)
+    worker.stop()
+    await asyncio.sleep(DOWN_S)
+    started = worker
+    if not TROUBLE:
+        worker.is_listed = False
+        started = Engine(
+            system, 'llm', *system.next_worker_place(), models=[], zone=worker.zone
+        )
+        system.listing.workers.append(started)
+    worker.seq = 0
+    worker.models = []
+    worker.state = 'ready'
+    started.born = int(time.time() * 1000)
+    await started.start()
+    system.listing.note()
+    record.say(f'{started.id} serves, with nothing loaded')
+    await asyncio.sleep(READY_S)
+    return started
+
+
+async def send(system, sent):
+    """Send one request of a client, and once more after a refusal."""
+    outcome = [time.monotonic(), False]
+    sent.append(outcome)
+    for _ in range(2):
+        entry = random.choice(system.entries)
+        attempt_id = uuid.uuid4().hex[:16]
+        host, _, port = entry.address('frontend').rpartition(':')
+        try:
+            async with asyncio.timeout(3):
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), local_addr=(f'{system.network}.8.2', 0)
+                )
+                try:
+                    writer.write((
+                        f'POST /exam/x HTTP/1.1\r\nHost: {harness.HOST}\r\n'
+                        f'Attempt-Id: {attempt_id}\r\nModel: m1\r\n'
+                        f'Token-Count: 1800,24\r\nPrefix-Hash: 5c1e07a2:341,{attempt_id[:8]}:1459\r\n'
+                        'Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody'
+                    ).encode())
+                    line, headers = await harness.read_head(reader)
+                    await harness.read_body(reader, headers)
+                finally:
+                    writer.transport.abort()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return
+        status = int(line.split(' ')[1])
+        system.record.write(f'{attempt_id} at {entry.name}: {status}')
+        if status == 200:
+            outcome[1] = True
+            return
+        await asyncio.sleep(min(1.0, float(headers.get('retry-after', '0.3'))))
+
+
+def configuration(version):
     return {
         'version': version,
-        'routes': routes,
+        'routes': [{
+            'name': 'exam', 'host': harness.HOST, 'path-prefix': '/exam/',
+            'kind': 'streaming', 'timeout-ms': 3000, 'target-latency-ms': 500,
+            'priority': 0, 'service': 'llm', 'max-attempts': 1, 'sticky': True,
+            'resumable': False, 'target-itl-ms': 250,
+        }],
         'services': [{
-            'name': 'app', 'health-path': '/healthz', 'max-conns': 100,
+            'name': 'llm', 'health-path': '/healthz', 'max-conns': 200,
             'protocol': 'h1', 'tls': False,
+            'engine': {
+                'slots': 24, 'kv-capacity': 113394, 'stride': 6,
+                'weights-mb': 200000.0, 'adapter-slots': 8, 'loads-per-s': 2.9,
+                'models': [{
+                    'name': 'm1', 'weights-mb': 65100.0, 'load-s': 1.2,
+                    'adapters': 0, 'adapter-mb': 12.0, 'warmup-s': 0.6,
+                    'disk-load-s': 0.78,
+                }],
+            },
         }],
         'limits': {
             'max-header-bytes': 16384, 'max-body-bytes': 4194304,
@@ -39,65 +130,60 @@
     }
 
 
-def build_bad(version):
-    """Return the five invalid configurations that the pages name, encoded."""
-    split = [{'service': 'app', 'weight': 0}]
-    spoiled = {
-        'unknown_service': [route('a', service='nobody')],
-        'same_place': [route('a'), route('b', **{'path-prefix': '/a/'})],
-        'no_weight': [route('a', service='', split=split)],
-        'no_timeout': [route('a', **{'timeout-ms': 0})],
-    }
-    bodies = {
-        name: json.dumps(configuration(version, routes)).encode()
-        for name, routes in spoiled.items()
-    }
-    whole = json.dumps(configuration(version, [route('a')])).encode()
-    bodies['cut_short'] = whole[: len(whole) // 2]
-    return bodies
-
-
-async def send(system, record, name, body):
-    """Send a change as the operator does, until it has a clear answer."""
-    for _ in range(20):
-        status, address, answer = await system.operate('PUT', body)
-        record.write(f'PUT {name} to {address}: {status} {answer[:200]!r}')
-        if status == 200 or 400 <= status < 500:
-            return status
-        await asyncio.sleep(0.3)
-    raise harness.CannotRun(f'{name} got no clear answer')
-
-
 async def play(record):
-    system = System(record, entry_count=2)
-    broken = []
+    system = System(record, core_count=3, entry_count=3)
+    sent = []
     try:
-        workers = [App(system, 'app', *system.next_worker_place()) for _ in range(2)]
-        await system.start(workers, configuration(7, [route('a')]))
-        bad = build_bad(9)
-        if not TROUBLE:
-            # The same changes without what makes them invalid.
-            good = json.dumps(configuration(9, [route('a')])).encode()
-            bad = dict.fromkeys(bad, good)
-        for name, body in bad.items():
-            status = await send(system, record, f'{name} as version 9', body)
-            record.say(f'{name}, newest version: {status}')
-            if TROUBLE and status == 200:
-                broken.append(name)
-        newer = json.dumps(configuration(12, [route('a'), route('c')])).encode()
-        status = await send(system, record, 'a valid version 12', newer)
-        record.say(f'a valid change: {status}')
-        for name, body in bad.items():
-            status = await send(system, record, f'{name} as version 9', body)
-            record.say(f'{name}, sent again: {status}')
-            if TROUBLE and status == 200:
-                broken.append(name)
-        status, _, answer = await system.operate('GET')
-        record.say(f'read back: {status}, version {json.loads(answer)["version"]}')
+        workers = [
+            Engine(system, 'llm', *system.next_worker_place(), models=['m1'], zone=zone)
+            for zone in 'abc'
+        ]
+        await system.start(workers, configuration(7))
+        record.say('all entries are ready')
+        leader = await system.find_leader()
+        is_over = False
+
+        async def send_all():
+            while not is_over:
+                tasks.append(asyncio.create_task(send(system, sent)))
+                await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
+
+        tasks = []
+        traffic = asyncio.create_task(send_all())
+        await asyncio.sleep(4)
+        serving = [await restart(system, worker) for worker in workers]
+        status = await system.put(configuration(8))
+        lost = next(core for core in system.cores if core is not leader)
+        lost.kill()
+        fault_at = time.monotonic()
+        record.say(f'a change was answered {status}; {lost.name} loses its disk')
+        await lost.process.wait()
+        shutil.rmtree(system.folder / lost.name)
+        await asyncio.sleep(FINAL_DOWN_S)
+        await lost.start()
+        judged_at = time.monotonic() + RECOVERY_S
+        record.say(f'{lost.name} is back')
+        await asyncio.sleep(RECOVERY_S + JUDGED_S)
+        is_over = True
+        await traffic
+        await asyncio.gather(*tasks)
+        for worker in serving:
+            record.say(
+                f'{worker.id} holds {worker.models}, got'
+                f' {sum(at >= fault_at for at, _ in worker.orders)} orders'
+                ' after the fault'
+            )
     finally:
         await system.stop()
-    record.say(f'invalid and acknowledged: {broken}')
-    return bool(broken)
+    before = [served for at, served in sent if at < fault_at]
+    after = [served for at, served in sent if at >= judged_at]
+    record.say(
+        f'served before the final fault: {sum(before)} of {len(before)}; later than'
+        f' {RECOVERY_S:.0f} s after all machines were back: {sum(after)} of {len(after)}'
+    )
+    if sum(before) < 0.25 * len(before) or len(after) < 20:
+        raise harness.CannotRun('too little was served or sent to judge')
+    return sum(after) < 0.25 * len(after)
 
 
 harness.run_case(Path(__file__).parent, play)
