--- a/review/6/harness.py
+++ b/review/6/harness.py
@@ -514,13 +514,18 @@
     """Play a case: exit 0 if the rule held, 1 if not, 2 if it cannot run."""
     record = Record(folder)
     record.say(f'TROUBLE={int(TROUBLE)}')
-    try:
-        async def limited():
-            async with asyncio.timeout(limit_s):
-                return await play(record)
 
+    async def limited():
+        loop = asyncio.get_running_loop()
+        # The processes that were started end with the script.
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        async with asyncio.timeout(limit_s):
+            return await play(record)
+
+    try:
         is_broken = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever went wrong here shows nothing about the rule.
         record.say(f'the case could not run: {error!r}')
         sys.exit(2)
     record.say('RULE BROKEN' if is_broken else 'rule held')
