--- a/persimmonhold/forwarding/_stream_origin_server.py
+++ b/persimmonhold/forwarding/_stream_origin_server.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from persimmonhold.fleet import EntryReport, FleetController
+from persimmonhold.observability import log_event
 from persimmonhold.streams import (
     StreamOriginReply,
     StreamOriginRequest,
@@ -51,11 +52,24 @@
 
     def answer_request(self, entry: str, request: StreamOriginRequest) -> None:
         """Send an entry the origin of a stream, or that it is not known."""
-        reply = StreamOriginReply(
-            request_id=request.request_id,
-            origin=self.origins.find_origin(
-                request.begun_as, request.service, self.clock()
-            ),
+        now = self.clock()
+        origins = self.origins
+        origin = origins.find_origin(request.begun_as, request.service, now)
+        log_event(
+            'stream_origin_answered',
+            entry=entry,
+            begun_as=request.begun_as,
+            service=request.service,
+            build=None if origin is None else origin.build,
+            was_reported=origins.streams.find_origin(request.begun_as, now)
+            is not None,
+            builds_of_late={
+                one.build: round(one.age_s, 2)
+                for one in origins.builds.build_report(now)
+                if one.service == request.service
+            },
+            observed_for_s=round(origins.builds.find_observed_s(now), 2),
         )
+        reply = StreamOriginReply(request_id=request.request_id, origin=origin)
         encoded = msgspec.msgpack.encode(reply)
         self.transport.send(entry, Channel.fleet, encoded)
--- a/persimmonhold/streams/_build_history.py
+++ b/persimmonhold/streams/_build_history.py
@@ -78,15 +78,21 @@
         ]
         return builds[0] if len(builds) == 1 else None
 
+    def find_observed_s(self, now: float) -> float:
+        """Return for how many seconds this process has observed without a gap.
+
+        It is 0 if the newest list is too old.
+        """
+        if now - self.observed_at > _MAX_OBSERVATION_GAP_S:
+            return 0
+        return max(0, now - self.known_since)
+
     def covers_streams(self, now: float) -> bool:
         """Tell whether this process has observed for as long as streams last.
 
         False if it missed what served for a while, then or until now.
         """
-        return (
-            now - self.known_since >= STREAM_LIFE_S
-            and now - self.observed_at <= _MAX_OBSERVATION_GAP_S
-        )
+        return self.find_observed_s(now) >= STREAM_LIFE_S
 
     def build_report(self, now: float) -> tuple[SeenBuild, ...]:
         """Return the builds seen last, up to a bound."""
