Record in the control log which software versions have served

Cause: after a restart of all processes, the leader took the only version that it had seen for the only one there was. Evidence: stream_origin_answered shows that the joined streams were reported to nobody, and that the answering VM had observed for 0.7 to 1.5 s. Ruled out by it: a wrong origin in the registry, and entries that decide alone.

Now the control log records the builds of each service. An unknown stream goes on only where a complete record has one build; so after a restart of all processes it goes on at once where one version has served alone, and nowhere else. Earlier builds apply the change without effect, and a record that they have dropped is incomplete. Their unproven replies are believed only by entries that know since when all has been seen.

test_unknown_stream_is_of_a_build_only_if_no_other_served takes the record as a further input: without a complete one, no origin may be concluded at all.

--- a/persimmonhold/control/machine/__init__.py
+++ b/persimmonhold/control/machine/__init__.py
@@ -21,7 +21,10 @@
 from persimmonhold.control.machine._put_entry import PutEntry
 from persimmonhold.control.machine._record_copy import RecordCopy
 from persimmonhold.control.machine._record_intent import RecordIntent
-from persimmonhold.control.machine._record_order_end import RecordOrderEnd
+from persimmonhold.control.machine._record_order_end import (
+    RecordOrderEnd,
+    change_streams,
+)
 from persimmonhold.control.machine._register_vm import RegisterVm
 from persimmonhold.control.machine._view_state import (
     ViewState,
@@ -73,6 +76,7 @@
     'RecordFleetController',
     'RegisterVm',
     'ViewState',
+    'change_streams',
     'copy_key',
     'accept_any_catalogue',
     'verify_history',
--- a/persimmonhold/control/machine/_control_state.py
+++ b/persimmonhold/control/machine/_control_state.py
@@ -14,6 +14,7 @@
 )
 from persimmonhold.control.machine._view_state import CopyKey, ViewState
 from persimmonhold.messages import Copy, Order, VmRecord
+from persimmonhold.streams import StreamRecord
 
 
 @final
@@ -23,7 +24,9 @@
     `clock_ms` follows the latest time of any applied command, by at most
     `max_clock_step_ms` per command. Retention periods are measured by it, so
     that all replicas expire the same items. `fleet_controller` is the VM that
-    was last recorded as issuing orders to upstreams, or empty.
+    was last recorded as issuing orders to upstreams, or empty. `streams` may
+    be empty although changes of it were applied: an earlier build that wrote a
+    snapshot has ignored them.
     """
 
     __slots__ = (
@@ -34,6 +37,7 @@
         'history',
         'index',
         'orders',
+        'streams',
         'view',
     )
 
@@ -47,6 +51,7 @@
         self.commands = CommandTable(limits)
         self.orders: dict[int, Order] = {}
         self.claims = ClaimTable(limits)
+        self.streams = StreamRecord()
 
     @property
     def catalogue(self) -> Catalogue:
--- a/persimmonhold/control/machine/_control_state_machine.py
+++ b/persimmonhold/control/machine/_control_state_machine.py
@@ -174,6 +174,8 @@
                 self.state.orders[index] = order
             case RecordOrderEnd():
                 self.state.orders.pop(command.fence, None)
+                if command.streams is not msgspec.UNSET:
+                    self.state.streams.apply(command.streams)
             case RecordCopy():
                 self._record_copy(command)
             case RegisterVm():
--- a/persimmonhold/control/machine/_state_image.py
+++ b/persimmonhold/control/machine/_state_image.py
@@ -13,13 +13,17 @@
     StateMachineLimits,
 )
 from persimmonhold.messages import ControlView, Order
+from persimmonhold.streams import ServedBuilds, StreamRecord
 
 IMAGE_VERSION: Final = 1
 
 
 @final
 class StateImage(msgspec.Struct, frozen=True, kw_only=True):
-    """The whole replicated state; `version` is that of the format."""
+    """The whole replicated state; `version` is that of the format.
+
+    Earlier builds leave out the fields that have defaults.
+    """
 
     version: int
     index: int
@@ -31,6 +35,7 @@
     orders: tuple[Order, ...]
     claims: tuple[Claim, ...]
     order_giver: str = ''
+    served_builds: tuple[ServedBuilds, ...] = ()
 
 
 def build_image(state: ControlState) -> StateImage:
@@ -50,6 +55,7 @@
         orders=tuple(state.orders.values()),
         claims=tuple(claims),
         order_giver=state.fleet_controller,
+        served_builds=tuple(state.streams.builds.values()),
     )
 
 
@@ -68,4 +74,5 @@
         state.commands.record_command(command)
     state.orders.update({order.fence: order for order in image.orders})
     state.claims.restore_claims(image.claims)
+    state.streams = StreamRecord(image.served_builds)
     return state
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -136,6 +136,8 @@
     streams wait for which callers have taken up. `speeds` are the prefill
     speeds observed since the last report. `brittle` are the refusals a second
     that upstreams withstand, in the form of limits that the facts may lack.
+    `observed_s` is for how many seconds the entry has observed without a gap
+    which builds serve; earlier builds do not state it.
     """
 
     term: int
@@ -151,6 +153,7 @@
     wanted: tuple[WantedCopy, ...] = ()
     speeds: tuple[SpeedSums, ...] = ()
     brittle: tuple[StatedLimit, ...] = ()
+    observed_s: float = 0
 
     @property
     def content(self) -> tuple[object, ...]:
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -250,7 +250,11 @@
             )
         finally:
             self.pending_origins.pop(request.request_id)
-        return reply.origin
+        is_trusted = reply.is_proven or self.hub.streams.may_trust_guess()
+        if reply.origin is None or is_trusted:
+            return reply.origin
+        log_event('origin_unproven', begun_as=begun_as, service=service)
+        return None
 
     def handle_message(self, peer: str, payload: bytes) -> None:
         """Apply an update, or pass a reply to the task that waits for it.
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -107,7 +107,7 @@
         self.order_lease = OrderLease(node, lease_s, clock)
         self.permit_server = PermitServer(node, transport, clock)
         self.quarantine_server = QuarantineServer(transport, clock)
-        self.origin_server = StreamOriginServer(transport, clock)
+        self.origin_server = StreamOriginServer(node, transport, clock)
         self._quota_server = QuotaServer(
             node, transport, clock, self._list_entries
         )
@@ -246,9 +246,13 @@
                 self.order_lease.compute_latest_start(),
             )
             self.term = FleetTerm(controller)
-            self.term.lease_task = asyncio.get_running_loop().create_task(
+            loop = asyncio.get_running_loop()
+            self.term.lease_task = loop.create_task(
                 self._acquire_order_lease(controller),
             )
+            self.term.record_task = loop.create_task(
+                self.origin_server.build_log.begin_term(controller.term),
+            )
             log_event('fleet_term_begins', term=self.leadership.node.term)
             self.term_started.set()
         self.term.controller.apply_routes(
@@ -369,16 +373,17 @@
         """
         while True:
             term = self.leadership.find_active(self.term)
-            if term is not None:
+            if term is not None and await term.wait_for_record():
                 asked_at = self.clock()
                 listed = await self.upstream_client.read_list()
                 if isinstance(listed, Failed):
                     log_event('list_failed', detail=listed.failure().describe())
                 else:
-                    term.controller.apply_list(
-                        listed.unwrap(), self.clock(), asked_at
+                    read_at = self.clock()
+                    usable = await self.origin_server.record_list(
+                        listed.unwrap()
                     )
-                    self.origin_server.record_list(term.controller)
+                    term.controller.apply_list(usable, read_at, asked_at)
             self.term_started.clear()
             await wait_with_timeout(self.term_started, _LIST_INTERVAL_S)
 
--- a/persimmonhold/forwarding/_fleet_term.py
+++ b/persimmonhold/forwarding/_fleet_term.py
@@ -24,6 +24,7 @@
         'lease_task',
         'order_tasks',
         'order_wakeups',
+        'record_task',
         'report_requested_at',
         'report_tasks',
         'usage_book',
@@ -39,6 +40,7 @@
         self.report_requested_at: dict[str, float] = {}
         self.usage_book = UsageBook()
         self.lease_task: asyncio.Task[None] | None = None
+        self.record_task: asyncio.Task[None] | None = None
 
     def issue_fencing_token(self) -> int:
         """Return a fencing token above all earlier ones."""
@@ -46,9 +48,23 @@
         term_bits = self.controller.term << _TOKEN_NUMBER_BITS
         return term_bits + self.issued_token_count
 
+    async def wait_for_record(self) -> bool:
+        """Wait until the recorded builds are current; False if the term ended.
+
+        Raises what the task that waits for it has raised.
+        """
+        if self.record_task is None:
+            return False
+        await asyncio.wait((self.record_task,))
+        if self.record_task.cancelled():
+            return False
+        self.record_task.result()
+        return True
+
     def close(self) -> None:
         """Cancel all tasks of the term."""
         for task in (*self.order_tasks.values(), *self.report_tasks.values()):
             task.cancel()
-        if self.lease_task is not None:
-            self.lease_task.cancel()
+        for start in (self.lease_task, self.record_task):
+            if start is not None:
+                start.cancel()
--- a/persimmonhold/forwarding/_forward_hub.py
+++ b/persimmonhold/forwarding/_forward_hub.py
@@ -160,6 +160,7 @@
         """Apply new facts about the upstreams and dispatch requests."""
         now = self.clock()
         self.deliver(self.dispatcher.apply_update(update, now))
+        self.streams.record_update(update)
         self.quarantine.begin_term(self.dispatcher.term)
         for process in self.quarantine.silent.processes:
             if self.dispatcher.chooser.has_ended(process):
--- a/persimmonhold/forwarding/_stream_origin_server.py
+++ b/persimmonhold/forwarding/_stream_origin_server.py
@@ -1,13 +1,16 @@
 """Tells entries where streams began, on the VM that leads control."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import final
 
 import msgspec
 
-from persimmonhold.fleet import EntryReport, FleetController
+from persimmonhold.control.shell import ControlNode
+from persimmonhold.fleet import EntryReport, ListedUpstream
+from persimmonhold.forwarding._build_log import BuildLog
 from persimmonhold.observability import log_event
 from persimmonhold.streams import (
+    StreamOrigin,
     StreamOriginReply,
     StreamOriginRequest,
     StreamOrigins,
@@ -22,54 +25,87 @@
     What it knows outlives a term, as versions do not change with the leader.
     """
 
-    __slots__ = ('clock', 'origins', 'transport')
+    __slots__ = ('build_log', 'clock', 'origins', 'transport')
 
     def __init__(
-        self, transport: Transport, clock: Callable[[], float]
+        self,
+        node: ControlNode,
+        transport: Transport,
+        clock: Callable[[], float],
     ) -> None:
         """Create a server on a VM with control."""
         self.transport = transport
         self.clock = clock
         self.origins = StreamOrigins()
+        self.build_log = BuildLog(node, self.origins.builds)
 
     def record_report(self, report: EntryReport) -> None:
         """Record the streams and the builds that an entry knows."""
         self.origins.record_reported(
-            report.streams, report.builds, self.clock()
+            report.streams, report.builds, report.observed_s, self.clock()
         )
 
-    def record_list(self, controller: FleetController) -> None:
-        """Record the builds of the upstreams that are listed now."""
+    async def record_list(
+        self, listed: Iterable[ListedUpstream]
+    ) -> tuple[ListedUpstream, ...]:
+        """Record the builds of the upstreams that are listed now.
+
+        Returns those that entries may use.
+        """
+        listed = tuple(listed)
         now = self.clock()
         self.origins.builds.record_serving(
-            (
-                (facts.service, facts.software_version)
-                for facts in controller.facts.by_upstream.values()
-            ),
-            now,
-            now,
+            ((one.service, one.software_version) for one in listed), now, now
         )
+        await self.build_log.record_builds(now)
+        return self.build_log.select_recorded(listed)
 
     def answer_request(self, entry: str, request: StreamOriginRequest) -> None:
-        """Send an entry the origin of a stream, or that it is not known."""
+        """Send an entry the origin of a stream, or that it is not known.
+
+        An entry gets no reply while this VM cannot tell which is so.
+        """
+        origin = self._find_origin(request)
+        if origin is None and not self.build_log.is_current:
+            return
+        reply = StreamOriginReply(
+            request_id=request.request_id, origin=origin, is_proven=True
+        )
+        self._log_answer(entry, request, origin)
+        encoded = msgspec.msgpack.encode(reply)
+        self.transport.send(entry, Channel.fleet, encoded)
+
+    def _find_origin(self, request: StreamOriginRequest) -> StreamOrigin | None:
+        recorded = None
+        if self.build_log.is_current:
+            recorded = self.build_log.find_recorded(request.service)
+        return self.origins.find_origin(
+            request.begun_as, request.service, recorded, self.clock()
+        )
+
+    def _log_answer(
+        self,
+        entry: str,
+        request: StreamOriginRequest,
+        origin: StreamOrigin | None,
+    ) -> None:
+        """Log what an answer is based on."""
         now = self.clock()
-        origins = self.origins
-        origin = origins.find_origin(request.begun_as, request.service, now)
+        reported = self.origins.streams.find_origin(request.begun_as, now)
+        recorded = self.build_log.find_recorded(request.service)
         log_event(
             'stream_origin_answered',
             entry=entry,
             begun_as=request.begun_as,
             service=request.service,
             build=None if origin is None else origin.build,
-            was_reported=origins.streams.find_origin(request.begun_as, now)
-            is not None,
+            was_reported=reported is not None,
+            recorded_builds=None if recorded is None else recorded.builds,
+            is_complete=recorded is not None and recorded.is_complete,
             builds_of_late={
                 one.build: round(one.age_s, 2)
-                for one in origins.builds.build_report(now)
+                for one in self.origins.builds.build_report(now)
                 if one.service == request.service
             },
-            observed_for_s=round(origins.builds.find_observed_s(now), 2),
+            observed_for_s=round(self.origins.builds.find_observed_s(now), 2),
         )
-        reply = StreamOriginReply(request_id=request.request_id, origin=origin)
-        encoded = msgspec.msgpack.encode(reply)
-        self.transport.send(entry, Channel.fleet, encoded)
--- a/persimmonhold/forwarding/_stream_recorder.py
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -9,6 +9,7 @@
 from persimmonhold.fleet import (
     DispatchRequest,
     EntryReport,
+    FleetUpdate,
     ForwardDispatcher,
     UpstreamFacts,
     WantedCopy,
@@ -19,6 +20,9 @@
 _REPORTED_S: Final = 0.35
 _BUILD_INTERVAL_S: Final = 1.0
 _MAX_WANTED: Final = 16
+# A controller that has sent every entry so many updates, at most one each 0.02 s,
+# has had the reports of all entries.
+_SETTLED_ROUNDS: Final = 50
 
 
 @final
@@ -26,13 +30,14 @@
     """Passes the streams that begin to the dispatcher and into reports.
 
     `told_term` is the last term whose controller was told all streams that may
-    still be taken up.
+    still be taken up. `first_sequence` is that of the first update, or None.
     """
 
     __slots__ = (
         'builds_recorded_at',
         'clock',
         'dispatcher',
+        'first_sequence',
         'origins',
         'told_term',
     )
@@ -45,6 +50,7 @@
         self.clock = clock
         self.origins = StreamOrigins()
         self.told_term = 0
+        self.first_sequence: int | None = None
         self.builds_recorded_at = float('-inf')
 
     def record_begun(
@@ -82,6 +88,22 @@
             now,
         )
 
+    def record_update(self, update: FleetUpdate) -> None:
+        """Record how many updates the first controller had sent before."""
+        if self.first_sequence is None:
+            self.first_sequence = update.sequence
+
+    def may_trust_guess(self) -> bool:
+        """Tell whether a controller of an earlier build can guess an origin.
+
+        It guesses by the builds that it and the entries have seen. Some may be
+        unknown to it and to this entry if all of them have just started.
+        """
+        if self.origins.builds.covers_streams(self.clock()):
+            return True
+        rounds = (self.first_sequence or 0) / self.dispatcher.entry_count
+        return rounds >= _SETTLED_ROUNDS
+
     def complete_report(self, report: EntryReport) -> EntryReport:
         """Add the streams of late to a report, or all for a new controller."""
         now = self.clock()
@@ -94,6 +116,7 @@
             streams=self.origins.streams.list_begun_since(since),
             builds=self.origins.builds.build_report(now),
             wanted=self._list_wanted(),
+            observed_s=self.origins.builds.find_observed_s(now),
         )
 
     def _list_wanted(self) -> tuple[WantedCopy, ...]:
--- a/persimmonhold/streams/__init__.py
+++ b/persimmonhold/streams/__init__.py
@@ -1,27 +1,44 @@
 """Where streams began, so that callers take them up at the same version.
 
 Pure decisions: entries record the streams that they begin, the fleet controller
-those of all entries, and both which builds have served lately.
+those of all entries, and both which builds have served lately. The control log
+records these builds, as entries and the fleet controller may be lost together.
 """
 
-from persimmonhold.streams._build_history import SeenBuild
+from typing import TYPE_CHECKING
+
+from persimmonhold._lazy_exports import LazyExports
+from persimmonhold.streams._build_history import BuildHistory, SeenBuild
+from persimmonhold.streams._served_builds import ServedBuilds
 from persimmonhold.streams._stream_messages import (
     StreamOriginReply,
     StreamOriginRequest,
 )
 from persimmonhold.streams._stream_origins import StreamOrigins
+from persimmonhold.streams._stream_record import StreamChange, StreamRecord
 from persimmonhold.streams._stream_registry import (
     STREAM_LIFE_S,
     BegunStream,
     StreamOrigin,
 )
 
+if TYPE_CHECKING:
+    from persimmonhold.streams._build_planner import BuildPlanner
+
 __all__ = (
     'STREAM_LIFE_S',
     'BegunStream',
+    'BuildHistory',
+    'BuildPlanner',
     'SeenBuild',
+    'ServedBuilds',
+    'StreamChange',
     'StreamOrigin',
     'StreamOriginReply',
     'StreamOriginRequest',
     'StreamOrigins',
+    'StreamRecord',
 )
+
+if not TYPE_CHECKING:
+    __getattr__ = LazyExports(__name__, {'BuildPlanner': '_build_planner'})
--- a/persimmonhold/streams/_build_history.py
+++ b/persimmonhold/streams/_build_history.py
@@ -30,12 +30,15 @@
     `observed_at` the time of the newest list. A process that was cut off or
     stood still does not know what served meanwhile. A stream of unknown origin
     can only be of the one build that has served for as long as streams last.
+    `covered_at` is when another VM last reported that its observation is as
+    long as that.
     """
 
-    __slots__ = ('known_since', 'last_seen', 'observed_at')
+    __slots__ = ('covered_at', 'known_since', 'last_seen', 'observed_at')
 
     def __init__(self) -> None:
         """Create a history without observations."""
+        self.covered_at = -math.inf
         self.known_since = math.inf
         self.observed_at = -math.inf
         self.last_seen: dict[StreamOrigin, float] = {}
@@ -60,8 +63,12 @@
                 )
         self._drop_old(now)
 
-    def record_reported(self, seen: Iterable[SeenBuild], now: float) -> None:
-        """Record what another VM has observed."""
+    def record_reported(
+        self, seen: Iterable[SeenBuild], observed_s: float, now: float
+    ) -> None:
+        """Record what another VM has observed for `observed_s` seconds."""
+        if observed_s >= STREAM_LIFE_S:
+            self.covered_at = now
         for one in seen:
             origin = StreamOrigin(one.service, one.build)
             seen_at = now - max(0, one.age_s)
@@ -69,14 +76,27 @@
                 seen_at, self.last_seen.get(origin, seen_at)
             )
 
-    def find_sole_build(self, service: str, now: float) -> StreamOrigin | None:
-        """Return the only build of a service of late, or None."""
-        builds = [
+    def list_served(self, now: float) -> tuple[StreamOrigin, ...]:
+        """Return the builds that have served within the life of a stream."""
+        return tuple(
             origin
             for origin, at in self.last_seen.items()
-            if origin.service == service and now - at <= STREAM_LIFE_S
-        ]
-        return builds[0] if len(builds) == 1 else None
+            if now - at <= STREAM_LIFE_S
+        )
+
+    def find_sole_build(
+        self, service: str, now: float, recorded: Iterable[str] = ()
+    ) -> StreamOrigin | None:
+        """Return the only build of a service of late, or None.
+
+        Those in `recorded` have served, too.
+        """
+        builds = {
+            origin.build
+            for origin in self.list_served(now)
+            if origin.service == service
+        }.union(recorded)
+        return StreamOrigin(service, *builds) if len(builds) == 1 else None
 
     def find_observed_s(self, now: float) -> float:
         """Return for how many seconds this process has observed without a gap.
@@ -94,6 +114,13 @@
         """
         return self.find_observed_s(now) >= STREAM_LIFE_S
 
+    def is_covered(self, now: float) -> bool:
+        """Tell whether this or another VM has observed for that long."""
+        return (
+            self.covers_streams(now)
+            or now - self.covered_at <= _MAX_OBSERVATION_GAP_S
+        )
+
     def build_report(self, now: float) -> tuple[SeenBuild, ...]:
         """Return the builds seen last, up to a bound."""
         newest = sorted(self.last_seen.items(), key=lambda one: -one[1])
--- a/persimmonhold/streams/_stream_messages.py
+++ b/persimmonhold/streams/_stream_messages.py
@@ -34,7 +34,11 @@
     tag='origin_reply',
     array_like=True,
 ):
-    """Tells an entry where a stream began, or None if that is not known."""
+    """Tells an entry where a stream began, or None if that is not known.
+
+    Earlier builds never set `is_proven`; theirs may be a guess.
+    """
 
     request_id: int
     origin: StreamOrigin | None
+    is_proven: bool = False
--- a/persimmonhold/streams/_stream_origins.py
+++ b/persimmonhold/streams/_stream_origins.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from persimmonhold.streams._build_history import BuildHistory, SeenBuild
+from persimmonhold.streams._served_builds import ServedBuilds
 from persimmonhold.streams._stream_registry import (
     BegunStream,
     StreamOrigin,
@@ -26,21 +27,29 @@
         self,
         streams: Iterable[BegunStream],
         builds: Iterable[SeenBuild],
+        observed_s: float,
         now: float,
     ) -> None:
-        """Record what another VM knows."""
+        """Record what another VM knows, and has observed for so long."""
         self.streams.record_all(streams, now)
-        self.builds.record_reported(builds, now)
+        self.builds.record_reported(builds, observed_s, now)
 
     def find_origin(
-        self, begun_as: str, service: str, now: float
+        self,
+        begun_as: str,
+        service: str,
+        recorded: ServedBuilds | None,
+        now: float,
     ) -> StreamOrigin | None:
-        """Return where a stream began, as far as this VM can tell.
+        """Return where a stream began, on the VM that leads control.
 
-        One that no entry has reported is of the only build of late.
+        One that no entry has reported can only be of the one build that is
+        recorded, if that record is complete.
         """
         known = self.streams.find_origin(begun_as, now)
-        return known or self.builds.find_sole_build(service, now)
+        if known is not None or recorded is None or not recorded.is_complete:
+            return known
+        return self.builds.find_sole_build(service, now, recorded.builds)
 
     def find_own_origin(
         self, begun_as: str, service: str, asked_at: float, now: float
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import random
+import shutil
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import TracebackType
@@ -224,6 +225,7 @@
         self.system = MemorySystem(
             _CONTROL_COUNT + entry_count, _CONTROL_COUNT, seed, directory
         )
+        self.directory = directory
         self.upstreams = {name: LimitedUpstream(name) for name in ('u1', 'u2')}
         self.client = ListClient(list(self.upstreams.values()))
         self.stack = AsyncExitStack()
@@ -340,6 +342,24 @@
             former.cancel()
         self.client_tasks[name] = task
 
+    async def restart_all(self, wiped: str = '') -> None:
+        """Kill all processes at once, and start them again a second later.
+
+        The control VM that `wiped` names loses its disk.
+        """
+        for name in self.system.names:
+            await self.system.kill(name)
+        await asyncio.sleep(1)
+        if wiped:
+            shutil.rmtree(self.directory / wiped)
+        for name in self.system.names:
+            await self.system.restart(name)
+        for name in self.system.control_names:
+            self.start_controller(name)
+        for name in self.entries:
+            self.services.pop(name).hub.close()
+            self.start_entry(name)
+
     async def disturb_leader(self, fault: str) -> None:
         """Kill, cut off or pause the leader of control for a while."""
         leader = self.system.leader
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -21,6 +21,7 @@
 from persimmonhold.streams import (
     STREAM_LIFE_S,
     SeenBuild,
+    ServedBuilds,
     StreamOrigin,
     StreamOrigins,
 )
@@ -181,10 +182,15 @@
         ),
         max_size=20,
     ),
+    st.sets(st.sampled_from(['v1', 'v2', 'v3'])),
+    st.booleans(),
     st.randoms(use_true_random=False),
 )
 def test_unknown_stream_is_of_a_build_only_if_no_other_served(
-    observed: list[tuple[int, str, bool]], rng: random.Random
+    observed: list[tuple[int, str, bool]],
+    recorded: set[str],
+    is_complete: bool,
+    rng: random.Random,
 ) -> None:
     origins = StreamOrigins()
     now = 60.0
@@ -192,16 +198,20 @@
     for age_s, build, is_reported in sorted(observed, key=lambda one: -one[0]):
         if is_reported:
             seen = SeenBuild('models', build, age_s)
-            origins.record_reported((), (seen,), now)
+            origins.record_reported((), (seen,), 0, now)
         else:
             observed_at = now - age_s
             origins.builds.record_serving(
                 (('models', build),), observed_at, observed_at
             )
     lately = {one[1] for one in observed if one[0] <= STREAM_LIFE_S}
+    lately.update(recorded)
     expected = StreamOrigin('models', *lately) if len(lately) == 1 else None
-    found = origins.find_origin('lost', 'models', now)
-    assert_that(found, Equals(expected))
+    record = ServedBuilds('models', tuple(recorded), is_complete=is_complete)
+    found = origins.find_origin('lost', 'models', record, now)
+    assert_that(found, Equals(expected if is_complete else None))
+    unrecorded = origins.find_origin('lost', 'models', None, now)
+    assert_that(unrecorded, Equals(None))
 
 
 def test_entry_reports_the_copy_that_a_taken_up_stream_waits_for(
