Record in the control log where streams began while several versions serve

Cause: where a stream began was in the memory of its entry and of the leader alone, and both were killed. Evidence: stream_origin_answered shows that the refused streams were reported to nobody, while both versions had been seen within 0.3 s. Ruled out: a version without upstreams, and missing replies.

While a service has several recorded builds, the leader now commits the streams that entries report, every 0.2 s, as 8 bytes each. What is recorded is dropped after 30 s of the leader's own clock, as the time of day may jump. Earlier builds apply the change without effect.

--- a/persimmonhold/control/machine/_control_state_machine.py
+++ b/persimmonhold/control/machine/_control_state_machine.py
@@ -175,7 +175,7 @@
             case RecordOrderEnd():
                 self.state.orders.pop(command.fence, None)
                 if command.streams is not msgspec.UNSET:
-                    self.state.streams.apply(command.streams)
+                    self.state.streams.apply(index, command.streams)
             case RecordCopy():
                 self._record_copy(command)
             case RegisterVm():
--- a/persimmonhold/control/machine/_state_image.py
+++ b/persimmonhold/control/machine/_state_image.py
@@ -13,7 +13,7 @@
     StateMachineLimits,
 )
 from persimmonhold.messages import ControlView, Order
-from persimmonhold.streams import ServedBuilds, StreamRecord
+from persimmonhold.streams import RecordedStreams, ServedBuilds, StreamRecord
 
 IMAGE_VERSION: Final = 1
 
@@ -36,6 +36,7 @@
     claims: tuple[Claim, ...]
     order_giver: str = ''
     served_builds: tuple[ServedBuilds, ...] = ()
+    begun_streams: tuple[RecordedStreams, ...] = ()
 
 
 def build_image(state: ControlState) -> StateImage:
@@ -56,6 +57,7 @@
         claims=tuple(claims),
         order_giver=state.fleet_controller,
         served_builds=tuple(state.streams.builds.values()),
+        begun_streams=state.streams.begun,
     )
 
 
@@ -74,5 +76,5 @@
         state.commands.record_command(command)
     state.orders.update({order.fence: order for order in image.orders})
     state.claims.restore_claims(image.claims)
-    state.streams = StreamRecord(image.served_builds)
+    state.streams = StreamRecord(image.served_builds, image.begun_streams)
     return state
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -135,6 +135,7 @@
                     (self._poll_list, 'list'),
                     (self._poll_reports, 'reports'),
                     (self._run_entry_updates, 'updates'),
+                    (self.origin_server.run, 'streams'),
                 ):
                     group.create_task(keep_running(part, name))
                 await self._run_planning()
@@ -251,7 +252,7 @@
                 self._acquire_order_lease(controller),
             )
             self.term.record_task = loop.create_task(
-                self.origin_server.build_log.begin_term(controller.term),
+                self.origin_server.begin_term(controller.term),
             )
             log_event('fleet_term_begins', term=self.leadership.node.term)
             self.term_started.set()
--- a/persimmonhold/forwarding/_stream_origin_server.py
+++ b/persimmonhold/forwarding/_stream_origin_server.py
@@ -1,12 +1,14 @@
 """Tells entries where streams began, on the VM that leads control."""
 
+import asyncio
 from collections.abc import Callable, Iterable
-from typing import final
+from typing import Final, final
 
 import msgspec
 
 from persimmonhold.control.shell import ControlNode
 from persimmonhold.fleet import EntryReport, ListedUpstream
+from persimmonhold.forwarding._begun_stream_log import BegunStreamLog
 from persimmonhold.forwarding._build_log import BuildLog
 from persimmonhold.observability import log_event
 from persimmonhold.streams import (
@@ -17,6 +19,9 @@
 )
 from persimmonhold.transport import Channel, Transport
 
+# Streams that began shortly before an entry and the leader end are lost.
+_RECORD_INTERVAL_S: Final = 0.2
+
 
 @final
 class StreamOriginServer:
@@ -25,7 +30,7 @@
     What it knows outlives a term, as versions do not change with the leader.
     """
 
-    __slots__ = ('build_log', 'clock', 'origins', 'transport')
+    __slots__ = ('begun_log', 'build_log', 'clock', 'origins', 'transport')
 
     def __init__(
         self,
@@ -38,12 +43,28 @@
         self.clock = clock
         self.origins = StreamOrigins()
         self.build_log = BuildLog(node, self.origins.builds)
+        self.begun_log = BegunStreamLog(node)
+
+    async def begin_term(self, term: int) -> None:
+        """Wait until the record of this VM includes all of earlier terms."""
+        await self.build_log.begin_term(term)
+        if self.build_log.is_current:
+            self.begun_log.begin_term(self.origins.streams, self.clock())
+
+    async def run(self) -> None:
+        """Record the streams that entries report, until cancelled."""
+        while True:
+            if self.build_log.is_current:
+                await self.begun_log.commit_due(self.clock())
+            await asyncio.sleep(_RECORD_INTERVAL_S)
 
     def record_report(self, report: EntryReport) -> None:
         """Record the streams and the builds that an entry knows."""
-        self.origins.record_reported(
-            report.streams, report.builds, report.observed_s, self.clock()
+        now = self.clock()
+        new_streams = self.origins.record_reported(
+            report.streams, report.builds, report.observed_s, now
         )
+        self.begun_log.planner.add_reported(new_streams, now)
 
     async def record_list(
         self, listed: Iterable[ListedUpstream]
@@ -76,11 +97,9 @@
         self.transport.send(entry, Channel.fleet, encoded)
 
     def _find_origin(self, request: StreamOriginRequest) -> StreamOrigin | None:
-        recorded = None
-        if self.build_log.is_current:
-            recorded = self.build_log.find_recorded(request.service)
+        record = self.begun_log.record if self.build_log.is_current else None
         return self.origins.find_origin(
-            request.begun_as, request.service, recorded, self.clock()
+            request.begun_as, request.service, record, self.clock()
         )
 
     def _log_answer(
@@ -100,6 +119,8 @@
             service=request.service,
             build=None if origin is None else origin.build,
             was_reported=reported is not None,
+            was_recorded=self.begun_log.record.find_origin(request.begun_as)
+            is not None,
             recorded_builds=None if recorded is None else recorded.builds,
             is_complete=recorded is not None and recorded.is_complete,
             builds_of_late={
--- a/persimmonhold/streams/__init__.py
+++ b/persimmonhold/streams/__init__.py
@@ -2,7 +2,8 @@
 
 Pure decisions: entries record the streams that they begin, the fleet controller
 those of all entries, and both which builds have served lately. The control log
-records these builds, as entries and the fleet controller may be lost together.
+records these builds, and the streams of services with several, as entries and
+the fleet controller may be lost together.
 """
 
 from typing import TYPE_CHECKING
@@ -15,21 +16,29 @@
     StreamOriginRequest,
 )
 from persimmonhold.streams._stream_origins import StreamOrigins
-from persimmonhold.streams._stream_record import StreamChange, StreamRecord
+from persimmonhold.streams._stream_record import (
+    RecordedStreams,
+    StreamChange,
+    StreamRecord,
+)
 from persimmonhold.streams._stream_registry import (
     STREAM_LIFE_S,
     BegunStream,
     StreamOrigin,
+    StreamRegistry,
 )
 
 if TYPE_CHECKING:
+    from persimmonhold.streams._begun_planner import BegunPlanner
     from persimmonhold.streams._build_planner import BuildPlanner
 
 __all__ = (
     'STREAM_LIFE_S',
+    'BegunPlanner',
     'BegunStream',
     'BuildHistory',
     'BuildPlanner',
+    'RecordedStreams',
     'SeenBuild',
     'ServedBuilds',
     'StreamChange',
@@ -38,7 +47,14 @@
     'StreamOriginRequest',
     'StreamOrigins',
     'StreamRecord',
+    'StreamRegistry',
 )
 
 if not TYPE_CHECKING:
-    __getattr__ = LazyExports(__name__, {'BuildPlanner': '_build_planner'})
+    __getattr__ = LazyExports(
+        __name__,
+        {
+            'BegunPlanner': '_begun_planner',
+            'BuildPlanner': '_build_planner',
+        },
+    )
--- a/persimmonhold/streams/_stream_origins.py
+++ b/persimmonhold/streams/_stream_origins.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from persimmonhold.streams._build_history import BuildHistory, SeenBuild
-from persimmonhold.streams._served_builds import ServedBuilds
+from persimmonhold.streams._stream_record import StreamRecord
 from persimmonhold.streams._stream_registry import (
     BegunStream,
     StreamOrigin,
@@ -29,27 +29,35 @@
         builds: Iterable[SeenBuild],
         observed_s: float,
         now: float,
-    ) -> None:
-        """Record what another VM knows, and has observed for so long."""
-        self.streams.record_all(streams, now)
+    ) -> tuple[BegunStream, ...]:
+        """Record what another VM knows, and has observed for so long.
+
+        Returns the streams that this VM did not know of.
+        """
         self.builds.record_reported(builds, observed_s, now)
+        return self.streams.record_all(streams, now)
 
     def find_origin(
         self,
         begun_as: str,
         service: str,
-        recorded: ServedBuilds | None,
+        record: StreamRecord | None,
         now: float,
     ) -> StreamOrigin | None:
         """Return where a stream began, on the VM that leads control.
 
-        One that no entry has reported can only be of the one build that is
-        recorded, if that record is complete.
+        `record` is None while this VM does not know the current one. A stream
+        that is neither reported nor recorded can only be of the one build that
+        has served, if the record of its service is complete.
         """
         known = self.streams.find_origin(begun_as, now)
-        if known is not None or recorded is None or not recorded.is_complete:
+        if known is not None or record is None:
             return known
-        return self.builds.find_sole_build(service, now, recorded.builds)
+        recorded = record.find_origin(begun_as)
+        builds = record.builds.get(service)
+        if recorded is not None or builds is None or not builds.is_complete:
+            return recorded
+        return self.builds.find_sole_build(service, now, builds.builds)
 
     def find_own_origin(
         self, begun_as: str, service: str, asked_at: float, now: float
--- a/persimmonhold/streams/_stream_registry.py
+++ b/persimmonhold/streams/_stream_registry.py
@@ -44,20 +44,31 @@
         """Create a registry without streams."""
         self.begun: OrderedDict[str, tuple[float, StreamOrigin]] = OrderedDict()
 
-    def record(self, request_id: str, origin: StreamOrigin, now: float) -> None:
-        """Record a stream; the first origin of a request is kept."""
-        self.begun.setdefault(request_id, (now, origin))
+    def record(self, request_id: str, origin: StreamOrigin, now: float) -> bool:
+        """Record a stream, and tell whether it is new.
+
+        The first origin of a request is kept.
+        """
+        is_new = request_id not in self.begun
+        if is_new:
+            self.begun[request_id] = (now, origin)
         while self.begun:
             oldest = next(iter(self.begun))
             is_old = now - self.begun[oldest][0] > STREAM_LIFE_S
             if not is_old and len(self.begun) <= _MAX_STREAMS:
                 break
             self.begun.pop(oldest)
-
-    def record_all(self, streams: Iterable[BegunStream], now: float) -> None:
-        """Record the streams that an entry has reported."""
-        for one in streams:
-            self.record(one.request_id, one.origin, now)
+        return is_new
+
+    def record_all(
+        self, streams: Iterable[BegunStream], now: float
+    ) -> tuple[BegunStream, ...]:
+        """Record the streams that an entry has reported; return new ones."""
+        return tuple(
+            one
+            for one in streams
+            if self.record(one.request_id, one.origin, now)
+        )
 
     def find_origin(self, request_id: str, now: float) -> StreamOrigin | None:
         """Return where a stream began, or None if that is not known."""
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -181,9 +181,14 @@
         self.clock = server.clock
         self.builds: set[str] = set()
 
+    async def begin_term(self, term: int) -> None:
+        await self.build_log.begin_term(term)
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
     def record_report(self, report: EntryReport) -> None:
-        now_known = {one.build for one in report.builds}
-        self.builds.update(now_known)
+        self.builds.update(one.build for one in report.builds)
 
     async def record_list(
         self, listed: tuple[object, ...]
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -24,6 +24,7 @@
     ServedBuilds,
     StreamOrigin,
     StreamOrigins,
+    StreamRecord,
 )
 from persimmonhold.streams._stream_registry import StreamRegistry
 from tests.fleet_builders import make_route
@@ -207,7 +208,8 @@
     lately = {one[1] for one in observed if one[0] <= STREAM_LIFE_S}
     lately.update(recorded)
     expected = StreamOrigin('models', *lately) if len(lately) == 1 else None
-    record = ServedBuilds('models', tuple(recorded), is_complete=is_complete)
+    builds = ServedBuilds('models', tuple(recorded), is_complete=is_complete)
+    record = StreamRecord((builds,))
     found = origins.find_origin('lost', 'models', record, now)
     assert_that(found, Equals(expected if is_complete else None))
     unrecorded = origins.find_origin('lost', 'models', None, now)
