Believe a controller of an earlier build that cannot guess

If the entry has told the controller of several builds, it never guesses.

test_entry_believes_earlier_control_that_cannot_guess failed before.

--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -250,7 +250,9 @@
             )
         finally:
             self.pending_origins.pop(request.request_id)
-        is_trusted = reply.is_proven or self.hub.streams.may_trust_guess()
+        is_trusted = reply.is_proven or self.hub.streams.may_trust_guess(
+            service
+        )
         if reply.origin is None or is_trusted:
             return reply.origin
         log_event('origin_unproven', begun_as=begun_as, service=service)
--- a/persimmonhold/forwarding/_stream_recorder.py
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -93,13 +93,18 @@
         if self.first_sequence is None:
             self.first_sequence = update.sequence
 
-    def may_trust_guess(self) -> bool:
+    def may_trust_guess(self, service: str) -> bool:
         """Tell whether a controller of an earlier build can guess an origin.
 
-        It guesses by the builds that it and the entries have seen. Some may be
-        unknown to it and to this entry if all of them have just started.
+        It guesses by the builds that it and the entries have seen, and not at
+        all if it was told of several. Some may be unknown to it and to this
+        entry if all of them have just started.
         """
-        if self.origins.builds.covers_streams(self.clock()):
+        now = self.clock()
+        builds = self.origins.builds
+        served = sum(one.service == service for one in builds.list_served(now))
+        was_told = self.told_term == self.dispatcher.term
+        if builds.covers_streams(now) or (was_told and served > 1):
             return True
         rounds = (self.first_sequence or 0) / self.dispatcher.entry_count
         return rounds >= _SETTLED_ROUNDS
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -180,6 +180,7 @@
         self.build_log = server.build_log
         self.clock = server.clock
         self.builds: set[str] = set()
+        self.begun: dict[str, StreamOrigin] = {}
 
     async def begin_term(self, term: int) -> None:
         await self.build_log.begin_term(term)
@@ -189,6 +190,9 @@
 
     def record_report(self, report: EntryReport) -> None:
         self.builds.update(one.build for one in report.builds)
+        self.begun.update(
+            (one.request_id, one.origin) for one in report.streams
+        )
 
     async def record_list(
         self, listed: tuple[object, ...]
@@ -197,8 +201,8 @@
         return listed
 
     def answer_request(self, entry: str, request: StreamOriginRequest) -> None:
-        origin = None
-        if len(self.builds) == 1:
+        origin = self.begun.get(request.begun_as)
+        if origin is None and len(self.builds) == 1:
             origin = StreamOrigin('models', *self.builds)
         reply = StreamOriginReply(request_id=request.request_id, origin=origin)
         fields = msgspec.msgpack.decode(msgspec.msgpack.encode(reply))
@@ -263,6 +267,26 @@
     run_in_virtual_time(run_scenario())
 
 
+def test_entry_believes_earlier_control_that_cannot_guess(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With several versions, it can only have been told of the stream."""
+
+    async def run_scenario() -> None:
+        fleet = LimitedFleet(5, tmp_path, monkeypatch)
+        _have_earlier_control(fleet, monkeypatch)
+        fleet.upstreams['u1'].software_version = 'v1'
+        fleet.upstreams['u2'].software_version = 'v2'
+        async with fleet:
+            await asyncio.sleep(1)
+            hub = fleet.services[fleet.entries[0]].hub
+            hub.streams.origins.streams.record('lost', _OLD, fleet.now)
+            await asyncio.sleep(1)
+            assert_that(await _find_origins(fleet), Equals({_OLD}))
+
+    run_in_virtual_time(run_scenario())
+
+
 def test_new_leader_after_earlier_control_trusts_no_single_version_at_once(
     run_fleet: Runner,
 ) -> None:
