Check a configuration before its version is looked at

Cause: the leader checks only what it proposes, and routes are checked where the command is applied. A document that is not newer is not proposed. The logs of the case show both verdicts for one version, with the same routes in force.

The leader now checks every document first, and acknowledges the stored one again as it is, since an earlier build may have accepted it by other rules.

--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -13,6 +13,7 @@
 from types import TracebackType
 from typing import Final, Self, final
 
+import msgspec
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
@@ -40,8 +41,7 @@
 from persimmonhold.replication import ReplicatedLog
 from persimmonhold.routes import (
     RoutingDocument,
-    find_engine_error,
-    find_workspace_error,
+    find_document_error,
 )
 
 _MS_PER_S: Final = 1000
@@ -213,24 +213,17 @@
     ) -> Result[CommandResult, Failure]:
         """Commit a routing document and wait until it is accepted.
 
-        A version that is not newer than the stored one has no effect and
-        is not added to the log; the call returns once the stored version
-        is accepted. A document whose engines cannot run their models, or
-        whose workspaces are not valid, is not proposed.
+        One that is not valid is refused, whatever its version, unless it is
+        the stored one: an earlier build may have accepted that. A version that
+        is not newer than the stored one has no effect and is not added to the
+        log; the call returns once the stored version is accepted.
         """
-        if document.version > self.state.view.routes.version:
-            error = find_engine_error(document) or find_workspace_error(
-                document
-            )
+        stored = self.state.view.routes
+        if not _has_same_content(document, stored):
+            error = find_document_error(document)
             if error:
-                return Success(
-                    CommandResult(
-                        index=self.state.view.index,
-                        status=CommandStatus.bad_entry,
-                        revision=self.state.catalogue.revision,
-                        detail=error,
-                    )
-                )
+                return Success(_create_refusal(self.state, error))
+        if document.version > stored.version:
             command = PutRoutes(at_ms=self.now_ms(), document=document)
             return await self.commit_change(command)
         barrier = await self.read_barrier()
@@ -333,6 +326,26 @@
         asyncio.get_running_loop().call_soon(self.publish_view)
 
 
+def _create_refusal(state: ControlState, error: str) -> CommandResult:
+    """Return the result for a routing document that is not valid."""
+    return CommandResult(
+        index=state.view.index,
+        status=CommandStatus.bad_entry,
+        revision=state.catalogue.revision,
+        detail=error,
+    )
+
+
+def _has_same_content(
+    document: RoutingDocument, other: RoutingDocument
+) -> bool:
+    """Tell whether two documents are equal.
+
+    Builds may compress the source differently.
+    """
+    return msgspec.structs.replace(document, source=other.source) == other
+
+
 def _not_accepted_failure() -> Failure:
     return Failure(
         kind=FailureKind.no_quorum,
--- a/persimmonhold/platform/_configuration_handler.py
+++ b/persimmonhold/platform/_configuration_handler.py
@@ -83,7 +83,11 @@
             detail = changed.failure().describe()
             await self._refuse(exchange, _UNAVAILABLE, detail)
         elif changed.unwrap().status is CommandStatus.done:
-            log_event('configuration_accepted', version=version)
+            log_event(
+                'configuration_accepted',
+                version=version,
+                stored_version=self.node.state.view.routes.version,
+            )
             await exchange.respond_json(_OK, {'version': version})
         else:
             detail = changed.unwrap().detail
--- a/persimmonhold/routes/__init__.py
+++ b/persimmonhold/routes/__init__.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from persimmonhold.routes._engine_spec import EngineSpec
+    from persimmonhold.routes._find_document_error import find_document_error
     from persimmonhold.routes._find_engine_error import find_engine_error
     from persimmonhold.routes._find_workspace_error import find_workspace_error
     from persimmonhold.routes._forward_route import ForwardRoute
@@ -41,6 +42,7 @@
     'UrgencyScale',
     'Workspace',
     'WorkspaceLimit',
+    'find_document_error',
     'find_engine_error',
     'find_workspace_error',
     'fingerprint_key',
@@ -66,6 +68,7 @@
             'UrgencyScale': '_urgency_scale',
             'Workspace': '_workspace',
             'WorkspaceLimit': '_workspace',
+            'find_document_error': '_find_document_error',
             'find_engine_error': '_find_engine_error',
             'find_workspace_error': '_find_workspace_error',
             'fingerprint_key': '_workspace',
--- a/persimmonhold/routes/_find_engine_error.py
+++ b/persimmonhold/routes/_find_engine_error.py
@@ -1,6 +1,6 @@
 """Checks the engine specifications of a routing document.
 
-The leader checks a new document by this before it proposes it. Replicas do not
+The leader checks a document by this before it proposes it. Replicas do not
 check it again: those of an older build would accept what others refuse.
 """
 
--- a/persimmonhold/routes/_find_workspace_error.py
+++ b/persimmonhold/routes/_find_workspace_error.py
@@ -1,6 +1,6 @@
 """Checks the workspaces of a routing document.
 
-The leader checks a new document by this before it proposes it, as with
+The leader checks a document by this before it proposes it, as with
 `find_engine_error`. Errors name keys by their fingerprint.
 """
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -134,6 +134,10 @@
         invalid = make_configuration(9)
         invalid['routes'][0]['timeout-ms'] = 0
         assert_that(await platform.put_configuration(invalid), Equals(400))
+        valid = make_configuration(12)
+        assert_that(await platform.put_configuration(valid), Equals(200))
+        # The same change arrives again, now below the version in force.
+        assert_that(await platform.put_configuration(invalid), Equals(400))
         answer = await platform.send_request(
             platform.address('e1', 1),
             'POST',
