Log which upstreams the fleet controller takes for leaving, and why

The logs did not show whether the list, a report or a response kept an upstream out of use, nor at which process.

--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -12,6 +12,7 @@
 from persimmonhold.fleet._fleet_demand import FleetDemand
 from persimmonhold.fleet._fleet_messages import SlotRequest
 from persimmonhold.fleet._held_model import HeldModel
+from persimmonhold.fleet._leaving_change import LeavingChange
 from persimmonhold.fleet._listed_upstream import ListedUpstream
 from persimmonhold.fleet._model_loading import ModelLoading
 from persimmonhold.fleet._request_limits import RequestLimits
@@ -46,6 +47,7 @@
     `loading` are the models that were being loaded without a serving copy when
     orders were last planned.
     `last_changes` is the last result of `changed_since`, and what it was for.
+    `leaving_changes` are those not logged yet.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         'listed_at',
         'last_change_number',
         'last_changes',
+        'leaving_changes',
         'limits',
         'loading',
         'refusals',
@@ -83,6 +86,7 @@
         self.loading: tuple[ModelLoading, ...] = ()
         self.stated_leaving: dict[str, int] = {}
         self.last_changes: tuple[tuple[int, int, int], _Changes] | None = None
+        self.leaving_changes: list[LeavingChange] = []
 
     def apply_list(
         self,
@@ -241,15 +245,39 @@
             name: at for name, at in self.departures.items() if at > number
         }
 
+    def pop_leaving_changes(self) -> tuple[LeavingChange, ...]:
+        """Return which upstreams began or ceased to leave since."""
+        changes = tuple(self.leaving_changes)
+        self.leaving_changes.clear()
+        return changes
+
     def _store_facts(self, facts: UpstreamFacts) -> None:
         """Store facts under a new change number, unless nothing changed."""
-        if self.by_upstream.get(facts.name) == facts:
+        former = self.by_upstream.get(facts.name)
+        if former == facts:
             return
+        if facts.is_leaving != (former is not None and former.is_leaving):
+            self._record_leaving_change(facts)
         self.last_change_number += 1
         self.by_upstream[facts.name] = facts
         self.change_numbers[facts.name] = self.last_change_number
         self.departures.pop(facts.name, None)
 
+    def _record_leaving_change(self, facts: UpstreamFacts) -> None:
+        sources = (
+            ('list', self.listed[facts.name].is_leaving),
+            ('report', facts.name in self.reported_leaving),
+            ('response', facts.name in self.stated_leaving),
+        )
+        self.leaving_changes.append(
+            LeavingChange(
+                upstream=facts.name,
+                born_ms=facts.born_ms,
+                is_leaving=facts.is_leaving,
+                sources=tuple(source for source, says_so in sources if says_so),
+            )
+        )
+
     def _has_stated_leaving(self, facts: UpstreamFacts) -> bool:
         """Tell whether the process of the facts stated that it leaves.
 
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -468,6 +468,10 @@
     def _send_updates(self, term: FleetTerm, entries: tuple[str, ...]) -> None:
         """Send the given entries the facts and loads that they lack."""
         term.controller.facts.refresh_all(term.controller.ledgers)
+        for change in term.controller.facts.pop_leaving_changes():
+            log_event(
+                'upstream_leaving_changed', **msgspec.structs.asdict(change)
+            )
         for entry in entries:
             update = term.controller.build_update(entry, self.clock())
             if update is not None:
