Forget that an engine reported to leave once another process has its name

Cause: FleetFacts kept by name that an upstream had reported to leave, until the list no longer had the name. upstream_leaving_changed shows that none of the engines ever ceased to count as leaving, though the start of each changed.

The controller now keeps the start time of the process that reported it, as it does for statements to entries. The same process stays leaving: lists and reports lag.

--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -165,7 +165,9 @@
         ledger = self.ledgers.get(upstream)
         if ledger is not None:
             ledger.apply_report(report)
-            self.facts.record_report(upstream, is_leaving=report.is_leaving)
+            self.facts.record_report(
+                upstream, report.born_ms, is_leaving=report.is_leaving
+            )
             self.facts.refresh_one(upstream, ledger)
 
     def record_report_failure(
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -42,8 +42,9 @@
     their departure. Departures up to `departures_dropped_to` are no longer
     stored. `failure_counts` counts failed report requests in a row. `limits`
     are the request limits that upstreams state, and `refusals` the refusals a
-    second that brittle ones withstand, whose slots `slot_leases` assigns. `stated_leaving` maps those
-    that stated to an entry that they leave to the start of that process.
+    second that brittle ones withstand, whose slots `slot_leases` assigns.
+    `reported_leaving` and `stated_leaving` map those that said in a report, or
+    to an entry, that they leave to the start of that process.
     `loading` are the models that were being loaded without a serving copy when
     orders were last planned.
     `last_changes` is the last result of `changed_since`, and what it was for.
@@ -79,7 +80,7 @@
         self.listed: dict[str, ListedUpstream] = {}
         self.listed_at: float | None = None
         self.failure_counts: dict[str, int] = {}
-        self.reported_leaving: set[str] = set()
+        self.reported_leaving: dict[str, int] = {}
         self.limits = RequestLimits()
         self.refusals = RequestLimits()
         self.slot_leases = SlotLeases()
@@ -110,7 +111,7 @@
             self.by_upstream.pop(name)
             self.change_numbers.pop(name)
             self.failure_counts.pop(name, None)
-            self.reported_leaving.discard(name)
+            self.reported_leaving.pop(name, None)
             self.stated_leaving.pop(name, None)
             self.last_change_number += 1
             self.departures[name] = self.last_change_number
@@ -120,14 +121,16 @@
         """Record that an upstream did not answer a report request."""
         self.failure_counts[name] = self.failure_counts.get(name, 0) + 1
 
-    def record_report(self, name: str, *, is_leaving: bool) -> None:
-        """Record that an upstream answered a report request.
+    def record_report(
+        self, name: str, born_ms: int = 0, *, is_leaving: bool
+    ) -> None:
+        """Record that a process answered a report request.
 
-        An upstream once reported as leaving stays so until it leaves the list.
+        One that reported once that it leaves does so until it is replaced.
         """
         self.failure_counts.pop(name, None)
         if is_leaving:
-            self.reported_leaving.add(name)
+            self.reported_leaving[name] = born_ms
 
     def record_stated_leaving(
         self, processes: Iterable[tuple[str, int]]
@@ -144,7 +147,7 @@
             if facts is None or facts.is_leaving:
                 continue
             self.stated_leaving[name] = born_ms
-            if self._has_stated_leaving(facts):
+            if self._is_leaving(facts):
                 changed.append(name)
                 self._store_facts(
                     msgspec.structs.replace(facts, is_leaving=True)
@@ -169,7 +172,7 @@
                 facts = msgspec.structs.replace(
                     facts, refusals_per_s=refusals_per_s
                 )
-            if self._has_stated_leaving(facts):
+            if self._is_leaving(facts):
                 facts = msgspec.structs.replace(facts, is_leaving=True)
             self._store_facts(facts)
 
@@ -278,20 +281,10 @@
             )
         )
 
-    def _has_stated_leaving(self, facts: UpstreamFacts) -> bool:
-        """Tell whether the process of the facts stated that it leaves.
-
-        An unknown start time is that of the same process, until a report
-        tells it.
-        """
-        born_ms = self.stated_leaving.get(facts.name)
-        if born_ms is None:
-            return False
-        if 0 < born_ms < facts.born_ms:
-            self.stated_leaving.pop(facts.name)
-            return False
-        self.stated_leaving[facts.name] = max(born_ms, facts.born_ms)
-        return True
+    def _is_leaving(self, facts: UpstreamFacts) -> bool:
+        """Tell whether the process of the facts has said that it leaves."""
+        is_reported = _was_said(self.reported_leaving, facts)
+        return _was_said(self.stated_leaving, facts) or is_reported
 
     def _merge_facts(
         self,
@@ -302,8 +295,6 @@
         failures = self.failure_counts.get(listed.name, 0)
         facts = msgspec.structs.replace(
             UpstreamFacts.from_listed(listed),
-            is_leaving=listed.is_leaving
-            or listed.name in self.reported_leaving,
             is_silent=failures >= _SILENT_AFTER_FAILURES,
         )
         if ledger is None or not ledger.born_ms:
@@ -322,6 +313,22 @@
         )
 
 
+def _was_said(leaving: dict[str, int], facts: UpstreamFacts) -> bool:
+    """Tell whether a process is among those that leave, by name and start.
+
+    Forgets one that has been replaced. An unknown start time is that of the
+    same process, until a report tells it.
+    """
+    born_ms = leaving.get(facts.name)
+    if born_ms is None:
+        return False
+    if 0 < born_ms < facts.born_ms:
+        leaving.pop(facts.name)
+        return False
+    leaving[facts.name] = max(born_ms, facts.born_ms)
+    return True
+
+
 def _held_models(ledger: UpstreamLedger) -> tuple[HeldModel, ...]:
     """Return the models that an upstream holds, except one being loaded."""
     return tuple(
