End the leave of a process of unknown start by a later list

Cause: an unknown start counted as that of the same process, at entries and at the fleet controller, until another start became known or the name had been absent for 120 s. For a plain service neither happens. The log shows that none of the upstreams, all of start 0, ever ceased to count as leaving.

A statement now has its time. Where a start is unknown, a list that was requested 3 s later and shows the upstream as ready ends it, at the controller, at entries, and in the lists that entries read themselves. Reports of entries tell how old a statement is. An earlier build does not; a repeat does not renew it then.

test_controller_plans_for_it_as_for_one_that_the_list_shows passes the age of the statement; its checks are the same.

--- a/persimmonhold/fleet/_demand_meter.py
+++ b/persimmonhold/fleet/_demand_meter.py
@@ -11,6 +11,7 @@
 from persimmonhold.fleet._shared_load import SharedLoad
 from persimmonhold.fleet._speed_sums import SpeedSums
 from persimmonhold.fleet._waiting_class import WaitingClass
+from persimmonhold.sparing import LeavingStatement
 
 _MS_PER_S: Final = 1000
 
@@ -47,6 +48,7 @@
         A model that the last report showed with requests is reported again, so
         that a report with zero counts follows when its last request has ended.
         """
+        leaving = _list_leaving(dispatcher)
         # Reports of a restarted entry follow those of its former process.
         self.sequence = max(self.sequence + 1, int(now * _MS_PER_S))
         running = _count_running(dispatcher)
@@ -80,7 +82,8 @@
             demand=demand,
             limits=_build_limits(dispatcher, now),
             brittle=_build_brittle(dispatcher, now),
-            leaving=_list_leaving(dispatcher),
+            leaving=tuple(leaving),
+            leaving_ages_s=tuple(now - one.said_at for one in leaving.values()),
             speeds=_pop_speeds(dispatcher),
         )
 
@@ -152,16 +155,16 @@
 
 def _list_leaving(
     dispatcher: ForwardDispatcher,
-) -> tuple[tuple[str, int], ...]:
+) -> dict[tuple[str, int], LeavingStatement]:
     """Return the leaving processes that the facts do not show as such."""
     chooser = dispatcher.chooser
-    return tuple(
-        (name, sparing.view.born_ms)
+    return {
+        (name, sparing.view.leaving.born_ms): sparing.view.leaving
         for name, sparing in chooser.spared.in_force.items()
-        if sparing.view.is_leaving
+        if sparing.view.leaving is not None
         and name in chooser.trackers
         and not chooser.trackers[name].facts.is_leaving
-    )
+    }
 
 
 def _pop_speeds(dispatcher: ForwardDispatcher) -> tuple[SpeedSums, ...]:
--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -139,11 +139,11 @@
         It was requested at `asked_at`, by default now.
         """
         listed = tuple(listed)
+        asked_at = now if asked_at is None else asked_at
         self.quarantine.record_list(
-            ((one.name, one.born_ms) for one in listed),
-            now if asked_at is None else asked_at,
+            ((one.name, one.born_ms) for one in listed), asked_at
         )
-        for gone in self.facts.apply_list(listed, now):
+        for gone in self.facts.apply_list(listed, asked_at):
             self.ledgers.pop(gone, None)
             self.adapter_schedulers.pop(gone, None)
             self.planned.pop(gone, None)
@@ -166,7 +166,10 @@
         if ledger is not None:
             ledger.apply_report(report)
             self.facts.record_report(
-                upstream, report.born_ms, is_leaving=report.is_leaving
+                upstream,
+                report.born_ms,
+                asked_at,
+                is_leaving=report.is_leaving,
             )
             self.facts.refresh_one(upstream, ledger)
 
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -4,7 +4,9 @@
 has confirmed a number lacks only the changes with a higher one.
 """
 
+import math
 from collections.abc import Iterable
+from itertools import chain, repeat
 from typing import Final, TypeAlias, final
 
 import msgspec
@@ -19,6 +21,7 @@
 from persimmonhold.fleet._slot_leases import SlotLeases, find_assignable
 from persimmonhold.fleet._upstream_facts import UpstreamFacts
 from persimmonhold.fleet._upstream_ledger import UpstreamLedger
+from persimmonhold.sparing import LeavingStatement
 
 # The facts that have changed, and the upstreams that are gone.
 _Changes: TypeAlias = tuple[tuple[UpstreamFacts, ...], tuple[str, ...]]
@@ -43,8 +46,8 @@
     stored. `failure_counts` counts failed report requests in a row. `limits`
     are the request limits that upstreams state, and `refusals` the refusals a
     second that brittle ones withstand, whose slots `slot_leases` assigns.
-    `reported_leaving` and `stated_leaving` map those that said in a report, or
-    to an entry, that they leave to the start of that process.
+    `reported_leaving` and `stated_leaving` have what upstreams said in reports,
+    or to entries: that they leave. `listed_at` is when the list was requested.
     `loading` are the models that were being loaded without a serving copy when
     orders were last planned.
     `last_changes` is the last result of `changed_since`, and what it was for.
@@ -80,26 +83,26 @@
         self.listed: dict[str, ListedUpstream] = {}
         self.listed_at: float | None = None
         self.failure_counts: dict[str, int] = {}
-        self.reported_leaving: dict[str, int] = {}
+        self.reported_leaving: dict[str, LeavingStatement] = {}
         self.limits = RequestLimits()
         self.refusals = RequestLimits()
         self.slot_leases = SlotLeases()
         self.loading: tuple[ModelLoading, ...] = ()
-        self.stated_leaving: dict[str, int] = {}
+        self.stated_leaving: dict[str, LeavingStatement] = {}
         self.last_changes: tuple[tuple[int, int, int], _Changes] | None = None
         self.leaving_changes: list[LeavingChange] = []
 
     def apply_list(
         self,
         listed: Iterable[ListedUpstream],
-        now: float,
+        asked_at: float,
     ) -> tuple[str, ...]:
         """Apply a complete list; return the upstreams that have left it.
 
-        The facts about upstreams on the list change only by `refresh_all` or
+        It was requested at `asked_at`. The facts about upstreams on the list change only by `refresh_all` or
         `refresh_one`.
         """
-        self.listed_at = now
+        self.listed_at = asked_at
         self.listed = {one.name: one for one in listed}
         self.limits.retain_upstreams(self.listed)
         self.refusals.retain_upstreams(self.listed)
@@ -122,31 +125,42 @@
         self.failure_counts[name] = self.failure_counts.get(name, 0) + 1
 
     def record_report(
-        self, name: str, born_ms: int = 0, *, is_leaving: bool
+        self,
+        name: str,
+        born_ms: int = 0,
+        asked_at: float = -math.inf,
+        *,
+        is_leaving: bool,
     ) -> None:
-        """Record that a process answered a report request.
+        """Record that a process answered a report request of that time.
 
         One that reported once that it leaves does so until it is replaced.
         """
         self.failure_counts.pop(name, None)
         if is_leaving:
-            self.reported_leaving[name] = born_ms
+            self.reported_leaving[name] = LeavingStatement(born_ms, asked_at)
 
     def record_stated_leaving(
-        self, processes: Iterable[tuple[str, int]]
+        self,
+        processes: Iterable[tuple[str, int]],
+        ages_s: Iterable[float],
+        now: float,
     ) -> tuple[str, ...]:
         """Record which processes stated to an entry that they leave.
 
-        Their models are planned as those of upstreams that the list shows as
+        `ages_s` tells how long ago each of them did so last. Earlier builds do
+        not; then it is when the controller first heard of the process. Their
+        models are planned as those of upstreams that the list shows as
         leaving. Returns the upstreams of which that was not known; ignores
         those that have been replaced or are not on the list.
         """
         changed: list[str] = []
-        for name, born_ms in processes:
+        ages = chain(ages_s, repeat(None))
+        for (name, born_ms), age_s in zip(processes, ages, strict=False):
             facts = self.by_upstream.get(name)
             if facts is None or facts.is_leaving:
                 continue
-            self.stated_leaving[name] = born_ms
+            self._record_statement(name, born_ms, age_s, now)
             if self._is_leaving(facts):
                 changed.append(name)
                 self._store_facts(
@@ -266,11 +280,23 @@
         self.change_numbers[facts.name] = self.last_change_number
         self.departures.pop(facts.name, None)
 
+    def _record_statement(
+        self, name: str, born_ms: int, age_s: float | None, now: float
+    ) -> None:
+        """Record what a process stated to an entry, unless it is known."""
+        known = self.stated_leaving.get(name)
+        said_at = now - max(0, age_s or 0)
+        if known is not None and known.born_ms == born_ms:
+            if age_s is None:
+                return
+            said_at = max(said_at, known.said_at)
+        self.stated_leaving[name] = LeavingStatement(born_ms, said_at)
+
     def _record_leaving_change(self, facts: UpstreamFacts) -> None:
         sources = (
             ('list', self.listed[facts.name].is_leaving),
-            ('report', facts.name in self.reported_leaving),
-            ('response', facts.name in self.stated_leaving),
+            ('report', self._holds(self.reported_leaving, facts)),
+            ('response', self._holds(self.stated_leaving, facts)),
         )
         self.leaving_changes.append(
             LeavingChange(
@@ -283,8 +309,21 @@
 
     def _is_leaving(self, facts: UpstreamFacts) -> bool:
         """Tell whether the process of the facts has said that it leaves."""
-        is_reported = _was_said(self.reported_leaving, facts)
-        return _was_said(self.stated_leaving, facts) or is_reported
+        return self._holds(self.reported_leaving, facts) or self._holds(
+            self.stated_leaving, facts
+        )
+
+    def _holds(
+        self, statements: dict[str, LeavingStatement], facts: UpstreamFacts
+    ) -> bool:
+        """Tell whether a statement is of the process of the facts."""
+        statement = statements.get(facts.name)
+        listed = self.listed.get(facts.name)
+        if statement is None or listed is None or self.listed_at is None:
+            return statement is not None
+        return not statement.has_ended(
+            facts.born_ms, self.listed_at, is_listed_leaving=listed.is_leaving
+        )
 
     def _merge_facts(
         self,
@@ -313,22 +352,6 @@
         )
 
 
-def _was_said(leaving: dict[str, int], facts: UpstreamFacts) -> bool:
-    """Tell whether a process is among those that leave, by name and start.
-
-    Forgets one that has been replaced. An unknown start time is that of the
-    same process, until a report tells it.
-    """
-    born_ms = leaving.get(facts.name)
-    if born_ms is None:
-        return False
-    if 0 < born_ms < facts.born_ms:
-        leaving.pop(facts.name)
-        return False
-    leaving[facts.name] = max(born_ms, facts.born_ms)
-    return True
-
-
 def _held_models(ledger: UpstreamLedger) -> tuple[HeldModel, ...]:
     """Return the models that an upstream holds, except one being loaded."""
     return tuple(
--- a/persimmonhold/fleet/_fleet_messages.py
+++ b/persimmonhold/fleet/_fleet_messages.py
@@ -137,7 +137,8 @@
     speeds observed since the last report. `brittle` are the refusals a second
     that upstreams withstand, in the form of limits that the facts may lack.
     `observed_s` is for how many seconds the entry has observed without a gap
-    which builds serve; earlier builds do not state it.
+    which builds serve, and `leaving_ages_s` how long ago each process of
+    `leaving` stated it last; earlier builds state neither.
     """
 
     term: int
@@ -154,6 +155,7 @@
     speeds: tuple[SpeedSums, ...] = ()
     brittle: tuple[StatedLimit, ...] = ()
     observed_s: float = 0
+    leaving_ages_s: tuple[float, ...] = ()
 
     @property
     def content(self) -> tuple[object, ...]:
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -86,7 +86,8 @@
     `pending` has all unanswered requests by number, queued or sent. `term`,
     `sequence` and `applied_change_number` are taken from the last update that
     was applied. `ready_at` is when the models that nobody serves yet will be
-    loaded, as far as they are being loaded.
+    loaded, as far as they are being loaded. The newest list was requested at
+    `listed_at`.
     """
 
     __slots__ = (
@@ -167,8 +168,13 @@
         self.sequence = update.sequence
         self.applied_change_number = update.number
         self.listed_at = max(self.listed_at, now - update.list_age_s)
+        self.chooser.updated_to = now - update.list_age_s
         self.chooser.apply_facts(
-            update.facts, update.gone, now, is_complete=is_complete
+            update.facts,
+            update.gone,
+            now,
+            self.listed_at,
+            is_complete=is_complete,
         )
         self.chooser.apply_other_loads(update.others, update.waiting, now)
         self.chooser.preference.apply_speeds(
@@ -184,14 +190,16 @@
         self,
         listed: Iterable[ListedUpstream],
         now: float,
+        asked_at: float | None = None,
     ) -> None:
         """Apply a list of upstreams that the entry itself has read.
 
-        The entry does so when the fleet controller's updates have not kept its
-        list recent enough.
+        It was requested at `asked_at`, by default now. The entry does so when
+        the fleet controller's updates have not kept its list recent enough.
         """
-        self.chooser.apply_list(listed, now)
-        self.listed_at = now
+        asked_at = now if asked_at is None else asked_at
+        self.listed_at = max(self.listed_at, asked_at)
+        self.chooser.apply_list(listed, asked_at, now)
 
     def plan_stop(
         self, stops_at: float, now: float
--- a/persimmonhold/fleet/_upstream_chooser.py
+++ b/persimmonhold/fleet/_upstream_chooser.py
@@ -26,7 +26,11 @@
 from persimmonhold.fleet._upstream_option import UpstreamOption
 from persimmonhold.fleet._upstream_preference import UpstreamPreference
 from persimmonhold.fleet._upstream_tracker import UpstreamTracker
-from persimmonhold.sparing import SparedUpstreams, SparingCause
+from persimmonhold.sparing import (
+    LeavingStatement,
+    SparedUpstreams,
+    SparingCause,
+)
 
 # An upstream with running requests and more unread prompts than this gets no
 # request, since reading prompts delays the events of all running requests.
@@ -43,7 +47,8 @@
     `groups` finds the trackers by service and model. Adapters cannot be loaded before
     `orders_start_at`, when a new fleet controller starts to issue orders.
     `preference` decides among those that can accept a request.
-    `spared` are the upstreams that want no new requests of this VM.
+    `spared` are the upstreams that want no new requests of this VM. The list of
+    the last update was requested at `updated_to`.
     """
 
     __slots__ = (
@@ -53,6 +58,7 @@
         'rng',
         'spared',
         'trackers',
+        'updated_to',
         'waiting_elsewhere',
     )
 
@@ -70,6 +76,7 @@
         self.rng = rng
         self.orders_start_at = float('-inf')
         self.spared = SparedUpstreams()
+        self.updated_to = float('-inf')
         self.trackers: dict[str, UpstreamTracker] = {}
         self.groups = UpstreamGroups()
         self.preference = UpstreamPreference(
@@ -82,12 +89,14 @@
         facts: Iterable[UpstreamFacts],
         gone: Iterable[str],
         now: float,
+        listed_at: float,
         *,
         is_complete: bool,
     ) -> None:
         """Apply changed facts, and stop tracking the upstreams that are gone.
 
-        If `is_complete`, upstreams without facts are gone as well.
+        Their list was requested at `listed_at`. If `is_complete`, upstreams
+        without facts are gone as well.
         """
         known = {one.name: one for one in facts}
         for name, one in known.items():
@@ -119,11 +128,22 @@
             if gone_tracker is not None:
                 self.spared.release(name, now)
                 self.groups.remove(gone_tracker)
+        leaving = {
+            spared: self.trackers[spared].facts.is_leaving
+            for spared in self.spared.in_force
+            if spared in self.trackers
+        }
+        self.spared.confirm_list(leaving, listed_at, now)
+
+    def apply_list(
+        self, listed: Iterable[ListedUpstream], asked_at: float, now: float
+    ) -> None:
+        """Track exactly the listed upstreams, with the facts known before.
 
-    def apply_list(self, listed: Iterable[ListedUpstream], now: float) -> None:
-        """Track exactly the listed upstreams, with the facts known before."""
-        facts = [self._merge_listed_upstream(one) for one in listed]
-        self.apply_facts(facts, (), now, is_complete=True)
+        The list was requested at `asked_at`.
+        """
+        facts = [self._merge_listed_upstream(one, asked_at) for one in listed]
+        self.apply_facts(facts, (), now, asked_at, is_complete=True)
 
     def confirm_limits(self, now: float, *, is_new_controller: bool) -> None:
         """Have the facts of an update replace older observations of limits.
@@ -340,7 +360,9 @@
             return list(found)
         return [one for one in found if one.facts.build == pending.build]
 
-    def _merge_listed_upstream(self, listed: ListedUpstream) -> UpstreamFacts:
+    def _merge_listed_upstream(
+        self, listed: ListedUpstream, asked_at: float
+    ) -> UpstreamFacts:
         """Return the facts about a listed upstream.
 
         Facts known before are used unless the list shows a newer process.
@@ -348,8 +370,14 @@
         tracker = self.trackers.get(listed.name)
         if tracker is None or tracker.facts.born_ms < listed.born_ms:
             return UpstreamFacts.from_listed(listed)
-        is_leaving = tracker.facts.is_leaving or listed.is_leaving
-        return msgspec.structs.replace(tracker.facts, is_leaving=is_leaving)
+        was_leaving = tracker.facts.is_leaving and not LeavingStatement(
+            tracker.facts.born_ms, self.updated_to
+        ).has_ended(
+            listed.born_ms, asked_at, is_listed_leaving=listed.is_leaving
+        )
+        return msgspec.structs.replace(
+            tracker.facts, is_leaving=was_leaving or listed.is_leaving
+        )
 
     def _can_accept(
         self,
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -344,11 +344,12 @@
 
         A failed read is ignored, and repeated at the next time.
         """
+        asked_at = self.hub.clock()
         listed = await self.upstream_client.read_list()
         if isinstance(listed, Failed):
             return
         upstreams = listed.unwrap()
-        self.hub.dispatcher.apply_list(upstreams, self.hub.clock())
+        self.hub.dispatcher.apply_list(upstreams, self.hub.clock(), asked_at)
         self.hub.streams.record_builds(has_changed=True)
         log_event('list_read_by_entry', upstreams=len(upstreams))
 
--- a/persimmonhold/forwarding/_permit_server.py
+++ b/persimmonhold/forwarding/_permit_server.py
@@ -44,7 +44,9 @@
         self, controller: FleetController, entry: str, report: EntryReport
     ) -> bool:
         """Record what upstreams stated to an entry; tell whether it is new."""
-        leaving = controller.facts.record_stated_leaving(report.leaving)
+        leaving = controller.facts.record_stated_leaving(
+            report.leaving, report.leaving_ages_s, self.clock()
+        )
         for upstream in leaving:
             log_event(
                 'upstream_leaving_reported', entry=entry, upstream=upstream
--- a/persimmonhold/sparing/_spared_upstreams.py
+++ b/persimmonhold/sparing/_spared_upstreams.py
@@ -4,9 +4,11 @@
 the facts, so a list that shows it again as ready does not undo it.
 """
 
+from collections.abc import Mapping
 from typing import Final, TypeAlias, final
 
 from persimmonhold.sparing._ended_sparing import EndedSparing
+from persimmonhold.sparing._leaving_statement import LeavingStatement
 from persimmonhold.sparing._sparing import Sparing
 from persimmonhold.sparing._sparing_view import SparingView
 
@@ -74,9 +76,24 @@
         """Record that a process is about to end."""
         view = self._find_for_response(process, now)
         if view is not None:
-            view.is_leaving = True
+            view.leaving = LeavingStatement(process[1], now)
+            view.outlived_since = None
             self._update(process[0], now)
 
+    def confirm_list(
+        self, leaving: Mapping[str, bool], listed_at: float, now: float
+    ) -> None:
+        """End the leave of processes that have been replaced.
+
+        `leaving` tells of the upstreams in force whether the facts show that
+        they leave; their list was requested at `listed_at`.
+        """
+        for name, is_leaving in leaving.items():
+            self.views[name].confirm_list(
+                listed_at, now, is_listed_leaving=is_leaving
+            )
+            self._update(name, now)
+
     def record_turned_away(
         self, process: ProcessKey, pause_s: float, now: float
     ) -> None:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -73,6 +73,7 @@
         self.name = name
         self.born_ms = 1
         self.software_version = ''
+        self.is_listed_leaving = False
         self.limit_per_s: float | None = None
         self.arrivals: list[tuple[float, str]] = []
         self.told_at: dict[str, float] = {}
@@ -150,6 +151,7 @@
                     address='127.0.0.1:1',
                     failure_domain='d1',
                     slots=200,
+                    is_leaving=one.is_listed_leaving,
                     born_ms=one.born_ms,
                     software_version=one.software_version,
                 )
--- a/tests/test_fleet_scale.py
+++ b/tests/test_fleet_scale.py
@@ -234,7 +234,7 @@
         known[name] = models
         facts = (make_facts(name, models=tuple(sorted(models))),)
         gone = (name,) if is_gone else ()
-        chooser.apply_facts(facts, gone, 0.0, is_complete=False)
+        chooser.apply_facts(facts, gone, 0.0, 0.0, is_complete=False)
         if is_gone:
             known.pop(name)
         grouped = {
--- a/tests/test_spared_upstreams_shared.py
+++ b/tests/test_spared_upstreams_shared.py
@@ -194,22 +194,21 @@
     return controller
 
 
+def _state_leaving(
+    controller: FleetController, upstream: str, now: float
+) -> tuple[str, ...]:
+    """Have an entry report what the first process of an upstream stated."""
+    return controller.facts.record_stated_leaving(((upstream, 1),), (0.1,), now)
+
+
 def test_controller_plans_for_it_as_for_one_that_the_list_shows() -> None:
     controller = _controller()
-    assert_that(
-        controller.facts.record_stated_leaving((('u1', 1),)), Equals(('u1',))
-    )
+    assert_that(_state_leaving(controller, 'u1', 0.5), Equals(('u1',)))
     assert_that(controller.facts.by_upstream['u1'].is_leaving, Is(True))
     controller.apply_list((make_listed('u1'), make_listed('u2')), 1.0)
     assert_that(controller.facts.by_upstream['u1'].is_leaving, Is(True))
-    assert_that(
-        controller.facts.record_stated_leaving((('u1', 1),)), Equals(())
-    )
+    assert_that(_state_leaving(controller, 'u1', 1.5), Equals(()))
     controller.apply_list((make_listed('u1', born_ms=2),), 2.0)
     assert_that(controller.facts.by_upstream['u1'].is_leaving, Is(False))
-    assert_that(
-        controller.facts.record_stated_leaving((('u1', 1),)), Equals(())
-    )
-    assert_that(
-        controller.facts.record_stated_leaving((('u9', 1),)), Equals(())
-    )
+    assert_that(_state_leaving(controller, 'u1', 2.5), Equals(()))
+    assert_that(_state_leaving(controller, 'u9', 2.5), Equals(()))
--- a/tests/test_upstream_lives.py
+++ b/tests/test_upstream_lives.py
@@ -4,6 +4,7 @@
 again (review/8 and review/9).
 """
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan
@@ -11,11 +12,18 @@
 from persimmonhold.fleet import (
     EntryReport,
     FleetController,
+    ForwardDispatcher,
     HeldModel,
     ModelDemand,
     UpstreamReport,
 )
-from tests.fleet_builders import make_document, make_listed
+from tests.fleet_builders import (
+    make_dispatcher,
+    make_document,
+    make_facts,
+    make_listed,
+    make_update,
+)
 
 _LISTED_BORN = pytest.mark.parametrize(
     'is_born_listed', [True, False], ids=['born listed', 'born reported']
@@ -111,3 +119,117 @@
     controller.apply_report('u1', _report(2, 'm1'), 0.2)
     controller.apply_report('u1', _report(1, 'm1', is_leaving=True), 0.1)
     assert_that(controller.facts.by_upstream['u1'].is_leaving, Equals(False))
+
+
+def _show_plain(
+    controller: FleetController, now: float, *, is_leaving: bool = False
+) -> None:
+    """Have the list show an upstream whose start nobody states."""
+    listed = make_listed('u1', leaving=is_leaving, born_ms=0)
+    controller.apply_list((listed,), now)
+
+
+@pytest.mark.parametrize('ages_s', [(0.1,), ()], ids=['this build', 'earlier'])
+def test_process_of_unknown_start_leaves_until_a_later_list_shows_it_ready(
+    ages_s: tuple[float, ...],
+) -> None:
+    """The controller kept the leave until the list had no upstream of the name.
+
+    Earlier builds do not tell when the process stated it, and repeat it.
+    """
+    controller = _controller()
+    facts = controller.facts
+
+    def state_leaving(now: float) -> None:
+        ages = tuple(age + now - 1.0 for age in ages_s)
+        facts.record_stated_leaving((('u1', 0),), ages, now)
+
+    _show_plain(controller, 0)
+    state_leaving(1.0)
+    assert_that(facts.by_upstream['u1'].is_leaving, Equals(True))
+    _show_plain(controller, 1.2)  # the list lags
+    assert_that(facts.by_upstream['u1'].is_leaving, Equals(True))
+    for step in range(5):
+        _show_plain(controller, 2.0 + step, is_leaving=True)
+        assert_that(facts.by_upstream['u1'].is_leaving, Equals(True))
+    _show_plain(controller, 7.0)
+    assert_that(facts.by_upstream['u1'].is_leaving, Equals(False))
+    state_leaving(7.5)
+    assert_that(facts.by_upstream['u1'].is_leaving, Equals(False))
+
+
+def test_engine_of_unknown_start_leaves_until_it_reports_otherwise() -> None:
+    controller = _controller()
+    _show_plain(controller, 0)
+    for step in range(40):
+        controller.apply_report(
+            'u1', _report(0, 'm1', is_leaving=True), step / 4
+        )
+        _show_plain(controller, step / 4)
+        facts = controller.facts.by_upstream['u1']
+        assert_that(facts.is_leaving, Equals(True))
+    for step in range(20):
+        controller.apply_report('u1', _report(0), 10 + step / 4)
+        _show_plain(controller, 10 + step / 4)
+    assert_that(controller.facts.by_upstream['u1'].is_leaving, Equals(False))
+
+
+def _restart_in_list(
+    dispatcher: ForwardDispatcher, *, is_by_own_list: bool
+) -> None:
+    """Have a process of unknown start drain for 3 s and start again."""
+    for step in range(100):
+        now = 1.0 + step / 10
+        is_leaving = step in range(9, 45)
+        if is_by_own_list:
+            listed = make_listed('u1', leaving=is_leaving, born_ms=0)
+            dispatcher.apply_list((listed,), now, now)
+            continue
+        facts = msgspec.structs.replace(
+            make_facts('u1'), born_ms=0, is_leaving=is_leaving
+        )
+        dispatcher.apply_update(make_update(facts, sequence=step + 2), now)
+
+
+@pytest.mark.parametrize('is_by_own_list', [True, False])
+@pytest.mark.parametrize('has_stated', [True, False])
+def test_entry_uses_a_process_of_unknown_start_that_has_restarted(
+    has_stated: bool, is_by_own_list: bool
+) -> None:
+    """It was spared until its name had been absent from lists for 120 s."""
+    unknown = msgspec.structs.replace(make_facts('u1'), born_ms=0)
+    dispatcher = make_dispatcher(unknown)
+    chooser = dispatcher.chooser
+    if has_stated:
+        chooser.spared.record_leaving(('u1', 0), 1.0)
+    _restart_in_list(dispatcher, is_by_own_list=is_by_own_list)
+    assert_that(chooser.trackers['u1'].is_available(11.0), Equals(True))
+
+
+def test_held_up_update_does_not_end_a_leave() -> None:
+    """It seems newer than it is, until the next one arrives."""
+    unknown = msgspec.structs.replace(make_facts('u1'), born_ms=0)
+    dispatcher = make_dispatcher(unknown)
+    spared = dispatcher.chooser.spared
+    spared.record_leaving(('u1', 0), 1.0)
+    dispatcher.apply_update(make_update(unknown, sequence=2), 9.0)
+    leaving = msgspec.structs.replace(unknown, is_leaving=True)
+    dispatcher.apply_update(make_update(leaving, sequence=3), 9.01)
+    dispatcher.apply_update(make_update(leaving, sequence=4), 11.0)
+    assert_that(spared.is_spared('u1', 11.0), Equals(True))
+
+
+def test_earlier_build_reads_when_processes_stated_to_leave() -> None:
+    report = EntryReport(
+        term=1,
+        number=2,
+        sequence=3,
+        leaving=(('u1', 0),),
+        leaving_ages_s=(0.5,),
+    )
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(report))
+    earlier = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(fields[:-1]), type=EntryReport
+    )
+    assert_that(earlier.leaving, Equals(report.leaving))
+    assert_that(earlier.leaving_ages_s, Equals(()))
