Forget that another process answered for an engine once that is back

The fleet controller kept by name that the engine is replaced, so after it had started again it got no orders and counted as silent for as long as it was listed.

A new start, or another address in the list, now ends it.

Failed before: both cases of test_engine_whose_address_was_reused_gets_orders_once_it_is_back.

--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -143,7 +143,8 @@
         self.quarantine.record_list(
             ((one.name, one.born_ms) for one in listed), asked_at
         )
-        for gone in self.facts.apply_list(listed, asked_at):
+        moved = self.facts.list_moved(listed)
+        for gone in (*moved, *self.facts.apply_list(listed, asked_at)):
             self.ledgers.pop(gone, None)
             self.adapter_schedulers.pop(gone, None)
             self.planned.pop(gone, None)
--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -120,6 +120,18 @@
             self.departures[name] = self.last_change_number
         return gone
 
+    def list_moved(self, listed: Iterable[ListedUpstream]) -> tuple[str, ...]:
+        """Return the upstreams that a new list shows at another address.
+
+        A process keeps its address, so a new process runs there.
+        """
+        return tuple(
+            one.name
+            for one in listed
+            if one.name in self.listed
+            and self.listed[one.name].address != one.address
+        )
+
     def record_report_failure(self, name: str) -> None:
         """Record that an upstream did not answer a report request."""
         self.failure_counts[name] = self.failure_counts.get(name, 0) + 1
--- a/persimmonhold/fleet/_upstream_ledger.py
+++ b/persimmonhold/fleet/_upstream_ledger.py
@@ -249,6 +249,7 @@
     def _reset_for_process(self, born_ms: int) -> None:
         """Clear the content, since a new process runs the upstream."""
         self.born_ms = born_ms
+        self.is_replaced = False
         self.accepted_orders = 0
         self.held = {}
         self.unconfirmed_evictions = {}
--- a/tests/test_upstream_lives.py
+++ b/tests/test_upstream_lives.py
@@ -12,9 +12,12 @@
 from persimmonhold.fleet import (
     EntryReport,
     FleetController,
+    FleetOrder,
+    FleetOrderKind,
     ForwardDispatcher,
     HeldModel,
     ModelDemand,
+    OrderVerdict,
     UpstreamReport,
 )
 from tests.fleet_builders import (
@@ -233,3 +236,41 @@
     )
     assert_that(earlier.leaving, Equals(report.leaving))
     assert_that(earlier.leaving_ages_s, Equals(()))
+
+
+def _refuse_order(controller: FleetController, now: float) -> None:
+    """Have another process answer an order, which it does not accept."""
+    order = FleetOrder(kind=FleetOrderKind.load, model='m1', expected=0)
+    controller.record_order_outcome(
+        'u1', order, OrderVerdict.other_process, now
+    )
+    controller.facts.refresh_all(controller.ledgers)
+    assert_that(controller.facts.by_upstream['u1'].is_silent, Equals(True))
+
+
+@pytest.mark.parametrize('address', ['127.0.0.1:1', '127.0.0.1:2'])
+def test_engine_whose_address_was_reused_gets_orders_once_it_is_back(
+    address: str,
+) -> None:
+    """Another process that answers in its place was remembered by its name."""
+    controller = _controller()
+    _show(controller, 0, 1)
+    controller.apply_report('u1', _report(1, 'm1'), 0.2)
+    _refuse_order(controller, 1.0)
+    listed = msgspec.structs.replace(
+        make_listed('u1', born_ms=2), address=address
+    )
+    controller.apply_list((listed,), 4.0)
+    controller.apply_report('u1', _report(2), 5.2)
+    assert_that(controller.facts.by_upstream['u1'].is_silent, Equals(False))
+    assert_that(_count_planned(controller), GreaterThan(0))
+
+
+def test_engine_whose_address_was_reused_gets_no_orders_there() -> None:
+    controller = _controller()
+    _show(controller, 0, 1)
+    controller.apply_report('u1', _report(1, 'm1'), 0.2)
+    _refuse_order(controller, 1.0)
+    _show(controller, 4.0, 1)
+    controller.apply_report('u1', _report(1), 5.2)
+    assert_that(_count_planned(controller), Equals(0))
