Reach the members of the control group by the addresses in the log

Cause: of the three control VMs that were left, two are no seeds. They know each other's address only from the view, which comes from a leader, so neither completes the verification of its start, and there is no leader.

A replica now announces the addresses in its configuration at the start and after each change, and the agent of the VM adds them to its peers.

Two tests of earlier reports cut the fields at the one that they are about, not at the last one.

--- a/persimmonhold/control/shell/_vm_agent_runner.py
+++ b/persimmonhold/control/shell/_vm_agent_runner.py
@@ -43,6 +43,7 @@
         '_control_addresses',
         '_decoder',
         '_listeners',
+        '_member_addresses',
         '_next_demand_at',
         '_next_report_at',
         '_transport',
@@ -84,6 +85,7 @@
         self.demand: tuple[Demand, ...] = ()
         self.local_report_handler: Callable[[VmReport], None] | None = None
         self._control_addresses = control_addresses
+        self._member_addresses: dict[str, str] = {}
         self._transport = transport
         self._listeners: list[Callable[[], None]] = []
         self._next_report_at = 0.0
@@ -166,6 +168,18 @@
         """Set the draining state in the record to register."""
         self.record = msgspec.structs.replace(self.record, draining=draining)
 
+    def use_member_addresses(self, addresses: dict[str, str]) -> None:
+        """Reach the members of the control group, also without a view.
+
+        `addresses` maps their names to `ip:port`.
+        """
+        self._member_addresses = {
+            name: address
+            for name, address in addresses.items()
+            if name != self.record.name
+        }
+        self._set_peers()
+
     def _receive(self, peer: str, payload: bytes) -> None:
         previous_index = self.agent.view.index
         previous_leader = self.agent.leader
@@ -194,16 +208,24 @@
                 encoded[key],
             )
 
-    def _handle_if_view_changed(self, previous_index: int) -> None:
-        """If the view changed, set peers, send a report and call listeners."""
-        if self.agent.view.index == previous_index:
-            return
-        addresses = {
+    def _set_peers(self) -> None:
+        """Tell the transport all known addresses; those of the view go last."""
+        in_view = {
             vm.name: vm.peers
             for vm in self.agent.view.vms.values()
             if vm.peers and vm.name != self.record.name
         }
-        self._transport.set_peers({**self._control_addresses, **addresses})
+        self._transport.set_peers({
+            **self._control_addresses,
+            **self._member_addresses,
+            **in_view,
+        })
+
+    def _handle_if_view_changed(self, previous_index: int) -> None:
+        """If the view changed, set peers, send a report and call listeners."""
+        if self.agent.view.index == previous_index:
+            return
+        self._set_peers()
         self._send_report(self.clock())
         for listener in self._listeners:
             listener()
--- a/persimmonhold/replication/_replica_host.py
+++ b/persimmonhold/replication/_replica_host.py
@@ -33,6 +33,7 @@
 )
 from persimmonhold.failures import Failure
 from persimmonhold.observability import LogLevel, log_event
+from persimmonhold.replication._address_book import AddressBook
 from persimmonhold.replication._log_applier import LogApplier
 from persimmonhold.replication._log_writer import LogWriter
 from persimmonhold.replication._recover_log import recover_log
@@ -62,6 +63,7 @@
         '_settings',
         '_store',
         '_transport',
+        'address_book',
         'applied_index',
         'replica',
         'waiters',
@@ -86,6 +88,7 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
         self._logged_state = ('', '', 0)
+        self.address_book = AddressBook()
         self.applied_index = 0
         self.waiters = Waiters()
         self.replica: Replica
--- a/persimmonhold/replication/_replica_node.py
+++ b/persimmonhold/replication/_replica_node.py
@@ -47,7 +47,8 @@
     start of the log. `rng` generates the ids of incarnations, so its seed
     must differ between starts (`random.Random()` outside tests). `clock` is
     monotonic and in seconds. `files` replaces the directory in tests.
-    `failure` is the disk failure that has stopped the replica, if any.
+    `failure` is the disk failure that has stopped the replica, if any, and
+    `address_book` tells where the other members are.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         '_snapshot_task',
         '_run_task',
         '_work_arrived',
+        'address_book',
         'failure',
     )
 
@@ -96,6 +98,7 @@
         self._run_task: asyncio.Task[None] | None = None
         self._snapshot_task: asyncio.Task[None] | None = None
         self.failure: Failure | None = None
+        self.address_book = self._host.address_book
         transport.set_receiver(Channel.consensus, self._enqueue_message)
 
     async def __aenter__(self) -> Self:
@@ -260,6 +263,7 @@
         self._submit_reads(now)
         if host.replica.next_wakeup <= now:
             host.replica.tick(now)
+        self.address_book.update(self.peer_addresses)
         host.perform_actions(now)
         self._start_snapshot_if_due()
 
--- a/persimmonhold/system/_control_role.py
+++ b/persimmonhold/system/_control_role.py
@@ -68,6 +68,7 @@
             random.Random(),
             boot_clock,
         )
+        self.replica.address_book.subscribe(vm.use_member_addresses)
         self.node = ControlNode(applier, self.replica, vm)
         handler = leader_work.attach_node(self.node)
         self.operator_server = HttpServer(
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -371,7 +371,9 @@
 def test_reports_of_an_earlier_build_prove_nothing() -> None:
     report = EntryReport(term=1, number=2, sequence=3, observed_s=40)
     fields = msgspec.msgpack.decode(msgspec.msgpack.encode(report))
-    earlier = msgspec.msgpack.encode(fields[:-1])
+    # The tag comes before the fields; that build ends before the new one.
+    end = 1 + EntryReport.__struct_fields__.index('observed_s')
+    earlier = msgspec.msgpack.encode(fields[:end])
     decoded = msgspec.msgpack.decode(earlier, type=EntryReport)
     assert_that(decoded.observed_s, Equals(0))
 
--- a/tests/test_upstream_lives.py
+++ b/tests/test_upstream_lives.py
@@ -231,8 +231,10 @@
         leaving_ages_s=(0.5,),
     )
     fields = msgspec.msgpack.decode(msgspec.msgpack.encode(report))
+    # The tag comes before the fields; that build ends before the new one.
+    end = 1 + EntryReport.__struct_fields__.index('leaving_ages_s')
     earlier = msgspec.msgpack.decode(
-        msgspec.msgpack.encode(fields[:-1]), type=EntryReport
+        msgspec.msgpack.encode(fields[:end]), type=EntryReport
     )
     assert_that(earlier.leaving, Equals(report.leaving))
     assert_that(earlier.leaving_ages_s, Equals(()))
