Keep upstreams in use until their service is recorded at all

After an upgrade, or if the first commit of a new leader takes long, no service is recorded yet. The list was then applied without its upstreams, so entries would have dropped all of them until the next read. Such a list is not applied now; entries go on with what they know.

test_upstreams_stay_in_use_while_their_service_is_not_recorded failed before.

--- a/persimmonhold/forwarding/_build_log.py
+++ b/persimmonhold/forwarding/_build_log.py
@@ -83,14 +83,20 @@
 
     def select_recorded(
         self, listed: Iterable[ListedUpstream]
-    ) -> tuple[ListedUpstream, ...]:
-        """Return the upstreams of a list whose builds are recorded."""
+    ) -> tuple[ListedUpstream, ...] | None:
+        """Return the upstreams of a list whose builds are recorded.
+
+        None if a service is not recorded at all yet: entries then go on with
+        the upstreams that they know.
+        """
         recorded = self.node.state.streams.builds
+        listed = tuple(listed)
+        if any(one.service not in recorded for one in listed):
+            return None
         return tuple(
             one
             for one in listed
-            if one.service in recorded
-            and self._is_recorded(one, recorded[one.service])
+            if self._is_recorded(one, recorded[one.service])
         )
 
     def _plan_change(self, now: float) -> StreamChange | None:
--- a/persimmonhold/forwarding/_fleet_runner.py
+++ b/persimmonhold/forwarding/_fleet_runner.py
@@ -384,7 +384,8 @@
                     usable = await self.origin_server.record_list(
                         listed.unwrap()
                     )
-                    term.controller.apply_list(usable, read_at, asked_at)
+                    if usable is not None:
+                        term.controller.apply_list(usable, read_at, asked_at)
             self.term_started.clear()
             await wait_with_timeout(self.term_started, _LIST_INTERVAL_S)
 
--- a/persimmonhold/forwarding/_stream_origin_server.py
+++ b/persimmonhold/forwarding/_stream_origin_server.py
@@ -21,6 +21,7 @@
 
 # Streams that began shortly before an entry and the leader end are lost.
 _RECORD_INTERVAL_S: Final = 0.2
+_IDLE_INTERVAL_S: Final = 0.5  # while another VM leads
 
 
 @final
@@ -54,9 +55,11 @@
     async def run(self) -> None:
         """Record the streams that entries report, until cancelled."""
         while True:
+            interval_s = _IDLE_INTERVAL_S
             if self.build_log.is_current:
+                interval_s = _RECORD_INTERVAL_S
                 await self.begun_log.commit_due(self.clock())
-            await asyncio.sleep(_RECORD_INTERVAL_S)
+            await asyncio.sleep(interval_s)
 
     def record_report(self, report: EntryReport) -> None:
         """Record the streams and the builds that an entry knows."""
@@ -68,10 +71,10 @@
 
     async def record_list(
         self, listed: Iterable[ListedUpstream]
-    ) -> tuple[ListedUpstream, ...]:
+    ) -> tuple[ListedUpstream, ...] | None:
         """Record the builds of the upstreams that are listed now.
 
-        Returns those that entries may use.
+        Returns those that entries may use, or None if that is not known yet.
         """
         listed = tuple(listed)
         now = self.clock()
--- a/persimmonhold/streams/_begun_planner.py
+++ b/persimmonhold/streams/_begun_planner.py
@@ -17,6 +17,7 @@
 )
 
 _MAX_STREAMS_PER_CHANGE: Final = 8192
+_MAX_UNRECORDED: Final = 65_536
 
 
 @final
@@ -24,7 +25,7 @@
     """Plans the changes of recorded streams in one term of the leader.
 
     `unrecorded` are the origins of reported streams that are not recorded, by
-    digest, with the times of the reports. `noticed_at` is since when this
+    digest, with the times of the reports; their number is bounded. `noticed_at` is since when this
     leader knows of the streams that were recorded at a log index.
     """
 
@@ -92,6 +93,7 @@
     def _drop_old(self, now: float) -> None:
         while self.unrecorded:
             oldest = next(iter(self.unrecorded))
-            if now - self.unrecorded[oldest][0] <= STREAM_LIFE_S:
+            is_recent = now - self.unrecorded[oldest][0] <= STREAM_LIFE_S
+            if is_recent and len(self.unrecorded) <= _MAX_UNRECORDED:
                 return
             self.unrecorded.pop(oldest)
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -42,6 +43,7 @@
     StreamOriginRequest,
 )
 from persimmonhold.transport import Channel
+from tests.fleet_builders import make_listed
 from tests.limited_fleet import LimitedFleet
 
 Scenario = Callable[[LimitedFleet], Awaitable[None]]
@@ -455,3 +457,38 @@
     planned = planner.plan({}, ('other', 'models'), 0)
     assert_that(planned['models'].is_complete, Equals(True))
     assert_that(planned['other'].is_complete, Equals(False))
+
+
+class _StuckNode:
+    """Leads, and commits nothing."""
+
+    def __init__(self) -> None:
+        self.state = ControlStateMachine().state
+        self.term = 1
+        self.is_leader = True
+
+    async def propose(self, command: Command) -> None:
+        await asyncio.Event().wait()
+
+    def now_ms(self) -> int:
+        return 1
+
+
+def test_upstreams_stay_in_use_while_their_service_is_not_recorded() -> None:
+    """A new leader after an earlier build must not take them from entries."""
+
+    async def scenario() -> None:
+        node = cast(Any, _StuckNode())
+        history = BuildHistory()
+        log = BuildLog(node, history)
+        log.term = 1
+        listed = (make_listed('u1'),)
+        history.record_serving((('models', ''),), 0, 0)
+        await log.record_builds(0)
+        assert_that(log.select_recorded(listed), Equals(None))
+        recorded = ServedBuilds('models', ('v1',), True)
+        node.state.streams.builds['models'] = recorded
+        newer = msgspec.structs.replace(listed[0], software_version='v2')
+        assert_that(log.select_recorded((*listed, newer)), Equals(listed))
+
+    run_in_virtual_time(scenario())
