--- a/persimmonhold/fleet/_fleet_facts.py
+++ b/persimmonhold/fleet/_fleet_facts.py
@@ -99,8 +99,8 @@
     ) -> tuple[str, ...]:
         """Apply a complete list; return the upstreams that have left it.
 
-        It was requested at `asked_at`. The facts about upstreams on the list change only by `refresh_all` or
-        `refresh_one`.
+        It was requested at `asked_at`. The facts about upstreams on the list
+        change only by `refresh_all` or `refresh_one`.
         """
         self.listed_at = asked_at
         self.listed = {one.name: one for one in listed}
