--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 
 soak: $(ENVIRONMENT)
 	$(BIN)/python -m bench.soak --seeds 1-50
+	$(BIN)/python -m bench.soak --seeds 1-50 --releases
 
 check-binary: dist/persimmonhold
 	$(BIN)/python -m bench.check_binary dist/persimmonhold
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,7 +1,8 @@
 """Runs seeds of the soak and prints each broken promise.
 
 Run as `python -m bench.soak --seeds 1-50 --seconds 30 --vms 8`, or with
-`--regressions` for the seeds in regressions.txt, which once showed a fault.
+`--regressions` for the seeds in regressions.txt, which once showed a fault. With `--releases`, upstreams
+are replaced by another version and broken streams are taken up.
 The settings and logs of each seed are kept below `--logs`.
 """
 
@@ -24,12 +25,18 @@
     parser.add_argument('--seeds', default='1-50', help='such as 7 or 1-50')
     parser.add_argument('--seconds', type=float, default=30.0)
     parser.add_argument('--vms', type=int, default=8)
+    parser.add_argument('--releases', action='store_true')
     parser.add_argument('--regressions', action='store_true')
     parser.add_argument('--logs', type=Path, default=Path('target/soak'))
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition('-')
     plans = [
-        Plan(seed, arguments.seconds, arguments.vms)
+        Plan(
+            seed,
+            arguments.seconds,
+            arguments.vms,
+            has_releases=arguments.releases,
+        )
         for seed in range(int(first), int(last or first) + 1)
     ]
     if arguments.regressions:
--- a/bench/soak/_call.py
+++ b/bench/soak/_call.py
@@ -27,6 +27,8 @@
     unless that is 0. The request was sent from `begun_at` to `sent_at`.
     `status` is 0 without a response head, `is_signed` tells
     whether the response is of an upstream, `problem` what is wrong with it.
+    `received` is its body as far as it arrived, with the events after number
+    `after` of a stream.
     """
 
     request_id: str
@@ -43,3 +45,5 @@
     status: int = 0
     is_signed: bool = False
     problem: str = ''
+    after: int = 0
+    received: bytes = b''
--- a/bench/soak/_caller.py
+++ b/bench/soak/_caller.py
@@ -4,20 +4,29 @@
 import random
 from typing import Final, final
 
+import msgspec
 from returns.result import Failure as Failed
 
 from bench.soak._call import Call, CallEnd
 from bench.soak._draw_call import draw_call
 from bench.soak._record import Record
+from bench.soak._stream import Stream
 from bench.soak._upstream import build_body
 from persimmonhold.platform import _names as names
-from persimmonhold.web import ClientConnection, ResponseHead, parse_address
+from persimmonhold.web import (
+    ClientConnection,
+    ResponseHead,
+    encode_headers,
+    parse_address,
+)
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _PAUSE_S: Final = 0.1
 _MAX_THINK_S: Final = 0.2
 _MAX_REQUESTS: Final = 60  # on one connection
 _LATE_S: Final = 2.0
+_MAX_TRIES: Final = 4  # to take a stream up
+_FIRST_WAIT_S: Final = 0.4  # before a try; each further one is twice as long
 
 
 @final
@@ -26,12 +35,21 @@
 
     Connects to a random one of `vms`, names of entries by their address, also
     while that stops. `is_over` ends the caller after its request in progress.
+    A caller that `takes_up` streams goes on with those that broke off.
     """
 
-    def __init__(self, name: str, vms: dict[str, str], record: Record) -> None:
+    def __init__(
+        self,
+        name: str,
+        vms: dict[str, str],
+        record: Record,
+        *,
+        takes_up: bool = False,
+    ) -> None:
         self.name = name
         self.vms = vms
         self.record = record
+        self.takes_up = takes_up
         self.rng = random.Random(name)
         self.is_over = False
         self.call_count = 0
@@ -52,16 +70,43 @@
             for _ in range(self.rng.randint(1, _MAX_REQUESTS)):
                 if self.is_over or not connection.is_reusable:
                     return
-                if not await self._send(address, connection):
+                self.call_count += 1
+                call = draw_call(self.rng, f'{self.name}-{self.call_count}')
+                is_open = await self._send(address, connection, call)
+                if self.takes_up and call.is_repeatable and call.event_count:
+                    await self._take_up(call)
+                if not is_open:
                     return
                 await asyncio.sleep(self.rng.uniform(0, _MAX_THINK_S))
         finally:
             connection.close()
 
-    async def _send(self, address: str, connection: ClientConnection) -> bool:
+    async def _take_up(self, call: Call) -> None:
+        """Go on with a stream that broke off, at any entry."""
+        stream = Stream(call.request_id, call.event_count)
+        stream.add_events(call.request_id, call.received)
+        if call.end is not CallEnd.cut or not stream.last_id:
+            return
+        self.record.streams.append(stream)
+        for number in range(_MAX_TRIES):
+            await asyncio.sleep(_FIRST_WAIT_S * 2**number)
+            if stream.is_whole:
+                return
+            again = _continue_call(call, stream, number)
+            address = random.choice(list(self.vms))
+            connected = await ClientConnection.connect(
+                parse_address(address).unwrap(), _CONNECT_TIMEOUT_S
+            )
+            if isinstance(connected, Failed):
+                continue
+            await self._send(address, connected.unwrap(), again)
+            connected.unwrap().close()
+            stream.add_events(again.request_id, again.received)
+
+    async def _send(
+        self, address: str, connection: ClientConnection, call: Call
+    ) -> bool:
         """Send a request; return whether the connection may be used again."""
-        self.call_count += 1
-        call = draw_call(self.rng, f'{self.name}-{self.call_count}')
         loop = asyncio.get_running_loop()
         call.begun_at = loop.time()
         sent = await connection.send_request(call.request)
@@ -83,6 +128,30 @@
         return head is not None and head.header('connection') != 'close'
 
 
+def _continue_call(call: Call, stream: Stream, number: int) -> Call:
+    """Return the call that goes on after the last event of a stream."""
+    request_id = f'{call.request_id}-again-{number}'
+    own = {
+        names.REQUEST_ID: request_id,
+        names.RESUME_AFTER: str(stream.last_id),
+        names.RESUMED_REQUEST: stream.begun_as,
+    }
+    kept = tuple(
+        one
+        for one in call.request.headers
+        if one[0].decode('ascii').lower() not in own
+    )
+    headers = (*kept, *encode_headers(own))
+    return Call(
+        request_id=request_id,
+        request=msgspec.structs.replace(call.request, headers=headers),
+        deadline_s=call.deadline_s,
+        is_repeatable=True,
+        event_count=call.event_count,
+        after=stream.last_id,
+    )
+
+
 async def _receive(
     connection: ClientConnection, call: Call
 ) -> ResponseHead | None:
@@ -94,22 +163,29 @@
     head = received.unwrap()
     call.status = head.status
     call.is_signed = bool(head.header(names.SIGNATURE))
-    body = await connection.receive_body()
-    if isinstance(body, Failed):
-        call.end = CallEnd.cut
-        return None
-    call.end = CallEnd.answered
+    chunk = await connection.receive_chunk()
+    while not isinstance(chunk, Failed) and chunk.unwrap():
+        call.received += chunk.unwrap()
+        chunk = await connection.receive_chunk()
+    is_cut = isinstance(chunk, Failed)
+    call.end = CallEnd.cut if is_cut else CallEnd.answered
     if call.is_signed:
-        call.problem = _find_problem(call, head, body.unwrap())
-    return head
+        call.problem = _find_problem(call, head)
+    return None if is_cut else head
 
 
-def _find_problem(call: Call, head: ResponseHead, body: bytes) -> str:
+def _find_problem(call: Call, head: ResponseHead) -> str:
     """Return what is wrong with the response of an upstream, or ''."""
     for name in (names.REQUEST_ID, names.SIGNATURE):
         if head.header(name) != call.request_id:
             return f'{name} is {head.header(name)}'
-    expected = build_body(call.request_id, call.event_count)
-    if body == expected:
-        return ''
-    return f'body of {len(body)} bytes, expected {len(expected)}'
+    is_whole = call.end is CallEnd.answered
+    if call.event_count:
+        stream = Stream(call.request_id, call.event_count, call.after)
+        problem = stream.add_events(call.request_id, call.received)
+        if not problem and is_whole and not stream.is_whole:
+            return f'{stream.last_id} of {call.event_count} events'
+        return problem
+    if is_whole and call.received != build_body(call.request_id):
+        return f'body of {len(call.received)} bytes'
+    return ''
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -16,6 +16,7 @@
 _EARLY_S: Final = 3.0
 _LAST_PART: Final = 1 / 6
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+_JOINED_ALLOWED: Final = 2
 _SUCCESSES: Final = range(200, 300)
 _CLIENT_ERRORS: Final = range(400, 500)
 
@@ -30,6 +31,10 @@
             problem = problem or _find_loss(record, call)
         if problem:
             yield f'{call.request_id} at {call.vm}: {problem}'
+    joined = [one for one in record.streams if len(one.versions) > 1]
+    if len(joined) > _JOINED_ALLOWED:
+        ids = [one.begun_as for one in joined]
+        yield f'streams of two versions: {ids}'
     for stop in record.stops:
         is_excused = record.is_disrupted(
             stop.vm, stop.term_at - _CONTACT_S, stop.ended_at
--- a/bench/soak/_fault.py
+++ b/bench/soak/_fault.py
@@ -21,6 +21,8 @@
     closing = 'closing upstream'
     limited = 'limited upstream'
     crash = 'crash of an upstream'
+    release = 'release of an upstream'
+    kill_all = 'kill all VMs'
 
 
 @final
@@ -28,7 +30,8 @@
     """A fault of a VM or upstream, `at_s` seconds after the load began.
 
     `amount` is its length in seconds, of a stop or kill the delay of the next
-    start; of configurations it is their number.
+    start; of configurations it is their number. A fault of all VMs has no
+    target.
     """
 
     at_s: float
--- a/bench/soak/_plan.py
+++ b/bench/soak/_plan.py
@@ -27,18 +27,30 @@
     FaultKind.configure,
 )
 _UNPLANNED_FAULTS: Final = (FaultKind.freeze, FaultKind.kill)
+_MAX_RELEASE_PAUSE_S: Final = 3.0
 
 
 @final
 class Plan:
     """Names of VMs and upstreams, the grace period, and the faults.
 
-    Three VMs run control. Odd seeds kill and freeze VMs too. Faults are in the order of their times.
+    Three VMs run control. Odd seeds kill and freeze VMs too. With releases,
+    upstreams are replaced by another software version under their names, and
+    callers take broken streams up; odd seeds then kill all VMs at once. Faults
+    are in the order of their times.
     """
 
-    def __init__(self, seed: int, seconds: float, vm_count: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        vm_count: int,
+        *,
+        has_releases: bool = False,
+    ) -> None:
         entry_count = max(1, vm_count - _CONTROL_COUNT)
         self.seed = seed
+        self.has_releases = has_releases
         self.controls = _number('c', _CONTROL_COUNT)
         self.entries = _number('e', entry_count)
         self.upstreams = _number('u', 2 + entry_count // 2)
@@ -49,6 +61,8 @@
         while at_s < seconds:
             faults.extend(self._draw(at_s))
             at_s += self.rng.uniform(0, _MAX_PAUSE_S)
+        if has_releases:
+            faults.extend(self._draw_releases(seconds))
         self.faults = sorted(faults, key=lambda fault: fault.at_s)
 
     def _draw(self, at_s: float) -> list[Fault]:
@@ -65,6 +79,24 @@
             amount *= _MAX_UPSTREAM_FAULT_S
         return [Fault(at_s, target, kind, amount)]
 
+    def _draw_releases(self, seconds: float) -> list[Fault]:
+        """Release upstreams in a series that overlaps; kill all VMs once."""
+        rng = random.Random(f'releases {self.seed}')
+        faults: list[Fault] = []
+        at_s = 1.0
+        while at_s < seconds:
+            upstream = rng.choice(self.upstreams)
+            faults.append(
+                Fault(at_s, upstream, FaultKind.release, rng.random())
+            )
+            at_s += rng.uniform(0, _MAX_RELEASE_PAUSE_S)
+        if self.seed % 2:
+            kill_at_s = rng.uniform(seconds / 3, seconds)
+            faults.append(
+                Fault(kill_at_s, '', FaultKind.kill_all, rng.random())
+            )
+        return faults
+
     def _draw_stops(self, at_s: float) -> list[Fault]:
         """Stop a control VM, or entries in a series that overlaps."""
         vms = [self.rng.choice(self.controls)]
--- a/bench/soak/_record.py
+++ b/bench/soak/_record.py
@@ -6,6 +6,7 @@
 from bench.soak._call import Call
 from bench.soak._run import Run
 from bench.soak._stop import Stop
+from bench.soak._stream import Stream
 
 _Spans: TypeAlias = list[tuple[float, float]]
 
@@ -14,7 +15,7 @@
 class Record:
     """Calls, runs by request id, stops, kills and freezes by VM, failures.
 
-    Kills and freezes are pairs of times in seconds of the loop.
+    `streams` are those that callers took up after they had broken. Kills and freezes are pairs of times in seconds of the loop.
     """
 
     def __init__(self) -> None:
@@ -23,6 +24,7 @@
         self.stops: list[Stop] = []
         self.disruptions: defaultdict[str, _Spans] = defaultdict(list)
         self.failures: list[str] = []
+        self.streams: list[Stream] = []
 
     def is_disrupted(self, vm: str, start: float, end: float) -> bool:
         """Tell whether a VM was killed or frozen between two times."""
--- a/bench/soak/_soak.py
+++ b/bench/soak/_soak.py
@@ -65,9 +65,18 @@
             f' {len(self.record.stops)} stops, grace {self.plan.grace_s} s,'
             f' ends {dict(ends)}, statuses {dict(statuses)}, own loop'
             f' {self.max_delay_s:.2f} s late, {len(self.violations)} violations'
+            f'{self._describe_streams()}'
         )
         return self.violations
 
+    def _describe_streams(self) -> str:
+        """Describe what became of the streams that callers took up."""
+        streams = self.record.streams
+        if not streams:
+            return ''
+        whole = sum(one.is_whole for one in streams)
+        return f'; {whole} of {len(streams)} streams taken up became whole'
+
     async def _run_load(self) -> None:
         """Run callers and faults; returns when both have ended."""
         loop = asyncio.get_running_loop()
@@ -93,7 +102,7 @@
             entries = (entry,)
         vms = {self.system.settings.address(vm, 1): vm for vm in entries}
         name = f'{self.plan.seed}-{entry}-{number}'
-        return Caller(name, vms, self.record)
+        return Caller(name, vms, self.record, takes_up=self.plan.has_releases)
 
     async def _monitor(self) -> None:
         """Check the record and the processes at intervals."""
--- a/bench/soak/_soak_system.py
+++ b/bench/soak/_soak_system.py
@@ -18,7 +18,7 @@
 from bench.soak._plan import Plan
 from bench.soak._record import Record
 from bench.soak._soak_vm import SoakVm
-from bench.soak._upstream import Upstream
+from bench.soak._upstream import VERSIONS, Upstream
 from persimmonhold.platform import _names as names
 from persimmonhold.web import (
     Address,
@@ -97,6 +97,9 @@
             await asyncio.gather(
                 *(self._change_configuration() for _ in changes)
             )
+        elif fault.kind is FaultKind.kill_all:
+            vms = self.vms.values()
+            await asyncio.gather(*(vm.kill(fault.amount) for vm in vms))
         elif fault.target in self.upstreams:
             upstream = self.upstreams[fault.target]
             await upstream.suffer(fault.kind, fault.amount)
@@ -137,7 +140,12 @@
         self, name: str, number: int, stack: AsyncExitStack
     ) -> None:
         service = SERVICES[number % len(SERVICES)]
-        upstream = Upstream(name, service, self.record, self.listing.entries)
+        version = ''
+        if self.plan.has_releases:
+            version = VERSIONS[number // len(SERVICES) % len(VERSIONS)]
+        upstream = Upstream(
+            name, service, self.record, self.listing.entries, version
+        )
         self.upstreams[name] = upstream
         await upstream.start()
         stack.push_async_callback(upstream.close)
--- a/bench/soak/_upstream.py
+++ b/bench/soak/_upstream.py
@@ -1,6 +1,7 @@
 """A stand-in upstream that can be made to fail."""
 
 import asyncio
+from types import MappingProxyType
 from typing import Any, Final, final
 
 from bench.soak._fault import FaultKind
@@ -23,13 +24,18 @@
 _SLOW_S: Final = 4.0
 _EVENT_GAP_S: Final = 0.1
 _LIMIT_PER_S: Final = '2'
+_DRAIN_S: Final = 3.2
+_RESTARTS: Final = frozenset((FaultKind.crash, FaultKind.release))
+VERSIONS: Final = ('v1', 'v2')
+_OTHER_VERSIONS: Final = MappingProxyType({'': '', 'v1': 'v2', 'v2': 'v1'})
 
 
 @final
 class Upstream(ExchangeHandler):
     """Serves requests and records their runs.
 
-    Each start has a new name and adds an entry to `listed`.
+    Each start adds an entry to `listed`, under a new name but after a release.
+    `version` is that of its software, or empty if there are no releases.
     """
 
     def __init__(
@@ -38,8 +44,10 @@
         service: str,
         record: Record,
         listed: list[dict[str, Any]],
+        version: str = '',
     ) -> None:
         self.name = name
+        self.version = version
         self.service = service
         self.record = record
         self.listed = listed
@@ -49,14 +57,14 @@
         self.is_crashing = False
         self.server = HttpServer(Address('127.0.0.1', 0), self, HttpBounds())
 
-    async def start(self) -> None:
-        """Listen under a new process name."""
+    async def start(self, process_name: str = '') -> None:
+        """Listen under a process name, by default a new one."""
         self.is_crashing = False
         self.server = HttpServer(Address('127.0.0.1', 0), self, HttpBounds())
         await self.server.__aenter__()
         born = self.entry['born'] + 1
         self.entry = {
-            'id': f'i-{self.name}-{born}',
+            'id': process_name or f'i-{self.name}-{born}',
             'service': self.service,
             'address': str(self.server.address),
             'zone': 'a',
@@ -64,6 +72,8 @@
             'slots': _SLOTS,
             'born': born,
         }
+        if self.version:
+            self.entry['version'] = self.version
         self.listed.append(self.entry)
 
     async def close(self) -> None:
@@ -79,11 +89,17 @@
         if self.fault is not None:
             return
         self.fault = kind
-        if kind is FaultKind.crash:
+        if kind is FaultKind.release:
+            self.entry['state'] = 'draining'
+            await asyncio.sleep(_DRAIN_S)
+        process_name = self.entry['id'] if kind is FaultKind.release else ''
+        if kind in _RESTARTS:
             await self.close()
         await asyncio.sleep(length_s)
-        if kind is FaultKind.crash:
-            await self.start()
+        if kind is FaultKind.release:
+            self.version = _OTHER_VERSIONS[self.version]
+        if kind in _RESTARTS:
+            await self.start(process_name)
         self.fault = None
 
     async def serve(self, exchange: Exchange) -> None:
@@ -127,28 +143,30 @@
             return
         request_id = head.header(names.REQUEST_ID)
         own = {names.REQUEST_ID: request_id, names.SIGNATURE: request_id}
+        if self.entry['state'] == 'draining':
+            own[names.LEAVING] = '1'
         if self.fault is FaultKind.limited:
             own[names.REQUEST_LIMIT] = _LIMIT_PER_S
         if head.header(EVENTS_HEADER) == '0':
-            body = build_body(request_id, 0)
+            body = build_body(request_id)
             await exchange.respond(200, body, headers=encode_headers(own))
             return
         own['content-type'] = 'text/event-stream'
         await exchange.start_response(200, encode_headers(own))
         first = int(head.header(names.RESUME_AFTER) or 0) + 1
         for number in range(first, int(head.header(EVENTS_HEADER)) + 1):
-            await exchange.send_body_chunk(_build_event(request_id, number))
+            event = build_event(request_id, number, self.version)
+            await exchange.send_body_chunk(event)
             await asyncio.sleep(_EVENT_GAP_S)
         await exchange.finish_response()
 
 
-def build_body(request_id: str, event_count: int) -> bytes:
-    """Return the body of a response, with events if their count is not 0."""
-    if event_count:
-        numbers = range(1, event_count + 1)
-        return b''.join(_build_event(request_id, one) for one in numbers)
+def build_body(request_id: str) -> bytes:
+    """Return the body of a response that is no stream."""
     return request_id.encode('ascii').ljust(_BODY_BYTES, b'.')
 
 
-def _build_event(request_id: str, number: int) -> bytes:
-    return b'id: %d\ndata: %s\n\n' % (number, request_id.encode('ascii'))
+def build_event(request_id: str, number: int, version: str) -> bytes:
+    """Return an event of a stream, which names the version of the upstream."""
+    text = f'id: {number}\ndata: {request_id} {version}\n\n'
+    return text.encode('ascii')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,14 +10,17 @@
 
 from bench.soak._call import Call, CallEnd
 from bench.soak._checks import find_violations
+from bench.soak._fault import FaultKind
 from bench.soak._plan import Plan
 from bench.soak._record import Record
 from bench.soak._run import Run
 from bench.soak._soak import Soak
 from bench.soak._stop import Stop
+from bench.soak._stream import Stream
 from persimmonhold.web import ClientRequest
 
 _SEED: Final = 6  # planned stops only, grace period of 3 s
+_RELEASE_SEED: Final = 3  # kills and freezes, too
 _SECONDS: Final = 8.0
 _VM_COUNT: Final = 5
 _TIMEOUT_S: Final = 60.0
@@ -62,6 +65,40 @@
     )
 
 
+def test_short_run_with_releases_breaks_no_promise(tmp_path: Path) -> None:
+    """Upstreams restart under their names; all VMs are killed at once."""
+    plan = Plan(_RELEASE_SEED, _SECONDS, _VM_COUNT, has_releases=True)
+    kinds = {fault.kind for fault in plan.faults}
+    assert_that(kinds >= {FaultKind.release, FaultKind.kill_all}, Equals(True))
+    soak = Soak(plan, tmp_path / 'soak')
+    found = asyncio.run(asyncio.wait_for(soak.run(), _TIMEOUT_S))
+    assert_that(found, Equals(set()))
+
+
+@pytest.mark.parametrize('count', [2, 3])
+def test_streams_of_two_versions_are_found(count: int) -> None:
+    record = Record()
+    for number in range(count):
+        stream = Stream(f'r{number}', 3)
+        assert_that(
+            stream.add_events('r', b'id: 1\ndata: r v1\n\n'), Equals('')
+        )
+        assert_that(
+            stream.add_events('s', b'id: 2\ndata: s v2\n\n'), Equals('')
+        )
+        record.streams.append(stream)
+    assert_that(list(find_violations(record)), HasLength(int(count > 2)))
+
+
+@pytest.mark.parametrize(
+    'received', [b'id: 2\ndata: r v1\n\n', b'id: 1\ndata: s v1\n\n']
+)
+def test_event_out_of_order_or_of_another_request_is_found(
+    received: bytes,
+) -> None:
+    assert_that(Stream('r', 3).add_events('r', received), Not(Equals('')))
+
+
 def test_schedule_follows_from_the_seed() -> None:
     faults = [Plan(seed, 30, 8).faults for seed in (1, 1, 2)]
     assert_that(faults[0], Equals(faults[1]))
