Split the tests of mixed builds from those of recorded builds

It moves to tests/version_fleet.py, and the tests that run beside an earlier build move to tests/test_mixed_builds.py.

--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -344,6 +344,28 @@
             former.cancel()
         self.client_tasks[name] = task
 
+    @property
+    def leader_name(self) -> str:
+        """The name of the VM that leads control."""
+        leader = self.system.leader
+        return next(
+            name
+            for name in self.system.control_names
+            if self.system.vms[name].node is leader
+        )
+
+    def set_version(self, version: str, *names: str) -> None:
+        """Have processes of a software version run upstreams, or all."""
+        for name in names or self.upstreams:
+            self.upstreams[name].software_version = version
+            self.upstreams[name].born_ms += 1
+
+    def restart_entries(self) -> None:
+        """Restart all entries at once; they know nothing then."""
+        for entry in self.entries:
+            self.services.pop(entry).hub.close()
+            self.start_entry(entry)
+
     async def restart_all(self, wiped: str = '') -> None:
         """Kill all processes at once, and start them again a second later.
 
@@ -358,18 +380,11 @@
             await self.system.restart(name)
         for name in self.system.control_names:
             self.start_controller(name)
-        for name in self.entries:
-            self.services.pop(name).hub.close()
-            self.start_entry(name)
+        self.restart_entries()
 
     async def disturb_leader(self, fault: str) -> None:
         """Kill, cut off or pause the leader of control for a while."""
-        leader = self.system.leader
-        name = next(
-            one
-            for one in self.system.control_names
-            if self.system.vms[one].node is leader
-        )
+        name = self.leader_name
         if fault != 'kill':
             await self.disturb({name}, fault)
             return
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import math
 import random
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, cast
 
@@ -16,76 +14,44 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, IsInstance
+from testtools.matchers import Contains, Equals
 
 from bench.virtual_loop import run_in_virtual_time
-from persimmonhold.control.machine import (
-    Command,
-    ControlStateMachine,
-    RecordOrderEnd,
-    change_streams,
-)
-from persimmonhold.control.shell import ControlApplier
-from persimmonhold.fleet import EntryReport
+from persimmonhold.control.machine import Command, ControlStateMachine
 from persimmonhold.forwarding import FleetRunner
 from persimmonhold.forwarding._build_log import BuildLog
-from persimmonhold.forwarding._stream_origin_server import StreamOriginServer
-from persimmonhold.messages import OrderOutcome
 from persimmonhold.streams import (
     STREAM_LIFE_S,
     BuildHistory,
     BuildPlanner,
     SeenBuild,
     ServedBuilds,
-    StreamChange,
-    StreamOrigin,
-    StreamOriginReply,
-    StreamOriginRequest,
 )
-from persimmonhold.transport import Channel
 from tests.fleet_builders import make_listed
 from tests.limited_fleet import LimitedFleet
+from tests.version_fleet import (
+    NEW,
+    OLD,
+    Runner,
+    Scenario,
+    find_origins,
+    release,
+    run_versions,
+    wait_for_leader,
+)
 
-Scenario = Callable[[LimitedFleet], Awaitable[None]]
-Runner = Callable[[Scenario], None]
-_OLD = StreamOrigin('models', 'v1')
-_NEW = StreamOrigin('models', 'v2')
-_LIST_S = 1.5  # until the controller has read a list and told the entries
 _BUILDS = ('v1', 'v2', 'v3')
 
 
 @pytest.fixture
 def run_fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Runner:
-    async def run_scenario(scenario: Scenario) -> None:
-        fleet = LimitedFleet(5, tmp_path, monkeypatch)
-        for upstream in fleet.upstreams.values():
-            upstream.software_version = 'v1'
-        async with fleet:
-            await asyncio.sleep(2)
-            await scenario(fleet)
-
-    return lambda scenario: run_in_virtual_time(run_scenario(scenario))
-
-
-async def _release(fleet: LimitedFleet, *names: str) -> None:
-    """Replace upstreams, by default all, by ones of another version."""
-    for name in names or fleet.upstreams:
-        fleet.upstreams[name].software_version = 'v2'
-        fleet.upstreams[name].born_ms += 1
-    await asyncio.sleep(_LIST_S)
-
-
-async def _find_origins(fleet: LimitedFleet) -> set[StreamOrigin | None]:
-    """Return where all entries believe that an unknown stream began."""
-    return {
-        await services.fleet_client.find_stream_origin('models', 'lost')
-        for services in fleet.services.values()
-    }
+    """Run a scenario that begins with one version."""
 
+    def run(scenario: Scenario) -> None:
+        fleet = LimitedFleet(5, tmp_path, monkeypatch)
+        run_in_virtual_time(run_versions(fleet, scenario, 'v1'))
 
-async def _wait_for_leader(fleet: LimitedFleet) -> None:
-    await fleet.system.wait_for_leader()
-    await asyncio.sleep(_LIST_S)
+    return run
 
 
 @pytest.mark.parametrize('wiped', ['', 'vm1'])
@@ -96,13 +62,13 @@
     """Streams of a version that had just left went on at the one left."""
 
     async def scenario(fleet: LimitedFleet) -> None:
-        await _release(fleet)
+        await release(fleet)
         for _ in range(restarts):
             await fleet.restart_all(wiped)
-            await _wait_for_leader(fleet)
-        assert_that(await _find_origins(fleet), Equals({None}))
+            await wait_for_leader(fleet)
+        assert_that(await find_origins(fleet), Equals({None}))
         await asyncio.sleep(STREAM_LIFE_S)
-        assert_that(await _find_origins(fleet), Equals({_NEW}))
+        assert_that(await find_origins(fleet), Equals({NEW}))
 
     run_fleet(scenario)
 
@@ -115,8 +81,8 @@
 
     async def scenario(fleet: LimitedFleet) -> None:
         await fleet.restart_all(wiped)
-        await _wait_for_leader(fleet)
-        assert_that(await _find_origins(fleet), Equals({_OLD}))
+        await wait_for_leader(fleet)
+        assert_that(await find_origins(fleet), Equals({OLD}))
 
     run_fleet(scenario)
 
@@ -128,15 +94,13 @@
     """No VM that knows of the version is left, but the control log is."""
 
     async def scenario(fleet: LimitedFleet) -> None:
-        await _release(fleet)
+        await release(fleet)
         disturbed = asyncio.create_task(fleet.disturb_leader(fault))
-        for entry in fleet.entries:
-            fleet.services.pop(entry).hub.close()
-            fleet.start_entry(entry)
+        fleet.restart_entries()
         await asyncio.sleep(0.1)
-        assert_that(await _find_origins(fleet), Equals({None}))
+        assert_that(await find_origins(fleet), Equals({None}))
         await disturbed
-        assert_that(await _find_origins(fleet), Equals({None}))
+        assert_that(await find_origins(fleet), Equals({None}))
 
     run_fleet(scenario)
 
@@ -147,16 +111,15 @@
     """A stream would begin at a version that the next leader cannot know."""
 
     async def scenario(fleet: LimitedFleet) -> None:
-        leader = _find_leader(fleet)
+        leader = fleet.leader_name
         others = set(fleet.system.control_names) - {leader}
         fleet.system.network.partition({leader}, others)
-        fleet.upstreams['u1'].software_version = 'v2'
-        fleet.upstreams['u1'].born_ms += 1
+        fleet.set_version('v2', 'u1')
         for _ in range(100):
             await asyncio.sleep(0.02)
             _check_versions_in_use(fleet.runners[leader])
         fleet.system.network.blocked_links.clear()
-        await _wait_for_leader(fleet)
+        await wait_for_leader(fleet)
         for services in fleet.services.values():
             trackers = services.hub.dispatcher.chooser.trackers
             assert_that(trackers['u1'].facts.build, Equals('v2'))
@@ -174,212 +137,6 @@
         assert_that(recorded.builds, Contains(facts.build))
 
 
-class _EarlierOriginServer:
-    """The answers of an earlier build, which guesses by the newest list."""
-
-    def __init__(self, server: StreamOriginServer) -> None:
-        self.transport = server.transport
-        self.build_log = server.build_log
-        self.clock = server.clock
-        self.builds: set[str] = set()
-        self.begun: dict[str, StreamOrigin] = {}
-
-    async def begin_term(self, term: int) -> None:
-        await self.build_log.begin_term(term)
-
-    async def run(self) -> None:
-        await asyncio.Event().wait()
-
-    def record_report(self, report: EntryReport) -> None:
-        self.builds.update(one.build for one in report.builds)
-        self.begun.update(
-            (one.request_id, one.origin) for one in report.streams
-        )
-
-    async def record_list(
-        self, listed: tuple[object, ...]
-    ) -> tuple[object, ...]:
-        self.builds.update(one.software_version for one in listed)  # type: ignore[attr-defined]
-        return listed
-
-    def answer_request(self, entry: str, request: StreamOriginRequest) -> None:
-        origin = self.begun.get(request.begun_as)
-        if origin is None and len(self.builds) == 1:
-            origin = StreamOrigin('models', *self.builds)
-        reply = StreamOriginReply(request_id=request.request_id, origin=origin)
-        fields = msgspec.msgpack.decode(msgspec.msgpack.encode(reply))
-        encoded = msgspec.msgpack.encode(fields[:-1])
-        self.transport.send(entry, Channel.fleet, encoded)
-
-
-def _have_earlier_control(
-    fleet: LimitedFleet, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Have all VMs with control answer as an earlier build."""
-    start_controller = fleet.start_controller
-
-    def start(name: str) -> None:
-        start_controller(name)
-        runner = fleet.runners[name]
-        earlier = _EarlierOriginServer(runner.origin_server)
-        runner.origin_server = earlier  # type: ignore[assignment]
-
-    monkeypatch.setattr(fleet, 'start_controller', start)
-
-
-def test_entry_believes_no_guess_of_earlier_control_that_has_just_started(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """In an upgrade, the VM that leads control may be of an earlier build."""
-
-    async def run_scenario() -> None:
-        fleet = LimitedFleet(5, tmp_path, monkeypatch)
-        _have_earlier_control(fleet, monkeypatch)
-        for upstream in fleet.upstreams.values():
-            upstream.software_version = 'v1'
-        async with fleet:
-            await _release(fleet)
-            await fleet.restart_all()
-            await _wait_for_leader(fleet)
-            assert_that(await _find_origins(fleet), Equals({None}))
-            await asyncio.sleep(STREAM_LIFE_S)
-            assert_that(await _find_origins(fleet), Equals({_NEW}))
-
-    run_in_virtual_time(run_scenario())
-
-
-def test_entry_that_joins_earlier_control_has_streams_go_on(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """An upgrade of the entries must not cost the streams they take up."""
-
-    async def run_scenario() -> None:
-        fleet = LimitedFleet(5, tmp_path, monkeypatch)
-        _have_earlier_control(fleet, monkeypatch)
-        for upstream in fleet.upstreams.values():
-            upstream.software_version = 'v1'
-        async with fleet:
-            await asyncio.sleep(8)
-            for entry in fleet.entries:
-                fleet.services.pop(entry).hub.close()
-                fleet.start_entry(entry)
-            await asyncio.sleep(1)
-            assert_that(await _find_origins(fleet), Equals({_OLD}))
-
-    run_in_virtual_time(run_scenario())
-
-
-def test_entry_believes_earlier_control_that_cannot_guess(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """With several versions, it can only have been told of the stream."""
-
-    async def run_scenario() -> None:
-        fleet = LimitedFleet(5, tmp_path, monkeypatch)
-        _have_earlier_control(fleet, monkeypatch)
-        fleet.upstreams['u1'].software_version = 'v1'
-        fleet.upstreams['u2'].software_version = 'v2'
-        async with fleet:
-            await asyncio.sleep(1)
-            hub = fleet.services[fleet.entries[0]].hub
-            hub.streams.origins.streams.record('lost', _OLD, fleet.now)
-            await asyncio.sleep(1)
-            assert_that(await _find_origins(fleet), Equals({_OLD}))
-
-    run_in_virtual_time(run_scenario())
-
-
-def test_new_leader_after_earlier_control_trusts_no_single_version_at_once(
-    run_fleet: Runner,
-) -> None:
-    """The record is missing then, in the state and in snapshots."""
-
-    async def scenario(fleet: LimitedFleet) -> None:
-        await _release(fleet)
-        log = fleet.runners[_find_leader(fleet)].origin_server.build_log
-        _forget_record(log)
-        for entry in fleet.entries:
-            fleet.services.pop(entry).hub.close()
-            fleet.start_entry(entry)
-        await asyncio.sleep(_LIST_S)
-        assert_that(await _find_origins(fleet), Equals({None}))
-
-    run_fleet(scenario)
-
-
-def _find_leader(fleet: LimitedFleet) -> str:
-    return next(
-        name
-        for name in fleet.system.control_names
-        if fleet.system.vms[name].node is fleet.system.leader
-    )
-
-
-def _forget_record(log: BuildLog) -> None:
-    """Leave the state that an earlier build leaves to the next term."""
-    log.node.state.streams.builds.clear()
-    log.history.last_seen.clear()
-    log.history.known_since = math.inf
-    log.history.observed_at = -math.inf
-    log.planner = BuildPlanner(log.history, ('models',))
-
-
-class _EarlierOrderEnd(
-    msgspec.Struct, frozen=True, kw_only=True, tag='record_order_end'
-):
-    """The command as earlier builds define it."""
-
-    at_ms: int
-    fence: int
-    outcome: OrderOutcome
-
-
-def _create_change() -> StreamChange:
-    return StreamChange(builds=(ServedBuilds('models', ('v1',), True),))
-
-
-def test_earlier_build_applies_a_change_of_the_record_without_effect() -> None:
-    applier = ControlApplier(ControlStateMachine())
-    encoded = applier.encode(change_streams(5, _create_change()))
-    earlier = msgspec.msgpack.decode(encoded, type=_EarlierOrderEnd)
-    expected = _EarlierOrderEnd(
-        at_ms=5, fence=0, outcome=OrderOutcome.no_effect
-    )
-    assert_that(earlier, Equals(expected))
-    plain = RecordOrderEnd(at_ms=5, fence=7, outcome=OrderOutcome.accepted)
-    again = msgspec.msgpack.encode(
-        _EarlierOrderEnd(at_ms=5, fence=7, outcome=OrderOutcome.accepted)
-    )
-    assert_that(applier.encode(plain), Equals(again))
-    assert_that(
-        msgspec.msgpack.decode(again, type=Command), IsInstance(RecordOrderEnd)
-    )
-
-
-def test_record_is_in_snapshots_and_may_be_missing_from_them() -> None:
-    applier = ControlApplier(ControlStateMachine())
-    applier.apply(1, applier.encode(change_streams(5, _create_change())))
-    image = applier.encode_state()
-    restored = ControlApplier(ControlStateMachine())
-    restored.restore(1, image)
-    builds = restored.machine.state.streams.builds
-    assert_that(builds, Equals(applier.machine.state.streams.builds))
-    fields = msgspec.msgpack.decode(image)
-    fields.pop('served_builds')
-    restored.restore(1, msgspec.msgpack.encode(fields))
-    assert_that(restored.machine.state.streams.builds, Equals({}))
-
-
-def test_reports_of_an_earlier_build_prove_nothing() -> None:
-    report = EntryReport(term=1, number=2, sequence=3, observed_s=40)
-    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(report))
-    # The tag comes before the fields; that build ends before the new one.
-    end = 1 + EntryReport.__struct_fields__.index('observed_s')
-    earlier = msgspec.msgpack.encode(fields[:end])
-    decoded = msgspec.msgpack.decode(earlier, type=EntryReport)
-    assert_that(decoded.observed_s, Equals(0))
-
-
 def _happens(rng: random.Random) -> bool:
     """Tell whether something rare happens at a list, once in 40."""
     return not rng.randrange(40)
--- a/tests/test_recorded_streams.py
+++ b/tests/test_recorded_streams.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from types import MappingProxyType
 
@@ -34,31 +33,31 @@
 from persimmonhold.streams._stream_record import digest_request_id
 from tests.fleet_builders import make_route
 from tests.limited_fleet import LimitedFleet
+from tests.version_fleet import (
+    LIST_S,
+    NEW,
+    OLD,
+    Runner,
+    Scenario,
+    find_origins,
+    run_versions,
+    wait_for_leader,
+)
 
-Scenario = Callable[[LimitedFleet], Awaitable[None]]
-Runner = Callable[[Scenario], None]
-_ORIGINS = MappingProxyType({
-    'u1': StreamOrigin('models', 'v1'),
-    'u2': StreamOrigin('models', 'v2'),
-})
+_ORIGINS = MappingProxyType({'u1': OLD, 'u2': NEW})
 _BOTH = (ServedBuilds('models', ('v1', 'v2'), True),)
 _RECORDED_S = 0.6  # until the streams of all entries are reported and recorded
-_LIST_S = 1.5
 
 
 @pytest.fixture
 def run_fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Runner:
     """Run a scenario with two upstreams of a version each."""
 
-    async def run_scenario(scenario: Scenario) -> None:
+    def run(scenario: Scenario) -> None:
         fleet = LimitedFleet(5, tmp_path, monkeypatch)
-        fleet.upstreams['u1'].software_version = 'v1'
-        fleet.upstreams['u2'].software_version = 'v2'
-        async with fleet:
-            await asyncio.sleep(2)
-            await scenario(fleet)
+        run_in_virtual_time(run_versions(fleet, scenario, 'v1', 'v2'))
 
-    return lambda scenario: run_in_virtual_time(run_scenario(scenario))
+    return run
 
 
 async def _begin_streams(fleet: LimitedFleet) -> None:
@@ -83,22 +82,11 @@
 
 async def _check_origins(fleet: LimitedFleet) -> None:
     """Check that all entries know where all streams began."""
-    await fleet.system.wait_for_leader()
-    await asyncio.sleep(_LIST_S)
-    for services in fleet.services.values():
-        for entry in fleet.entries:
-            for upstream, origin in _ORIGINS.items():
-                found = await services.fleet_client.find_stream_origin(
-                    'models', f'{entry} {upstream}'
-                )
-                assert_that(found, Equals(origin))
-
-
-def _restart_entries(fleet: LimitedFleet) -> None:
-    """Restart all entries at once; they know nothing then."""
+    await wait_for_leader(fleet)
     for entry in fleet.entries:
-        fleet.services.pop(entry).hub.close()
-        fleet.start_entry(entry)
+        for upstream, origin in _ORIGINS.items():
+            found = await find_origins(fleet, f'{entry} {upstream}')
+            assert_that(found, Equals({origin}))
 
 
 @pytest.mark.parametrize('fault', ['kill', 'cut', 'pause'])
@@ -109,7 +97,7 @@
 
     async def scenario(fleet: LimitedFleet) -> None:
         await _begin_streams(fleet)
-        _restart_entries(fleet)
+        fleet.restart_entries()
         await fleet.disturb_leader(fault)
         await _check_origins(fleet)
 
@@ -136,21 +124,17 @@
     """They need no record before, and one afterwards."""
 
     async def scenario(fleet: LimitedFleet) -> None:
-        fleet.upstreams['u2'].software_version = 'v1'
-        await asyncio.sleep(STREAM_LIFE_S + _LIST_S)
+        fleet.set_version('v1', 'u2')
+        await asyncio.sleep(STREAM_LIFE_S + LIST_S)
         await _begin_streams(fleet)
         record = fleet.system.leader.state.streams
         assert_that(record.begun, Equals(()))
-        fleet.upstreams['u2'].software_version = 'v2'
-        await asyncio.sleep(_LIST_S)
+        fleet.set_version('v2', 'u2')
+        await asyncio.sleep(LIST_S)
         await fleet.restart_all()
-        await fleet.system.wait_for_leader()
-        await asyncio.sleep(_LIST_S)
-        for services in fleet.services.values():
-            found = await services.fleet_client.find_stream_origin(
-                'models', f'{fleet.entries[0]} u2'
-            )
-            assert_that(found, Equals(_ORIGINS['u1']))
+        await wait_for_leader(fleet)
+        found = await find_origins(fleet, f'{fleet.entries[0]} u2')
+        assert_that(found, Equals({OLD}))
 
     run_fleet(scenario)
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -29,25 +28,26 @@
 from persimmonhold.streams._stream_registry import StreamRegistry
 from tests.fleet_builders import make_route
 from tests.limited_fleet import LimitedFleet
+from tests.version_fleet import (
+    NEW,
+    OLD,
+    Runner,
+    Scenario,
+    find_origins,
+    release,
+    run_versions,
+)
 
-Scenario = Callable[[LimitedFleet], Awaitable[None]]
-Runner = Callable[[Scenario], None]
-_OLD = StreamOrigin('models', 'v1')
-_NEW = StreamOrigin('models', 'v2')
 _REPORT_S = 0.3  # until the fleet controller has a report
 
 
 @pytest.fixture
 def run_fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Runner:
-    async def run_scenario(scenario: Scenario) -> None:
+    def run(scenario: Scenario) -> None:
         fleet = LimitedFleet(7, tmp_path, monkeypatch)
-        for upstream in fleet.upstreams.values():
-            upstream.software_version = 'v1'
-        async with fleet:
-            await asyncio.sleep(2)
-            await scenario(fleet)
+        run_in_virtual_time(run_versions(fleet, scenario, 'v1'))
 
-    return lambda scenario: run_in_virtual_time(run_scenario(scenario))
+    return run
 
 
 def _begin_stream(fleet: LimitedFleet, entry: str, request_id: str) -> None:
@@ -67,29 +67,9 @@
     hub.streams.record_begun(request, facts)
 
 
-async def _find_origins(
-    fleet: LimitedFleet, begun_as: str
-) -> set[StreamOrigin | None]:
-    """Return where all entries believe that a stream began."""
-    return {
-        await services.fleet_client.find_stream_origin('models', begun_as)
-        for services in fleet.services.values()
-    }
-
-
-async def _release(fleet: LimitedFleet) -> None:
-    """Replace both upstreams by ones of another version."""
-    for upstream in fleet.upstreams.values():
-        upstream.software_version = 'v2'
-        upstream.born_ms += 1
-    await asyncio.sleep(1.5)
-
-
 async def _restart_entries(fleet: LimitedFleet) -> None:
-    """Restart all entries at once; they know nothing then."""
-    for entry in fleet.entries:
-        fleet.services.pop(entry).hub.close()
-        fleet.start_entry(entry)
+    """Restart all entries at once, and wait until they have joined."""
+    fleet.restart_entries()
     await asyncio.sleep(1)
 
 
@@ -97,8 +77,8 @@
     async def scenario(fleet: LimitedFleet) -> None:
         _begin_stream(fleet, fleet.entries[0], 's1')
         await asyncio.sleep(_REPORT_S)
-        await _release(fleet)
-        assert_that(await _find_origins(fleet, 's1'), Equals({_OLD}))
+        await release(fleet)
+        assert_that(await find_origins(fleet, 's1'), Equals({OLD}))
 
     run_fleet(scenario)
 
@@ -110,11 +90,11 @@
         for number, entry in enumerate(fleet.entries):
             _begin_stream(fleet, entry, f's{number}')
         await asyncio.sleep(_REPORT_S)
-        await _release(fleet)
+        await release(fleet)
         await _restart_entries(fleet)
         for number, _ in enumerate(fleet.entries):
-            found = await _find_origins(fleet, f's{number}')
-            assert_that(found, Equals({_OLD}))
+            found = await find_origins(fleet, f's{number}')
+            assert_that(found, Equals({OLD}))
 
     run_fleet(scenario)
 
@@ -123,14 +103,14 @@
     run_fleet: Runner,
 ) -> None:
     async def scenario(fleet: LimitedFleet) -> None:
-        assert_that(await _find_origins(fleet, 'lost'), Equals({_OLD}))
-        await _release(fleet)
+        assert_that(await find_origins(fleet, 'lost'), Equals({OLD}))
+        await release(fleet)
         await _restart_entries(fleet)
         for begun_as in ('lost', ''):
-            found = await _find_origins(fleet, begun_as)
+            found = await find_origins(fleet, begun_as)
             assert_that(found, Equals({None}))
         await asyncio.sleep(STREAM_LIFE_S)
-        assert_that(await _find_origins(fleet, 'lost'), Equals({_NEW}))
+        assert_that(await find_origins(fleet, 'lost'), Equals({NEW}))
 
     run_fleet(scenario)
 
@@ -142,10 +122,10 @@
     async def scenario(fleet: LimitedFleet) -> None:
         _begin_stream(fleet, fleet.entries[0], 's1')
         await asyncio.sleep(1)
-        await _release(fleet)
+        await release(fleet)
         await fleet.disturb_leader(fault)
-        assert_that(await _find_origins(fleet, 's1'), Equals({_OLD}))
-        assert_that(await _find_origins(fleet, 'lost'), Equals({None}))
+        assert_that(await find_origins(fleet, 's1'), Equals({OLD}))
+        assert_that(await find_origins(fleet, 'lost'), Equals({None}))
 
     run_fleet(scenario)
 
@@ -159,7 +139,7 @@
         _begin_stream(fleet, fleet.entries[0], 's1')
         await asyncio.sleep(_REPORT_S)
         expected = StreamOrigin('models', 'u1@1')
-        assert_that(await _find_origins(fleet, 's1'), Equals({expected}))
+        assert_that(await find_origins(fleet, 's1'), Equals({expected}))
 
     run_fleet(scenario)
 
@@ -167,10 +147,10 @@
 def test_registry_of_streams_is_bounded() -> None:
     registry = StreamRegistry()
     for number in range(70_000):
-        registry.record(f's{number}', _OLD, number / 10_000)
+        registry.record(f's{number}', OLD, number / 10_000)
     assert_that(len(registry.begun), LessThan(65_537))
-    assert_that(registry.find_origin('s69999', 7), Equals(_OLD))
-    registry.record('late', _NEW, 7 + 2 * STREAM_LIFE_S)
+    assert_that(registry.find_origin('s69999', 7), Equals(OLD))
+    registry.record('late', NEW, 7 + 2 * STREAM_LIFE_S)
     assert_that(len(registry.begun), Equals(1))
 
 
