--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -416,6 +416,7 @@
             for one in _ROUTES
             for upstreams in (4, 6)
         ),
+        pytest.param(_RESUMABLE, 4, 5, id='resumable-4-seed5'),
         pytest.param(_RESUMABLE, 4, 19, id='resumable-4-seed19'),
     ],
 )
