--- a/bench/soak/_caller.py
+++ b/bench/soak/_caller.py
@@ -90,7 +90,7 @@
         self.record.streams.append(stream)
         for number in range(_MAX_TRIES):
             await asyncio.sleep(_FIRST_WAIT_S * 2**number)
-            if stream.is_whole:
+            if stream.is_whole or self.is_over:
                 return
             again = _continue_call(call, stream, number)
             address = random.choice(list(self.vms))
