--- a/bench/soak/_upstream.py
+++ b/bench/soak/_upstream.py
@@ -34,7 +34,7 @@
 class Upstream(ExchangeHandler):
     """Serves requests and records their runs.
 
-    Each start adds an entry to `listed`, under a new name but after a release.
+    Each start adds an entry to `listed`, under a new name except after a release.
     `version` is that of its software, or empty if there are no releases.
     """
 
--- a/persimmonhold/replication/_address_book.py
+++ b/persimmonhold/replication/_address_book.py
@@ -8,7 +8,7 @@
 
 @final
 class AddressBook:
-    """The newest addresses (`ip:port`) by VM name, and who wants to know.
+    """The newest addresses (`ip:port`) by VM name, and their listeners.
 
     Without a leader nobody else tells where the other members are, so the
     first addresses are those of the stored log.
