Log and count requests that the entry cuts apart from those whose callers left

A connection now keeps what closed it (the peer, an eviction, an unread response, the end of the process, an error), and the request line has it as closed_by; its outcome is cut unless the peer closed. No change of what callers get.

Tests: five cases of tests/test_cancelled_attempts.py; the fields did not exist before.

--- a/persimmonhold/entry/_caller_response.py
+++ b/persimmonhold/entry/_caller_response.py
@@ -30,6 +30,7 @@
     select_end_to_end_headers,
 )
 
+_ABANDONED: Final = 'abandoned'  # until a response is sent
 _REPLAYED_HEADER: Final = 'persimmonhold-replayed'
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 
@@ -61,11 +62,17 @@
         """Create a response that has not started."""
         self.exchange = exchange
         self.ended = asyncio.Event()
-        self.outcome = 'abandoned'
+        self.outcome = _ABANDONED
         self._request_id = request_id
         self._service_class = service_class
         self._metrics = metrics
 
+    def settle_outcome(self) -> str:
+        """Return the outcome; `cut` if the caller still waits for a response."""
+        if self.outcome == _ABANDONED and self.exchange.was_cut:
+            self.outcome = 'cut'
+        return self.outcome
+
     def send_head(self, head: ResponseHead, body_length: int | None) -> None:
         """Send the head.
 
--- a/persimmonhold/entry/_request_runner.py
+++ b/persimmonhold/entry/_request_runner.py
@@ -280,5 +280,7 @@
         self.caller_response.ended.set()
         route = self._dispatch.route if self._dispatch else None
         self._report.record_end(
-            self.caller_response.outcome, self.machine.attempt_number, route
+            self.caller_response.settle_outcome(),
+            self.machine.attempt_number,
+            route,
         )
--- a/persimmonhold/explanation/_request_explanation.py
+++ b/persimmonhold/explanation/_request_explanation.py
@@ -76,6 +76,7 @@
     'stopping': 'the entry was told to stop, and could not finish it in time',
     'time_over': 'the deadline of its route or caller had passed',
     'abandoned': 'its caller disconnected',
+    'cut': 'the entry closed its connection without a response',
 })
 
 
--- a/persimmonhold/forwarding/_forward_response_writer.py
+++ b/persimmonhold/forwarding/_forward_response_writer.py
@@ -17,6 +17,7 @@
 )
 
 _BODILESS: Final = frozenset((204, 304))  # statuses without a body
+_ABANDONED: Final = 'abandoned'  # until a response is sent
 
 
 @final
@@ -47,7 +48,7 @@
         self.first_write_at = 0.0
         self.last_write_at = 0.0
         self.longest_gap_s = 0.0
-        self.outcome = 'abandoned'
+        self.outcome = _ABANDONED
         self.status = 0
 
     @property
@@ -55,6 +56,12 @@
         """Tell whether the response head was sent."""
         return self.exchange.has_response_started
 
+    def settle_outcome(self) -> str:
+        """Return the outcome; `cut` if the caller still waits for a response."""
+        if self.outcome == _ABANDONED and self.exchange.was_cut:
+            self.outcome = 'cut'
+        return self.outcome
+
     def write_head(
         self, head: ResponseHead, body_size_bytes: int | None
     ) -> None:
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -422,6 +422,7 @@
         if self.unsent_credit is not None:
             self.services.find_quota_client().return_credit(self.unsent_credit)
         dispatch_request = self.request.dispatch_request
+        outcome = self.response_writer.settle_outcome()
         total_s = self.services.hub.clock() - dispatch_request.arrived_at
         first_s = max(
             0, self.response_writer.first_write_at - dispatch_request.arrived_at
@@ -429,7 +430,7 @@
         self.services.metrics.increment(
             metric.REQUESTS,
             service_class=dispatch_request.route.kind.value,
-            outcome=self.response_writer.outcome,
+            outcome=outcome,
         )
         self._count_for_workspace()
         log_event(
@@ -439,7 +440,8 @@
             workspace=dispatch_request.workspace,
             model=dispatch_request.profile.model,
             adapter=dispatch_request.profile.adapter,
-            outcome=self.response_writer.outcome,
+            outcome=outcome,
+            closed_by=self.response_writer.exchange.close_cause or '',
             status=self.response_writer.status,
             runs=self.state.run_count,
             from_entry=self.request.is_relayed,
--- a/persimmonhold/web/__init__.py
+++ b/persimmonhold/web/__init__.py
@@ -6,6 +6,7 @@
 from persimmonhold.web._buffer_share import BufferShare
 from persimmonhold.web._client_connection import ClientConnection
 from persimmonhold.web._client_request import ClientRequest
+from persimmonhold.web._close_cause import CloseCause
 from persimmonhold.web._connection_buffers import CONNECTION_BYTES
 from persimmonhold.web._end_to_end import select_end_to_end_headers
 from persimmonhold.web._exchange import Exchange
@@ -64,6 +65,7 @@
     'ResponseBodySink',
     'ClientConnection',
     'ClientRequest',
+    'CloseCause',
     'Exchange',
     'ExchangeHandler',
     'FetchedResponse',
--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -6,6 +6,7 @@
 from persimmonhold.failures import FailureKind
 from persimmonhold.web._buffer_holder import BufferHolder
 from persimmonhold.web._buffer_share import BufferShare
+from persimmonhold.web._close_cause import CloseCause
 from persimmonhold.web._memory_budget import MemoryBudget
 
 if TYPE_CHECKING:
@@ -148,7 +149,7 @@
         if exchange is not None:
             exchange.discard_body()
         self.close()
-        self.connection.abort()
+        self.connection.abort(CloseCause.eviction)
 
     @property
     def _has_long_pipeline(self) -> bool:
--- a/persimmonhold/web/_exchange.py
+++ b/persimmonhold/web/_exchange.py
@@ -16,6 +16,7 @@
 
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.web._buffer_share import BufferShare
+from persimmonhold.web._close_cause import CloseCause
 from persimmonhold.web._headers import Headers, encode_headers
 from persimmonhold.web._memory_budget import MemoryBudget
 from persimmonhold.web._request_head import RequestHead
@@ -65,6 +66,20 @@
         """Whether the request body was neither received whole nor refused."""
         return not self._body_ended.is_set()
 
+    @property
+    def close_cause(self) -> CloseCause | None:
+        """Why the connection was closed; None while it is open."""
+        return self._connection.close_cause
+
+    @property
+    def was_cut(self) -> bool:
+        """Whether the request has no whole response, and its peer still waits.
+
+        Only meaningful once the request has ended.
+        """
+        is_left = self.close_cause is CloseCause.peer
+        return not self.has_response_ended and not is_left
+
     @property
     def budget(self) -> MemoryBudget:
         """The memory that the process has for its peers."""
@@ -178,7 +193,7 @@
         The peer then sees a truncated response.
         """
         if not self.has_response_ended:
-            self._connection.abort()
+            self._connection.abort(CloseCause.broken_response)
 
     def receive_body_chunk(self, chunk: bytes) -> None:
         """Store a part of the request body, or refuse the body.
--- a/persimmonhold/web/_server.py
+++ b/persimmonhold/web/_server.py
@@ -7,6 +7,7 @@
 
 from persimmonhold.web._address import Address
 from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._close_cause import CloseCause
 from persimmonhold.web._exchange_handler import ExchangeHandler
 from persimmonhold.web._memory_budget import MemoryBudget
 from persimmonhold.web._server_connection import ServerConnection
@@ -84,7 +85,7 @@
         """Close the socket and every connection."""
         self._stop_listening()
         for connection in tuple(self._connections):
-            connection.abort()
+            connection.abort(CloseCause.process_end)
         await asyncio.sleep(0)
 
     @property
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -17,6 +17,7 @@
 
 from persimmonhold.failures import FailureKind
 from persimmonhold.web._bounds import HttpBounds
+from persimmonhold.web._close_cause import CloseCause
 from persimmonhold.web._connection_buffers import ConnectionBuffers
 from persimmonhold.web._connection_timer import ConnectionTimer
 from persimmonhold.web._exchange import Exchange
@@ -43,7 +44,10 @@
 
 @final
 class ServerConnection(ReadProtocol):
-    """Parses requests with h11 and serves them through a handler."""
+    """Parses requests with h11 and serves them through a handler.
+
+    `close_cause` is None while the connection is open.
+    """
 
     def __init__(
         self,
@@ -57,6 +61,7 @@
         self.budget = budget
         self.buffers = ConnectionBuffers(self, budget)
         self.is_close_announced = False
+        self.close_cause: CloseCause | None = None
         self.on_open: Callable[[ServerConnection], None] | None = None
         self.is_refused = False
         self._handler = handler
@@ -125,6 +130,7 @@
         """Cancel the task of the request in progress and call `on_close`."""
         self.timer.stop()
         self._transport = None
+        self.close_cause = self.close_cause or CloseCause.peer
         self.buffers.close()
         self._writable.set()
         if self._task is not None:
@@ -134,7 +140,10 @@
     def pause_writing(self) -> None:
         """Block senders while the peer reads slowly, for a limited time."""
         self._writable.clear()
-        self.timer.start(self.bounds.send_timeout_s, self.abort)
+        self.timer.start(
+            self.bounds.send_timeout_s,
+            partial(self.abort, CloseCause.unread_response),
+        )
         self.buffers.pause_output()
 
     def resume_writing(self) -> None:
@@ -178,9 +187,10 @@
         if not self._writable.is_set():
             await self._writable.wait()
 
-    def abort(self) -> None:
+    def abort(self, cause: CloseCause) -> None:
         """Close the connection at once and drop unsent bytes."""
         self._is_lingering = True
+        self.close_cause = self.close_cause or cause
         if self._transport is not None:
             self._transport.abort()
 
@@ -222,7 +232,11 @@
     def _close(self) -> None:
         """Close after the peer has read what was sent, for a limited time."""
         if self._transport is not None:
-            self.timer.start(self.bounds.send_timeout_s, self.abort)
+            self.close_cause = self.close_cause or CloseCause.finished
+            self.timer.start(
+                self.bounds.send_timeout_s,
+                partial(self.abort, CloseCause.unread_response),
+            )
             self._transport.close()
 
     def _process_events(self) -> None:
@@ -306,7 +320,7 @@
         try:
             await self._handler.serve(exchange)
         except h11.LocalProtocolError:
-            self.abort()
+            self.abort(CloseCause.error)
         finally:
             self._end_exchange(exchange)
 
@@ -323,7 +337,7 @@
             if self._writable.is_set():
                 self._start_next_cycle()
         elif exchange.has_response_started:
-            self.abort()
+            self.abort(CloseCause.error)
         else:
             self._reject(_INTERNAL_ERROR)
 
@@ -364,7 +378,7 @@
             _write_rejection(self, self._handler.build_rejection(refused))
         elif self.exchange is not None:
             # The request body is malformed and the response has begun.
-            self.abort()
+            self.abort(CloseCause.peer)
         self._linger()
 
     def _linger(self) -> None:
@@ -382,7 +396,7 @@
         self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self.timer.start(_LINGER_S, self.abort)
+        self.timer.start(_LINGER_S, partial(self.abort, CloseCause.finished))
 
 
 def _write_rejection(
--- a/tests/test_cancelled_attempts.py
+++ b/tests/test_cancelled_attempts.py
@@ -131,6 +131,47 @@
     assert_that(_find(lines, 'request')['runs'], Equals(0))
 
 
+def test_request_whose_caller_left_is_logged_as_abandoned(
+    lines: _Lines,
+) -> None:
+    async def scenario(harness: ForwardingHarness) -> None:
+        await harness.start_upstream(_hang)
+        await _leave(harness)
+
+    _run(scenario)
+    logged = _find(lines, 'request')
+    assert_that(logged['outcome'], Equals('abandoned'))
+    assert_that(logged['closed_by'], Equals('peer'))
+
+
+@pytest.mark.parametrize('script', [_hang, _begin_stream])
+@pytest.mark.parametrize('cause', ['process_end', 'eviction'])
+def test_request_that_the_entry_cuts_is_logged_as_cut(
+    lines: _Lines,
+    script: Callable[[Exchange], Awaitable[None]],
+    cause: str,
+) -> None:
+    """A cut request must not be taken for one whose caller left."""
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(RouteKind.stream)
+        await harness.start_upstream(script)
+        call = asyncio.create_task(harness.send_request())
+        await asyncio.sleep(_WAIT_S)
+        if cause == 'eviction':
+            connection = next(iter(harness.server._connections))
+            connection.buffers.close_at_once()
+        else:
+            await harness.server.__aexit__(None, None, None)
+        await call
+        await asyncio.sleep(_WAIT_S)
+
+    _run(scenario)
+    logged = _find(lines, 'request')
+    assert_that(logged['outcome'], Equals('cut'))
+    assert_that(logged['closed_by'], Equals(cause))
+
+
 def test_explanation_names_the_cancelled_attempt(lines: _Lines) -> None:
     async def scenario(harness: ForwardingHarness) -> None:
         harness.set_route(RouteKind.stream)
