--- a/bench/platform_settings.py
+++ b/bench/platform_settings.py
@@ -13,7 +13,7 @@
     VMs whose name begins with `c` run control and are seeds, others are
     entries. Their hosts are in `network`, the first two bytes of an address,
     and their ports follow `first_port`. `tolerated` control VMs may fail.
-    `bounds` are further lines of the section of that name.
+    VMs are spread over `domains`. `bounds` are further lines of the section of that name.
     `is_first_start` is True until the system has started for the first time.
     """
 
@@ -24,6 +24,7 @@
     grace_s: float
     tolerated: int = 0
     bounds: str = ''
+    domains: tuple[str, ...] = ('a',)
     is_first_start: bool = True
 
     def host(self, name: str) -> str:
@@ -58,7 +59,8 @@
         first_start = str(self.is_first_start).lower()
         ports = f'{self.first_port + 5}, {self.first_port + 6}'
         return (
-            f'node-name = "{name}"\nip = "{self.host(name)}"\nzone = "a"\n'
+            f'node-name = "{name}"\nip = "{self.host(name)}"\n'
+            f'zone = "{self.domains[int(name[1:]) % len(self.domains)]}"\n'
             f'internal-ports = [{ports}]\nseeds = [{addresses}]\n'
             f'bootstrap = {first_start}\n{folder}'
             f'[listen]\n{listen}[cloud]\naddress = "{self.list_address}"\n'
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from bench.soak._plan import Plan
+from bench.soak._shape import Shape
 from bench.soak._soak import Soak
 
 _REGRESSIONS: Final = Path(__file__).with_name('regressions.txt')
@@ -25,6 +26,12 @@
     parser.add_argument('--seeds', default='1-50', help='such as 7 or 1-50')
     parser.add_argument('--seconds', type=float, default=30.0)
     parser.add_argument('--vms', type=int, default=8)
+    parser.add_argument(
+        '--large',
+        type=int,
+        default=0,
+        help='entries before engines, such as 80',
+    )
     parser.add_argument('--releases', action='store_true')
     parser.add_argument('--regressions', action='store_true')
     parser.add_argument('--logs', type=Path, default=Path('target/soak'))
@@ -36,6 +43,7 @@
             arguments.seconds,
             arguments.vms,
             has_releases=arguments.releases,
+            shape=Shape.large(arguments.large) if arguments.large else None,
         )
         for seed in range(int(first), int(last or first) + 1)
     ]
--- a/bench/soak/_caller.py
+++ b/bench/soak/_caller.py
@@ -10,6 +10,7 @@
 from bench.soak._call import Call, CallEnd
 from bench.soak._draw_call import draw_call
 from bench.soak._record import Record
+from bench.soak._shape import Shape
 from bench.soak._stream import Stream
 from bench.soak._upstream import build_body
 from persimmonhold.platform import _names as names
@@ -22,7 +23,6 @@
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _PAUSE_S: Final = 0.1
-_MAX_THINK_S: Final = 0.2
 _MAX_REQUESTS: Final = 60  # on one connection
 _LATE_S: Final = 2.0
 _MAX_TRIES: Final = 4  # to take a stream up
@@ -44,9 +44,11 @@
         vms: dict[str, str],
         record: Record,
         *,
+        shape: Shape,
         takes_up: bool = False,
     ) -> None:
         self.name = name
+        self.shape = shape
         self.vms = vms
         self.record = record
         self.takes_up = takes_up
@@ -71,13 +73,14 @@
                 if self.is_over or not connection.is_reusable:
                     return
                 self.call_count += 1
-                call = draw_call(self.rng, f'{self.name}-{self.call_count}')
+                request_id = f'{self.name}-{self.call_count}'
+                call = draw_call(self.rng, request_id, self.shape)
                 is_open = await self._send(address, connection, call)
                 if self.takes_up and call.is_repeatable and call.event_count:
                     await self._take_up(call)
                 if not is_open:
                     return
-                await asyncio.sleep(self.rng.uniform(0, _MAX_THINK_S))
+                await asyncio.sleep(self.rng.uniform(0, self.shape.think_s))
         finally:
             connection.close()
 
--- a/bench/soak/_draw_call.py
+++ b/bench/soak/_draw_call.py
@@ -4,7 +4,15 @@
 from typing import Final
 
 from bench.soak._call import Call
-from bench.soak._configuration import HOST, NOT_REPEATABLE, ROUTES, STREAMS
+from bench.soak._configuration import (
+    HOST,
+    NOT_REPEATABLE,
+    ROUTES,
+    STREAMS,
+    name_key,
+    name_models,
+)
+from bench.soak._shape import Shape
 from bench.soak._upstream import EVENTS_HEADER, WORK_HEADER
 from persimmonhold.platform import _names as names
 from persimmonhold.web import ClientRequest, encode_headers
@@ -19,7 +27,9 @@
 _BODY_SIZES: Final = (0, 0, 100, 20_000)
 
 
-def draw_call(rng: random.Random, request_id: str) -> Call:
+def draw_call(
+    rng: random.Random, request_id: str, shape: Shape | None = None
+) -> Call:
     """Return a random request that is not sent yet."""
     route = rng.choice(ROUTES)
     factor = _LONG_FACTOR if rng.random() < _LONG_SHARE else 1
@@ -36,6 +46,8 @@
         WORK_HEADER: str(work_ms),
         EVENTS_HEADER: str(event_count),
     }
+    if shape is not None:
+        headers |= _draw_headers(rng, shape, event_count)
     return Call(
         request_id=request_id,
         request=ClientRequest(
@@ -50,3 +62,25 @@
         event_count=event_count,
         patience_s=patience_s * (rng.random() < _ABANDONED_SHARE),
     )
+
+
+def _draw_headers(
+    rng: random.Random, shape: Shape, event_count: int
+) -> dict[str, str]:
+    """Return the headers that name a key and a model, if there are any."""
+    headers: dict[str, str] = {}
+    if shape.workspace_count:
+        key = name_key(rng.randrange(shape.workspace_count))
+        headers[names.AUTHORIZATION] = f'Bearer {key}'
+    if shape.model_count and event_count:
+        # The first models are popular.
+        rank = int(shape.model_count * rng.random() ** 3)
+        headers[names.MODEL] = name_models(shape.model_count)[rank]
+        prompt_tokens = rng.randint(10, 1000)
+        headers[names.TOKEN_COUNTS] = f'{prompt_tokens},{8 * event_count}'
+        part = rng.randrange(100)
+        headers[names.PROMPT_PARTS] = (
+            f'{part:x}:{prompt_tokens // 2},'
+            f'{rng.getrandbits(32):x}:{prompt_tokens - prompt_tokens // 2}'
+        )
+    return headers
--- a/bench/soak/_plan.py
+++ b/bench/soak/_plan.py
@@ -4,8 +4,8 @@
 from typing import Final, final
 
 from bench.soak._fault import Fault, FaultKind
+from bench.soak._shape import Shape
 
-_CONTROL_COUNT: Final = 3
 _GRACES_S: Final = (3, 5, 8)
 _MAX_PAUSE_S: Final = 1.2
 _MAX_SERIES_S: Final = 1.5
@@ -34,7 +34,7 @@
 class Plan:
     """Names of VMs and upstreams, the grace period, and the faults.
 
-    Three VMs run control. Odd seeds kill and freeze VMs too. With releases,
+    Odd seeds kill and freeze VMs too. With releases,
     upstreams are replaced by another software version under their names, and
     callers take broken streams up; odd seeds then kill all VMs at once. Faults
     are in the order of their times.
@@ -47,13 +47,16 @@
         vm_count: int,
         *,
         has_releases: bool = False,
+        shape: Shape | None = None,
     ) -> None:
-        entry_count = max(1, vm_count - _CONTROL_COUNT)
         self.seed = seed
         self.has_releases = has_releases
-        self.controls = _number('c', _CONTROL_COUNT)
-        self.entries = _number('e', entry_count)
-        self.upstreams = _number('u', 2 + entry_count // 2)
+        self.shape = shape or Shape.small(vm_count)
+        self.controls = _number('c', self.shape.control_count)
+        self.entries = _number('e', self.shape.entry_count)
+        self.upstreams = _number(
+            'u', self.shape.upstream_count + self.shape.engine_count
+        )
         self.grace_s = _GRACES_S[seed % len(_GRACES_S)]
         self.rng = random.Random(seed)
         faults: list[Fault] = []
--- /dev/null
+++ b/bench/soak/_shape.py
@@ -0,0 +1,50 @@
+"""The sizes of the system that the soak runs."""
+
+from typing import Final, Self, final
+
+import msgspec
+
+_CONTROL_COUNT: Final = 3
+
+
+@final
+class Shape(msgspec.Struct, frozen=True, kw_only=True):
+    """Numbers of VMs, upstreams and callers.
+
+    With `engine_count`, the streams run at engines, which hold some of
+    `model_count` models each. Requests bear keys of `workspace_count` workspaces,
+    if there are any. A caller thinks for up to `think_s` between requests.
+    """
+
+    control_count: int = _CONTROL_COUNT
+    entry_count: int
+    upstream_count: int
+    engine_count: int = 0
+    model_count: int = 0
+    workspace_count: int = 0
+    domains: tuple[str, ...] = ('a',)
+    callers_per_entry: int = 6
+    pinned_callers: int = 3
+    think_s: float = 0.2
+
+    @classmethod
+    def small(cls, vm_count: int) -> Self:
+        """Return a system of plain services, on so many VMs."""
+        entry_count = max(1, vm_count - _CONTROL_COUNT)
+        return cls(entry_count=entry_count, upstream_count=2 + entry_count // 2)
+
+    @classmethod
+    def large(cls, entry_count: int = 80) -> Self:
+        """Return a system of engines, with workspaces and five control VMs."""
+        return cls(
+            control_count=5,
+            entry_count=entry_count,
+            upstream_count=6,
+            engine_count=max(6, entry_count // 2),
+            model_count=max(12, entry_count),
+            workspace_count=16,
+            domains=('a', 'b', 'c'),
+            callers_per_entry=2,
+            pinned_callers=1,
+            think_s=2.5,
+        )
--- a/bench/soak/_soak.py
+++ b/bench/soak/_soak.py
@@ -15,8 +15,6 @@
 from persimmonhold.platform import _names as names
 from persimmonhold.web import fetch, parse_address
 
-_CALLERS_PER_ENTRY: Final = 6
-_PINNED_CALLERS: Final = 3  # of those
 _CHECK_INTERVAL_S: Final = 1.0
 _START_S: Final = 60.0
 # Within this time after the last start everything is served again.
@@ -83,7 +81,7 @@
         callers = [
             self._create_caller(entry, number)
             for entry in self.plan.entries
-            for number in range(_CALLERS_PER_ENTRY)
+            for number in range(self.plan.shape.callers_per_entry)
         ]
         calling = [loop.create_task(caller.run()) for caller in callers]
         started_at = loop.time()
@@ -98,11 +96,17 @@
 
     def _create_caller(self, entry: str, number: int) -> Caller:
         entries = self.plan.entries
-        if number < _PINNED_CALLERS:
+        if number < self.plan.shape.pinned_callers:
             entries = (entry,)
         vms = {self.system.settings.address(vm, 1): vm for vm in entries}
         name = f'{self.plan.seed}-{entry}-{number}'
-        return Caller(name, vms, self.record, takes_up=self.plan.has_releases)
+        return Caller(
+            name,
+            vms,
+            self.record,
+            shape=self.plan.shape,
+            takes_up=self.plan.has_releases,
+        )
 
     async def _monitor(self) -> None:
         """Check the record and the processes at intervals."""
@@ -148,9 +152,9 @@
         while len(served) < len(ROUTES):
             self.probe_count += 1
             request_id = f'{self.plan.seed}-probe-{self.probe_count}'
-            call = draw_call(rng, request_id)
+            call = draw_call(rng, request_id, self.plan.shape)
             while call.request.target in served:
-                call = draw_call(rng, request_id)
+                call = draw_call(rng, request_id, self.plan.shape)
             fetched = await fetch(address.unwrap(), call.request, _PROBE_S)
             response = fetched.value_or(None)
             if response and response.head.header(names.SIGNATURE):
--- a/bench/soak/_soak_system.py
+++ b/bench/soak/_soak_system.py
@@ -13,7 +13,13 @@
 
 from bench.platform_list import PlatformList
 from bench.platform_settings import PlatformSettings
-from bench.soak._configuration import SERVICES, build_configuration
+from bench.soak._configuration import (
+    ENGINE_SERVICE,
+    SERVICES,
+    build_configuration,
+    name_models,
+)
+from bench.soak._engine import Engine, place_models
 from bench.soak._fault import Fault, FaultKind
 from bench.soak._plan import Plan
 from bench.soak._record import Record
@@ -60,6 +66,7 @@
             first_port=random.choice(_FIRST_PORTS),
             grace_s=plan.grace_s,
             tolerated=len(plan.controls) // 2,
+            domains=plan.shape.domains,
         )
         self.versions = itertools.count(1)
         self.upstreams: dict[str, Upstream] = {}
@@ -121,7 +128,7 @@
 
     async def _change_configuration(self) -> None:
         """Send a new version to each control VM in turn until one accepts."""
-        document = build_configuration(next(self.versions))
+        document = build_configuration(next(self.versions), self.plan.shape)
         request = ClientRequest(
             method='PUT',
             target=names.CONFIGURATION_PATH,
@@ -143,9 +150,25 @@
         version = ''
         if self.plan.has_releases:
             version = VERSIONS[number // len(SERVICES) % len(VERSIONS)]
+        shape = self.plan.shape
         upstream = Upstream(
             name, service, self.record, self.listing.entries, version
         )
+        if number >= shape.upstream_count:
+            placed = place_models(
+                name_models(shape.model_count),
+                shape.engine_count,
+                self.plan.seed,
+            )
+            upstream = Engine(
+                name,
+                ENGINE_SERVICE,
+                self.record,
+                self.listing.entries,
+                placed[number - shape.upstream_count],
+                version,
+            )
+        upstream.domain = shape.domains[number % len(shape.domains)]
         self.upstreams[name] = upstream
         await upstream.start()
         stack.push_async_callback(upstream.close)
--- a/bench/soak/_upstream.py
+++ b/bench/soak/_upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from types import MappingProxyType
-from typing import Any, Final, final
+from typing import Any, Final
 
 from bench.soak._fault import FaultKind
 from bench.soak._record import Record
@@ -30,7 +30,6 @@
 _OTHER_VERSIONS: Final = MappingProxyType({'': '', 'v1': 'v2', 'v2': 'v1'})
 
 
-@final
 class Upstream(ExchangeHandler):
     """Serves requests and records their runs.
 
@@ -54,6 +53,8 @@
         self.fault: FaultKind | None = None
         self.entry: dict[str, Any] = {'born': 0}
         self.running = 0
+        self.slots = _SLOTS
+        self.domain = 'a'
         self.is_crashing = False
         self.server = HttpServer(Address('127.0.0.1', 0), self, HttpBounds())
 
@@ -62,19 +63,26 @@
         self.is_crashing = False
         self.server = HttpServer(Address('127.0.0.1', 0), self, HttpBounds())
         await self.server.__aenter__()
+        self.entry = self.describe()
+        if process_name:
+            self.entry['id'] = process_name
+        self.listed.append(self.entry)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the entry of a process that has just started."""
         born = self.entry['born'] + 1
-        self.entry = {
-            'id': process_name or f'i-{self.name}-{born}',
+        entry = {
+            'id': f'i-{self.name}-{born}',
             'service': self.service,
             'address': str(self.server.address),
-            'zone': 'a',
+            'zone': self.domain,
             'state': 'ready',
-            'slots': _SLOTS,
+            'slots': self.slots,
             'born': born,
         }
         if self.version:
-            self.entry['version'] = self.version
-        self.listed.append(self.entry)
+            entry['version'] = self.version
+        return entry
 
     async def close(self) -> None:
         """Break off all runs and stop listening, unless done before."""
@@ -106,18 +114,13 @@
         """Serve a request, or refuse it without running it."""
         await exchange.read_body()
         head = exchange.head
-        is_full = self.running >= _SLOTS or self.fault is FaultKind.refusing
+        is_full = self.running >= self.slots or self.fault is FaultKind.refusing
         if head.header(names.EXPECTED_PROCESS) == self.entry['id']:
             status = 503 if is_full else 200
         else:
             status = 421
         if status > 200:
-            request_id = head.header(names.REQUEST_ID)
-            not_run = encode_headers({
-                names.NOT_RUN: '1',
-                names.REQUEST_ID: request_id,
-            })
-            await exchange.respond_json(status, {}, not_run)
+            await refuse(exchange, status)
         else:
             loop = asyncio.get_running_loop()
             run = Run(self.entry['id'], loop.time())
@@ -161,6 +164,15 @@
         await exchange.finish_response()
 
 
+async def refuse(exchange: Exchange, status: int) -> None:
+    """Answer that a request was not run."""
+    not_run = encode_headers({
+        names.NOT_RUN: '1',
+        names.REQUEST_ID: exchange.head.header(names.REQUEST_ID),
+    })
+    await exchange.respond_json(status, {}, not_run)
+
+
 def build_body(request_id: str) -> bytes:
     """Return the body of a response that is no stream."""
     return request_id.encode('ascii').ljust(_BODY_BYTES, b'.')
