--- a/bench/soak/_plan.py
+++ b/bench/soak/_plan.py
@@ -7,6 +7,7 @@
 from bench.soak._shape import Shape
 
 _GRACES_S: Final = (3, 5, 8)
+_SEED_COUNT: Final = 3  # control VMs that the settings files name
 _MAX_PAUSE_S: Final = 1.2
 _MAX_SERIES_S: Final = 1.5
 _SERIES_SHARE: Final = 0.7  # of the entries at most
@@ -53,6 +54,7 @@
         self.has_releases = has_releases
         self.shape = shape or Shape.small(vm_count)
         self.controls = _number('c', self.shape.control_count)
+        self.seeds = self.controls[:_SEED_COUNT]
         self.entries = _number('e', self.shape.entry_count)
         self.upstreams = _number(
             'u', self.shape.upstream_count + self.shape.engine_count
--- a/bench/soak/_soak_system.py
+++ b/bench/soak/_soak_system.py
@@ -4,7 +4,8 @@
 import itertools
 import random
 import signal
-from contextlib import AsyncExitStack
+import socket
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from types import TracebackType
 from typing import Final, Self, final
@@ -38,12 +39,23 @@
 _NETWORKS: Final = range(100, 250)
 # Outside the ports of the drills and the ephemeral ports.
 _FIRST_PORTS: Final = range(25_000, 32_000, 10)
+_METRICS_PORT: Final = 9464  # of all VMs of the platform
 _FETCH_S: Final = 1.0
 _PAUSE_S: Final = 0.1
 _ROUNDS: Final = 100
 _OK: Final = 200
 
 
+def _find_free_network() -> str:
+    """Return the first two bytes of addresses that no other soak uses."""
+    for number in random.sample(_NETWORKS, len(_NETWORKS)):
+        network = f'127.{number}'
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((f'{network}.1.1', _METRICS_PORT))
+            return network
+    raise OSError('no free network')
+
+
 @final
 class SoakSystem:
     """Owns the processes and servers, and applies faults to them.
@@ -62,7 +74,7 @@
         )
         self.settings = PlatformSettings(
             directory=directory,
-            network=f'127.{random.choice(_NETWORKS)}',
+            network=_find_free_network(),
             first_port=random.choice(_FIRST_PORTS),
             grace_s=plan.grace_s,
             tolerated=len(plan.controls) // 2,
@@ -84,7 +96,7 @@
             await self._change_configuration()
             self.settings.is_first_start = False
             for name in self.vms:
-                self.settings.write_file(name, self.plan.controls)
+                self.settings.write_file(name, self.plan.seeds)
             self.stack = stack.pop_all()
         return self
 
@@ -122,7 +134,7 @@
             await vm.freeze(fault.amount)
         else:
             if fault.kind is FaultKind.rewrite:
-                seeds = tuple(reversed(self.plan.controls))
+                seeds = tuple(reversed(self.plan.seeds))
                 self.settings.write_file(vm.name, seeds)
             vm.send_signal(signal.SIGHUP)
 
@@ -174,7 +186,7 @@
         stack.push_async_callback(upstream.close)
 
     async def _start_vm(self, name: str, stack: AsyncExitStack) -> None:
-        path = self.settings.write_file(name, self.plan.controls)
+        path = self.settings.write_file(name, self.plan.seeds)
         vm = SoakVm(name, path, self.plan.grace_s, self.record)
         self.vms[name] = vm
         stack.push_async_callback(vm.close)
