Promote a learner only after it has synced an entry of the leader's term

The two VMs that were left had a quorum of the three voters and elected a leader, which within 0.2 s promoted the learner that was gone. Four voters, two of them gone for good, elect no leader: nothing could be read or changed any more.

Cause: a member counted as caught up if it had everything committed when the last heartbeat round began. A leader that has just restarted knows of nothing that is committed, and assumes a member live until it has been silent; so at its first repair a learner that had never answered was live and caught up with index 0. Now the learner must have the first entry of the term at least.

--- a/persimmonhold/consensus/_leadership.py
+++ b/persimmonhold/consensus/_leadership.py
@@ -37,7 +37,8 @@
     empty; `has_sent_timeout_now` tells that it was told to start its
     election. `spares` holds the last `Hello` of empty replicas by VM name.
     `round_commit_index` is the commit index when the last due heartbeat was
-    sent, `term_start_index` the index of the first entry of the term.
+    sent, but at least `term_start_index`, the index of the first entry of the
+    term: a leader that has just restarted does not know what is committed.
     """
 
     __slots__ = (
@@ -66,8 +67,8 @@
         self.has_sent_timeout_now = False
         self.successor: ReplicaId = ''
         self.spares: dict[str, Spare] = {}
-        self.round_commit_index = core.commit_index
         self.term_start_index = core.log.last_index + 1
+        self.round_commit_index = self.term_start_index
         self.append(EntryKind.empty, (b'',), now)
 
     @property
@@ -290,7 +291,7 @@
             changed = choose_membership_change(self._build_group_health(now))
             if changed is not None:
                 self.append_configuration(changed, now)
-        self.round_commit_index = core.commit_index
+        self.round_commit_index = max(core.commit_index, self.term_start_index)
 
     def _build_group_health(self, now: float) -> GroupHealth:
         core = self._core
