Acknowledge changes only once the control group has its full size

Cause: the group begins with the three seeds as voters, and the other control VMs join within a second or two. A change was acknowledged once two of three had it, although the settings say that two disks may be lost. Now the acknowledgement waits while the group has fewer voters than it should and replicas are about to join, also in the step of a repair that removes a dead voter before its successor is promoted. The status of a replica shows it.

--- a/bench/memory_system.py
+++ b/bench/memory_system.py
@@ -120,15 +120,17 @@
         seed: int,
         directory: Path | None = None,
         timings: MembershipTimings | None = None,
+        seed_count: int = 0,
     ) -> None:
         """Create a system that is not started.
 
         With a directory the control log is replicated by consensus, which
         elects the leader. Without one it is a shared log led by the first
-        VM.
+        VM. The group begins with `seed_count` voters; 0 means all.
         """
         self.names = tuple(f'vm{number}' for number in range(1, vm_count + 1))
         self.control_names = self.names[:control_count]
+        self.seeds = self.control_names[: seed_count or control_count]
         self.network = MemoryNetwork(seed)
         self.group = LogGroup(self.network)
         self.vms: dict[str, MemoryVm] = {}
@@ -249,7 +251,8 @@
             ReplicaSettings(
                 name=name,
                 address='',
-                initial_members=dict.fromkeys(self.control_names, ''),
+                initial_members=dict.fromkeys(self.seeds, ''),
+                voter_count=len(self.control_names),
             ),
             self._directory / name,
             transport,
--- a/persimmonhold/consensus/_leadership.py
+++ b/persimmonhold/consensus/_leadership.py
@@ -39,6 +39,7 @@
     `round_commit_index` is the commit index when the last due heartbeat was
     sent, but at least `term_start_index`, the index of the first entry of the
     term: a leader that has just restarted does not know what is committed.
+    The term began at `began_at`.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         '_reads',
         '_target_voters',
         '_timeout_starts_at',
+        'began_at',
         'has_sent_timeout_now',
         'replicator',
         'round_commit_index',
@@ -61,6 +63,7 @@
         """
         self._core = core
         self._timeout_starts_at = now
+        self.began_at = now
         self._target_voters = target_voters
         self._reads: list[PendingRead] = []
         self.replicator = Replicator(core, now)
@@ -76,6 +79,25 @@
         """Whether an entry of the current term is committed."""
         return self._core.commit_index >= self.term_start_index
 
+    def is_short_of_voters(self, now: float) -> bool:
+        """Return whether voters are missing and replicas may join soon.
+
+        Until they have joined, the group survives the loss of fewer disks than
+        it is meant to. Replicas that ask to join are known two election
+        timeouts after a term began.
+        """
+        core = self._core
+        if len(core.configuration.voters) >= self._target_voters:
+            return core.log.configuration_index > core.commit_index
+        health = self._build_group_health(now)
+        has_live_learner = any(
+            health.silence_s[one.replica] < health.live_within_s
+            for one in core.configuration.members
+            if not one.is_voter
+        )
+        is_new = now - self.began_at < 2 * core.timings.election_timeout_s
+        return is_new or has_live_learner or bool(health.spares)
+
     def lease_until(self, now: float) -> float:
         """Return the time at which the lease of this leader ends.
 
--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -3,7 +3,8 @@
 Invariants: a command is answered only after it is committed and applied. An
 operator's change is reported as accepted only after a majority of the
 registered VMs has applied it, so no majority of VMs can serve without it; the
-settings may let silent VMs be left out of that (see `ViewAcceptance`).
+settings may let silent VMs be left out of that (see `ViewAcceptance`). It also
+waits, for a limited time, for replicas that are about to become voters.
 """
 
 import asyncio
@@ -35,6 +36,7 @@
 from persimmonhold.control.shell._view_acceptance import ViewAcceptance
 from persimmonhold.control.shell._vm_agent_runner import VmAgentRunner
 from persimmonhold.control.shell._vm_report_tracker import VmReportTracker
+from persimmonhold.control.shell._voter_wait import wait_for_voters
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import ControlView, Demand
 from persimmonhold.placement import explain_misfit
@@ -201,8 +203,9 @@
         result = proposed.unwrap()
         if result.status is not CommandStatus.done:
             return proposed
-        if await self._wait_until_accepted(
-            min(result.index, self.state.view.index)
+        index = min(result.index, self.state.view.index)
+        if await self._wait_until_accepted(index) and await wait_for_voters(
+            self.log, index
         ):
             return proposed
         return Failed(_not_accepted_failure())
@@ -230,7 +233,10 @@
         if isinstance(barrier, Failed):
             return barrier
         index = self.state.view.index
-        if not await self._wait_until_accepted(index):
+        if not (
+            await self._wait_until_accepted(index)
+            and await wait_for_voters(self.log, index)
+        ):
             return Failed(_not_accepted_failure())
         return Success(
             CommandResult(
--- a/persimmonhold/replication/_describe.py
+++ b/persimmonhold/replication/_describe.py
@@ -16,6 +16,7 @@
 ) -> ReplicaStatus:
     """Return a replica's status at `now` and what it knows of its group."""
     core = replica.core
+    leadership = replica.leadership
     return ReplicaStatus(
         vm=vm_of(core.replica),
         incarnation=_incarnation_of(core.replica),
@@ -28,6 +29,8 @@
         commit_index=core.commit_index,
         applied_index=applied_index,
         snapshot_index=core.log.snapshot.index,
+        is_short_of_voters=leadership is not None
+        and leadership.is_short_of_voters(now),
         members=tuple(
             _describe_member(replica, member, now)
             for member in replica.configuration.members
--- a/persimmonhold/replication/_replica_status.py
+++ b/persimmonhold/replication/_replica_status.py
@@ -14,6 +14,8 @@
     `is_verified` means that the replica may vote, because enough other voters
     have answered since its start. `lease_s` is the remaining time of its
     lease as leader. `failure` is empty unless a disk failure stopped it.
+    `is_short_of_voters` tells that a leader has fewer voters than it should
+    while other replicas are about to join.
     """
 
     vm: str
@@ -29,6 +31,7 @@
     snapshot_index: int
     members: tuple[MemberStatus, ...]
     failure: str = ''
+    is_short_of_voters: bool = False
 
     @property
     def has_leadership(self) -> bool:
--- a/tests/test_group_formation.py
+++ b/tests/test_group_formation.py
@@ -1,12 +1,20 @@
 """Losses of all VMs while the control group still grows to its full size."""
 
+import asyncio
+import shutil
+from itertools import combinations
+from pathlib import Path
 from typing import Final
 
 import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import HasLength
+from testtools.matchers import Contains, HasLength
 
+from bench.memory_system import MemorySystem, wait_until
+from bench.virtual_loop import run_in_virtual_time
+from persimmonhold.control.machine import PutEntry
+from persimmonhold.control.shell import ControlNode
 from tests._consensus_group import TIMINGS, Group
 
 _SEEDS: Final = 3
@@ -67,3 +75,52 @@
     leader = group.leader
     assert leader is not None, group.describe()
     assert_that(leader.live.configuration.voters, HasLength(_VOTERS))
+
+
+async def _commit_soon(system: MemorySystem) -> PutEntry:
+    """Return the first change that the new group accepts."""
+    await wait_until(lambda: system.has_leader)
+    command = system.build_next_change()
+    while True:
+        if system.has_leader:
+            committed = await system.leader.commit_change(command)
+            if committed.value_or(None) is not None:
+                return command
+        await asyncio.sleep(0.01)
+
+
+async def _wait_for_barrier(node: ControlNode) -> None:
+    """Wait until a node has applied what was committed before."""
+    while (await node.read_barrier()).value_or(None) is None:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('lost', tuple(combinations(range(1, _VOTERS + 1), 2)))
+def test_change_accepted_by_a_new_group_survives_two_lost_disks(
+    tmp_path: Path, lost: tuple[int, int]
+) -> None:
+    """A group of three that grows to five may not accept it before."""
+
+    async def scenario() -> tuple[str, set[str]]:
+        system = MemorySystem(_VOTERS, _VOTERS, 1, tmp_path, seed_count=_SEEDS)
+        for name in system.names:
+            await system.start(name)
+        command = await _commit_soon(system)
+        for name in system.names:
+            await system.kill(name)
+        for number in lost:
+            shutil.rmtree(tmp_path / f'vm{number}')
+        await asyncio.sleep(1)
+        for name in system.names:
+            system.network.down_vms.discard(name)
+            await system.start(name)
+        async with asyncio.timeout(_RECOVERY_S):
+            leader = await system.wait_for_leader()
+            await _wait_for_barrier(leader)
+        names = set(leader.state.catalogue.entries)
+        for name in system.names:
+            await system.kill(name)
+        return command.name, names
+
+    name, names = run_in_virtual_time(scenario())
+    assert_that(names, Contains(name))
