Take a response for broken if HTTP does not have its status

Callers could get an answer with a status from 600 to 999, signed by an upstream in trouble: h11 accepts any three digits from 200. So did relays and reads of lists and reports, as far as they compare the status. 000 and 099, 101, four digits and text were broken responses before, as h11 rejects them. Such a response is now a broken one wherever a connection of a client reads it: the request may have run, and its caller gets 502 or another attempt.

--- a/persimmonhold/web/_client_codec.py
+++ b/persimmonhold/web/_client_codec.py
@@ -14,6 +14,7 @@
 
 _MAX_HEAD_BYTES: Final = 65_536
 _MAX_INFORMATIONAL_RESPONSES: Final = 16  # before one response
+_MAX_STATUS: Final = 599  # the parser accepts any three digits from 200
 _BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _CHUNK_LINE_END_BYTES: Final = 2
 _Event: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -97,7 +98,8 @@
     def parse_head(self) -> ResponseHead | None:
         """Return the head of the response, or None if it is incomplete.
 
-        Skips informational responses (1xx), up to a limit.
+        Skips informational responses (1xx), up to a limit. A status that HTTP
+        does not have is an error.
         """
         event = self._next_event()
         while isinstance(event, h11.InformationalResponse):
@@ -108,6 +110,9 @@
             event = self._next_event()
         if not isinstance(event, h11.Response):
             return None
+        if event.status_code > _MAX_STATUS:
+            self.error = f'invalid status {event.status_code}'
+            return None
         return ResponseHead(
             status=event.status_code,
             headers=tuple(event.headers),
