Count a broken response on a kept connection as a run

A request that may be repeated was sent once more to the same upstream, beyond its attempts and without a retry of the budget, if its kept connection ended with a broken response (a status that HTTP does not have, other bytes, a head that was cut off, an informational response). The reconnection is meant for connections that the upstream closes as a request is written; any failure but a late response counted as that.

A request is now sent again without a retry only if the connection ended before a byte arrived since it was written, on both interfaces. A broken response is a run, and another attempt a retry. Before, 8 of the 16 cases of test_request_with_a_broken_response_is_not_sent_again failed (all that may be repeated; 2 arrivals instead of 1), and the case of the own interface.

--- a/persimmonhold/entry/_attempt_runner.py
+++ b/persimmonhold/entry/_attempt_runner.py
@@ -180,7 +180,11 @@
         judged = await self._receive_head(connection, is_fresh=is_fresh)
         if isinstance(sent, Failed) or isinstance(judged, Failed):
             has_sent_bytes = connection.bytes_written > bytes_before
-            if not is_fresh and self._fault is AttemptFault.connection_lost:
+            was_closed = (
+                self._fault is AttemptFault.connection_lost
+                and not connection.has_received
+            )
+            if not is_fresh and was_closed:
                 return self._machine.phase is not RequestPhase.sent
             self._record_failure(self._fault, has_sent_bytes=has_sent_bytes)
             return True
--- a/persimmonhold/forwarding/_forward_attempt.py
+++ b/persimmonhold/forwarding/_forward_attempt.py
@@ -332,8 +332,7 @@
             )
         if isinstance(received, Failed):
             was_closed = (
-                not isinstance(sent, Failed)
-                and not receiver.late_responses.count
+                not isinstance(sent, Failed) and not connection.has_received
             )
             return self._build_headless_result(
                 received.failure(), may_reconnect=is_used and was_closed
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -2,7 +2,8 @@
 
 Invariants: `bytes_written` is zero only while no byte of a request has been
 handed to the operating system, so zero proves that the peer did not run it;
-`has_peer_closed` is set once the peer closed or reset the connection. After
+`has_peer_closed` is set once the peer closed or reset the connection, `has_received`
+once it has sent anything since the last request was written. After
 `is_kept_open` was cleared, no further request is sent on it. `stated_idle_s`
 is after how many seconds without a request the peer closes it, if it says so.
 `carried_ids` has the ids of the requests that were written to it, with their
@@ -58,6 +59,7 @@
         'carried_ids',
         'codec',
         'has_peer_closed',
+        'has_received',
         'is_kept_open',
         'is_reading_paused',
         'last_read_at',
@@ -72,6 +74,7 @@
         self.carried_ids: dict[str, str] = {}
         self.codec = ClientCodec()
         self.has_peer_closed = False
+        self.has_received = False
         self.is_kept_open = True
         self.stated_idle_s: float | None = None
         self.last_read_at = 0.0
@@ -134,6 +137,7 @@
         stay buffered and reading is paused.
         """
         self.last_read_at = asyncio.get_running_loop().time()
+        self.has_received = True
         self.codec.add_received_bytes(data)
         sink = self._sink
         if sink:
@@ -210,6 +214,7 @@
             )
         if not encoded:
             return Failed(_build_failure(self.peer, 'send', self.codec.error))
+        self.has_received = False
         if request.request_id:
             self.carried_ids[request.request_id] = request.method
             if len(request.request_id) > _MAX_CARRIED_ID_CHARS:
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -13,6 +13,7 @@
 from persimmonhold.platform._upstream_client import PlatformUpstreamClient
 from persimmonhold.routes import RouteKind
 from persimmonhold.web import (
+    REQUEST_ID_HEADER,
     ClientRequest,
     fetch,
     parse_address,
@@ -193,3 +194,34 @@
         assert_that(answer.head.status, Equals(502))
 
     asyncio.run(scenario())
+
+
+def test_own_interface_does_not_send_the_request_again() -> None:
+    """The upstream has run it, so another try has to be a retry."""
+    arrivals: list[str] = []
+
+    async def serve(connection: RawConnection) -> None:
+        request_id = connection.headers[REQUEST_ID_HEADER]
+        arrivals.append(request_id)
+        status = '200' if len(arrivals) == 1 else '000'
+        await connection.write(
+            f'HTTP/1.1 {status} Odd\r\n{REQUEST_ID_HEADER}: {request_id}'
+            '\r\ncontent-length: 0\r\n\r\n'.encode('ascii')
+        )
+
+    async def scenario() -> None:
+        raw = RawUpstream('raw', serve, keeps_connections=True)
+        upstream = ScriptedUpstream('s1')
+        async with await raw.start(), EntryHarness(upstream) as harness:
+            upstream.address = parse_address(raw.address).unwrap()
+            harness.link.view = harness.view()
+            harness.entry.hub.apply_view(harness.link.view)
+            answers = [
+                await harness.call('GET', '/services/lodgements/x')
+                for _ in range(2)
+            ]
+        statuses = [one.head.status for one in answers]
+        assert_that(statuses, Equals([200, 502]))
+
+    asyncio.run(scenario())
+    assert_that(arrivals, HasLength(2))
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -106,6 +106,44 @@
     run_with_harness(scenario)
 
 
+@pytest.mark.parametrize(
+    'broken',
+    [
+        b'HTTP/1.1 000 Odd\r\ncontent-length: 0\r\n\r\n',
+        b'no response\r\n\r\n',
+        b'HTTP/1.1 200 O',
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+    ],
+)
+@pytest.mark.parametrize(('kind', 'resumable'), ROUTE_KINDS)
+def test_request_with_a_broken_response_is_not_sent_again(
+    kind: RouteKind, resumable: bool, broken: bytes
+) -> None:
+    """Only a connection that is closed without a byte is replaced by another.
+
+    The upstream has run the request, so another try is a retry.
+    """
+    arrivals: list[str] = []
+
+    async def serve(connection: RawConnection) -> None:
+        arrivals.append(connection.headers[REQUEST_ID])
+        if len(arrivals) == 1:
+            await connection.respond(PLAIN, 'length', b'{}')
+        else:
+            await connection.write(broken)
+            connection.writer.close()
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.set_route(kind, resumable=resumable)
+        await harness.start_raw_upstream(serve, keeps_connections=True)
+        await harness.send_request()
+        answer = (await harness.send_request()).unwrap()
+        assert_that(answer.head.status, Equals(502))
+
+    run_with_harness(scenario)
+    assert_that(arrivals, Equals(['r1', 'r2']))
+
+
 @pytest.mark.parametrize(('kind', 'resumable'), ROUTE_KINDS)
 def test_connection_that_was_closed_unwritten_proves_nothing(
     kind: RouteKind, resumable: bool
