Ignore signals after a VM has stopped

The process now ignores SIGTERM and SIGINT from the end of the VM on.

test_signals_after_a_stop_do_not_change_its_status failed before (-15).

--- a/persimmonhold/cli/_serve_command.py
+++ b/persimmonhold/cli/_serve_command.py
@@ -1,6 +1,5 @@
 """Implementation of the serve command."""
 
-import asyncio
 from pathlib import Path
 
 from returns.result import Failure as Failed
@@ -14,7 +13,7 @@
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.observability import LogLevel, LogOutput
 from persimmonhold.settings import Settings, read_ini
-from persimmonhold.system import VmProcess, run_until_stopped
+from persimmonhold.system import VmProcess, run_process
 
 
 def run_vm(settings_path: str) -> CommandOutput:
@@ -28,9 +27,7 @@
         return failure_output(*missing)
     try:
         with LogOutput(LogLevel(effective.logs.level), effective.logs.path):
-            has_failed = asyncio.run(
-                run_until_stopped(lambda: VmProcess(effective)),
-            )
+            has_failed = run_process(lambda: VmProcess(effective))
     except OSError as error:
         return failure_output(classify_start_error(effective.vm.name, error))
     if has_failed:
--- a/persimmonhold/platform/_run.py
+++ b/persimmonhold/platform/_run.py
@@ -1,6 +1,5 @@
 """Runs one VM on the platform until it stops."""
 
-import asyncio
 import os
 from pathlib import Path
 from typing import Final
@@ -11,7 +10,7 @@
 from persimmonhold.observability import LogLevel, LogOutput
 from persimmonhold.platform._adapter import HttpPlatformAdapter
 from persimmonhold.platform._settings_file import read_settings_file
-from persimmonhold.system import ForwardingVm, run_until_stopped
+from persimmonhold.system import ForwardingVm, run_process
 
 _SETTINGS_VARIABLE: Final = 'PERSIMMONHOLD_CONFIG'
 
@@ -31,12 +30,8 @@
     logs = file.settings.logs
     try:
         with LogOutput(LogLevel(logs.level), logs.path):
-            failed = asyncio.run(
-                run_until_stopped(
-                    lambda: ForwardingVm(
-                        file.settings, HttpPlatformAdapter(file)
-                    ),
-                ),
+            failed = run_process(
+                lambda: ForwardingVm(file.settings, HttpPlatformAdapter(file))
             )
     except OSError as error:
         return f'start: {error}'
--- a/persimmonhold/system/__init__.py
+++ b/persimmonhold/system/__init__.py
@@ -8,7 +8,7 @@
     from persimmonhold.system._control_role import ControlRole
     from persimmonhold.system._fleet_work import FleetWork
     from persimmonhold.system._forwarding_vm import ForwardingVm
-    from persimmonhold.system._run import run_until_stopped
+    from persimmonhold.system._run import run_process, run_until_stopped
     from persimmonhold.system._vm_process import VmProcess
 
 __all__ = (
@@ -16,6 +16,7 @@
     'FleetWork',
     'ForwardingVm',
     'VmProcess',
+    'run_process',
     'run_until_stopped',
 )
 
@@ -27,6 +28,7 @@
             'FleetWork': '_fleet_work',
             'ForwardingVm': '_forwarding_vm',
             'VmProcess': '_vm_process',
+            'run_process': '_run',
             'run_until_stopped': '_run',
         },
     )
--- a/persimmonhold/system/_run.py
+++ b/persimmonhold/system/_run.py
@@ -3,10 +3,28 @@
 import asyncio
 import signal
 from collections.abc import Callable, Coroutine
+from typing import Final
 
 from persimmonhold.observability import log_event
 from persimmonhold.system._base_vm import BaseVm
 
+_STOP_SIGNALS: Final = (signal.SIGINT, signal.SIGTERM)
+
+
+def run_process(create_vm: Callable[[], BaseVm]) -> bool:
+    """Run a VM as `run_until_stopped` does, as the whole work of a process.
+
+    Signals that come after the VM has stopped are ignored: without an event
+    loop they would end the process with another status while it exits.
+    """
+    with asyncio.Runner() as runner:
+        has_failed = runner.run(run_until_stopped(create_vm))
+        loop = runner.get_loop()
+        for signal_number in _STOP_SIGNALS:
+            loop.remove_signal_handler(signal_number)
+            signal.signal(signal_number, signal.SIG_IGN)
+    return has_failed
+
 
 async def run_until_stopped(create_vm: Callable[[], BaseVm]) -> bool:
     """Run a VM until SIGTERM, SIGINT or a failure of a background task.
@@ -18,7 +36,7 @@
     """
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGINT, signal.SIGTERM):
+    for signal_number in _STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _log_ignored_reload)
     async with create_vm() as vm:
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -66,16 +66,49 @@
     asyncio.run(asyncio.wait_for(scenario(), _TIMEOUT_S))
 
 
+async def _signal_until_ended(process: Process) -> None:
+    """Send SIGTERM to a VM again and again once it says that it stopped."""
+    assert process.stdout is not None
+    process.send_signal(signal.SIGTERM)
+    while b'"stopped"' not in await process.stdout.readline():
+        assert_that(process.stdout.at_eof(), Is(False))
+    while process.returncode is None:
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.001)
+
+
+def test_signals_after_a_stop_do_not_change_its_status(tmp_path: Path) -> None:
+    """The default of SIGTERM ended a process that was closing its sockets."""
+
+    async def scenario() -> None:
+        async with FakePlatform(tmp_path) as platform:
+            path = platform.settings.write_file(_VM, (_VM,))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'persimmonhold.platform',
+                stdout=PIPE,
+                env={**os.environ, _SETTINGS_VARIABLE: str(path)},
+            )
+            assert process.stdout is not None
+            while b'"started"' not in await process.stdout.readline():
+                assert_that(process.stdout.at_eof(), Is(False))
+            await _signal_until_ended(process)
+        assert_that(process.returncode, Equals(0))
+
+    asyncio.run(asyncio.wait_for(scenario(), _TIMEOUT_S))
+
+
 def test_program_with_a_failed_part_exits_with_a_text(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def fail(create_vm: Callable[[], ForwardingVm]) -> bool:
+    def fail(create_vm: Callable[[], ForwardingVm]) -> bool:
         return True
 
     platform = FakePlatform(tmp_path)
     platform.settings.list_address = '127.0.0.1:9'
     path = platform.settings.write_file(_VM, (_VM,))
     monkeypatch.setenv(_SETTINGS_VARIABLE, str(path))
-    monkeypatch.setattr(run_module, 'run_until_stopped', fail)
+    monkeypatch.setattr(run_module, 'run_process', fail)
     with pytest.raises(SystemExit, match='a part failed'):
         runpy.run_module('persimmonhold.platform', run_name='__main__')
