Count a slow acceptance towards the wait for voters

A change that the VMs took long to apply waited for voters on top of that: with 2 s until silent VMs are left out and a replica that does not get on with joining, the answer took 5 s, and callers of the platform wait 4 to 5 s (`ack-ms`). The 3 s of the wait now begin when the change was sent, so a slow acceptance shortens it; a change still waits for voters at most as long as before.

--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -197,6 +197,7 @@
 
         After a failure, the change may have been committed nevertheless.
         """
+        began_at = asyncio.get_running_loop().time()
         proposed = await self._propose(command)
         if isinstance(proposed, Failed):
             return proposed
@@ -205,7 +206,7 @@
             return proposed
         index = min(result.index, self.state.view.index)
         if await self._wait_until_accepted(index) and await wait_for_voters(
-            self.log, index
+            self.log, index, began_at
         ):
             return proposed
         return Failed(_not_accepted_failure())
@@ -229,13 +230,14 @@
         if document.version > stored.version:
             command = PutRoutes(at_ms=self.now_ms(), document=document)
             return await self.commit_change(command)
+        began_at = asyncio.get_running_loop().time()
         barrier = await self.read_barrier()
         if isinstance(barrier, Failed):
             return barrier
         index = self.state.view.index
         if not (
             await self._wait_until_accepted(index)
-            and await wait_for_voters(self.log, index)
+            and await wait_for_voters(self.log, index, began_at)
         ):
             return Failed(_not_accepted_failure())
         return Success(
