Promote a spare before removing a voter that may only be frozen

Seen in virtual time: a control VM of five is frozen while a spare has long been waiting. The leader removes the silent voter and promotes the spare one heartbeat later. When all VMs lose power between the two steps and two of them their disks, two of four voters are left, and no leader is elected any more. The frozen VM still has its disk, but no vote.

Cause: removal first, which is right for a VM that was removed for good and whose successor may be lost again; then the group never needs more live voters than before. For a voter that is only silent it gives up an intact disk before there is another.

The leader now records since when a spare has asked to join. A spare that was there before the voter fell silent is no successor of its VM and is promoted first: of six voters any two disks may be lost, four are a quorum. All other cases are as before.

--- a/persimmonhold/consensus/_group_health.py
+++ b/persimmonhold/consensus/_group_health.py
@@ -17,7 +17,8 @@
     live while that is below `live_within_s`, and is replaced once it reaches
     `replacement_timeout_s`. `caught_up` are the members that have everything
     committed when the previous heartbeat round began, and `spares` are the
-    replicas that recently asked to join, before `now`.
+    replicas that recently asked to join, before `now`. `waiting_since` is the
+    time since which spares, and learners that were spares, have been known.
     """
 
     now: float
@@ -27,5 +28,6 @@
     silence_s: dict[ReplicaId, float]
     caught_up: frozenset[ReplicaId]
     spares: tuple[Spare, ...]
+    waiting_since: dict[ReplicaId, float]
     live_within_s: float
     replacement_timeout_s: float
--- a/persimmonhold/consensus/_leadership.py
+++ b/persimmonhold/consensus/_leadership.py
@@ -109,6 +109,15 @@
         contact_at = min(self.replicator.quorum_contact_at, now)
         return contact_at + timings.election_timeout_s * timings.lease_fraction
 
+    def record_spare(
+        self, replica: ReplicaId, address: str, now: float
+    ) -> None:
+        """Record the `Hello` of an empty replica."""
+        known = self.spares.get(vm_of(replica))
+        is_known = known is not None and known.replica == replica
+        since = known.waiting_since if known and is_known else now
+        self.spares[vm_of(replica)] = Spare(replica, address, now, since)
+
     def append(
         self,
         kind: EntryKind,
@@ -344,6 +353,9 @@
             silence_s=silence_s,
             caught_up=caught_up,
             spares=spares,
+            waiting_since={
+                one.replica: one.waiting_since for one in self.spares.values()
+            },
             live_within_s=timings.election_timeout_s,
             replacement_timeout_s=timings.replacement_timeout_s,
         )
--- a/persimmonhold/consensus/_repair.py
+++ b/persimmonhold/consensus/_repair.py
@@ -7,6 +7,11 @@
 temporarily need three of four voters, one of them dead, and the loss of the
 new member would stop the group.
 
+A spare that was there before the voter fell silent is no successor of its VM,
+which may only be frozen or cut off. Then the learner is promoted first: between
+the two steps, the loss of as many disks as the group tolerates leaves a quorum
+of the larger group, but not of one that lacks the silent voter.
+
 A silent voter whose VM is only frozen or cut off still has its disk, which is
 discarded if the voter is removed. If more voters are silent than there are
 replacements, the leader cannot tell which of them is gone, so it waits longer
@@ -39,7 +44,7 @@
             return _advance_learner(health, member)
     if len(voters) > health.target_voters:
         return health.configuration.without_member(
-            _find_most_silent_voter(health)
+            _find_dead_voter(health) or _find_most_silent_voter(health)
         )
     return _add_learner(health)
 
@@ -61,12 +66,16 @@
     is_live = silence_s < health.live_within_s
     if not is_live or learner.replica not in health.caught_up:
         return None
+    promoted = health.configuration.with_member(
+        Member(learner.replica, learner.address)
+    )
     if len(health.configuration.voters) < health.target_voters:
-        promoted = Member(learner.replica, learner.address)
-        return health.configuration.with_member(promoted)
+        return promoted
     dead = _find_dead_voter(health)
     if dead and not _is_certain(health, dead):
         return None
+    if dead and _is_promoted_first(health, learner, dead):
+        return promoted
     # If the voter has come back in the meantime, the learner is not needed.
     return health.configuration.without_member(dead or learner.replica)
 
@@ -105,6 +114,20 @@
     )
 
 
+def _is_promoted_first(
+    health: GroupHealth, learner: Member, dead: ReplicaId
+) -> bool:
+    """Return whether a learner is promoted before a voter is removed.
+
+    That is, it was a spare before the voter fell silent.
+    """
+    if vm_of(dead) in _list_replaced_vms(health):
+        return False
+    since = health.waiting_since.get(learner.replica, health.now)
+    silent_s = health.silence_s[dead]
+    return health.now - since >= silent_s + health.live_within_s
+
+
 def _count_replacements(health: GroupHealth) -> int:
     """Return the number of live learners and spares.
 
--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -19,7 +19,7 @@
 from persimmonhold.consensus._hard_state import HardState
 from persimmonhold.consensus._leadership import Leadership
 from persimmonhold.consensus._log_entry import EntryKind
-from persimmonhold.consensus._member import Member, ReplicaId, vm_of
+from persimmonhold.consensus._member import Member, ReplicaId
 from persimmonhold.consensus._messages import (
     Append,
     AppendReply,
@@ -38,7 +38,6 @@
 from persimmonhold.consensus._raft_log import RaftLog
 from persimmonhold.consensus._role import Role
 from persimmonhold.consensus._snapshot import Snapshot
-from persimmonhold.consensus._spare import Spare
 from persimmonhold.consensus._timings import Timings
 
 
@@ -340,5 +339,4 @@
         now: float,
     ) -> None:
         if self.leadership is not None:
-            spare = Spare(sender, message.address, now)
-            self.leadership.spares[vm_of(sender)] = spare
+            self.leadership.record_spare(sender, message.address, now)
--- a/persimmonhold/consensus/_spare.py
+++ b/persimmonhold/consensus/_spare.py
@@ -9,8 +9,13 @@
 
 @final
 class Spare(msgspec.Struct, frozen=True):
-    """An empty replica that asks to join, and the time of its last `Hello`."""
+    """An empty replica that asks to join.
+
+    `waiting_since` and `last_hello_at` are the times of its first and its
+    last `Hello` to this leader.
+    """
 
     replica: ReplicaId
     address: str
     last_hello_at: float
+    waiting_since: float = float('inf')
--- a/tests/_disk_losses.py
+++ b/tests/_disk_losses.py
@@ -148,6 +148,13 @@
         self._last_members = ''
         self._replaced = 0
 
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """The voters of the newest configuration on any disk."""
+        logs = [node.disk.log() for node in self.group.nodes.values()]
+        newest = max(logs, key=lambda log: log.configuration_index)
+        return newest.configuration.voters
+
     def form(self) -> None:
         """Run until the group has its full size, as days begin calm."""
         self.run(_FORMATION_S, self._is_formed)
@@ -242,7 +249,7 @@
         self.changes.update()
         names = sorted(self.group.nodes)
         self.rng.shuffle(names)
-        voters = {vm_of(voter) for voter in self._find_voters()}
+        voters = {vm_of(voter) for voter in self.voters}
         wiped = self.rng.choice([0, self.tolerance, self.tolerance])
         for vm in names:
             delay = self.rng.choice([0.3, 1.0]) * self.rng.random()
@@ -289,12 +296,6 @@
     def _describe(self) -> str:
         return '\n'.join((*self._log[-_LOG_LINES:], self.group.describe()))
 
-    def _find_voters(self) -> tuple[str, ...]:
-        """Return the voters of the newest configuration on any disk."""
-        logs = [node.disk.log() for node in self.group.nodes.values()]
-        newest = max(logs, key=lambda log: log.configuration_index)
-        return newest.configuration.voters
-
     def _has_leader(self) -> bool:
         leader = self.group.leader
         if leader is None or leader.live.leadership is None:
--- a/tests/test_consensus_repair.py
+++ b/tests/test_consensus_repair.py
@@ -59,6 +59,7 @@
         silence_s=silence_s,
         caught_up=frozenset(f'{one}/1' for one in caught_up),
         spares=tuple(Spare(f'{one}/1', one, 0) for one in spares),
+        waiting_since={},
         live_within_s=1,
         replacement_timeout_s=30,
     )
@@ -105,9 +106,64 @@
         silence_s={**silence_s, 'D/1': silent_d_s, 'E/1': silent_e_s},
         caught_up=frozenset(('f/1',)),
         spares=spares,
+        waiting_since={},
         live_within_s=1,
         replacement_timeout_s=30,
     )
     changed = choose_membership_change(health) or configuration
     found = ''.join(one.vm for one in changed.members)
     assert_that(found, Equals(expected))
+
+
+@pytest.mark.parametrize(
+    ('waiting_since', 'vm', 'expected'),
+    [
+        (60.0, 'd', 'ABCD'),
+        (68.0, 'd', 'ABCD'),
+        (68.5, 'd', 'ABd'),
+        (70.0, 'd', 'ABd'),
+        (60.0, 'c', 'ABc'),
+    ],
+)
+def test_spare_is_promoted_first_if_it_is_no_successor(
+    waiting_since: float, vm: str, expected: str
+) -> None:
+    """A voter that is only silent counts until the spare does."""
+    learner = Member(f'{vm.upper()}/2', vm, is_voter=False)
+    configuration = _members('ABC').with_member(learner)
+    health = GroupHealth(
+        now=100,
+        leader='A/1',
+        configuration=configuration,
+        target_voters=3,
+        silence_s={'A/1': 0, 'B/1': 0, 'C/1': 31, learner.replica: 0},
+        caught_up=frozenset((learner.replica,)),
+        spares=(),
+        waiting_since={learner.replica: waiting_since},
+        live_within_s=1,
+        replacement_timeout_s=30,
+    )
+    changed = choose_membership_change(health) or configuration
+    found = ''.join(
+        one.vm if one.is_voter else one.vm.lower() for one in changed.members
+    )
+    assert_that(found, Equals(expected))
+
+
+def test_voter_that_fell_silent_is_removed_once_the_spare_counts() -> None:
+    """The group has one voter too many only between the two steps."""
+    configuration = _members('ABCD')
+    health = GroupHealth(
+        now=100,
+        leader='A/1',
+        configuration=configuration,
+        target_voters=3,
+        silence_s={'A/1': 0, 'B/1': 0.2, 'C/1': 31, 'D/1': 0},
+        caught_up=frozenset(('D/1',)),
+        spares=(),
+        waiting_since={'D/1': 60},
+        live_within_s=1,
+        replacement_timeout_s=30,
+    )
+    changed = choose_membership_change(health)
+    assert_that(changed, Equals(_members('ABD')))
--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -6,6 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import HasLength, Not
 
+from persimmonhold.consensus import vm_of
 from tests._disk_losses import LossScenario, play
 
 _FAULTS: Final = 40
@@ -63,3 +64,25 @@
     """Seeds 58 and 195 lost the group: a sound disk had been discarded."""
     scenario = play(seed, tolerance, spares, _FAULTS)
     assert_that(scenario.changes.acknowledged, Not(HasLength(0)))
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_spare_is_promoted_before_a_silent_voter_is_removed(seed: int) -> None:
+    """Two disks lost between the two steps left two of four voters."""
+    scenario = LossScenario(seed, tolerance=2, spares=1)
+    scenario.form()
+    scenario.run(1)
+    silent = _find_follower(scenario)
+    scenario.acknowledge()
+    before = set(scenario.voters)
+    lost = {vm_of(one) for one in sorted(before)} - {silent}
+    lost = set(sorted(lost)[:2])
+    scenario.freeze(silent, 3)
+    scenario.run(3, lambda: set(scenario.voters) != before)
+    assert_that(scenario.voters, Not(HasLength(len(before))))
+    for vm in tuple(scenario.group.nodes):
+        if vm in lost:
+            scenario.wipe(vm, 0.5)
+        else:
+            scenario.crash(vm, 0.5)
+    scenario.check_recovery()
