List the disk that may be lost while a late spare replaces a frozen voter

The replacement of a silent voter takes two changes of the group. Whichever is first, one coincidence of losses within a heartbeat is not survived; removing first is right where the voter's VM was removed for good.

--- a/tests/_disk_losses.py
+++ b/tests/_disk_losses.py
@@ -236,6 +236,22 @@
         self.lost_disks[name] = 0
         self.absent_until[name] = self.group.now + seconds
 
+    def add_spare(self) -> str:
+        """Start one more VM with an empty disk; return its name."""
+        name = f'vm{len(self.group.nodes)}'
+        self._note(f'add {name}')
+        self.group.nodes[name] = Node(name)
+        self.group.start(name)
+        return name
+
+    def crash_all_but_wipe(self, lost: set[str]) -> None:
+        """Stop all VMs at once; those in `lost` lose their disks."""
+        for vm in tuple(self.group.nodes):
+            if vm in lost:
+                self.wipe(vm, 0.5)
+            else:
+                self.crash(vm, 0.5)
+
     def transfer(self) -> None:
         """Have the leader hand over."""
         leader = self.group.leader
--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -40,11 +40,7 @@
     scenario.acknowledge()
     assert_that(scenario.changes.acknowledged, HasLength(1))
     lost = _find_follower(scenario, frozen.vm, *scenario.lost_disks)
-    for vm in tuple(scenario.group.nodes):
-        if vm == lost or vm in scenario.lost_disks:
-            scenario.wipe(vm, 0.5)
-        else:
-            scenario.crash(vm, 0.5)
+    scenario.crash_all_but_wipe({lost, *scenario.lost_disks})
     scenario.check_recovery()
 
 
@@ -80,9 +76,25 @@
     scenario.freeze(silent, 3)
     scenario.run(3, lambda: set(scenario.voters) != before)
     assert_that(scenario.voters, Not(HasLength(len(before))))
-    for vm in tuple(scenario.group.nodes):
-        if vm in lost:
-            scenario.wipe(vm, 0.5)
-        else:
-            scenario.crash(vm, 0.5)
+    scenario.crash_all_but_wipe(lost)
+    scenario.check_recovery()
+
+
+@pytest.mark.parametrize('seed', [0])
+def test_disk_may_be_lost_while_a_late_spare_replaces_a_frozen_voter(
+    seed: int,
+) -> None:
+    """A spare that joins later is taken for the successor of a removed VM."""
+    scenario = LossScenario(seed, tolerance=1, spares=0)
+    scenario.form()
+    scenario.run(1)
+    silent = _find_follower(scenario)
+    before = set(scenario.voters)
+    scenario.acknowledge()
+    scenario.freeze(silent, 3)
+    scenario.run(0.5)
+    spare = scenario.add_spare()
+    scenario.run(3, lambda: set(scenario.voters) != before)
+    assert_that(scenario.voters, Not(HasLength(len(before))))
+    scenario.crash_all_but_wipe({_find_follower(scenario, silent, spare)})
     scenario.check_recovery()
