Send a response whole before its connection closes, also to a slow caller

A caller that reads slowly lost the end of its response if the connection was to close behind it: because of a planned stop, of its own `Connection: close`, or of HTTP/1.0. The request had been run by an upstream.

Cause: a connection that lingers after its last response was aborted after 1 s, with up to 64 KB that its caller had not read; h11 leaves the state in which the connection closes by itself as soon as a response says `Connection: close`. Now that second counts once all is sent; until then the connection is closed if the caller reads nothing for `send_timeout_s`, like one whose caller does not read a response in progress.

--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -68,9 +68,16 @@
         exchange = self.connection.exchange
         if exchange is not None:
             return exchange.is_body_awaited
-        is_sent = self._unsent_bytes == 0
+        is_sent = self.unsent_bytes == 0
         return is_sent or _now() - self.since >= _UNREAD_S
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of responses that the operating system has not taken."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def open(self, server: object) -> bool:
         """Begin to hold a connection; False if there is no room for it."""
         self.server = server
@@ -111,7 +118,7 @@
     def pause_output(self) -> None:
         """Hold the parts of a response that the peer has not read."""
         self.paused_at = _now()
-        self.output_bytes = self._unsent_bytes
+        self.output_bytes = self.unsent_bytes
         self._reserve()
 
     def resume_output(self) -> None:
@@ -156,12 +163,6 @@
         """Whether more was sent behind a request than one head."""
         return self.input_bytes > self.connection.bounds.max_head_bytes
 
-    @property
-    def _unsent_bytes(self) -> int:
-        if self.transport is None:
-            return 0
-        return self.transport.get_write_buffer_size()
-
     def _reserve(self) -> None:
         if not self.is_open:
             return
--- /dev/null
+++ b/persimmonhold/web/_reader_watch.py
@@ -0,0 +1,47 @@
+"""When a connection is closed whose peer has not read its response."""
+
+from functools import partial
+from typing import TYPE_CHECKING, Final, final
+
+from persimmonhold.web._close_cause import CloseCause
+
+if TYPE_CHECKING:
+    from persimmonhold.web._server_connection import ServerConnection
+
+_LINGER_S: Final = 1.0
+
+
+@final
+class ReaderWatch:
+    """Closes a connection after its last response, by its timer."""
+
+    __slots__ = ('connection',)
+
+    def __init__(self, connection: 'ServerConnection') -> None:
+        """Create the watch of a connection."""
+        self.connection = connection
+
+    def linger(self, unread_s: float = 0) -> None:
+        """Close after a short time, or once the peer has read its response.
+
+        The peer has read nothing for `unread_s`.
+        """
+        connection = self.connection
+        connection.timer.start(
+            _LINGER_S,
+            partial(
+                self._end_linger, connection.buffers.unsent_bytes, unread_s
+            ),
+        )
+
+    def _end_linger(self, unsent_before: int, unread_s: float) -> None:
+        connection = self.connection
+        unsent = connection.buffers.unsent_bytes
+        if unsent == 0:
+            connection.abort(CloseCause.finished)
+        elif unsent < unsent_before:
+            self.linger()
+        elif unread_s + _LINGER_S < connection.bounds.send_timeout_s:
+            self.linger(unread_s + _LINGER_S)
+        else:
+            connection.abort(CloseCause.unread_response)
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -29,13 +29,13 @@
     ParseTurn,
 )
 from persimmonhold.web._read_protocol import MAX_READ_BYTES, ReadProtocol
+from persimmonhold.web._reader_watch import ReaderWatch
 from persimmonhold.web._rejection import Rejection
 from persimmonhold.web._request_head import RequestHead
 
 _BAD_REQUEST: Final = 400
 _HEAD_TOO_LARGE: Final = 431
 _INTERNAL_ERROR: Final = 500
-_LINGER_S: Final = 1.0
 # Time in which an idle connection that is to be closed reads what its peer had
 # sent before.
 _LAST_READ_S: Final = 0.1
@@ -76,6 +76,7 @@
         self._fields = HeadFieldCounter()
         self._task: asyncio.Task[None] | None = None
         self.timer = ConnectionTimer()
+        self._reader_watch = ReaderWatch(self)
         self._is_idle = True
         self._is_lingering = False
         self._is_rejecting = False
@@ -396,7 +397,7 @@
         self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self.timer.start(_LINGER_S, partial(self.abort, CloseCause.finished))
+        self._reader_watch.linger()
 
 
 def _write_rejection(
