Close a slow caller only once it reads nothing for the send time-out

A caller that read its response slowly, but without a stop, was closed 30 s after the process had written more than its buffers took; the end of the response was dropped.

Cause: `send_timeout_s` ran until the transport had drained to 16 KB, not while the peer read nothing, as its definition says. A whole response of up to 256 KB is written at once, so 8 KB a second were not enough. The timer now starts again whenever the peer has read something.

test_caller_that_goes_on_reading_has_time failed before (81,920 of 200,000 bytes arrived, with and without `Connection: close`).

--- a/persimmonhold/web/_reader_watch.py
+++ b/persimmonhold/web/_reader_watch.py
@@ -1,4 +1,8 @@
-"""When a connection is closed whose peer has not read its response."""
+"""When a connection is closed whose peer has not read its response.
+
+A peer that reads some of it within the send time-out may take longer in all: what
+waits for it is bounded, and may be evicted.
+"""
 
 from functools import partial
 from typing import TYPE_CHECKING, Final, final
@@ -13,7 +17,7 @@
 
 @final
 class ReaderWatch:
-    """Closes a connection after its last response, by its timer."""
+    """Closes a connection whose peer does not read, by its timer."""
 
     __slots__ = ('connection',)
 
@@ -21,6 +25,14 @@
         """Create the watch of a connection."""
         self.connection = connection
 
+    def wait(self) -> None:
+        """Close unless the peer goes on to read what is sent to it."""
+        connection = self.connection
+        connection.timer.start(
+            connection.bounds.send_timeout_s,
+            partial(self._end_wait, connection.buffers.unsent_bytes),
+        )
+
     def linger(self, unread_s: float = 0) -> None:
         """Close after a short time, or once the peer has read its response.
 
@@ -34,6 +46,12 @@
             ),
         )
 
+    def _end_wait(self, unsent_before: int) -> None:
+        if self.connection.buffers.unsent_bytes < unsent_before:
+            self.wait()
+        else:
+            self.connection.abort(CloseCause.unread_response)
+
     def _end_linger(self, unsent_before: int, unread_s: float) -> None:
         connection = self.connection
         unsent = connection.buffers.unsent_bytes
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -141,10 +141,7 @@
     def pause_writing(self) -> None:
         """Block senders while the peer reads slowly, for a limited time."""
         self._writable.clear()
-        self.timer.start(
-            self.bounds.send_timeout_s,
-            partial(self.abort, CloseCause.unread_response),
-        )
+        self._reader_watch.wait()
         self.buffers.pause_output()
 
     def resume_writing(self) -> None:
@@ -234,10 +231,7 @@
         """Close after the peer has read what was sent, for a limited time."""
         if self._transport is not None:
             self.close_cause = self.close_cause or CloseCause.finished
-            self.timer.start(
-                self.bounds.send_timeout_s,
-                partial(self.abort, CloseCause.unread_response),
-            )
+            self._reader_watch.wait()
             self._transport.close()
 
     def _process_events(self) -> None:
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -24,6 +24,7 @@
 _PAUSE_S: Final = 1.5  # longer than a connection is kept after its response
 _READ_BYTES: Final = 4096
 _SIZE_BYTES: Final = 60_000  # below the limit that pauses a writer
+_LARGE_BYTES: Final = 200_000
 _HEAD: Final = b'GET / HTTP/1.1\r\nHost: a\r\n'
 
 
@@ -140,3 +141,21 @@
     took_s = run_in_virtual_time(scenario())
     assert_that(took_s, GreaterThan(HttpBounds().send_timeout_s - 1))
     assert_that(took_s, LessThan(HttpBounds().send_timeout_s + 35))
+
+
+@pytest.mark.parametrize('is_kept', [True, False])
+def test_caller_that_goes_on_reading_has_time(is_kept: bool) -> None:
+    """It was closed 30 s after the response, though it went on reading."""
+
+    async def scenario() -> int:
+        handler = _Body(_LARGE_BYTES)
+        bounds = HttpBounds(idle_timeout_s=1)
+        async with HttpServer(_ANY, handler, bounds) as server:
+            _limit_send_buffer(server)
+            caller = SlowCaller()
+            fields = b'' if is_kept else b'Connection: close\r\n'
+            await caller.send(server, _HEAD + fields + b'\r\n')
+            await caller.read(_PAUSE_S)
+            return caller.body_bytes
+
+    assert_that(run_in_virtual_time(scenario()), Equals(_LARGE_BYTES))
