Give a caller time to read its response, however long the request took

Where descriptors ran out, a caller could lose the end of a response that had just been written, for the connection of another caller.

Cause: a connection whose response is not sent yet may be closed for a new one after 1 s. The second was counted from the beginning of the request while the caller had not read most of the response, or the connection was to close behind it; so any request of more than 1 s gave its caller no time at all. It now counts from the end of the response.

test_response_that_is_being_read_makes_no_room_for_a_connection failed before (20,480 of 200,000 bytes arrived).

--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -100,6 +100,10 @@
         self.head_bytes = 2 * text_bytes + field_count * _FIELD_BYTES
         self._reserve()
 
+    def end_response(self) -> None:
+        """Give the peer time to read a response that was just written."""
+        self.since = _now()
+
     def finish_request(self) -> None:
         """Release the fields of a request whose response was sent."""
         self.since = _now()
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -326,6 +326,7 @@
         exchange.discard_body()
         if self._transport is None:
             return
+        self.buffers.end_response()
         if exchange.has_response_ended:
             # The timer of a peer that does not read goes on.
             self._is_next_delayed = not self._writable.is_set()
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -18,6 +18,7 @@
     ExchangeHandler,
     HttpBounds,
     HttpServer,
+    MemoryBudget,
 )
 
 _ANY: Final = Address('127.0.0.1', 0)
@@ -159,3 +160,30 @@
             return caller.body_bytes
 
     assert_that(run_in_virtual_time(scenario()), Equals(_LARGE_BYTES))
+
+
+def test_response_that_is_being_read_makes_no_room_for_a_connection() -> None:
+    """Its end was dropped if the request had taken longer than 1 s."""
+
+    async def scenario() -> int:
+        handler = _Body(_LARGE_BYTES)
+        handler.is_ready.clear()
+        budget = MemoryBudget(2**28, max_connections=1)
+        server = HttpServer(_ANY, handler, HttpBounds(), budget=budget)
+        async with server:
+            _limit_send_buffer(server)
+            caller = SlowCaller()
+            await caller.send(server, _HEAD + b'\r\n')
+            await asyncio.sleep(4)
+            handler.is_ready.set()
+            reading = asyncio.create_task(caller.read(0.05))
+            await asyncio.sleep(0.2)
+            other = SlowCaller()
+            await other.send(server, _HEAD + b'\r\n')
+            await asyncio.sleep(30)
+            await server.drain()
+            await reading
+            other.socket.close()
+            return caller.body_bytes
+
+    assert_that(run_in_virtual_time(scenario()), Equals(_LARGE_BYTES))
