Keep a response that is being read where memory is short

Where memory ran out, a caller that read its response slowly was closed first, and lost the rest of it, for the body of another request, which could have been refused.

Cause: what waits for a caller counted as unread for as long as its buffer had not drained, 1 s of that was enough to be evicted, and the product of bytes and time is the largest for such callers. What the caller has read since is now released when a connection is looked for that may be closed, and the time starts again.

test_response_that_is_being_read_is_kept_where_memory_is_short failed before (81,920 of 200,000 bytes arrived); a caller that reads nothing is still closed.

The errors that test_failing_connections.py injects are no longer printed.

--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -135,6 +135,8 @@
 
         A connection that is only open holds too little to be closed for it.
         """
+        if self.output_bytes:
+            self._release_read(now)
         held = self.share.size_bytes - CONNECTION_BYTES
         if self.output_bytes:
             unread_s = now - self.paused_at
@@ -167,6 +169,16 @@
         """Whether more was sent behind a request than one head."""
         return self.input_bytes > self.connection.bounds.max_head_bytes
 
+    def _release_read(self, now: float) -> None:
+        """Release what the peer has read of a response, if it goes on.
+
+        A peer that reads slowly is not closed in favour of other requests.
+        """
+        if self.unsent_bytes < self.output_bytes:
+            self.output_bytes = self.unsent_bytes
+            self.paused_at = now
+            self._reserve()
+
     def _reserve(self) -> None:
         if not self.is_open:
             return
--- a/tests/test_failing_connections.py
+++ b/tests/test_failing_connections.py
@@ -108,6 +108,7 @@
 ) -> None:
     """Its kept connection is not closed without a response."""
     original = getattr(owner, step)
+    unhandled: list[dict[str, Any]] = []
 
     async def fail(*args: Any, **kwargs: Any) -> Any:
         if is_after:
@@ -126,6 +127,8 @@
         writer.write(_CALL % b'f1')
         assert_that(await _read_status(reader), Equals(200))
         await reader.readexactly(len(b'{}'))
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unhandled.append(context))
         with patch.object(owner, step, fail):
             writer.write(_CALL % b'f2')
             assert_that(await _read_status(reader), Equals(500))
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -14,6 +14,7 @@
 from bench.virtual_loop import run_in_virtual_time
 from persimmonhold.web import (
     Address,
+    BufferShare,
     Exchange,
     ExchangeHandler,
     HttpBounds,
@@ -187,3 +188,36 @@
             return caller.body_bytes
 
     assert_that(run_in_virtual_time(scenario()), Equals(_LARGE_BYTES))
+
+
+@pytest.mark.parametrize('is_read', [True, False])
+def test_response_that_is_being_read_is_kept_where_memory_is_short(
+    is_read: bool,
+) -> None:
+    """It was dropped for the body of another request, which may be refused."""
+
+    async def scenario() -> int:
+        budget = MemoryBudget(2**28)
+        server = HttpServer(
+            _ANY, _Body(_LARGE_BYTES), HttpBounds(), budget=budget
+        )
+        async with server:
+            _limit_send_buffer(server)
+            caller = SlowCaller()
+            await caller.send(server, _HEAD + b'\r\n')
+            await asyncio.sleep(0.1)
+            reading = asyncio.create_task(caller.read(0.2 if is_read else 30))
+            await asyncio.sleep(4)
+            # Other requests try to reserve memory, and there is none.
+            budget.limit_bytes = budget.reserved_bytes
+            for _ in range(20):
+                BufferShare(budget).try_resize(_READ_BYTES)
+                await asyncio.sleep(0.2)
+            await reading
+            return caller.body_bytes
+
+    body_bytes = run_in_virtual_time(scenario())
+    if is_read:
+        assert_that(body_bytes, Equals(_LARGE_BYTES))
+    else:
+        assert_that(body_bytes, LessThan(_LARGE_BYTES))
