Announce the close of a connection whose request body is not read to its end

A caller whose request was refused before the end of its body (no route, wrong key, no control, no memory) lost its next request on that connection: it was read and dropped, and the connection ended without an answer.

Cause: the rest of such a body is dropped, so the connection closes after the response, but the response did not say so; only those to malformed requests did. Any response that begins before the end of the request's body now has `Connection: close`.

--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -221,9 +221,10 @@
     def _asks_to_close(self) -> bool:
         """Tell whether the next response asks the peer to close.
 
-        Requests that were received behind it are answered first.
+        Requests that were received behind it are answered first. It does so
+        before the end of a request's body, as the rest of that is dropped.
         """
-        if self._is_rejecting:
+        if self._is_rejecting or self._parser.their_state is h11.SEND_BODY:
             return True
         return self.is_close_announced and not _has_next_request(self._parser)
 
--- a/tests/test_failing_connections.py
+++ b/tests/test_failing_connections.py
@@ -9,7 +9,7 @@
 import eliot
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, StartsWith
+from testtools.matchers import Contains, Equals, StartsWith
 
 from bench.virtual_loop import run_in_virtual_time
 from persimmonhold.entry._attempt_runner import AttemptRunner
@@ -196,6 +196,36 @@
     run_with_harness(scenario)
 
 
+@pytest.mark.parametrize('is_chunked', [False, True])
+@pytest.mark.parametrize('is_whole', [False, True])
+def test_refusal_before_the_end_of_a_body_says_that_the_connection_closes(
+    is_chunked: bool, is_whole: bool
+) -> None:
+    """The next request on the connection got no answer."""
+    body = b'x' * 100_000
+    sent_bytes = 2 * len(body) if is_whole else 100
+    framing = b'Content-Length: %d\r\n\r\n' % len(body)
+    if is_chunked:
+        framing = b'Transfer-Encoding: chunked\r\n\r\n'
+        body = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+
+    async def scenario(harness: ForwardingHarness) -> None:
+        harness.clear_routes()
+        address = harness.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        head = b'POST /chat/x HTTP/1.1\r\nHost: a.example\r\n'
+        writer.write(head + framing + body[:sent_bytes])
+        async with asyncio.timeout(_TIMEOUT_S):
+            answer = await reader.read()
+        writer.close()
+        assert_that(answer, StartsWith(b'HTTP/1.1 503'))
+        assert_that(answer.lower(), Contains(b'connection: close'))
+
+    run_with_harness(scenario)
+
+
 async def _read_status(reader: asyncio.StreamReader) -> int:
     async with asyncio.timeout(_TIMEOUT_S):
         head = await reader.readuntil(b'\r\n\r\n')
