Handle consensus messages before all that wait at a process

New leaders lost their term within a second, with a loop that was 0.1 to 0.6 s late.

Cause: all messages of a process come through one queue. 80 entries send the leader up to 50 reports a second each while requests wait, which they do while nobody leads; it handles some hundred a second. Its loop handled up to 128 of them in one turn, and the replies of its voters came behind hundreds of reports, later than the election timeout of 0.45 s. The next leader began with the same queue.

Messages of consensus and probes are now handled as they are received; others wait in a bounded queue and have the loop for 10 ms at a time. Nothing changes on the wire.

test_consensus_does_not_wait_behind_the_reports_of_many_vms failed before: the reply was handled after 400 of 400 reports.

--- a/persimmonhold/transport/_nng_transport.py
+++ b/persimmonhold/transport/_nng_transport.py
@@ -4,7 +4,8 @@
 sends. The push and pull protocols neither resend nor wait for a reply.
 Invariants: no call blocks; messages to a peer that does not read are dropped
 once its queue is full, without delay for other peers; probes detect a
-connection that no longer carries messages, and it is replaced.
+connection that no longer carries messages, and it is replaced; messages that
+keep the term of a leader do not wait behind others.
 """
 
 import asyncio
@@ -26,6 +27,7 @@
 )
 from persimmonhold.transport._native_threads import limit_native_threads
 from persimmonhold.transport._peer_socket import PeerSocket
+from persimmonhold.transport._receive_queue import ReceiveQueue
 from persimmonhold.transport._tls_files import TlsFiles
 from persimmonhold.transport._traffic_counters import TrafficCounters
 from persimmonhold.transport._transport import Receiver, Transport
@@ -66,6 +68,7 @@
         self._tls: TlsFiles | None = None
         self._reload_interval_s = reload_interval_s
         self._receivers: dict[Channel, Receiver] = {}
+        self._queue = ReceiveQueue(self._handle_message, self.traffic_counters)
         self._configured_addresses: dict[str, str] = {}
         self._learned_addresses: dict[str, str] = {}
         self._peer_sockets: dict[str, PeerSocket] = {}
@@ -113,6 +116,7 @@
             )
             self._receive_socket.close()
             self._receive_socket = None
+        self._queue.close()
         for peer in tuple(self._peer_sockets):
             self._peer_sockets.pop(peer).close()
 
@@ -201,7 +205,7 @@
         }
 
     def _receive_messages(self) -> None:
-        """Dispatch received messages, at most a batch of them.
+        """Take received messages in, at most a batch of them.
 
         The event loop calls again for those that are left.
         """
@@ -212,15 +216,18 @@
                 received = self._receive_socket.recv(block=False)
             except pynng.NNGException:
                 return
-            self._dispatch_message(received)
+            self._take_in(received)
 
-    def _dispatch_message(self, received: bytes) -> None:
+    def _take_in(self, received: bytes) -> None:
         envelope = decode_envelope(received)
         if envelope is None:
             self.traffic_counters.dropped_messages += 1
             return
         self.traffic_counters.count_received(envelope.channel, len(received))
         self._learn_address(envelope.sender, envelope.sender_address)
+        self._queue.add(envelope)
+
+    def _handle_message(self, envelope: Envelope) -> None:
         if envelope.channel is Channel.probe:
             self._handle_probe(envelope)
             return
--- /dev/null
+++ b/persimmonhold/transport/_receive_queue.py
@@ -0,0 +1,71 @@
+"""Received messages that wait to be handled, in the order of their urgency.
+
+A leader that is behind with the messages of many VMs would otherwise find the
+replies of its voters behind them, and lose its term.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Final, final
+
+from persimmonhold.transport._channel import Channel
+from persimmonhold.transport._envelope import Envelope
+from persimmonhold.transport._traffic_counters import TrafficCounters
+
+# Handled as soon as they are received, before all that wait.
+_URGENT: Final = frozenset((Channel.consensus, Channel.probe))
+# The others have the loop for this long at once, then it reads and runs timers.
+_SLICE_S: Final = 0.01
+# Beyond this number, the oldest message is dropped; senders repeat what counts.
+_MAX_WAITING: Final = 1024
+
+
+@final
+class ReceiveQueue:
+    """Handles urgent messages at once, others in turns of the event loop."""
+
+    __slots__ = ('_counters', '_handle', '_turn', 'waiting')
+
+    def __init__(
+        self, handle: Callable[[Envelope], None], counters: TrafficCounters
+    ) -> None:
+        """Create an empty queue whose messages are passed to `handle`."""
+        self.waiting: deque[Envelope] = deque()
+        self._handle = handle
+        self._counters = counters
+        self._turn: asyncio.Handle | None = None
+
+    def add(self, envelope: Envelope) -> None:
+        """Handle an urgent message, or have another one wait."""
+        if envelope.channel in _URGENT:
+            self._handle(envelope)
+            return
+        if len(self.waiting) >= _MAX_WAITING:
+            self.waiting.popleft()
+            self._counters.dropped_messages += 1
+        self.waiting.append(envelope)
+        self._request_turn()
+
+    def close(self) -> None:
+        """Drop the messages that wait."""
+        self.waiting.clear()
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
+
+    def _request_turn(self) -> None:
+        if self._turn is None and self.waiting:
+            loop = asyncio.get_running_loop()
+            self._turn = loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Handle messages that wait, for a limited time."""
+        self._turn = None
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + _SLICE_S
+        try:
+            while self.waiting and loop.time() < ends_at:
+                self._handle(self.waiting.popleft())
+        finally:
+            self._request_turn()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -5,6 +5,7 @@
 import datetime
 import ipaddress
 import math
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import final
@@ -30,6 +31,8 @@
 
 _LOOPBACK = PeerSettings(address='127.0.0.1:0')
 _RESEND_INTERVAL_S = 0.05
+_REPORT_S = 0.005  # to handle the report of a VM
+_REPORTS_PER_VM = 80
 _DAY = datetime.timedelta(days=1)
 
 
@@ -198,6 +201,42 @@
     _run(scenario)
 
 
+def test_consensus_does_not_wait_behind_the_reports_of_many_vms() -> None:
+    """A leader with many entries lost its term: replies came too late."""
+
+    async def scenario() -> None:
+        handled: list[str] = []
+        consensus_came = asyncio.Event()
+
+        def handle_report(peer: str, payload: bytes) -> None:
+            time.sleep(_REPORT_S)
+            handled.append('report')
+
+        def handle_consensus(peer: str, payload: bytes) -> None:
+            handled.append('consensus')
+            consensus_came.set()
+
+        async with contextlib.AsyncExitStack() as stack:
+            leader = NngTransport('vm0', _LOOPBACK, TlsSettings())
+            await stack.enter_async_context(leader)
+            leader.set_receiver(Channel.fleet, handle_report)
+            leader.set_receiver(Channel.consensus, handle_consensus)
+            senders = [
+                NngTransport(f'vm{number}', _LOOPBACK, TlsSettings())
+                for number in range(1, 6)
+            ]
+            for one in senders:
+                await stack.enter_async_context(one)
+                one.set_peers({'vm0': leader.address})
+                for _ in range(_REPORTS_PER_VM):
+                    one.send('vm0', Channel.fleet, b'report')
+            senders[-1].send('vm0', Channel.consensus, b'reply')
+            await consensus_came.wait()
+        assert_that(len(handled), LessThan(_REPORTS_PER_VM))
+
+    _run(scenario)
+
+
 def test_peer_that_does_not_listen_loses_messages_and_blocks_nobody() -> None:
     async def scenario() -> None:
         async with NngTransport('vm1', _LOOPBACK, TlsSettings()) as one:
