Load a model at a version whose only holder leaves or is silent

Cause: an entry asks for a copy at a version only if no upstream of that version holds the model. It counted holders that leave or do not answer reports. It sends them nothing, and the fleet controller counts no copy there, so nobody loaded one until the upstream had left the list.

Why it works: entries and the controller now use the same condition (UpstreamFacts.is_serving) for which copies count.

--- a/persimmonhold/fleet/_fleet_controller.py
+++ b/persimmonhold/fleet/_fleet_controller.py
@@ -427,8 +427,7 @@
             for name, facts in self.facts.by_upstream.items()
             if facts.service == service
             and name in self.ledgers
-            and not facts.is_leaving
-            and not facts.is_silent
+            and facts.is_serving
             and not self.ledgers[name].is_replaced
         ]
 
--- a/persimmonhold/fleet/_upstream_facts.py
+++ b/persimmonhold/fleet/_upstream_facts.py
@@ -64,6 +64,11 @@
         """
         return self.software_version or f'{self.name}@{self.born_ms}'
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the upstream neither leaves nor fails to report."""
+        return not self.is_leaving and not self.is_silent
+
     @property
     def group(self) -> tuple[str, tuple[str, ...]]:
         """The service and the models held, by which requests find it."""
--- a/persimmonhold/fleet/_upstream_groups.py
+++ b/persimmonhold/fleet/_upstream_groups.py
@@ -48,9 +48,12 @@
         )
 
     def holds_model(self, service: str, model: str, build: str) -> bool:
-        """Tell whether an upstream of a build holds a model."""
+        """Tell whether an upstream of a build holds a model, and serves.
+
+        The fleet controller does not count one that leaves or is silent.
+        """
         return any(
-            tracker.facts.build == build
+            tracker.facts.build == build and tracker.facts.is_serving
             for tracker in self.by_model.get((service, model), ())
         )
 
