Wait longer for the origin of a stream before refusing it

What callers saw: a stream that was taken up at an entry in touch was refused as unknown_stream, though the fleet controller knew where it began and had answered at once.

Cause: an entry waits 0.3 s for the reply. On a busy machine it is held up for longer, its time-out runs out meanwhile, and it refuses the stream before it handles the reply.

The new test holds an entry up for 0.7 s; it failed before.

Why it works: after 0.3 s the entry goes on at once if it is sure of the origin by itself, as before; otherwise it now asks for 1.2 s more, within the two seconds that callers wait for the next event. A change of the leader is often over by then, too.

--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -54,8 +54,12 @@
 _ADAPTER_TIMEOUT_S: Final = 0.3
 # A permit takes a round trip to the fleet controller.
 _PERMIT_TIMEOUT_S: Final = 0.2
-# Covers two retransmissions; callers wait two seconds for the next event.
+# Covers two retransmissions.
 _ORIGIN_TIMEOUT_S: Final = 0.3
+# Then an entry that is not sure of an origin itself waits on: it would refuse the
+# stream, and a caller may have no further try. A busy machine has held an entry up
+# for 0.7 s. Callers wait two seconds for the next event.
+_LATE_ORIGIN_S: Final = 1.2
 # Time until the next permit request for an upstream after one without a reply.
 _UNANSWERED_PERMIT_WAIT_S: Final = 0.5
 # Without a newer list for this long, the entry reads the list itself. Updates
@@ -223,7 +227,8 @@
         """Return where a stream began; None if nobody knows.
 
         The fleet controller is asked unless this entry has begun the stream.
-        Without its reply, only what this entry is sure of counts.
+        Without its reply, only what this entry is sure of counts; if that is
+        nothing, the reply may still come.
         """
         asked_at = self.hub.clock()
         origins = self.hub.streams.origins
@@ -240,16 +245,19 @@
         )
         self.pending_origins[request.request_id] = future
         try:
-            async with asyncio.timeout(_ORIGIN_TIMEOUT_S):
-                reply = await self._resend_until_answered(request, future)
-        except TimeoutError:
-            log_event('origin_unanswered', begun_as=begun_as, service=service)
-            await self._read_list_since(asked_at)
-            return origins.find_own_origin(
-                begun_as, service, asked_at, self.hub.clock()
-            )
+            reply = await self._ask_origin(request, future, _ORIGIN_TIMEOUT_S)
+            if reply is None:
+                await self._read_list_since(asked_at)
+                own = origins.find_own_origin(
+                    begun_as, service, asked_at, self.hub.clock()
+                )
+                if own is not None:
+                    return own
+                reply = await self._ask_origin(request, future, _LATE_ORIGIN_S)
         finally:
             self.pending_origins.pop(request.request_id)
+        if reply is None:
+            return None
         is_trusted = reply.is_proven or self.hub.streams.may_trust_guess(
             service
         )
@@ -289,6 +297,24 @@
     def _listed_at(self) -> float:
         return self.hub.dispatcher.listed_at
 
+    async def _ask_origin(
+        self,
+        request: StreamOriginRequest,
+        future: asyncio.Future[StreamOriginReply],
+        timeout_s: float,
+    ) -> StreamOriginReply | None:
+        """Ask the fleet controller where a stream began; None if unanswered."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._resend_until_answered(request, future)
+        except TimeoutError:
+            log_event(
+                'origin_unanswered',
+                begun_as=request.begun_as,
+                service=request.service,
+            )
+            return None
+
     async def _resend_until_answered(
         self,
         request: AdapterLoadRequest | StreamOriginRequest,
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -39,6 +39,7 @@
 )
 
 _REPORT_S = 0.3  # until the fleet controller has a report
+_HELD_UP_S = 0.7  # of an entry on a busy machine, as seen in a soak
 
 
 @pytest.fixture
@@ -99,6 +100,27 @@
     run_fleet(scenario)
 
 
+def test_stream_goes_on_at_an_entry_that_is_held_up_as_it_asks(
+    run_fleet: Runner,
+) -> None:
+    """A caller without a further try lost its stream by the refusal."""
+
+    async def scenario(fleet: LimitedFleet) -> None:
+        _begin_stream(fleet, fleet.entries[0], 's1')
+        await asyncio.sleep(_REPORT_S)
+        await release(fleet)
+        entry = fleet.entries[1]
+        client = fleet.services[entry].fleet_client
+        fleet.system.network.pause(entry)
+        async with asyncio.TaskGroup() as group:
+            asked = group.create_task(client.find_stream_origin('models', 's1'))
+            await asyncio.sleep(_HELD_UP_S)
+            fleet.system.network.resume(entry)
+        assert_that(asked.result(), Equals(OLD))
+
+    run_fleet(scenario)
+
+
 def test_unknown_stream_goes_on_nowhere_when_a_version_has_just_left(
     run_fleet: Runner,
 ) -> None:
