--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -32,6 +32,12 @@
         default=0,
         help='entries before engines, such as 80',
     )
+    parser.add_argument(
+        '--rare',
+        type=int,
+        default=0,
+        help='entries before engines that hold few of the models, such as 80',
+    )
     parser.add_argument('--releases', action='store_true')
     parser.add_argument('--regressions', action='store_true')
     parser.add_argument('--logs', type=Path, default=Path('target/soak'))
@@ -42,8 +48,8 @@
             seed,
             arguments.seconds,
             arguments.vms,
-            has_releases=arguments.releases,
-            shape=Shape.large(arguments.large) if arguments.large else None,
+            has_releases=arguments.releases or bool(arguments.rare),
+            shape=_find_shape(arguments),
         )
         for seed in range(int(first), int(last or first) + 1)
     ]
@@ -59,6 +65,13 @@
     return 1 if failed else 0
 
 
+def _find_shape(arguments: argparse.Namespace) -> Shape | None:
+    """Return the shape that the arguments name, or None for a small one."""
+    if arguments.rare:
+        return Shape.rare(arguments.rare)
+    return Shape.large(arguments.large) if arguments.large else None
+
+
 def _read_regressions() -> list[Plan]:
     """Read lines of seed, seconds, VMs and cause; `#` begins a comment."""
     lines = _REGRESSIONS.read_text(encoding='utf-8').splitlines()
--- a/bench/soak/_caller.py
+++ b/bench/soak/_caller.py
@@ -123,7 +123,7 @@
             async with asyncio.timeout(
                 call.patience_s or call.deadline_s + _LATE_S
             ):
-                head = await _receive(connection, call)
+                head = await receive_response(connection, call)
         except TimeoutError:
             has_left = call.patience_s
             call.end = CallEnd.abandoned if has_left else CallEnd.timed_out
@@ -155,7 +155,7 @@
     )
 
 
-async def _receive(
+async def receive_response(
     connection: ClientConnection, call: Call
 ) -> ResponseHead | None:
     """Receive and check the response; return its head if it is complete."""
--- a/bench/soak/_plan.py
+++ b/bench/soak/_plan.py
@@ -3,8 +3,10 @@
 import random
 from typing import Final, final
 
+from bench.soak._breaking_faults import draw_breaking_faults
 from bench.soak._fault import Fault, FaultKind
 from bench.soak._shape import Shape
+from bench.soak._upstream import VERSIONS, find_version
 
 _GRACES_S: Final = (3, 5, 8)
 _SEED_COUNT: Final = 3  # control VMs that the settings files name
@@ -68,6 +70,8 @@
             at_s += self.rng.uniform(0, _MAX_PAUSE_S)
         if has_releases:
             faults.extend(self._draw_releases(seconds))
+        if self.shape.patient_callers:
+            faults = self._draw_breaking(seconds)
         self.faults = sorted(faults, key=lambda fault: fault.at_s)
 
     def _draw(self, at_s: float) -> list[Fault]:
@@ -84,6 +88,22 @@
             amount *= _MAX_UPSTREAM_FAULT_S
         return [Fault(at_s, target, kind, amount)]
 
+    def _draw_breaking(self, seconds: float) -> list[Fault]:
+        """Return the faults of a system whose streams are taken up."""
+        engines = self.upstreams[self.shape.upstream_count :]
+        return draw_breaking_faults(
+            self.seed,
+            seconds,
+            controls=self.controls,
+            entries=self.entries,
+            old_engines=[
+                one
+                for one in engines
+                if find_version(int(one[1:]) - 1) == VERSIONS[0]
+            ],
+            engines=engines,
+        )
+
     def _draw_releases(self, seconds: float) -> list[Fault]:
         """Release upstreams in a series that overlaps; kill all VMs once."""
         rng = random.Random(f'releases {self.seed}')
--- a/bench/soak/_soak_system.py
+++ b/bench/soak/_soak_system.py
@@ -25,7 +25,7 @@
 from bench.soak._plan import Plan
 from bench.soak._record import Record
 from bench.soak._soak_vm import SoakVm
-from bench.soak._upstream import VERSIONS, Upstream
+from bench.soak._upstream import Upstream, find_version
 from persimmonhold.platform import _names as names
 from persimmonhold.web import (
     Address,
@@ -161,7 +161,7 @@
         service = SERVICES[number % len(SERVICES)]
         version = ''
         if self.plan.has_releases:
-            version = VERSIONS[number // len(SERVICES) % len(VERSIONS)]
+            version = find_version(number)
         shape = self.plan.shape
         upstream = Upstream(
             name, service, self.record, self.listing.entries, version
@@ -179,6 +179,7 @@
                 self.listing.entries,
                 placed[number - shape.upstream_count],
                 version,
+                shape.load_s,
             )
         upstream.domain = shape.domains[number % len(shape.domains)]
         self.upstreams[name] = upstream
--- a/bench/soak/_soak_vm.py
+++ b/bench/soak/_soak_vm.py
@@ -53,6 +53,7 @@
                 env={**os.environ, 'PERSIMMONHOLD_CONFIG': str(self.path)},
             )
         self.started_at = _now()
+        self.record.starts[self.name].append(self.started_at)
         self.is_stopping = False
 
     def send_signal(self, number: signal.Signals) -> None:
--- a/bench/soak/_upstream.py
+++ b/bench/soak/_upstream.py
@@ -164,6 +164,11 @@
         await exchange.finish_response()
 
 
+def find_version(number: int) -> str:
+    """Return the version of the upstream with a number, from 0."""
+    return VERSIONS[number // len(VERSIONS) % len(VERSIONS)]
+
+
 async def refuse(exchange: Exchange, status: int) -> None:
     """Answer that a request was not run."""
     not_run = encode_headers({
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -173,6 +173,8 @@
         self.status = 0
         self.headers: Headers = ()
         self.is_aborted = False
+        self.was_cut = False
+        self.close_cause = ''
         self.waited_s = 0.0
 
     def abort_connection(self) -> None:
