Tell a new leader of all streams until it confirms a report

Cause: an entry puts all streams of late into one report of a new term, and counts them as told. It hears who leads from its own agent, often later than the first update of the new leader arrives.

The new test loses the reports of the first 0.5 s of a term; it failed before.

Why it works: an update that builds on a change number confirms a report of its term (`base`), also from controllers of earlier builds. Until then each report has all streams.

--- a/persimmonhold/forwarding/_stream_recorder.py
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -29,8 +29,8 @@
 class StreamRecorder:
     """Passes the streams that begin to the dispatcher and into reports.
 
-    `told_term` is the last term whose controller was told all streams that may
-    still be taken up. `first_sequence` is that of the first update, or None.
+    `told_term` is the last term whose controller has confirmed a report with all
+    streams that may still be taken up. `first_sequence` is that of the first update, or None.
     """
 
     __slots__ = (
@@ -89,9 +89,15 @@
         )
 
     def record_update(self, update: FleetUpdate) -> None:
-        """Record how many updates the first controller had sent before."""
+        """Record how many updates the first controller had sent before.
+
+        An update that builds on a report of its term confirms that one. Reports
+        may be lost, or go to the former leader while this entry knows no other.
+        """
         if self.first_sequence is None:
             self.first_sequence = update.sequence
+        if update.base and update.term == self.dispatcher.term:
+            self.told_term = update.term
 
     def may_trust_guess(self, service: str) -> bool:
         """Tell whether a controller of an earlier build can guess an origin.
@@ -110,11 +116,13 @@
         return rounds >= _SETTLED_ROUNDS
 
     def complete_report(self, report: EntryReport) -> EntryReport:
-        """Add the streams of late to a report, or all for a new controller."""
+        """Add the streams of late to a report.
+
+        A new controller gets all in each report until it has confirmed one.
+        """
         now = self.clock()
         since = now - _REPORTED_S
         if self.told_term != report.term:
-            self.told_term = report.term
             since = now - STREAM_LIFE_S
         return msgspec.structs.replace(
             report,
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -10,6 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from bench.memory_system import wait_until
 from bench.virtual_loop import run_in_virtual_time
 from persimmonhold.fleet import (
     AttemptEnd,
@@ -39,6 +40,7 @@
 )
 
 _REPORT_S = 0.3  # until the fleet controller has a report
+_LOST_REPORTS_S = 0.5
 _HELD_UP_S = 0.7  # of an entry on a busy machine, as seen in a soak
 
 
@@ -152,6 +154,34 @@
     run_fleet(scenario)
 
 
+def test_new_leader_learns_of_streams_though_the_first_reports_are_lost(
+    run_fleet: Runner,
+) -> None:
+    """An entry hears of a new leader after its update; reports go astray.
+
+    Then callers of streams that had broken were refused, though their entry lived.
+    """
+
+    async def scenario(fleet: LimitedFleet) -> None:
+        entry = fleet.entries[0]
+        network = fleet.system.network
+        former_term = fleet.services[entry].hub.dispatcher.term
+        network.blocked_ways.update(
+            (entry, name) for name in fleet.system.control_names
+        )
+        _begin_stream(fleet, entry, 's1')
+        leader = asyncio.create_task(fleet.disturb_leader('kill'))
+        hub = fleet.services[entry].hub
+        await wait_until(lambda: hub.dispatcher.term > former_term)
+        await asyncio.sleep(_LOST_REPORTS_S)
+        network.blocked_ways.clear()
+        await leader
+        await release(fleet)
+        assert_that(await find_origins(fleet, 's1'), Equals({OLD}))
+
+    run_fleet(scenario)
+
+
 def test_stream_that_began_at_a_process_of_unknown_version_is_its_own(
     run_fleet: Runner,
 ) -> None:
