Keep a copy that was loaded for a stream until the stream is sent

What callers saw: a stream that was taken up waited 8 s at an entry in touch and was refused as no_upstream, though its model had been loaded for it at its version (rule LOST, streams taken up).

Cause: once a copy was loaded at the version that a stream waits for, the next stream that waited for another model at that version had it evicted at once. A load of 4 s was lost each time.

Why it works: the last copy at a version stays while an entry reports that requests wait for it there. An entry stops as soon as it knows of the copy, and sends them.

--- a/persimmonhold/fleet/_copy_planner.py
+++ b/persimmonhold/fleet/_copy_planner.py
@@ -469,14 +469,18 @@
         return tuple(victims), cost
 
     def _is_kept(self, model: str, ledger: UpstreamLedger) -> bool:
-        """Tell whether only this copy could go on with streams of lost entries.
+        """Tell whether only this copy could go on with streams.
 
-        Those ran at an upstream of its build.
+        Those of lost entries ran at an upstream of its build. Others wait for a
+        copy there; it was loaded for them, and they are about to be sent.
         """
         build = self.builds.get(ledger.name)
         is_needed = any(
             lost == model and self.builds.get(upstream) == build
             for upstream, lost in self.lost_streams
+        ) or any(
+            wanted.model == model and wanted.build == build
+            for wanted in self.wanted_copies
         )
         return is_needed and not any(
             other is not ledger
--- a/tests/test_copies_for_streams.py
+++ b/tests/test_copies_for_streams.py
@@ -13,10 +13,14 @@
     ForwardDispatcher,
     RetryBounds,
     UpstreamFacts,
+    UpstreamLedger,
     WantedCopy,
 )
+from persimmonhold.fleet._copy_planner import CopyPlanner
+from persimmonhold.fleet._model_load import ModelLoad
 from persimmonhold.forwarding._stream_recorder import StreamRecorder
 from tests.fleet_builders import (
+    ENGINE,
     make_facts,
     make_request,
     make_route,
@@ -71,3 +75,31 @@
         _make_facts('u2', 'v2', 'm1'),
     )
     assert_that(wanted, Equals(()))
+
+
+@pytest.mark.parametrize(
+    ('held_elsewhere', 'evicted'), [('v1', 'm1'), ('v2', 'm2')]
+)
+def test_copy_that_was_loaded_for_a_stream_stays_until_it_is_sent(
+    held_elsewhere: str, evicted: str
+) -> None:
+    """The next stream that waited had it evicted before any request came.
+
+    Other copies of its version serve the stream, those of another do not.
+    """
+    ledgers = [UpstreamLedger(name) for name in ('u1', 'u2')]
+    for ledger, models in zip(ledgers, (('m1', 'm2'), ('m1',)), strict=True):
+        ledger.is_content_known = True
+        ledger.held = {model: set() for model in models}
+    loads = {model: ModelLoad(0.0) for model in ('m1', 'm2', 'm3')}
+    loads['m2'].slow_arrivals_per_s = 0.2
+    planner = CopyPlanner(ENGINE, ledgers, loads, {}, {}, {}, (), 0.0)
+    planner.builds = {'u1': 'v1', 'u2': held_elsewhere}
+    planner.wanted_copies = (
+        WantedCopy('models', 'm1', 'v1'),
+        WantedCopy('models', 'm3', 'v1', waiting=2),
+    )
+    ledgers[1].loading = 'm4'  # it takes no order now
+    planned = planner.plan_next_order(can_load_from_store=True)
+    found = planned and (planned.upstream, planned.order.model)
+    assert_that(found, Equals(('u1', evicted)))
