--- a/bench/soak/_soak_vm.py
+++ b/bench/soak/_soak_vm.py
@@ -50,7 +50,11 @@
                 stdout=output,
                 stderr=output,
                 cwd=_ROOT,
-                env={**os.environ, 'PERSIMMONHOLD_CONFIG': str(self.path)},
+                env={
+                    **os.environ,
+                    'PERSIMMONHOLD_CONFIG': str(self.path),
+                    'PYTHONFAULTHANDLER': '1',  # native code may crash
+                },
             )
         self.started_at = _now()
         self.record.starts[self.name].append(self.started_at)
