Let a stream wait at an entry that does not know any upstream yet

New streams wait there for the first list.

Cause: without a list, no upstream of the version is known, which was taken for its end. While control changes its leader, an entry may have no list for seconds.

The new test failed before; another one holds that a version that is known to be gone is refused at once.

Why it works: the end of a version is concluded from a list only.

--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -11,6 +11,7 @@
 planned stop that its response is expected to be cut.
 """
 
+import math
 import random
 from collections.abc import Iterable
 from types import MappingProxyType
@@ -502,7 +503,7 @@
             return True
         if _is_refused_by_all(self.chooser, pending, now):
             return True
-        if not _has_build(self.chooser, pending, now):
+        if not _has_build(self, pending, now):
             return True
         expires_at = self.send_deadline.find(pending)
         if now >= expires_at:
@@ -562,7 +563,7 @@
             return _STOPPING
         if _is_refused_by_all(self.chooser, pending, now):
             return 'refused_by_all'
-        if not _has_build(self.chooser, pending, now):
+        if not _has_build(self, pending, now):
             return 'no_upstream_of_version'
         if not self.chooser.has_holder(pending, now):
             return self.chooser.find_absence_reason(pending, now)
@@ -651,10 +652,16 @@
 
 
 def _has_build(
-    chooser: UpstreamChooser, pending: PendingRequest, now: float
+    dispatcher: ForwardDispatcher, pending: PendingRequest, now: float
 ) -> bool:
-    """Tell whether an upstream of the build that a request needs serves."""
-    return chooser.groups.has_build(pending.request.service, pending.build, now)
+    """Tell whether an upstream of the build that a request needs serves.
+
+    An entry that has just started and has no list yet cannot tell.
+    """
+    if math.isinf(dispatcher.listed_at):
+        return True
+    groups = dispatcher.chooser.groups
+    return groups.has_build(pending.request.service, pending.build, now)
 
 
 def _queue_key(request: DispatchRequest) -> _QueueKey:
--- a/tests/test_copies_for_streams.py
+++ b/tests/test_copies_for_streams.py
@@ -9,9 +9,12 @@
 
 from persimmonhold.fleet import (
     AttemptEnd,
+    DispatchRequest,
     EntryReport,
     ForwardDispatcher,
+    RefuseRequest,
     RetryBounds,
+    SendRequest,
     UpstreamFacts,
     UpstreamLedger,
     WantedCopy,
@@ -42,16 +45,40 @@
     """Take up a stream of m1 that began at v1; return the copies to load."""
     dispatcher = ForwardDispatcher('d1', RetryBounds(), random.Random(1))
     dispatcher.apply_update(make_update(*facts), _NOW)
-    request = msgspec.structs.replace(
-        make_request(1, _NOW, route=make_route(resumable=True)), build='v1'
-    )
-    if dispatcher.submit_request(request, _NOW):
+    if dispatcher.submit_request(_make_stream(), _NOW):
         dispatcher.retry_request(1, AttemptEnd.unreachable, _NOW)
     recorder = StreamRecorder(dispatcher, lambda: _NOW)
     report = EntryReport(term=1, number=1, sequence=1)
     return recorder.complete_report(report).wanted
 
 
+def _make_stream() -> DispatchRequest:
+    """Return a stream of m1 that began at v1 and is taken up."""
+    return msgspec.structs.replace(
+        make_request(1, _NOW, route=make_route(resumable=True)), build='v1'
+    )
+
+
+def test_stream_waits_at_an_entry_that_has_no_list_yet() -> None:
+    """It was refused as if its version were gone, while new streams waited."""
+    dispatcher = ForwardDispatcher('d1', RetryBounds(), random.Random(1))
+    assert_that(dispatcher.submit_request(_make_stream(), _NOW), Equals(()))
+    update = make_update(
+        _make_facts('u1', 'v2', 'm1'), _make_facts('u2', 'v1', 'm1')
+    )
+    sent = dispatcher.apply_update(update, _NOW + 1)
+    names = [one.upstream.name for one in sent if isinstance(one, SendRequest)]
+    assert_that(names, Equals(['u2']))
+
+
+def test_stream_is_refused_once_its_version_is_known_to_be_gone() -> None:
+    dispatcher = ForwardDispatcher('d1', RetryBounds(), random.Random(1))
+    dispatcher.apply_update(make_update(_make_facts('u1', 'v2', 'm1')), _NOW)
+    refused = dispatcher.submit_request(_make_stream(), _NOW)
+    reasons = [one.reason for one in refused if isinstance(one, RefuseRequest)]
+    assert_that(reasons, Equals(['no_upstream_of_version']))
+
+
 # The fleet controller loads no models at such an upstream, so callers waited
 # until it had left the list, or their time was over.
 @pytest.mark.parametrize('is_leaving', [True, False])
