Answer requests that are sent behind the head of a stream in a planned stop

A caller that sent its next request while it still read a stream lost it around a planned stop: the connection was closed after the stream, up to seconds after that request had been received, without an answer to it. It needs a stream whose head is sent later than the close is announced (1 s after the signal of a grace period of 8 s).

The connection asks to close with the head of a response unless a request has been received behind it. A stream has its head long before its end; what arrived in between was received, and dropped after `connection: close`.

A response without a length now announces no close. What is received behind it is answered next, and that response asks to close. As the caller may then also send at the end of the stream, a draining connection reads for another 0.1 s, like an idle one.

Before, test_request_sent_behind_the_head_of_a_stream_is_answered got one response of two. Found by reading; whether this is what the users saw is not known.

--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -39,6 +39,7 @@
 # Time in which an idle connection that is to be closed reads what its peer had
 # sent before.
 _LAST_READ_S: Final = 0.1
+_BODILESS: Final = frozenset((204, 304))  # statuses without a body
 _CLOSE_HEADER: Final = (b'connection', b'close')
 
 
@@ -172,7 +173,7 @@
         if isinstance(event, h11.Response):
             if self.exchange is not None and not self.exchange.is_body_wanted:
                 _skip_received_body(self._parser)
-            if self._asks_to_close:
+            if self._asks_to_close(event):
                 event = _add_close_header(event)
         encoded = self._parser.send(event)
         if encoded:
@@ -219,15 +220,17 @@
         if self.exchange is None and self._is_idle:
             self.timer.start(_LAST_READ_S, self._close)
 
-    @property
-    def _asks_to_close(self) -> bool:
-        """Tell whether the next response asks the peer to close.
+    def _asks_to_close(self, response: h11.Response) -> bool:
+        """Tell whether a response asks the peer to close.
 
-        Requests that were received behind it are answered first.
+        Requests that were received behind it are answered first. More of them
+        may be received until a response of open length ends.
         """
         if self._is_rejecting:
             return True
-        return self.is_close_announced and not _has_next_request(self._parser)
+        if not self.is_close_announced or _has_open_length(response):
+            return False
+        return not _has_next_request(self._parser)
 
     def _close(self) -> None:
         """Close after the peer has read what was sent, for a limited time."""
@@ -347,15 +350,18 @@
         done = (h11.DONE, h11.DONE)
         states = (self._parser.our_state, self._parser.their_state)
         # After `connection: close` the parser does not reach DONE.
-        has_next = _has_next_request(self._parser)
-        if states != done or (self._is_draining and not has_next):
+        if states != done:
             self._linger()
             return
+        has_next = _has_next_request(self._parser)
         self._parser.start_next_cycle()
         self.buffers.finish_request()
         self._is_idle = True
         self._transport.resume_reading()
-        self.timer.start(self.bounds.idle_timeout_s, self._close)
+        self.timer.start(
+            _LAST_READ_S if self._is_draining else self.bounds.idle_timeout_s,
+            self._close,
+        )
         if has_next:
             self._is_idle = False
             self.timer.start(
@@ -430,6 +436,13 @@
     )
 
 
+def _has_open_length(response: h11.Response) -> bool:
+    """Tell whether a response lasts until its end is known."""
+    if response.status_code in _BODILESS:
+        return False
+    return all(name != b'content-length' for name, _ in response.headers)
+
+
 def _may_have_long_body(request: h11.Request) -> bool:
     """Tell whether the body may be longer than what one read holds."""
     if _parse_content_length(request) > MAX_READ_BYTES:
--- a/tests/test_planned_stop_faults.py
+++ b/tests/test_planned_stop_faults.py
@@ -663,3 +663,55 @@
     }
     assert_that(len(passed_on), GreaterThan(5))
     assert_that(set(passed_on.values()), Equals({200}))
+
+
+def test_request_sent_behind_the_head_of_a_stream_is_answered() -> None:
+    """Guards against a request that was read and dropped by a close.
+
+    The head of a stream comes long before its end, and asked to close.
+    """
+
+    async def scenario(harness: StoppingEntry) -> bytes:
+        harness.set_route(RouteKind.stream)
+        await harness.start_upstream(_stream_for(1.5))
+        address = harness.entry.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        harness.begin_stop()
+        await asyncio.sleep(1.2)
+        writer.write(_HEAD % b'r1')
+        received = await reader.readuntil(b'\n\n')
+        writer.write(_HEAD % b'r2')
+        received += await reader.read()
+        writer.close()
+        await harness.finish_stop()
+        return received
+
+    received = _run(scenario)
+    assert_that(received.count(b'HTTP/1.1 '), Equals(2))
+    assert_that(received.count(b'0\r\n\r\n'), GreaterThan(0))
+
+
+def test_request_sent_at_the_end_of_a_stream_is_answered() -> None:
+    """Guards against a close that the stream has not announced."""
+
+    async def scenario(harness: StoppingEntry) -> bytes:
+        harness.set_route(RouteKind.stream)
+        await harness.start_upstream(_stream_for(3.0))
+        address = harness.entry.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        harness.begin_stop()
+        await asyncio.sleep(1.5)
+        writer.write(_HEAD % b'r1')
+        await reader.readuntil(b'0\r\n\r\n')
+        await asyncio.sleep(0.05)
+        writer.write(_HEAD % b'r2')
+        received = await reader.read()
+        writer.close()
+        await harness.finish_stop()
+        return received
+
+    assert_that(_run(scenario)[:12], Equals(b'HTTP/1.1 503'))
