Relay no late stream in a planned stop, and have late requests wait for nothing

An entry that reached no upstream relayed a stream that it received 2 s or later after the signal; the other entry ran it, and the stopping one broke it off 7.3 s after the signal, of 8 s. A request received after 6.7 s that waited for the origin of a stream or for credit was answered at 7.3 s only.

The runner now asks the dispatcher first whether the stop lets the request be sent at all, by the rule by which the queue refuses, and refuses it as stopping.

Before, both cases of test_late_stream_is_not_relayed_and_then_cut were broken off, and one of test_late_request_waits_for_no_origin was answered after 0.5 s. Found by reading; the reported deployment may have had no entry out of reach then.

--- a/persimmonhold/fleet/__init__.py
+++ b/persimmonhold/fleet/__init__.py
@@ -36,7 +36,10 @@
     RefuseRequest,
     SendRequest,
 )
-from persimmonhold.fleet._forward_dispatcher import ForwardDispatcher
+from persimmonhold.fleet._forward_dispatcher import (
+    ForwardDispatcher,
+    refuse_if_stopping,
+)
 from persimmonhold.fleet._hedging import (
     adopt_hedge,
     drop_hedge,
@@ -103,6 +106,7 @@
     'adopt_hedge',
     'drop_hedge',
     'record_overdue',
+    'refuse_if_stopping',
     'submit_hedge',
 )
 
--- a/persimmonhold/fleet/_forward_dispatcher.py
+++ b/persimmonhold/fleet/_forward_dispatcher.py
@@ -582,6 +582,16 @@
             tracker.record_attempt_end(pending.request, outcome, now)
 
 
+def refuse_if_stopping(
+    dispatcher: ForwardDispatcher, request: DispatchRequest, now: float
+) -> RefuseRequest | None:
+    """Return the refusal of a new request that the stop lets nobody run."""
+    pending = PendingRequest(request)
+    if now > dispatcher.send_deadline.find_before_stop(pending):
+        return dispatcher.refuse(pending, _STOPPING, now)
+    return None
+
+
 def exclude_upstream(
     chooser: UpstreamChooser,
     pending: PendingRequest,
--- a/persimmonhold/forwarding/_forward_runner.py
+++ b/persimmonhold/forwarding/_forward_runner.py
@@ -16,6 +16,7 @@
     AttemptEnd,
     RefuseRequest,
     SendRequest,
+    refuse_if_stopping,
 )
 from persimmonhold.forwarding._attempt_race import AttemptRace, RaceOutcome
 from persimmonhold.forwarding._attempt_result import AttemptResult
@@ -134,8 +135,16 @@
     async def _run_attempts(self) -> None:
         """Run attempts until one ends the request or it is refused.
 
-        If no upstream is in reach, another entry runs them.
+        If no upstream is in reach, another entry runs them. One that is
+        received too late in a planned stop waits for nothing.
         """
+        hub = self.services.hub
+        refusal = refuse_if_stopping(
+            hub.dispatcher, self.request.dispatch_request, hub.clock()
+        )
+        if refusal is not None:
+            self._refuse(refusal)
+            return
         if self.state.is_out_of_reach():
             await self._relay()
             return
--- a/tests/test_planned_stop_faults.py
+++ b/tests/test_planned_stop_faults.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 from typing import Final, TypeVar
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import (
@@ -30,9 +31,18 @@
 from persimmonhold.settings import CallerSettings
 from persimmonhold.system import run_until_stopped
 from persimmonhold.tasks import BackgroundTasks
-from persimmonhold.web import ClientConnection, Exchange, encode_headers
+from persimmonhold.web import (
+    Address,
+    ClientConnection,
+    Exchange,
+    HttpBounds,
+    HttpServer,
+    encode_headers,
+)
+from tests import forwarding_harness
 from tests.entry_builders import EntryHarness, ScriptedUpstream
 from tests.raw_upstream import RawConnection, RawUpstream
+from tests.scripted_entries import SERVICE, make_vm
 from tests.stopping_entry import CallerOutcome, StoppingEntry
 
 _ResultT = TypeVar('_ResultT')
@@ -715,3 +725,65 @@
         return received
 
     assert_that(_run(scenario)[:12], Equals(b'HTTP/1.1 503'))
+
+
+@pytest.mark.parametrize('sent_at_s', [2.5, 3.5])
+def test_late_stream_is_not_relayed_and_then_cut(sent_at_s: float) -> None:
+    """Guards against a stop that only requests for own upstreams meet."""
+
+    async def scenario(harness: StoppingEntry) -> CallerOutcome:
+        harness.set_route(RouteKind.stream)
+        other = forwarding_harness.ScriptedUpstream('other', _stream_for(6.0))
+        server = HttpServer(Address('127.0.0.2', 0), other, HttpBounds())
+        await harness.stack.enter_async_context(server)
+        harness.link.view = msgspec.structs.replace(
+            harness.link.view,
+            vms=(make_vm('other', str(server.address)),),
+        )
+        harness.entry.handler.refresh_route_table()
+        monitor = harness.entry.services.reach.monitor
+        monitor.begin_probing(SERVICE)
+        monitor.record_lost(SERVICE, harness.now)
+        harness.begin_stop()
+        await asyncio.sleep(sent_at_s)
+        call = harness.start_call()
+        await harness.finish_stop()
+        return await call
+
+    assert_that(_run(scenario).status, Equals(503))
+
+
+@pytest.mark.parametrize('sent_at_s', [6.8, 7.2])
+def test_late_request_waits_for_no_origin(
+    monkeypatch: pytest.MonkeyPatch, sent_at_s: float
+) -> None:
+    """Guards against a wait outside the queue after waiting requests ended."""
+
+    async def hang(*_: object) -> None:
+        await asyncio.sleep(_LONG_S)
+
+    async def scenario(harness: StoppingEntry) -> bytes:
+        harness.set_route(RouteKind.stream, resumable=True)
+        await harness.start_upstream(_stream_for(1.0))
+        monkeypatch.setattr(
+            type(harness.entry.fleet_client), 'find_stream_origin', hang
+        )
+        address = harness.entry.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        head = _HEAD.replace(b'length: 1', b'length: 2') % b'r1'
+        fields = b'last-event-id: 3\r\nresumes: r0\r\n\r\n'
+        harness.begin_stop()
+        await asyncio.sleep(1.0)
+        writer.write(head.replace(b'\r\n\r\n', b'\r\n' + fields))
+        await asyncio.sleep(sent_at_s - 1.0)
+        sent_at = harness.now
+        writer.write(b'x')
+        received = await reader.read()
+        assert_that(harness.now - sent_at, LessThan(0.2))
+        await harness.finish_stop()
+        writer.close()
+        return received
+
+    assert_that(_run(scenario)[:12], Equals(b'HTTP/1.1 503'))
