Vary the soak of large deployments: eager callers, slow streams, overlapping changes

Without it, the soak is as before.

A request that was sent ahead, behind a response that breaks off, is not judged: that response can only end with its connection.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -32,18 +32,26 @@
         default=0,
         help='entries before engines, such as 80',
     )
+    parser.add_argument(
+        '--varied',
+        action='store_true',
+        help='eager callers, slow streams, requests around each stop',
+    )
     parser.add_argument('--releases', action='store_true')
     parser.add_argument('--regressions', action='store_true')
     parser.add_argument('--logs', type=Path, default=Path('target/soak'))
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition('-')
+    shape = None
+    if arguments.large:
+        shape = Shape.large(arguments.large, is_varied=arguments.varied)
     plans = [
         Plan(
             seed,
             arguments.seconds,
             arguments.vms,
             has_releases=arguments.releases,
-            shape=Shape.large(arguments.large) if arguments.large else None,
+            shape=shape,
         )
         for seed in range(int(first), int(last or first) + 1)
     ]
--- a/bench/soak/_caller.py
+++ b/bench/soak/_caller.py
@@ -173,11 +173,11 @@
     is_cut = isinstance(chunk, Failed)
     call.end = CallEnd.cut if is_cut else CallEnd.answered
     if call.is_signed:
-        call.problem = _find_problem(call, head)
+        call.problem = find_problem(call, head)
     return None if is_cut else head
 
 
-def _find_problem(call: Call, head: ResponseHead) -> str:
+def find_problem(call: Call, head: ResponseHead) -> str:
     """Return what is wrong with the response of an upstream, or ''."""
     for name in (names.REQUEST_ID, names.SIGNATURE):
         if head.header(name) != call.request_id:
--- a/bench/soak/_draw_call.py
+++ b/bench/soak/_draw_call.py
@@ -5,6 +5,7 @@
 
 from bench.soak._call import Call
 from bench.soak._configuration import (
+    ADAPTERS,
     HOST,
     NOT_REPEATABLE,
     ROUTES,
@@ -13,7 +14,7 @@
     name_models,
 )
 from bench.soak._shape import Shape
-from bench.soak._upstream import EVENTS_HEADER, WORK_HEADER
+from bench.soak._upstream import EVENTS_HEADER, GAP_HEADER, WORK_HEADER
 from persimmonhold.platform import _names as names
 from persimmonhold.web import ClientRequest, encode_headers
 
@@ -23,6 +24,11 @@
 _MAX_PATIENCE_S: Final = 0.4
 _MAX_WORK_MS: Final = 200
 _MAX_EVENTS: Final = 10
+# Of varied systems; the shortest is that of 400 tokens a second, the longest is
+# taken for a stall.
+_GAPS_MS: Final = (20, 100, 400, 900, 1500)
+_MAX_STREAM_MS: Final = 9000
+_ADAPTER_SHARE: Final = 0.1
 _DEADLINES_S: Final = (2, 3, 6, 12)
 _BODY_SIZES: Final = (0, 0, 100, 20_000)
 
@@ -40,11 +46,17 @@
         work_ms //= factor
     deadline_s = rng.choice(_DEADLINES_S)
     patience_s = rng.uniform(0, _MAX_PATIENCE_S)
+    gap: dict[str, str] = {}
+    if shape is not None and shape.is_varied and event_count:
+        gap_ms = rng.choice(_GAPS_MS)
+        event_count = min(event_count, _MAX_STREAM_MS // gap_ms)
+        gap[GAP_HEADER] = str(gap_ms)
     headers = {
         names.REQUEST_ID: request_id,
         names.DEADLINE_MS: f'{deadline_s}000',
         WORK_HEADER: str(work_ms),
         EVENTS_HEADER: str(event_count),
+        **gap,
     }
     if shape is not None:
         headers |= _draw_headers(rng, shape, event_count)
@@ -76,6 +88,8 @@
         # The first models are popular.
         rank = int(shape.model_count * rng.random() ** 3)
         headers[names.MODEL] = name_models(shape.model_count)[rank]
+        if shape.is_varied and rng.random() < _ADAPTER_SHARE:
+            headers[names.MODEL] += f'/a{rng.randint(1, ADAPTERS)}'
         prompt_tokens = rng.randint(10, 1000)
         headers[names.TOKEN_COUNTS] = f'{prompt_tokens},{8 * event_count}'
         part = rng.randrange(100)
--- a/bench/soak/_fault.py
+++ b/bench/soak/_fault.py
@@ -22,6 +22,7 @@
     limited = 'limited upstream'
     crash = 'crash of an upstream'
     release = 'release of an upstream'
+    drain = 'drain of an upstream'
     kill_all = 'kill all VMs'
 
 
--- a/bench/soak/_shape.py
+++ b/bench/soak/_shape.py
@@ -14,6 +14,10 @@
     With `engine_count`, the streams run at engines, which hold some of
     `model_count` models each. Requests bear keys of `workspace_count` workspaces,
     if there are any. A caller thinks for up to `think_s` between requests.
+    Eager callers are those of an entry which use its connections to the end.
+    A varied system has long and slow streams, small engines, upstreams that close
+    idle connections early, requests around each stop, and more overlapping
+    changes.
     """
 
     control_count: int = _CONTROL_COUNT
@@ -26,6 +30,9 @@
     callers_per_entry: int = 6
     pinned_callers: int = 3
     think_s: float = 0.2
+    eager_callers: int = 0
+    engine_slots: int = 16
+    is_varied: bool = False
 
     @classmethod
     def small(cls, vm_count: int) -> Self:
@@ -34,7 +41,7 @@
         return cls(entry_count=entry_count, upstream_count=2 + entry_count // 2)
 
     @classmethod
-    def large(cls, entry_count: int = 80) -> Self:
+    def large(cls, entry_count: int = 80, *, is_varied: bool = False) -> Self:
         """Return a system of engines, with workspaces and five control VMs."""
         return cls(
             control_count=5,
@@ -47,4 +54,7 @@
             callers_per_entry=2,
             pinned_callers=1,
             think_s=2.5,
+            eager_callers=int(is_varied),
+            engine_slots=3 if is_varied else 16,
+            is_varied=is_varied,
         )
--- a/bench/soak/_soak.py
+++ b/bench/soak/_soak.py
@@ -6,10 +6,13 @@
 from pathlib import Path
 from typing import Final, final
 
+import msgspec
+
 from bench.soak._caller import Caller
 from bench.soak._checks import find_violations
 from bench.soak._configuration import ROUTES
 from bench.soak._draw_call import draw_call
+from bench.soak._eager_caller import EagerCaller
 from bench.soak._plan import Plan
 from bench.soak._soak_system import SoakSystem
 from persimmonhold.platform import _names as names
@@ -83,7 +86,13 @@
             for entry in self.plan.entries
             for number in range(self.plan.shape.callers_per_entry)
         ]
+        eager = [
+            self._create_eager_caller(entry, number)
+            for entry in self.plan.entries
+            for number in range(self.plan.shape.eager_callers)
+        ]
         calling = [loop.create_task(caller.run()) for caller in callers]
+        calling += [loop.create_task(one.run()) for one in eager]
         started_at = loop.time()
         applied = []
         for fault in self.plan.faults:
@@ -92,6 +101,8 @@
         await asyncio.gather(*applied)
         for caller in callers:
             caller.is_over = True
+        for one in eager:
+            one.is_over = True
         await asyncio.wait_for(asyncio.gather(*calling), _LAST_CALLS_S)
 
     def _create_caller(self, entry: str, number: int) -> Caller:
@@ -108,6 +119,14 @@
             takes_up=self.plan.has_releases,
         )
 
+    def _create_eager_caller(self, entry: str, number: int) -> EagerCaller:
+        return EagerCaller(
+            f'{self.plan.seed}-{entry}-eager-{number}',
+            {self.system.settings.address(entry, 1): entry},
+            self.record,
+            self.plan.shape,
+        )
+
     async def _monitor(self) -> None:
         """Check the record and the processes at intervals."""
         loop = asyncio.get_running_loop()
@@ -149,12 +168,14 @@
     async def _wait_until_served(self, entry: str, served: set[str]) -> None:
         address = parse_address(self.system.settings.address(entry, 1))
         rng = random.Random(entry)
+        # Slow streams would outlast the probe.
+        shape = msgspec.structs.replace(self.plan.shape, is_varied=False)
         while len(served) < len(ROUTES):
             self.probe_count += 1
             request_id = f'{self.plan.seed}-probe-{self.probe_count}'
-            call = draw_call(rng, request_id, self.plan.shape)
+            call = draw_call(rng, request_id, shape)
             while call.request.target in served:
-                call = draw_call(rng, request_id, self.plan.shape)
+                call = draw_call(rng, request_id, shape)
             fetched = await fetch(address.unwrap(), call.request, _PROBE_S)
             response = fetched.value_or(None)
             if response and response.head.header(names.SIGNATURE):
--- a/bench/soak/_soak_system.py
+++ b/bench/soak/_soak_system.py
@@ -20,6 +20,7 @@
     build_configuration,
     name_models,
 )
+from bench.soak._eager_caller import EagerCaller
 from bench.soak._engine import Engine, place_models
 from bench.soak._fault import Fault, FaultKind
 from bench.soak._plan import Plan
@@ -43,6 +44,12 @@
 _FETCH_S: Final = 1.0
 _PAUSE_S: Final = 0.1
 _ROUNDS: Final = 100
+_EARLY_CLOSE_S: Final = 0.4  # of idle connections, which upstreams do not state
+# Callers around a signal, and around the steps of a stop in shares of the grace
+# period.
+_BURST_CALLERS: Final = 12
+_BURST_S: Final = 0.06
+_STEPS: Final = (0.0, 0.0, 0.125, 0.5, 0.84)
 _OK: Final = 200
 
 
@@ -83,6 +90,7 @@
         self.versions = itertools.count(1)
         self.upstreams: dict[str, Upstream] = {}
         self.vms: dict[str, SoakVm] = {}
+        self.burst_count = 0
 
     async def __aenter__(self) -> Self:
         """Start everything and put the first configuration in force."""
@@ -126,6 +134,33 @@
             await self._apply_to_vm(self.vms[fault.target], fault)
 
     async def _apply_to_vm(self, vm: SoakVm, fault: Fault) -> None:
+        if self.plan.shape.is_varied and vm.name in self.plan.entries:
+            self.burst_count += 1
+            callers = [
+                self._call_around_signal(vm.name, number)
+                for number in range(_BURST_CALLERS)
+            ]
+            await asyncio.gather(*callers, self._signal(vm, fault))
+        else:
+            await self._signal(vm, fault)
+
+    async def _call_around_signal(self, vm: str, number: int) -> None:
+        """Send requests within milliseconds of a signal or step of a stop.
+
+        Odd callers connect just then, the others before the signal.
+        """
+        address = self.settings.address(vm, 1)
+        name = f'{self.plan.seed}-{vm}-burst-{self.burst_count}-{number}'
+        caller = EagerCaller(name, {address: vm}, self.record, self.plan.shape)
+        wait_s = caller.rng.choice(_STEPS) * self.plan.grace_s
+        wait_s += caller.rng.uniform(0, _BURST_S)
+        is_new = number % 2
+        await asyncio.sleep(wait_s * is_new)
+        await caller.use_connection(address, 2, wait_s * (not is_new))
+
+    async def _signal(self, vm: SoakVm, fault: Fault) -> None:
+        if self.plan.shape.is_varied:
+            await asyncio.sleep(_BURST_S / 2)
         if fault.kind is FaultKind.stop:
             await vm.stop(fault.amount)
         elif fault.kind is FaultKind.kill:
@@ -180,6 +215,9 @@
                 placed[number - shape.upstream_count],
                 version,
             )
+            upstream.slots = shape.engine_slots
+        if shape.is_varied and number % 3 == 0:
+            upstream.bounds = HttpBounds(idle_timeout_s=_EARLY_CLOSE_S)
         upstream.domain = shape.domains[number % len(shape.domains)]
         self.upstreams[name] = upstream
         await upstream.start()
