Read what was sent behind a running request before a stop closes its connection

Callers that had sent three or four requests ahead got the first two responses of a stopping entry, then the end of the connection: behind a running request, reading pauses once something was received, so the last ones waited unread. The next request was served before reading had gone on; a refusal needs no wait, saw nothing behind it and asked to close.

Around a stop, the next request is now served one turn of the loop later, after a read.

Before, test_each_request_sent_behind_a_running_one_is_answered[2.9] got two responses of four. Found by reading.

--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -368,7 +368,12 @@
                 self.bounds.head_timeout_s,
                 partial(self._reject, self.bounds.slow_head_status),
             )
-            self._process_events()
+            if self.is_close_announced:
+                # Reads on before the next request is served, as its response may
+                # ask to close, and would leave those behind it unread.
+                asyncio.get_running_loop().call_soon(self._process_events)
+            else:
+                self._process_events()
 
     def _reject(self, status: int = _BAD_REQUEST) -> None:
         """Respond to a request that cannot be served, then close.
--- a/tests/test_planned_stop_faults.py
+++ b/tests/test_planned_stop_faults.py
@@ -47,6 +47,7 @@
 
 _ResultT = TypeVar('_ResultT')
 _LONG_S: Final = 600.0
+_READ_BYTES: Final = 65_536
 _EVENT_GAP_S: Final = 0.1
 _FATES: Final = ('refuse', 'abort', 'fail', 'hang', 'answer', 'answer')
 _HEAD: Final = (
@@ -787,3 +788,34 @@
         return received
 
     assert_that(_run(scenario)[:12], Equals(b'HTTP/1.1 503'))
+
+
+@pytest.mark.parametrize('answer_s', [2.0, 2.9])
+def test_each_request_sent_behind_a_running_one_is_answered(
+    answer_s: float,
+) -> None:
+    """Guards against a close that leaves requests behind unread.
+
+    Reading pauses behind a running request once something was received.
+    """
+
+    async def scenario(harness: StoppingEntry) -> bytes:
+        await harness.start_upstream(_answer_after(answer_s))
+        address = harness.entry.server.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        harness.begin_stop()
+        await asyncio.sleep(3.0)
+        for name in (b'r1', b'r2', b'r3', b'r4'):
+            writer.write(_HEAD % name)
+            await asyncio.sleep(0.1)
+        received = b''
+        with suppress(ConnectionError):
+            while chunk := await reader.read(_READ_BYTES):
+                received += chunk
+        writer.close()
+        await harness.finish_stop()
+        return received
+
+    assert_that(_run(scenario).count(b'HTTP/1.1 '), Equals(4))
