--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,14 +10,25 @@
 
 from bench.soak._call import Call, CallEnd
 from bench.soak._checks import find_violations
+from bench.soak._eager_caller import EagerCaller
 from bench.soak._fault import FaultKind
 from bench.soak._plan import Plan
 from bench.soak._record import Record
 from bench.soak._run import Run
+from bench.soak._shape import Shape
 from bench.soak._soak import Soak
 from bench.soak._stop import Stop
 from bench.soak._stream import Stream
-from persimmonhold.web import ClientRequest
+from bench.virtual_loop import run_in_virtual_time
+from persimmonhold.platform._names import REQUEST_ID
+from persimmonhold.web import (
+    Address,
+    ClientRequest,
+    Exchange,
+    ExchangeHandler,
+    HttpBounds,
+    HttpServer,
+)
 
 _SEED: Final = 6  # planned stops only, grace period of 3 s
 _RELEASE_SEED: Final = 3  # kills and freezes, too
@@ -105,6 +116,49 @@
     assert_that(faults[0], Not(Equals(faults[2])))
 
 
+def test_varied_schedule_differs_and_follows_from_the_seed() -> None:
+    shapes = [
+        Shape.large(9, is_varied=varied) for varied in (True, True, False)
+    ]
+    faults = [Plan(2, 30, 8, shape=shape).faults for shape in shapes]
+    assert_that(faults[0], Equals(faults[1]))
+    assert_that(faults[0], Not(Equals(faults[2])))
+
+
+class _Sink(ExchangeHandler):
+    """Keeps the bodies of requests by their id."""
+
+    def __init__(self) -> None:
+        self.bodies: dict[str, bytes] = {}
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Keep a body and answer."""
+        body = (await exchange.read_body()).unwrap()
+        self.bodies[exchange.head.header(REQUEST_ID)] = body
+        await exchange.respond(503)
+
+
+def test_eager_caller_sends_whole_requests_and_records_their_ends() -> None:
+    """Guards against violations that the soak itself causes."""
+
+    async def scenario() -> tuple[Record, _Sink]:
+        sink, record = _Sink(), Record()
+        address = Address('127.0.0.1', 0)
+        async with HttpServer(address, sink, HttpBounds()) as server:
+            vms = {str(server.address): 'e1'}
+            shape = Shape.large(9, is_varied=True)
+            for number in range(8):
+                caller = EagerCaller(f'c{number}', vms, record, shape)
+                await caller.use_connection(str(server.address), 20)
+        return record, sink
+
+    record, sink = run_in_virtual_time(scenario())
+    assert_that({one.end for one in record.calls}, Equals({CallEnd.answered}))
+    sent = {one.request_id: one.request.body for one in record.calls}
+    assert_that(sink.bodies, Equals(sent))
+    assert_that(list(find_violations(record)), Equals([]))
+
+
 @pytest.mark.parametrize(
     'record',
     [
