--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -1,4 +1,11 @@
-"""Checks the promises of planned stops against a record."""
+"""Checks the promises of planned stops against a record.
+
+Stricter than the rules: a request that is cut counts at any time, not only around
+planned work, and also if the entry has not read it 0.2 s after it was sent, which a
+record does not show. Laxer: a request that was sent ahead, behind a response that
+breaks off, is not judged. Times are those of the soak's loop; where that was late by
+more than 0.2 s, the log of the entry decides.
+"""
 
 from collections.abc import Iterator
 from typing import Final
