--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -173,6 +173,8 @@
         self.status = 0
         self.headers: Headers = ()
         self.is_aborted = False
+        self.close_cause = None  # the connection stays open
+        self.was_cut = False
         self.waited_s = 0.0
 
     def abort_connection(self) -> None:
