--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -38,6 +38,11 @@
         default=0,
         help='entries before engines that hold few of the models, such as 80',
     )
+    parser.add_argument(
+        '--varied',
+        action='store_true',
+        help='eager callers, slow streams, requests around each stop',
+    )
     parser.add_argument('--releases', action='store_true')
     parser.add_argument('--regressions', action='store_true')
     parser.add_argument('--logs', type=Path, default=Path('target/soak'))
@@ -69,7 +74,9 @@
     """Return the shape that the arguments name, or None for a small one."""
     if arguments.rare:
         return Shape.rare(arguments.rare)
-    return Shape.large(arguments.large) if arguments.large else None
+    if arguments.large:
+        return Shape.large(arguments.large, is_varied=arguments.varied)
+    return None
 
 
 def _read_regressions() -> list[Plan]:
--- a/bench/soak/_shape.py
+++ b/bench/soak/_shape.py
@@ -16,6 +16,10 @@
     if there are any. A caller thinks for up to `think_s` between requests. An
     engine loads a model in `load_s`. With `patient_callers`, so many for each
     entry take up long streams of rare models, and faults break those.
+    Eager callers are those of an entry which use its connections to the end.
+    A varied system has long and slow streams, small engines, upstreams that close
+    idle connections early, requests around each stop, and more overlapping
+    changes.
     """
 
     control_count: int = _CONTROL_COUNT
@@ -30,6 +34,9 @@
     think_s: float = 0.2
     load_s: float = 1.5
     patient_callers: int = 0
+    eager_callers: int = 0
+    engine_slots: int = 16
+    is_varied: bool = False
 
     @classmethod
     def small(cls, vm_count: int) -> Self:
@@ -38,7 +45,7 @@
         return cls(entry_count=entry_count, upstream_count=2 + entry_count // 2)
 
     @classmethod
-    def large(cls, entry_count: int = 80) -> Self:
+    def large(cls, entry_count: int = 80, *, is_varied: bool = False) -> Self:
         """Return a system of engines, with workspaces and five control VMs."""
         return cls(
             control_count=5,
@@ -51,6 +58,9 @@
             callers_per_entry=2,
             pinned_callers=1,
             think_s=2.5,
+            eager_callers=int(is_varied),
+            engine_slots=3 if is_varied else 16,
+            is_varied=is_varied,
         )
 
     @classmethod
