--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -68,9 +68,16 @@
         exchange = self.connection.exchange
         if exchange is not None:
             return exchange.is_body_awaited
-        is_sent = self._unsent_bytes == 0
+        is_sent = self.unsent_bytes == 0
         return is_sent or _now() - self.since >= _UNREAD_S
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of responses that the operating system has not taken."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def open(self, server: object) -> bool:
         """Begin to hold a connection; False if there is no room for it."""
         self.server = server
@@ -93,6 +100,10 @@
         self.head_bytes = 2 * text_bytes + field_count * _FIELD_BYTES
         self._reserve()
 
+    def end_response(self) -> None:
+        """Give the peer time to read a response that was just written."""
+        self.since = _now()
+
     def finish_request(self) -> None:
         """Release the fields of a request whose response was sent."""
         self.since = _now()
@@ -111,7 +122,7 @@
     def pause_output(self) -> None:
         """Hold the parts of a response that the peer has not read."""
         self.paused_at = _now()
-        self.output_bytes = self._unsent_bytes
+        self.output_bytes = self.unsent_bytes
         self._reserve()
 
     def resume_output(self) -> None:
@@ -124,6 +135,8 @@
 
         A connection that is only open holds too little to be closed for it.
         """
+        if self.output_bytes:
+            self._release_read(now)
         held = self.share.size_bytes - CONNECTION_BYTES
         if self.output_bytes:
             unread_s = now - self.paused_at
@@ -156,11 +169,15 @@
         """Whether more was sent behind a request than one head."""
         return self.input_bytes > self.connection.bounds.max_head_bytes
 
-    @property
-    def _unsent_bytes(self) -> int:
-        if self.transport is None:
-            return 0
-        return self.transport.get_write_buffer_size()
+    def _release_read(self, now: float) -> None:
+        """Release what the peer has read of a response, if it goes on.
+
+        A peer that reads slowly is not closed in favour of other requests.
+        """
+        if self.unsent_bytes < self.output_bytes:
+            self.output_bytes = self.unsent_bytes
+            self.paused_at = now
+            self._reserve()
 
     def _reserve(self) -> None:
         if not self.is_open:
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -29,13 +29,13 @@
     ParseTurn,
 )
 from persimmonhold.web._read_protocol import MAX_READ_BYTES, ReadProtocol
+from persimmonhold.web._reader_watch import ReaderWatch
 from persimmonhold.web._rejection import Rejection
 from persimmonhold.web._request_head import RequestHead
 
 _BAD_REQUEST: Final = 400
 _HEAD_TOO_LARGE: Final = 431
 _INTERNAL_ERROR: Final = 500
-_LINGER_S: Final = 1.0
 # Time in which an idle connection that is to be closed reads what its peer had
 # sent before.
 _LAST_READ_S: Final = 0.1
@@ -77,6 +77,7 @@
         self._fields = HeadFieldCounter()
         self._task: asyncio.Task[None] | None = None
         self.timer = ConnectionTimer()
+        self._reader_watch = ReaderWatch(self)
         self._is_idle = True
         self._is_lingering = False
         self._is_rejecting = False
@@ -141,10 +142,7 @@
     def pause_writing(self) -> None:
         """Block senders while the peer reads slowly, for a limited time."""
         self._writable.clear()
-        self.timer.start(
-            self.bounds.send_timeout_s,
-            partial(self.abort, CloseCause.unread_response),
-        )
+        self._reader_watch.wait()
         self.buffers.pause_output()
 
     def resume_writing(self) -> None:
@@ -224,9 +222,10 @@
         """Tell whether a response asks the peer to close.
 
         Requests that were received behind it are answered first. More of them
-        may be received until a response of open length ends.
+        may be received until a response of open length ends. It does so before
+        the end of a request's body, as the rest of that is dropped.
         """
-        if self._is_rejecting:
+        if self._is_rejecting or self._parser.their_state is h11.SEND_BODY:
             return True
         if not self.is_close_announced or _has_open_length(response):
             return False
@@ -236,10 +235,7 @@
         """Close after the peer has read what was sent, for a limited time."""
         if self._transport is not None:
             self.close_cause = self.close_cause or CloseCause.finished
-            self.timer.start(
-                self.bounds.send_timeout_s,
-                partial(self.abort, CloseCause.unread_response),
-            )
+            self._reader_watch.wait()
             self._transport.close()
 
     def _process_events(self) -> None:
@@ -334,6 +330,7 @@
         exchange.discard_body()
         if self._transport is None:
             return
+        self.buffers.end_response()
         if exchange.has_response_ended:
             # The timer of a peer that does not read goes on.
             self._is_next_delayed = not self._writable.is_set()
@@ -405,9 +402,7 @@
             return
         self._is_lingering = True
         self._transport.resume_reading()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self.timer.start(_LINGER_S, partial(self.abort, CloseCause.finished))
+        self._reader_watch.end_output(self._transport)
 
 
 def _write_rejection(
