--- a/tests/test_slow_reader_crowd.py
+++ b/tests/test_slow_reader_crowd.py
@@ -64,7 +64,9 @@
 
 
 async def _post(server: HttpServer) -> bytes:
-    head = f'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {_BODY_BYTES}\r\n\r\n'
+    head = (
+        f'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {_BODY_BYTES}\r\n\r\n'
+    )
     request = head.encode('ascii') + bytes(_BODY_BYTES)
     loop = asyncio.get_running_loop()
     with await _connect(server, b'') as caller:
