Linger after the last response of a connection that a stop closes

A connection whose last response was written less than 2 s ago, or is not taken whole, now ends its output and drops what arrives, for 1 s after all is taken. Others close as before, so that a request that crosses the close stays unread.

--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -19,6 +19,8 @@
 _FIELD_BYTES: Final = 200
 # A peer that reads takes what is sent within a few round trips.
 _UNREAD_S: Final = 1.0
+# A slow peer may need longer for what the operating system has taken.
+_MAY_BE_UNREAD_S: Final = 2.0
 
 
 @final
@@ -26,6 +28,7 @@
     """Reserves the buffers of one connection in the budget of the process."""
 
     __slots__ = (
+        'answered_at',
         'connection',
         'head_bytes',
         'input_bytes',
@@ -50,6 +53,7 @@
         self.input_bytes = 0
         self.output_bytes = 0
         self.paused_at = 0.0
+        self.answered_at = float('-inf')
         self.since = 0.0
         self.transport: asyncio.Transport | None = None
 
@@ -100,9 +104,16 @@
         self.head_bytes = 2 * text_bytes + field_count * _FIELD_BYTES
         self._reserve()
 
+    @property
+    def may_be_unread(self) -> bool:
+        """Whether the peer may still read the last response."""
+        is_recent = _now() - self.answered_at < _MAY_BE_UNREAD_S
+        return is_recent or self.unsent_bytes > 0
+
     def end_response(self) -> None:
         """Give the peer time to read a response that was just written."""
         self.since = _now()
+        self.answered_at = self.since
 
     def finish_request(self) -> None:
         """Release the fields of a request whose response was sent."""
--- a/persimmonhold/web/_reader_watch.py
+++ b/persimmonhold/web/_reader_watch.py
@@ -68,10 +68,10 @@
     def _end_linger(self, unsent_before: int, unread_s: float) -> None:
         connection = self.connection
         unsent = connection.buffers.unsent_bytes
-        if unsent == 0:
-            connection.abort(CloseCause.finished)
-        elif unsent < unsent_before:
+        if unsent < unsent_before:
             self._linger(0)
+        elif unsent == 0:
+            connection.abort(CloseCause.finished)
         elif unread_s + _LINGER_S < connection.bounds.send_timeout_s:
             self._linger(unread_s + _LINGER_S)
         else:
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -232,8 +232,16 @@
         return not _has_next_request(self._parser)
 
     def _close(self) -> None:
-        """Close after the peer has read what was sent, for a limited time."""
-        if self._transport is not None:
+        """Close after the peer has read what was sent, for a limited time.
+
+        What crosses the close stays unread, unless that could reset the
+        connection while the peer reads a response that was written lately.
+        """
+        if self._transport is None:
+            return
+        if self.buffers.may_be_unread and not self._is_lingering:
+            self._linger()
+        else:
             self.close_cause = self.close_cause or CloseCause.finished
             self._reader_watch.wait()
             self._transport.close()
@@ -397,7 +405,7 @@
         """
         if self._transport is None:
             return
-        if self._parser.their_state is h11.DONE or self._is_lingering:
+        if self._is_lingering:
             self._close()
             return
         self._is_lingering = True
