Ignore SIGHUP, too, after a VM has stopped

Found by the review: a SIGHUP that came while a stopped process closed its sockets ended it with status -1. test_signal_after_the_stop_does_not_change_the_status[SIGHUP] (by the reviewer) failed before.

--- a/persimmonhold/system/_run.py
+++ b/persimmonhold/system/_run.py
@@ -20,7 +20,7 @@
     with asyncio.Runner() as runner:
         has_failed = runner.run(run_until_stopped(create_vm))
         loop = runner.get_loop()
-        for signal_number in _STOP_SIGNALS:
+        for signal_number in (*_STOP_SIGNALS, signal.SIGHUP):
             loop.remove_signal_handler(signal_number)
             signal.signal(signal_number, signal.SIG_IGN)
     return has_failed
