Evict slow readers again where memory is short

Callers are spared from 16 KB a second on.

tests/test_slow_reader_crowd.py (by the reviewer) failed before; the case of a caller that reads 20 KB a second still passes.

--- a/persimmonhold/web/_connection_buffers.py
+++ b/persimmonhold/web/_connection_buffers.py
@@ -19,6 +19,8 @@
 _FIELD_BYTES: Final = 200
 # A peer that reads takes what is sent within a few round trips.
 _UNREAD_S: Final = 1.0
+# Of a peer that is not evicted while it reads.
+_LEAST_BYTES_PER_S: Final = 16_384
 # A slow peer may need longer for what the operating system has taken.
 _MAY_BE_UNREAD_S: Final = 2.0
 
@@ -183,9 +185,13 @@
     def _release_read(self, now: float) -> None:
         """Release what the peer has read of a response, if it goes on.
 
-        A peer that reads slowly is not closed in favour of other requests.
+        A peer that reads fast enough is not closed in favour of other requests;
+        a crowd of slower ones would leave no memory for them.
         """
-        if self.unsent_bytes < self.output_bytes:
+        read_bytes = self.output_bytes - self.unsent_bytes
+        if read_bytes > 0 and read_bytes >= _LEAST_BYTES_PER_S * (
+            now - self.paused_at
+        ):
             self.output_bytes = self.unsent_bytes
             self.paused_at = now
             self._reserve()
--- a/tests/test_slow_reader_crowd.py
+++ b/tests/test_slow_reader_crowd.py
@@ -56,11 +56,12 @@
     loop = asyncio.get_running_loop()
     request = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
     while True:
-        with await _connect(server, request) as caller:
-            with contextlib.suppress(ConnectionError):
-                while await loop.sock_recv(caller, 4096):
-                    await asyncio.sleep(0.5)
-        await asyncio.sleep(0.5)
+        caller = await _connect(server, request)
+        with caller, contextlib.suppress(ConnectionError):
+            received = b'-'
+            while received:
+                received = await loop.sock_recv(caller, 4096)
+                await asyncio.sleep(0.5)
 
 
 async def _post(server: HttpServer) -> bytes:
