Count the wait for voters from the first of the calls that repeat a change

Found by the review: callers of the platform send a change again after 1 s without an answer, and each call waited up to 3 s of its own for voters, so while voters were missing for long no call was answered. A control replica now remembers since when changes have waited; a gap of 2 s without one begins anew.

--- a/persimmonhold/control/shell/_control_node.py
+++ b/persimmonhold/control/shell/_control_node.py
@@ -36,7 +36,7 @@
 from persimmonhold.control.shell._view_acceptance import ViewAcceptance
 from persimmonhold.control.shell._vm_agent_runner import VmAgentRunner
 from persimmonhold.control.shell._vm_report_tracker import VmReportTracker
-from persimmonhold.control.shell._voter_wait import wait_for_voters
+from persimmonhold.control.shell._voter_wait import VoterWait
 from persimmonhold.failures import Failure, FailureKind
 from persimmonhold.messages import ControlView, Demand
 from persimmonhold.placement import explain_misfit
@@ -65,6 +65,7 @@
         'log',
         'report_tracker',
         'vm',
+        'voter_wait',
     )
 
     def __init__(
@@ -86,6 +87,7 @@
         applier.subscribe(self._handle_applied)
         lease_s = vm.timings.lease_s if vm else 0
         self.report_tracker = VmReportTracker(lease_s)
+        self.voter_wait = VoterWait(log)
         self.acceptance: ViewAcceptance | None = None
         if vm is not None:
             self.acceptance = ViewAcceptance(vm, self.report_tracker)
@@ -205,9 +207,9 @@
         if result.status is not CommandStatus.done:
             return proposed
         index = min(result.index, self.state.view.index)
-        if await self._wait_until_accepted(index) and await wait_for_voters(
-            self.log, index, began_at
-        ):
+        if await self._wait_until_accepted(
+            index
+        ) and await self.voter_wait.wait(index, began_at):
             return proposed
         return Failed(_not_accepted_failure())
 
@@ -237,7 +239,7 @@
         index = self.state.view.index
         if not (
             await self._wait_until_accepted(index)
-            and await wait_for_voters(self.log, index, began_at)
+            and await self.voter_wait.wait(index, began_at)
         ):
             return Failed(_not_accepted_failure())
         return Success(
