Bound the reports that all entries together send to the fleet controller

While requests wait, each entry reported up to 50 times a second whatever their number; they wait at all entries while nobody leads, so 80 entries sent a new leader 4,000 reports a second, of which it handles about 1,000. An entry now reports at most every 1/1000 s times the number of entries, at least every 0.6 s: as before up to 20 entries, every 80 ms of 80.

--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -46,8 +46,12 @@
 # A report without news is sent this often. It confirms the last update, and
 # the controller drops an entry that is silent for 2 s.
 _BEAT_S: Final = 0.5
-# Interval between reports while requests are waiting.
+# Interval between reports while requests are waiting, of few entries.
 _MIN_REPORT_INTERVAL_S: Final = 0.02
+# Of all entries together; the controller takes up to a millisecond for a report.
+_MAX_REPORTS_PER_S: Final = 1000.0
+# An entry that is silent for 2 s is dropped.
+_LONGEST_REPORT_INTERVAL_S: Final = 0.6
 # Interval between transmissions of an adapter request; loading an adapter takes
 # about 20 ms, transmission included.
 _RESEND_INTERVAL_S: Final = 0.08
@@ -133,7 +137,7 @@
         """Send reports, and read the list when it is too old, until cancelled.
 
         Reports with news are sent at the longer interval unless requests are
-        waiting.
+        waiting, but no more than all entries together may send.
         """
         while True:
             self._send_report()
@@ -152,7 +156,7 @@
             await wait_with_timeout(
                 self.hub.request_waiting, _MAX_REPORT_INTERVAL_S
             )
-            early_s = reported_at + _MIN_REPORT_INTERVAL_S - self.hub.clock()
+            early_s = reported_at + self._report_interval_s() - self.hub.clock()
             if early_s > 0:
                 await asyncio.sleep(early_s)
 
@@ -327,6 +331,14 @@
             if done:
                 return future.result()
 
+    def _report_interval_s(self) -> float:
+        """Return the shortest interval between two reports of this entry."""
+        entry_count = self.hub.dispatcher.entry_count
+        return min(
+            _LONGEST_REPORT_INTERVAL_S,
+            max(_MIN_REPORT_INTERVAL_S, entry_count / _MAX_REPORTS_PER_S),
+        )
+
     def _is_list_read_due(self) -> bool:
         """Tell whether this entry should read the list itself now.
 
