--- a/bench/platform_settings.py
+++ b/bench/platform_settings.py
@@ -13,7 +13,8 @@
     VMs whose name begins with `c` run control and are seeds, others are
     entries. Their hosts are in `network`, the first two bytes of an address,
     and their ports follow `first_port`. `tolerated` control VMs may fail.
-    VMs are spread over `domains`. `bounds` are further lines of the section of that name.
+    VMs are spread over `domains`. `bounds` are further lines of the section of
+    that name.
     `is_first_start` is True until the system has started for the first time.
     """
 
--- a/bench/soak/_shape.py
+++ b/bench/soak/_shape.py
@@ -65,7 +65,7 @@
 
     @classmethod
     def rare(cls, entry_count: int) -> Self:
-        """Return a system of engines that can hold 2 of 3 models, and load slowly."""
+        """Return a system of engines that hold 2 of 3 models, and load slowly."""
         engine_count = max(8, round(entry_count * 45 / 80))
         return msgspec.structs.replace(
             cls.large(entry_count),
--- a/persimmonhold/entry/_caller_response.py
+++ b/persimmonhold/entry/_caller_response.py
@@ -68,7 +68,7 @@
         self._metrics = metrics
 
     def settle_outcome(self) -> str:
-        """Return the outcome; `cut` if the caller still waits for a response."""
+        """Return the outcome; `cut` if the caller still waits for an answer."""
         if self.outcome == _ABANDONED and self.exchange.was_cut:
             self.outcome = 'cut'
         return self.outcome
--- a/persimmonhold/fleet/_dispatch_request.py
+++ b/persimmonhold/fleet/_dispatch_request.py
@@ -16,8 +16,8 @@
     """What the dispatcher knows of a request; times are seconds of its clock.
 
     `number` identifies it at this entry. Its head came at `arrived_at`, the end
-    of its body at `received_at`, if that is known. `due_at` is when its first event or
-    plain response is due. The caller is expected to give up after
+    of its body at `received_at`, if that is known. `due_at` is when its first
+    event or plain response is due. The caller is expected to give up after
     `caller_waits_until` if it has received nothing. At `ends_at` the response
     must be complete. `is_engine` tells that the service runs models.
     Only upstreams of `build` may run it, if it is not empty. `workspace` is the
--- a/persimmonhold/forwarding/_fleet_client.py
+++ b/persimmonhold/forwarding/_fleet_client.py
@@ -48,7 +48,7 @@
 _BEAT_S: Final = 0.5
 # Interval between reports while requests are waiting, of few entries.
 _MIN_REPORT_INTERVAL_S: Final = 0.02
-# Of all entries together; the controller takes up to a millisecond for a report.
+# Of all entries together; the controller needs up to a millisecond for each.
 _MAX_REPORTS_PER_S: Final = 1000.0
 # An entry that is silent for 2 s is dropped.
 _LONGEST_REPORT_INTERVAL_S: Final = 0.6
@@ -60,9 +60,9 @@
 _PERMIT_TIMEOUT_S: Final = 0.2
 # Covers two retransmissions.
 _ORIGIN_TIMEOUT_S: Final = 0.3
-# Then an entry that is not sure of an origin itself waits on: it would refuse the
-# stream, and a caller may have no further try. A busy machine has held an entry up
-# for 0.7 s. Callers wait two seconds for the next event.
+# Then an entry that is not sure of an origin itself waits on: it would refuse
+# the stream, and a caller may have no further try. A busy machine has held an
+# entry up for 0.7 s. Callers wait two seconds for the next event.
 _LATE_ORIGIN_S: Final = 1.2
 # Time until the next permit request for an upstream after one without a reply.
 _UNANSWERED_PERMIT_WAIT_S: Final = 0.5
--- a/persimmonhold/forwarding/_forward_response_writer.py
+++ b/persimmonhold/forwarding/_forward_response_writer.py
@@ -57,7 +57,7 @@
         return self.exchange.has_response_started
 
     def settle_outcome(self) -> str:
-        """Return the outcome; `cut` if the caller still waits for a response."""
+        """Return the outcome; `cut` if the caller still waits for an answer."""
         if self.outcome == _ABANDONED and self.exchange.was_cut:
             self.outcome = 'cut'
         return self.outcome
--- a/persimmonhold/forwarding/_stream_recorder.py
+++ b/persimmonhold/forwarding/_stream_recorder.py
@@ -29,8 +29,9 @@
 class StreamRecorder:
     """Passes the streams that begin to the dispatcher and into reports.
 
-    `told_term` is the last term whose controller has confirmed a report with all
-    streams that may still be taken up. `first_sequence` is that of the first update, or None.
+    `told_term` is the last term whose controller has confirmed a report with
+    all streams that may still be taken up. `first_sequence` is that of the
+    first update, or None.
     """
 
     __slots__ = (
--- a/persimmonhold/web/_client_connection.py
+++ b/persimmonhold/web/_client_connection.py
@@ -2,8 +2,8 @@
 
 Invariants: `bytes_written` is zero only while no byte of a request has been
 handed to the operating system, so zero proves that the peer did not run it;
-`has_peer_closed` is set once the peer closed or reset the connection, `has_received`
-once it has sent anything since the last request was written. After
+`has_peer_closed` is set once the peer closed or reset the connection,
+`has_received` once it has sent anything since the last request was written. After
 `is_kept_open` was cleared, no further request is sent on it. `stated_idle_s`
 is after how many seconds without a request the peer closes it, if it says so.
 `carried_ids` has the ids of the requests that were written to it, with their
--- a/persimmonhold/web/_reader_watch.py
+++ b/persimmonhold/web/_reader_watch.py
@@ -1,7 +1,7 @@
 """When a connection is closed whose peer has not read its response.
 
-A peer that reads some of it within the send time-out may take longer in all: what
-waits for it is bounded, and may be evicted.
+A peer that reads some of it within the send time-out may take longer in all:
+what waits for it is bounded, and may be evicted.
 """
 
 import asyncio
--- a/persimmonhold/web/_server_connection.py
+++ b/persimmonhold/web/_server_connection.py
@@ -374,8 +374,8 @@
                 partial(self._reject, self.bounds.slow_head_status),
             )
             if self.is_close_announced:
-                # Reads on before the next request is served, as its response may
-                # ask to close, and would leave those behind it unread.
+                # Reads on before the next request is served, as its response
+                # may ask to close, and would leave those behind it unread.
                 asyncio.get_running_loop().call_soon(self._process_events)
             else:
                 self._process_events()
--- a/tests/test_stream_end_in_planned_stop.py
+++ b/tests/test_stream_end_in_planned_stop.py
@@ -20,7 +20,7 @@
 
 @final
 class _Responses(ExchangeHandler):
-    """Responds with 60 KB, to /stream without a length and 1 s after its head."""
+    """Responds with 60 KB; to /stream 1 s after a head without a length."""
 
     async def serve(self, exchange: Exchange) -> None:
         """Respond without waiting until the peer has read."""
