--- a/review/lib3/crowd.py
+++ b/review/11/bed/crowd.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import Final
 
-from review.lib3.http import read_body, read_head
-from review.lib3.record import BROKEN, HELD, Record
-from review.lib3.world import World
+from bed.http import read_body, read_head
+from bed.record import BROKEN, HELD, Record
+from bed.world import World
 
 _CONNECT_S: Final = 1.0
 _PAUSE_S: Final = 0.05  # before the next connection
--- a/review/lib3/deployment.py
+++ b/review/11/bed/deployment.py
@@ -22,7 +22,7 @@
 from types import TracebackType
 from typing import Final, Self
 
-ROOT: Final = Path(__file__).resolve().parent.parent.parent
+ROOT: Final = Path(__file__).resolve().parents[3]
 _METRICS_PORT: Final = 9464  # of every machine, as in the deploy file
 _RESTART_S: Final = 0.5  # after a process has ended
 # A process that ends within this time of a signal has not ended by itself.
--- a/review/lib3/platform.py
+++ b/review/11/bed/platform.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from review.lib3.deployment import Deployment
-from review.lib3.http import Message, Server, encode, fetch, read_body, respond
+from bed.deployment import Deployment
+from bed.http import Message, Server, encode, fetch, read_body, respond
 
 _ANSWER_S: Final = 1.0  # an operator waits so long, and more for large bodies
 _LARGE_ANSWER_S: Final = 5.0
--- a/review/lib3/worker.py
+++ b/review/11/bed/worker.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from review.lib3.http import Message, Server, encode, read_body, respond
+from bed.http import Message, Server, encode, read_body, respond
 
 _NUMBERS: Final = itertools.count(1)
 _ADAPTER_LOAD_S: Final = 0.01
--- a/review/lib3/world.py
+++ b/review/11/bed/world.py
@@ -6,10 +6,10 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
-from review.lib3.deployment import Deployment
-from review.lib3.http import encode, fetch
-from review.lib3.platform import InstanceList, Operator
-from review.lib3.worker import Worker
+from bed.deployment import Deployment
+from bed.http import encode, fetch
+from bed.platform import InstanceList, Operator
+from bed.worker import Worker
 
 HOST: Final = 'ficu95.example'
 PLAIN: Final = 'wuno96b'
--- a/review/11/case.py
+++ b/review/11/case.py
@@ -9,16 +9,16 @@
 from pathlib import Path
 from typing import Any, Final
 
-from review.lib3.deployment import Deployment
-from review.lib3.platform import InstanceList, Operator
-from review.lib3.record import BROKEN, HELD, NOT_RUN, Record
+from bed.deployment import Deployment
+from bed.platform import InstanceList, Operator
+from bed.record import BROKEN, HELD, NOT_RUN, Record
 
 _CHANGES: Final = 390  # "hundreds of changes" of a day
 _MORE_ROUTES: Final = 1400  # `big_config`, count = 1400
 _FIRST_ROUTES: Final = 5
 _ACK_S: Final = 4.0  # `ack-ms`
 _START_S: Final = 12.0  # before traffic
-_ALL_CHANGES_S: Final = 80.0
+_ALL_CHANGES_S: Final = 60.0
 _RECOVERY_S: Final = 12.0  # `recovery-s`
 _BACK_S: Final = 1.0  # all processes are back within a second
 _CORE_MEMORY_MB: Final = 296
@@ -84,12 +84,12 @@
     ends_at = time.monotonic() + _ALL_CHANGES_S
     for version in range(2, 2 + _CHANGES):
         if time.monotonic() >= ends_at:
-            break
+            return NOT_RUN, f'only {version - 2} changes in time'
         document = build_configuration(version, more_routes)
         if not await operator.put(document, 2 * _ACK_S):
             record.note(f'version {version} was not acknowledged')
             note_machines(record, deployment)
-            return BROKEN, f'no acknowledgement of version {version}'
+            return NOT_RUN, f'no acknowledgement of version {version}'
         if version % 50 == 0:
             note_machines(record, deployment)
     record.note(f'acknowledged up to version {operator.acknowledged}')
