--- a/persimmonhold/consensus/_raft_log.py
+++ b/persimmonhold/consensus/_raft_log.py
@@ -28,7 +28,9 @@
     """
 
     __slots__ = (
+        '_base_end',
         '_configurations',
+        '_ends',
         '_entries',
         '_pending_syncs',
         'base_index',
@@ -47,6 +49,10 @@
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self._entries: list[LogEntry] = []
+        # The running total of entry sizes at the end of each entry, and before
+        # the first one.
+        self._ends: list[int] = []
+        self._base_end = 0
         self._pending_syncs: list[tuple[int, int]] = []
         self._configurations = [(snapshot.index, snapshot.configuration)]
         if entries and entries[0].index <= snapshot.index:
@@ -108,6 +114,13 @@
             return self._entries[index - self.base_index - 1].term
         return None
 
+    def size_between(self, first: int, last: int) -> int:
+        """Return the bytes of the entries from `first` to `last`, inclusive.
+
+        Indexes that this log does not hold count as nothing.
+        """
+        return self._end_at(last) - self._end_at(first - 1)
+
     def entries_between(self, first: int, last: int) -> tuple[LogEntry, ...]:
         """Return the entries with indexes from `first` to `last`, inclusive."""
         start = first - self.base_index - 1
@@ -122,7 +135,7 @@
         size = 0
         start = first - self.base_index - 1
         for entry in islice(self._entries, start, None):
-            size += len(entry.payload) + _ENTRY_OVERHEAD_BYTES
+            size += _size_of(entry)
             if batch and size > max_bytes:
                 break
             batch.append(entry)
@@ -131,7 +144,9 @@
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Append entries and record the configurations among them."""
         for entry in entries:
+            end = self._ends[-1] if self._ends else self._base_end
             self._entries.append(entry)
+            self._ends.append(end + _size_of(entry))
             is_newer = entry.index > self.snapshot.index
             if entry.kind is EntryKind.configuration and is_newer:
                 configuration = msgspec.msgpack.decode(
@@ -142,7 +157,9 @@
 
     def truncate(self, first: int) -> None:
         """Remove the entry at index `first` and all after it."""
-        self._entries = self._entries[: first - self.base_index - 1]
+        kept = first - self.base_index - 1
+        self._entries = self._entries[:kept]
+        self._ends = self._ends[:kept]
         while self._configurations[-1][0] >= first:
             self._configurations.pop()
         last = first - 1
@@ -171,7 +188,9 @@
         """
         base = max(self.base_index, snapshot.index - kept_entries)
         base_term = self.term_at(base)
+        self._base_end = self._end_at(base)
         self._entries = self._entries[base - self.base_index :]
+        self._ends = self._ends[base - self.base_index :]
         self.base_term = base_term or 0
         self.base_index = base
         self._configurations = [
@@ -186,6 +205,18 @@
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self._entries = []
+        self._ends = []
+        self._base_end = 0
         self._pending_syncs = []
         self._configurations = [(snapshot.index, snapshot.configuration)]
         self.synced_index = 0
+
+    def _end_at(self, index: int) -> int:
+        """Return the running total of sizes up to an index."""
+        if index <= self.base_index or not self._ends:
+            return self._base_end
+        return self._ends[min(index, self.last_index) - self.base_index - 1]
+
+
+def _size_of(entry: LogEntry) -> int:
+    return len(entry.payload) + _ENTRY_OVERHEAD_BYTES
--- a/persimmonhold/control/shell/_control_metrics.py
+++ b/persimmonhold/control/shell/_control_metrics.py
@@ -1,11 +1,14 @@
 """Exports the counters of the agent and the transport as metrics."""
 
-from typing import final
+from typing import TYPE_CHECKING, final
 
 from persimmonhold.membership import VmAgent
 from persimmonhold.observability import Metrics, MetricSpec, metric
 from persimmonhold.transport import Channel, TrafficCounters
 
+if TYPE_CHECKING:
+    from persimmonhold.replication import ReplicaStatus
+
 
 @final
 class ControlMetrics:
@@ -28,6 +31,18 @@
         self._add_bytes(counts.sent_bytes_by_channel, 'sent')
         self._add_bytes(counts.received_bytes_by_channel, 'received')
 
+    def update_log(self, status: 'ReplicaStatus') -> None:
+        """Set the sizes of the control log of this replica."""
+        for part, size_bytes in (
+            ('memory', status.log_bytes),
+            ('disk', status.log_file_bytes),
+            ('snapshot', status.snapshot_bytes),
+            ('recovered', status.recovered_bytes),
+        ):
+            self._metrics.set_gauge(
+                metric.CONTROL_LOG_BYTES, size_bytes, part=part
+            )
+
     def _add_bytes(self, totals: dict[Channel, int], direction: str) -> None:
         for channel, total in totals.items():
             self._add_increase(
--- a/persimmonhold/observability/_metric_table.py
+++ b/persimmonhold/observability/_metric_table.py
@@ -121,6 +121,15 @@
     kind=MetricKind.gauge,
     help_text='Catalogue revision in force on this VM.',
 )
+CONTROL_LOG_BYTES: Final = MetricSpec(
+    name='persimmonhold_control_log_bytes',
+    kind=MetricKind.gauge,
+    help_text=(
+        'Bytes of the control log: entries in memory, segments on disk, the'
+        ' state in the snapshot, and what the last start read.'
+    ),
+    labels=('part',),
+)
 STALE_VIEWS: Final = MetricSpec(
     name='persimmonhold_stale_views_total',
     kind=MetricKind.counter,
@@ -180,6 +189,7 @@
     BUFFERED_BYTES,
     EVICTIONS,
     CATALOGUE_REVISION,
+    CONTROL_LOG_BYTES,
     STALE_VIEWS,
     DIVERGED_VIEWS,
     DROPPED_MESSAGES,
--- a/persimmonhold/replication/_describe.py
+++ b/persimmonhold/replication/_describe.py
@@ -29,6 +29,10 @@
         commit_index=core.commit_index,
         applied_index=applied_index,
         snapshot_index=core.log.snapshot.index,
+        log_bytes=core.log.size_between(
+            core.log.base_index + 1, core.log.last_index
+        ),
+        snapshot_bytes=len(core.log.snapshot.state),
         is_short_of_voters=leadership is not None
         and leadership.is_short_of_voters(now),
         members=tuple(
--- a/persimmonhold/replication/_replica_host.py
+++ b/persimmonhold/replication/_replica_host.py
@@ -65,6 +65,7 @@
         '_transport',
         'address_book',
         'applied_index',
+        'recovered_bytes',
         'replica',
         'waiters',
         'writer',
@@ -90,10 +91,16 @@
         self._logged_state = ('', '', 0)
         self.address_book = AddressBook()
         self.applied_index = 0
+        self.recovered_bytes = 0
         self.waiters = Waiters()
         self.replica: Replica
         self.writer: LogWriter
 
+    @property
+    def log_file_bytes(self) -> int:
+        """The size of the log on disk."""
+        return self._store.log_bytes
+
     def recover(self, now: float) -> Result[None, Failure]:
         """Create the replica from the data folder.
 
@@ -112,6 +119,14 @@
         else:
             state = self._generate_identity()
         self._create_replica(state, log.unwrap(), now)
+        self.recovered_bytes = self._store.log_bytes + len(found.snapshot)
+        log_event(
+            'log_recovered',
+            log_file_bytes=self._store.log_bytes,
+            snapshot_bytes=len(found.snapshot),
+            entries=self.replica.core.log.last_index
+            - self.replica.core.log.base_index,
+        )
         return Success(None)
 
     def receive_message(self, peer: str, payload: bytes, now: float) -> None:
@@ -170,7 +185,16 @@
         """
         self._store.finish_snapshot()
         self.replica.compact(snapshot, self._settings.kept_entries)
-        self.writer.remove_covered_segments(self.replica.core.log.base_index)
+        log = self.replica.core.log
+        self.writer.remove_covered_segments(log.base_index)
+        log_event(
+            'snapshot_taken',
+            index=snapshot.index,
+            snapshot_bytes=len(snapshot.state),
+            entries=log.last_index - log.base_index,
+            log_bytes=log.size_between(log.base_index + 1, log.last_index),
+            log_file_bytes=self._store.log_bytes,
+        )
 
     def _create_replica(
         self, state: HardState, log: RaftLog, now: float
--- a/persimmonhold/replication/_replica_node.py
+++ b/persimmonhold/replication/_replica_node.py
@@ -170,11 +170,11 @@
             self._host.applied_index,
             self._clock(),
         )
-        if self.failure is None:
-            return described
         return msgspec.structs.replace(
             described,
-            failure=self.failure.describe(),
+            log_file_bytes=self._host.log_file_bytes,
+            recovered_bytes=self._host.recovered_bytes,
+            failure=self.failure.describe() if self.failure else '',
         )
 
     async def propose(self, payload: bytes) -> Result[object, Failure]:
--- a/persimmonhold/replication/_replica_status.py
+++ b/persimmonhold/replication/_replica_status.py
@@ -15,7 +15,10 @@
     have answered since its start. `lease_s` is the remaining time of its
     lease as leader. `failure` is empty unless a disk failure stopped it.
     `is_short_of_voters` tells that a leader has fewer voters than it should
-    while other replicas are about to join.
+    while other replicas are about to join. `log_bytes` is the size of the
+    entries in memory, `log_file_bytes` that of the segments on disk,
+    `snapshot_bytes` that of the state in the snapshot, and `recovered_bytes`
+    what the last start read of segments and snapshot.
     """
 
     vm: str
@@ -32,6 +35,10 @@
     members: tuple[MemberStatus, ...]
     failure: str = ''
     is_short_of_voters: bool = False
+    log_bytes: int = 0
+    log_file_bytes: int = 0
+    snapshot_bytes: int = 0
+    recovered_bytes: int = 0
 
     @property
     def has_leadership(self) -> bool:
--- a/persimmonhold/storage/_log_store.py
+++ b/persimmonhold/storage/_log_store.py
@@ -49,6 +49,11 @@
         """The segments in the order in which they were written."""
         return tuple(self._segments)
 
+    @property
+    def log_bytes(self) -> int:
+        """The size of all segments."""
+        return sum(segment.size_bytes for segment in self._segments)
+
     def recover(self) -> Result[RecoveredData, Failure]:
         """Remove temporary files of interrupted writes and read the others.
 
--- a/persimmonhold/system/_base_vm.py
+++ b/persimmonhold/system/_base_vm.py
@@ -169,6 +169,8 @@
         usage_log = UsageLog(counters, boot_clock())
         while True:
             control_metrics.update(self.vm.agent, counters)
+            if self.control is not None:
+                control_metrics.update_log(self.control.replica.status())
             self.metrics.set_gauge(
                 metric.BUFFERED_BYTES, self.peer_budget.reserved_bytes
             )
