Repair the membership while changes go on without a pause

Callers saw: a control VM that lost its disk was no voter again for as long as changes came more often than a heartbeat (80 ms on the platform).

Cause: a leader checked membership and timeouts in a heartbeat round, and each appended entry put the next round off. By the progress that a script printed, the wiped VM was still tracked under its old identity after 887 changes in 8 s, and no learner had been added. The check has a time of its own now.

--- a/persimmonhold/consensus/_leadership.py
+++ b/persimmonhold/consensus/_leadership.py
@@ -39,7 +39,8 @@
     `round_commit_index` is the commit index when the last due heartbeat was
     sent, but at least `term_start_index`, the index of the first entry of the
     term: a leader that has just restarted does not know what is committed.
-    The term began at `began_at`.
+    The term began at `began_at`; membership and timeouts are checked next at
+    `next_check_at`, whether or not heartbeats are due: entries replace them.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         '_timeout_starts_at',
         'began_at',
         'has_sent_timeout_now',
+        'next_check_at',
         'replicator',
         'round_commit_index',
         'spares',
@@ -64,6 +66,7 @@
         self._core = core
         self._timeout_starts_at = now
         self.began_at = now
+        self.next_check_at = now
         self._target_voters = target_voters
         self._reads: list[PendingRead] = []
         self.replicator = Replicator(core, now)
@@ -74,6 +77,11 @@
         self.round_commit_index = self.term_start_index
         self.append(EntryKind.empty, (b'',), now)
 
+    @property
+    def next_wakeup(self) -> float:
+        """The time at which `tick` is due."""
+        return min(self.next_check_at, self.replicator.next_heartbeat_at)
+
     @property
     def is_established(self) -> bool:
         """Whether an entry of the current term is committed."""
@@ -221,13 +229,17 @@
         """Step down on a timeout, else start a heartbeat round if due.
 
         A timeout means that a quorum, or the successor of a transfer, did not
-        respond. Each round first changes the membership if it needs repair.
+        respond. Once in each heartbeat interval, the membership is changed if
+        it needs repair.
         """
         core = self._core
         if self._check_timeouts(now):
             core.become_follower(core.term, '', now)
-        elif now >= self.replicator.next_heartbeat_at:
+            return
+        if now >= self.next_check_at:
+            self.next_check_at = now + core.timings.heartbeat_s
             self._repair_membership(now)
+        if now >= self.replicator.next_heartbeat_at:
             self.replicator.broadcast(now)
             self.advance_commit_index()
 
--- a/persimmonhold/consensus/_replica.py
+++ b/persimmonhold/consensus/_replica.py
@@ -97,7 +97,7 @@
         if self._boot_checks.is_identity_void:
             return float('inf')
         if self.leadership is not None:
-            return self.leadership.replicator.next_heartbeat_at
+            return self.leadership.next_wakeup
         if self.joiner.is_log_empty or not core.verification.is_done:
             return min(core.election_at, self._startup_retry_at)
         return core.election_at
--- a/tests/test_log_bounds.py
+++ b/tests/test_log_bounds.py
@@ -196,6 +196,51 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize('changes_before', [30, 400])
+def test_wiped_voter_catches_up_while_changes_go_on(
+    changes_before: int,
+) -> None:
+    """It took longer with each change that had ever been made."""
+
+    async def scenario() -> None:
+        bounds = LogBounds.for_resources(_DISK_MB, _MEMORY_MB)
+        prepare = _keep_latest_document(bounds, _DISK_MB)
+        async with running(3, prepare=prepare) as cluster:
+            await _change_often(cluster, changes_before)
+            leader = await cluster.leader()
+            wiped = next(vm for vm in cluster.vms if vm.name != leader.leader)
+            await cluster.stop(wiped.name)
+            wiped.disk = FakeDisk()
+            cluster.network.sent_bytes.clear()
+            await cluster.start(wiped)
+            began_at = loop_time()
+            made = 0
+            while not _is_voter(cluster, wiped.name):
+                await _change_often(cluster, 1)
+                made += 1
+                assert_that(loop_time() - began_at, LessThan(_CATCH_UP_S))
+            received = sum(
+                size
+                for pair, size in cluster.network.sent_bytes.items()
+                if pair[1] == wiped.name
+            )
+            # What the log may hold, and the changes made meanwhile.
+            limit = 4 * bounds.bytes_per_snapshot
+            assert_that(received, LessThan(limit + 2 * made * 320 * _KB))
+
+    run_virtual(scenario())
+
+
+def _is_voter(cluster: Cluster, name: str) -> bool:
+    own = cluster.nodes[name].status().incarnation
+    return any(
+        member.incarnation == own and member.is_voter
+        for node in cluster.nodes.values()
+        for member in node.status().members
+        if node.is_leader
+    )
+
+
 @pytest.mark.parametrize('is_empty', [False, True])
 def test_member_that_does_not_answer_is_sent_little(*, is_empty: bool) -> None:
     """Up to 4,096 entries of any size waited for a stopped follower."""
