Hold acknowledgements back while a voter without its disk is replaced

Cause, besides the size of the log: until its successor is promoted, a voter that has lost its disk still counts as one of three, so a change is acknowledged once two disks hold it, one of which may be lost next. VoterWait waited only if there were fewer voters than there should be. A voter whose VM asks to join anew, or is a live learner, now counts as missing.

test_changes_wait_while_a_voter_without_its_disk_is_replaced failed before and passes.

--- a/persimmonhold/consensus/_leadership.py
+++ b/persimmonhold/consensus/_leadership.py
@@ -24,7 +24,10 @@
 )
 from persimmonhold.consensus._pending_read import PendingRead
 from persimmonhold.consensus._progress import Progress
-from persimmonhold.consensus._repair import choose_membership_change
+from persimmonhold.consensus._repair import (
+    choose_membership_change,
+    is_voter_being_replaced,
+)
 from persimmonhold.consensus._replicator import Replicator
 from persimmonhold.consensus._spare import Spare
 
@@ -90,14 +93,16 @@
     def is_short_of_voters(self, now: float) -> bool:
         """Return whether voters are missing and replicas may join soon.
 
-        Until they have joined, the group survives the loss of fewer disks than
+        A voter is missing, too, if its VM has come back without its disk. Until
+        the others have joined, the group survives the loss of fewer disks than
         it is meant to. Replicas that ask to join are known two election
         timeouts after a term began.
         """
         core = self._core
-        if len(core.configuration.voters) >= self._target_voters:
-            return core.log.configuration_index > core.commit_index
         health = self._build_group_health(now)
+        if len(core.configuration.voters) >= self._target_voters:
+            is_pending = core.log.configuration_index > core.commit_index
+            return is_pending or is_voter_being_replaced(health)
         has_live_learner = any(
             health.silence_s[one.replica] < health.live_within_s
             for one in core.configuration.members
--- a/persimmonhold/consensus/_repair.py
+++ b/persimmonhold/consensus/_repair.py
@@ -49,6 +49,20 @@
     return _add_learner(health)
 
 
+def is_voter_being_replaced(health: GroupHealth) -> bool:
+    """Return whether a voter has lost its disk and its VM may join again.
+
+    Such a voter still counts for the size of a quorum, but holds nothing.
+    """
+    joining = _list_spare_vms(health).union(
+        member.vm
+        for member in health.configuration.members
+        if not member.is_voter
+        and health.silence_s[member.replica] < health.live_within_s
+    )
+    return any(vm_of(voter) in joining for voter in health.configuration.voters)
+
+
 def _advance_learner(
     health: GroupHealth, learner: Member
 ) -> Configuration | None:
--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -4,9 +4,10 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import HasLength, Not
+from testtools.matchers import Equals, GreaterThan, HasLength, Not
 
 from persimmonhold.consensus import vm_of
+from tests._consensus_group import Group
 from tests._disk_losses import LossScenario, play
 
 _FAULTS: Final = 40
@@ -98,3 +99,33 @@
     assert_that(scenario.voters, Not(HasLength(len(before))))
     scenario.crash_all_but_wipe({_find_follower(scenario, silent, spare)})
     scenario.check_recovery()
+
+
+def test_changes_wait_while_a_voter_without_its_disk_is_replaced() -> None:
+    """The loss of another disk left one of three voters, and no quorum."""
+    group = Group(3)
+    group.run(5, lambda: group.leader is not None)
+    leader = group.leader
+    assert leader is not None
+    group.propose(b'before')
+    group.run(1)
+    wiped = next(vm for vm in sorted(group.nodes) if vm != leader.vm)
+    lost = group.nodes[wiped].live.core.replica
+    group.wipe(wiped)
+    group.start(wiped)
+    observed = 0
+    for _ in range(300):
+        group.run(0.01)
+        leadership = leader.live.leadership
+        assert leadership is not None
+        if (
+            wiped in leadership.spares
+            and lost in leader.live.configuration.voters
+        ):
+            observed += 1
+            is_short = leadership.is_short_of_voters(group.now)
+            assert_that(is_short, Equals(True))
+    assert_that(observed, GreaterThan(0))
+    restored = leader.live.leadership
+    assert restored is not None
+    assert_that(restored.is_short_of_voters(group.now), Equals(False))
