Take in the messages of a connection before handling what waits

Cause: the library reads one message ahead for each connection, and the loop took in what was there, often 5 to 20 messages, before each 10 ms of handling reports. A consensus message behind 80 reports of its own sender waited for that many turns. While messages are left over from the last turn, the transport now waits up to 1 ms for the next one, so it reads the connections empty first.

The bound of the test is as it was. Ruled out: load alone, as it failed on the idle machine, too.

--- a/persimmonhold/transport/_nng_transport.py
+++ b/persimmonhold/transport/_nng_transport.py
@@ -36,6 +36,7 @@
 _RECEIVE_QUEUE_LENGTH: Final = 1024
 _MAX_MESSAGE_BYTES: Final = 16_777_216
 _MAX_RECEIVE_BATCH: Final = 128
+_RECEIVE_TIMEOUT_MS: Final = 1
 # Beyond this number, the address that was learned first is dropped.
 _MAX_LEARNED_ADDRESSES: Final = 4096
 _CERTIFICATE_RELOAD_INTERVAL_S: Final = 2.0
@@ -87,6 +88,7 @@
         self._receive_socket = pynng.Pull0(
             recv_buffer_size=_RECEIVE_QUEUE_LENGTH,
             recv_max_size=_MAX_MESSAGE_BYTES,
+            recv_timeout=_RECEIVE_TIMEOUT_MS,
         )
         try:
             self._listen(self._receive_socket)
@@ -207,13 +209,17 @@
     def _receive_messages(self) -> None:
         """Take received messages in, at most a batch of them.
 
-        The event loop calls again for those that are left.
+        The event loop calls again for those that are left. The library reads
+        one message ahead for each connection. While messages wait to be
+        handled, this waits for the next one, so that an urgent message does
+        not stay behind the others of its sender for many turns of the loop.
         """
+        is_behind = self._queue.is_behind
         for _ in range(_MAX_RECEIVE_BATCH):
             if self._receive_socket is None:
                 return
             try:
-                received = self._receive_socket.recv(block=False)
+                received = self._receive_socket.recv(block=is_behind)
             except pynng.NNGException:
                 return
             self._take_in(received)
