Ignore the model that a request of a plain service names

Cause: requests are queued and counted by service and model, and only services with an engine refuse an unknown model. At a plain service each name left a queue at the entry and a load at the fleet controller for good. The request is now queued without a model; its header is forwarded as it came.

test_models_named_at_a_plain_service_leave_nothing_behind failed before for short and long names, and passes now.

--- a/persimmonhold/forwarding/_forward_handler.py
+++ b/persimmonhold/forwarding/_forward_handler.py
@@ -249,6 +249,11 @@
         hub = self.services.hub
         service = self._choose_service(route)
         spec = self.route_table.services.get(service)
+        is_engine = spec is not None and spec.engine is not None
+        if not is_engine:
+            # Callers may name any model at a service that has none; requests
+            # are queued and counted by model.
+            profile = msgspec.structs.replace(profile, model='', adapter='')
         ends_at = arrived_at + route.timeout_ms / _MS_PER_S
         if profile.deadline_ms is not None:
             ends_at = min(ends_at, arrived_at + profile.deadline_ms / _MS_PER_S)
@@ -261,7 +266,7 @@
             due_at=arrived_at + route.target_ms / _MS_PER_S,
             caller_waits_until=min(ends_at, arrived_at + _caller_wait_s(route)),
             ends_at=ends_at,
-            is_engine=spec is not None and spec.engine is not None,
+            is_engine=is_engine,
             workspace=verdict.workspace_name,
             workspace_priority=verdict.priority,
         )
