Keep streams by ids of bounded length

Cause: 65,536 streams are kept for 30 s by the id of their request, whose length only the head of the request limits; a new leader gets those of an entry in one message. An id of more than 128 characters is now replaced by its digest, also where a caller names it to take the stream up, which was cut to 128 before.

The same cause elsewhere: the times of use of adapters that do not exist were kept for good by the fleet controller; beyond 128, those that are neither held nor to be loaded are dropped.

--- a/persimmonhold/fleet/_adapter_scheduler.py
+++ b/persimmonhold/fleet/_adapter_scheduler.py
@@ -32,6 +32,7 @@
 _MAX_IN_TRANSIT: Final = 4  # adapters loading at one upstream at a time
 _REPLY_TIMEOUT_S: Final = 0.6  # entries give up earlier, after 0.3 s
 _MAX_PENDING: Final = 512  # requested adapters at one upstream
+_MAX_REMEMBERED: Final = 128  # adapters with a time of use at one upstream
 # An adapter used within this time is not evicted: it may be serving a request
 # that its entry has not reported yet.
 _UNREPORTED_USE_S: Final = 0.25
@@ -110,6 +111,7 @@
         they are recorded as used now.
         """
         self.last_used_at.update(dict.fromkeys(in_use, now))
+        self._forget_unknown(ledger)
         if not ledger.is_idle:
             return None
         in_transit = sum(
@@ -175,6 +177,18 @@
             (one.ready_at for one in self.pending.values()), default=math.inf
         )
 
+    def _forget_unknown(self, ledger: UpstreamLedger) -> None:
+        """Drop adapters that the upstream neither holds nor is to load.
+
+        Callers may name adapters that do not exist.
+        """
+        if len(self.last_used_at) > _MAX_REMEMBERED:
+            self.last_used_at = {
+                key: used_at
+                for key, used_at in self.last_used_at.items()
+                if key in self.pending or ledger.is_held(*key)
+            }
+
     def _refusal_reason(
         self,
         request: AdapterLoadRequest,
--- a/persimmonhold/platform/_dialect.py
+++ b/persimmonhold/platform/_dialect.py
@@ -14,6 +14,7 @@
 )
 from persimmonhold.platform import _names as names
 from persimmonhold.routes import hash_key
+from persimmonhold.streams import shorten_id
 from persimmonhold.web import (
     Headers,
     RequestHead,
@@ -27,7 +28,6 @@
 _EVENT_STREAM: Final = 'text/event-stream'
 _MAX_PROMPT_PARTS: Final = 64  # usual prompts have three or four
 _MAX_PART_ID_CHARS: Final = 64
-_MAX_REQUEST_ID_CHARS: Final = 128
 _MAX_TOKENS: Final = 1_000_000_000
 _MAX_TOKEN_DIGITS: Final = 9  # of the tokens of a prompt part
 _LEAVING_VALUE: Final = '1'
@@ -67,9 +67,7 @@
                 prompt_parts=tuple(part_id for part_id, _ in parts),
                 part_tokens=tuple(tokens for _, tokens in parts),
                 goes_on=bool(head.header(names.RESUME_AFTER)),
-                begun_as=head.header(names.RESUMED_REQUEST)[
-                    :_MAX_REQUEST_ID_CHARS
-                ],
+                begun_as=shorten_id(head.header(names.RESUMED_REQUEST)),
                 caller=head.peer.rpartition(':')[0],
             ),
         )
--- a/persimmonhold/streams/__init__.py
+++ b/persimmonhold/streams/__init__.py
@@ -26,6 +26,7 @@
     BegunStream,
     StreamOrigin,
     StreamRegistry,
+    shorten_id,
 )
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
     'StreamOrigins',
     'StreamRecord',
     'StreamRegistry',
+    'shorten_id',
 )
 
 if not TYPE_CHECKING:
--- a/persimmonhold/streams/_stream_registry.py
+++ b/persimmonhold/streams/_stream_registry.py
@@ -4,6 +4,7 @@
 controller those of all entries. Invariant: the number of streams is bounded.
 """
 
+import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Final, final
@@ -13,6 +14,19 @@
 # No caller takes a stream up again after this time.
 STREAM_LIFE_S: Final = 30.0
 _MAX_STREAMS: Final = 65_536
+_MAX_ID_CHARS: Final = 128
+_DIGEST_BYTES: Final = 16
+
+
+def shorten_id(request_id: str) -> str:
+    """Return an id of at most 128 characters that stands for a request id.
+
+    A longer one, whose length the caller chooses, is replaced by its digest.
+    """
+    if len(request_id) <= _MAX_ID_CHARS:
+        return request_id
+    digest = hashlib.blake2b(request_id.encode(), digest_size=_DIGEST_BYTES)
+    return digest.hexdigest()
 
 
 @final
@@ -36,7 +50,10 @@
 
 @final
 class StreamRegistry:
-    """The origins of the newest streams, and when each was recorded."""
+    """The origins of the newest streams, and when each was recorded.
+
+    Streams are kept by shortened ids, so that their number bounds their size.
+    """
 
     __slots__ = ('begun',)
 
@@ -49,9 +66,10 @@
 
         The first origin of a request is kept.
         """
-        is_new = request_id not in self.begun
+        stream_id = shorten_id(request_id)
+        is_new = stream_id not in self.begun
         if is_new:
-            self.begun[request_id] = (now, origin)
+            self.begun[stream_id] = (now, origin)
         while self.begun:
             oldest = next(iter(self.begun))
             is_old = now - self.begun[oldest][0] > STREAM_LIFE_S
@@ -72,7 +90,7 @@
 
     def find_origin(self, request_id: str, now: float) -> StreamOrigin | None:
         """Return where a stream began, or None if that is not known."""
-        found = self.begun.get(request_id)
+        found = self.begun.get(shorten_id(request_id))
         if found is None or now - found[0] > STREAM_LIFE_S:
             return None
         return found[1]
