Bound the routing documents in the change log of a view by size

Together they are now at most 2 MB as encoded, or a single one; a VM that lacks more gets the whole view, which has one document.

test_documents_in_the_change_log_of_a_view_are_bounded_in_size failed before for documents of 0.3 and 3 MB, and passes now.

--- a/persimmonhold/control/machine/_view_state.py
+++ b/persimmonhold/control/machine/_view_state.py
@@ -19,8 +19,10 @@
 CopyKey: TypeAlias = tuple[str, str, str, str]
 _ViewItem: TypeAlias = StoredEntry | Copy | VmRecord | RoutingDocument
 _DIGEST_BYTES: Final = 8
-# Limits the change log, as a routing document may have hundreds of kilobytes.
+# Limits the routing documents in the change log, in number and encoded size. A
+# VM that lacks more changes gets the view, which has a single document.
 _MAX_LOGGED_DOCUMENTS: Final = 16
+_MAX_LOGGED_DOCUMENT_BYTES: Final = 2_097_152
 _NO_ROUTES: Final = RoutingDocument()
 
 
@@ -30,7 +32,7 @@
 
     __slots__ = (
         '_changes',
-        '_logged_document_count',
+        '_logged_document_sizes',
         '_cached_view',
         'catalogue',
         'copies',
@@ -49,7 +51,7 @@
         self.vms: dict[str, VmRecord] = {}
         self.routes = RoutingDocument()
         self._changes: deque[ViewChange] = deque(maxlen=change_log_length)
-        self._logged_document_count = 0
+        self._logged_document_sizes: deque[int] = deque()
         self._cached_view: ControlView | None = None
 
     def view(self) -> ControlView:
@@ -108,7 +110,7 @@
         self.routes = view.routes
         self.digest = digest
         self._changes.clear()
-        self._logged_document_count = 0
+        self._logged_document_sizes.clear()
         self._cached_view = view
         return True
 
@@ -119,15 +121,27 @@
         if len(self._changes) == self._changes.maxlen:
             self._drop_oldest_change()
         self._changes.append(change)
-        self._logged_document_count += change.routes is not None
-        while self._logged_document_count > _MAX_LOGGED_DOCUMENTS:
+        if change.routes is not None:
+            encoded = msgspec.msgpack.encode(change.routes)
+            self._logged_document_sizes.append(len(encoded))
+        while self._exceeds_bounds():
             self._drop_oldest_change()
 
-    def _drop_oldest_change(self) -> None:
-        self._logged_document_count -= (
-            self._changes.popleft().routes is not None
+    def _exceeds_bounds(self) -> bool:
+        """Return whether the log has too many documents, or too long ones.
+
+        A single one is kept, however long it is.
+        """
+        count = len(self._logged_document_sizes)
+        size_bytes = sum(self._logged_document_sizes)
+        return count > _MAX_LOGGED_DOCUMENTS or (
+            count > 1 and size_bytes > _MAX_LOGGED_DOCUMENT_BYTES
         )
 
+    def _drop_oldest_change(self) -> None:
+        if self._changes.popleft().routes is not None:
+            self._logged_document_sizes.popleft()
+
     def _apply_entry(self, change: ViewChange) -> None:
         stored = change.stored
         name = change.removed if stored is None else stored.entry.name
--- a/tests/test_log_bounds.py
+++ b/tests/test_log_bounds.py
@@ -13,9 +13,12 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from persimmonhold.consensus import EntryKind, LogEntry
+from persimmonhold.control.machine._view_state import ViewState
 from persimmonhold.failures import FailureKind
+from persimmonhold.messages import ViewChange
 from persimmonhold.replication import LogBounds, ReplicaNode, _log_writer
 from persimmonhold.replication._stored_entry import decode_entry
+from persimmonhold.routes import RoutingDocument
 from persimmonhold.storage import LogStore
 from tests._replica_cluster import Cluster, FakeVm, running
 from tests._replication_fakes import (
@@ -297,3 +300,21 @@
             assert_that(taken, GreaterThan(0))
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize('length', [1, 300_000, 3_000_000])
+def test_documents_in_the_change_log_of_a_view_are_bounded_in_size(
+    length: int,
+) -> None:
+    """Sixteen of any length were kept at each VM."""
+    view = ViewState(4096)
+    for version in range(1, 40):
+        document = RoutingDocument(version=version, source=b'x' * length)
+        change = ViewChange(index=version, previous=version - 1, revision=0)
+        view.apply_change(msgspec.structs.replace(change, routes=document))
+    kept = [
+        since for since in range(39) if view.changes_since(since) is not None
+    ]
+    assert_that(len(kept), GreaterThan(0))
+    assert_that((len(kept) - 1) * length, LessThan(2_200_000))
+    assert_that(view.routes.version, Equals(39))
