--- a/persimmonhold/replication/_replica_host.py
+++ b/persimmonhold/replication/_replica_host.py
@@ -124,7 +124,13 @@
         else:
             state = self._generate_identity()
         self.recovered_bytes = self._store.log_bytes + len(found.snapshot)
-        self.writer = LogWriter(self._store, found.segments)
+        segments = found.segments
+        if segments and log.unwrap().last_index == log.unwrap().base_index:
+            # A snapshot has replaced all entries. If they stayed, the next
+            # start would take later entries for replaced ones, too.
+            self._store.remove_all_segments()
+            segments = ()
+        self.writer = LogWriter(self._store, segments)
         self._create_replica(state, log.unwrap(), now)
         self._compact(log.unwrap().snapshot)
         log_event(
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -10,8 +11,17 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
+from persimmonhold.consensus import (
+    Configuration,
+    EntryKind,
+    HardState,
+    LogEntry,
+    Member,
+    Snapshot,
+)
 from persimmonhold.failures import FailureKind
 from persimmonhold.replication import LogBounds
+from persimmonhold.storage import LogStore
 from tests._replica_cluster import FakeVm, propose_all, running
 from tests._replication_fakes import (
     CrashError,
@@ -230,6 +240,36 @@
     run_virtual(scenario())
 
 
+def test_entries_behind_a_snapshot_that_replaced_the_log_are_kept() -> None:
+    """A crash before the replaced files were removed lost later entries."""
+
+    async def scenario() -> None:
+        vm = FakeVm('vm0', FakeNetwork(), 1)
+        state = HardState(replica='vm0/1', term=2)
+        snapshot = Snapshot(
+            index=4,
+            term=2,
+            configuration=Configuration((Member('vm0/1', 'vm0'),)),
+            state=msgspec.msgpack.encode([b'snapshot']),
+        )
+        store = LogStore(vm.disk)
+        store.recover().unwrap()
+        store.write_hard_state(msgspec.msgpack.encode(state))
+        for index in range(1, 6):
+            replaced = LogEntry(index, 1, EntryKind.command, b'replaced')
+            store.append_records((msgspec.msgpack.encode(replaced),))
+        store.write_snapshot(msgspec.msgpack.encode(snapshot))
+        for payload in (b'first', b'second'):
+            async with vm.create_node() as node:
+                await asyncio.sleep(1)
+                assert isinstance(await node.propose(payload), Success)
+        assert_that(
+            vm.applier.payloads, Equals([b'snapshot', b'first', b'second'])
+        )
+
+    run_virtual(scenario())
+
+
 def test_damaged_log_is_named_and_not_used() -> None:
     async def scenario() -> None:
         vm = FakeVm('vm0', FakeNetwork(), 1)
