Do not use the name of a removed segment again

The store now counts on from the highest number, and removing a file that is gone is no error.

test_late_removal_takes_no_file_of_a_log_that_began_anew failed before in both cases, and passes now.

--- a/persimmonhold/storage/_disk_directory.py
+++ b/persimmonhold/storage/_disk_directory.py
@@ -74,9 +74,9 @@
         (self.path / name).replace(self.path / new_name)
 
     def remove(self, name: str) -> None:
-        """Remove a file."""
+        """Remove a file, which may be gone after `remove_later`."""
         self._close(name)
-        (self.path / name).unlink()
+        (self.path / name).unlink(missing_ok=True)
 
     def remove_later(self, name: str) -> None:
         """Remove a file in the background.
@@ -96,7 +96,7 @@
 
     def _remove_unused(self, name: str) -> None:
         try:
-            (self.path / name).unlink()
+            (self.path / name).unlink(missing_ok=True)
         except OSError as error:
             log_event(
                 'file_not_removed',
--- a/persimmonhold/storage/_log_store.py
+++ b/persimmonhold/storage/_log_store.py
@@ -35,7 +35,7 @@
 class LogStore:
     """Reads and writes the files of one replica."""
 
-    __slots__ = ('_files', '_segment_bytes', '_segments')
+    __slots__ = ('_files', '_last_number', '_segment_bytes', '_segments')
 
     def __init__(
         self,
@@ -46,6 +46,8 @@
         self._files = files
         self._segment_bytes = segment_bytes
         self._segments: list[Segment] = []
+        # Not used again after a removal, which may take place later.
+        self._last_number = 0
 
     @property
     def segments(self) -> tuple[Segment, ...]:
@@ -101,10 +103,8 @@
 
     def begin_segment(self) -> None:
         """Start a new segment; its file is created by the first append."""
-        number = 1
-        if self._segments:
-            number = _parse_segment_number(self._segments[-1].name) + 1
-        name = f'{_SEGMENT_PREFIX}{number:0{_NUMBER_DIGITS}}'
+        self._last_number += 1
+        name = f'{_SEGMENT_PREFIX}{self._last_number:0{_NUMBER_DIGITS}}'
         self._segments.append(Segment(self._files, name))
 
     def remove_first_segment(self) -> None:
@@ -192,6 +192,8 @@
             if name.startswith(_SEGMENT_PREFIX)
         ]
         self._segments = [Segment(self._files, name) for name in names]
+        if names:
+            self._last_number = _parse_segment_number(names[-1])
         decoded: list[tuple[RecordT, ...]] = []
         for segment in self._segments:
             is_last = segment is self._segments[-1]
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -134,6 +134,45 @@
     return writes
 
 
+class SlowDisk(FakeDisk):
+    """Removes files only when told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unwanted: list[str] = []
+
+    def remove_later(self, name: str) -> None:
+        """Note the file."""
+        self.unwanted.append(name)
+
+    def remove_unwanted(self) -> None:
+        """Remove the noted files that are still there."""
+        for name in self.unwanted:
+            if name in self.files:
+                self.remove(name)
+
+
+@pytest.mark.parametrize('removes_all_files', [False, True])
+def test_late_removal_takes_no_file_of_a_log_that_began_anew(
+    *, removes_all_files: bool
+) -> None:
+    """Numbers of segments began again at 1 while one was to be removed."""
+    disk = SlowDisk()
+    store = LogStore(disk, segment_bytes=10)
+    store.recover().unwrap()
+    for record in _RECORDS:
+        store.append_records((record,))
+    store.remove_first_segment()
+    if removes_all_files:
+        store.remove_all_files()
+    else:
+        store.remove_all_segments()
+    store.append_records((b'new',))
+    disk.remove_unwanted()
+    found = LogStore(disk).recover().unwrap()
+    assert_that(found.records, Equals((b'new',)))
+
+
 @given(stop_at=st.integers(0, 110), seed=st.integers(0, 1000))
 def test_what_was_synced_outlives_a_crash_at_any_step(
     stop_at: int,
