--- a/persimmonhold/replication/_replica_host.py
+++ b/persimmonhold/replication/_replica_host.py
@@ -47,6 +47,8 @@
 from persimmonhold.transport import Channel, Transport
 
 _INCARNATION_BITS: Final = 64
+# Of the bytes between two snapshots.
+_MAX_SNAPSHOT_JITTER: Final = 0.75
 
 
 @final
@@ -65,6 +67,7 @@
         '_logged_state',
         '_rng',
         '_settings',
+        '_snapshot_jitter',
         '_store',
         '_transport',
         'address_book',
@@ -96,6 +99,7 @@
         self.address_book = AddressBook()
         self.applied_index = 0
         self.recovered_bytes = 0
+        self._snapshot_jitter = _MAX_SNAPSHOT_JITTER * rng.random()
         self.waiters = Waiters()
         self.replica: Replica
         self.writer: LogWriter
@@ -193,12 +197,14 @@
         """Return whether enough was applied since the last snapshot.
 
         The larger the state, the more has to be applied, up to twice the bound,
-        so that snapshots do not outweigh the log.
+        so that snapshots do not outweigh the log. A random part is added, so
+        that the replicas do not all wait for their disks at the same entry.
         """
         log = self.replica.core.log
         first = log.snapshot.index + 1
         bound = self._settings.bounds.bytes_per_snapshot
         due_bytes = min(max(bound, len(log.snapshot.state)), 2 * bound)
+        due_bytes += int(bound * self._snapshot_jitter)
         return (
             self.applied_index
             >= first + self._settings.entries_per_snapshot - 1
@@ -232,6 +238,7 @@
         """
         self._store.finish_snapshot()
         self._compact(snapshot)
+        self._snapshot_jitter = _MAX_SNAPSHOT_JITTER * self._rng.random()
         log = self.replica.core.log
         log_event(
             'snapshot_taken',
