--- a/persimmonhold/forwarding/_order_lease.py
+++ b/persimmonhold/forwarding/_order_lease.py
@@ -4,7 +4,8 @@
 orders. That VM continues at once when it leads again. Any other VM waits
 until the lease has expired, and records itself in the log before its first
 order. While it waits, it hands leadership back to the named VM if that VM
-returns, since a process starts in less time than the lease.
+returns, since a process starts in less time than the lease. It keeps the
+leadership if the lease expires before the named VM would be ready.
 """
 
 import asyncio
@@ -27,6 +28,9 @@
 # Leadership is handed back only after this time: by then a VM that stops as
 # planned no longer answers, so that leadership does not return to it.
 _HAND_BACK_AFTER_S: Final = 0.7
+# Time in which a new leader learns the fleet: it receives a report from each
+# entry and lets the slots of brittle upstreams settle.
+_CONTROLLER_START_S: Final = 1.0
 # Minimum time between two hand-backs, so that a VM that fails repeatedly leads
 # less often.
 _HAND_BACK_INTERVAL_S: Final = 10.0
@@ -115,8 +119,9 @@
             )
             now = self.clock()
             is_early = now < began_at + _HAND_BACK_AFTER_S
+            is_late = now > latest_start_at - _CONTROLLER_START_S
             is_repeated = now < self.handed_back_at + _HAND_BACK_INTERVAL_S
-            if last_controller and not is_early and not is_repeated:
+            if last_controller and not (is_early or is_late or is_repeated):
                 await self._hand_back_leadership(last_controller)
 
     async def _hand_back_leadership(self, last_controller: str) -> None:
