Do not take the exit status of children from the child watcher

Process.send_signal of asyncio polls the child first; if it has just ended, that collects its status, and the watcher finds no child.

--- a/bench/drills/_processes.py
+++ b/bench/drills/_processes.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure as Failed
 
+from bench.process_signals import send_signal
 from persimmonhold.deployment import (
     SHAPES,
     DeploymentDocument,
@@ -99,7 +100,7 @@
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process of this deployment."""
-        self._running[name].send_signal(number)
+        send_signal(self._running[name], number)
 
     async def stop(self, name: str) -> int:
         """Stop a process by SIGTERM and return its exit code.
@@ -107,12 +108,12 @@
         It is killed if it has not exited after 60 s; the code is then -9.
         """
         process = self._running.pop(name)
-        process.send_signal(signal.SIGTERM)
+        send_signal(process, signal.SIGTERM)
         try:
             async with asyncio.timeout(_STOP_TIMEOUT_S):
                 return await process.wait()
         except TimeoutError:
-            process.kill()
+            send_signal(process, signal.SIGKILL)
             return await process.wait()
 
     async def kill(self, name: str) -> None:
--- a/bench/soak/_soak_vm.py
+++ b/bench/soak/_soak_vm.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Final, final
 
+from bench.process_signals import send_signal
 from bench.soak._record import Record
 from bench.soak._stop import Stop
 
@@ -62,8 +63,8 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal unless the process has ended."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+        if self.process is not None:
+            send_signal(self.process, number)
 
     async def stop(self, delay_s: float) -> None:
         """Stop by SIGTERM, kill after the grace period, start after a delay.
@@ -102,8 +103,8 @@
         spans.append((began_at, began_at + length_s))
         self.send_signal(signal.SIGSTOP)
         await asyncio.sleep(length_s)
-        if frozen is not None and frozen.returncode is None:
-            frozen.send_signal(signal.SIGCONT)
+        if frozen is not None:
+            send_signal(frozen, signal.SIGCONT)
         spans.append((began_at, _now()))
 
     async def close(self) -> None:
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -13,6 +13,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
+from bench.process_signals import send_signal
 from persimmonhold.platform import _run as run_module
 from persimmonhold.system import ForwardingVm
 from tests.platform_fakes import FakePlatform
@@ -27,7 +28,7 @@
     assert process.stdout is not None
     while b'"started"' not in await process.stdout.readline():
         assert_that(process.stdout.at_eof(), Is(False))
-    process.send_signal(stop)
+    send_signal(process, stop)
     _, errors = await process.communicate()
     return errors
 
@@ -58,7 +59,7 @@
                 errors = await _stop_when_started(process, stop)
             finally:
                 if process.returncode is None:
-                    process.kill()
+                    send_signal(process, signal.SIGKILL)
                     await process.wait()
         assert_that(errors, Equals(b''))
         assert_that(process.returncode, Equals(0))
@@ -69,14 +70,30 @@
 async def _signal_until_ended(process: Process) -> None:
     """Send SIGTERM to a VM again and again once it says that it stopped."""
     assert process.stdout is not None
-    process.send_signal(signal.SIGTERM)
+    send_signal(process, signal.SIGTERM)
     while b'"stopped"' not in await process.stdout.readline():
         assert_that(process.stdout.at_eof(), Is(False))
     while process.returncode is None:
-        process.send_signal(signal.SIGTERM)
+        send_signal(process, signal.SIGTERM)
         await asyncio.sleep(0.001)
 
 
+def test_signal_does_not_take_the_status_of_a_process_that_has_ended() -> None:
+    """The watcher of a child must be the only one that collects its status."""
+
+    async def scenario() -> int:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, '-c', 'pass'
+        )
+        while process.returncode is None:
+            send_signal(process, signal.SIGCONT)
+            await asyncio.sleep(0)
+        return process.returncode
+
+    for _ in range(10):
+        assert_that(asyncio.run(scenario()), Equals(0))
+
+
 def test_signals_after_a_stop_do_not_change_its_status(tmp_path: Path) -> None:
     """The default of SIGTERM ended a process that was closing its sockets."""
 
