--- a/tests/_replication_fakes.py
+++ b/tests/_replication_fakes.py
@@ -169,11 +169,13 @@
 
     def append(self, name: str, content: bytes) -> None:
         self._step()
-        used_bytes = self.used_bytes + len(content)
-        if used_bytes > self.capacity_bytes:
+        # As much is written as there is room for.
+        room = max(0, self.capacity_bytes - self.used_bytes)
+        written = content[: int(min(room, len(content)))]
+        self.files.setdefault(name, FakeFile()).content += written
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+        if len(written) < len(content):
             raise OSError(errno.ENOSPC, 'no space left on the fake disk')
-        self.files.setdefault(name, FakeFile()).content += content
-        self.peak_bytes = max(self.peak_bytes, used_bytes)
 
     def truncate(self, name: str, size: int) -> None:
         self._step()
